--- /dev/null
+++ b/demo/launch_fleet.ts
@@ -0,0 +1,239 @@
+/**
+ * Launches a fleet of real processes on loopback addresses, for the demo, the
+ * tests and the measurements. The product itself starts no process.
+ *
+ * @module
+ */
+
+import { type ChildProcess, spawn } from "node:child_process";
+import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { createServer } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import process from "node:process";
+import { setTimeout as sleep } from "node:timers/promises";
+import { fileURLToPath } from "node:url";
+import {
+  createOperatorClient,
+  type OperatorClient,
+} from "../src/cli/create_operator_client.ts";
+import { hashSecret } from "../src/http/index.ts";
+
+/** Token of the fleet's first operator. */
+export const OPERATOR_TOKEN = "operator-of-the-trial";
+
+/** A process of the fleet. */
+export interface FleetProcess {
+  readonly name: string;
+  /** `host:port` that operators or callers use. */
+  readonly address: string;
+  getProcessId(): number;
+  kill(signal: NodeJS.Signals): void;
+  /** Resolves with the exit code once it has ended. */
+  readonly ended: () => Promise<number>;
+  start(extra?: readonly string[]): void;
+  getLog(): string;
+  readonly dataFolder: string;
+}
+
+/** A running fleet. */
+export interface Fleet extends AsyncDisposable {
+  readonly controls: readonly FleetProcess[];
+  readonly entries: readonly FleetProcess[];
+  readonly operator: OperatorClient;
+  readonly folder: string;
+  /** Waits until a condition holds. */
+  until(what: string, test: () => Promise<boolean> | boolean): Promise<void>;
+}
+
+/** Options of {@link launchFleet}. */
+export interface LaunchFleetOptions {
+  readonly controls?: number;
+  readonly entries?: number;
+  readonly platformListUrl?: string;
+  readonly places?: readonly string[];
+  /** Whether the entries keep their last configuration on a disk. */
+  readonly entryDisks?: boolean;
+  /** Further settings of every entry or control process. */
+  readonly entrySettings?: Readonly<Record<string, unknown>>;
+  readonly controlSettings?: Readonly<Record<string, unknown>>;
+}
+
+/** Time, in ms, for a condition to come true. */
+const UNTIL_TIMEOUT_MS = 30_000;
+
+const BIN_FOLDER = fileURLToPath(new URL("../src/bin/", import.meta.url));
+
+/** Launches a fleet and waits until it leads and all entries are live. */
+export async function launchFleet(
+  options: LaunchFleetOptions = {},
+): Promise<Fleet> {
+  const { controls = 3, entries = 3, places = ["place-1"] } = options;
+  const folder = await mkdtemp(join(tmpdir(), "crowlever-"));
+  const ports = await findFreePorts(controls * 2 + entries);
+  const controlVms = Array.from({ length: controls }, (_value, at) => ({
+    vm: `control-${at + 1}`,
+    peerAddress: `127.0.0.1:${ports[at * 2]}`,
+    operatorAddress: `127.0.0.1:${ports[at * 2 + 1]}`,
+  }));
+  const common = (vm: string, at: number) => ({
+    fleetId: "trial",
+    vm,
+    place: places[at % places.length],
+    logs: { level: "info", format: "text" },
+  });
+  const controlProcesses = await Promise.all(
+    controlVms.map(async ({ vm }, at) => {
+      const dataFolder = join(folder, vm);
+      const settings = {
+        ...common(vm, at),
+        dataFolder,
+        peerListen: { host: "127.0.0.1", port: ports[at * 2] },
+        listen: { host: "127.0.0.1", port: ports[at * 2 + 1] },
+        controlVms,
+        platformListUrl: options.platformListUrl,
+        bootstrapOperatorTokenSha256: hashSecret(OPERATOR_TOKEN),
+        ...options.controlSettings,
+      };
+      return await makeProcess({
+        program: "crowlever_control.js",
+        settings,
+        folder,
+        address: controlVms[at].operatorAddress,
+      });
+    }),
+  );
+  const entryProcesses = await Promise.all(
+    Array.from({ length: entries }, async (_value, at) => {
+      const vm = `entry-${at + 1}`;
+      const port = ports[controls * 2 + at];
+      const settings = {
+        ...common(vm, at),
+        listen: { host: "127.0.0.1", port },
+        controlAddresses: controlVms.map((control) => control.peerAddress),
+        dataFolder: options.entryDisks ? join(folder, vm) : undefined,
+        entriesTtlMs: 500,
+        ...options.entrySettings,
+      };
+      return await makeProcess({
+        program: "crowlever_entry.js",
+        settings,
+        folder,
+        address: `127.0.0.1:${port}`,
+      });
+    }),
+  );
+  const all = [...controlProcesses, ...entryProcesses];
+  const operator = createOperatorClient({
+    addresses: controlVms.map((control) => control.operatorAddress),
+    token: OPERATOR_TOKEN,
+  });
+  const fleet: Fleet = {
+    controls: controlProcesses,
+    entries: entryProcesses,
+    operator,
+    folder,
+    until,
+    async [Symbol.asyncDispose]() {
+      for (const child of all) child.kill("SIGCONT");
+      for (const child of all) child.kill("SIGKILL");
+      await Promise.all(all.map((child) => child.ended()));
+      await rm(folder, { recursive: true, force: true });
+    },
+  };
+  controlProcesses.forEach((child, at) =>
+    child.start(at === 0 ? ["--form"] : [])
+  );
+  entryProcesses.forEach((child) => child.start());
+  try {
+    await until("all voters and entries are there", () => isWhole(fleet));
+  } catch (error) {
+    for (const child of all) process.stderr.write(child.getLog());
+    await fleet[Symbol.asyncDispose]();
+    throw error;
+  }
+  return fleet;
+}
+
+interface Status {
+  readonly members: readonly { role: string }[];
+  readonly entries: readonly unknown[];
+}
+
+async function isWhole(fleet: Fleet): Promise<boolean> {
+  const status = await fleet.operator.call<Status>({ path: "/v1/status" });
+  const voters = status.members.filter((member) => member.role === "voter");
+  return voters.length === fleet.controls.length &&
+    status.members.length === voters.length &&
+    status.entries.length === fleet.entries.length;
+}
+
+/** Waits until a condition holds. */
+export async function until(
+  what: string,
+  test: () => Promise<boolean> | boolean,
+): Promise<void> {
+  const endMs = Date.now() + UNTIL_TIMEOUT_MS;
+  while (Date.now() < endMs) {
+    if (await Promise.resolve(test()).catch(() => false)) return;
+    await sleep(20);
+  }
+  throw new Error(`Waited in vain until ${what}`);
+}
+
+async function makeProcess(
+  options: {
+    program: string;
+    settings: { vm: string; dataFolder?: string };
+    folder: string;
+    address: string;
+  },
+): Promise<FleetProcess> {
+  const { program, settings, folder, address } = options;
+  const file = join(folder, `${settings.vm}.jsonc`);
+  await writeFile(file, JSON.stringify(settings, null, 2));
+  let child: ChildProcess | undefined;
+  let log = "";
+  let ended = Promise.resolve(0);
+  return {
+    name: settings.vm,
+    address,
+    dataFolder: settings.dataFolder ?? "",
+    getProcessId: () => child?.pid ?? 0,
+    getLog: () => log,
+    kill: (signal) => void child?.kill(signal),
+    ended: () => ended,
+    start(extra = []) {
+      const started = spawn(
+        process.execPath,
+        [join(BIN_FOLDER, program), "--settings", file, ...extra],
+        { stdio: ["ignore", "ignore", "pipe"] },
+      );
+      child = started;
+      started.stderr?.on("data", (chunk) => log += String(chunk));
+      ended = new Promise((resolve) => {
+        started.once("close", (code) => resolve(code ?? -1));
+      });
+    },
+  };
+}
+
+/** Finds ports that are free now. */
+export async function findFreePorts(count: number): Promise<number[]> {
+  const servers = await Promise.all(
+    Array.from({ length: count }, async () => {
+      const server = createServer();
+      await new Promise<void>((resolve) =>
+        server.listen(0, "127.0.0.1", resolve)
+      );
+      return server;
+    }),
+  );
+  const ports = servers.map((server) =>
+    (server.address() as { port: number }).port
+  );
+  await Promise.all(
+    servers.map((server) => new Promise((resolve) => server.close(resolve))),
+  );
+  return ports;
+}
--- /dev/null
+++ b/scripts/check.mjs
@@ -0,0 +1,59 @@
+// Runs all checks: formatter, linter, tests. Type check and build ran in the
+// set-up. The last line counts what passed and what failed; tests listed in
+// KNOWN-RED.txt are printed and passed over.
+import { spawnSync } from "node:child_process";
+import { existsSync, readFileSync } from "node:fs";
+import process from "node:process";
+import { stripVTControlCharacters } from "node:util";
+
+const TEST_TIMEOUT_MS = 20 * 60 * 1000;
+
+function run(command, args, timeout) {
+  const result = spawnSync(command, args, {
+    encoding: "utf8",
+    timeout,
+    maxBuffer: 256 * 1024 * 1024,
+  });
+  const output = `${result.stdout ?? ""}${result.stderr ?? ""}`;
+  return { output, passed: result.status === 0 };
+}
+
+function readKnownRed() {
+  if (!existsSync("KNOWN-RED.txt")) return [];
+  return readFileSync("KNOWN-RED.txt", "utf8").split("\n")
+    .map((line) => line.split("|")[0].trim())
+    .filter((name) => name !== "" && !name.startsWith("#"));
+}
+
+const deno = "node_modules/.bin/deno";
+let passed = 0;
+let failed = 0;
+for (const args of [["fmt", "--check"], ["lint"]]) {
+  const result = run(deno, args);
+  process.stdout.write(`deno ${args.join(" ")}: ${result.passed}\n`);
+  if (result.passed) passed += 1;
+  else {
+    failed += 1;
+    process.stdout.write(result.output);
+  }
+}
+
+const tests = run(
+  process.execPath,
+  ["node_modules/uvu/bin.js", "dist", "_test\\.js$", ...process.argv.slice(2)],
+  TEST_TIMEOUT_MS,
+);
+process.stdout.write(tests.output);
+const plain = stripVTControlCharacters(tests.output);
+const total = Number(/Total:\s+(\d+)/.exec(plain)?.[1] ?? 0);
+const good = Number(/Passed:\s+(\d+)/.exec(plain)?.[1] ?? 0);
+const red = [...plain.matchAll(/^\s*FAIL\s+(.*)$/gm)].map((match) => match[1]);
+const known = readKnownRed();
+const excused = red.filter((line) => known.some((name) => line.includes(name)));
+for (const line of excused) process.stdout.write(`known red: ${line}\n`);
+passed += good;
+failed += total - good - excused.length;
+// A run that was cut off, or that found no test, has failed.
+if (total === 0 || (!tests.passed && red.length === 0)) failed += 1;
+process.stdout.write(`${passed} passed, ${failed} failed\n`);
+process.exit(failed === 0 ? 0 : 1);
--- /dev/null
+++ b/src/bin/crowlever_control.ts
@@ -0,0 +1,27 @@
+#!/usr/bin/env node
+/**
+ * `crowlever-control`: quorum, resource interface, sessions with entries.
+ *
+ * @module
+ */
+
+import { inspectDataFolder } from "../control/inspect_data_folder.ts";
+import { startControl } from "../control/index.ts";
+import { ControlSettingsSchema } from "../settings/index.ts";
+import { runProgram } from "./run_program.ts";
+
+await runProgram({
+  program: "crowlever-control",
+  schema: ControlSettingsSchema,
+  flags: {
+    form: "Form a new cluster here; on one VM, once",
+    inspect: "Print the data folder and end",
+  },
+  async inspect({ settings, flags }) {
+    if (!flags.inspect) return false;
+    await inspectDataFolder(settings);
+    return true;
+  },
+  start: ({ settings, flags, ...context }) =>
+    startControl(settings, { form: flags.form, ...context }),
+});
--- /dev/null
+++ b/src/bin/run_program.ts
@@ -0,0 +1,189 @@
+/**
+ * What all server programs share: arguments, settings, signals, exit codes.
+ *
+ * @module
+ */
+
+import process from "node:process";
+import { parseArgs } from "node:util";
+import type { Static, TSchema } from "typebox";
+import { createLogger, type Logger, type LogLevel } from "../logs/index.ts";
+import { createMetrics, type Metrics } from "../metrics/index.ts";
+import { loadSettings, SettingsError } from "../settings/index.ts";
+
+/** Exit code of wrong settings or arguments. */
+export const EXIT_WRONG_SETTINGS = 2;
+
+/** Exit code of a refused data folder or a listener that can't be opened. */
+export const EXIT_START_FAILED = 3;
+
+/** Exit code of a broken invariant or an unexpected error. */
+export const EXIT_FATAL = 4;
+
+/** A started program. */
+export interface RunningProgram {
+  /** A planned stop: lets all in flight finish. */
+  stop(): Promise<void>;
+}
+
+/** What a program is given to start. */
+export interface ProgramContext<Settings> {
+  readonly settings: Settings;
+  readonly flags: Readonly<Record<string, boolean>>;
+  readonly log: Logger;
+  readonly metrics: Metrics;
+  readonly onFatal: (error: unknown) => void;
+}
+
+/** A server program. */
+export interface ProgramOptions<Schema extends TSchema> {
+  readonly program: string;
+  readonly schema: Schema;
+  /** Names of its own boolean flags, with their help. */
+  readonly flags?: Readonly<Record<string, string>>;
+  /** Runs instead of the start where it returns true. */
+  readonly inspect?: (
+    context: ProgramContext<Static<Schema>>,
+  ) => Promise<boolean>;
+  readonly start: (
+    context: ProgramContext<Static<Schema>>,
+  ) => Promise<RunningProgram>;
+}
+
+interface CommonSettings {
+  readonly logs: { level: LogLevel; format: "text" | "json" };
+  readonly metrics: { host: string; port: number };
+}
+
+/**
+ * Runs a server program until a signal ends it.
+ *
+ * @param options - The program's name, settings and start.
+ * @returns Nothing; the process ends with an exit code.
+ * @throws Nothing.
+ * @example
+ * await runProgram({ program: "crowlever-entry", schema, start });
+ */
+export async function runProgram<Schema extends TSchema>(
+  options: ProgramOptions<Schema>,
+): Promise<void> {
+  const { program, schema, flags = {} } = options;
+  const values = readArguments(program, flags);
+  if (!values) return;
+  let settings: Static<Schema>;
+  try {
+    settings = await loadSettings(String(values.settings), schema);
+  } catch (error) {
+    process.stderr.write(`${describeSettingsError(error)}\n`);
+    process.exitCode = EXIT_WRONG_SETTINGS;
+    return;
+  }
+  if (values.check) {
+    process.stdout.write(`${values.settings}: settings are right\n`);
+    return;
+  }
+  const common = settings as CommonSettings;
+  const log = createLogger({ program, ...common.logs });
+  const metrics = createMetrics(common.metrics);
+  const onFatal = (error: unknown): void => {
+    log("invariantBroken", { error });
+    process.exit(EXIT_FATAL);
+  };
+  const context = {
+    settings,
+    flags: values as Record<string, boolean>,
+    log,
+    metrics,
+    onFatal,
+  };
+  if (await options.inspect?.(context)) return;
+  await startAndWait(options, context);
+}
+
+async function startAndWait<Schema extends TSchema>(
+  options: ProgramOptions<Schema>,
+  context: ProgramContext<Static<Schema>>,
+): Promise<void> {
+  const { log, metrics, onFatal } = context;
+  process.on("uncaughtException", onFatal);
+  process.on("unhandledRejection", onFatal);
+  let running: RunningProgram;
+  try {
+    running = await options.start(context);
+  } catch (error) {
+    log("startFailed", { error });
+    process.exitCode = EXIT_START_FAILED;
+    await metrics[Symbol.asyncDispose]();
+    process.exit(EXIT_START_FAILED);
+    return;
+  }
+  await untilSignal(log);
+  await running.stop();
+  await metrics[Symbol.asyncDispose]();
+  log("stopped");
+  process.exit(0);
+}
+
+function untilSignal(log: Logger): Promise<void> {
+  return new Promise((resolve) => {
+    let stopping = false;
+    const take = (): void => {
+      if (stopping) log("signalRepeated");
+      stopping = true;
+      resolve();
+    };
+    process.on("SIGTERM", take);
+    process.on("SIGINT", take);
+  });
+}
+
+function readArguments(
+  program: string,
+  flags: Readonly<Record<string, string>>,
+): Record<string, string | boolean> | undefined {
+  const own = Object.fromEntries(
+    Object.keys(flags).map((flag) => [flag, { type: "boolean" as const }]),
+  );
+  try {
+    const { values } = parseArgs({
+      options: {
+        settings: { type: "string" },
+        check: { type: "boolean" },
+        help: { type: "boolean" },
+        ...own,
+      },
+    });
+    if (values.settings !== undefined && !values.help) {
+      return values as Record<string, string | boolean>;
+    }
+    process.exitCode = values.help ? 0 : EXIT_WRONG_SETTINGS;
+  } catch (error) {
+    process.stderr.write(`${(error as Error).message}\n`);
+    process.exitCode = EXIT_WRONG_SETTINGS;
+  }
+  process.stderr.write(formatHelp(program, flags));
+  return undefined;
+}
+
+function formatHelp(
+  program: string,
+  flags: Readonly<Record<string, string>>,
+): string {
+  const lines = Object.entries(flags).map(([flag, help]) =>
+    `  --${flag.padEnd(14)} ${help}`
+  );
+  return [
+    `Usage: ${program} --settings FILE [--check]`,
+    "",
+    "  --settings FILE  Settings, JSON with comments",
+    "  --check          Only check the settings: exit code 0 or 2",
+    ...lines,
+    "",
+    "Exit codes: 0 planned end, 2 wrong settings, 3 refused start, 4 fatal",
+    "",
+  ].join("\n");
+}
+
+function describeSettingsError(error: unknown): string {
+  return error instanceof SettingsError ? error.message : String(error);
+}
--- /dev/null
+++ b/src/control/index.ts
@@ -0,0 +1,10 @@
+/**
+ * The control program: quorum, resource interface, sessions with entries.
+ *
+ * @module
+ */
+
+export * from "./control_error.ts";
+export * from "./create_replica.ts";
+export * from "./start_control.ts";
+export * from "./state_machine.ts";
--- /dev/null
+++ b/src/control/start_control.ts
@@ -0,0 +1,310 @@
+/**
+ * The control program put together.
+ *
+ * @module
+ */
+
+import { randomBytes } from "node:crypto";
+import { Server } from "@grpc/grpc-js";
+import { createServer } from "../http/index.ts";
+import type { Logger } from "../logs/index.ts";
+import type { Metrics } from "../metrics/index.ts";
+import { DEFAULT_QUORUM_TIMING, type QuorumState } from "../quorum/index.ts";
+import type { ControlSettings } from "../settings/index.ts";
+import { openQuorumStorage } from "../storage/index.ts";
+import {
+  CHANNEL_OPTIONS,
+  createServerCredentials,
+  wire,
+} from "../wire/index.ts";
+import { createAgentService } from "./create_agent_service.ts";
+import { createFleetView } from "./create_fleet_view.ts";
+import { createOperatorApi } from "./create_operator_api.ts";
+import { createPeerTransport } from "./create_peer_transport.ts";
+import { createReplica, type Replica } from "./create_replica.ts";
+import { joinCluster } from "./join_cluster.ts";
+import { readPlatformList } from "./read_platform_list.ts";
+import { startLeaderDuties } from "./start_leader_duties.ts";
+import { createStateMachine } from "./state_machine.ts";
+
+/** A running control program. */
+export interface ControlProgram extends AsyncDisposable {
+  /** Port of the resource interface. */
+  readonly port: number;
+  /** Port that replicas and entries talk to. */
+  readonly peerPort: number;
+  readonly replica: Replica;
+  /** Hands leadership over, then ends. */
+  stop(): Promise<void>;
+}
+
+/** Options of {@link startControl}. */
+export interface StartControlOptions {
+  /** Forms a new cluster of this replica alone, if its folder is new. */
+  readonly form?: boolean;
+  readonly log: Logger;
+  readonly metrics: Metrics;
+  readonly onFatal: (error: unknown) => void;
+}
+
+/** Ms that a planned stop waits for another leader. */
+const HANDOVER_TIMEOUT_MS = 1_000;
+
+/**
+ * Starts the control program.
+ *
+ * @param settings - Its settings.
+ * @param options - Whether to form a cluster; logs and metrics.
+ * @returns The running program.
+ * @throws {StorageOwnerError | StorageDamageError} When the data folder is
+ * refused.
+ * @example
+ * const control = await startControl(settings, { log, metrics, onFatal });
+ */
+export async function startControl(
+  settings: ControlSettings,
+  options: StartControlOptions,
+): Promise<ControlProgram> {
+  const { log, metrics } = options;
+  const { fleetId, vm, dataFolder } = settings;
+  const now = () => performance.now();
+  const self = settings.controlVms.find((control) => control.vm === vm);
+  const selfAddress = self?.peerAddress ?? "";
+  const clusterId = randomBytes(8).toString("hex");
+  const storage = await openQuorumStorage({
+    folder: dataFolder,
+    fleetId,
+    vm,
+    form: options.form ? { address: selfAddress, clusterId } : undefined,
+  });
+  if (storage.identity.clusterId === clusterId) {
+    log("clusterFormed", { ...storage.identity });
+  }
+  if (storage.stored.tornBytes > 0) {
+    log("tornTailCut", { sizeBytes: storage.stored.tornBytes });
+  }
+  const machine = createStateMachine({
+    claimWindowMs: settings.claimWindowMs,
+    onChange: (change) => {
+      agents.publishChange(change);
+      api.publishChange(change);
+    },
+  });
+  const view = createFleetView({
+    leaseMs: settings.entryLeaseMs,
+    now,
+    log,
+    onChange: (live) => agents.publishLive(live),
+  });
+  const transport = createPeerTransport({
+    getClusterId: () => storage.identity.clusterId,
+    getSelfId: () => storage.identity.replicaId,
+    getAddress,
+    getTerm: () => replica.getState().term,
+    deliver: (message) => replica.deliver(message),
+    readSnapshot: () => storage.readSnapshot(),
+    now,
+    tls: settings.peerTls,
+    log,
+  });
+  const replica: Replica = createReplica({
+    storage,
+    timing: {
+      ...settings.quorum,
+      leaseMs: settings.quorum.electionTimeoutMs *
+        (DEFAULT_QUORUM_TIMING.leaseMs /
+          DEFAULT_QUORUM_TIMING.electionTimeoutMs),
+    },
+    snapshotEntries: settings.snapshotEntries,
+    apply: machine.apply,
+    save: machine.save,
+    restore: machine.restore,
+    send: transport.send,
+    sendSnapshot: transport.sendSnapshot,
+    onRoleChange: takeRoleChange,
+    onFatal: options.onFatal,
+    log,
+    metrics,
+    now,
+    random: Math.random,
+  });
+  let ledgerBase = { startMs: 0, ledgerMs: 0 };
+  let wasLeader = false;
+  let lastRole = "";
+
+  function takeRoleChange(state: QuorumState): void {
+    const { role, term, leaderId } = state;
+    const summary = `${role} ${term} ${leaderId}`;
+    if (summary !== lastRole) log("roleChanged", { role, term, leaderId });
+    lastRole = summary;
+    const leads = role === "leader";
+    if (leads && !wasLeader) {
+      view.reset();
+      // The claims' window runs on the leaders' monotonic time alone, so that
+      // no step of a wall clock shortens it.
+      ledgerBase = { startMs: now(), ledgerMs: machine.getLedgerTimeMs() };
+    }
+    if (!leads && wasLeader) {
+      agents.closeAll("not_leader");
+      api.closeWatches();
+    }
+    wasLeader = leads;
+  }
+
+  // A new learner has no members yet: ids begin with the name of their VM.
+  function getAddress(id: string): string | undefined {
+    const { members } = replica.getState();
+    const member = members.find((candidate) => candidate.id === id);
+    const named = settings.controlVms.find(({ vm }) => id.startsWith(`${vm}.`));
+    return member?.address ?? named?.peerAddress;
+  }
+
+  const getLeader = () => {
+    const { leaderId, members } = replica.getState();
+    const leaderVm = members.find((member) => member.id === leaderId)?.vm;
+    return settings.controlVms.find((control) => control.vm === leaderVm);
+  };
+  const agents = createAgentService({
+    fleetId,
+    getClusterId: () => storage.identity.clusterId,
+    getLeaderAddress: () => getLeader()?.peerAddress ?? "",
+    isLeader: () => replica.getState().role === "leader",
+    getTerm: () => replica.getState().term,
+    confirmRead: () => replica.confirmRead(),
+    hasLease: () => replica.hasLease(),
+    peekClaim: machine.peek,
+    propose: (command) => replica.propose(JSON.stringify(command)),
+    getResources: machine.getResources,
+    getLedgerNowMs: () => ledgerBase.ledgerMs + now() - ledgerBase.startMs,
+    view,
+    log,
+    metrics,
+  });
+  const server = createServer({
+    limits: settings.limits,
+    tls: settings.callerTls,
+    log,
+  });
+  const api = createOperatorApi({
+    server,
+    replica,
+    view,
+    getResources: machine.getResources,
+    getLeaderAddress: () => getLeader()?.operatorAddress ?? "",
+    bootstrapTokenSha256: settings.bootstrapOperatorTokenSha256,
+    vm,
+    isReady: () => replica.getState().leaderId !== null,
+    log,
+    metrics,
+  });
+  const grpc = new Server(CHANNEL_OPTIONS);
+  grpc.addService(
+    wire.PeerService,
+    {
+      deliver: transport.handleDeliver,
+      join: (call, done) => {
+        void takeJoin(call.request).then((answer) => done(null, answer));
+      },
+    } satisfies wire.PeerServer,
+  );
+  grpc.addService(wire.AgentService, { session: agents.handleSession });
+
+  async function takeJoin(
+    request: wire.JoinRequest,
+  ): Promise<wire.JoinResponse> {
+    const state = replica.getState();
+    const { clusterId } = storage.identity;
+    const leaderAddress = getLeader()?.peerAddress ?? "";
+    const refuse = (reason: string): wire.JoinResponse => ({
+      clusterId,
+      accepted: false,
+      leaderAddress,
+      reason,
+    });
+    if (request.fleetId !== fleetId) return refuse("other_fleet");
+    const isNamed = settings.controlVms.some((c) => c.vm === request.vm);
+    if (!isNamed) return refuse("unknown_vm");
+    if (state.role !== "leader") return refuse("not_leader");
+    const known = state.members.some((m) => m.id === request.replicaId);
+    if (!known) {
+      const { replicaId: id, vm, address } = request;
+      const learner = { id, vm, address, role: "learner" as const };
+      try {
+        await replica.changeMembers([...state.members, learner]);
+      } catch {
+        return refuse("busy");
+      }
+    }
+    return { clusterId, accepted: true, leaderAddress, reason: "" };
+  }
+
+  const { peerListen, listen } = settings;
+  const peerPort = await bindGrpc(grpc, {
+    address: `${peerListen.host}:${peerListen.port}`,
+    settings,
+  });
+  await server.listen(listen);
+  const { port } = server.server.address() as { port: number };
+  const duties = startLeaderDuties({
+    replica,
+    view,
+    agents,
+    getResources: machine.getResources,
+    controlVms: settings.controlVms.map((control) => control.vm),
+    readPlatformList: settings.platformListUrl === undefined
+      ? undefined
+      : () =>
+        readPlatformList(settings.platformListUrl ?? "", {
+          timeoutMs: settings.platformPollMs * 4,
+        }),
+    platformPollMs: settings.platformPollMs,
+    log,
+  });
+  const joining = new AbortController();
+  if (storage.identity.clusterId === "") {
+    const { signal } = joining;
+    void joinCluster(settings, { storage, signal, address: selfAddress })
+      .then((joined) => {
+        if (joined) log("clusterJoined", { ...storage.identity });
+      });
+  }
+  log("started", { vm, port, peerPort, replicaId: storage.identity.replicaId });
+
+  async function dispose(): Promise<void> {
+    joining.abort();
+    await duties[Symbol.asyncDispose]();
+    api.closeWatches();
+    agents.closeAll("stopping");
+    await server.close();
+    await transport[Symbol.asyncDispose]();
+    grpc.forceShutdown();
+    await replica[Symbol.asyncDispose]();
+  }
+
+  async function stop(): Promise<void> {
+    log("stopping", { vm });
+    if (replica.getState().role === "leader") {
+      replica.transferLeadership();
+      const untilMs = now() + HANDOVER_TIMEOUT_MS;
+      while (replica.getState().role === "leader" && now() < untilMs) {
+        await new Promise((resolve) => setTimeout(resolve, 10));
+      }
+    }
+    await dispose();
+  }
+
+  return { port, peerPort, replica, stop, [Symbol.asyncDispose]: dispose };
+}
+
+function bindGrpc(
+  grpc: Server,
+  options: { address: string; settings: ControlSettings },
+): Promise<number> {
+  const credentials = createServerCredentials(options.settings.peerTls);
+  return new Promise((resolve, reject) => {
+    grpc.bindAsync(options.address, credentials, (error, port) => {
+      if (error) reject(error);
+      else resolve(port);
+    });
+  });
+}
--- /dev/null
+++ b/src/control/start_leader_duties.ts
@@ -0,0 +1,100 @@
+/**
+ * What only the leader does: watches the fleet, changes the quorum's
+ * membership, hands out shares.
+ *
+ * @module
+ */
+
+import type { Logger } from "../logs/index.ts";
+import type { PlatformState } from "../model/index.ts";
+import { planMembersChange } from "../quorum/index.ts";
+import type { ResourceState } from "../resources/index.ts";
+import { computeAllShares } from "./compute_all_shares.ts";
+import type { AgentService } from "./create_agent_service.ts";
+import type { FleetView } from "./create_fleet_view.ts";
+import type { Replica } from "./create_replica.ts";
+
+/** Ms between two looks at the leases. */
+const TICK_INTERVAL_MS = 100;
+
+/** Ms between two divisions of the client accounts' rates. */
+const SHARE_INTERVAL_MS = 1_000;
+
+/** What the duties need of their program. */
+export interface StartLeaderDutiesOptions {
+  readonly replica: Replica;
+  readonly view: FleetView;
+  readonly agents: AgentService;
+  readonly getResources: () => ResourceState;
+  readonly controlVms: readonly string[];
+  /** Reads the platform's list; absent where there is none. */
+  readonly readPlatformList?: () => Promise<Record<string, PlatformState>>;
+  readonly platformPollMs: number;
+  readonly log: Logger;
+}
+
+/**
+ * Starts the leader's duties; on a follower they rest.
+ *
+ * @param options - The replica, the view, the sessions with entries.
+ * @returns What ends them.
+ * @throws Nothing.
+ * @example
+ * await using duties = startLeaderDuties(options);
+ */
+export function startLeaderDuties(
+  options: StartLeaderDutiesOptions,
+): AsyncDisposable {
+  const { replica, view, agents, log } = options;
+  let polling = false;
+  let changing = false;
+
+  function tick(): void {
+    if (!replica.hasLease()) return;
+    view.take({ type: "tick" });
+    void changeMembers();
+  }
+
+  async function changeMembers(): Promise<void> {
+    if (changing) return;
+    const { controlVms } = options;
+    const members = planMembersChange(replica.getState(), { controlVms });
+    if (!members) return;
+    changing = true;
+    log("membersChanged", {
+      members: members.map(({ id, role }) => `${id}:${role}`),
+    });
+    await replica.changeMembers(members).catch(() => {});
+    changing = false;
+  }
+
+  function handOutShares(): void {
+    if (!replica.hasLease()) return;
+    const state = options.getResources();
+    agents.publishShares(computeAllShares(state, view.getState()));
+  }
+
+  async function poll(): Promise<void> {
+    if (polling || !options.readPlatformList || !replica.hasLease()) return;
+    polling = true;
+    try {
+      const vms = await options.readPlatformList();
+      view.take({ type: "platformList", vms });
+    } catch (error) {
+      log("platformListFailed", { error });
+    }
+    polling = false;
+  }
+
+  const timers = [
+    setInterval(tick, TICK_INTERVAL_MS),
+    setInterval(handOutShares, SHARE_INTERVAL_MS),
+    setInterval(() => void poll(), options.platformPollMs),
+  ];
+  return {
+    async [Symbol.asyncDispose]() {
+      await Promise.resolve();
+      timers.forEach(clearInterval);
+    },
+  };
+}
--- /dev/null
+++ b/src/entry/create_agent.ts
@@ -0,0 +1,355 @@
+/**
+ * The agent inside the entry: its session with the control leader.
+ *
+ * @module
+ */
+
+import type { ClientDuplexStream } from "@grpc/grpc-js";
+import type { Logger } from "../logs/index.ts";
+import type { Metrics } from "../metrics/index.ts";
+import type {
+  AccountShares,
+  EntryReport,
+  LiveState,
+  LiveVersion,
+  Outcome,
+  ResourceChange,
+} from "../model/index.ts";
+import type { EntrySettings } from "../settings/index.ts";
+import {
+  CHANNEL_OPTIONS,
+  createClientCredentials,
+  wire,
+} from "../wire/index.ts";
+import type { ConfigReplica } from "./create_config_replica.ts";
+
+type Stream = ClientDuplexStream<wire.AgentMessage, wire.ControlMessage>;
+type AgentBody = NonNullable<wire.AgentMessage["body"]>;
+
+/** What the agent needs of its program. */
+export interface CreateAgentOptions {
+  readonly settings: EntrySettings;
+  /** New at each start of the process. */
+  readonly incarnation: string;
+  readonly config: ConfigReplica;
+  readonly getReport: () => EntryReport;
+  readonly isLeaving: () => boolean;
+  readonly log: Logger;
+  readonly metrics: Metrics;
+  /** Monotonic time, in ms. */
+  readonly now: () => number;
+}
+
+/** What became of a claim. */
+export type ClaimAnswer =
+  | { readonly verdict: "granted" | "running" | "unknown" | "mismatch" }
+  | { readonly verdict: "unavailable" }
+  | {
+    readonly verdict: "ended";
+    readonly outcome: Outcome;
+    readonly status: number;
+    readonly contentType: string;
+    readonly body: string;
+  };
+
+/** Names a claim. */
+export interface ClaimName {
+  readonly clientAccount: string;
+  readonly key: string;
+}
+
+/** How a claimed request ended. */
+export interface ClaimEnding extends ClaimName {
+  readonly outcome: Outcome;
+  readonly status: number;
+  readonly contentType: string;
+  /** The answer; empty where it is too large to keep. */
+  readonly body: string;
+}
+
+/** The agent inside the entry. */
+export interface Agent extends AsyncDisposable {
+  /** Opens the session; callers reach this entry at the address. */
+  start(callerAddress: string): void;
+  getLive(): LiveState;
+  /** What this entry may use of each client account's limits. */
+  getShares(): AccountShares;
+  isConnected(): boolean;
+  /** Time, in ms, since control was last heard. */
+  getSilenceMs(): number;
+  beginClaim(claim: ClaimName & { requestHash: string }): Promise<ClaimAnswer>;
+  /** Records an end; kept and sent again until control has it. */
+  endClaim(ending: ClaimEnding): void;
+  /** Tells control at once, without waiting for the next heartbeat. */
+  report(): void;
+  /** Resolves once control has all ends, or the time is over. */
+  settle(timeoutMs: number): Promise<void>;
+}
+
+interface Session {
+  readonly stream: Stream;
+  readonly client: wire.AgentClient;
+  readonly address: string;
+  welcomed: boolean;
+  heardMs: number;
+}
+
+/** Ms before the next control process is asked. */
+const RETRY_DELAY_MS = 100;
+
+/** Ms for the answer to a claim; then it counts as unavailable. */
+const CLAIM_TIMEOUT_MS = 3_000;
+
+/**
+ * Makes the agent.
+ *
+ * It keeps one session with the control leader: asked at any control process,
+ * it is told who leads. A control process that is silent is left for another.
+ *
+ * @param options - Settings, the configuration's copy, what to report.
+ * @returns The agent; disposing of it ends the session.
+ * @throws Nothing.
+ * @example
+ * await using agent = createAgent(options);
+ */
+export function createAgent(options: CreateAgentOptions): Agent {
+  const { settings, config, log, metrics, now } = options;
+  const addresses = settings.controlAddresses;
+  let live: LiveState = { entries: [], vms: {} };
+  let liveVersion: LiveVersion = { term: 0, version: -1 };
+  let shares: AccountShares = {};
+  let session: Session | undefined;
+  let nextAddress = Math.floor(Math.random() * addresses.length);
+  let lastHeardMs = now();
+  let nextCall = 1;
+  let closed = false;
+  let callerAddress = "";
+  const calls = new Map<number, (answer: ClaimAnswer) => void>();
+  const endings = new Map<number, ClaimEnding>();
+
+  function open(address: string): void {
+    if (closed) return;
+    const client = new wire.AgentClient(
+      address,
+      createClientCredentials(settings.peerTls),
+      CHANNEL_OPTIONS,
+    );
+    const stream = client.session();
+    const opened: Session = {
+      stream,
+      client,
+      address,
+      welcomed: false,
+      heardMs: now(),
+    };
+    session = opened;
+    let redirected: string | undefined;
+    stream.on("data", (message: wire.ControlMessage) => {
+      if (session !== opened) return;
+      opened.heardMs = now();
+      if (message.body?.$case === "redirect") {
+        redirected = message.body.value.leaderAddress;
+        lose(opened, { reason: message.body.value.reason, redirected });
+        return;
+      }
+      take(opened, message);
+    });
+    stream.on("error", () => lose(opened, { reason: "cut" }));
+    stream.on("end", () => lose(opened, { reason: "ended" }));
+    send({ $case: "hello", value: makeHello() });
+  }
+
+  function makeHello(): wire.AgentHello {
+    return {
+      fleetId: settings.fleetId,
+      clusterId: config.getClusterId(),
+      vm: settings.vm,
+      place: settings.place,
+      incarnation: options.incarnation,
+      callerAddress,
+      revision: config.getState().revision,
+    };
+  }
+
+  function send(body: AgentBody): void {
+    session?.stream.write({ body });
+  }
+
+  function lose(
+    lost: Session,
+    cause: { reason: string; redirected?: string },
+  ): void {
+    if (session !== lost) return;
+    session = undefined;
+    lost.stream.on("error", () => {});
+    lost.stream.cancel();
+    lost.client.close();
+    for (const [call, resolve] of calls) {
+      calls.delete(call);
+      resolve({ verdict: "unavailable" });
+    }
+    if (lost.welcomed) {
+      log("controlLost", { address: lost.address, reason: cause.reason });
+    }
+    if (closed) return;
+    const { redirected = "" } = cause;
+    const next = redirected !== "" ? redirected : takeNextAddress();
+    const delayMs = redirected !== "" ? 0 : RETRY_DELAY_MS;
+    setTimeout(() => open(next), delayMs);
+  }
+
+  function takeNextAddress(): string {
+    nextAddress = (nextAddress + 1) % addresses.length;
+    return addresses[nextAddress];
+  }
+
+  function take(from: Session, message: wire.ControlMessage): void {
+    const { body } = message;
+    switch (body?.$case) {
+      case "welcome":
+        from.welcomed = true;
+        log("controlConnected", { address: from.address });
+        lastHeardMs = now();
+        clusterId = body.value.clusterId;
+        heartbeat();
+        return sendEndings();
+      case "config":
+        return takeConfig(body.value);
+      case "live":
+        return takeLive(body.value);
+      case "share":
+        shares = JSON.parse(body.value.shares) as AccountShares;
+        return;
+      case "heartbeatAck":
+        lastHeardMs = now();
+        return;
+      case "claimResult":
+        return takeClaimResult(body.value);
+    }
+  }
+
+  let clusterId = config.getClusterId();
+
+  function takeConfig(update: wire.ConfigUpdate): void {
+    const taken = config.take({
+      clusterId,
+      revision: update.revision,
+      full: update.full,
+      changes: JSON.parse(update.resources) as ResourceChange[],
+    });
+    const { revision } = config.getState();
+    if (taken === "applied") {
+      log("configApplied", { revision });
+      metrics.gauge("config.revision", revision);
+      heartbeat();
+    }
+    if (taken === "stale" && update.revision < revision) {
+      log("configStale", { offered: update.revision, revision });
+      metrics.count("config.stale");
+    }
+    // The session is opened anew and names what is here.
+    if (taken === "gap" && session) lose(session, { reason: "gap" });
+  }
+
+  function takeLive(update: wire.LiveUpdate): void {
+    const { term, version } = update;
+    const newer = term > liveVersion.term ||
+      (term === liveVersion.term && version >= liveVersion.version);
+    if (!newer) return;
+    const next = JSON.parse(update.live) as LiveState;
+    liveVersion = { term, version };
+    // A new leader knows nobody for a moment: an empty list says nothing.
+    if (next.entries.length > 0) live = next;
+  }
+
+  function takeClaimResult(result: wire.ClaimResult): void {
+    const { call } = result;
+    if (endings.has(call)) {
+      if (result.verdict !== "unavailable") endings.delete(call);
+      return;
+    }
+    const resolve = calls.get(call);
+    calls.delete(call);
+    resolve?.(result as unknown as ClaimAnswer);
+  }
+
+  function sendEndings(): void {
+    for (const [call, ending] of endings) {
+      send({ $case: "claimEnd", value: { call, ...ending } });
+    }
+  }
+
+  function heartbeat(): void {
+    if (!session?.welcomed) return;
+    const value = {
+      revision: config.getState().revision,
+      sentMs: now(),
+      leaving: options.isLeaving(),
+      report: JSON.stringify(options.getReport()),
+    };
+    send({ $case: "heartbeat", value });
+  }
+
+  function tick(): void {
+    if (session && now() - session.heardMs > settings.controlSilenceMs) {
+      lose(session, { reason: "silent" });
+    }
+    heartbeat();
+    if (endings.size > 0 && session?.welcomed) sendEndings();
+  }
+
+  const timer = setInterval(tick, settings.heartbeatIntervalMs);
+  return {
+    start(address) {
+      callerAddress = address;
+      open(addresses[nextAddress]);
+    },
+    getLive: () => live,
+    getShares: () => shares,
+    isConnected: () => session?.welcomed ?? false,
+    getSilenceMs: () => now() - lastHeardMs,
+    beginClaim(claim) {
+      if (!session?.welcomed) {
+        return Promise.resolve({ verdict: "unavailable" });
+      }
+      return new Promise((resolve) => {
+        const call = nextCall++;
+        const timeout = setTimeout(() => {
+          calls.delete(call);
+          resolve({ verdict: "unavailable" });
+        }, CLAIM_TIMEOUT_MS);
+        calls.set(call, (answer) => {
+          clearTimeout(timeout);
+          resolve(answer);
+        });
+        send({ $case: "claimBegin", value: { call, ...claim } });
+      });
+    },
+    endClaim(ending) {
+      const call = nextCall++;
+      endings.set(call, ending);
+      if (session?.welcomed) {
+        send({ $case: "claimEnd", value: { call, ...ending } });
+      }
+    },
+    report: heartbeat,
+    async settle(timeoutMs) {
+      const untilMs = now() + timeoutMs;
+      while (endings.size > 0 && now() < untilMs) {
+        await new Promise((resolve) => setTimeout(resolve, 10));
+      }
+    },
+    async [Symbol.asyncDispose]() {
+      await Promise.resolve();
+      closed = true;
+      clearInterval(timer);
+      const last = session;
+      session = undefined;
+      last?.stream.on("error", () => {});
+      last?.stream.cancel();
+      last?.client.close();
+      for (const resolve of calls.values()) resolve({ verdict: "unavailable" });
+      calls.clear();
+    },
+  };
+}
--- /dev/null
+++ b/src/entry/create_upstream_table.ts
@@ -0,0 +1,208 @@
+/**
+ * What this entry knows of the upstreams, kept up by its own calls.
+ *
+ * @module
+ */
+
+import type {
+  LiveState,
+  PlacementSpec,
+  Resource,
+  UpstreamSpec,
+} from "../model/index.ts";
+import { listResources, type ResourceState } from "../resources/index.ts";
+import {
+  type Health,
+  SOUND,
+  updateHealth,
+  type UpstreamView,
+} from "../routing/index.ts";
+
+/** One upstream; changed in place by the table alone. */
+interface UpstreamRecord extends UpstreamView {
+  spec: UpstreamSpec;
+  pool: string;
+  health: Health;
+  speedPerS: number;
+  roundTripMs: number;
+  inFlight: number;
+  reportedLoad: number;
+  reportedMs: number;
+  inFlightAtReport: number;
+  ejectedUntilMs: number;
+  closed: boolean;
+  layers: UpstreamView["layers"];
+}
+
+/** An upstream as others see it. */
+export type KnownUpstream = UpstreamView & {
+  readonly spec: UpstreamSpec;
+  readonly pool: string;
+};
+
+/** The table of upstreams. */
+export interface UpstreamTable {
+  /** Takes over a configuration; what is known of its upstreams stays. */
+  takeConfig(state: ResourceState): void;
+  /** Takes over what the platform says of VMs. */
+  takeLive(live: LiveState): void;
+  list(pool: string): readonly KnownUpstream[];
+  /** Counts a request that is sent there. */
+  begin(name: string): void;
+  end(name: string): void;
+  /** Takes a result; returns whether the upstream is left out from now. */
+  takeResult(name: string, succeeded: boolean): boolean;
+  /** Takes the load that an upstream reported. */
+  takeReport(name: string, load: number): void;
+}
+
+/** Options of {@link createUpstreamTable}. */
+export interface CreateUpstreamTableOptions {
+  readonly place: string;
+  /** Monotonic time, in ms. */
+  readonly now: () => number;
+}
+
+/** Time, in ms, there and back within a place. */
+const NEAR_ROUND_TRIP_MS = 0.5;
+
+/** Time, in ms, there and back to another place of the region. */
+const FAR_ROUND_TRIP_MS = 1.5;
+
+/** Requests a second of an upstream of which no speed is declared. */
+const DEFAULT_SPEED_PER_S = 200;
+
+/**
+ * Makes the table of upstreams.
+ *
+ * @param options - The entry's place and the time.
+ * @returns The table, empty until a configuration is taken.
+ * @throws Nothing.
+ * @example
+ * const table = createUpstreamTable({ place: "bkk-1", now });
+ */
+export function createUpstreamTable(
+  options: CreateUpstreamTableOptions,
+): UpstreamTable {
+  const { place, now } = options;
+  const records = new Map<string, UpstreamRecord>();
+  let byPool = new Map<string, UpstreamRecord[]>();
+  let vms: LiveState["vms"] = {};
+  const startedMs = now();
+
+  function takeConfig(state: ResourceState): void {
+    byPool = new Map();
+    const named = new Set<string>();
+    const placed = findPlacedLayers(state);
+    for (const pool of listResources(state, "pool")) {
+      const list = pool.spec.upstreams.map((spec) => {
+        named.add(spec.name);
+        return takeSpec(spec, { pool, layers: placed.get(spec.name) });
+      });
+      byPool.set(pool.name, list);
+    }
+    for (const name of records.keys()) {
+      if (!named.has(name)) records.delete(name);
+    }
+  }
+
+  function takeSpec(
+    spec: UpstreamSpec,
+    from: { pool: Resource<"pool">; layers: UpstreamView["layers"] },
+  ): UpstreamRecord {
+    const record = records.get(spec.name) ?? makeRecord(spec, from.pool.name);
+    records.set(spec.name, record);
+    record.spec = spec;
+    record.pool = from.pool.name;
+    record.layers = from.layers ?? spec.layers;
+    record.speedPerS = getSpeedPerS(spec, record.layers);
+    record.roundTripMs = spec.place === place
+      ? NEAR_ROUND_TRIP_MS
+      : FAR_ROUND_TRIP_MS;
+    record.closed = isClosed(spec);
+    return record;
+  }
+
+  function makeRecord(spec: UpstreamSpec, pool: string): UpstreamRecord {
+    const nowMs = now();
+    // Those of the first configuration are no newcomers: all start alike.
+    const knownSinceMs = records.size === 0 || nowMs - startedMs < FIRST_MS
+      ? -Infinity
+      : nowMs;
+    return {
+      name: spec.name,
+      spec,
+      pool,
+      health: SOUND,
+      speedPerS: DEFAULT_SPEED_PER_S,
+      roundTripMs: NEAR_ROUND_TRIP_MS,
+      inFlight: 0,
+      reportedLoad: 0,
+      reportedMs: 0,
+      inFlightAtReport: 0,
+      knownSinceMs,
+      ejectedUntilMs: 0,
+      closed: false,
+      layers: spec.layers,
+    };
+  }
+
+  function isClosed(spec: UpstreamSpec): boolean {
+    return spec.drain === true || (vms[spec.vm] ?? "live") !== "live";
+  }
+
+  return {
+    takeConfig,
+    takeLive(live) {
+      vms = live.vms;
+      for (const record of records.values()) {
+        record.closed = isClosed(record.spec);
+      }
+    },
+    list: (pool) => byPool.get(pool) ?? [],
+    begin(name) {
+      const record = records.get(name);
+      if (record) record.inFlight += 1;
+    },
+    end(name) {
+      const record = records.get(name);
+      if (record) record.inFlight = Math.max(0, record.inFlight - 1);
+    },
+    takeResult(name, succeeded) {
+      const record = records.get(name);
+      if (!record) return false;
+      const before = record.health.ejections;
+      record.health = updateHealth(record.health, succeeded, { nowMs: now() });
+      record.ejectedUntilMs = record.health.ejectedUntilMs;
+      return record.health.ejections > before;
+    },
+    takeReport(name, load) {
+      const record = records.get(name);
+      if (!record) return;
+      record.reportedLoad = load;
+      record.reportedMs = now();
+      record.inFlightAtReport = record.inFlight;
+    },
+  };
+}
+
+/** Ms after the start within which upstreams are not newcomers. */
+const FIRST_MS = 5_000;
+
+function getSpeedPerS(
+  spec: UpstreamSpec,
+  layers: UpstreamView["layers"],
+): number {
+  if (spec.layersPerS === undefined) return DEFAULT_SPEED_PER_S;
+  const count = layers ? layers.end - layers.start : 1;
+  return spec.layersPerS / count;
+}
+
+function findPlacedLayers(
+  state: ResourceState,
+): Map<string, PlacementSpec["assignments"][number]["layers"]> {
+  const ready = listResources(state, "placement")
+    .flatMap((placement) => placement.spec.assignments)
+    .filter((assignment) => assignment.ready);
+  return new Map(ready.map(({ upstream, layers }) => [upstream, layers]));
+}
--- /dev/null
+++ b/src/entry/entry_error.ts
@@ -0,0 +1,16 @@
+/**
+ * Errors of the entry program.
+ *
+ * @module
+ */
+
+import ModernError from "modern-errors";
+import type { Problem } from "../http/index.ts";
+
+/** Base of all errors of the entry program. */
+export const EntryError = ModernError.subclass("EntryError");
+
+/** A request ends with a problem; `problem` is what the caller gets. */
+export const RequestProblemError = EntryError.subclass("RequestProblemError", {
+  props: { problem: undefined as Problem | undefined },
+});
--- /dev/null
+++ b/src/entry/run_model_request.ts
@@ -0,0 +1,344 @@
+/**
+ * Runs a request at a model service: drives its pipeline over the stages,
+ * and goes on over others when one fails.
+ *
+ * @module
+ */
+
+import { setTimeout as sleep } from "node:timers/promises";
+import type { Logger } from "../logs/index.ts";
+import {
+  type Metrics,
+  REFUSAL_REASONS,
+  type RefusalReason,
+} from "../metrics/index.ts";
+import type { Outcome } from "../model/index.ts";
+import {
+  createPipeline,
+  type EmittedToken,
+  type PipelineEffect,
+  PipelineInvariantError,
+  type PipelineState,
+  type StepOrder,
+  stepPipeline,
+} from "../pipeline/index.ts";
+import { classifyFailure, type DispatchFailure } from "../retry/index.ts";
+import { chooseChain } from "../routing/index.ts";
+import {
+  callStage,
+  getFailure,
+  releaseStage,
+  type UpstreamClient,
+} from "../upstreams/index.ts";
+import type { KnownUpstream, UpstreamTable } from "./create_upstream_table.ts";
+import { RequestProblemError } from "./entry_error.ts";
+import type { RequestContext } from "./request_context.ts";
+
+/** What the caller asked for. */
+export interface ModelCall {
+  readonly prompt: string;
+  readonly maxTokens: number;
+  readonly layerCount: number;
+  /** Other parameters of the request, passed on as they came. */
+  readonly parameters: Readonly<Record<string, unknown>>;
+  /** Called for each token, in order. */
+  readonly onToken: (token: EmittedToken, position: number) => void;
+}
+
+/** A whole answer. */
+export interface ModelAnswer {
+  readonly tokens: readonly EmittedToken[];
+  /** Names of the stages that gave the last token. */
+  readonly path: readonly string[];
+  /** Chains that it took; 1 where no stage failed. */
+  readonly epochs: number;
+}
+
+/** Runs requests at model services. */
+export interface ModelRunner {
+  run(context: RequestContext, call: ModelCall): Promise<ModelAnswer>;
+}
+
+/** Options of {@link createModelRunner}. */
+export interface CreateModelRunnerOptions {
+  readonly table: UpstreamTable;
+  readonly client: UpstreamClient;
+  readonly metrics: Metrics;
+  readonly log: Logger;
+  /** Monotonic time, in ms. */
+  readonly now: () => number;
+  /** A number in [0, 1). */
+  readonly random: () => number;
+}
+
+/** Time, in ms, for a step of one token: a frozen stage shows by then. */
+export const STEP_TIMEOUT_MS = 500;
+
+/** Time, in ms, for a step that runs a whole prompt. */
+export const PREFILL_TIMEOUT_MS = 5_000;
+
+/** Chains that a request may take. */
+export const MAX_EPOCHS = 8;
+
+/** Time, in ms, for which a running request waits for a chain. */
+export const CHAIN_WAIT_MS = 10_000;
+
+/** Ms between two looks for a chain. */
+const CHAIN_POLL_MS = 50;
+
+/**
+ * Makes what runs requests at model services.
+ *
+ * @param options - The upstreams and the client for them.
+ * @returns The runner.
+ * @throws Nothing.
+ * @example
+ * const runner = createModelRunner(options);
+ */
+export function createModelRunner(
+  options: CreateModelRunnerOptions,
+): ModelRunner {
+  const { table, client, metrics, log, now, random } = options;
+
+  async function run(
+    context: RequestContext,
+    call: ModelCall,
+  ): Promise<ModelAnswer> {
+    let state = createPipeline(call.layerCount, call);
+    const tried = new Set<string>();
+    let sent = false;
+    while (state.epoch < MAX_EPOCHS) {
+      const chain = await findChain(context, { call, tried, sent });
+      if (!chain) throw endEarly(state, { sent, reason: "no_chain" });
+      const path = chain.map((view) => view.name);
+      context.note(`epoch ${state.epoch + 1} over ${path.join(" > ")}`);
+      const outcome = await holdChain(context, { state, call, chain });
+      state = outcome.state;
+      sent ||= outcome.sent;
+      if (state.ended) {
+        return { tokens: state.tokens, path, epochs: state.epoch };
+      }
+      if (context.signal.aborted) throw new Error("The caller went away");
+      takeFailure(context, { ...outcome, tried });
+    }
+    throw endEarly(state, { sent, reason: "no_chain" });
+  }
+
+  async function holdChain(
+    context: RequestContext,
+    epoch: Parameters<typeof runEpoch>[1],
+  ): Promise<EpochOutcome> {
+    const names = epoch.chain.map((view) => view.name);
+    names.forEach(table.begin);
+    try {
+      return await runEpoch(context, epoch);
+    } finally {
+      names.forEach(table.end);
+      releaseAll(context, { ...epoch, epoch: epoch.state.epoch + 1 });
+    }
+  }
+
+  async function findChain(
+    context: RequestContext,
+    request: { call: ModelCall; tried: Set<string>; sent: boolean },
+  ): Promise<readonly KnownUpstream[] | undefined> {
+    const { call, tried, sent } = request;
+    const untilMs = sent
+      ? Math.min(context.deadlineMs, now() + CHAIN_WAIT_MS)
+      : now();
+    while (true) {
+      const views = table.list(context.service.spec.pool);
+      const chain = chooseChain(views, call.layerCount, {
+        nowMs: now(),
+        random: random(),
+        exclude: tried,
+      });
+      // A request that runs already waits a while for a stage to come back.
+      if (chain || now() >= untilMs || context.signal.aborted) {
+        return chain as readonly KnownUpstream[] | undefined;
+      }
+      tried.clear();
+      await sleep(CHAIN_POLL_MS);
+    }
+  }
+
+  interface EpochOutcome {
+    readonly state: PipelineState;
+    /** Whether a step may have reached a stage. */
+    readonly sent: boolean;
+    readonly failedAt?: string;
+    readonly failure?: DispatchFailure;
+  }
+
+  async function runEpoch(
+    context: RequestContext,
+    epoch: {
+      state: PipelineState;
+      call: ModelCall;
+      chain: readonly KnownUpstream[];
+    },
+  ): Promise<EpochOutcome> {
+    const { call, chain } = epoch;
+    const stages = chain.map((view) => ({
+      upstream: view.name,
+      layers: view.layers ?? { start: 0, end: 0 },
+    }));
+    let { state, effects } = advance(epoch.state, {
+      type: "chain",
+      chain: stages,
+    });
+    let sent = false;
+    while (!state.ended) {
+      const order = findOrder(effects);
+      if (!order || context.signal.aborted) break;
+      try {
+        const output = await runStep(context, { order, call, chain, state });
+        sent = true;
+        const { position, stageIndex } = order;
+        ({ state, effects } = advance(state, {
+          type: "stepDone",
+          epoch: order.epoch,
+          position,
+          stageIndex,
+          output,
+        }));
+        emit(effects, call);
+      } catch (error) {
+        const failure = getFailure(error);
+        if (!failure) throw error;
+        sent ||= classifyFailure(failure).outcome !== "not_run";
+        return { state, sent, failure, failedAt: order.stage.upstream };
+      }
+    }
+    return { state, sent };
+  }
+
+  function advance(
+    state: PipelineState,
+    event: Parameters<typeof stepPipeline>[1],
+  ) {
+    try {
+      return stepPipeline(state, event);
+    } catch (error) {
+      if (!(error instanceof PipelineInvariantError)) throw error;
+      metrics.count("pipeline.invariant");
+      log("pipelineInvariant", { error });
+      throw makeProblem({
+        status: 500,
+        reason: "pipeline_invariant",
+        detail: "The pipeline's order was broken",
+        outcome: "failed",
+      });
+    }
+  }
+
+  async function runStep(
+    context: RequestContext,
+    step: {
+      order: StepOrder;
+      call: ModelCall;
+      chain: readonly KnownUpstream[];
+      state: PipelineState;
+    },
+  ) {
+    const { order, call, chain, state } = step;
+    const view = chain[order.stageIndex];
+    const limitMs = order.prefill ? PREFILL_TIMEOUT_MS : STEP_TIMEOUT_MS;
+    const { output, load } = await callStage(client, {
+      address: view.spec.address,
+      requestId: context.requestId,
+      order,
+      prompt: order.prefill
+        ? { text: call.prompt, tokens: state.tokens.map((token) => token.id) }
+        : undefined,
+      parameters: call.parameters,
+      priority: context.priority,
+      timeoutMs: Math.max(1, Math.min(limitMs, context.deadlineMs - now())),
+    });
+    table.takeResult(view.name, true);
+    if (load !== undefined) table.takeReport(view.name, load);
+    return output;
+  }
+
+  function takeFailure(
+    context: RequestContext,
+    failed: EpochOutcome & { tried: Set<string> },
+  ): void {
+    const { failure, failedAt, tried, state } = failed;
+    if (!failure || failedAt === undefined) return;
+    const { reason } = classifyFailure(failure);
+    const ejected = table.takeResult(failedAt, false);
+    if (ejected) {
+      metrics.count("upstream.ejected");
+      log("upstreamEjected", { upstream: failedAt });
+    }
+    tried.add(failedAt);
+    if (now() >= context.deadlineMs) {
+      throw endEarly(state, { sent: failed.sent, reason: "deadline_too_near" });
+    }
+    metrics.countRetry(reason);
+    metrics.count("pipeline.repairs");
+    context.note(`stage ${failedAt} failed: ${reason}`);
+    const { requestId } = context;
+    log("chainRepaired", { requestId, upstream: failedAt, reason });
+  }
+
+  function releaseAll(
+    context: RequestContext,
+    over: { chain: readonly KnownUpstream[]; epoch: number },
+  ): void {
+    const { requestId } = context;
+    for (const { spec } of over.chain) {
+      const { address } = spec;
+      void releaseStage(client, { address, requestId, epoch: over.epoch });
+    }
+  }
+
+  return { run };
+}
+
+function findOrder(
+  effects: readonly PipelineEffect[],
+): StepOrder | undefined {
+  for (const effect of effects) {
+    if (effect.type === "step") return effect.order;
+  }
+  return undefined;
+}
+
+function emit(effects: readonly PipelineEffect[], call: ModelCall): void {
+  for (const effect of effects) {
+    if (effect.type === "emit") call.onToken(effect.token, effect.position);
+  }
+}
+
+function endEarly(
+  state: PipelineState,
+  end: { sent: boolean; reason: RefusalReason },
+): Error {
+  // Tokens that the caller has make it a known bad end, not an unknown one.
+  const outcome: Outcome = state.tokens.length > 0
+    ? "failed"
+    : end.sent
+    ? "unknown"
+    : "not_run";
+  return makeProblem({
+    status: 503,
+    reason: end.reason,
+    detail: REFUSAL_REASONS[end.reason],
+    outcome,
+    retryAfterS: 1,
+  });
+}
+
+function makeProblem(
+  problem: {
+    status: number;
+    reason: string;
+    detail: string;
+    outcome: Outcome;
+    retryAfterS?: number;
+  },
+): Error {
+  return new RequestProblemError(problem.detail, { props: { problem } });
+}
--- /dev/null
+++ b/src/entry/start_entry.ts
@@ -0,0 +1,190 @@
+/**
+ * The entry program put together.
+ *
+ * @module
+ */
+
+import { randomBytes } from "node:crypto";
+import { setTimeout as sleep } from "node:timers/promises";
+import { createServer } from "../http/index.ts";
+import type { Logger } from "../logs/index.ts";
+import type { Metrics, RefusalReason } from "../metrics/index.ts";
+import { listResources, type ResourceState } from "../resources/index.ts";
+import type { EntrySettings } from "../settings/index.ts";
+import { createUpstreamClient } from "../upstreams/index.ts";
+import { createAdmission } from "./create_admission.ts";
+import { createAgent } from "./create_agent.ts";
+import { createCallerApi } from "./create_caller_api.ts";
+import {
+  createConfigReplica,
+  getSavedConfig,
+} from "./create_config_replica.ts";
+import { createRequestLog } from "./create_request_log.ts";
+import { createStreamStore } from "./create_stream_store.ts";
+import { createUpstreamTable } from "./create_upstream_table.ts";
+import { openConfigFile } from "./open_config_file.ts";
+import { type AccountIndex, createAccountIndex } from "./read_request.ts";
+import { createModelRunner } from "./run_model_request.ts";
+import { createPlainRunner } from "./run_plain_request.ts";
+
+/** A running entry. */
+export interface EntryProgram {
+  readonly port: number;
+  /** Revision that is in force here. */
+  getRevision(): number;
+  /** A planned stop: no request in flight is cut off. */
+  stop(): Promise<void>;
+}
+
+/** Options of {@link startEntry}. */
+export interface StartEntryOptions {
+  readonly log: Logger;
+  readonly metrics: Metrics;
+}
+
+/** Ms between two looks at what the live state and gauges say. */
+const REFRESH_INTERVAL_MS = 100;
+
+/** Time, in ms, in which control and the other entries hear of a leave. */
+const LEAVE_NEWS_MS = 500;
+
+/** Time, in ms, for control to take the last ends of claims. */
+const SETTLE_TIMEOUT_MS = 5_000;
+
+/**
+ * Starts the entry program.
+ *
+ * @param settings - Its settings.
+ * @param options - Logs and metrics.
+ * @returns The running program.
+ * @throws {Error} When its address is taken.
+ * @example
+ * const entry = await startEntry(settings, { log, metrics });
+ */
+export async function startEntry(
+  settings: EntrySettings,
+  options: StartEntryOptions,
+): Promise<EntryProgram> {
+  const { log, metrics } = options;
+  const now = () => performance.now();
+  const random = Math.random;
+  const table = createUpstreamTable({ place: settings.place, now });
+  const file = settings.dataFolder === undefined
+    ? undefined
+    : await openConfigFile(settings.dataFolder, {
+      onError: (error) => log("diskFull", { error }),
+    });
+  let accounts: AccountIndex = new Map();
+  let leaving = false;
+  let closed = false;
+
+  function takeState(state: ResourceState): void {
+    accounts = createAccountIndex(listResources(state, "clientAccount"));
+    table.takeConfig(state);
+  }
+
+  const config = createConfigReplica({
+    saved: file?.saved,
+    onChange: (state) => {
+      takeState(state);
+      file?.write(getSavedConfig(config));
+    },
+  });
+  takeState(config.getState());
+
+  const server = createServer({
+    limits: settings.limits,
+    tls: settings.callerTls,
+    log,
+    onRefusal: metrics.countRefusal,
+  });
+  const agent = createAgent({
+    settings,
+    incarnation: randomBytes(6).toString("hex"),
+    config,
+    getReport: () => ({
+      inFlight: callers.getInFlight(),
+      demandPerS: admission.getDemandPerS(),
+    }),
+    isLeaving: () => leaving,
+    log,
+    metrics,
+    now,
+  });
+  const admission = createAdmission({
+    getShares: agent.getShares,
+    getEntryCount: () => Math.max(1, agent.getLive().entries.length),
+    metrics,
+    now,
+  });
+  const client = createUpstreamClient();
+  const shared = { table, client, metrics, log, now, random };
+  const callers = createCallerApi({
+    server,
+    vm: settings.vm,
+    getState: config.getState,
+    getAccounts: () => accounts,
+    agent,
+    admission,
+    plain: createPlainRunner(shared),
+    models: createModelRunner(shared),
+    streams: createStreamStore(),
+    requests: createRequestLog({ now }),
+    findClosedReason,
+    isReady: () => config.getState().revision > 0 && !leaving,
+    isLeaving: () => leaving,
+    entriesTtlMs: settings.entriesTtlMs,
+    log,
+    metrics,
+    now,
+  });
+  await server.listen(settings.listen);
+  const { port } = server.server.address() as { port: number };
+  const scheme = settings.callerTls ? "https" : "http";
+  agent.start(
+    settings.callerAddress ?? `${scheme}://${settings.listen.host}:${port}`,
+  );
+
+  function findClosedReason(): RefusalReason | undefined {
+    if (closed) return "leaving";
+    if (config.getState().revision === 0) return "no_config";
+    const { maxConfigAgeMs } = settings;
+    const tooOld = maxConfigAgeMs > 0 && agent.getSilenceMs() > maxConfigAgeMs;
+    return tooOld ? "stale_config" : undefined;
+  }
+
+  const refresh = setInterval(() => {
+    table.takeLive(agent.getLive());
+    metrics.gauge("requests.in_flight", callers.getInFlight());
+  }, REFRESH_INTERVAL_MS);
+  log("started", { vm: settings.vm, port });
+
+  async function stop(): Promise<void> {
+    log("stopping", { inFlight: callers.getInFlight() });
+    leaving = true;
+    agent.report();
+    // Callers keep an answer for its time to live: work is taken till then.
+    await sleep(settings.entriesTtlMs + LEAVE_NEWS_MS);
+    closed = true;
+    await drain();
+    await agent.settle(SETTLE_TIMEOUT_MS);
+    clearInterval(refresh);
+    await server.close();
+    await agent[Symbol.asyncDispose]();
+    await client[Symbol.asyncDispose]();
+    await file?.settle();
+  }
+
+  async function drain(): Promise<void> {
+    const untilMs = now() + settings.drainTimeoutMs;
+    while (callers.getInFlight() > 0) {
+      if (now() > untilMs) {
+        log("drainTimedOut", { inFlight: callers.getInFlight() });
+        return;
+      }
+      await sleep(10);
+    }
+  }
+
+  return { port, getRevision: () => config.getState().revision, stop };
+}
--- /dev/null
+++ b/src/http/create_server.ts
@@ -0,0 +1,182 @@
+/**
+ * HTTP servers with limits, problem documents and TLS that reloads.
+ *
+ * @module
+ */
+
+import { readFileSync, unwatchFile, watchFile } from "node:fs";
+import type { Server as HttpsServer } from "node:https";
+import Fastify, { type FastifyError, type FastifyInstance } from "fastify";
+import type { Logger } from "../logs/index.ts";
+import type { TlsFilesSettings } from "../settings/index.ts";
+import {
+  formatProblem,
+  type Problem,
+  PROBLEM_TYPE,
+  sendProblem,
+} from "./problem.ts";
+
+/** Limits of a listener. */
+export interface ServerLimits {
+  readonly bodyBytes: number;
+  readonly headerBytes: number;
+  /** Time, in ms, for a caller to send a whole request. */
+  readonly requestTimeoutMs: number;
+  /** Time, in ms, for which an idle connection is kept. */
+  readonly idleTimeoutMs: number;
+}
+
+/** Options of {@link createServer}. */
+export interface CreateServerOptions {
+  readonly limits: ServerLimits;
+  readonly tls?: TlsFilesSettings;
+  readonly log: Logger;
+  /** Called with the reason of each request that the server turns down. */
+  readonly onRefusal?: (
+    reason: "bad_request" | "body_too_large" | "not_found",
+  ) => void;
+}
+
+/** Ms between two looks at the TLS files. */
+const TLS_POLL_MS = 1_000;
+
+/** How often connections that are too slow are looked for. */
+const CONNECTION_CHECK_MS = 500;
+
+/**
+ * Makes an HTTP server.
+ *
+ * @param options - Limits, TLS files, and who hears of refusals.
+ * @returns The server, not yet listening.
+ * @throws {Error} When the TLS files can't be read.
+ * @example
+ * const server = createServer({ limits, log });
+ */
+export function createServer(options: CreateServerOptions): FastifyInstance {
+  const { limits, tls, log, onRefusal = () => {} } = options;
+  const common = {
+    bodyLimit: limits.bodyBytes,
+    requestTimeout: limits.requestTimeoutMs,
+    keepAliveTimeout: limits.idleTimeoutMs,
+    forceCloseConnections: "idle" as const,
+    logger: false as const,
+    exposeHeadRoutes: false,
+  };
+  const http = {
+    maxHeaderSize: limits.headerBytes,
+    connectionsCheckingInterval: CONNECTION_CHECK_MS,
+    headersTimeout: limits.requestTimeoutMs,
+  };
+  const server =
+    (tls
+      ? Fastify({ ...common, https: { ...http, ...readTls(tls) } })
+      : Fastify({ ...common, http })) as unknown as FastifyInstance;
+  if (tls) reloadTls(server, { tls, log });
+  server.setErrorHandler((error: FastifyError, _request, reply) => {
+    const problem = describeServerError(error);
+    if (problem.status >= 500) log("internalError", { error });
+    else onRefusal(problem.reason as "bad_request" | "body_too_large");
+    return sendProblem(reply, problem);
+  });
+  server.setNotFoundHandler((_request, reply) => {
+    onRefusal("not_found");
+    return sendProblem(reply, {
+      status: 404,
+      reason: "not_found",
+      detail: "No such address",
+      outcome: "not_run",
+    });
+  });
+  server.server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
+    if (error.code === "ECONNRESET" || !socket.writable) {
+      socket.destroy();
+      return;
+    }
+    onRefusal("bad_request");
+    socket.end(formatRawRefusal(error));
+  });
+  return server;
+}
+
+function describeServerError(error: FastifyError): Problem {
+  if (error.statusCode === 413) {
+    return {
+      status: 413,
+      reason: "body_too_large",
+      detail: "The body is larger than allowed",
+      outcome: "not_run",
+    };
+  }
+  const isCallers = (error.statusCode ?? 500) < 500;
+  return isCallers
+    ? {
+      status: error.statusCode ?? 400,
+      reason: "bad_request",
+      detail: error.message,
+      outcome: "not_run",
+    }
+    : {
+      status: 500,
+      reason: "internal",
+      detail: "Unexpected error",
+      outcome: "unknown",
+    };
+}
+
+// The parser or a time limit turned the connection down before any request
+// stood: the answer is written by hand.
+function formatRawRefusal(error: NodeJS.ErrnoException): string {
+  const timedOut = error.code === "ERR_HTTP_REQUEST_TIMEOUT";
+  const tooLarge = error.code === "HPE_HEADER_OVERFLOW";
+  const status = timedOut ? 408 : tooLarge ? 431 : 400;
+  const body = formatProblem({
+    status,
+    reason: "bad_request",
+    detail: timedOut
+      ? "The request took too long to arrive"
+      : tooLarge
+      ? "The request's header is too large"
+      : "The request can't be understood",
+    outcome: "not_run",
+  });
+  const lines = [
+    `HTTP/1.1 ${status} Refused`,
+    `content-type: ${PROBLEM_TYPE}`,
+    `content-length: ${body.length}`,
+    "connection: close",
+    "crowlever-outcome: not_run",
+    "",
+    body,
+  ];
+  return lines.join("\r\n");
+}
+
+function readTls(tls: TlsFilesSettings) {
+  const ca = tls.authorityFile ? readFileSync(tls.authorityFile) : undefined;
+  return {
+    key: readFileSync(tls.keyFile),
+    cert: readFileSync(tls.certificateFile),
+    ...(ca ? { ca, requestCert: true, rejectUnauthorized: true } : {}),
+  };
+}
+
+function reloadTls(
+  server: FastifyInstance,
+  options: { tls: TlsFilesSettings; log: Logger },
+): void {
+  const { tls, log } = options;
+  const files = [tls.keyFile, tls.certificateFile];
+  function reload(): void {
+    try {
+      (server.server as HttpsServer).setSecureContext(readTls(tls));
+      log("tlsReloaded", { files });
+    } catch (error) {
+      log("tlsReloadFailed", { error });
+    }
+  }
+  for (const file of files) watchFile(file, { interval: TLS_POLL_MS }, reload);
+  server.addHook("onClose", (_server, done) => {
+    for (const file of files) unwatchFile(file, reload);
+    done();
+  });
+}
--- /dev/null
+++ b/src/http/index.ts
@@ -0,0 +1,9 @@
+/**
+ * HTTP: servers, problem documents, secrets.
+ *
+ * @module
+ */
+
+export * from "./create_server.ts";
+export * from "./problem.ts";
+export * from "./secrets.ts";
--- /dev/null
+++ b/src/http/secrets.ts
@@ -0,0 +1,51 @@
+/**
+ * Compares secrets without telling by the time taken where they differ.
+ *
+ * @module
+ */
+
+import { Buffer } from "node:buffer";
+import { createHash, timingSafeEqual } from "node:crypto";
+
+/**
+ * Hashes a key or token as the resources hold it.
+ *
+ * @param secret - The key or token.
+ * @returns Its SHA-256 in hex.
+ * @throws Nothing.
+ * @example
+ * const keySha256 = hashSecret("key-of-the-account");
+ */
+export function hashSecret(secret: string): string {
+  return createHash("sha256").update(secret).digest("hex");
+}
+
+/**
+ * Tells whether two hashes are the same, in constant time.
+ *
+ * @param a - A SHA-256 in hex.
+ * @param b - Another.
+ * @returns Whether they are the same.
+ * @throws Nothing.
+ * @example
+ * isSameSecret(hashSecret(token), operator.spec.tokenSha256);
+ */
+export function isSameSecret(a: string, b: string): boolean {
+  const left = Buffer.from(a, "hex");
+  const right = Buffer.from(b, "hex");
+  return left.length === right.length && timingSafeEqual(left, right);
+}
+
+/**
+ * Gets the secret of an `Authorization: Bearer` header.
+ *
+ * @param header - The header's value, if any.
+ * @returns The secret, or undefined where there is none.
+ * @throws Nothing.
+ * @example
+ * const key = parseBearer(request.headers.authorization);
+ */
+export function parseBearer(header: string | undefined): string | undefined {
+  const match = /^Bearer +(\S+)$/i.exec(header ?? "");
+  return match?.[1];
+}
--- /dev/null
+++ b/src/logs/create_logger.ts
@@ -0,0 +1,108 @@
+/**
+ * Structured logs of numbered events.
+ *
+ * @module
+ */
+
+import loglevel from "loglevel";
+import process from "node:process";
+import { type EventName, EVENTS, type LogLevel } from "./events.ts";
+
+/** Fields of one logged event. */
+export type LogFields = Readonly<Record<string, unknown>>;
+
+/** Logs one event. */
+export type Logger = (event: EventName, fields?: LogFields) => void;
+
+/** How a program logs. */
+export interface CreateLoggerOptions {
+  /** The program's name, in each line. */
+  readonly program: string;
+  readonly level?: LogLevel;
+  readonly format?: "text" | "json";
+  /** Where lines go; by default the standard error. */
+  readonly write?: (line: string) => void;
+  /** Wall clock, in ms. */
+  readonly now?: () => number;
+}
+
+/**
+ * Makes a logger.
+ *
+ * @param options - The program's name, the least level, the format.
+ * @returns A function that logs one event with its fields.
+ * @throws Nothing.
+ * @example
+ * const log = createLogger({ program: "crowlever-entry" });
+ * log("started", { port: 8080 });
+ */
+export function createLogger(options: CreateLoggerOptions): Logger {
+  const {
+    program,
+    level = "info",
+    format = "text",
+    write = writeToStandardError,
+    now = Date.now,
+  } = options;
+  const sink = loglevel.getLogger(Symbol(program));
+  sink.methodFactory = () => (line: string) => write(line);
+  sink.setLevel(level, false);
+  return (event, fields = {}) => {
+    const kind = EVENTS[event];
+    const time = new Date(now()).toISOString();
+    const plain = describeErrors(fields);
+    const line = format === "json"
+      ? JSON.stringify({
+        time,
+        program,
+        id: kind.id,
+        level: kind.level,
+        text: kind.text,
+        ...plain,
+      })
+      : formatTextLine({ time, program, event, fields: plain });
+    sink[kind.level](line);
+  };
+}
+
+function writeToStandardError(line: string): void {
+  process.stderr.write(`${line}\n`);
+}
+
+function describeErrors(fields: LogFields): LogFields {
+  const pairs = Object.entries(fields).map(([name, value]) =>
+    [name, value instanceof Error ? describeError(value) : value] as const
+  );
+  return Object.fromEntries(pairs);
+}
+
+/**
+ * Joins an error's message with those of its causes.
+ *
+ * @param error - The error.
+ * @returns The messages, the outermost first.
+ * @throws Nothing.
+ * @example
+ * describeError(new Error("Outer", { cause: new Error("inner") }));
+ */
+export function describeError(error: unknown): string {
+  if (!(error instanceof Error)) return String(error);
+  const code = (error as NodeJS.ErrnoException).code;
+  const own = code && !error.message.includes(code)
+    ? `${error.message} (${code})`
+    : error.message;
+  return error.cause === undefined
+    ? own
+    : `${own}: ${describeError(error.cause)}`;
+}
+
+function formatTextLine(
+  line: { time: string; program: string; event: EventName; fields: LogFields },
+): string {
+  const { id, level, text } = EVENTS[line.event];
+  const pairs = Object.entries(line.fields).map(([name, value]) =>
+    `${name}=${typeof value === "string" ? value : JSON.stringify(value)}`
+  );
+  const head = `${line.time} ${level} ${line.program} ${id} ${text}`;
+  return [head, ...pairs].join(" ");
+}
--- /dev/null
+++ b/src/logs/events.ts
@@ -0,0 +1,102 @@
+/**
+ * The numbered events that the programs log. `docs/EVENTS.md` lists them.
+ *
+ * @module
+ */
+
+/** Least levels of a log. */
+export const LOG_LEVELS = ["debug", "info", "warn", "error"] as const;
+
+/** A log level. */
+export type LogLevel = typeof LOG_LEVELS[number];
+
+/** One kind of event: its number, level and meaning. */
+export interface EventKind {
+  readonly id: string;
+  readonly level: LogLevel;
+  readonly text: string;
+}
+
+function event(id: string, level: LogLevel, text: string): EventKind {
+  return { id, level, text };
+}
+
+/** All events. CL10: processes, 11: storage, 12: quorum, 13: resources, 14: agents, 15: requests, 16: upstreams. */
+export const EVENTS = {
+  started: event("CL1001", "info", "Process started"),
+  stopping: event("CL1002", "info", "Planned stop began"),
+  stopped: event("CL1003", "info", "Process ended"),
+  signalRepeated: event(
+    "CL1004",
+    "warn",
+    "Stop signal repeated; already stopping",
+  ),
+  drainTimedOut: event(
+    "CL1005",
+    "error",
+    "Requests were still in flight when the drain time ran out",
+  ),
+  settingsWrong: event("CL1006", "error", "Settings are wrong"),
+  internalError: event("CL1007", "error", "Unexpected error"),
+  tlsReloaded: event("CL1008", "info", "TLS files were loaded again"),
+  tlsReloadFailed: event(
+    "CL1009",
+    "error",
+    "TLS files could not be loaded; the old ones stay in use",
+  ),
+  startFailed: event("CL1010", "error", "Process could not start"),
+  tornTailCut: event("CL1101", "warn", "Torn tail of the log was cut off"),
+  diskFull: event("CL1102", "error", "Disk refuses writes; trying again"),
+  diskBack: event("CL1103", "info", "Disk takes writes again"),
+  snapshotSaved: event("CL1104", "info", "Snapshot saved"),
+  clusterFormed: event("CL1201", "info", "Cluster formed"),
+  clusterJoined: event("CL1202", "info", "Joined the cluster as a learner"),
+  roleChanged: event("CL1203", "info", "Quorum role changed"),
+  membersChanged: event("CL1204", "info", "Quorum membership changes"),
+  snapshotSent: event("CL1205", "info", "Snapshot sent to a replica"),
+  snapshotInstalled: event("CL1206", "info", "Snapshot installed"),
+  foreignPeer: event(
+    "CL1207",
+    "warn",
+    "Message of another cluster or replica dropped",
+  ),
+  invariantBroken: event("CL1208", "error", "Invariant broken"),
+  changeAccepted: event("CL1301", "info", "Change accepted"),
+  changeConflict: event(
+    "CL1302",
+    "info",
+    "Change turned down: the resource has another revision",
+  ),
+  operatorRefused: event("CL1303", "warn", "Operator refused"),
+  entryJoined: event("CL1401", "info", "Entry is live"),
+  entryLost: event("CL1402", "warn", "Entry's lease ran out"),
+  entryLeaving: event("CL1403", "info", "Entry is leaving"),
+  controlConnected: event(
+    "CL1404",
+    "info",
+    "Session with the control leader opened",
+  ),
+  controlLost: event("CL1405", "warn", "Session with control lost"),
+  configApplied: event("CL1406", "info", "Configuration in force here"),
+  configStale: event("CL1407", "warn", "Older configuration ignored"),
+  platformListFailed: event(
+    "CL1408",
+    "warn",
+    "Platform's list could not be read",
+  ),
+  requestRefused: event("CL1501", "debug", "Request refused"),
+  requestEnded: event("CL1502", "debug", "Request ended"),
+  requestFailed: event("CL1503", "warn", "Request came to a bad end"),
+  pipelineInvariant: event(
+    "CL1504",
+    "error",
+    "Pipeline invariant broken; the request ends as failed",
+  ),
+  upstreamRetry: event("CL1601", "info", "Request is tried again"),
+  upstreamEjected: event("CL1602", "warn", "Upstream is left out for a while"),
+  chainRepaired: event("CL1603", "info", "Pipeline goes on over another stage"),
+  lateFrame: event("CL1604", "debug", "Late answer of an older epoch dropped"),
+} as const;
+
+/** The short name of an event. */
+export type EventName = keyof typeof EVENTS;
--- /dev/null
+++ b/src/logs/index.ts
@@ -0,0 +1,8 @@
+/**
+ * Logs: numbered events and how they are written.
+ *
+ * @module
+ */
+
+export * from "./create_logger.ts";
+export * from "./events.ts";
--- /dev/null
+++ b/src/membership/index.ts
@@ -0,0 +1,8 @@
+/**
+ * Membership: leases, incarnations, the platform's list, damped flapping.
+ *
+ * @module
+ */
+
+export * from "./step_membership.ts";
+export * from "./types.ts";
--- /dev/null
+++ b/src/metrics/metric_catalogue.ts
@@ -0,0 +1,78 @@
+/**
+ * The metrics that the programs send. `docs/METRICS.md` lists them.
+ *
+ * @module
+ */
+
+/** Why a request was refused; each has its counter and problem document. */
+export const REFUSAL_REASONS = {
+  unknown_key: "The key belongs to no client account",
+  unknown_service: "No such service is declared",
+  bad_request: "The request can't be understood",
+  body_too_large: "The body is larger than allowed",
+  rate_limited: "The client account's rate is used up",
+  too_many_in_flight: "The client account has too many requests in flight",
+  queue_full: "The service's queue is full",
+  deadline_too_near: "The request can't finish before its deadline",
+  no_upstream: "No upstream can take the request now",
+  no_chain: "No chain of upstreams covers the model's layers",
+  no_quorum: "Control can't record the claim now",
+  claim_running: "The same request is running",
+  claim_unknown: "The same request was begun and its end is not known",
+  claim_mismatch: "The idempotency key was used for another request",
+  leaving: "This entry is stopping",
+  no_config: "This entry has no configuration yet",
+  stale_config: "This entry has not heard from control for too long",
+  not_found: "No such address",
+  not_resumable: "The answer is no longer kept here",
+} as const;
+
+/** Why a request was refused. */
+export type RefusalReason = keyof typeof REFUSAL_REASONS;
+
+/** Why an upstream was tried again. */
+export const RETRY_REASONS = {
+  connect_failed: "No connection could be made; nothing was sent",
+  upstream_refused: "The upstream said that it did not run the request",
+  reset_before_answer: "The connection was cut before an answer",
+  reset_mid_answer: "The connection was cut within the answer",
+  timeout: "The upstream did not answer in time",
+  upstream_error: "The upstream answered with a server error",
+  stage_rejected: "A stage refused a step as out of order",
+} as const;
+
+/** Why an upstream was tried again. */
+export type RetryReason = keyof typeof RETRY_REASONS;
+
+/** All other counters, gauges and timings, with their meaning. */
+export const METRICS = {
+  "requests.started": "Requests that callers began",
+  "requests.done": "Requests that ended done",
+  "requests.not_run": "Requests that ended not run",
+  "requests.failed": "Requests that ended failed",
+  "requests.unknown": "Requests that ended unknown",
+  "requests.in_flight": "Requests in flight",
+  "requests.queued": "Requests waiting",
+  "requests.duration_ms": "Time from a request's head to its end, in ms",
+  "requests.first_token_ms": "Time to the first token, in ms",
+  "requests.queue_ms": "Time that a request waited, in ms",
+  "requests.caller_gone": "Callers that went away before the end",
+  "retry.budget_spent": "Retries that the budget forbade",
+  "pipeline.late_frames": "Answers of an older epoch, dropped",
+  "pipeline.repairs": "Chains that went on over another stage",
+  "pipeline.invariant": "Broken invariants of a pipeline",
+  "upstream.ejected": "Upstreams left out for a while",
+  "config.revision": "Revision in force at this process",
+  "config.stale": "Older configurations that were ignored",
+  "control.sessions": "Sessions with entries",
+  "control.changes": "Changes accepted",
+  "control.claims": "Claims granted",
+  "control.orders": "Orders given to upstreams",
+  "quorum.term": "Current term",
+  "quorum.commit_ms": "Time from a proposal to its commit, in ms",
+  "quorum.sync_ms": "Time of a sync, in ms",
+  "quorum.log_entries": "Entries in the log since its start",
+} as const;
+
+/** The name of a metric. */
+export type MetricName = keyof typeof METRICS;
--- /dev/null
+++ b/src/quorum/index.ts
@@ -0,0 +1,15 @@
+/**
+ * The quorum protocol: a pure step over a state and an event.
+ *
+ * @module
+ */
+
+export * from "./constants.ts";
+export * from "./create_quorum_state.ts";
+export * from "./plan_members_change.ts";
+export * from "./quorum_error.ts";
+export * from "./step_quorum.ts";
+export * from "./types.ts";
+export { getLastIndex, getTermAt } from "./_lib/draft.ts";
+export { hasLeaderLease } from "./_lib/reads.ts";
+export * from "./assert_quorum_invariants.ts";
--- /dev/null
+++ b/src/resources/apply_change.ts
@@ -0,0 +1,167 @@
+/**
+ * Applies one change to the accepted state.
+ *
+ * @module
+ */
+
+import { createHash } from "node:crypto";
+import {
+  findSchemaProblems,
+  type Resource,
+  type ResourceChange,
+  SPEC_SCHEMAS,
+} from "../model/index.ts";
+import { MAX_ANSWERED_CHANGES, MAX_HISTORY_CHANGES } from "./constants.ts";
+import { findSpecDifferences } from "./find_spec_differences.ts";
+import { getResourceKey } from "./get_resource_key.ts";
+import type {
+  AppliedChange,
+  ChangeCommand,
+  ChangeResult,
+  ResourceState,
+} from "./types.ts";
+
+/**
+ * Applies a change to the accepted state.
+ *
+ * The result depends on the state and the command alone, so every replica
+ * comes to the same one. Of two changes that name the same revision the first
+ * in the log wins; a change whose id was answered before gets that answer.
+ *
+ * @param state - The accepted state.
+ * @param command - The change.
+ * @returns The next state, the answer, and the change where there was one.
+ * @throws Nothing.
+ * @example
+ * const { state: next, result } = applyChange(state, command);
+ */
+export function applyChange(
+  state: ResourceState,
+  command: ChangeCommand,
+): AppliedChange {
+  const fingerprint = getFingerprint(command);
+  const earlier = state.answered.get(command.changeId);
+  if (earlier) {
+    const same = earlier.fingerprint === fingerprint;
+    return { state, result: same ? earlier.result : refuseReuse() };
+  }
+  const refusal = findRefusal(state, command);
+  const result = refusal ?? { accepted: true, revision: state.revision + 1 };
+  const answered = keepNewest(state.answered, {
+    key: command.changeId,
+    value: { fingerprint, result },
+  });
+  if (!result.accepted) return { state: { ...state, answered }, result };
+  const change = makeChange(state, command);
+  return { state: takeChange({ ...state, answered }, change), result, change };
+}
+
+/**
+ * Takes an accepted change into a state: the step that entries share.
+ *
+ * @param state - The state.
+ * @param change - A change of a higher revision.
+ * @returns The state at the change's revision.
+ * @throws Nothing.
+ * @example
+ * const next = takeChange(state, change);
+ */
+export function takeChange(
+  state: ResourceState,
+  change: ResourceChange,
+): ResourceState {
+  const resources = new Map(state.resources);
+  const key = getResourceKey(change.kind, change.name);
+  if (change.resource) resources.set(key, change.resource);
+  else resources.delete(key);
+  const history = [...state.history, change].slice(-MAX_HISTORY_CHANGES);
+  return { ...state, revision: change.revision, resources, history };
+}
+
+function getFingerprint(command: ChangeCommand): string {
+  const { changeId: _changeId, operator: _operator, ...rest } = command;
+  return createHash("sha256").update(JSON.stringify(rest)).digest("hex");
+}
+
+function refuseReuse(): ChangeResult {
+  return {
+    accepted: false,
+    reason: "change_id_reused",
+    detail: "The change id was used for another change",
+    currentRevision: 0,
+    differs: [],
+  };
+}
+
+function findRefusal(
+  state: ResourceState,
+  command: ChangeCommand,
+): ChangeResult | undefined {
+  const { action, kind, name, spec, expectedRevision } = command;
+  const current = state.resources.get(getResourceKey(kind, name));
+  const currentRevision = current?.revision ?? 0;
+  if (action === "delete" && !current) {
+    return {
+      accepted: false,
+      reason: "not_found",
+      detail: `There is no ${kind} ${name}`,
+      currentRevision,
+      differs: [],
+    };
+  }
+  if (currentRevision !== expectedRevision) {
+    return {
+      accepted: false,
+      reason: "conflict",
+      detail:
+        `${kind} ${name} is at revision ${currentRevision}, not ${expectedRevision}`,
+      currentRevision,
+      differs: findSpecDifferences(current?.spec, spec),
+    };
+  }
+  if (action === "delete") return undefined;
+  const problems = findSchemaProblems(SPEC_SCHEMAS[kind], spec);
+  if (problems.length === 0) return undefined;
+  const detail = problems
+    .map(({ field, found, allowed }) =>
+      `${field || "spec"}: found ${found}, allowed is ${allowed}`
+    )
+    .join("; ");
+  return {
+    accepted: false,
+    reason: "invalid",
+    detail,
+    currentRevision,
+    differs: [],
+  };
+}
+
+function makeChange(
+  state: ResourceState,
+  command: ChangeCommand,
+): ResourceChange {
+  const { action, kind, name } = command;
+  const revision = state.revision + 1;
+  if (action === "delete") return { revision, kind, name };
+  const current = state.resources.get(getResourceKey(kind, name));
+  const resource: Resource = {
+    kind,
+    name,
+    spec: command.spec as Resource["spec"],
+    revision,
+    generation: (current?.generation ?? 0) + 1,
+  };
+  return { revision, kind, name, resource };
+}
+
+function keepNewest<Value>(
+  map: ReadonlyMap<string, Value>,
+  added: { key: string; value: Value },
+): ReadonlyMap<string, Value> {
+  const next = new Map(map).set(added.key, added.value);
+  for (const key of next.keys()) {
+    if (next.size <= MAX_ANSWERED_CHANGES) break;
+    next.delete(key);
+  }
+  return next;
+}
--- /dev/null
+++ b/src/retry/index.ts
@@ -0,0 +1,10 @@
+/**
+ * Retries: what a failure means, whether to try again, the budget.
+ *
+ * @module
+ */
+
+export * from "./classify_failure.ts";
+export * from "./decide_retry.ts";
+export * from "./retry_budget.ts";
+export * from "./types.ts";
--- /dev/null
+++ b/src/routing/index.ts
@@ -0,0 +1,15 @@
+/**
+ * Routing: which entry, which upstream, which chain of stages.
+ *
+ * @module
+ */
+
+export * from "./choose_chain.ts";
+export * from "./choose_upstream.ts";
+export * from "./constants.ts";
+export * from "./estimate_load.ts";
+export * from "./list_usable.ts";
+export * from "./rank_entries.ts";
+export * from "./score_upstream.ts";
+export * from "./types.ts";
+export * from "./update_health.ts";
--- /dev/null
+++ b/src/routing/types.ts
@@ -0,0 +1,43 @@
+/**
+ * What an entry knows of the upstreams that it may choose from.
+ *
+ * @module
+ */
+
+import type { LayerRange } from "../model/index.ts";
+
+/** What an entry knows of one upstream. */
+export interface UpstreamView {
+  readonly name: string;
+  /** Work that it does in a second: requests, or layers times tokens. */
+  readonly speedPerS: number;
+  /** Time, in ms, of one way there and back. */
+  readonly roundTripMs: number;
+  /** This entry's own requests in flight there. */
+  readonly inFlight: number;
+  /** Requests in flight there, of all entries, by its last report. */
+  readonly reportedLoad: number;
+  /** Time, in ms, for which that report held. */
+  readonly reportedMs: number;
+  /** This entry's own requests in flight at that time. */
+  readonly inFlightAtReport: number;
+  /** Time, in ms, since which it has been known; newcomers start slowly. */
+  readonly knownSinceMs: number;
+  /** Time, in ms, until which it is left out after failures. */
+  readonly ejectedUntilMs: number;
+  /** Whether it is leaving, drained, or missing: it takes no new work. */
+  readonly closed: boolean;
+  /** Layers that it holds; absent for a plain service. */
+  readonly layers?: LayerRange;
+  /** Part of the request's prefix that it has cached, from 0 to 1. */
+  readonly prefixPart?: number;
+}
+
+/** Time and randomness of a choice, and its bounds. */
+export interface RoutingOptions {
+  readonly nowMs: number;
+  /** A number in [0, 1). */
+  readonly random: number;
+  /** Upstreams that were tried already and are left out. */
+  readonly exclude?: ReadonlySet<string>;
+}
--- /dev/null
+++ b/src/storage/index.ts
@@ -0,0 +1,11 @@
+/**
+ * Durable state: checksummed frames, the log, snapshots, the folder's lock.
+ *
+ * @module
+ */
+
+export * from "./constants.ts";
+export * from "./frame.ts";
+export * from "./lock_data_folder.ts";
+export * from "./open_quorum_storage.ts";
+export * from "./storage_error.ts";
--- /dev/null
+++ b/src/upstreams/index.ts
@@ -0,0 +1,9 @@
+/**
+ * Adapters to upstreams.
+ *
+ * @module
+ */
+
+export * from "./call_stage.ts";
+export * from "./create_upstream_client.ts";
+export * from "./upstream_error.ts";
--- /dev/null
+++ b/standins/index.ts
@@ -0,0 +1,10 @@
+/**
+ * Small stand-ins for what lies outside: engines, plain services, the platform.
+ *
+ * @module
+ */
+
+export * from "./engine_math.ts";
+export * from "./start_engine.ts";
+export * from "./start_plain_service.ts";
+export * from "./start_platform.ts";
