--- a/src/quorum/_lib/election.ts
+++ b/src/quorum/_lib/election.ts
@@ -96,7 +96,9 @@
     ? message.term > draft.term
     : message.term === draft.term &&
       (draft.votedFor === null || draft.votedFor === message.from);
-  if (!upToDate || !free || !isVoter(draft)) {
+  // A learner votes too: the candidate may know of its promotion first, and
+  // counts only those that are voters by its own log.
+  if (!upToDate || !free) {
     refuseVote(draft, message);
     return;
   }
