Model check of quorum, claims and adoption; each attempt holds its own claim

An entry's first attempt runs; its second attempt for the same key gets no answer from control and is given back as not run. The holder was the entry's process, so that gave back the claim of the first attempt, and a third ran the request again: two runs.

Ruled out: the leader change itself (a release is logged behind the claim that it gives back) and the crash of the entry (a new incarnation is no holder).

Change: a holder is VM, incarnation and attempt; the end of a claim names the attempt that began it.

--- a/scripts/check.mjs
+++ b/scripts/check.mjs
@@ -38,6 +38,22 @@
   }
 }
 
+// The specifications are checked with Spin, a Debian package; continuous
+// integration installs it where it is missing.
+function hasSpin() {
+  return run("spin", ["-V"]).passed && run("gcc", ["--version"]).passed;
+}
+if (!hasSpin() && process.env.CI) {
+  run("apt-get", ["update", "-qq"]);
+  run("apt-get", ["install", "-y", "-qq", "spin", "gcc", "libc6-dev"]);
+}
+if (hasSpin() || process.env.CI) {
+  const spec = run(process.execPath, ["spec/verify.mjs", "--quick"]);
+  process.stdout.write(spec.output);
+  if (spec.passed) passed += 1;
+  else failed += 1;
+} else process.stdout.write("model check: not run, spin or gcc is missing\n");
+
 const tests = run(
   process.execPath,
   ["node_modules/uvu/bin.js", "dist", "_test\\.js$", ...process.argv.slice(2)],
--- a/src/claims/types.ts
+++ b/src/claims/types.ts
@@ -19,7 +19,7 @@
 /** A claim; it is running until it has an end. */
 export interface Claim {
   readonly requestHash: string;
-  /** The entry that runs it: its VM and incarnation. */
+  /** Who runs it: the entry's VM, its incarnation, the attempt's number. */
   readonly holder: string;
   /** Leader's wall clock, in ms, when it was granted. */
   readonly startedMs: number;
--- a/src/control/create_agent_service.ts
+++ b/src/control/create_agent_service.ts
@@ -193,10 +193,10 @@
     claim: wire.ClaimBegin,
   ): Promise<void> {
     const { call } = claim;
-    const holder = `${session.vm}/${session.incarnation}`;
+    const holder = getHolder(session, call);
     const verdict = await findVerdict(claim, holder);
     if (verdict?.verdict === "granted") metrics.count("control.claims");
-    const value = formatVerdict(verdict, { call, view, self: holder });
+    const value = formatVerdict(verdict, { call, view });
     send(session, { $case: "claimResult", value });
   }
 
@@ -229,7 +229,7 @@
       contentType,
       ...(claim.body === "" ? {} : { body: claim.body }),
     };
-    const holder = `${session.vm}/${session.incarnation}`;
+    const holder = getHolder(session, claim.attempt);
     const command: Command = {
       type: "claimEnd",
       clientAccount,
@@ -307,6 +307,12 @@
   };
 }
 
+// Each attempt is a holder of its own: an entry that gives up one attempt must
+// not give back the claim of another that runs.
+function getHolder(session: Session, attempt: number): string {
+  return `${session.vm}/${session.incarnation}/${attempt}`;
+}
+
 const EMPTY_RESULT = {
   call: 0,
   verdict: "",
@@ -318,13 +324,13 @@
 
 function formatVerdict(
   verdict: ClaimVerdict | undefined,
-  options: { call: number; view: FleetView; self: string },
+  options: { call: number; view: FleetView },
 ): wire.ClaimResult {
-  const { call, view, self } = options;
+  const { call, view } = options;
   if (!verdict) return { ...EMPTY_RESULT, call, verdict: "unavailable" };
   if (verdict.verdict === "running") {
     // Whoever held it is gone: it may have run, and never runs again.
-    const live = verdict.holder === self || view.isHolderLive(verdict.holder);
+    const live = view.isHolderLive(verdict.holder);
     return { ...EMPTY_RESULT, call, verdict: live ? "running" : "unknown" };
   }
   if (verdict.verdict !== "ended") {
--- a/src/control/create_fleet_view.ts
+++ b/src/control/create_fleet_view.ts
@@ -34,7 +34,7 @@
   getLive(): LiveState;
   /** Whether too little was heard yet to tell entries anything. */
   isQuiet(): boolean;
-  /** Whether a holder `vm/incarnation` may still be running. */
+  /** Whether a holder `vm/incarnation/attempt` may still be running. */
   isHolderLive(holder: string): boolean;
   getPlatformState(vm: string): PlatformState;
 }
--- a/src/entry/create_agent.ts
+++ b/src/entry/create_agent.ts
@@ -52,6 +52,12 @@
     readonly body: string;
   };
 
+/** What became of a claim, and the number of the attempt. */
+export interface BegunClaim {
+  readonly attempt: number;
+  readonly answer: ClaimAnswer;
+}
+
 /** Names a claim. */
 export interface ClaimName {
   readonly clientAccount: string;
@@ -60,6 +66,8 @@
 
 /** How a claimed request ended. */
 export interface ClaimEnding extends ClaimName {
+  /** The attempt that ended, as its beginning gave it. */
+  readonly attempt: number;
   readonly outcome: Outcome;
   readonly status: number;
   readonly contentType: string;
@@ -77,7 +85,7 @@
   isConnected(): boolean;
   /** Time, in ms, since control was last heard. */
   getSilenceMs(): number;
-  beginClaim(claim: ClaimName & { requestHash: string }): Promise<ClaimAnswer>;
+  beginClaim(claim: ClaimName & { requestHash: string }): Promise<BegunClaim>;
   /** Records an end; kept and sent again until control has it. */
   endClaim(ending: ClaimEnding): void;
   /** Tells control at once, without waiting for the next heartbeat. */
@@ -94,6 +102,8 @@
   heardMs: number;
 }
 
+const UNAVAILABLE: ClaimAnswer = { verdict: "unavailable" };
+
 /** Ms before the next control process is asked. */
 const RETRY_DELAY_MS = 100;
 
@@ -186,7 +196,7 @@
     lost.client.close();
     for (const [call, resolve] of calls) {
       calls.delete(call);
-      resolve({ verdict: "unavailable" });
+      resolve(UNAVAILABLE);
     }
     if (lost.welcomed) {
       log("controlLost", { address: lost.address, reason: cause.reason });
@@ -308,22 +318,21 @@
     getShares: () => shares,
     isConnected: () => session?.welcomed ?? false,
     getSilenceMs: () => now() - lastHeardMs,
-    beginClaim(claim) {
-      if (!session?.welcomed) {
-        return Promise.resolve({ verdict: "unavailable" });
-      }
-      return new Promise((resolve) => {
-        const call = nextCall++;
+    async beginClaim(claim) {
+      const attempt = nextCall++;
+      if (!session?.welcomed) return { attempt, answer: UNAVAILABLE };
+      const answer = await new Promise<ClaimAnswer>((resolve) => {
         const timeout = setTimeout(() => {
-          calls.delete(call);
-          resolve({ verdict: "unavailable" });
+          calls.delete(attempt);
+          resolve(UNAVAILABLE);
         }, CLAIM_TIMEOUT_MS);
-        calls.set(call, (answer) => {
+        calls.set(attempt, (result) => {
           clearTimeout(timeout);
-          resolve(answer);
+          resolve(result);
         });
-        send({ $case: "claimBegin", value: { call, ...claim } });
+        send({ $case: "claimBegin", value: { call: attempt, ...claim } });
       });
+      return { attempt, answer };
     },
     endClaim(ending) {
       const call = nextCall++;
@@ -348,7 +357,7 @@
       last?.stream.on("error", () => {});
       last?.stream.cancel();
       last?.client.close();
-      for (const resolve of calls.values()) resolve({ verdict: "unavailable" });
+      for (const resolve of calls.values()) resolve(UNAVAILABLE);
       calls.clear();
     },
   };
--- a/src/entry/run_claimed.ts
+++ b/src/entry/run_claimed.ts
@@ -7,7 +7,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { REFUSAL_REASONS, type RefusalReason } from "../metrics/index.ts";
 import type { Outcome } from "../model/index.ts";
-import type { Agent, ClaimAnswer } from "./create_agent.ts";
+import type { Agent, BegunClaim, ClaimAnswer } from "./create_agent.ts";
 import { RequestProblemError } from "./entry_error.ts";
 import type { RequestContext } from "./request_context.ts";
 
@@ -68,7 +68,7 @@
     clientAccount: context.account.name,
     key: context.idempotencyKey ?? "",
   };
-  const claim = await waitForClaim(context, options);
+  const { attempt, answer: claim } = await waitForClaim(context, options);
   context.note(`claim ${claim.verdict}`);
   if (claim.verdict === "ended") {
     const { outcome, status, contentType, body } = claim;
@@ -77,7 +77,7 @@
   if (claim.verdict !== "granted") {
     // A claim that control may have recorded unseen is given back.
     if (claim.verdict === "unavailable") {
-      agent.endClaim({ ...name, ...RELEASED });
+      agent.endClaim({ ...name, attempt, ...RELEASED });
     }
     throw describeClaim(claim, options);
   }
@@ -90,7 +90,8 @@
     throw error;
   } finally {
     const keep = ending.body.length <= MAX_KEPT_BYTES;
-    agent.endClaim({ ...name, ...ending, body: keep ? ending.body : "" });
+    const body = keep ? ending.body : "";
+    agent.endClaim({ ...name, attempt, ...ending, body });
   }
 }
 
@@ -110,18 +111,19 @@
 async function waitForClaim(
   context: RequestContext,
   options: RunClaimedOptions,
-): Promise<ClaimAnswer> {
+): Promise<BegunClaim> {
   const { agent, now, requestHash } = options;
   const untilMs = Math.min(context.deadlineMs, now() + RUNNING_WAIT_MS);
   while (true) {
-    const claim = await agent.beginClaim({
+    const begun = await agent.beginClaim({
       clientAccount: context.account.name,
       key: context.idempotencyKey ?? "",
       requestHash,
     });
-    const waits = claim.verdict === "running" && !context.signal.aborted &&
+    const waits = begun.answer.verdict === "running" &&
+      !context.signal.aborted &&
       now() + RUNNING_POLL_MS < untilMs;
-    if (!waits) return claim;
+    if (!waits) return begun;
     await sleep(RUNNING_POLL_MS);
   }
 }
--- a/src/wire/gen/crowlever.ts
+++ b/src/wire/gen/crowlever.ts
@@ -132,6 +132,7 @@
 }
 
 export interface ClaimBegin {
+  /** Also names the attempt: an end counts only for the attempt that began it. */
   call: number;
   clientAccount: string;
   key: string;
@@ -146,6 +147,8 @@
   status: number;
   contentType: string;
   body: string;
+  /** The call of the claim\'s beginning. */
+  attempt: number;
 }
 
 export interface AgentMessage {
@@ -1358,7 +1361,7 @@
 };
 
 function createBaseClaimEnd(): ClaimEnd {
-  return { call: 0, clientAccount: "", key: "", outcome: "", status: 0, contentType: "", body: "" };
+  return { call: 0, clientAccount: "", key: "", outcome: "", status: 0, contentType: "", body: "", attempt: 0 };
 }
 
 export const ClaimEnd: MessageFns<ClaimEnd> = {
@@ -1384,6 +1387,9 @@
     if (message.body !== "") {
       writer.uint32(58).string(message.body);
     }
+    if (message.attempt !== 0) {
+      writer.uint32(64).uint64(message.attempt);
+    }
     return writer;
   },
 
@@ -1456,6 +1462,14 @@
             message.body = reader.string();
             continue;
           }
+          case 8: {
+            if (tag !== 64) {
+              break;
+            }
+
+            message.attempt = longToNumber(reader.uint64());
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
