Recovery of control with real binaries: dead streams, lost wake-ups, handover

Cause, found by killing leaders in turn under a stream of changes: (1) the second kill left no quorum: a stream to a replica that was started again was kept for dead, since gRPC tells the end of a call with one answer by its callback only; (2) a replica could stop for good: an event that came between the last look at the queue and the end of the loop woke nobody, and the tick that should have come next was held back as already queued; (3) a planned stop waited 576 ms: a leader under load never found a successor without lag at the moment of asking; (4) a successor that was down could be chosen.

Ruled out: the election (both candidates stood and heard nothing), the storage (terms and votes on the disks were right).

Change: the callback forgets the stream; the loop ends in the turn of its last look; a transfer first stops taking proposals, then asks the successor once it holds the whole log; the voter that answered last is chosen.

--- /dev/null
+++ b/measure/failover.ts
@@ -0,0 +1,38 @@
+/**
+ * Recovery of control after failures, with real binaries.
+ *
+ * @module
+ */
+
+import { launchFleet } from "../demo/launch_fleet.ts";
+import {
+  type FailoverReport,
+  freezeLeader,
+  killAll,
+  killLeader,
+  loseDisksInTurn,
+  stopLeader,
+} from "./failover_scenarios.ts";
+import { printTable } from "./print_table.ts";
+
+/** Entries of the measured fleet. */
+const ENTRIES = 11;
+
+/** Measures the recovery of control. */
+export async function measureFailover(): Promise<void> {
+  await using fleet = await launchFleet({ entries: ENTRIES });
+  const reports: FailoverReport[] = [];
+  for (let round = 0; round < 5; round++) {
+    reports.push(await killLeader(fleet, { changes: 300 }));
+  }
+  reports.push(await freezeLeader(fleet, { frozenMs: 5_000 }));
+  reports.push(await stopLeader(fleet));
+  reports.push(await killAll(fleet));
+  reports.push(await loseDisksInTurn(fleet));
+  printTable(reports.map((report) => ({
+    scenario: report.scenario,
+    "accepted": report.accepted,
+    "longest gap ms": Math.round(report.longestGapMs),
+    "median gap ms": report.medianGapMs.toFixed(1),
+  })));
+}
--- /dev/null
+++ b/measure/print_table.ts
@@ -0,0 +1,31 @@
+/**
+ * Prints measurements as a table in Markdown.
+ *
+ * @module
+ */
+
+import process from "node:process";
+
+/** One row: values by column. */
+export type TableRow = Readonly<Record<string, string | number>>;
+
+/** Prints rows as a table in Markdown. */
+export function printTable(rows: readonly TableRow[]): void {
+  if (rows.length === 0) return;
+  const columns = Object.keys(rows[0]);
+  const width = (column: string) =>
+    Math.max(
+      column.length,
+      ...rows.map((row) => String(row[column] ?? "").length),
+    );
+  const line = (cells: readonly string[]) => `| ${cells.join(" | ")} |`;
+  const pad = (text: string, column: string) => text.padEnd(width(column));
+  const lines = [
+    line(columns.map((column) => pad(column, column))),
+    line(columns.map((column) => "-".repeat(width(column)))),
+    ...rows.map((row) =>
+      line(columns.map((column) => pad(String(row[column] ?? ""), column)))
+    ),
+  ];
+  process.stdout.write(`${lines.join("\n")}\n`);
+}
--- /dev/null
+++ b/measure/routing_model.ts
@@ -0,0 +1,239 @@
+/**
+ * Requests from several entries to engines that share their speed among the
+ * requests that they run: an event-driven run of the pure routing decisions.
+ *
+ * @module
+ */
+
+import { build } from "hdr-histogram-js";
+import TinyQueue from "tinyqueue";
+import {
+  createRandomSource,
+  type RandomSource,
+} from "../proof/random_source.ts";
+import type { UpstreamView } from "../src/routing/index.ts";
+
+/** An engine of the model. */
+export interface ModelEngine {
+  readonly name: string;
+  /** Work that it does in a second when enough requests run. */
+  readonly speedPerS: number;
+  /** Time, in ms, there and back. */
+  readonly roundTripMs: number;
+}
+
+/** Chooses among views; `entry` and `count` are for policies that keep turns. */
+export type Policy = (
+  views: readonly UpstreamView[],
+  context: {
+    nowMs: number;
+    random: RandomSource;
+    entry: number;
+    count: number;
+  },
+) => UpstreamView | undefined;
+
+/** Options of {@link runRoutingModel}. */
+export interface RoutingModelOptions {
+  readonly engines: readonly ModelEngine[];
+  readonly entries: number;
+  /** Part of all engines' speed that is asked for. */
+  readonly load: number;
+  readonly policy: Policy;
+  readonly seed: number;
+  readonly requests: number;
+  /** Time, in ms, by which reports of load lag. */
+  readonly reportLagMs: number;
+  /** Time, in ms, between two reports. */
+  readonly reportIntervalMs: number;
+}
+
+/** What a run measured. */
+export interface RoutingModelResult {
+  readonly p50Ms: number;
+  readonly p99Ms: number;
+  /** Work done in a second as a part of the bound, the sum of all speeds. */
+  readonly throughputShare: number;
+}
+
+/** Requests that an engine must run to reach its full speed. */
+const FULL_BATCH = 4;
+
+/** Mean work of a request. */
+const MEAN_WORK = 1;
+
+interface Job {
+  readonly endWork: number;
+  readonly entry: number;
+  readonly startedMs: number;
+}
+
+interface EngineState {
+  readonly engine: ModelEngine;
+  readonly jobs: TinyQueue<Job>;
+  /** Work that each running request has got since the start. */
+  perJobWork: number;
+  updatedMs: number;
+  /** Counts changes, so that outdated ends are passed over. */
+  version: number;
+  /** Loads at the last reports, the newest last. */
+  history: { atMs: number; load: number }[];
+}
+
+type Mutable<T> = { -readonly [Key in keyof T]: T[Key] };
+
+interface ModelEvent {
+  readonly atMs: number;
+  readonly run: () => void;
+}
+
+/** Runs the model. */
+export function runRoutingModel(
+  options: RoutingModelOptions,
+): RoutingModelResult {
+  const { engines, entries, policy, requests, reportLagMs } = options;
+  const random = createRandomSource(options.seed);
+  const events = new TinyQueue<ModelEvent>([], (a, b) => a.atMs - b.atMs);
+  const histogram = build({ numberOfSignificantValueDigits: 3 });
+  const totalPerS = engines.reduce((sum, { speedPerS }) => sum + speedPerS, 0);
+  const betweenMs = (1_000 * MEAN_WORK) / (totalPerS * options.load);
+  const states = engines.map((engine): EngineState => ({
+    engine,
+    jobs: new TinyQueue<Job>([], (a, b) => a.endWork - b.endWork),
+    perJobWork: 0,
+    updatedMs: 0,
+    version: 0,
+    history: [{ atMs: 0, load: 0 }],
+  }));
+  const views = Array.from(
+    { length: entries },
+    () =>
+      engines.map((engine): Mutable<UpstreamView> => ({
+        name: engine.name,
+        speedPerS: engine.speedPerS,
+        roundTripMs: engine.roundTripMs,
+        inFlight: 0,
+        reportedLoad: 0,
+        reportedMs: 0,
+        inFlightAtReport: 0,
+        knownSinceMs: -1e9,
+        ejectedUntilMs: 0,
+        closed: false,
+      })),
+  );
+  const index = new Map(engines.map((engine, at) => [engine.name, at]));
+  let nowMs = 0;
+  let started = 0;
+  let ended = 0;
+  let workDone = 0;
+  const warmUp = Math.floor(requests * 0.2);
+  let measuredFromMs = 0;
+  let measuredWork = 0;
+
+  function getRatePerS(state: EngineState): number {
+    const { length } = state.jobs;
+    return state.engine.speedPerS / Math.max(FULL_BATCH, length);
+  }
+
+  function update(state: EngineState): void {
+    const elapsedS = (nowMs - state.updatedMs) / 1_000;
+    state.perJobWork += elapsedS * getRatePerS(state);
+    state.updatedMs = nowMs;
+  }
+
+  function scheduleEnd(state: EngineState): void {
+    state.version += 1;
+    const { version } = state;
+    const next = state.jobs.peek();
+    if (!next) return;
+    const leftS = Math.max(0, next.endWork - state.perJobWork) /
+      getRatePerS(state);
+    events.push({
+      atMs: nowMs + leftS * 1_000,
+      run: () => {
+        if (state.version === version) endJob(state);
+      },
+    });
+  }
+
+  function endJob(state: EngineState): void {
+    update(state);
+    const job = state.jobs.pop();
+    if (job) finish(state, job);
+    scheduleEnd(state);
+  }
+
+  function finish(state: EngineState, job: Job): void {
+    const view = views[job.entry][index.get(state.engine.name) ?? 0];
+    view.inFlight -= 1;
+    ended += 1;
+    if (ended === warmUp) {
+      measuredFromMs = nowMs;
+      measuredWork = workDone;
+    }
+    if (ended <= warmUp) return;
+    const latencyMs = nowMs - job.startedMs + state.engine.roundTripMs;
+    histogram.recordValue(Math.max(1, Math.round(latencyMs * 10)));
+  }
+
+  function arrive(): void {
+    if (started >= requests) return;
+    started += 1;
+    const entry = random.integer(0, entries - 1);
+    const chosen = policy(views[entry], {
+      nowMs,
+      random,
+      entry,
+      count: started,
+    });
+    const state = states[index.get(chosen?.name ?? "") ?? 0];
+    const work = random.exponential(MEAN_WORK);
+    workDone += work;
+    update(state);
+    state.jobs.push({
+      endWork: state.perJobWork + work,
+      entry,
+      startedMs: nowMs,
+    });
+    views[entry][index.get(state.engine.name) ?? 0].inFlight += 1;
+    scheduleEnd(state);
+    events.push({ atMs: nowMs + random.exponential(betweenMs), run: arrive });
+  }
+
+  // Each engine's load reaches every entry, late.
+  function report(): void {
+    for (const [at, state] of states.entries()) {
+      state.history.push({ atMs: nowMs, load: state.jobs.length });
+      const known = state.history.findLast((one) =>
+        one.atMs <= nowMs - reportLagMs
+      );
+      if (state.history.length > 64) state.history.shift();
+      if (!known) continue;
+      for (const entryViews of views) {
+        const view = entryViews[at];
+        view.reportedLoad = known.load;
+        view.reportedMs = known.atMs;
+        view.inFlightAtReport = view.inFlight;
+      }
+    }
+    if (ended < requests) {
+      events.push({ atMs: nowMs + options.reportIntervalMs, run: report });
+    }
+  }
+
+  arrive();
+  report();
+  while (ended < requests) {
+    const event = events.pop();
+    if (!event) break;
+    nowMs = event.atMs;
+    event.run();
+    if (started >= requests && ended >= requests * 0.98) break;
+  }
+  const elapsedS = (nowMs - measuredFromMs) / 1_000;
+  return {
+    p50Ms: histogram.getValueAtPercentile(50) / 10,
+    p99Ms: histogram.getValueAtPercentile(99) / 10,
+    throughputShare: (workDone - measuredWork) / elapsedS / totalPerS,
+  };
+}
--- a/src/cli/create_operator_client.ts
+++ b/src/cli/create_operator_client.ts
@@ -67,7 +67,7 @@
 const DEFAULT_TIMEOUT_MS = 15_000;
 
 /** Time, in ms, for one control process. */
-const TRY_TIMEOUT_MS = 3_000;
+const TRY_TIMEOUT_MS = 1_000;
 
 /** Ms between two rounds of asking. */
 const ROUND_DELAY_MS = 50;
@@ -136,8 +136,7 @@
           ...(body === undefined ? {} : { "content-type": "application/json" }),
         },
         body: body === undefined ? undefined : JSON.stringify(body),
-        headersTimeout: TRY_TIMEOUT_MS,
-        bodyTimeout: TRY_TIMEOUT_MS,
+        signal: AbortSignal.timeout(TRY_TIMEOUT_MS),
       });
       const text = await response.body.text();
       const document = JSON.parse(text) as Record<string, unknown>;
--- a/src/control/create_peer_transport.ts
+++ b/src/control/create_peer_transport.ts
@@ -100,14 +100,13 @@
   ): ClientWritableStream<wire.PeerMessage> | undefined {
     if (connection.stream) return connection.stream;
     if (now() < connection.openAfterMs) return undefined;
-    const stream = connection.client.deliver(() => {});
-    const forget = () => {
+    // A call with one answer tells its end by the callback alone.
+    const stream = connection.client.deliver(() => {
       if (connection.stream !== stream) return;
       connection.stream = undefined;
       connection.openAfterMs = now() + REOPEN_DELAY_MS;
-    };
-    stream.on("error", forget);
-    stream.on("close", forget);
+    });
+    stream.on("error", () => {});
     connection.stream = stream;
     return stream;
   }
--- a/src/control/create_replica.ts
+++ b/src/control/create_replica.ts
@@ -73,7 +73,7 @@
   /** Resolves once this replica has surely applied all accepted changes. */
   confirmRead(): Promise<void>;
   deliver(message: QuorumMessage): void;
-  /** Asks the replica that is furthest along to take over. */
+  /** Asks the voter that answered last to take over. */
   transferLeadership(): void;
   /** Resolves once all that was given to it is carried out. */
   settle(): Promise<void>;
@@ -135,7 +135,7 @@
     if (closed) return;
     if (event.type === "message" && queue.length > MAX_QUEUED_EVENTS) return;
     queue.push(event);
-    if (!running) running = drain().finally(() => running = undefined);
+    running ??= drain();
   }
 
   async function drain(): Promise<void> {
@@ -143,6 +143,9 @@
     await Promise.resolve();
     try {
       while (queue.length > 0 && !closed) await runBatch();
+      // In the same turn as the last look at the queue: what comes after it
+      // starts anew.
+      running = undefined;
     } catch (error) {
       closed = true;
       options.onFatal(error);
@@ -349,7 +352,7 @@
     },
     deliver: (message) => enqueue({ type: "message", message }),
     transferLeadership() {
-      const to = findFurthestVoter(state);
+      const to = findSuccessor(state);
       if (to !== undefined) enqueue({ type: "transfer", to });
     },
     async settle() {
@@ -392,10 +395,11 @@
   return entry ? JSON.parse(entry.body) as Member[] : state.snapshot.members;
 }
 
-function findFurthestVoter(state: QuorumState): ReplicaId | undefined {
+// The voter that answered last: one that is down may hold as much.
+function findSuccessor(state: QuorumState): ReplicaId | undefined {
   const others = state.members.filter((member) =>
     member.role === "voter" && member.id !== state.selfId
   );
-  const matched = (id: ReplicaId) => state.peers[id]?.matchIndex ?? 0;
-  return others.sort((a, b) => matched(b.id) - matched(a.id))[0]?.id;
+  const ackedMs = (id: ReplicaId) => state.peers[id]?.ackedSentMs ?? -1;
+  return others.sort((a, b) => ackedMs(b.id) - ackedMs(a.id))[0]?.id;
 }
--- a/src/entry/open_config_file.ts
+++ b/src/entry/open_config_file.ts
@@ -49,13 +49,14 @@
       waiting = undefined;
       await writeFile(path, JSON.stringify(next)).catch(options.onError);
     }
+    writing = undefined;
   }
 
   return {
     saved,
     write(config) {
       waiting = config;
-      writing ??= writeWaiting().finally(() => writing = undefined);
+      writing ??= writeWaiting();
     },
     async settle() {
       while (writing) await writing;
--- a/src/quorum/_lib/draft.ts
+++ b/src/quorum/_lib/draft.ts
@@ -126,6 +126,7 @@
   draft.leaderId = leaderId;
   draft.votes = {};
   draft.peers = {};
+  draft.transferTo = null;
   refuseReads(draft);
   if (changed) setRole(draft, "follower");
 }
--- a/src/quorum/_lib/replication.ts
+++ b/src/quorum/_lib/replication.ts
@@ -188,6 +188,7 @@
     return;
   }
   advanceLeaderCommit(draft);
+  handOver(draft);
   if (next.nextIndex <= getLastIndex(draft)) sendAppend(draft, message.from);
 }
 
@@ -214,6 +215,16 @@
   return { ...before, nextIndex };
 }
 
+/** Asks the chosen successor to stand, once it holds the whole log. */
+export function handOver(draft: Draft): void {
+  const { transferTo } = draft;
+  if (transferTo === null) return;
+  const { matchIndex } = getProgress(draft, transferTo);
+  if (matchIndex < getLastIndex(draft)) return;
+  draft.transferTo = null;
+  send(draft, transferTo, { body: { type: "timeoutNow" } });
+}
+
 /** Index that a quorum of voters holds on synced disks. */
 export function getQuorumIndex(state: QuorumState): number {
   const matched = getVoterIds(state).map((id) =>
--- a/src/quorum/create_quorum_state.ts
+++ b/src/quorum/create_quorum_state.ts
@@ -73,5 +73,6 @@
     reads: [],
     leaseForfeited: false,
     transferDeadlineMs: 0,
+    transferTo: null,
   };
 }
--- a/src/quorum/step_quorum.ts
+++ b/src/quorum/step_quorum.ts
@@ -13,7 +13,6 @@
   getEntries,
   getLastIndex,
   getTermAt,
-  isVoter,
   markDirty,
   openDraft,
   send,
@@ -31,6 +30,7 @@
   followLeader,
   handleAppendRequest,
   handleAppendResponse,
+  handOver,
   isCutOff,
 } from "./_lib/replication.ts";
 import type {
@@ -254,10 +254,11 @@
 
 function handleTransfer(draft: Draft, to: ReplicaId): void {
   if (draft.role !== "leader" || draft.transferDeadlineMs > 0) return;
-  const behind = (draft.peers[to]?.matchIndex ?? 0) < getLastIndex(draft);
-  if (behind || !isVoter(draft)) return;
+  const target = draft.members.find((member) => member.id === to);
+  if (target?.role !== "voter" || to === draft.selfId) return;
   draft.leaseForfeited = true;
+  draft.transferTo = to;
   draft.transferDeadlineMs = draft.context.nowMs +
     draft.timing.electionTimeoutMs;
-  send(draft, to, { body: { type: "timeoutNow" } });
+  handOver(draft);
 }
--- a/src/quorum/types.ts
+++ b/src/quorum/types.ts
@@ -102,6 +102,8 @@
   /** Set once this leader has asked another to take over in this term. */
   readonly leaseForfeited: boolean;
   readonly transferDeadlineMs: number;
+  /** Who is to take over once it holds the whole log; null where nobody. */
+  readonly transferTo: ReplicaId | null;
 }
 
 /** Asks for a vote, or whether one would be given (`preVote`). */
