--- a/demo/launch_fleet.ts
+++ b/demo/launch_fleet.ts
@@ -42,6 +42,8 @@
   readonly entries: readonly FleetProcess[];
   readonly operator: OperatorClient;
   readonly folder: string;
+  /** Where entries reach the control processes. */
+  readonly peerAddresses: readonly string[];
   /** Waits until a condition holds. */
   until(what: string, test: () => Promise<boolean> | boolean): Promise<void>;
 }
@@ -133,6 +135,7 @@
     entries: entryProcesses,
     operator,
     folder,
+    peerAddresses: controlVms.map((control) => control.peerAddress),
     until,
     async [Symbol.asyncDispose]() {
       for (const child of all) child.kill("SIGCONT");
--- /dev/null
+++ b/docgen/format_pages_test.ts
@@ -0,0 +1,19 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { readFile } from "node:fs/promises";
+import { EVENTS } from "../src/logs/index.ts";
+import { makeGeneratedFiles } from "./format_pages.ts";
+
+for (const { path, text } of makeGeneratedFiles()) {
+  test(`${path} is what the code says`, async () => {
+    assert.is(await readFile(path, "utf8"), text);
+  });
+}
+
+test("every event has a number of its own", () => {
+  const ids = Object.values(EVENTS).map((event) => event.id);
+  assert.is(new Set(ids).size, ids.length);
+  assert.ok(ids.every((id) => /^CL1[0-6]\d\d$/.test(id)));
+});
+
+test.run();
--- a/measure/main.ts
+++ b/measure/main.ts
@@ -5,8 +5,10 @@
  */
 
 import process from "node:process";
+import { measureCapacity } from "./capacity.ts";
 import { measureFailover } from "./failover.ts";
 import { measureOverload } from "./overload.ts";
+import { measurePath } from "./path.ts";
 import { measurePlacement } from "./placement.ts";
 import { measureRecovery } from "./recovery.ts";
 import { measureRouting } from "./routing.ts";
@@ -17,6 +19,8 @@
   placement: measurePlacement,
   recovery: measureRecovery,
   overload: measureOverload,
+  path: measurePath,
+  capacity: measureCapacity,
 };
 
 const name = process.argv[2] ?? "";
--- /dev/null
+++ b/measure/path.ts
@@ -0,0 +1,176 @@
+/**
+ * The way of a request: what an entry adds to calling the stand-in directly.
+ *
+ * @module
+ */
+
+import { type ChildProcess, spawn } from "node:child_process";
+import process from "node:process";
+import { setTimeout as sleep } from "node:timers/promises";
+import { fileURLToPath } from "node:url";
+import { applyTrial } from "../demo/apply_trial.ts";
+import { findFreePorts, launchFleet } from "../demo/launch_fleet.ts";
+import { ACCOUNT_KEY, getTrialResources } from "../demo/trial_resources.ts";
+import { startPlatform } from "../standins/index.ts";
+import { type LoadRequest, type LoadResult, runLoad } from "./load.ts";
+import { printTable, type TableRow } from "./print_table.ts";
+import { readResidentMb } from "./process_meter.ts";
+
+const STAND_IN = fileURLToPath(
+  new URL("./stand_in_process.js", import.meta.url),
+);
+
+const HEADERS = { authorization: `Bearer ${ACCOUNT_KEY}` };
+
+/** Starts stand-ins in processes of their own. */
+export async function startStandIns(
+  kinds: readonly ("plain" | "engine")[],
+): Promise<AsyncDisposable & { readonly addresses: readonly string[] }> {
+  const ports = await findFreePorts(kinds.length);
+  const children: ChildProcess[] = kinds.map((kind, at) =>
+    spawn(process.execPath, [STAND_IN, kind, String(ports[at])])
+  );
+  await sleep(700);
+  return {
+    addresses: ports.map((port) => `http://127.0.0.1:${port}`),
+    async [Symbol.asyncDispose]() {
+      await Promise.resolve();
+      for (const child of children) child.kill("SIGKILL");
+    },
+  };
+}
+
+/** Measures the way of a request. */
+export async function measurePath(): Promise<void> {
+  await using standIns = await startStandIns([
+    "plain",
+    "engine",
+    "engine",
+    "engine",
+  ]);
+  const [plain, ...engines] = standIns.addresses;
+  await using platform = await startPlatform();
+  await using fleet = await launchFleet({
+    entries: 1,
+    platformListUrl: platform.address,
+  });
+  const resources = getTrialResources({
+    stages: engines.map((address) => [address]),
+    plain: [plain],
+  });
+  const { entries } = await applyTrial(fleet, resources, {
+    service: "drafting",
+  });
+  const entry = entries[0].address;
+  const direct = () => ({ url: `${plain}/readings` });
+  const through = () => ({
+    url: `${entry}/services/dashboard/readings`,
+    headers: HEADERS,
+  });
+  const rows: TableRow[] = [];
+  const run = async (
+    name: string,
+    options: {
+      concurrency: number;
+      requests: number;
+      ratePerS?: number;
+      makeRequest: (count: number) => LoadRequest;
+    },
+  ): Promise<LoadResult> => {
+    const result = await runLoad(options);
+    rows.push(describeLoad(name, result));
+    return result;
+  };
+  const many = { concurrency: 64, requests: 20_000 };
+  await runLoad({ ...many, requests: 5_000, makeRequest: through });
+  await run("direct, as many as go", { ...many, makeRequest: direct });
+  const full = await run("through, as many as go", {
+    ...many,
+    makeRequest: through,
+  });
+  const half = { concurrency: 64, requests: 10_000, ratePerS: full.perS / 2 };
+  await run("direct, half of that", { ...half, makeRequest: direct });
+  await run("through, half of that", { ...half, makeRequest: through });
+  const completion = (stream: boolean) => (count: number) => ({
+    url: `${entry}/v1/completions`,
+    method: "POST" as const,
+    headers: HEADERS,
+    body: JSON.stringify({
+      model: "drafting",
+      prompt: `Pallet ${count}`,
+      max_tokens: 32,
+      stream,
+    }),
+  });
+  const model = { concurrency: 16, requests: 600 };
+  const whole = await run("32 tokens over 3 stages, whole", {
+    ...model,
+    makeRequest: completion(false),
+  });
+  await run("32 tokens over 3 stages, streamed", {
+    ...model,
+    makeRequest: completion(true),
+  });
+  printTable(rows);
+  const tokensPerS = Math.round(whole.perS * 32);
+  process.stdout.write(`Tokens a second through one entry: ${tokensPerS}\n`);
+  await measureClaims(entry);
+  await measureMemory(fleet.entries[0].getProcessId(), through);
+}
+
+async function measureClaims(entry: string): Promise<void> {
+  const result = await runLoad({
+    concurrency: 32,
+    requests: 3_000,
+    makeRequest: (count) => ({
+      url: `${entry}/services/dashboard/claims`,
+      method: "POST",
+      headers: {
+        ...HEADERS,
+        "crowlever-repeatable": "false",
+        "idempotency-key": `claim-${count}`,
+      },
+      body: "{}",
+    }),
+  });
+  printTable([describeLoad("claimed, 32 at once, synced", result)]);
+  const alone = await runLoad({
+    concurrency: 1,
+    requests: 300,
+    makeRequest: (count) => ({
+      url: `${entry}/services/dashboard/claims`,
+      method: "POST",
+      headers: {
+        ...HEADERS,
+        "crowlever-repeatable": "false",
+        "idempotency-key": `alone-${count}`,
+      },
+      body: "{}",
+    }),
+  });
+  printTable([describeLoad("claimed, one at a time, synced", alone)]);
+}
+
+async function measureMemory(
+  processId: number,
+  makeRequest: () => LoadRequest,
+): Promise<void> {
+  const rows: TableRow[] = [];
+  for (let round = 0; round <= 5; round++) {
+    const mb = await readResidentMb(processId);
+    rows.push({ requests: round * 20_000, "resident MB": mb.toFixed(0) });
+    await runLoad({ concurrency: 32, requests: 20_000, makeRequest });
+  }
+  printTable(rows);
+}
+
+function describeLoad(name: string, result: LoadResult): TableRow {
+  return {
+    load: name,
+    "a second": Math.round(result.perS),
+    "p50 ms": result.p50Ms.toFixed(2),
+    "p99 ms": result.p99Ms.toFixed(2),
+    "first byte p50 ms": result.firstP50Ms.toFixed(2),
+    wrong: result.wrong,
+  };
+}
