--- /dev/null
+++ b/src/storage/open_quorum_storage_test.ts
@@ -0,0 +1,180 @@
+import { suite } from "uvu";
+import * as assert from "uvu/assert";
+import { Buffer } from "node:buffer";
+import { appendFile, mkdtemp, readFile, rm, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import type { LogEntry } from "../quorum/index.ts";
+import { encodeFrame, openQuorumStorage, scanFrames } from "./index.ts";
+
+const test = suite<{ folder: string }>("quorum storage");
+
+test.before.each(async (context) => {
+  context.folder = await mkdtemp(join(tmpdir(), "crowlever-"));
+});
+
+test.after.each(async ({ folder }) => {
+  await rm(folder, { recursive: true });
+});
+
+const owner = { fleetId: "trial", vm: "vm-1" };
+const hard = { term: 3, votedFor: "vm-2.0" };
+
+function makeEntry(index: number, term = 1): LogEntry {
+  return { index, term, kind: "command", body: `body ${index}` };
+}
+
+async function write(folder: string, indexes: readonly number[]) {
+  await using storage = await openQuorumStorage({ folder, ...owner });
+  for (const index of indexes) {
+    await storage.append([{ hard, entries: [makeEntry(index)] }]);
+  }
+}
+
+async function findRefusal(folder: string, as = owner): Promise<string> {
+  try {
+    await using _storage = await openQuorumStorage({ folder, ...as });
+    return "";
+  } catch (error) {
+    return (error as Error).message;
+  }
+}
+
+test("a new folder is empty and keeps its identity", async ({ folder }) => {
+  let replicaId = "";
+  {
+    await using storage = await openQuorumStorage({ folder, ...owner });
+    assert.equal(storage.stored.log, []);
+    replicaId = storage.identity.replicaId;
+  }
+  await using again = await openQuorumStorage({ folder, ...owner });
+  assert.is(again.identity.replicaId, replicaId);
+});
+
+test("what was appended is there again, later entries replace earlier", async ({ folder }) => {
+  await write(folder, [1, 2, 3]);
+  {
+    await using storage = await openQuorumStorage({ folder, ...owner });
+    await storage.append([{ hard, entries: [makeEntry(2, 2)] }]);
+  }
+  await using storage = await openQuorumStorage({ folder, ...owner });
+  const terms = storage.stored.log.map(({ index, term }) => [index, term]);
+  assert.equal(terms, [[1, 1], [2, 2]]);
+  assert.equal(storage.stored.hard, hard);
+});
+
+test("a torn tail is cut off at any byte, and what was synced stays", async ({ folder }) => {
+  await write(folder, [1, 2]);
+  const path = join(folder, "log-1");
+  const whole = await readFile(path);
+  const torn = encodeFrame("a record that was being written");
+  for (let size = 1; size < torn.length; size += 5) {
+    await writeFile(path, Buffer.concat([whole, torn.subarray(0, size)]));
+    await using storage = await openQuorumStorage({ folder, ...owner });
+    assert.is(storage.stored.tornBytes, size);
+    assert.is(storage.stored.log.length, 2);
+  }
+});
+
+test("zeros behind the last record are a torn tail", async ({ folder }) => {
+  await write(folder, [1]);
+  await appendFile(join(folder, "log-1"), Buffer.alloc(4_096));
+  await using storage = await openQuorumStorage({ folder, ...owner });
+  assert.is(storage.stored.log.length, 1);
+});
+
+test("any other damage is refused, with file and offset", async ({ folder }) => {
+  await write(folder, [1, 2, 3]);
+  const path = join(folder, "log-1");
+  const bytes = await readFile(path);
+  const first = scanFrames(bytes, { file: path }).payloads[0].length + 12;
+  for (const at of [0, 5, 9, 20, first + 3, first + 30]) {
+    const damaged = Buffer.from(bytes);
+    damaged[at] ^= 0x40;
+    await writeFile(path, damaged);
+    const refusal = await findRefusal(folder);
+    assert.match(refusal, /log-1 is damaged at offset \d+/);
+    assert.match(refusal, new RegExp(`offset ${at < first ? 0 : first}\\b`));
+  }
+});
+
+test("a damaged snapshot is refused", async ({ folder }) => {
+  const meta = { index: 5, term: 1, members: [] };
+  {
+    await using storage = await openQuorumStorage({ folder, ...owner });
+    await storage.saveSnapshot({
+      snapshot: { meta, data: "state" },
+      hard,
+      entries: [],
+    });
+  }
+  const path = join(folder, "snapshot");
+  const bytes = await readFile(path);
+  bytes[bytes.length - 1] ^= 1;
+  await writeFile(path, bytes);
+  assert.match(await findRefusal(folder), /snapshot is damaged/);
+});
+
+test("a snapshot replaces the log that it covers", async ({ folder }) => {
+  await write(folder, [1, 2, 3]);
+  {
+    await using storage = await openQuorumStorage({ folder, ...owner });
+    const meta = { index: 2, term: 1, members: [] };
+    const entries = [makeEntry(3)];
+    await storage.saveSnapshot({
+      snapshot: { meta, data: "two" },
+      hard,
+      entries,
+    });
+    await storage.append([{ hard, entries: [makeEntry(4)] }]);
+  }
+  await using storage = await openQuorumStorage({ folder, ...owner });
+  assert.is(storage.stored.snapshot?.data, "two");
+  assert.equal(storage.stored.log.map((entry) => entry.index), [3, 4]);
+});
+
+// A crash between a received snapshot and the new log leaves the old log.
+test("a log that disagrees with a newer snapshot does not count", async ({ folder }) => {
+  await write(folder, [1, 2, 3]);
+  const meta = JSON.stringify({ index: 2, term: 9, members: [] });
+  const bytes = Buffer.concat([encodeFrame(meta), encodeFrame("newer")]);
+  await writeFile(join(folder, "snapshot"), bytes);
+  await using storage = await openQuorumStorage({ folder, ...owner });
+  assert.equal(storage.stored.log, []);
+});
+
+test("a folder of another VM or fleet, or in use, is refused", async ({ folder }) => {
+  {
+    await using _storage = await openQuorumStorage({ folder, ...owner });
+    assert.match(await findRefusal(folder), /in use/);
+  }
+  assert.match(
+    await findRefusal(folder, { ...owner, vm: "vm-2" }),
+    /belongs to vm vm-1/,
+  );
+  assert.match(
+    await findRefusal(folder, { ...owner, fleetId: "other" }),
+    /belongs to fleetId trial/,
+  );
+  assert.is(await findRefusal(folder), "");
+});
+
+test("forming twice keeps the first cluster", async ({ folder }) => {
+  const form = (clusterId: string) => ({ address: "a:1", clusterId });
+  {
+    await using first = await openQuorumStorage({
+      folder,
+      ...owner,
+      form: form("one"),
+    });
+    assert.is(first.stored.snapshot?.meta.members.length, 1);
+  }
+  await using second = await openQuorumStorage({
+    folder,
+    ...owner,
+    form: form("two"),
+  });
+  assert.is(second.identity.clusterId, "one");
+});
+
+test.run();
