Control grows with the number of entries, not with its square

Cause, found at 330 agents: (1) each heartbeat copied and looked at all entries; (2) each join was told to all at once, with the whole list; (3) a whole state was taken as a thousand changes, each with a copy of it.

Ruled out: gRPC and the reports themselves (bytes and processor of the agents grew with their number only).

Change: heartbeats are taken in batches ten times a second and move their own entries alone; news go out at most ten times a second and as changes; an entry that has many more requests in flight than the others is marked, instead of telling everybody's numbers; changes are taken with one copy.

--- a/src/control/create_agent_service.ts
+++ b/src/control/create_agent_service.ts
@@ -10,6 +10,7 @@
 } from "@grpc/grpc-js";
 import type { ClaimVerdict } from "../claims/index.ts";
 import type { Logger } from "../logs/index.ts";
+import { EMPTY_LIVE_STATE, getLiveChange } from "../membership/index.ts";
 import type { Metrics } from "../metrics/index.ts";
 import type {
   EntryGrant,
@@ -71,6 +72,8 @@
   /** Revision that was last sent; -1 before the first. */
   sentRevision: number;
   sentGrant: string;
+  /** The live state that the entry was last told; undefined before. */
+  sentLive: LiveState | undefined;
 }
 
 /**
@@ -88,6 +91,7 @@
   const { view, log, metrics } = options;
   const sessions = new Map<string, Session>();
   let liveVersion = 0;
+  let published = EMPTY_LIVE_STATE;
 
   function send(session: Session, body: ControlBody): void {
     if (session.stream.writableLength > MAX_WAITING_BYTES) {
@@ -122,13 +126,15 @@
     });
   }
 
-  function sendLive(session: Session, live: LiveState): void {
+  function sendLive(session: Session): void {
+    const change = getLiveChange(session.sentLive, published);
+    session.sentLive = published;
     send(session, {
       $case: "live",
       value: {
         term: options.getTerm(),
         version: liveVersion,
-        live: JSON.stringify(live),
+        live: JSON.stringify(change),
       },
     });
   }
@@ -158,7 +164,8 @@
     });
     sendConfig(session);
     view.take({ type: "hello", ...hello, address: hello.callerAddress });
-    if (!view.isQuiet()) sendLive(session, view.getLive());
+    // Before the first news of this leader, what the entry has is better.
+    if (published !== EMPTY_LIVE_STATE) sendLive(session);
     metrics.gauge("control.sessions", sessions.size);
   }
 
@@ -177,14 +184,7 @@
     const { vm, incarnation } = session;
     const { revision, leaving, sentMs } = heartbeat;
     const report = JSON.parse(heartbeat.report) as EntryReport;
-    view.take({
-      type: "heartbeat",
-      vm,
-      incarnation,
-      revision,
-      leaving,
-      report,
-    });
+    view.takeHeartbeat({ vm, incarnation, revision, leaving, report });
     const value = { echoSentMs: sentMs };
     send(session, { $case: "heartbeatAck", value });
   }
@@ -251,6 +251,7 @@
       incarnation: "",
       sentRevision: -1,
       sentGrant: "",
+      sentLive: undefined,
     };
     stream.on("data", (message: wire.AgentMessage) => {
       void take(session, message).catch((error) => {
@@ -293,7 +294,8 @@
     },
     publishLive(live) {
       liveVersion += 1;
-      for (const session of sessions.values()) sendLive(session, live);
+      published = live;
+      for (const session of sessions.values()) sendLive(session);
     },
     publishGrants(grants) {
       for (const session of sessions.values()) {
@@ -305,6 +307,7 @@
       }
     },
     closeAll(reason) {
+      published = EMPTY_LIVE_STATE;
       for (const { stream } of sessions.values()) redirect(stream, reason);
       sessions.clear();
     },
--- a/src/control/create_fleet_view.ts
+++ b/src/control/create_fleet_view.ts
@@ -8,6 +8,7 @@
 import {
   createMembershipState,
   getLiveState,
+  type Heartbeat,
   type MembershipEvent,
   type MembershipState,
   stepMembership,
@@ -25,11 +26,16 @@
   readonly onChange: (live: LiveState) => void;
 }
 
+/** Ms between two pieces of news. */
+const NEWS_INTERVAL_MS = 100;
+
 /** The leader's view of the fleet. */
 export interface FleetView {
   /** Forgets everybody: a new leader starts from what it hears itself. */
   reset(): void;
   take(event: MembershipEvent): void;
+  /** Keeps a heartbeat for the next step. */
+  takeHeartbeat(heartbeat: Heartbeat): void;
   getState(): MembershipState;
   getLive(): LiveState;
   /** Whether too little was heard yet to tell entries anything. */
@@ -54,10 +60,19 @@
 export function createFleetView(options: CreateFleetViewOptions): FleetView {
   const { leaseMs, now, log, onChange } = options;
   let state = createMembershipState();
+  let heard: Heartbeat[] = [];
   let quietUntilMs = 0;
   let owesNews = false;
+  let toldMs = -Infinity;
 
   function take(event: MembershipEvent): void {
+    const heartbeats = heard;
+    heard = [];
+    if (heartbeats.length > 0) move({ type: "heartbeats", heartbeats });
+    move(event);
+  }
+
+  function move(event: MembershipEvent): void {
     const nowMs = now();
     const step = stepMembership(state, event, { nowMs, leaseMs });
     state = step.state;
@@ -65,18 +80,23 @@
     for (const vm of step.lost) log("entryLost", { vm });
     for (const vm of step.leaving) log("entryLeaving", { vm });
     owesNews ||= step.changed;
-    if (!owesNews || nowMs < quietUntilMs) return;
+    // News that come together go out together.
+    const due = nowMs >= quietUntilMs && nowMs - toldMs >= NEWS_INTERVAL_MS;
+    if (!owesNews || !due) return;
     owesNews = false;
+    toldMs = nowMs;
     onChange(getLiveState(state));
   }
 
   return {
     reset() {
       state = createMembershipState();
+      heard = [];
       quietUntilMs = now() + leaseMs;
       owesNews = true;
     },
     take,
+    takeHeartbeat: (heartbeat) => void heard.push(heartbeat),
     getState: () => state,
     getLive: () => getLiveState(state),
     isQuiet: () => now() < quietUntilMs,
--- a/src/control/create_operator_api.ts
+++ b/src/control/create_operator_api.ts
@@ -5,16 +5,10 @@
  */
 
 import type { FastifyInstance, FastifyReply, FastifyRequest } from "fastify";
-import {
-  hashSecret,
-  isSameSecret,
-  parseBearer,
-  sendProblem,
-} from "../http/index.ts";
+import { sendProblem } from "../http/index.ts";
 import type { Logger } from "../logs/index.ts";
 import type { Metrics } from "../metrics/index.ts";
 import {
-  type Resource,
   RESOURCE_KINDS,
   type ResourceChange,
   type ResourceKind,
@@ -23,21 +17,23 @@
 import {
   type ChangeCommand,
   type ChangeResult,
-  getChangesSince,
   getResourceKey,
   listResources,
   type ResourceState,
 } from "../resources/index.ts";
-import { ProposalRefusedError } from "./control_error.ts";
 import type { FleetView } from "./create_fleet_view.ts";
-import { explainResource } from "./explain_resource.ts";
 import type { Replica } from "./create_replica.ts";
-
-/** Bytes that may wait for a slow watcher; then its watch ends. */
-const MAX_WATCH_BYTES = 4 * 1024 * 1024;
-
-/** Ms between two bookmarks of a watch. */
-const BOOKMARK_INTERVAL_MS = 5_000;
+import { createWatchHub } from "./create_watch_hub.ts";
+import { explainResource } from "./explain_resource.ts";
+import { findOperator } from "./find_operator.ts";
+import { getFleetStatus, listLive, withStatus } from "./get_fleet_status.ts";
+import {
+  sendBadChange,
+  sendChangeResult,
+  sendNotFound,
+  sendNotLeader,
+  sendUndecided,
+} from "./send_change_answer.ts";
 
 /** What the interface needs of its program. */
 export interface CreateOperatorApiOptions {
@@ -66,11 +62,6 @@
   readonly name: string;
 }
 
-interface Watcher {
-  readonly reply: FastifyReply;
-  readonly kind: string | undefined;
-}
-
 /**
  * Adds the resource interface to a server.
  *
@@ -84,7 +75,7 @@
   options: CreateOperatorApiOptions,
 ): OperatorApi {
   const { server, replica, view, getResources, log, metrics } = options;
-  const watchers = new Set<Watcher>();
+  const watches = createWatchHub({ server, getResources });
 
   server.get("/healthz", () => ({ ok: true }));
   server.get("/readyz", (_request, reply) => {
@@ -163,7 +154,7 @@
     "/v1/watch",
     async (request, reply) => {
       if (!await confirm(reply)) return reply;
-      startWatch(reply, {
+      watches.start(reply, {
         kind: request.query.kind,
         since: Number(request.query.since ?? getResources().revision),
       });
@@ -172,7 +163,7 @@
 
   server.get("/v1/status", async (_request, reply) => {
     if (!await confirm(reply)) return reply;
-    return getStatus(options);
+    return getFleetStatus(options);
   });
 
   server.get<{ Params: ResourceParams }>(
@@ -200,7 +191,7 @@
       await replica.confirmRead();
       return true;
     } catch {
-      await sendNotLeader(reply, options);
+      await sendNotLeader(reply, options.getLeaderAddress());
       return false;
     }
   }
@@ -225,7 +216,10 @@
     try {
       result = await replica.propose(JSON.stringify(command)) as ChangeResult;
     } catch (error) {
-      return await sendUndecided(reply, { error, options });
+      return await sendUndecided(reply, {
+        error,
+        leaderAddress: options.getLeaderAddress(),
+      });
     }
     log(result.accepted ? "changeAccepted" : "changeConflict", {
       kind: fields.kind,
@@ -235,62 +229,12 @@
     return sendChangeResult(reply, result);
   }
 
-  function startWatch(
-    reply: FastifyReply,
-    from: { kind: string | undefined; since: number },
-  ): void {
-    reply.hijack();
-    const { raw } = reply;
-    raw.writeHead(200, { "content-type": "application/x-ndjson" });
-    raw.flushHeaders();
-    const state = getResources();
-    const changes = getChangesSince(state, from.since);
-    if (!changes) {
-      const { revision } = state;
-      raw.end(`${JSON.stringify({ type: "relist", revision })}\n`);
-      return;
-    }
-    const watcher = { reply, kind: from.kind };
-    for (const past of changes) writeChange(watcher, past);
-    watchers.add(watcher);
-    raw.on("close", () => watchers.delete(watcher));
-  }
-
-  function writeChange(watcher: Watcher, news: ResourceChange): void {
-    if (watcher.kind !== undefined && watcher.kind !== news.kind) return;
-    writeLine(watcher, { type: "change", ...news });
-  }
-
-  function writeLine(watcher: Watcher, value: unknown): void {
-    const { raw } = watcher.reply;
-    if (raw.writableLength > MAX_WATCH_BYTES) {
-      watchers.delete(watcher);
-      raw.destroy();
-      return;
-    }
-    raw.write(`${JSON.stringify(value)}\n`);
-  }
-
-  const bookmarks = setInterval(() => {
-    const { revision } = getResources();
-    for (const watcher of watchers) {
-      writeLine(watcher, { type: "bookmark", revision });
-    }
-  }, BOOKMARK_INTERVAL_MS);
-  server.addHook("onClose", (_server, done) => {
-    clearInterval(bookmarks);
-    done();
-  });
-
   return {
     publishChange(news) {
       metrics.count("control.changes");
-      for (const watcher of watchers) writeChange(watcher, news);
-    },
-    closeWatches() {
-      for (const { reply } of watchers) reply.raw.end();
-      watchers.clear();
+      watches.publish(news);
     },
+    closeWatches: watches.closeAll,
   };
 }
 
@@ -298,24 +242,6 @@
   return (RESOURCE_KINDS as string[]).includes(kind);
 }
 
-function findOperator(
-  request: FastifyRequest,
-  options: CreateOperatorApiOptions,
-): { name: string; role: "admin" | "viewer" } | undefined {
-  const token = parseBearer(request.headers.authorization);
-  if (token === undefined) return undefined;
-  const hash = hashSecret(token);
-  const operators = listResources(options.getResources(), "operator");
-  const known = operators.find(({ spec }) =>
-    isSameSecret(hash, spec.tokenSha256)
-  );
-  if (known) return { name: known.name, role: known.spec.role };
-  const { bootstrapTokenSha256 = "" } = options;
-  const first = operators.length === 0 &&
-    isSameSecret(hash, bootstrapTokenSha256);
-  return first ? { name: "bootstrap", role: "admin" } : undefined;
-}
-
 function findChangeRefusal(
   fields: { kind: ResourceKind; expectedRevision: number },
   changeId: unknown,
@@ -331,136 +257,3 @@
     changeId.length <= 200;
   return hasId ? undefined : "The Change-Id header is missing or too long";
 }
-
-function sendBadChange(reply: FastifyReply, detail: string): FastifyReply {
-  return sendProblem(reply, {
-    status: 400,
-    reason: "bad_request",
-    detail,
-    outcome: "not_run",
-  });
-}
-
-function sendNotFound(reply: FastifyReply, what: string): FastifyReply {
-  return sendProblem(reply, {
-    status: 404,
-    reason: "not_found",
-    detail: `There is no ${what}`,
-    outcome: "not_run",
-  });
-}
-
-function sendNotLeader(
-  reply: FastifyReply,
-  options: CreateOperatorApiOptions,
-): FastifyReply {
-  return sendProblem(reply, {
-    status: 503,
-    reason: "not_leader",
-    detail: "This control process does not lead",
-    outcome: "not_run",
-    retryAfterS: 1,
-    extra: { leaderAddress: options.getLeaderAddress() },
-  });
-}
-
-// A proposal that was never taken did not run; one that was taken may yet be.
-function sendUndecided(
-  reply: FastifyReply,
-  failed: { error: unknown; options: CreateOperatorApiOptions },
-): FastifyReply {
-  const { error, options } = failed;
-  if (error instanceof ProposalRefusedError) {
-    return sendNotLeader(reply, options);
-  }
-  return sendProblem(reply, {
-    status: 503,
-    reason: "undecided",
-    detail: "The change may be accepted yet; send it again with its Change-Id",
-    outcome: "unknown",
-    retryAfterS: 1,
-    extra: { leaderAddress: options.getLeaderAddress() },
-  });
-}
-
-function sendChangeResult(
-  reply: FastifyReply,
-  result: ChangeResult,
-): FastifyReply {
-  if (result.accepted) return reply.code(200).send(result);
-  const { reason, detail, currentRevision, differs } = result;
-  const status = {
-    conflict: 409,
-    change_id_reused: 409,
-    not_found: 404,
-    invalid: 422,
-  };
-  return sendProblem(reply, {
-    status: status[reason],
-    reason,
-    detail,
-    outcome: "not_run",
-    extra: { currentRevision, differs },
-  });
-}
-
-function withStatus(resource: Resource, options: CreateOperatorApiOptions) {
-  const state = options.getResources();
-  const membership = options.view.getState();
-  const explanations = explainResource(resource, { state, membership });
-  return {
-    ...resource,
-    status: { inForce: explanations.length === 0, explanations },
-  };
-}
-
-function listLive(
-  kind: string,
-  options: CreateOperatorApiOptions,
-): readonly unknown[] | undefined {
-  const { view } = options;
-  if (kind === "entry") return Object.values(view.getState().entries);
-  if (kind !== "upstream") return undefined;
-  return listResources(options.getResources(), "pool").flatMap((pool) =>
-    pool.spec.upstreams.map((upstream) => ({
-      ...upstream,
-      pool: pool.name,
-      vmState: view.getPlatformState(upstream.vm),
-    }))
-  );
-}
-
-function getStatus(options: CreateOperatorApiOptions) {
-  const { replica, view, getResources, vm } = options;
-  const state = replica.getState();
-  const { revision } = getResources();
-  const live = Object.values(view.getState().entries)
-    .filter((entry) => entry.listed);
-  const lagging = live.filter((entry) => entry.revision < revision);
-  return {
-    leader: vm,
-    term: state.term,
-    commitIndex: state.commitIndex,
-    acceptedRevision: revision,
-    inForceRevision: Math.min(revision, ...live.map((entry) => entry.revision)),
-    lagging: lagging.map((entry) => ({
-      vm: entry.vm,
-      revision: entry.revision,
-    })),
-    members: state.members.map((member) => ({
-      ...member,
-      matchIndex: member.id === state.selfId
-        ? state.syncedIndex
-        : state.peers[member.id]?.matchIndex ?? 0,
-    })),
-    entries: live.map((entry) => ({
-      vm: entry.vm,
-      place: entry.place,
-      address: entry.address,
-      revision: entry.revision,
-      inFlight: entry.report.inFlight,
-      leaving: entry.leaving,
-    })),
-    diskFull: replica.isDiskFull(),
-  };
-}
--- a/src/control/create_replica.ts
+++ b/src/control/create_replica.ts
@@ -36,6 +36,7 @@
   ProposalRefusedError,
   UnavailableError,
 } from "./control_error.ts";
+import { createPendingCalls } from "./create_pending_calls.ts";
 
 /** What a replica needs from the program around it. */
 export interface CreateReplicaOptions {
@@ -79,16 +80,6 @@
   settle(): Promise<void>;
 }
 
-interface Waiter {
-  readonly resolve: (value: unknown) => void;
-  readonly reject: (error: Error) => void;
-}
-
-interface PendingProposal extends Waiter {
-  readonly term: number;
-  readonly startedMs: number;
-}
-
 /** Messages that wait while the disk is full; more are dropped, as on a wire. */
 const MAX_QUEUED_EVENTS = 20_000;
 
@@ -115,15 +106,15 @@
   });
   let appliedIndex = state.commitIndex;
   let snapshotIndex = appliedIndex;
-  let nextId = 1;
   let queue: QuorumEvent[] = [];
   let running: Promise<void> | undefined;
   let tickQueued = false;
   let diskFull = false;
   let closed = false;
-  const calls = new Map<number, Waiter>();
-  const proposals = new Map<number, PendingProposal>();
-  const reads = new Map<number, Waiter>();
+  const pending = createPendingCalls({
+    now,
+    onCommit: (tookMs) => metrics.timing("quorum.commit_ms", tookMs),
+  });
 
   const timer = setInterval(() => {
     if (tickQueued) return;
@@ -214,7 +205,9 @@
         if (!isDiskFullError(error)) throw error;
         if (!diskFull) log("diskFull", { error });
         diskFull = true;
-        refuseAll(new UnavailableError("The disk of the leader is full"));
+        pending.loseProposals(
+          new UnavailableError("The leader's disk is full"),
+        );
         await sleep(DISK_FULL_RETRY_MS);
       }
     }
@@ -235,20 +228,13 @@
       case "commit":
         return effect.entries.forEach(applyEntry);
       case "accepted":
-        return takeAccepted(effect);
+        return pending.accept(effect);
       case "refused":
-        takeWaiter(calls, effect.proposalId)?.reject(
-          new ProposalRefusedError(`Proposal refused: ${effect.reason}`),
-        );
-        return;
+        return pending.refuse(effect.proposalId, effect.reason);
       case "readReady":
-        takeWaiter(reads, effect.readId)?.resolve(undefined);
-        return;
+        return pending.settleRead(effect.readId);
       case "readRefused":
-        takeWaiter(reads, effect.readId)?.reject(
-          new NotLeaderError("This replica does not lead"),
-        );
-        return;
+        return pending.refuseRead(effect.readId);
       case "roleChanged":
         return takeRoleChange();
       case "persist":
@@ -256,42 +242,21 @@
     }
   }
 
-  function takeAccepted(
-    effect: { proposalId: number; index: number; term: number },
-  ): void {
-    const waiter = takeWaiter(calls, effect.proposalId);
-    if (!waiter) return;
-    const { index, term } = effect;
-    proposals.set(index, { ...waiter, term, startedMs: now() });
-  }
-
   function takeRoleChange(): void {
     metrics.gauge("quorum.term", state.term);
     if (state.role !== "leader") {
-      refuseAll(new NotLeaderError("This replica stopped leading"));
+      pending.loseProposals(new NotLeaderError("This replica lost its lead"));
     }
     options.onRoleChange(state);
   }
 
-  function refuseAll(error: Error): void {
-    for (const [index, proposal] of proposals) {
-      proposals.delete(index);
-      proposal.reject(error);
-    }
-  }
-
   function applyEntry(entry: LogEntry): void {
     const result = entry.kind === "command"
       ? options.apply(entry.body)
       : undefined;
     appliedIndex = entry.index;
     metrics.count("quorum.log_entries");
-    const proposal = proposals.get(entry.index);
-    if (!proposal) return;
-    proposals.delete(entry.index);
-    metrics.timing("quorum.commit_ms", now() - proposal.startedMs);
-    if (proposal.term === entry.term) proposal.resolve(result);
-    else proposal.reject(new NotLeaderError("Another leader took the place"));
+    pending.settle(entry, result);
   }
 
   async function saveSnapshotIfDue(): Promise<void> {
@@ -317,16 +282,12 @@
     log("snapshotSaved", { index: appliedIndex });
   }
 
-  function call(makeEvent: (id: number) => QuorumEvent): Promise<unknown> {
+  function propose(makeEvent: (id: number) => QuorumEvent): Promise<unknown> {
     if (closed) return Promise.reject(new ProposalRefusedError("Stopped"));
     if (diskFull) {
       return Promise.reject(new ProposalRefusedError("The disk is full"));
     }
-    return new Promise((resolve, reject) => {
-      const id = nextId++;
-      calls.set(id, { resolve, reject });
-      enqueue(makeEvent(id));
-    });
+    return pending.startProposal((id) => enqueue(makeEvent(id)));
   }
 
   return {
@@ -334,9 +295,9 @@
     hasLease: () => hasLeaderLease(state, now()),
     isDiskFull: () => diskFull,
     propose: (body) =>
-      call((proposalId) => ({ type: "propose", proposalId, body })),
+      propose((proposalId) => ({ type: "propose", proposalId, body })),
     async changeMembers(members) {
-      await call((proposalId) => ({
+      await propose((proposalId) => ({
         type: "changeMembers",
         proposalId,
         members,
@@ -344,11 +305,7 @@
     },
     async confirmRead() {
       if (closed) throw new UnavailableError("Stopped");
-      await new Promise((resolve, reject) => {
-        const readId = nextId++;
-        reads.set(readId, { resolve, reject });
-        enqueue({ type: "read", readId });
-      });
+      await pending.startRead((readId) => enqueue({ type: "read", readId }));
     },
     deliver: (message) => enqueue({ type: "message", message }),
     transferLeadership() {
@@ -362,24 +319,12 @@
       clearInterval(timer);
       closed = true;
       await running;
-      refuseAll(new UnavailableError("Stopped"));
-      for (const waiter of [...calls.values(), ...reads.values()]) {
-        waiter.reject(new UnavailableError("Stopped"));
-      }
+      pending.close();
       await storage[Symbol.asyncDispose]();
     },
   };
 }
 
-function takeWaiter(
-  waiters: Map<number, Waiter>,
-  id: number,
-): Waiter | undefined {
-  const waiter = waiters.get(id);
-  waiters.delete(id);
-  return waiter;
-}
-
 function isDiskFullError(error: unknown): boolean {
   const { code } = error as NodeJS.ErrnoException;
   return code === "ENOSPC" || code === "EDQUOT";
--- /dev/null
+++ b/src/control/create_watch_hub.ts
@@ -0,0 +1,111 @@
+/**
+ * Watches: ordered, without gaps, bounded for slow readers.
+ *
+ * @module
+ */
+
+import type { FastifyInstance, FastifyReply } from "fastify";
+import type { ResourceChange } from "../model/index.ts";
+import { getChangesSince, type ResourceState } from "../resources/index.ts";
+
+/** Bytes that may wait for a slow watcher; then its watch ends. */
+const MAX_WAITING_BYTES = 4 * 1024 * 1024;
+
+/** Ms between two bookmarks of a watch. */
+const BOOKMARK_INTERVAL_MS = 5_000;
+
+/** Options of {@link createWatchHub}. */
+export interface CreateWatchHubOptions {
+  /** The server whose end ends the bookmarks. */
+  readonly server: FastifyInstance;
+  readonly getResources: () => ResourceState;
+}
+
+/** All watches. */
+export interface WatchHub {
+  /** Starts a watch after a revision; where that is too old, says relist. */
+  start(
+    reply: FastifyReply,
+    from: { kind: string | undefined; since: number },
+  ): void;
+  publish(change: ResourceChange): void;
+  /** Ends all watches; they resume by revision elsewhere. */
+  closeAll(): void;
+}
+
+interface Watcher {
+  readonly reply: FastifyReply;
+  readonly kind: string | undefined;
+}
+
+/**
+ * Makes the hub of all watches.
+ *
+ * @param options - The server and the accepted state.
+ * @returns The hub.
+ * @throws Nothing.
+ * @example
+ * const watches = createWatchHub({ server, getResources });
+ */
+export function createWatchHub(options: CreateWatchHubOptions): WatchHub {
+  const { server, getResources } = options;
+  const watchers = new Set<Watcher>();
+
+  function start(
+    reply: FastifyReply,
+    from: { kind: string | undefined; since: number },
+  ): void {
+    reply.hijack();
+    const { raw } = reply;
+    raw.writeHead(200, { "content-type": "application/x-ndjson" });
+    raw.flushHeaders();
+    const state = getResources();
+    const changes = getChangesSince(state, from.since);
+    if (!changes) {
+      const { revision } = state;
+      raw.end(`${JSON.stringify({ type: "relist", revision })}\n`);
+      return;
+    }
+    const watcher = { reply, kind: from.kind };
+    for (const past of changes) writeChange(watcher, past);
+    watchers.add(watcher);
+    raw.on("close", () => watchers.delete(watcher));
+  }
+
+  function writeChange(watcher: Watcher, change: ResourceChange): void {
+    if (watcher.kind !== undefined && watcher.kind !== change.kind) return;
+    writeLine(watcher, { type: "change", ...change });
+  }
+
+  function writeLine(watcher: Watcher, value: unknown): void {
+    const { raw } = watcher.reply;
+    if (raw.writableLength > MAX_WAITING_BYTES) {
+      watchers.delete(watcher);
+      raw.destroy();
+      return;
+    }
+    raw.write(`${JSON.stringify(value)}\n`);
+  }
+
+  const bookmarks = setInterval(() => {
+    const { revision } = getResources();
+    for (const watcher of watchers) {
+      writeLine(watcher, { type: "bookmark", revision });
+    }
+  }, BOOKMARK_INTERVAL_MS);
+  server.addHook("onClose", (_server, done) => {
+    clearInterval(bookmarks);
+    done();
+  });
+
+  return {
+    start,
+    publish(change) {
+      for (const watcher of watchers) writeChange(watcher, change);
+    },
+    closeAll() {
+      for (const { reply } of watchers) reply.raw.end();
+      watchers.clear();
+    },
+  };
+}
--- a/src/entry/create_agent.ts
+++ b/src/entry/create_agent.ts
@@ -10,11 +10,13 @@
 import type {
   EntryGrant,
   EntryReport,
+  LiveChange,
   LiveState,
   LiveVersion,
   Outcome,
   ResourceChange,
 } from "../model/index.ts";
+import { takeLiveChange } from "../membership/index.ts";
 import type { EntrySettings } from "../settings/index.ts";
 import {
   CHANNEL_OPTIONS,
@@ -266,10 +268,9 @@
     const newer = term > liveVersion.term ||
       (term === liveVersion.term && version >= liveVersion.version);
     if (!newer) return;
-    const next = JSON.parse(update.live) as LiveState;
     liveVersion = { term, version };
-    // A new leader knows nobody for a moment: an empty list says nothing.
-    if (next.entries.length > 0) live = next;
+    const change = JSON.parse(update.live) as LiveChange;
+    live = takeLiveChange(live, change);
   }
 
   function takeClaimResult(result: wire.ClaimResult): void {
--- a/src/entry/create_config_replica.ts
+++ b/src/entry/create_config_replica.ts
@@ -11,7 +11,7 @@
   parseResourceStateData,
   type ResourceState,
   type ResourceStateData,
-  takeChange,
+  takeChanges,
 } from "../resources/index.ts";
 
 /** A piece of configuration as control sends it. */
@@ -80,7 +80,7 @@
     const first = changes[0]?.revision ?? piece.revision;
     if (!piece.full && first !== state.revision + 1) return "gap";
     const base = piece.full ? createResourceState() : state;
-    const next = changes.reduce(takeChange, base);
+    const next = takeChanges(base, changes);
     clusterId = piece.clusterId;
     // Entries answer no watches and no repeated changes: no history is kept.
     state = { ...next, revision: piece.revision, history: [] };
--- a/src/entry/run_claimed.ts
+++ b/src/entry/run_claimed.ts
@@ -8,7 +8,7 @@
 import { REFUSAL_REASONS, type RefusalReason } from "../metrics/index.ts";
 import type { Outcome } from "../model/index.ts";
 import type { Agent, BegunClaim, ClaimAnswer } from "./create_agent.ts";
-import { RequestProblemError } from "./entry_error.ts";
+import { getProblem, RequestProblemError } from "./entry_error.ts";
 import type { RequestContext } from "./request_context.ts";
 
 /** A whole answer that a claim remembers. */
@@ -86,7 +86,7 @@
     ending = await run();
     return { answer: ending, replayed: false };
   } catch (error) {
-    ending = { ...RELEASED, outcome: getOutcome(error) };
+    ending = { ...RELEASED, outcome: getProblem(error)?.outcome ?? "unknown" };
     throw error;
   } finally {
     const keep = ending.body.length <= MAX_KEPT_BYTES;
@@ -95,6 +95,19 @@
   }
 }
 
+/**
+ * Tells whether a request may run only under a claim.
+ *
+ * @param context - The request.
+ * @returns Whether it must not run twice and somebody may send it again.
+ * @throws Nothing.
+ * @example
+ * if (needsClaim(context)) await runClaimed(context, options);
+ */
+export function needsClaim(context: RequestContext): boolean {
+  return !context.repeatable && context.idempotencyKey !== undefined;
+}
+
 const RELEASED: ClaimedAnswer = {
   outcome: "not_run",
   status: 503,
@@ -102,12 +115,6 @@
   body: "",
 };
 
-function getOutcome(error: unknown): Outcome {
-  if (!(error instanceof RequestProblemError)) return "unknown";
-  const { problem } = error as { problem?: { outcome: Outcome } };
-  return problem?.outcome ?? "unknown";
-}
-
 async function waitForClaim(
   context: RequestContext,
   options: RunClaimedOptions,
--- a/src/entry/start_entry.ts
+++ b/src/entry/start_entry.ts
@@ -12,20 +12,23 @@
 import { listResources, type ResourceState } from "../resources/index.ts";
 import type { EntrySettings } from "../settings/index.ts";
 import { createUpstreamClient } from "../upstreams/index.ts";
+import { addCallerRoutes } from "./add_caller_routes.ts";
 import { createAdmission } from "./create_admission.ts";
 import { createAgent } from "./create_agent.ts";
-import { createCallerApi } from "./create_caller_api.ts";
 import {
   createConfigReplica,
   getSavedConfig,
 } from "./create_config_replica.ts";
 import { createRequestLog } from "./create_request_log.ts";
+import { createRequestTracker } from "./create_request_tracker.ts";
 import { createStreamStore } from "./create_stream_store.ts";
 import { createUpstreamTable } from "./create_upstream_table.ts";
 import { openConfigFile } from "./open_config_file.ts";
 import { type AccountIndex, createAccountIndex } from "./read_request.ts";
 import { createModelRunner } from "./run_model_request.ts";
 import { createPlainRunner } from "./run_plain_request.ts";
+import { createCompletionServer } from "./serve_completion.ts";
+import { createPlainServer } from "./serve_plain.ts";
 
 /** A running entry. */
 export interface EntryProgram {
@@ -103,7 +106,7 @@
     incarnation: randomBytes(6).toString("hex"),
     config,
     getReport: () => ({
-      inFlight: callers.getInFlight(),
+      inFlight: tracker.getInFlight(),
       demandPerS: admission.getDemandPerS(),
       poolDemandPerS: admission.getPoolDemandPerS(),
     }),
@@ -120,24 +123,48 @@
   });
   const client = createUpstreamClient();
   const shared = { table, client, metrics, log, now, random };
-  const callers = createCallerApi({
+  const requests = createRequestLog({ now });
+  const streams = createStreamStore();
+  const tracker = createRequestTracker({
+    vm: settings.vm,
+    getAccounts: () => accounts,
+    requests,
+    findClosedReason,
+    log,
+    metrics,
+    now,
+  });
+  const serving = {
+    getState: config.getState,
+    getAccounts: () => accounts,
+    tracker,
+    admission,
+    agent,
+    streams,
+    log,
+    metrics,
+    now,
+  };
+  addCallerRoutes({
     server,
     vm: settings.vm,
     getState: config.getState,
     getAccounts: () => accounts,
     agent,
-    admission,
-    plain: createPlainRunner(shared),
-    models: createModelRunner(shared),
-    streams: createStreamStore(),
-    requests: createRequestLog({ now }),
-    findClosedReason,
+    servePlain: createPlainServer({
+      ...serving,
+      runner: createPlainRunner(shared),
+    }),
+    serveCompletion: createCompletionServer({
+      ...serving,
+      runner: createModelRunner(shared),
+    }),
+    streams,
+    requests,
     isReady: () => config.getState().revision > 0 && !leaving,
     isLeaving: () => leaving,
     entriesTtlMs: settings.entriesTtlMs,
-    log,
     metrics,
-    now,
   });
   await server.listen(settings.listen);
   const { port } = server.server.address() as { port: number };
@@ -157,12 +184,12 @@
   const refresh = setInterval(() => {
     table.takeLive(agent.getLive());
     table.takeIntervals(agent.getGrant().intervals);
-    metrics.gauge("requests.in_flight", callers.getInFlight());
+    metrics.gauge("requests.in_flight", tracker.getInFlight());
   }, REFRESH_INTERVAL_MS);
   log("started", { vm: settings.vm, port });
 
   async function stop(): Promise<void> {
-    log("stopping", { inFlight: callers.getInFlight() });
+    log("stopping", { inFlight: tracker.getInFlight() });
     leaving = true;
     agent.report();
     // Callers keep an answer for its time to live: work is taken till then.
@@ -179,9 +206,9 @@
 
   async function drain(): Promise<void> {
     const untilMs = now() + settings.drainTimeoutMs;
-    while (callers.getInFlight() > 0) {
+    while (tracker.getInFlight() > 0) {
       if (now() > untilMs) {
-        log("drainTimedOut", { inFlight: callers.getInFlight() });
+        log("drainTimedOut", { inFlight: tracker.getInFlight() });
         return;
       }
       await sleep(10);
--- a/src/http/create_server.ts
+++ b/src/http/create_server.ts
@@ -12,6 +12,7 @@
 import type { TlsFilesSettings } from "../settings/index.ts";
 import {
   formatProblem,
+  INTERNAL_PROBLEM,
   type Problem,
   PROBLEM_TYPE,
   sendProblem,
@@ -116,12 +117,7 @@
       detail: error.message,
       outcome: "not_run",
     }
-    : {
-      status: 500,
-      reason: "internal",
-      detail: "Unexpected error",
-      outcome: "unknown",
-    };
+    : INTERNAL_PROBLEM;
 }
 
 // The parser or a time limit turned the connection down before any request
--- a/src/http/problem.ts
+++ b/src/http/problem.ts
@@ -20,6 +20,14 @@
   readonly extra?: Readonly<Record<string, unknown>>;
 }
 
+/** What is sent where something unexpected happened. */
+export const INTERNAL_PROBLEM: Problem = {
+  status: 500,
+  reason: "internal",
+  detail: "Unexpected error",
+  outcome: "unknown",
+};
+
 /** Media type of problem documents. */
 export const PROBLEM_TYPE = "application/problem+json";
 
--- a/src/membership/index.ts
+++ b/src/membership/index.ts
@@ -4,5 +4,6 @@
  * @module
  */
 
+export * from "./live_change.ts";
 export * from "./step_membership.ts";
 export * from "./types.ts";
--- a/src/membership/step_membership.ts
+++ b/src/membership/step_membership.ts
@@ -28,6 +28,15 @@
 /** Time, in ms, for which a VM may be absent from the lagging list. */
 export const UNLISTED_GRACE_MS = 3_000;
 
+/** Requests in flight, over the mean, from which an entry is overloaded. */
+export const OVERLOAD_FACTOR = 1.25;
+
+/** The same, added: with few requests chance alone goes over the factor. */
+export const OVERLOAD_MARGIN = 8;
+
+/** Requests in flight, over the mean, below which it is no longer. */
+export const UNMARK_FACTOR = 1.1;
+
 /** Report of an entry that has just said hello. */
 const EMPTY_REPORT = { inFlight: 0, demandPerS: {}, poolDemandPerS: {} };
 
@@ -68,27 +77,37 @@
   options: MembershipOptions,
 ): MembershipStep {
   const heard = takeEvent(state, event, options);
-  const next = updateListing(heard, options);
-  const lost = namesWhere(
-    next,
-    state,
-    (now, was) => !now.listed && was?.listed,
-  );
+  const touched = listTouched(event, heard);
+  const listed = updateListing(heard, { ...options, touched });
+  const next = event.type === "tick" ? updateOverload(listed) : listed;
+  const pairs = touched.map((vm): MemberPair => ({
+    now: next.entries[vm],
+    was: state.entries[vm],
+  }));
   const joined = namesWhere(
-    next,
-    state,
-    (now, was) => now.listed && !was?.listed,
+    pairs,
+    ({ now, was }) => now.listed && !was?.listed,
   );
+  const lost = namesWhere(pairs, ({ now, was }) => !now.listed && was?.listed);
   const leaving = namesWhere(
-    next,
-    state,
-    (now, was) => now.leaving && !was?.leaving,
+    pairs,
+    ({ now, was }) => now.leaving && !was?.leaving,
   );
-  const changed = lost.length + joined.length + leaving.length > 0 ||
-    hasDifferentVms(state, next);
+  const reloaded = namesWhere(
+    pairs,
+    ({ now, was }) => now.overloaded !== was?.overloaded,
+  );
+  const moved = [joined, lost, leaving, reloaded].some((vms) => vms.length > 0);
+  const changed = moved || hasDifferentVms(state, next);
   return { state: next, joined, lost, leaving, changed };
 }
 
+/** An entry after a step, and before it. */
+interface MemberPair {
+  readonly now: EntryMember;
+  readonly was: EntryMember | undefined;
+}
+
 function takeEvent(
   state: MembershipState,
   event: MembershipEvent,
@@ -97,31 +116,50 @@
   const { nowMs } = options;
   if (event.type === "platformList") return takeList(state, { event, nowMs });
   if (event.type === "tick") return state;
+  if (event.type === "heartbeats") {
+    return takeHeartbeats(state, { event, nowMs });
+  }
   const before = state.entries[event.vm];
-  if (event.type === "hello") {
-    const member: EntryMember = {
-      vm: event.vm,
-      place: event.place,
-      address: event.address,
-      incarnation: event.incarnation,
+  const member: EntryMember = {
+    vm: event.vm,
+    place: event.place,
+    address: event.address,
+    incarnation: event.incarnation,
+    heardMs: nowMs,
+    revision: event.revision,
+    leaving: false,
+    report: EMPTY_REPORT,
+    overloaded: false,
+    listed: before?.listed ?? false,
+    heldBackUntilMs: before?.heldBackUntilMs ?? 0,
+    recentLosses: before?.recentLosses ?? [],
+  };
+  return { ...state, entries: { ...state.entries, [member.vm]: member } };
+}
+
+function takeHeartbeats(
+  state: MembershipState,
+  given: {
+    event: Extract<MembershipEvent, { type: "heartbeats" }>;
+    nowMs: number;
+  },
+): MembershipState {
+  const { event, nowMs } = given;
+  const entries = { ...state.entries };
+  for (
+    const { vm, incarnation, revision, leaving, report } of event.heartbeats
+  ) {
+    const before = entries[vm];
+    if (before?.incarnation !== incarnation) continue;
+    entries[vm] = {
+      ...before,
       heardMs: nowMs,
-      revision: event.revision,
-      leaving: false,
-      report: EMPTY_REPORT,
-      listed: before?.listed ?? false,
-      heldBackUntilMs: before?.heldBackUntilMs ?? 0,
-      recentLosses: before?.recentLosses ?? [],
+      revision: Math.max(before.revision, revision),
+      leaving: before.leaving || leaving,
+      report,
     };
-    return withEntry(state, member);
   }
-  if (!before || before.incarnation !== event.incarnation) return state;
-  return withEntry(state, {
-    ...before,
-    heardMs: nowMs,
-    revision: Math.max(before.revision, event.revision),
-    leaving: before.leaving || event.leaving,
-    report: event.report,
-  });
+  return { ...state, entries };
 }
 
 // The list lags: a VM that it does not show is missing only after a while, and
@@ -149,24 +187,45 @@
   return { ...state, vms, unlistedSinceMs };
 }
 
-function withEntry(
+// Looking at all entries for each heartbeat would cost the square of their
+// number.
+function listTouched(
+  event: MembershipEvent,
   state: MembershipState,
-  member: EntryMember,
-): MembershipState {
-  return { ...state, entries: { ...state.entries, [member.vm]: member } };
+): readonly string[] {
+  if (event.type === "hello") return [event.vm];
+  if (event.type !== "heartbeats") return Object.keys(state.entries);
+  const vms = new Set(event.heartbeats.map(({ vm }) => vm));
+  return [...vms].filter((vm) => state.entries[vm] !== undefined);
 }
 
 function updateListing(
   state: MembershipState,
-  options: MembershipOptions,
+  options: MembershipOptions & { touched: readonly string[] },
 ): MembershipState {
-  const { nowMs, leaseMs } = options;
+  const { nowMs, leaseMs, touched } = options;
+  const entries = { ...state.entries };
+  for (const vm of touched) {
+    const member = entries[vm];
+    const alive = nowMs - member.heardMs < leaseMs;
+    entries[vm] = alive ? markAlive(member, nowMs) : markLost(member, nowMs);
+  }
+  return { ...state, entries };
+}
+
+// Marked above the higher bound, unmarked below the lower one, so that an entry
+// near the bound does not come and go.
+function updateOverload(state: MembershipState): MembershipState {
+  const listed = Object.values(state.entries).filter((one) => one.listed);
+  const total = listed.reduce((sum, one) => sum + one.report.inFlight, 0);
+  const mean = total / Math.max(1, listed.length);
   const entries: Record<string, EntryMember> = {};
   for (const member of Object.values(state.entries)) {
-    const alive = nowMs - member.heardMs < leaseMs;
-    entries[member.vm] = alive
-      ? markAlive(member, nowMs)
-      : markLost(member, nowMs);
+    const { inFlight } = member.report;
+    const overloaded = member.overloaded
+      ? inFlight > mean * UNMARK_FACTOR
+      : inFlight > mean * OVERLOAD_FACTOR + OVERLOAD_MARGIN;
+    entries[member.vm] = { ...member, overloaded };
   }
   return { ...state, entries };
 }
@@ -191,13 +250,10 @@
 }
 
 function namesWhere(
-  next: MembershipState,
-  before: MembershipState,
-  test: (now: EntryMember, was?: EntryMember) => boolean | undefined,
+  pairs: readonly MemberPair[],
+  test: (pair: MemberPair) => boolean | undefined,
 ): string[] {
-  return Object.values(next.entries)
-    .filter((member) => test(member, before.entries[member.vm]))
-    .map((member) => member.vm);
+  return pairs.filter(test).map(({ now }) => now.vm);
 }
 
 function hasDifferentVms(a: MembershipState, b: MembershipState): boolean {
@@ -224,7 +280,7 @@
       place: member.place,
       address: member.address,
       leaving: member.leaving || state.vms[member.vm] === "leaving",
-      inFlight: member.report.inFlight,
+      overloaded: member.overloaded,
     }));
   const notLive = Object.entries(state.vms).filter(([, vm]) => vm !== "live");
   return { entries, vms: Object.fromEntries(notLive) };
--- a/src/membership/types.ts
+++ b/src/membership/types.ts
@@ -19,6 +19,8 @@
   readonly revision: number;
   readonly leaving: boolean;
   readonly report: EntryReport;
+  /** Whether it has many more requests in flight than the others. */
+  readonly overloaded: boolean;
   /** Whether it is among those that callers are told of. */
   readonly listed: boolean;
   /** Leader's time, in ms, from which it may be listed again. */
@@ -35,7 +37,19 @@
   readonly unlistedSinceMs: Readonly<Record<string, number>>;
 }
 
-/** What moves the membership. */
+/** What an entry says of itself, twice a second. */
+export interface Heartbeat {
+  readonly vm: string;
+  readonly incarnation: string;
+  readonly revision: number;
+  readonly leaving: boolean;
+  readonly report: EntryReport;
+}
+
+/**
+ * What moves the membership. Heartbeats are taken many at a time: each step
+ * copies the table of entries once.
+ */
 export type MembershipEvent =
   | {
     readonly type: "hello";
@@ -45,14 +59,7 @@
     readonly incarnation: string;
     readonly revision: number;
   }
-  | {
-    readonly type: "heartbeat";
-    readonly vm: string;
-    readonly incarnation: string;
-    readonly revision: number;
-    readonly leaving: boolean;
-    readonly report: EntryReport;
-  }
+  | { readonly type: "heartbeats"; readonly heartbeats: readonly Heartbeat[] }
   | {
     readonly type: "platformList";
     readonly vms: Readonly<Record<string, PlatformState>>;
--- a/src/model/live_state.ts
+++ b/src/model/live_state.ts
@@ -12,8 +12,8 @@
   readonly address: string;
   /** Set by the entry itself at a planned stop. */
   readonly leaving: boolean;
-  /** Requests in flight by its last report. */
-  readonly inFlight: number;
+  /** Whether it has many more requests in flight than the others. */
+  readonly overloaded: boolean;
 }
 
 /** What the platform's list says of a VM. */
@@ -26,6 +26,20 @@
   readonly vms: Readonly<Record<string, PlatformState>>;
 }
 
+/** What has changed in the live state since it was last told. */
+export interface LiveChange {
+  /** Whether it stands for the whole state. */
+  readonly full: boolean;
+  /** Entries that are new or have changed. */
+  readonly entries: readonly LiveEntry[];
+  /** Entries that are gone. */
+  readonly goneEntries: readonly string[];
+  /** VMs whose state is new or has changed. */
+  readonly vms: Readonly<Record<string, PlatformState>>;
+  /** VMs that are live again. */
+  readonly liveVms: readonly string[];
+}
+
 /** A version of the live state: the leader's term, then its own count. */
 export interface LiveVersion {
   readonly term: number;
--- a/src/resources/apply_change.ts
+++ b/src/resources/apply_change.ts
@@ -53,29 +53,34 @@
   });
   if (!result.accepted) return { state: { ...state, answered }, result };
   const change = makeChange(state, command);
-  return { state: takeChange({ ...state, answered }, change), result, change };
+  const next = takeChanges({ ...state, answered }, [change]);
+  return { state: next, result, change };
 }
 
 /**
- * Takes an accepted change into a state: the step that entries share.
+ * Takes accepted changes into a state: the step that entries share.
  *
  * @param state - The state.
- * @param change - A change of a higher revision.
- * @returns The state at the change's revision.
+ * @param changes - Changes of higher revisions, in order.
+ * @returns The state at the last change's revision.
  * @throws Nothing.
  * @example
- * const next = takeChange(state, change);
+ * const next = takeChanges(state, [change]);
  */
-export function takeChange(
+export function takeChanges(
   state: ResourceState,
-  change: ResourceChange,
+  changes: readonly ResourceChange[],
 ): ResourceState {
+  // One copy for all: a whole state comes as a thousand changes.
   const resources = new Map(state.resources);
-  const key = getResourceKey(change.kind, change.name);
-  if (change.resource) resources.set(key, change.resource);
-  else resources.delete(key);
-  const history = [...state.history, change].slice(-MAX_HISTORY_CHANGES);
-  return { ...state, revision: change.revision, resources, history };
+  for (const { kind, name, resource } of changes) {
+    const key = getResourceKey(kind, name);
+    if (resource) resources.set(key, resource);
+    else resources.delete(key);
+  }
+  const revision = changes.at(-1)?.revision ?? state.revision;
+  const history = [...state.history, ...changes].slice(-MAX_HISTORY_CHANGES);
+  return { ...state, revision, resources, history };
 }
 
 function getFingerprint(command: ChangeCommand): string {
--- a/src/routing/rank_entries.ts
+++ b/src/routing/rank_entries.ts
@@ -13,20 +13,14 @@
   readonly clientAccount: string;
   /** Place that the caller is in, where it says so. */
   readonly place?: string;
-  /** How far above the mean an entry's load may be before it goes last. */
-  readonly loadBound?: number;
 }
 
-/** An entry above the mean load by this factor goes behind the others. */
-export const DEFAULT_LOAD_BOUND = 1.25;
-
 /**
  * Ranks the entries for a service and a client account.
  *
  * Rendezvous hashing gives each pair its own order that moves little when
  * entries come and go, so prefixes stay warm. Entries in the caller's place
- * go first, those that are over the load bound last, those that are leaving
- * not at all.
+ * go first, those that are overloaded last, those that are leaving not at all.
  *
  * @param entries - The live entries.
  * @param options - The service, the client account, the caller's place.
@@ -39,13 +33,10 @@
   entries: readonly LiveEntry[],
   options: RankEntriesOptions,
 ): LiveEntry[] {
-  const { service, clientAccount, place, loadBound = DEFAULT_LOAD_BOUND } =
-    options;
+  const { service, clientAccount, place } = options;
   const staying = entries.filter((entry) => !entry.leaving);
-  const total = staying.reduce((sum, entry) => sum + entry.inFlight, 0);
-  const most = Math.ceil(((total + 1) / staying.length) * loadBound);
   const rank = (entry: LiveEntry) => {
-    const overloaded = entry.inFlight > most ? 2 : 0;
+    const overloaded = entry.overloaded ? 2 : 0;
     const distant = place !== undefined && entry.place !== place ? 1 : 0;
     return overloaded + distant;
   };
--- a/src/storage/constants.ts
+++ b/src/storage/constants.ts
@@ -18,3 +18,12 @@
 
 /** Ms between two tries to write while the disk is full. */
 export const DISK_FULL_RETRY_MS = 1_000;
+
+/** File of a data folder's identity. */
+export const IDENTITY_FILE = "identity";
+
+/** File of the newest snapshot. */
+export const SNAPSHOT_FILE = "snapshot";
+
+/** Log files: this and a number, the highest counts. */
+export const LOG_PREFIX = "log-";
--- a/src/storage/index.ts
+++ b/src/storage/index.ts
@@ -6,6 +6,8 @@
 
 export * from "./constants.ts";
 export * from "./frame.ts";
+export * from "./identity.ts";
 export * from "./lock_data_folder.ts";
 export * from "./open_quorum_storage.ts";
+export * from "./read_stored.ts";
 export * from "./storage_error.ts";
--- /dev/null
+++ b/src/storage/read_stored.ts
@@ -0,0 +1,128 @@
+/**
+ * Reads what a data folder holds: snapshot, term, vote and log.
+ *
+ * @module
+ */
+
+import { Buffer } from "node:buffer";
+import { readdir } from "node:fs/promises";
+import { join } from "node:path";
+import type { HardState, LogEntry, SnapshotMeta } from "../quorum/index.ts";
+import { LOG_PREFIX, SNAPSHOT_FILE } from "./constants.ts";
+import { readFileIfAny } from "./files.ts";
+import { scanFrames } from "./frame.ts";
+import { StorageDamageError } from "./storage_error.ts";
+
+/** A snapshot and what it stands for. */
+export interface StoredSnapshot {
+  readonly meta: SnapshotMeta;
+  readonly data: string;
+}
+
+/** What a data folder held at start. */
+export interface StoredState {
+  readonly hard: HardState;
+  readonly snapshot: StoredSnapshot | undefined;
+  readonly log: readonly LogEntry[];
+  /** Bytes of a torn tail that were cut off the log. */
+  readonly tornBytes: number;
+}
+
+/** One record of the log file. */
+export type LogRecord =
+  | { readonly kind: "hard"; readonly hard: HardState }
+  | {
+    readonly kind: "batch";
+    readonly hard: HardState;
+    readonly entries: readonly LogEntry[];
+  };
+
+/**
+ * Reads what a data folder holds.
+ *
+ * @param folder - The folder.
+ * @returns The state, the log file's number and how much of it is whole.
+ * @throws {StorageDamageError} For damage other than a torn tail.
+ * @example
+ * const { state } = await readStored(folder);
+ */
+export async function readStored(folder: string): Promise<{
+  state: StoredState;
+  sequence: number;
+  wholeBytes: number;
+}> {
+  const snapshot = await readSnapshotFile(folder);
+  const names = await readdir(folder);
+  const sequences = names
+    .filter((name) => /^log-\d+$/.test(name))
+    .map((name) => Number(name.slice(LOG_PREFIX.length)));
+  const sequence = Math.max(1, ...sequences);
+  const path = join(folder, LOG_PREFIX + sequence);
+  const bytes = await readFileIfAny(path) ?? Buffer.alloc(0);
+  const scan = scanFrames(bytes, { file: path });
+  const records = scan.payloads.map((text) => JSON.parse(text) as LogRecord);
+  const { hard, log } = replayRecords(records, { path, snapshot });
+  const state = { hard, snapshot, log, tornBytes: scan.tornBytes };
+  return { state, sequence, wholeBytes: scan.wholeBytes };
+}
+
+function replayRecords(
+  records: readonly LogRecord[],
+  options: { path: string; snapshot: StoredSnapshot | undefined },
+): { hard: HardState; log: LogEntry[] } {
+  let hard: HardState = { term: 0, votedFor: null };
+  let log: LogEntry[] = [];
+  for (const record of records) {
+    hard = record.hard;
+    if (record.kind === "hard") continue;
+    const from = record.entries[0].index;
+    log = [...log.filter((entry) => entry.index < from), ...record.entries];
+  }
+  return { hard, log: dropCovered(log, options) };
+}
+
+function dropCovered(
+  log: readonly LogEntry[],
+  options: { path: string; snapshot: StoredSnapshot | undefined },
+): LogEntry[] {
+  const meta = options.snapshot?.meta;
+  const baseIndex = meta?.index ?? 0;
+  const atBase = log.find((entry) => entry.index === baseIndex);
+  // A log that disagrees with a newer snapshot was left by a crash before the
+  // new log was in place: nothing in it counts.
+  if (meta && atBase && atBase.term !== meta.term) return [];
+  const kept = log.filter((entry) => entry.index > baseIndex);
+  if (kept.length === 0) return kept;
+  if (kept[0].index !== baseIndex + 1) {
+    throw new StorageDamageError(
+      `File ${options.path} begins at entry ${
+        kept[0].index
+      }, but the snapshot ends at ${baseIndex}`,
+    );
+  }
+  return kept;
+}
+
+/**
+ * Reads the snapshot of a data folder.
+ *
+ * @param folder - The folder.
+ * @returns The snapshot, or undefined where there is none.
+ * @throws {StorageDamageError} Where it is damaged.
+ * @example
+ * const snapshot = await readSnapshotFile(folder);
+ */
+export async function readSnapshotFile(
+  folder: string,
+): Promise<StoredSnapshot | undefined> {
+  const path = join(folder, SNAPSHOT_FILE);
+  const bytes = await readFileIfAny(path);
+  if (bytes === undefined) return undefined;
+  const { payloads, wholeBytes, tornBytes } = scanFrames(bytes, { file: path });
+  if (payloads.length !== 2 || tornBytes > 0) {
+    throw new StorageDamageError(
+      `File ${path} is damaged at offset ${wholeBytes}`,
+    );
+  }
+  return { meta: JSON.parse(payloads[0]) as SnapshotMeta, data: payloads[1] };
+}
