--- a/demo/main.ts
+++ b/demo/main.ts
@@ -5,7 +5,6 @@
  */
 
 import process from "node:process";
-import { request } from "undici";
 import {
   computeAnswer,
   startEngine,
@@ -14,11 +13,8 @@
 } from "../standins/index.ts";
 import { applyTrial } from "./apply_trial.ts";
 import { launchFleet } from "./launch_fleet.ts";
-import {
-  ACCOUNT_KEY,
-  getTrialResources,
-  LAYER_COUNT,
-} from "./trial_resources.ts";
+import { send } from "./send_request.ts";
+import { getTrialResources, LAYER_COUNT } from "./trial_resources.ts";
 
 const PROMPT = "Pallet 7 stood at 11 degrees for 40 minutes";
 const TOKENS = 8;
@@ -32,36 +28,6 @@
   if (!holds) process.exitCode = 1;
 }
 
-interface Answer {
-  readonly status: number;
-  readonly headers: Record<string, unknown>;
-  readonly trailers: Record<string, string>;
-  readonly text: string;
-}
-
-async function send(
-  url: string,
-  options: {
-    method?: "GET" | "POST";
-    body?: unknown;
-    headers?: Record<string, string>;
-  } = {},
-): Promise<Answer> {
-  const { method = "GET", body, headers = {} } = options;
-  const response = await request(url, {
-    method,
-    headers: {
-      authorization: `Bearer ${ACCOUNT_KEY}`,
-      "content-type": "application/json",
-      ...headers,
-    },
-    body: body === undefined ? undefined : JSON.stringify(body),
-  });
-  const text = await response.body.text();
-  const { statusCode: status, trailers } = response;
-  return { status, headers: response.headers, trailers, text };
-}
-
 async function run(): Promise<void> {
   await using platform = await startPlatform();
   const engines = await Promise.all(
@@ -87,12 +53,12 @@
   print("A streamed answer over three stages");
   const streamed = await send(`${base}/v1/completions`, {
     method: "POST",
-    body: {
+    body: JSON.stringify({
       model: "drafting",
       prompt: PROMPT,
       max_tokens: TOKENS,
       stream: true,
-    },
+    }),
   });
   const tokens = [...streamed.text.matchAll(/"text":"([^"]*)"/g)]
     .map((match) => match[1]).join("");
@@ -117,8 +83,9 @@
   print("A call that must not run twice, sent to two entries");
   const once = {
     method: "POST" as const,
-    body: { claim: 7 },
+    body: JSON.stringify({ claim: 7 }),
     headers: {
+      "content-type": "application/json",
       "crowlever-repeatable": "false",
       "idempotency-key": "claim-7",
     },
--- a/measure/path.ts
+++ b/measure/path.ts
@@ -119,36 +119,24 @@
 }
 
 async function measureClaims(entry: string): Promise<void> {
-  const result = await runLoad({
-    concurrency: 32,
-    requests: 3_000,
-    makeRequest: (count) => ({
-      url: `${entry}/services/dashboard/claims`,
-      method: "POST",
-      headers: {
-        ...HEADERS,
-        "crowlever-repeatable": "false",
-        "idempotency-key": `claim-${count}`,
-      },
-      body: "{}",
-    }),
-  });
-  printTable([describeLoad("claimed, 32 at once, synced", result)]);
-  const alone = await runLoad({
-    concurrency: 1,
-    requests: 300,
-    makeRequest: (count) => ({
-      url: `${entry}/services/dashboard/claims`,
-      method: "POST",
-      headers: {
-        ...HEADERS,
-        "crowlever-repeatable": "false",
-        "idempotency-key": `alone-${count}`,
-      },
-      body: "{}",
-    }),
-  });
-  printTable([describeLoad("claimed, one at a time, synced", alone)]);
+  const run = async (concurrency: number, requests: number) => {
+    const result = await runLoad({
+      concurrency,
+      requests,
+      makeRequest: (count) => ({
+        url: `${entry}/services/dashboard/claims`,
+        method: "POST",
+        headers: {
+          ...HEADERS,
+          "crowlever-repeatable": "false",
+          "idempotency-key": `claim-${concurrency}-${count}`,
+        },
+        body: "{}",
+      }),
+    });
+    return describeLoad(`claimed, ${concurrency} at once, synced`, result);
+  };
+  printTable([await run(32, 3_000), await run(1, 300)]);
 }
 
 async function measureMemory(
--- a/src/control/inspect_data_folder.ts
+++ b/src/control/inspect_data_folder.ts
@@ -4,9 +4,16 @@
  * @module
  */
 
+import { access } from "node:fs/promises";
+import { join } from "node:path";
 import process from "node:process";
 import type { ControlSettings } from "../settings/index.ts";
-import { openQuorumStorage } from "../storage/index.ts";
+import {
+  IDENTITY_FILE,
+  lockDataFolder,
+  readIdentity,
+  readStored,
+} from "../storage/index.ts";
 import { createStateMachine } from "./state_machine.ts";
 
 /**
@@ -15,7 +22,8 @@
  * @param settings - The program's settings; nothing else may use the folder.
  * @param options - Where lines go; by default the standard output.
  * @returns Nothing.
- * @throws {StorageOwnerError | StorageDamageError} When it is refused.
+ * @throws {StorageOwnerError | StorageDamageError} When it is refused, or no
+ * data folder.
  * @example
  * await inspectDataFolder(settings);
  */
@@ -25,11 +33,16 @@
 ): Promise<void> {
   const { write = (line) => process.stdout.write(`${line}\n`) } = options;
   const { dataFolder: folder, fleetId, vm, claimWindowMs } = settings;
-  await using storage = await openQuorumStorage({ folder, fleetId, vm });
-  const { hard, snapshot, log, tornBytes } = storage.stored;
+  // Nothing is written: a folder without an identity is none, and a torn tail
+  // is left for the replica to cut.
+  await access(join(folder, IDENTITY_FILE));
+  await using _lock = await lockDataFolder(folder);
+  const identity = await readIdentity({ folder, fleetId, vm });
+  const { state } = await readStored(folder);
+  const { hard, snapshot, log, tornBytes } = state;
   const machine = createStateMachine({ claimWindowMs });
   machine.restore(snapshot?.data ?? "");
-  write(`identity ${JSON.stringify(storage.identity)}`);
+  write(`identity ${JSON.stringify(identity)}`);
   write(`hard ${JSON.stringify(hard)}`);
   write(`snapshot ${JSON.stringify(snapshot?.meta ?? null)}`);
   write(`revision in the snapshot ${machine.getResources().revision}`);
--- a/test/support/trial.ts
+++ b/test/support/trial.ts
@@ -6,14 +6,11 @@
 
 import { request } from "undici";
 import { applyTrial, type NamedEntry } from "../../demo/apply_trial.ts";
+import { type Answer, send } from "../../demo/send_request.ts";
 import type { DeclaredResource } from "../../src/cli/index.ts";
 import type { PoolSpec } from "../../src/model/index.ts";
 import { type Fleet, launchFleet } from "../../demo/launch_fleet.ts";
-import {
-  ACCOUNT_KEY,
-  getTrialResources,
-  LAYER_COUNT,
-} from "../../demo/trial_resources.ts";
+import { getTrialResources, LAYER_COUNT } from "../../demo/trial_resources.ts";
 import {
   computeAnswer,
   type Engine,
@@ -24,6 +21,8 @@
   startPlatform,
 } from "../../standins/index.ts";
 
+export { type Answer, send };
+
 /** A fleet with its stand-ins. */
 export interface Trial extends AsyncDisposable {
   readonly fleet: Fleet;
@@ -34,14 +33,6 @@
   readonly platform: Platform;
 }
 
-/** What an entry answered. */
-export interface Answer {
-  readonly status: number;
-  readonly headers: Readonly<Record<string, unknown>>;
-  readonly trailers: Readonly<Record<string, string>>;
-  readonly text: string;
-}
-
 /** Starts a fleet with stand-ins and declares its resources. */
 export async function startTrial(
   options: { stepMs?: number; entries?: number; controls?: number } = {},
@@ -89,26 +80,6 @@
   );
 }
 
-/** Sends a request to an entry. */
-export async function send(
-  url: string,
-  options: {
-    method?: "GET" | "POST";
-    body?: string;
-    headers?: Record<string, string>;
-  } = {},
-): Promise<Answer> {
-  const { method = "GET", body, headers = {} } = options;
-  const response = await request(url, {
-    method,
-    headers: { authorization: `Bearer ${ACCOUNT_KEY}`, ...headers },
-    body,
-  });
-  const text = await response.body.text();
-  const { statusCode: status, trailers } = response;
-  return { status, headers: response.headers, trailers, text };
-}
-
 /** Asks for a completion. */
 export function complete(
   address: string,
