--- a/demo/launch_fleet.ts
+++ b/demo/launch_fleet.ts
@@ -44,6 +44,11 @@
   readonly folder: string;
   /** Where entries reach the control processes. */
   readonly peerAddresses: readonly string[];
+  /** Starts one more entry, which the fleet's end does not stop. */
+  launchEntry(
+    vm: string,
+    settings: Readonly<Record<string, unknown>>,
+  ): Promise<FleetProcess>;
   /** Waits until a condition holds. */
   until(what: string, test: () => Promise<boolean> | boolean): Promise<void>;
 }
@@ -137,6 +142,20 @@
     folder,
     peerAddresses: controlVms.map((control) => control.peerAddress),
     until,
+    async launchEntry(vm, extra) {
+      const [port] = await findFreePorts(1);
+      const settings = {
+        ...common(vm, 0),
+        listen: { host: "127.0.0.1", port },
+        controlAddresses: controlVms.map((control) => control.peerAddress),
+        ...extra,
+      };
+      const address = `127.0.0.1:${port}`;
+      const program = "crowlever_entry.js";
+      const entry = await makeProcess({ program, settings, folder, address });
+      entry.start();
+      return entry;
+    },
     async [Symbol.asyncDispose]() {
       for (const child of all) child.kill("SIGCONT");
       for (const child of all) child.kill("SIGKILL");
