--- a/src/control/create_replica.ts
+++ b/src/control/create_replica.ts
@@ -152,6 +152,8 @@
       if (effect.type === "send" && !effect.afterSync) {
         options.send(effect.message);
       }
+      // Before the sync, so that a disk that refuses can give them up.
+      if (effect.type === "accepted") pending.accept(effect);
     }
     await persist(effects);
     for (const effect of effects) carryOut(effect);
@@ -227,8 +229,6 @@
         return;
       case "commit":
         return effect.entries.forEach(applyEntry);
-      case "accepted":
-        return pending.accept(effect);
       case "refused":
         return pending.refuse(effect.proposalId, effect.reason);
       case "readReady":
@@ -238,6 +238,7 @@
       case "roleChanged":
         return takeRoleChange();
       case "persist":
+      case "accepted":
         return;
     }
   }
--- /dev/null
+++ b/src/control/create_replica_test.ts
@@ -0,0 +1,122 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { createLogger } from "../logs/index.ts";
+import { createMetrics } from "../metrics/index.ts";
+import { DEFAULT_QUORUM_TIMING, type Member } from "../quorum/index.ts";
+import type { QuorumStorage } from "../storage/index.ts";
+import { createReplica, type Replica } from "./create_replica.ts";
+
+const self: Member = { id: "vm-1.0", vm: "vm-1", address: "a", role: "voter" };
+
+interface FakeDisk extends QuorumStorage {
+  full: boolean;
+  syncs: number;
+}
+
+function createFakeDisk(): FakeDisk {
+  const disk: FakeDisk = {
+    full: false,
+    syncs: 0,
+    identity: {
+      formatVersion: 1,
+      fleetId: "trial",
+      vm: self.vm,
+      replicaId: self.id,
+      clusterId: "c",
+    },
+    stored: {
+      hard: { term: 0, votedFor: null },
+      snapshot: { meta: { index: 0, term: 0, members: [self] }, data: "" },
+      log: [],
+      tornBytes: 0,
+    },
+    getLogBytes: () => 0,
+    async append() {
+      await new Promise((resolve) => setTimeout(resolve, 2));
+      if (disk.full) {
+        throw Object.assign(new Error("No space"), { code: "ENOSPC" });
+      }
+      disk.syncs += 1;
+    },
+    saveSnapshot: () => Promise.resolve(),
+    readSnapshot: () => Promise.resolve(undefined),
+    setClusterId: () => Promise.resolve(),
+    [Symbol.asyncDispose]: () => Promise.resolve(),
+  };
+  return disk;
+}
+
+function startReplica(disk: FakeDisk, applied: string[]): Replica {
+  return createReplica({
+    storage: disk,
+    timing: {
+      ...DEFAULT_QUORUM_TIMING,
+      electionTimeoutMs: 50,
+      electionJitterMs: 10,
+    },
+    snapshotEntries: 1_000,
+    apply: (body) => applied.push(body),
+    save: () => "",
+    restore: () => {},
+    send: () => {},
+    sendSnapshot: () => {},
+    onRoleChange: () => {},
+    onFatal: (error) => assert.unreachable(String(error)),
+    log: createLogger({ program: "test", write: () => {} }),
+    metrics: createMetrics(),
+    now: () => performance.now(),
+    random: () => 0.5,
+  });
+}
+
+async function untilLeading(replica: Replica): Promise<void> {
+  while (!replica.hasLease()) {
+    await new Promise((resolve) => setTimeout(resolve, 5));
+  }
+}
+
+async function findError(promise: Promise<unknown>): Promise<Error> {
+  try {
+    await promise;
+  } catch (error) {
+    return error as Error;
+  }
+  throw new Error("It did not fail");
+}
+
+test("proposals that come together share a sync and are applied in order", async () => {
+  const disk = createFakeDisk();
+  const applied: string[] = [];
+  await using replica = startReplica(disk, applied);
+  await untilLeading(replica);
+  const before = disk.syncs;
+  const bodies = Array.from({ length: 100 }, (_v, at) => `body ${at}`);
+  await Promise.all(bodies.map((body) => replica.propose(body)));
+  assert.equal(applied, bodies);
+  assert.ok(disk.syncs - before <= 3);
+});
+
+test("a full disk refuses writes, keeps what was accepted, and takes them again", async () => {
+  const disk = createFakeDisk();
+  const applied: string[] = [];
+  await using replica = startReplica(disk, applied);
+  await untilLeading(replica);
+  await replica.propose("before");
+  disk.full = true;
+  // Its proposer first waited until the disk took writes again.
+  const undecided = await findError(replica.propose("while"));
+  assert.match(undecided.message, /disk is full/);
+  assert.ok(replica.isDiskFull());
+  const refused = await findError(replica.propose("refused"));
+  assert.is(refused.name, "ProposalRefusedError");
+  assert.equal(applied, ["before"]);
+  disk.full = false;
+  while (replica.isDiskFull()) {
+    await new Promise((resolve) => setTimeout(resolve, 20));
+  }
+  await replica.propose("after");
+  // What was undecided stood in the log and is applied; what was refused is not.
+  assert.equal(applied, ["before", "while", "after"]);
+});
+
+test.run();
--- a/src/entry/create_request_tracker.ts
+++ b/src/entry/create_request_tracker.ts
@@ -4,11 +4,13 @@
  * @module
  */
 
-import type { FastifyRequest } from "fastify";
+import type { FastifyReply, FastifyRequest } from "fastify";
 import type { Logger } from "../logs/index.ts";
 import type { Metrics, RefusalReason } from "../metrics/index.ts";
-import type { Outcome, Resource } from "../model/index.ts";
+import { HEADERS, type Outcome, type Resource } from "../model/index.ts";
+import { abortWhenGone } from "./abort_when_gone.ts";
 import type { OpenTrace, RequestLog } from "./create_request_log.ts";
+import { getProblem } from "./entry_error.ts";
 import {
   type AccountIndex,
   makeRefusal,
@@ -31,6 +33,15 @@
     given: { service: Resource<"service">; signal: AbortSignal },
   ): OpenRequest;
   close(open: OpenRequest, outcome: Outcome): void;
+  /** Opens a request, serves it, and closes it with its outcome. */
+  track(
+    request: FastifyRequest,
+    reply: FastifyReply,
+    given: {
+      service: Resource<"service">;
+      serve: (open: OpenRequest) => Promise<Outcome>;
+    },
+  ): Promise<FastifyReply>;
   getInFlight(): number;
 }
 
@@ -105,5 +116,27 @@
     log("requestEnded", { requestId, service: service.name, outcome });
   }
 
-  return { open, close, getInFlight: () => inFlight };
+  async function track(
+    request: FastifyRequest,
+    reply: FastifyReply,
+    given: Parameters<RequestTracker["track"]>[2],
+  ): Promise<FastifyReply> {
+    const { service, serve } = given;
+    const signal = abortWhenGone(reply);
+    const opened = open(request, { service, signal });
+    reply.header(HEADERS.requestId, opened.context.requestId);
+    let outcome: Outcome = "unknown";
+    try {
+      outcome = await serve(opened);
+      return reply;
+    } catch (error) {
+      outcome = getProblem(error)?.outcome ?? "unknown";
+      throw error;
+    } finally {
+      if (signal.aborted) metrics.count("requests.caller_gone");
+      close(opened, outcome);
+    }
+  }
+
+  return { open, close, track, getInFlight: () => inFlight };
 }
--- a/src/entry/serve_completion.ts
+++ b/src/entry/serve_completion.ts
@@ -10,9 +10,8 @@
 import { formatProblem, INTERNAL_PROBLEM } from "../http/index.ts";
 import type { Logger } from "../logs/index.ts";
 import type { Metrics } from "../metrics/index.ts";
-import { HEADERS, type Outcome, type Resource } from "../model/index.ts";
+import type { Resource } from "../model/index.ts";
 import { getResourceKey, type ResourceState } from "../resources/index.ts";
-import { abortWhenGone } from "./abort_when_gone.ts";
 import type { Admission } from "./create_admission.ts";
 import type { Agent } from "./create_agent.ts";
 import type { OpenRequest, RequestTracker } from "./create_request_tracker.ts";
@@ -96,22 +95,14 @@
     run: CompletionRun,
   ): Promise<FastifyReply> {
     const { reply, service } = run;
-    const signal = abortWhenGone(reply);
-    const open = tracker.open(request, { service, signal });
-    reply.header(HEADERS.requestId, open.context.requestId);
-    let outcome: Outcome = "unknown";
-    try {
-      const result = await runCompletion(open, { ...run, onToken: () => {} });
-      outcome = result.answer.outcome;
-      writeWholeAnswer(reply, result);
-      return reply;
-    } catch (error) {
-      outcome = getProblem(error)?.outcome ?? "unknown";
-      throw error;
-    } finally {
-      if (signal.aborted) metrics.count("requests.caller_gone");
-      tracker.close(open, outcome);
-    }
+    return await tracker.track(request, reply, {
+      service,
+      serve: async (open) => {
+        const result = await runCompletion(open, { ...run, onToken: () => {} });
+        writeWholeAnswer(reply, result);
+        return result.answer.outcome;
+      },
+    });
   }
 
   // Admission, the claim where one is needed, then the pipeline.
--- a/src/entry/serve_plain.ts
+++ b/src/entry/serve_plain.ts
@@ -9,13 +9,11 @@
 import type { Readable } from "node:stream";
 import type { FastifyReply, FastifyRequest } from "fastify";
 import type { Metrics } from "../metrics/index.ts";
-import { HEADERS, type Outcome } from "../model/index.ts";
+import type { Outcome } from "../model/index.ts";
 import type { ResourceState } from "../resources/index.ts";
-import { abortWhenGone } from "./abort_when_gone.ts";
 import type { Admission } from "./create_admission.ts";
 import type { Agent } from "./create_agent.ts";
 import type { RequestTracker } from "./create_request_tracker.ts";
-import { getProblem } from "./entry_error.ts";
 import { isHopHeader } from "./hop_headers.ts";
 import { readService } from "./read_request.ts";
 import type { RequestContext } from "./request_context.ts";
@@ -62,25 +60,16 @@
       state: options.getState(),
       type: "plain",
     });
-    const signal = abortWhenGone(reply);
-    const open = tracker.open(request, { service, signal });
-    const { context } = open;
-    reply.header(HEADERS.requestId, context.requestId);
     const call = readPlainCall(request, service.name);
-    let outcome: Outcome = "unknown";
-    try {
-      await using _slot = await admission.admit(context);
-      outcome = needsClaim(context)
-        ? await serveClaimed(context, { call, reply })
-        : await writePlainAnswer(reply, await runner.run(context, call));
-      return reply;
-    } catch (error) {
-      outcome = getProblem(error)?.outcome ?? "unknown";
-      throw error;
-    } finally {
-      if (signal.aborted) metrics.count("requests.caller_gone");
-      tracker.close(open, outcome);
-    }
+    return await tracker.track(request, reply, {
+      service,
+      serve: async ({ context }) => {
+        await using _slot = await admission.admit(context);
+        return needsClaim(context)
+          ? await serveClaimed(context, { call, reply })
+          : await writePlainAnswer(reply, await runner.run(context, call));
+      },
+    });
   }
 
   async function serveClaimed(
--- a/src/http/create_server.ts
+++ b/src/http/create_server.ts
@@ -86,6 +86,10 @@
     const problem = describeServerError(error);
     if (problem.status >= 500) log("internalError", { error });
     else onRefusal(problem.reason as "bad_request" | "body_too_large");
+    // The library would cut the connection while the caller still sends its
+    // body, and the caller might never see the answer. The rest is read and
+    // thrown away, within the time for a request.
+    reply.removeHeader("connection");
     return sendProblem(reply, problem);
   });
   server.setNotFoundHandler((_request, reply) => {
