One way to find the membership at an index of the log

Cause: the replica, the schedules and the compaction each looked up, in code of their own, which membership held at an index; a type of the membership had no user.

Ruled out: sharing the schedules' whole replica with the program's, which drives real files and timers.

Change: `getMembersAt` of the quorum serves all three; the unused type is gone.

The whole suite and a fresh clone were not run on this commit.

--- a/proof/schedule_replica.ts
+++ b/proof/schedule_replica.ts
@@ -13,6 +13,7 @@
   assertQuorumInvariants,
   createQuorumState,
   DEFAULT_QUORUM_TIMING,
+  getMembersAt,
   getTermAt,
   type HardState,
   type LogEntry,
@@ -250,7 +251,7 @@
     const meta = {
       index,
       term: getTermAt(state, index) ?? 0,
-      members: findMembersAt(state, index),
+      members: getMembersAt(state, index),
     };
     const log = disk.log.filter((entry) => entry.index > index);
     disk = { ...disk, snapshot: { meta, data: machine.save() }, log };
@@ -292,10 +293,3 @@
   const kept = disk.log.filter((entry) => entry.index < from);
   return { ...disk, hard, log: [...kept, ...entries] };
 }
-
-function findMembersAt(state: QuorumState, index: number): readonly Member[] {
-  const entry = state.log.findLast((candidate) =>
-    candidate.kind === "members" && candidate.index <= index
-  );
-  return entry ? JSON.parse(entry.body) as Member[] : state.snapshot.members;
-}
--- a/src/control/create_replica.ts
+++ b/src/control/create_replica.ts
@@ -13,6 +13,7 @@
 import {
   assertQuorumInvariants,
   createQuorumState,
+  getMembersAt,
   getTermAt,
   hasLeaderLease,
   type LogEntry,
@@ -331,16 +332,6 @@
   return code === "ENOSPC" || code === "EDQUOT";
 }
 
-function getMembersAt(
-  state: QuorumState,
-  index: number,
-): readonly Member[] {
-  const entry = state.log.findLast((candidate) =>
-    candidate.kind === "members" && candidate.index <= index
-  );
-  return entry ? JSON.parse(entry.body) as Member[] : state.snapshot.members;
-}
-
 // The voter that answered last: one that is down may hold as much.
 function findSuccessor(state: QuorumState): ReplicaId | undefined {
   const others = state.members.filter((member) =>
--- a/src/membership/types.ts
+++ b/src/membership/types.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { EntryReport, LiveState, PlatformState } from "../model/index.ts";
+import type { EntryReport, PlatformState } from "../model/index.ts";
 
 /** An entry that control knows of. */
 export interface EntryMember {
@@ -85,6 +85,3 @@
   /** Silence, in ms, after which an entry counts as dead. */
   readonly leaseMs: number;
 }
-
-/** The part of the live state that membership decides. */
-export type MembershipView = LiveState;
--- a/src/quorum/_lib/draft.ts
+++ b/src/quorum/_lib/draft.ts
@@ -160,6 +160,15 @@
   return { members: snapshot.members, membersIndex: snapshot.index };
 }
 
+/** The membership that held at an index of the log. */
+export function getMembersAt(
+  state: QuorumState,
+  index: number,
+): readonly Member[] {
+  const entries = getEntries(state, state.snapshot.index + 1, index);
+  return findMembers(state.snapshot, entries).members;
+}
+
 /** Raises the commit index and hands out the entries that it newly covers. */
 export function advanceCommit(draft: Draft, index: number): void {
   if (index <= draft.commitIndex) return;
--- a/src/quorum/index.ts
+++ b/src/quorum/index.ts
@@ -10,6 +10,6 @@
 export * from "./quorum_error.ts";
 export * from "./step_quorum.ts";
 export * from "./types.ts";
-export { getLastIndex, getTermAt } from "./_lib/draft.ts";
+export { getLastIndex, getMembersAt, getTermAt } from "./_lib/draft.ts";
 export { hasLeaderLease } from "./_lib/reads.ts";
 export * from "./assert_quorum_invariants.ts";
--- a/src/quorum/step_quorum.ts
+++ b/src/quorum/step_quorum.ts
@@ -12,6 +12,7 @@
   findMembers,
   getEntries,
   getLastIndex,
+  getMembersAt,
   getTermAt,
   markDirty,
   openDraft,
@@ -246,8 +247,7 @@
   if (index <= draft.snapshot.index) return;
   const term = getTermAt(draft, index) ?? 0;
   const kept = getEntries(draft, index + 1, getLastIndex(draft));
-  const covered = getEntries(draft, draft.snapshot.index + 1, index);
-  const { members } = findMembers(draft.snapshot, covered);
+  const members = getMembersAt(draft, index);
   draft.snapshot = { index, term, members };
   draft.log = kept;
 }
