--- a/src/control/join_cluster.ts
+++ b/src/control/join_cluster.ts
@@ -6,7 +6,7 @@
 
 import { setTimeout as sleep } from "node:timers/promises";
 import { Metadata } from "@grpc/grpc-js";
-import type { ControlSettings } from "../settings/index.ts";
+import type { TlsFilesSettings } from "../settings/index.ts";
 import type { QuorumStorage } from "../storage/index.ts";
 import { createClientCredentials, wire } from "../wire/index.ts";
 
@@ -16,31 +16,43 @@
 /** Ms for one answer. */
 const JOIN_TIMEOUT_MS = 2_000;
 
+/** Who asks, and whom. */
+export interface JoinClusterOptions {
+  readonly fleetId: string;
+  readonly vm: string;
+  /** Where this replica is reached. */
+  readonly address: string;
+  /** Its identity gets the cluster's id. */
+  readonly storage: QuorumStorage;
+  /** Ends the asking. */
+  readonly signal: AbortSignal;
+  /** The others' addresses; read anew for each round. */
+  readonly getPeerAddresses: () => readonly string[];
+  readonly tls?: TlsFilesSettings;
+}
+
 /**
- * Asks the other control VMs, until one leads, to take this replica in.
+ * Asks the other replicas, until one leads, to take this one in.
  *
- * @param settings - The program's settings.
- * @param options - The storage, whose identity gets the cluster's id, and a
- * signal that ends the asking.
+ * @param options - Who asks, and whom.
  * @returns Whether it was taken in.
  * @throws Nothing; a VM that does not answer is asked again.
  * @example
- * await joinCluster(settings, { storage, signal, address: "127.0.0.1:1" });
+ * await joinCluster({ fleetId, vm, address, storage, signal, getPeerAddresses });
  */
 export async function joinCluster(
-  settings: ControlSettings,
-  options: { storage: QuorumStorage; signal: AbortSignal; address: string },
+  options: JoinClusterOptions,
 ): Promise<boolean> {
-  const { storage, signal, address } = options;
-  const { fleetId, vm } = settings;
+  const { storage, signal, fleetId, vm, address, tls } = options;
   const { replicaId, clusterId } = storage.identity;
   const request = { fleetId, clusterId, replicaId, vm, address };
-  const others = settings.controlVms.filter((other) => other.vm !== vm);
   while (!signal.aborted) {
-    for (const { peerAddress } of others) {
-      const answer = await ask(peerAddress, { request, settings });
-      if (!answer?.accepted) continue;
-      await storage.setClusterId(answer.clusterId);
+    const answers = await Promise.all(
+      options.getPeerAddresses().map((peer) => ask(peer, { request, tls })),
+    );
+    const accepted = answers.find((answer) => answer?.accepted);
+    if (accepted) {
+      await storage.setClusterId(accepted.clusterId);
       return true;
     }
     await sleep(JOIN_INTERVAL_MS, undefined, { signal }).catch(() => {});
@@ -50,9 +62,9 @@
 
 async function ask(
   address: string,
-  options: { request: wire.JoinRequest; settings: ControlSettings },
+  options: { request: wire.JoinRequest; tls?: TlsFilesSettings },
 ): Promise<wire.JoinResponse | undefined> {
-  const credentials = createClientCredentials(options.settings.peerTls);
+  const credentials = createClientCredentials(options.tls);
   const client = new wire.PeerClient(address, credentials);
   const deadline = Date.now() + JOIN_TIMEOUT_MS;
   const answer = await new Promise<wire.JoinResponse | undefined>((resolve) => {
--- a/src/control/start_control.ts
+++ b/src/control/start_control.ts
@@ -12,14 +12,11 @@
 import { DEFAULT_QUORUM_TIMING, type QuorumState } from "../quorum/index.ts";
 import type { ControlSettings } from "../settings/index.ts";
 import { openQuorumStorage } from "../storage/index.ts";
-import {
-  CHANNEL_OPTIONS,
-  createServerCredentials,
-  wire,
-} from "../wire/index.ts";
+import { bindGrpc, CHANNEL_OPTIONS, wire } from "../wire/index.ts";
 import { createUpstreamClient } from "../upstreams/index.ts";
 import { createAgentService } from "./create_agent_service.ts";
 import { createFleetView } from "./create_fleet_view.ts";
+import { createJoinHandler } from "./create_join_handler.ts";
 import { createOperatorApi } from "./create_operator_api.ts";
 import { createOrderDispatcher } from "./create_order_dispatcher.ts";
 import { createPeerTransport } from "./create_peer_transport.ts";
@@ -201,6 +198,13 @@
     log,
     metrics,
   });
+  const takeJoin = createJoinHandler({
+    fleetId,
+    replica,
+    getIdentity: () => storage.identity,
+    getLeaderAddress: () => getLeader()?.peerAddress ?? "",
+    isKnownVm: (name) => settings.controlVms.some((c) => c.vm === name),
+  });
   const grpc = new Server(CHANNEL_OPTIONS);
   grpc.addService(
     wire.PeerService,
@@ -213,39 +217,10 @@
   );
   grpc.addService(wire.AgentService, { session: agents.handleSession });
 
-  async function takeJoin(
-    request: wire.JoinRequest,
-  ): Promise<wire.JoinResponse> {
-    const state = replica.getState();
-    const { clusterId } = storage.identity;
-    const leaderAddress = getLeader()?.peerAddress ?? "";
-    const refuse = (reason: string): wire.JoinResponse => ({
-      clusterId,
-      accepted: false,
-      leaderAddress,
-      reason,
-    });
-    if (request.fleetId !== fleetId) return refuse("other_fleet");
-    const isNamed = settings.controlVms.some((c) => c.vm === request.vm);
-    if (!isNamed) return refuse("unknown_vm");
-    if (state.role !== "leader") return refuse("not_leader");
-    const known = state.members.some((m) => m.id === request.replicaId);
-    if (!known) {
-      const { replicaId: id, vm, address } = request;
-      const learner = { id, vm, address, role: "learner" as const };
-      try {
-        await replica.changeMembers([...state.members, learner]);
-      } catch {
-        return refuse("busy");
-      }
-    }
-    return { clusterId, accepted: true, leaderAddress, reason: "" };
-  }
-
   const { peerListen, listen } = settings;
   const peerPort = await bindGrpc(grpc, {
     address: `${peerListen.host}:${peerListen.port}`,
-    settings,
+    tls: settings.peerTls,
   });
   await server.listen(listen);
   const { port } = server.server.address() as { port: number };
@@ -281,7 +256,16 @@
   const joining = new AbortController();
   if (storage.identity.clusterId === "") {
     const { signal } = joining;
-    void joinCluster(settings, { storage, signal, address: selfAddress })
+    const others = settings.controlVms.filter((other) => other.vm !== vm);
+    void joinCluster({
+      fleetId,
+      vm,
+      address: selfAddress,
+      storage,
+      signal,
+      getPeerAddresses: () => others.map(({ peerAddress }) => peerAddress),
+      tls: settings.peerTls,
+    })
       .then((joined) => {
         if (joined) log("clusterJoined", { ...storage.identity });
       });
@@ -314,16 +298,3 @@
 
   return { port, peerPort, replica, stop, [Symbol.asyncDispose]: dispose };
 }
-
-function bindGrpc(
-  grpc: Server,
-  options: { address: string; settings: ControlSettings },
-): Promise<number> {
-  const credentials = createServerCredentials(options.settings.peerTls);
-  return new Promise((resolve, reject) => {
-    grpc.bindAsync(options.address, credentials, (error, port) => {
-      if (error) reject(error);
-      else resolve(port);
-    });
-  });
-}
--- /dev/null
+++ b/src/engines/index.ts
@@ -0,0 +1,9 @@
+/**
+ * Upstreams that register themselves by heartbeat.
+ *
+ * @module
+ */
+
+export * from "./remove_silent.ts";
+export * from "./take_beat.ts";
+export * from "./types.ts";
--- /dev/null
+++ b/src/engines/remove_silent.ts
@@ -0,0 +1,56 @@
+/**
+ * Drops upstreams whose heartbeats stopped.
+ *
+ * @module
+ */
+
+import type { RegistryState } from "./types.ts";
+
+/** When an upstream counts as lost. */
+export interface RemoveSilentOptions {
+  /** Monotonic time, in ms. */
+  readonly nowMs: number;
+  /** Silence, in ms, that is too long. */
+  readonly silenceMs: number;
+}
+
+/**
+ * Drops the upstreams that were silent for too long.
+ *
+ * @param state - The registry.
+ * @param options - The time and the silence.
+ * @returns The registry without them, and their ids.
+ * @throws Nothing.
+ * @example
+ * const { state, lost } = removeSilent(registry, { nowMs, silenceMs: 3_000 });
+ */
+export function removeSilent(
+  state: RegistryState,
+  options: RemoveSilentOptions,
+): { readonly state: RegistryState; readonly lost: readonly string[] } {
+  const { nowMs, silenceMs } = options;
+  const lost = [...state.engines]
+    .filter(([, engine]) => nowMs - engine.heardMs > silenceMs)
+    .map(([id]) => id);
+  if (lost.length === 0) return { state, lost };
+  return { state: removeEngines(state, lost), lost };
+}
+
+/**
+ * Drops upstreams by id.
+ *
+ * @param state - The registry.
+ * @param ids - The upstreams to drop.
+ * @returns The registry without them.
+ * @throws Nothing.
+ * @example
+ * const next = removeEngines(registry, ["engine-1"]);
+ */
+export function removeEngines(
+  state: RegistryState,
+  ids: readonly string[],
+): RegistryState {
+  const engines = new Map(state.engines);
+  for (const id of ids) engines.delete(id);
+  return { engines };
+}
--- /dev/null
+++ b/src/engines/types.ts
@@ -0,0 +1,51 @@
+/**
+ * Upstreams that register themselves, as the fleet knows them.
+ *
+ * @module
+ */
+
+/** A range of a model's layers; `toLayer` is the first one after it. */
+export interface LayerRange {
+  readonly fromLayer: number;
+  readonly toLayer: number;
+}
+
+/** One heartbeat of an upstream, decoded. */
+export interface EngineBeat {
+  /** Names this run of the upstream; a restart gets another. */
+  readonly engineId: string;
+  readonly service: string;
+  /** Host and port where it takes requests. */
+  readonly address: string;
+  readonly place: string;
+  /** Requests that it works on at a time. */
+  readonly slots: number;
+  readonly isLeaving: boolean;
+  /** Rises with every beat, so that a late one is told apart. */
+  readonly sequence: number;
+  /** Names of the models that it serves; undefined where it tells none. */
+  readonly models?: readonly string[];
+  /** Layers that it holds; absent where it holds none or tells none. */
+  readonly layers?: LayerRange;
+  /** Kind of its accelerator card, where it tells one. */
+  readonly card?: string;
+}
+
+/** What gateways are told of an upstream. */
+export type EngineRecord = Omit<EngineBeat, "sequence">;
+
+/** An upstream that leaves: it still answers, or it is gone. */
+export type LeaveKind = "draining" | "gone";
+
+/** An upstream in the leader's registry. */
+export interface RegisteredEngine {
+  readonly record: EngineRecord;
+  readonly sequence: number;
+  /** Leader's time, in ms, of the newest beat. */
+  readonly heardMs: number;
+}
+
+/** The leader's registry; plain and immutable but for its maps' owner. */
+export interface RegistryState {
+  readonly engines: ReadonlyMap<string, RegisteredEngine>;
+}
--- /dev/null
+++ b/src/fleet/create_engine_registry.ts
@@ -0,0 +1,175 @@
+/**
+ * The leader's registry of upstreams: takes beats, drops the silent, gathers
+ * what gateways have to be told.
+ *
+ * @module
+ */
+
+import {
+  type EngineBeat,
+  type EngineRecord,
+  type LeaveKind,
+  type RegistryState,
+  removeEngines,
+  removeSilent,
+  takeBeat,
+} from "../engines/index.ts";
+import type { Logger } from "../logs/index.ts";
+
+/** What gateways are told. */
+export interface EngineChange {
+  readonly engines: readonly EngineRecord[];
+  readonly gone: readonly string[];
+}
+
+/** What the registry needs of its program. */
+export interface CreateEngineRegistryOptions {
+  /** Silence, in ms, after which an upstream counts as lost. */
+  readonly silenceMs: number;
+  /** Monotonic time, in ms. */
+  readonly now: () => number;
+  readonly getLeave: (engineId: string) => LeaveKind | undefined;
+  readonly publish: (change: EngineChange) => void;
+  readonly log: Logger;
+}
+
+/** The leader's registry. */
+export interface EngineRegistry {
+  /** Forgets all: a new leader starts from what it hears itself. */
+  reset(): void;
+  take(beat: EngineBeat): void;
+  /** Takes an accepted leave. */
+  takeLeave(engineId: string, kind: LeaveKind): void;
+  /** Drops the silent; a gateway's suspicion shortens the silence. */
+  tick(): void;
+  takeSuspects(vm: string, engineIds: readonly string[]): void;
+  getRecords(): EngineRecord[];
+}
+
+/** Ms for which changes are gathered into one message. */
+const GATHER_MS = 30;
+
+/** Gateways that have to suspect an upstream before its silence counts. */
+const SUSPECTING_GATEWAYS = 2;
+
+/** Ms after which a suspicion is forgotten. */
+const SUSPICION_MS = 2_000;
+
+/** Share of the usual silence that is too long for a suspected upstream. */
+const SUSPECT_SILENCE_SHARE = 0.45;
+
+/**
+ * Makes the registry, empty.
+ *
+ * @param options - The silence, the time, and who hears of changes.
+ * @returns The registry.
+ * @throws Nothing.
+ * @example
+ * const registry = createEngineRegistry(options);
+ */
+export function createEngineRegistry(
+  options: CreateEngineRegistryOptions,
+): EngineRegistry {
+  const { now, log, silenceMs } = options;
+  let state: RegistryState = { engines: new Map() };
+  let suspicions = new Map<string, Map<string, number>>();
+  let changed = new Map<string, EngineRecord>();
+  let gone = new Set<string>();
+  let gathering: ReturnType<typeof setTimeout> | undefined;
+
+  function gather(): void {
+    gathering ??= setTimeout(() => {
+      gathering = undefined;
+      const change = { engines: [...changed.values()], gone: [...gone] };
+      changed = new Map();
+      gone = new Set();
+      options.publish(change);
+    }, GATHER_MS);
+  }
+
+  function tell(record: EngineRecord): void {
+    gone.delete(record.engineId);
+    changed.set(record.engineId, record);
+    gather();
+  }
+
+  function drop(ids: readonly string[], reason: string): void {
+    state = removeEngines(state, ids);
+    for (const engineId of ids) {
+      changed.delete(engineId);
+      gone.add(engineId);
+      suspicions.delete(engineId);
+      log("engineLost", { engineId, reason });
+    }
+    if (ids.length > 0) gather();
+  }
+
+  function take(beat: EngineBeat): void {
+    const { engineId } = beat;
+    const isNew = !state.engines.has(engineId);
+    const leave = options.getLeave(engineId);
+    const taken = takeBeat(state, beat, { nowMs: now(), leave });
+    state = taken.state;
+    suspicions.delete(engineId);
+    if (!taken.changed) return;
+    const { address, service, isLeaving, layers } = taken.changed;
+    log(isNew ? "engineJoined" : "engineChanged", {
+      engineId,
+      address,
+      service,
+      isLeaving,
+      layers,
+      sequence: beat.sequence,
+    });
+    tell(taken.changed);
+  }
+
+  function takeLeave(engineId: string, kind: LeaveKind): void {
+    if (kind === "gone") return drop([engineId], "left");
+    const engine = state.engines.get(engineId);
+    if (!engine || engine.record.isLeaving) return;
+    const record = { ...engine.record, isLeaving: true };
+    const engines = new Map(state.engines);
+    engines.set(engineId, { ...engine, record });
+    state = { engines };
+    log("engineChanged", { engineId, isLeaving: true });
+    tell(record);
+  }
+
+  function takeSuspects(vm: string, engineIds: readonly string[]): void {
+    for (const engineId of engineIds) {
+      if (!state.engines.has(engineId)) continue;
+      const by = suspicions.get(engineId) ?? new Map<string, number>();
+      suspicions.set(engineId, by.set(vm, now()));
+    }
+  }
+
+  function isSuspected(engineId: string): boolean {
+    const times = [...suspicions.get(engineId)?.values() ?? []];
+    const fresh = times.filter((timeMs) => now() - timeMs < SUSPICION_MS);
+    return fresh.length >= SUSPECTING_GATEWAYS;
+  }
+
+  function tick(): void {
+    const nowMs = now();
+    const silent = removeSilent(state, { nowMs, silenceMs });
+    drop(silent.lost, "silent");
+    const shortMs = silenceMs * SUSPECT_SILENCE_SHARE;
+    const { lost } = removeSilent(state, { nowMs, silenceMs: shortMs });
+    drop(lost.filter(isSuspected), "suspected");
+  }
+
+  return {
+    reset() {
+      state = { engines: new Map() };
+      suspicions = new Map();
+      changed = new Map();
+      gone = new Set();
+    },
+    take,
+    takeLeave,
+    tick,
+    takeSuspects,
+    getRecords: () => [...state.engines.values()].map(({ record }) => record),
+  };
+}
--- /dev/null
+++ b/src/fleet/create_gateway_sessions.ts
@@ -0,0 +1,246 @@
+/**
+ * The leader's sessions with gateways.
+ *
+ * @module
+ */
+
+import type {
+  handleBidiStreamingCall,
+  ServerDuplexStream,
+} from "@grpc/grpc-js";
+import type { EngineRecord } from "../engines/index.ts";
+import type { Logger } from "../logs/index.ts";
+import type { wire } from "../wire/index.ts";
+import type { AcceptedConfig } from "./create_fleet_machine.ts";
+import type {
+  GatewayMessage,
+  GatewayRecord,
+  LeaderMessage,
+} from "./messages.ts";
+
+type SessionStream = ServerDuplexStream<wire.FleetMessage, wire.FleetMessage>;
+
+/** What the sessions need of their program. */
+export interface CreateGatewaySessionsOptions {
+  readonly isLeader: () => boolean;
+  /** Whether it surely leads at this moment. */
+  readonly hasLease: () => boolean;
+  readonly confirmRead: () => Promise<void>;
+  readonly getLeaderAddress: () => string;
+  readonly getControlAddresses: () => readonly string[];
+  readonly getAccepted: () => AcceptedConfig | undefined;
+  readonly getEngines: () => readonly EngineRecord[];
+  /** Whether this leader has heard long enough to know all engines. */
+  readonly knowsAllEngines: () => boolean;
+  /** Whether gateways have had the time to find this leader. */
+  readonly knowsAllGateways: () => boolean;
+  readonly onSuspects: (vm: string, engineIds: readonly string[]) => void;
+  /** Monotonic time, in ms. */
+  readonly now: () => number;
+  readonly log: Logger;
+}
+
+/** The leader's sessions with gateways. */
+export interface GatewaySessions {
+  readonly handleSession: handleBidiStreamingCall<
+    wire.FleetMessage,
+    wire.FleetMessage
+  >;
+  publishConfig(): void;
+  publishEngines(
+    change: { engines: readonly EngineRecord[]; gone: readonly string[] },
+  ): void;
+  /** Tells all engines at once, in place of what gateways knew before. */
+  publishAllEngines(): void;
+  /** Ends the sessions that fell silent; tells the others who is live. */
+  tick(): void;
+  getGateways(): readonly GatewayRecord[];
+  closeAll(): void;
+}
+
+interface Session {
+  readonly stream: SessionStream;
+  gateway: GatewayRecord | undefined;
+  sentVersion: number;
+  heardMs: number;
+}
+
+/** Ms of silence after which a gateway is no longer named to callers. */
+const SILENCE_MS = 1_500;
+
+/** Bytes that may wait for a slow gateway; then its session ends. */
+const MAX_WAITING_BYTES = 8 * 1024 * 1024;
+
+/** Ms for which versions in quick succession are gathered into one message. */
+const CONFIG_GATHER_MS = 100;
+
+/**
+ * Makes the leader's sessions.
+ *
+ * @param options - What the sessions tell and whom they tell it.
+ * @returns The sessions.
+ * @throws Nothing.
+ * @example
+ * grpc.addService(wire.FleetService, { session: sessions.handleSession });
+ */
+export function createGatewaySessions(
+  options: CreateGatewaySessionsOptions,
+): GatewaySessions {
+  const { now, log } = options;
+  const sessions = new Map<string, Session>();
+  let toldGateways = "";
+  let gathering: ReturnType<typeof setTimeout> | undefined;
+
+  function send(session: Session, message: LeaderMessage): void {
+    const { stream } = session;
+    if (stream.writableLength > MAX_WAITING_BYTES) {
+      stream.end();
+      return;
+    }
+    stream.write({ json: JSON.stringify(message) });
+  }
+
+  function redirect(stream: SessionStream): void {
+    const message: LeaderMessage = {
+      type: "redirect",
+      address: options.getLeaderAddress(),
+    };
+    stream.write({ json: JSON.stringify(message) });
+    stream.end();
+  }
+
+  function sendConfig(session: Session): void {
+    const config = options.getAccepted()?.config;
+    if (!config || config.version <= session.sentVersion) return;
+    session.sentVersion = config.version;
+    send(session, { type: "config", config });
+  }
+
+  function sendEngines(session: Session): void {
+    const isWhole = options.knowsAllEngines();
+    const engines = options.getEngines();
+    send(session, { type: "engines", isWhole, engines, gone: [] });
+  }
+
+  async function takeHello(
+    session: Session,
+    hello: GatewayMessage & { type: "hello" },
+  ): Promise<void> {
+    if (!options.isLeader()) return redirect(session.stream);
+    try {
+      await options.confirmRead();
+    } catch {
+      return redirect(session.stream);
+    }
+    const { gateway, version } = hello;
+    sessions.get(gateway.vm)?.stream.end();
+    session.gateway = gateway;
+    session.sentVersion = version;
+    session.heardMs = now();
+    sessions.set(gateway.vm, session);
+    const controlAddresses = options.getControlAddresses();
+    send(session, { type: "welcome", controlAddresses });
+    sendConfig(session);
+    sendEngines(session);
+    const wasTold = publishGateways();
+    if (!wasTold && options.knowsAllGateways()) {
+      send(session, { type: "gateways", gateways: getGateways() });
+    }
+    log("gatewayJoined", { vm: gateway.vm, version });
+  }
+
+  function takeBeat(
+    session: Session,
+    beat: GatewayMessage & { type: "beat" },
+  ): void {
+    const { gateway } = session;
+    if (!gateway || sessions.get(gateway.vm) !== session) return;
+    session.heardMs = now();
+    if (beat.suspects.length > 0) {
+      options.onSuspects(gateway.vm, beat.suspects);
+    }
+    if (gateway.isReady !== beat.isReady) {
+      session.gateway = { ...gateway, isReady: beat.isReady };
+      publishGateways();
+    }
+    if (!options.hasLease()) return;
+    const version = options.getAccepted()?.config.version ?? -1;
+    send(session, { type: "beatAck", sentMs: beat.sentMs, version });
+  }
+
+  function handleSession(stream: SessionStream): void {
+    const session: Session = {
+      stream,
+      gateway: undefined,
+      sentVersion: -1,
+      heardMs: now(),
+    };
+    stream.on("data", ({ json }: wire.FleetMessage) => {
+      const message = JSON.parse(json) as GatewayMessage;
+      if (message.type === "beat") takeBeat(session, message);
+      else void takeHello(session, message);
+    });
+    stream.on("error", () => forget(session));
+    stream.on("end", () => stream.end());
+    stream.on("close", () => forget(session));
+  }
+
+  function forget(session: Session): void {
+    const { gateway } = session;
+    if (!gateway || sessions.get(gateway.vm) !== session) return;
+    sessions.delete(gateway.vm);
+    log("gatewayLost", { vm: gateway.vm });
+    if (options.isLeader()) publishGateways();
+  }
+
+  function getGateways(): GatewayRecord[] {
+    return [...sessions.values()]
+      .flatMap(({ gateway }) => gateway ? [gateway] : [])
+      .sort((a, b) => a.vm < b.vm ? -1 : 1);
+  }
+
+  // A new leader's first few would empty the callers' choice.
+  function publishGateways(): boolean {
+    if (!options.knowsAllGateways()) return false;
+    const gateways = getGateways();
+    const told = JSON.stringify(gateways);
+    if (told === toldGateways) return false;
+    toldGateways = told;
+    for (const session of sessions.values()) {
+      send(session, { type: "gateways", gateways });
+    }
+    return true;
+  }
+
+  return {
+    handleSession,
+    publishConfig() {
+      gathering ??= setTimeout(() => {
+        gathering = undefined;
+        for (const session of sessions.values()) sendConfig(session);
+      }, CONFIG_GATHER_MS);
+    },
+    publishEngines({ engines, gone }) {
+      for (const session of sessions.values()) {
+        send(session, { type: "engines", isWhole: false, engines, gone });
+      }
+    },
+    publishAllEngines() {
+      for (const session of sessions.values()) sendEngines(session);
+    },
+    tick() {
+      for (const session of sessions.values()) {
+        if (now() - session.heardMs < SILENCE_MS) continue;
+        forget(session);
+        session.stream.end();
+      }
+      publishGateways();
+    },
+    getGateways,
+    closeAll() {
+      for (const { stream } of sessions.values()) redirect(stream);
+      sessions.clear();
+      toldGateways = "";
+    },
+  };
+}
--- /dev/null
+++ b/src/fleet/create_leader_desk.ts
@@ -0,0 +1,112 @@
+/**
+ * Answers the calls that only the leader can answer.
+ *
+ * @module
+ */
+
+import type { EngineBeat, LeaveKind } from "../engines/index.ts";
+import type { Logger } from "../logs/index.ts";
+import { findConfigProblems } from "../routes/index.ts";
+import type { EngineRegistry } from "./create_engine_registry.ts";
+import type { FleetCommand, FleetMachine } from "./create_fleet_machine.ts";
+import type { FleetCall, FleetReply } from "./messages.ts";
+
+/** What the desk needs of its program. */
+export interface CreateLeaderDeskOptions {
+  readonly machine: FleetMachine;
+  readonly registry: EngineRegistry;
+  /** Resolves once the command is committed and applied. */
+  readonly propose: (command: FleetCommand) => Promise<unknown>;
+  readonly confirmRead: () => Promise<void>;
+  readonly log: Logger;
+}
+
+/** Answers calls as the leader. */
+export interface LeaderDesk {
+  take(call: FleetCall): Promise<FleetReply>;
+}
+
+const DONE: FleetReply = { type: "done" };
+
+/**
+ * Makes the desk.
+ *
+ * @param options - The state, the registry, how commands are proposed.
+ * @returns The desk.
+ * @throws Nothing; what fails is answered as unavailable.
+ * @example
+ * const reply = await desk.take({ type: "readConfig" });
+ */
+export function createLeaderDesk(options: CreateLeaderDeskOptions): LeaderDesk {
+  const { machine, registry, propose, log } = options;
+
+  async function takeConfig(
+    call: FleetCall & { type: "putConfig" },
+  ): Promise<FleetReply> {
+    const { config, document } = call;
+    const problems = findConfigProblems(config);
+    if (problems.length > 0) {
+      log("configInvalid", { version: config.version, problems });
+      return { type: "invalid", problems };
+    }
+    const held = machine.getAccepted()?.config.version ?? -1;
+    if (config.version > held) {
+      await propose({ type: "putConfig", config, document });
+    }
+    return DONE;
+  }
+
+  async function readConfig(): Promise<FleetReply> {
+    await options.confirmRead();
+    const document = machine.getAccepted()?.document ?? null;
+    return { type: "document", document };
+  }
+
+  async function takeBeat(beat: EngineBeat): Promise<FleetReply> {
+    const leave = machine.getLeave(beat.engineId);
+    if (beat.isLeaving && leave === undefined) {
+      await proposeLeave(beat.engineId, "draining");
+    }
+    registry.take(beat);
+    return DONE;
+  }
+
+  async function takeLeave(engineId: string): Promise<FleetReply> {
+    if (machine.getLeave(engineId) !== "gone") {
+      await proposeLeave(engineId, "gone");
+    }
+    return DONE;
+  }
+
+  async function proposeLeave(
+    engineId: string,
+    kind: LeaveKind,
+  ): Promise<void> {
+    await propose({ type: "leave", engineId, kind });
+    log("engineLeaves", { engineId, kind });
+  }
+
+  async function answer(call: FleetCall): Promise<FleetReply> {
+    switch (call.type) {
+      case "putConfig":
+        return await takeConfig(call);
+      case "readConfig":
+        return await readConfig();
+      case "beat":
+        return await takeBeat(call.beat);
+      case "leave":
+        return await takeLeave(call.engineId);
+    }
+  }
+
+  return {
+    async take(call) {
+      try {
+        return await answer(call);
+      } catch (error) {
+        log("callFailed", { call: call.type, error });
+        return { type: "unavailable", reason: (error as Error).message };
+      }
+    },
+  };
+}
--- /dev/null
+++ b/src/fleet/fleet_parts_test.ts
@@ -0,0 +1,65 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import type { RouteConfig } from "../routes/index.ts";
+import {
+  createFleetMachine,
+  type FleetCommand,
+} from "./create_fleet_machine.ts";
+
+function putConfig(version: number, document: string): FleetCommand {
+  const config = { version } as RouteConfig;
+  return { type: "putConfig", config, document };
+}
+
+function apply(
+  machine: ReturnType<typeof createFleetMachine>,
+  ...commands: readonly FleetCommand[]
+): void {
+  for (const command of commands) machine.apply(JSON.stringify(command));
+}
+
+test("the highest version holds, whatever comes later", () => {
+  const told: number[] = [];
+  const machine = createFleetMachine({
+    onChange: (command) => {
+      if (command.type === "putConfig") told.push(command.config.version);
+    },
+  });
+  apply(
+    machine,
+    putConfig(3, "three"),
+    putConfig(7, "seven"),
+    putConfig(5, "five"),
+    putConfig(7, "other seven"),
+  );
+  assert.is(machine.getAccepted()?.document, "seven");
+  assert.equal(told, [3, 7]);
+});
+
+test("a leave is never taken back, and gone is final", () => {
+  const machine = createFleetMachine();
+  apply(
+    machine,
+    { type: "leave", engineId: "e", kind: "gone" },
+    { type: "leave", engineId: "e", kind: "draining" },
+  );
+  assert.is(machine.getLeave("e"), "gone");
+});
+
+test("what was applied is there after a restart, bounded", () => {
+  const machine = createFleetMachine({ maxLeaves: 2 });
+  apply(
+    machine,
+    putConfig(3, "three"),
+    { type: "leave", engineId: "a", kind: "gone" },
+    { type: "leave", engineId: "b", kind: "gone" },
+    { type: "leave", engineId: "c", kind: "draining" },
+  );
+  const again = createFleetMachine();
+  again.restore(machine.save());
+  assert.is(again.getAccepted()?.document, "three");
+  assert.is(again.getLeave("a"), undefined);
+  assert.is(again.getLeave("c"), "draining");
+});
+
+test.run();
--- /dev/null
+++ b/src/fleet/index.ts
@@ -0,0 +1,10 @@
+/**
+ * Control of a fleet whose upstreams and gateways register themselves.
+ *
+ * @module
+ */
+
+export * from "./create_layer_keeper.ts";
+export * from "./create_fleet_machine.ts";
+export * from "./messages.ts";
+export * from "./start_fleet_control.ts";
--- /dev/null
+++ b/src/fleet/messages.ts
@@ -0,0 +1,81 @@
+/**
+ * What gateways and control processes tell each other.
+ *
+ * @module
+ */
+
+import type { EngineBeat, EngineRecord } from "../engines/index.ts";
+import type { RouteConfig } from "../routes/index.ts";
+
+/** A gateway as callers and other gateways need to know it. */
+export interface GatewayRecord {
+  readonly vm: string;
+  readonly place: string;
+  /** Host and port where it takes callers. */
+  readonly address: string;
+  /** Whether callers may be sent there. */
+  readonly isReady: boolean;
+}
+
+/** What a gateway tells the leader. */
+export type GatewayMessage =
+  | {
+    readonly type: "hello";
+    readonly gateway: GatewayRecord;
+    /** Version of the configuration that it has; -1 without any. */
+    readonly version: number;
+  }
+  | {
+    readonly type: "beat";
+    /** Gateway's monotonic time, in ms, when it sent this. */
+    readonly sentMs: number;
+    readonly isReady: boolean;
+    /** Engines that did not answer it. */
+    readonly suspects: readonly string[];
+  };
+
+/** What the leader tells a gateway. */
+export type LeaderMessage =
+  | { readonly type: "redirect"; readonly address: string }
+  | {
+    readonly type: "welcome";
+    /** Where the control processes talk to each other and to gateways. */
+    readonly controlAddresses: readonly string[];
+  }
+  | { readonly type: "config"; readonly config: RouteConfig }
+  | {
+    readonly type: "engines";
+    /** Whether these are all; otherwise only what changed. */
+    readonly isWhole: boolean;
+    readonly engines: readonly EngineRecord[];
+    readonly gone: readonly string[];
+  }
+  | {
+    readonly type: "gateways";
+    readonly gateways: readonly GatewayRecord[];
+  }
+  | {
+    readonly type: "beatAck";
+    readonly sentMs: number;
+    /** Version in force when a quorum surely held the leader's lease. */
+    readonly version: number;
+  };
+
+/** A call that any control process takes and the leader answers. */
+export type FleetCall =
+  | {
+    readonly type: "putConfig";
+    readonly config: RouteConfig;
+    /** The configuration as the operator wrote it. */
+    readonly document: string;
+  }
+  | { readonly type: "readConfig" }
+  | { readonly type: "beat"; readonly beat: EngineBeat }
+  | { readonly type: "leave"; readonly engineId: string };
+
+/** The leader's answer to a call. */
+export type FleetReply =
+  | { readonly type: "done" }
+  | { readonly type: "document"; readonly document: string | null }
+  | { readonly type: "invalid"; readonly problems: readonly string[] }
+  | { readonly type: "unavailable"; readonly reason: string };
--- /dev/null
+++ b/src/fleet/start_fleet_control.ts
@@ -0,0 +1,425 @@
+/**
+ * The control side of a fleet whose upstreams and gateways register
+ * themselves: a quorum that holds the accepted configuration, and a leader
+ * that tells the gateways.
+ *
+ * @module
+ */
+
+import { createHash } from "node:crypto";
+import { setTimeout as sleep } from "node:timers/promises";
+import { Server } from "@grpc/grpc-js";
+import {
+  createJoinHandler,
+  createPeerTransport,
+  createReplica,
+  joinCluster,
+  type Replica,
+} from "../control/index.ts";
+import type { Logger } from "../logs/index.ts";
+import type { Metrics } from "../metrics/index.ts";
+import {
+  type Member,
+  planVoterChange,
+  type QuorumState,
+  type QuorumTiming,
+} from "../quorum/index.ts";
+import { openQuorumStorage, type QuorumStorage } from "../storage/index.ts";
+import { bindGrpc, CHANNEL_OPTIONS, wire } from "../wire/index.ts";
+import { createEngineRegistry } from "./create_engine_registry.ts";
+import {
+  createFleetMachine,
+  type FleetCommand,
+} from "./create_fleet_machine.ts";
+import { createGatewaySessions } from "./create_gateway_sessions.ts";
+import {
+  createLayerKeeper,
+  type SendLayerOrder,
+} from "./create_layer_keeper.ts";
+import { createLeaderCaller } from "./create_leader_caller.ts";
+import { createLeaderDesk } from "./create_leader_desk.ts";
+import type { FleetCall, FleetReply } from "./messages.ts";
+
+/** Settings of a control process. */
+export interface FleetControlSettings {
+  /** Names the fleet; other fleets are refused. */
+  readonly fleetId: string;
+  /** Where operators and upstreams reach this process; names it in the quorum. */
+  readonly callerAddress: string;
+  /** Where the other processes of the system reach it. */
+  readonly peerAddress: string;
+  readonly dataFolder: string;
+  /** Whether the cluster is formed now, by all first voters together. */
+  readonly isFirstStart: boolean;
+  /** Voters that losses leave enough of. */
+  readonly voters: number;
+  /** Ms between two beats of an upstream. */
+  readonly beatIntervalMs: number;
+}
+
+/** Options of {@link startFleetControl}. */
+export interface StartFleetControlOptions {
+  /** Control processes to begin with; read anew whenever they are needed. */
+  readonly getSeeds: () => readonly FleetSeed[];
+  readonly sendLayerOrder: SendLayerOrder;
+  readonly log: Logger;
+  readonly metrics: Metrics;
+  readonly onFatal: (error: unknown) => void;
+}
+
+/** A control process as the settings name it. */
+export interface FleetSeed {
+  readonly callerAddress: string;
+  readonly peerAddress: string;
+}
+
+/** A running control process. */
+export interface FleetControl {
+  /** Answers a call itself where it leads, and passes it on elsewhere. */
+  call(call: FleetCall): Promise<FleetReply>;
+  /** Where upstreams and operators reach the leader; empty if not known. */
+  getLeaderCallerAddress(): string;
+  getState(): QuorumState;
+  stop(): Promise<void>;
+}
+
+/** Times of the quorum, in ms: a leader's loss is felt for under two seconds. */
+const QUORUM_TIMING: QuorumTiming = {
+  electionTimeoutMs: 800,
+  electionJitterMs: 400,
+  heartbeatIntervalMs: 150,
+  leaseMs: 640,
+};
+
+/** Entries between two snapshots. */
+const SNAPSHOT_ENTRIES = 200;
+
+/** Ms between two looks at leases, gaps and members. */
+const TICK_INTERVAL_MS = 200;
+
+/** Ms of silence after which a voter may be replaced. */
+const VOTER_SILENCE_MS = 2_500;
+
+/** Beats that an upstream may miss before it counts as lost. */
+const BEATS_OF_SILENCE = 2.6;
+
+/** Ms in which gateways find a new leader. */
+const GATEWAYS_SETTLE_MS = 2_000;
+
+/** Ms that a planned stop waits for another leader. */
+const HANDOVER_TIMEOUT_MS = 1_000;
+
+/**
+ * Starts a control process.
+ *
+ * @param settings - Its settings.
+ * @param options - The seeds, logs, metrics, how orders are sent.
+ * @returns The running process.
+ * @throws {StorageOwnerError | StorageDamageError} When the data folder is
+ * refused.
+ * @example
+ * const control = await startFleetControl(settings, options);
+ */
+export async function startFleetControl(
+  settings: FleetControlSettings,
+  options: StartFleetControlOptions,
+): Promise<FleetControl> {
+  const { log, metrics } = options;
+  const now = () => performance.now();
+  const storage = await openFleetStorage(settings, options);
+  const { replicaId } = storage.identity;
+  let leadingSinceMs = Infinity;
+  const leadsFor = (spanMs: number) => now() - leadingSinceMs >= spanMs;
+  const silenceMs = settings.beatIntervalMs * BEATS_OF_SILENCE;
+
+  const machine = createFleetMachine({ onChange: takeChange });
+  const transport = createPeerTransport({
+    getClusterId: () => storage.identity.clusterId,
+    getSelfId: () => replicaId,
+    getAddress: getMemberAddress,
+    getTerm: () => replica.getState().term,
+    deliver: (message) => replica.deliver(message),
+    readSnapshot: () => storage.readSnapshot(),
+    now,
+    log,
+  });
+  const replica: Replica = createReplica({
+    storage,
+    timing: QUORUM_TIMING,
+    snapshotEntries: SNAPSHOT_ENTRIES,
+    apply: machine.apply,
+    save: machine.save,
+    restore: machine.restore,
+    send: transport.send,
+    sendSnapshot: transport.sendSnapshot,
+    onRoleChange: takeRoleChange,
+    onFatal: options.onFatal,
+    log,
+    metrics,
+    now,
+    random: Math.random,
+  });
+  const isLeader = () => replica.getState().role === "leader";
+  const registry = createEngineRegistry({
+    silenceMs,
+    now,
+    getLeave: machine.getLeave,
+    publish: (change) => sessions.publishEngines(change),
+    log,
+  });
+  const sessions = createGatewaySessions({
+    isLeader,
+    hasLease: () => replica.hasLease(),
+    confirmRead: () => replica.confirmRead(),
+    getLeaderAddress: () => getLeader()?.address ?? "",
+    getControlAddresses: () =>
+      replica.getState().members.map((member) => member.address),
+    getAccepted: machine.getAccepted,
+    getEngines: registry.getRecords,
+    knowsAllEngines: () => leadsFor(silenceMs),
+    knowsAllGateways: () => leadsFor(GATEWAYS_SETTLE_MS),
+    onSuspects: registry.takeSuspects,
+    now,
+    log,
+  });
+  const keeper = createLayerKeeper({
+    getServices: () => machine.getAccepted()?.config.services ?? [],
+    getEngines: registry.getRecords,
+    sendOrder: options.sendLayerOrder,
+    now,
+    log,
+  });
+  const desk = createLeaderDesk({
+    machine,
+    registry,
+    propose: (command: FleetCommand) =>
+      replica.propose(JSON.stringify(command)),
+    confirmRead: () => replica.confirmRead(),
+    log,
+  });
+  const caller = createLeaderCaller();
+  let lastRole = "";
+  let toldAllEngines = false;
+
+  function takeChange(command: FleetCommand): void {
+    if (command.type === "leave") {
+      return registry.takeLeave(command.engineId, command.kind);
+    }
+    log("configAccepted", { version: command.config.version });
+    if (isLeader()) sessions.publishConfig();
+  }
+
+  function takeRoleChange(state: QuorumState): void {
+    const { role, term, leaderId } = state;
+    const summary = `${role} ${term} ${leaderId}`;
+    if (summary !== lastRole) log("roleChanged", { role, term, leaderId });
+    lastRole = summary;
+    const leads = role === "leader";
+    const led = leadingSinceMs !== Infinity;
+    if (leads && !led) {
+      leadingSinceMs = now();
+      toldAllEngines = false;
+      registry.reset();
+      keeper.reset();
+    }
+    if (!leads && led) {
+      leadingSinceMs = Infinity;
+      sessions.closeAll();
+    }
+  }
+
+  function getMemberAddress(id: string): string | undefined {
+    const { members } = replica.getState();
+    return members.find((member) => member.id === id)?.address;
+  }
+
+  function getLeader(): Member | undefined {
+    const { leaderId, members } = replica.getState();
+    return members.find((member) => member.id === leaderId);
+  }
+
+  function call(request: FleetCall): Promise<FleetReply> {
+    if (isLeader()) return desk.take(request);
+    const leader = getLeader();
+    if (!leader || leader.id === replicaId) {
+      return Promise.resolve({ type: "unavailable", reason: "no leader" });
+    }
+    return caller.call(leader.address, request);
+  }
+
+  async function handleCall(json: string): Promise<FleetReply> {
+    // A call is passed on once: two processes that take each other for the
+    // leader must not send it to and fro.
+    if (isLeader()) return await desk.take(JSON.parse(json) as FleetCall);
+    return { type: "unavailable", reason: "not the leader" };
+  }
+
+  const takeJoin = createJoinHandler({
+    fleetId: settings.fleetId,
+    replica,
+    getIdentity: () => storage.identity,
+    getLeaderAddress: () => getLeader()?.address ?? "",
+    isKnownVm: () => true,
+  });
+  const grpc = new Server(CHANNEL_OPTIONS);
+  grpc.addService(
+    wire.PeerService,
+    {
+      deliver: transport.handleDeliver,
+      join: (request, done) => {
+        void takeJoin(request.request).then((answer) => done(null, answer));
+      },
+    } satisfies wire.PeerServer,
+  );
+  grpc.addService(
+    wire.FleetService,
+    {
+      session: sessions.handleSession,
+      call: (request, done) => {
+        void handleCall(request.request.json)
+          .then((reply) => done(null, { json: JSON.stringify(reply) }));
+      },
+    } satisfies wire.FleetServer,
+  );
+  await bindGrpc(grpc, { address: settings.peerAddress });
+
+  const joining = new AbortController();
+  if (storage.identity.clusterId === "") {
+    void joinCluster({
+      fleetId: settings.fleetId,
+      vm: settings.callerAddress,
+      address: settings.peerAddress,
+      storage,
+      signal: joining.signal,
+      getPeerAddresses: () =>
+        options.getSeeds()
+          .map((seed) => seed.peerAddress)
+          .filter((address) => address !== settings.peerAddress),
+    }).then((joined) => {
+      if (joined) log("clusterJoined", { ...storage.identity });
+    });
+  }
+
+  let changing = false;
+  async function changeMembers(): Promise<void> {
+    if (changing || !leadsFor(VOTER_SILENCE_MS)) return;
+    const state = replica.getState();
+    const isSilent = (id: string) =>
+      now() - (state.peers[id]?.ackedSentMs ?? -Infinity) > VOTER_SILENCE_MS;
+    const members = planVoterChange(state, {
+      voters: settings.voters,
+      isSilent,
+    });
+    if (!members) return;
+    changing = true;
+    log("membersChanged", {
+      members: members.map(({ id, role }) => `${id}:${role}`),
+    });
+    await replica.changeMembers(members)
+      .catch((error) => log("membersNotChanged", { error }));
+    changing = false;
+  }
+
+  let keeping = false;
+  async function keepLayers(): Promise<void> {
+    if (keeping) return;
+    keeping = true;
+    await keeper.run().catch((error) => log("internalError", { error }));
+    keeping = false;
+  }
+
+  function tick(): void {
+    if (!isLeader() || !replica.hasLease()) return;
+    sessions.tick();
+    if (!leadsFor(silenceMs)) return void keepLayersOfNewFleet();
+    registry.tick();
+    if (!toldAllEngines) {
+      toldAllEngines = true;
+      sessions.publishAllEngines();
+    }
+    void changeMembers();
+    void keepLayers();
+  }
+
+  // Before anyone holds layers there is nothing that a late beat could tell.
+  function keepLayersOfNewFleet(): void {
+    const records = registry.getRecords();
+    const isNew = settings.isFirstStart &&
+      records.every((record) => record.layers === undefined);
+    if (isNew) void keepLayers();
+  }
+
+  const timer = setInterval(tick, TICK_INTERVAL_MS);
+  log("started", { vm: settings.callerAddress, replicaId });
+
+  async function stop(): Promise<void> {
+    log("stopping", { vm: settings.callerAddress });
+    joining.abort();
+    await handOver(replica);
+    clearInterval(timer);
+    sessions.closeAll();
+    await caller[Symbol.asyncDispose]();
+    await transport[Symbol.asyncDispose]();
+    grpc.forceShutdown();
+    await replica[Symbol.asyncDispose]();
+  }
+
+  return {
+    call,
+    getLeaderCallerAddress: () => getLeader()?.vm ?? "",
+    getState: () => replica.getState(),
+    stop,
+  };
+}
+
+async function handOver(replica: Replica): Promise<void> {
+  if (replica.getState().role !== "leader") return;
+  replica.transferLeadership();
+  const untilMs = performance.now() + HANDOVER_TIMEOUT_MS;
+  while (
+    replica.getState().role === "leader" && performance.now() < untilMs
+  ) {
+    await sleep(10);
+  }
+}
+
+// All first voters are given the same list, so that they form one cluster
+// without asking each other, and no half of them can form another.
+async function openFleetStorage(
+  settings: FleetControlSettings,
+  options: StartFleetControlOptions,
+): Promise<QuorumStorage> {
+  const { fleetId, callerAddress, dataFolder, isFirstStart } = settings;
+  const seeds = [...options.getSeeds()]
+    .sort((a, b) => a.callerAddress < b.callerAddress ? -1 : 1);
+  const members = seeds.map((seed): Member => ({
+    id: getFirstReplicaId(seed.callerAddress),
+    vm: seed.callerAddress,
+    address: seed.peerAddress,
+    role: "voter",
+  }));
+  const isFirstVoter = isFirstStart &&
+    seeds.some((seed) => seed.callerAddress === callerAddress);
+  const names = seeds.map((seed) => seed.callerAddress).join(" ");
+  const clusterId = createHash("sha256").update(names).digest("hex")
+    .slice(0, 16);
+  const storage = await openQuorumStorage({
+    folder: dataFolder,
+    fleetId,
+    vm: callerAddress,
+    // The platform starts one process on a folder.
+    isLocked: false,
+    form: isFirstVoter
+      ? { address: settings.peerAddress, clusterId, members }
+      : undefined,
+    makeReplicaId: isFirstVoter ? getFirstReplicaId : undefined,
+  });
+  if (storage.stored.tornBytes > 0) {
+    options.log("tornTailCut", { sizeBytes: storage.stored.tornBytes });
+  }
+  return storage;
+}
+
+function getFirstReplicaId(callerAddress: string): string {
+  return `${callerAddress}.first`;
+}
--- /dev/null
+++ b/src/gateway/create_engine_table.ts
@@ -0,0 +1,141 @@
+/**
+ * The upstreams as a gateway knows them: what the leader told, and what the
+ * gateway itself saw.
+ *
+ * @module
+ */
+
+import type { EngineRecord } from "../engines/index.ts";
+import type { LeaderMessage } from "../fleet/index.ts";
+import type { Logger } from "../logs/index.ts";
+
+/** An upstream with what this gateway saw of it. */
+export interface EngineView {
+  /** Newest record; the view itself stays the same while it changes. */
+  record: EngineRecord;
+  /** Requests of this gateway that it works on. */
+  inFlight: number;
+  /** Tokens of these requests. */
+  tokensInFlight: number;
+  /** Newest load that it told, over its slots. */
+  toldLoad: number;
+  /** Until when it is left out, in ms. */
+  suspectUntilMs: number;
+  /** How often in a row it was suspected. */
+  suspicions: number;
+  /** Share of its newest answers that failed, smoothed. */
+  failureShare: number;
+}
+
+/** The upstreams as a gateway knows them. */
+export interface EngineTable {
+  take(message: LeaderMessage & { type: "engines" }): void;
+  /** Upstreams of a service that take new work. */
+  listUsable(service: string): EngineView[];
+  get(engineId: string): EngineView | undefined;
+  findByAddress(address: string): EngineView | undefined;
+  /** Leaves an upstream out for a while; longer each time in a row. */
+  suspect(engineId: string, reason: string): void;
+  /** Notes how an answer ended. */
+  noteAnswer(engineId: string, outcome: { failed: boolean }): void;
+  /** Upstreams suspected since the last call. */
+  takeSuspects(): readonly string[];
+  getSize(): number;
+}
+
+/** Ms for which a suspected upstream is left out at first. */
+const SUSPECT_MS = 1_500;
+
+/** Ms for which it is left out at most. */
+const MAX_SUSPECT_MS = 6_000;
+
+/** Weight of the newest answer in the smoothed share of failures. */
+const FAILURE_WEIGHT = 0.2;
+
+/**
+ * Makes the table, empty.
+ *
+ * @param options - The time, and who hears of engines that are gone.
+ * @returns The table.
+ * @throws Nothing.
+ * @example
+ * const table = createEngineTable({ now, log, onGone });
+ */
+export function createEngineTable(
+  options: {
+    readonly now: () => number;
+    readonly log: Logger;
+    readonly onGone: (engineId: string) => void;
+  },
+): EngineTable {
+  const { now, log, onGone } = options;
+  const engines = new Map<string, EngineView>();
+  let suspects = new Set<string>();
+
+  function put(record: EngineRecord): void {
+    const known = engines.get(record.engineId);
+    if (known) {
+      known.record = record;
+      return;
+    }
+    engines.set(record.engineId, {
+      inFlight: 0,
+      tokensInFlight: 0,
+      toldLoad: 0,
+      suspectUntilMs: 0,
+      suspicions: 0,
+      failureShare: 0,
+      record,
+    });
+  }
+
+  function remove(engineId: string): void {
+    if (engines.delete(engineId)) onGone(engineId);
+  }
+
+  return {
+    take({ isWhole, engines: records, gone }) {
+      gone.forEach(remove);
+      records.forEach(put);
+      if (!isWhole) return;
+      const named = new Set(records.map(({ engineId }) => engineId));
+      [...engines.keys()].filter((id) => !named.has(id)).forEach(remove);
+    },
+    listUsable: (service) =>
+      [...engines.values()].filter(({ record, suspectUntilMs }) =>
+        record.service === service && !record.isLeaving &&
+        suspectUntilMs <= now()
+      ),
+    get: (engineId) => engines.get(engineId),
+    findByAddress: (address) =>
+      [...engines.values()].findLast(({ record }) =>
+        record.address === address
+      ),
+    suspect(engineId, reason) {
+      const engine = engines.get(engineId);
+      if (!engine) return;
+      suspects.add(engineId);
+      if (engine.suspectUntilMs > now()) return;
+      engine.suspicions += 1;
+      const restMs = Math.min(
+        MAX_SUSPECT_MS,
+        SUSPECT_MS * 2 ** (engine.suspicions - 1),
+      );
+      engine.suspectUntilMs = now() + restMs;
+      log("engineSuspected", { engineId, reason, restMs });
+    },
+    noteAnswer(engineId, { failed }) {
+      const engine = engines.get(engineId);
+      if (!engine) return;
+      if (!failed) engine.suspicions = 0;
+      engine.failureShare += FAILURE_WEIGHT *
+        ((failed ? 1 : 0) - engine.failureShare);
+    },
+    takeSuspects() {
+      const taken = [...suspects];
+      suspects = new Set();
+      return taken;
+    },
+    getSize: () => engines.size,
+  };
+}
--- /dev/null
+++ b/src/gateway/create_exchanger.ts
@@ -0,0 +1,179 @@
+/**
+ * One exchange with one upstream, over connections that are kept, telling
+ * exactly how far a failed one had come.
+ *
+ * @module
+ */
+
+import type { Buffer } from "node:buffer";
+import { buildConnector, type Dispatcher, Pool } from "undici";
+import type { CallerCodec, UpstreamHead } from "./protocol.ts";
+
+/** What is sent, and who hears the answer. */
+export interface ExchangeOptions {
+  readonly engineId: string;
+  readonly address: string;
+  readonly method: string;
+  readonly target: string;
+  /** Names and values in turn. */
+  readonly headers: string[];
+  readonly body: Buffer | null;
+  readonly requestId: string;
+  /** Called once the head of the answer is in and belongs to the request. */
+  readonly onHead: (head: UpstreamHead) => void;
+  readonly onData: (chunk: Buffer) => void;
+  readonly onEnd: (end: ExchangeEnd) => void;
+}
+
+/** How an exchange ended. */
+export type ExchangeEnd =
+  | { readonly type: "complete" }
+  /** No byte of the request had left. */
+  | { readonly type: "notSent"; readonly reason: string }
+  /** It was sent; whether it ran is not known. */
+  | { readonly type: "broken"; readonly reason: string };
+
+/** An exchange under way. */
+export interface Exchange {
+  /** Ends it; the upstream sees its connection close. */
+  abort(reason: string): void;
+  pause(): void;
+  resume(): void;
+}
+
+/** Makes exchanges; keeps the connections. */
+export interface Exchanger extends AsyncDisposable {
+  start(options: ExchangeOptions): Exchange;
+  /** Closes the idle connections to an upstream that is gone. */
+  forget(engineId: string): void;
+}
+
+/** Ms for a connection within a region; far above a round trip. */
+const CONNECT_TIMEOUT_MS = 400;
+
+/** Ms for which an idle connection is kept where the upstream says nothing. */
+const KEEP_ALIVE_MS = 4_000;
+
+/** Ms by which a connection is closed before the upstream would close it. */
+const KEEP_ALIVE_MARGIN_MS = 1_000;
+
+/**
+ * Makes an exchanger.
+ *
+ * @param codec - Reads the heads of answers.
+ * @returns The exchanger; disposing of it closes its connections.
+ * @throws Nothing.
+ * @example
+ * await using exchanger = createExchanger(codec);
+ */
+export function createExchanger(codec: CallerCodec): Exchanger {
+  const pools = new Map<string, Pool>();
+
+  function getPool(engineId: string, address: string): Pool {
+    const known = pools.get(engineId);
+    if (known) return known;
+    const pool = new Pool(`http://${address}`, {
+      connect: createConnector(),
+      pipelining: 1,
+      keepAliveTimeout: KEEP_ALIVE_MS,
+      keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
+      // The gateway has time limits of its own for each request.
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    });
+    pools.set(engineId, pool);
+    return pool;
+  }
+
+  function start(options: ExchangeOptions): Exchange {
+    const { engineId, address, method, target, headers, body } = options;
+    let controller: Dispatcher.DispatchController | undefined;
+    let isSent = false;
+    let isEnded = false;
+    const connectTimer = setTimeout(
+      () => abort("no connection"),
+      CONNECT_TIMEOUT_MS,
+    );
+
+    function end(ended: ExchangeEnd): void {
+      if (isEnded) return;
+      isEnded = true;
+      clearTimeout(connectTimer);
+      options.onEnd(ended);
+    }
+
+    function fail(reason: string): void {
+      end(isSent ? { type: "broken", reason } : { type: "notSent", reason });
+    }
+
+    function abort(reason: string): void {
+      if (isEnded) return;
+      // Settled first: what the library reports afterwards is no news.
+      fail(reason);
+      controller?.abort(new Error(reason));
+    }
+
+    const handler: Dispatcher.DispatchHandler = {
+      onRequestStart(started) {
+        controller = started;
+        clearTimeout(connectTimer);
+        if (isEnded) started.abort(new Error("given up"));
+        else isSent = true;
+      },
+      onResponseStart(_controller, status, answerHeaders) {
+        if (isEnded || status < 200) return;
+        const head = codec.readUpstreamHead(status, answerHeaders);
+        if (head.requestId !== options.requestId) {
+          return abort("answer to another request");
+        }
+        options.onHead(head);
+      },
+      onResponseData(_controller, chunk) {
+        if (!isEnded) options.onData(chunk);
+      },
+      onResponseEnd: () => end({ type: "complete" }),
+      onResponseError: (_controller, error) => fail(error.message),
+    };
+    getPool(engineId, address).dispatch(
+      {
+        path: target,
+        method: method as Dispatcher.HttpMethod,
+        headers,
+        body,
+      },
+      handler,
+    );
+    return {
+      abort,
+      pause: () => controller?.pause(),
+      resume: () => controller?.resume(),
+    };
+  }
+
+  return {
+    start,
+    forget(engineId) {
+      const pool = pools.get(engineId);
+      pools.delete(engineId);
+      void pool?.close().catch(() => {});
+    },
+    async [Symbol.asyncDispose]() {
+      await Promise.all([...pools.values()].map((pool) => pool.destroy()));
+    },
+  };
+}
+
+// The library takes a reset at the end of an answer without a length for its
+// end. An answer that was reset is not complete, so its sign is renamed.
+function createConnector(): buildConnector.connector {
+  const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS * 4 });
+  return (options, done) => {
+    connect(options, (...result) => {
+      const socket = result[1];
+      socket?.prependListener("error", (error: NodeJS.ErrnoException) => {
+        if (error.code === "ECONNRESET") error.code = "ERESET";
+      });
+      done(...result);
+    });
+  };
+}
--- /dev/null
+++ b/src/gateway/create_fleet_link.ts
@@ -0,0 +1,179 @@
+/**
+ * A gateway's session with the control process that leads.
+ *
+ * @module
+ */
+
+import type { ClientDuplexStream } from "@grpc/grpc-js";
+import type {
+  GatewayMessage,
+  GatewayRecord,
+  LeaderMessage,
+} from "../fleet/index.ts";
+import type { Logger } from "../logs/index.ts";
+import {
+  CHANNEL_OPTIONS,
+  createClientCredentials,
+  wire,
+} from "../wire/index.ts";
+
+/** What the link needs of its program. */
+export interface CreateFleetLinkOptions {
+  /** Control processes to begin with; read anew for each search. */
+  readonly getSeedAddresses: () => readonly string[];
+  readonly getGateway: () => GatewayRecord;
+  /** Version of the configuration in force here; -1 without any. */
+  readonly getVersion: () => number;
+  readonly takeSuspects: () => readonly string[];
+  readonly onMessage: (message: LeaderMessage) => void;
+  /** Called when the leader surely held this version at `sentMs`. */
+  readonly onConfirmed: (sentMs: number, version: number) => void;
+  /** Monotonic time, in ms. */
+  readonly now: () => number;
+  readonly log: Logger;
+}
+
+/** A gateway's session with the leader. */
+export interface FleetLink extends AsyncDisposable {
+  /** Sends a beat at once, for news that must not wait. */
+  beat(): void;
+}
+
+/** Ms between two beats. */
+const BEAT_INTERVAL_MS = 350;
+
+/** Ms of silence after which the leader is looked for anew. */
+const SILENCE_MS = 1_200;
+
+/** Ms for a control process to welcome or redirect. */
+const WELCOME_TIMEOUT_MS = 600;
+
+/** Ms between two looks at the session. */
+const CHECK_INTERVAL_MS = 50;
+
+type SessionStream = ClientDuplexStream<wire.FleetMessage, wire.FleetMessage>;
+
+interface Session {
+  readonly address: string;
+  readonly client: wire.FleetClient;
+  readonly stream: SessionStream;
+  heardMs: number;
+  isWelcome: boolean;
+}
+
+/**
+ * Opens the link; it looks for the leader until it is disposed of.
+ *
+ * @param options - Whom to ask, what to tell, who hears the answers.
+ * @returns The link.
+ * @throws Nothing.
+ * @example
+ * await using link = createFleetLink(options);
+ */
+export function createFleetLink(options: CreateFleetLinkOptions): FleetLink {
+  const { now, log } = options;
+  let controlAddresses: readonly string[] = [];
+  let session: Session | undefined;
+  let queue: string[] = [];
+  let beatDueMs = 0;
+
+  function open(address: string): void {
+    const client = new wire.FleetClient(
+      address,
+      createClientCredentials(),
+      CHANNEL_OPTIONS,
+    );
+    const stream = client.session();
+    const opened: Session = {
+      address,
+      client,
+      stream,
+      heardMs: now(),
+      isWelcome: false,
+    };
+    session = opened;
+    stream.on("data", ({ json }: wire.FleetMessage) => {
+      if (session === opened) take(opened, JSON.parse(json) as LeaderMessage);
+    });
+    stream.on("error", () => close(opened, "broken"));
+    stream.on("end", () => close(opened, "ended"));
+    send(opened, {
+      type: "hello",
+      gateway: options.getGateway(),
+      version: options.getVersion(),
+    });
+  }
+
+  function send(to: Session, message: GatewayMessage): void {
+    to.stream.write({ json: JSON.stringify(message) });
+  }
+
+  function close(closed: Session, reason: string): void {
+    closed.stream.cancel();
+    closed.client.close();
+    if (session !== closed) return;
+    session = undefined;
+    if (closed.isWelcome) {
+      log("controlLost", { address: closed.address, reason });
+    }
+  }
+
+  function take(from: Session, message: LeaderMessage): void {
+    from.heardMs = now();
+    switch (message.type) {
+      case "redirect":
+        close(from, "redirected");
+        if (message.address !== "") queue.unshift(message.address);
+        return;
+      case "welcome":
+        from.isWelcome = true;
+        controlAddresses = message.controlAddresses;
+        beatDueMs = 0;
+        log("controlConnected", { address: from.address });
+        return;
+      case "beatAck":
+        return options.onConfirmed(message.sentMs, message.version);
+      default:
+        return options.onMessage(message);
+    }
+  }
+
+  function check(): void {
+    if (!session) return search();
+    const limitMs = session.isWelcome ? SILENCE_MS : WELCOME_TIMEOUT_MS;
+    if (now() - session.heardMs > limitMs) return close(session, "silent");
+    if (session.isWelcome && now() >= beatDueMs) beat();
+  }
+
+  function search(): void {
+    if (queue.length === 0) {
+      queue = [
+        ...new Set([...controlAddresses, ...options.getSeedAddresses()]),
+      ];
+    }
+    const address = queue.shift();
+    if (address !== undefined) open(address);
+  }
+
+  function beat(): void {
+    if (!session?.isWelcome) return;
+    beatDueMs = now() + BEAT_INTERVAL_MS;
+    send(session, {
+      type: "beat",
+      sentMs: now(),
+      isReady: options.getGateway().isReady,
+      suspects: options.takeSuspects(),
+    });
+  }
+
+  const timer = setInterval(check, CHECK_INTERVAL_MS);
+  check();
+  return {
+    beat,
+    async [Symbol.asyncDispose]() {
+      await Promise.resolve();
+      clearInterval(timer);
+      if (session) close(session, "stopping");
+    },
+  };
+}
--- /dev/null
+++ b/src/gateway/gateway_parts_test.ts
@@ -0,0 +1,72 @@
+import { Buffer } from "node:buffer";
+import fc from "fast-check";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { createConfigLease } from "./create_config_lease.ts";
+import { createRepeatBudget } from "./create_repeat_budget.ts";
+import { createEventSplitter } from "./split_events.ts";
+
+test("events come out whole however the stream is cut", () => {
+  const text = "id: 1\ndata: a\n\nid:2\r\ndata: b\r\n\r\ndata: none\n\n";
+  const bytes = Buffer.from(text);
+  fc.assert(
+    fc.property(
+      fc.array(fc.integer({ min: 0, max: bytes.length })),
+      (cuts) => {
+        const splitter = createEventSplitter();
+        const at = [0, ...cuts.sort((a, b) => a - b), bytes.length];
+        const events = at.slice(1).flatMap((end, index) =>
+          splitter.take(bytes.subarray(at[index], end))
+        );
+        assert.equal(events.map(({ id }) => id), ["1", "2", undefined]);
+        assert.is(Buffer.concat(events.map((e) => e.bytes)).toString(), text);
+        return !splitter.hasRest();
+      },
+    ),
+    { seed: 1 },
+  );
+});
+
+test("an event that is cut in two is held back", () => {
+  const splitter = createEventSplitter();
+  assert.equal(splitter.take(Buffer.from("id: 1\ndata: a\n")), []);
+  assert.ok(splitter.hasRest());
+});
+
+test("the lease ends before a key taken away after the question must go", () => {
+  let nowMs = 0;
+  const lease = createConfigLease({ revokeMs: 5_000, now: () => nowMs });
+  assert.not.ok(lease.isValid());
+  lease.confirm({ sentMs: 1_000, version: 7, held: 7 });
+  nowMs = 1_000 + 5_000;
+  assert.not.ok(lease.isValid());
+  nowMs = 1_000 + 4_000;
+  assert.ok(lease.isValid());
+});
+
+test("a version that is not in force here proves nothing", () => {
+  const lease = createConfigLease({ revokeMs: 5_000, now: () => 0 });
+  lease.confirm({ sentMs: 0, version: 8, held: 7 });
+  assert.not.ok(lease.isValid());
+});
+
+test("repeats of all gateways together keep to the bound", () => {
+  let nowMs = 0;
+  const options = {
+    ratio: 0.2,
+    extra: 110,
+    windowMs: 10_000,
+    getGatewayCount: () => 11,
+    now: () => nowMs,
+  };
+  const budget = createRepeatBudget(options);
+  for (let at = 0; at < 50; at++) budget.noteRequest("s");
+  let spent = 0;
+  while (budget.spend("s")) spent += 1;
+  assert.ok(spent > 0 && spent <= 0.2 * 50 + 110 / 11, String(spent));
+  assert.ok(budget.spend("other"));
+  nowMs = 10_001;
+  assert.ok(budget.spend("s"));
+});
+
+test.run();
--- /dev/null
+++ b/src/gateway/start_gateway.ts
@@ -0,0 +1,328 @@
+/**
+ * The gateway put together: callers on one side, upstreams that register
+ * themselves on the other, the leader's news between them.
+ *
+ * @module
+ */
+
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { setTimeout as sleep } from "node:timers/promises";
+import Fastify from "fastify";
+import type { GatewayRecord, LeaderMessage } from "../fleet/index.ts";
+import type { Logger } from "../logs/index.ts";
+import type { Metrics } from "../metrics/index.ts";
+import {
+  chooseTarget,
+  createRouteTable,
+  type RouteTable,
+} from "../routes/index.ts";
+import { answerRefusal } from "./answer_refusal.ts";
+import { createConfigLease } from "./create_config_lease.ts";
+import { createEngineTable } from "./create_engine_table.ts";
+import { createExchanger } from "./create_exchanger.ts";
+import { createFleetLink } from "./create_fleet_link.ts";
+import { createRepeatBudget } from "./create_repeat_budget.ts";
+import type {
+  CallerCodec,
+  CallerRequest,
+  EngineControl,
+  Refusal,
+} from "./protocol.ts";
+import { readBody } from "./read_body.ts";
+import { servePlainCall } from "./serve_plain_call.ts";
+import { serveStreamCall } from "./serve_stream_call.ts";
+import type { Call, ServingContext } from "./types.ts";
+
+/** Settings of a gateway. */
+export interface GatewaySettings {
+  readonly vm: string;
+  readonly place: string;
+  /** Where callers connect: host and port. */
+  readonly listen: { readonly host: string; readonly port: number };
+  /** Ms from an acceptance until a key that it took away must be refused. */
+  readonly revokeMs: number;
+  /** Bound on the repeats of all gateways together. */
+  readonly repeats: {
+    readonly ratio: number;
+    readonly extra: number;
+    readonly windowMs: number;
+  };
+  /** Ms from the signal to the end of a planned stop, at most. */
+  readonly graceMs: number;
+}
+
+/** Options of {@link startGateway}. */
+export interface StartGatewayOptions {
+  readonly codec: CallerCodec;
+  readonly engineControl: EngineControl;
+  /** Control processes to begin with; read anew for each search. */
+  readonly getSeedAddresses: () => readonly string[];
+  readonly log: Logger;
+  readonly metrics: Metrics;
+}
+
+/** A running gateway. */
+export interface Gateway {
+  /** Whether callers may be sent here. */
+  isReady(): boolean;
+  /** Addresses that a caller in this place is to use. */
+  listAddresses(place: string): readonly string[];
+  getVersion(): number;
+  stop(): Promise<void>;
+}
+
+/** Body that is read where no configuration says how large it may be. */
+const DEFAULT_BODY_BYTES = 4 * 1024 * 1024;
+
+/** Header that is read; the platform's callers stay within it. */
+const MAX_HEADER_BYTES = 32 * 1024;
+
+/** Ms for which an idle connection is kept where no configuration says. */
+const DEFAULT_IDLE_MS = 16_000;
+
+/** Ms after which a caller may come again where this gateway can't serve. */
+const NOT_READY_RETRY_MS = 300;
+
+/** Ms in which callers and the other gateways hear of a leave. */
+const LEAVE_NEWS_MS = 2_500;
+
+/** Share of the grace after which no new request is let in. */
+const LAST_CALL_SHARE = 0.55;
+
+/** Ms kept at the end of the grace for the process to end. */
+const END_MARGIN_MS = 400;
+
+/**
+ * Starts a gateway.
+ *
+ * @param settings - Its settings.
+ * @param options - The protocol's codec, the seeds, logs and metrics.
+ * @returns The running gateway.
+ * @throws {Error} When its address is taken.
+ * @example
+ * const gateway = await startGateway(settings, options);
+ */
+export async function startGateway(
+  settings: GatewaySettings,
+  options: StartGatewayOptions,
+): Promise<Gateway> {
+  const { codec, log, metrics } = options;
+  const now = () => performance.now();
+  const { vm, place, listen } = settings;
+  const address = `${listen.host}:${listen.port}`;
+  let table: RouteTable | undefined;
+  let gateways: readonly GatewayRecord[] = [];
+  let isLeaving = false;
+  let isLastCall = false;
+  let knowsEngines = false;
+  let inFlight = 0;
+
+  const lease = createConfigLease({ revokeMs: settings.revokeMs, now });
+  const exchanger = createExchanger(codec);
+  const engines = createEngineTable({ now, log, onGone: exchanger.forget });
+  const listReady = () => gateways.filter((gateway) => gateway.isReady);
+  const countReady = (at?: string) =>
+    Math.max(
+      1,
+      listReady().filter((one) => at === undefined || one.place === at).length,
+    );
+  const budget = createRepeatBudget({
+    ...settings.repeats,
+    getGatewayCount: () => Math.max(1, gateways.length),
+    now,
+  });
+  const context: ServingContext = {
+    place,
+    codec,
+    engineControl: options.engineControl,
+    engines,
+    exchanger,
+    budget,
+    getTable: () => table,
+    getGatewayCount: () => countReady(),
+    getPlaceGatewayCount: () => countReady(place),
+    isLeaving: () => isLeaving,
+    now,
+    random: Math.random,
+    log,
+    metrics,
+  };
+  const isReady = () =>
+    !isLeaving && table !== undefined && knowsEngines && lease.isValid();
+
+  function takeMessage(message: LeaderMessage): void {
+    switch (message.type) {
+      case "config":
+        return takeConfig(message);
+      case "engines":
+        knowsEngines = true;
+        return engines.take(message);
+      case "gateways":
+        gateways = message.gateways;
+        return;
+    }
+  }
+
+  function takeConfig({ config }: LeaderMessage & { type: "config" }): void {
+    // Whatever a late leader says: within one life nothing goes back.
+    if (table && config.version <= table.version) return;
+    table = createRouteTable(config);
+    server.server.keepAliveTimeout = config.limits.idleTimeoutMs + 1_000;
+    log("configApplied", { version: config.version });
+  }
+
+  const link = createFleetLink({
+    getSeedAddresses: options.getSeedAddresses,
+    getGateway: () => ({ vm, place, address, isReady: isReady() }),
+    getVersion: () => table?.version ?? -1,
+    takeSuspects: engines.takeSuspects,
+    onMessage: takeMessage,
+    onConfirmed: (sentMs, version) =>
+      lease.confirm({ sentMs, version, held: table?.version ?? -1 }),
+    now,
+    log,
+  });
+
+  const server = Fastify({
+    logger: false,
+    exposeHeadRoutes: false,
+    http: { maxHeaderSize: MAX_HEADER_BYTES },
+    keepAliveTimeout: DEFAULT_IDLE_MS,
+    // Routes come from the configuration, not from the library's router.
+    rewriteUrl: () => "/",
+  });
+  server.removeAllContentTypeParsers();
+  server.addContentTypeParser("*", (_request, _payload, done) => done(null));
+  server.all("/", (request, reply) => {
+    reply.hijack();
+    void take(request.raw, {
+      response: reply.raw,
+      target: request.originalUrl,
+    });
+  });
+
+  async function take(
+    message: IncomingMessage,
+    options: { response: ServerResponse; target: string },
+  ): Promise<void> {
+    const { response, target } = options;
+    const startedMs = now();
+    inFlight += 1;
+    try {
+      const maxBytes = table?.limits.bodyBytes ?? DEFAULT_BODY_BYTES;
+      const read = await readBody(message, { maxBytes });
+      if (read.type === "cut") return;
+      const request = codec.readRequest({
+        method: message.method ?? "GET",
+        target,
+        headers: message.headers,
+        rawHeaders: message.rawHeaders,
+      });
+      if (read.type === "tooLarge") {
+        return refuse(request, response, { status: 413, reason: "too_large" });
+      }
+      const { body } = read;
+      await serve({ request, response, body, startedMs });
+    } catch (error) {
+      log("internalError", { error });
+      response.destroy();
+    } finally {
+      inFlight -= 1;
+    }
+  }
+
+  async function serve(
+    taken: Pick<Call, "request" | "response" | "body" | "startedMs">,
+  ): Promise<void> {
+    const { request, response, startedMs } = taken;
+    const decided = decide(request);
+    if (!decided.call) return refuse(request, response, decided.refusal);
+    const { route, account, service } = decided.call;
+    budget.noteRequest(service);
+    const limitMs = Math.min(request.deadlineMs ?? Infinity, route.timeoutMs);
+    const call: Call = {
+      ...taken,
+      route,
+      account,
+      service,
+      deadlineMs: startedMs + limitMs,
+    };
+    if (route.isStream) await serveStreamCall(call, context);
+    else await servePlainCall(call, context);
+  }
+
+  function decide(request: CallerRequest):
+    | {
+      readonly call: Pick<Call, "route" | "account" | "service">;
+    }
+    | { readonly call?: undefined; readonly refusal: Refusal } {
+    const notReady = (reason: string) => ({
+      refusal: { status: 503, reason, retryAfterMs: NOT_READY_RETRY_MS },
+    });
+    if (isLastCall) return notReady("leaving");
+    if (!table || !knowsEngines) return notReady("no_config");
+    const route = table.findRoute(request.host, request.path);
+    const isTrusted = lease.isValid();
+    const refuseFor = (status: number, reason: string) =>
+      isTrusted ? { refusal: { status, reason } } : notReady("stale_config");
+    if (!route) return refuseFor(404, "no_route");
+    const service = chooseTarget(route, Math.random());
+    const needsKey = table.needsKeys && !route.isAnonymous;
+    const account = request.key === undefined
+      ? undefined
+      : table.findAccount(request.key);
+    if (!needsKey) return { call: { route, account, service } };
+    if (!isTrusted) return notReady("stale_config");
+    if (!account) return refuseFor(401, "unknown_key");
+    return { call: { route, account, service } };
+  }
+
+  function refuse(
+    request: CallerRequest,
+    response: ServerResponse,
+    refusal: Refusal,
+  ): void {
+    const { requestId } = request;
+    log("requestRefused", {
+      requestId,
+      ...refusal,
+      version: table?.version,
+      leaseLeftMs: Math.round(lease.getLeftMs()),
+    });
+    answerRefusal(response, { codec, request, refusal, closes: isLeaving });
+  }
+
+  await server.listen(listen);
+  log("started", { vm, address });
+
+  async function stop(): Promise<void> {
+    log("stopping", { inFlight });
+    const startedMs = now();
+    const leftMs = () => settings.graceMs - END_MARGIN_MS - (now() - startedMs);
+    isLeaving = true;
+    link.beat();
+    // Callers go on with connections that they have, and with addresses that
+    // they were told: both are served for a while.
+    const lastCallMs = settings.graceMs * LAST_CALL_SHARE;
+    while (now() - startedMs < lastCallMs) {
+      await sleep(20);
+      if (now() - startedMs > LEAVE_NEWS_MS && inFlight === 0) break;
+    }
+    isLastCall = true;
+    while (inFlight > 0 && leftMs() > 0) await sleep(20);
+    if (inFlight > 0) log("drainTimedOut", { inFlight });
+    await link[Symbol.asyncDispose]();
+  }
+
+  return {
+    isReady,
+    listAddresses(at) {
+      const ready = listReady();
+      const near = ready.filter((gateway) => gateway.place === at);
+      const named = (near.length > 0 ? near : ready).map((one) => one.address);
+      return named.length > 0 ? named : [address];
+    },
+    getVersion: () => table?.version ?? -1,
+    stop,
+  };
+}
--- /dev/null
+++ b/src/gateway/types.ts
@@ -0,0 +1,51 @@
+/**
+ * What the parts of a gateway share.
+ *
+ * @module
+ */
+
+import type { Buffer } from "node:buffer";
+import type { ServerResponse } from "node:http";
+import type { Logger } from "../logs/index.ts";
+import type { Metrics } from "../metrics/index.ts";
+import type { Account, Route, RouteTable } from "../routes/index.ts";
+import type { EngineTable } from "./create_engine_table.ts";
+import type { Exchanger } from "./create_exchanger.ts";
+import type { RepeatBudget } from "./create_repeat_budget.ts";
+import type { CallerCodec, CallerRequest, EngineControl } from "./protocol.ts";
+
+/** A request that is let in, with all that was decided about it. */
+export interface Call {
+  readonly request: CallerRequest;
+  readonly body: Buffer | null;
+  readonly response: ServerResponse;
+  readonly route: Route;
+  readonly account: Account | undefined;
+  /** Service that the route's weights gave it. */
+  readonly service: string;
+  readonly startedMs: number;
+  /** Time, in ms, at which it has to have ended. */
+  readonly deadlineMs: number;
+}
+
+/** What serving a call needs. */
+export interface ServingContext {
+  readonly place: string;
+  readonly codec: CallerCodec;
+  readonly engineControl: EngineControl;
+  readonly engines: EngineTable;
+  readonly exchanger: Exchanger;
+  readonly budget: RepeatBudget;
+  readonly getTable: () => RouteTable | undefined;
+  /** Gateways that take callers, this one included. */
+  readonly getGatewayCount: () => number;
+  /** Gateways of this place that take callers, this one included. */
+  readonly getPlaceGatewayCount: () => number;
+  readonly isLeaving: () => boolean;
+  /** Monotonic time, in ms. */
+  readonly now: () => number;
+  /** A number in [0, 1). */
+  readonly random: () => number;
+  readonly log: Logger;
+  readonly metrics: Metrics;
+}
--- /dev/null
+++ b/src/layers/index.ts
@@ -0,0 +1,11 @@
+/**
+ * Layers of a model over engines: who holds which, and paths over them.
+ *
+ * @module
+ */
+
+export * from "./find_gaps.ts";
+export * from "./find_layer_path.ts";
+export * from "./plan_copy.ts";
+export * from "./plan_layer_orders.ts";
+export * from "./types.ts";
--- /dev/null
+++ b/src/layers/layers_test.ts
@@ -0,0 +1,215 @@
+import fc from "fast-check";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { findGaps } from "./find_gaps.ts";
+import { findLayerPath, type PathEngine } from "./find_layer_path.ts";
+import { findTokensInFlight, planCopy } from "./plan_copy.ts";
+import { planLayerOrders } from "./plan_layer_orders.ts";
+import type { LayerEngine } from "./types.ts";
+
+const FIGURES = { layers: 80, layerMb: 1_750, kvTokenBytes: 845_373 };
+
+const MEMORY_MB = [72_000, 36_000, 21_600, 14_400];
+
+function makeEngines(
+  count: number,
+  options: { place?: string; memoryMb?: number } = {},
+): LayerEngine[] {
+  const { place = "p", memoryMb } = options;
+  return Array.from({ length: count }, (_, at) => ({
+    engineId: `${place}${at}`,
+    place,
+    memoryMb: memoryMb ?? MEMORY_MB[at % MEMORY_MB.length],
+  }));
+}
+
+function getMemoryMb(engines: readonly LayerEngine[], id: string): number {
+  return engines.find(({ engineId }) => engineId === id)?.memoryMb ?? 0;
+}
+
+test("a copy covers every layer once and fits every engine", () => {
+  fc.assert(
+    fc.property(
+      fc.array(fc.constantFrom(...MEMORY_MB), { maxLength: 60 }),
+      (memories) => {
+        const engines = memories.map((memoryMb, at) => ({
+          engineId: String(at),
+          place: "p",
+          memoryMb,
+        }));
+        const orders = planCopy(engines, FIGURES);
+        const fits = memories
+          .reduce((sum, mb) => sum + Math.floor(mb / FIGURES.layerMb), 0);
+        if (!orders) return fits < FIGURES.layers;
+        let next = 0;
+        for (const { engineId, fromLayer, toLayer } of orders) {
+          assert.is(fromLayer, next);
+          const mb = (toLayer - fromLayer) * FIGURES.layerMb;
+          assert.ok(mb <= getMemoryMb(engines, engineId));
+          next = toLayer;
+        }
+        return next === FIGURES.layers;
+      },
+    ),
+    { seed: 1, numRuns: 300 },
+  );
+});
+
+test("each data centre gets a copy; small ones share one", () => {
+  const engines = [
+    ...makeEngines(12, { place: "a" }),
+    ...makeEngines(4, { place: "b", memoryMb: 21_600 }),
+    ...makeEngines(4, { place: "c", memoryMb: 21_600 }),
+  ];
+  const orders = planLayerOrders(engines, {
+    figures: FIGURES,
+    mayRespread: () => true,
+  });
+  const inA = orders.filter(({ engineId }) => engineId.startsWith("a"));
+  const inRest = orders.filter(({ engineId }) => !engineId.startsWith("a"));
+  assert.equal(findGaps(inA, 80), []);
+  assert.equal(findGaps(inRest, 80), []);
+});
+
+function holdPlan(engines: readonly LayerEngine[]): LayerEngine[] {
+  const orders = planLayerOrders(engines, {
+    figures: FIGURES,
+    mayRespread: () => true,
+  });
+  return engines.map((engine) => ({
+    ...engine,
+    range: orders.find(({ engineId }) => engineId === engine.engineId),
+  }));
+}
+
+test("what is in place is left alone", () => {
+  const engines = holdPlan(makeEngines(12));
+  const options = { figures: FIGURES, mayRespread: () => true };
+  assert.equal(planLayerOrders(engines, options), []);
+});
+
+test("an empty engine takes the range of the one that was lost", () => {
+  const engines = holdPlan(makeEngines(12));
+  const lost = engines[5];
+  const back = { ...lost, engineId: "new", range: undefined };
+  const left = [...engines.filter((engine) => engine !== lost), back];
+  const orders = planLayerOrders(left, {
+    figures: FIGURES,
+    mayRespread: () => false,
+  });
+  assert.equal(orders, [{
+    engineId: "new",
+    fromLayer: lost.range!.fromLayer,
+    toLayer: lost.range!.toLayer,
+  }]);
+});
+
+test("a gap without an empty engine is spread over the others when allowed", () => {
+  const engines = holdPlan(makeEngines(12));
+  const left = engines.filter((_engine, at) => at !== 5);
+  const wait = { figures: FIGURES, mayRespread: () => false };
+  assert.equal(planLayerOrders(left, wait), []);
+  const orders = planLayerOrders(left, { ...wait, mayRespread: () => true });
+  const ranges = left.map((engine) =>
+    orders.find(({ engineId }) => engineId === engine.engineId) ??
+      engine.range!
+  );
+  assert.equal(findGaps(ranges, 80), []);
+});
+
+test("room for tokens is as large as the group allows", () => {
+  const tokens = findTokensInFlight(makeEngines(12), FIGURES) ?? 0;
+  assert.ok(tokens > 50_000, String(tokens));
+  assert.is(findTokensInFlight(makeEngines(1), FIGURES), undefined);
+});
+
+const OPTIONS = {
+  layers: 80,
+  place: "a",
+  hopCost: 0.3,
+  placeCost: 4,
+  maxParts: 32,
+};
+
+function makeHolder(
+  engineId: string,
+  range: readonly [number, number],
+  fields: Partial<PathEngine> = {},
+): PathEngine {
+  const [fromLayer, toLayer] = range;
+  return {
+    engineId,
+    place: "a",
+    fromLayer,
+    toLayer,
+    layerCost: 0.1,
+    mayBeFirst: true,
+    ...fields,
+  };
+}
+
+test("a path stays in the data centre where it can", () => {
+  const path = findLayerPath([
+    makeHolder("a1", [0, 40]),
+    makeHolder("a2", [40, 80]),
+    makeHolder("b1", [0, 80], { place: "b", layerCost: 0.08 }),
+  ], OPTIONS);
+  assert.equal(path?.map(({ engineId }) => engineId), ["a1", "a2"]);
+});
+
+test("a missing range is patched with parts of other data centres' ranges", () => {
+  const path = findLayerPath([
+    makeHolder("a1", [0, 30]),
+    makeHolder("a3", [50, 80]),
+    makeHolder("b1", [20, 45], { place: "b" }),
+    makeHolder("b2", [45, 65], { place: "b" }),
+  ], OPTIONS);
+  assert.equal(path?.map(({ engineId }) => engineId), ["a1", "b1", "b2", "a3"]);
+  assert.equal(findGaps(path ?? [], 80), []);
+});
+
+test("a path from a later layer on leaves the first ones out", () => {
+  const path = findLayerPath(
+    [makeHolder("a2", [20, 60]), makeHolder("a3", [50, 80])],
+    { ...OPTIONS, fromLayer: 30 },
+  );
+  assert.is(path?.[0].fromLayer, 30);
+  assert.is(path?.at(-1)?.toLayer, 80);
+});
+
+test("every path runs every layer once and in order, each engine once", () => {
+  const holder = fc.record({
+    fromLayer: fc.integer({ min: 0, max: 79 }),
+    size: fc.integer({ min: 1, max: 40 }),
+    place: fc.constantFrom("a", "b"),
+    layerCost: fc.constantFrom(0.01, 0.1, 1),
+    mayBeFirst: fc.boolean(),
+  });
+  fc.assert(
+    fc.property(fc.array(holder, { maxLength: 30 }), (holders) => {
+      const engines = holders.map(({ size, ...fields }, at) => ({
+        ...fields,
+        engineId: String(at),
+        toLayer: Math.min(80, fields.fromLayer + size),
+      }));
+      const path = findLayerPath(engines, OPTIONS);
+      if (!path) return true;
+      let next = 0;
+      for (const part of path) {
+        const engine = engines[Number(part.engineId)];
+        assert.is(part.fromLayer, next);
+        assert.ok(part.toLayer > part.fromLayer);
+        assert.ok(engine.fromLayer <= part.fromLayer);
+        assert.ok(engine.toLayer >= part.toLayer);
+        next = part.toLayer;
+      }
+      assert.ok(engines[Number(path[0].engineId)].mayBeFirst);
+      const ids = new Set(path.map(({ engineId }) => engineId));
+      assert.is(ids.size, path.length);
+      return next === 80;
+    }),
+    { seed: 1, numRuns: 400 },
+  );
+});
+
+test.run();
--- /dev/null
+++ b/src/layers/types.ts
@@ -0,0 +1,34 @@
+/**
+ * Layers of a model spread over engines.
+ *
+ * @module
+ */
+
+import type { LayerRange } from "../engines/index.ts";
+
+/** An engine that may hold layers, as the planner sees it. */
+export interface LayerEngine {
+  readonly engineId: string;
+  readonly place: string;
+  readonly memoryMb: number;
+  /** What it holds, or has been ordered to hold; undefined where nothing. */
+  readonly range?: LayerRange;
+}
+
+/** One engine's part of a path. */
+export interface PathPart extends LayerRange {
+  readonly engineId: string;
+}
+
+/** The figures of a model that placement goes by. */
+export interface LayerFigures {
+  readonly layers: number;
+  readonly layerMb: number;
+  /** Bytes of KV cache that a token takes over all layers. */
+  readonly kvTokenBytes: number;
+}
+
+/** An order to an engine: hold this range. */
+export interface LayerOrder extends LayerRange {
+  readonly engineId: string;
+}
--- a/src/logs/events.ts
+++ b/src/logs/events.ts
@@ -21,7 +21,7 @@
   return { id, level, text };
 }
 
-/** All events. CL10: processes, 11: storage, 12: quorum, 13: resources, 14: agents, 15: requests, 16: upstreams. */
+/** All events. CL10: processes, 11: storage, 12: quorum, 13: resources, 14: agents, 15: requests, 16: upstreams, 17: fleet, 18: calls. */
 export const EVENTS = {
   started: event("CL1001", "info", "Process started"),
   stopping: event("CL1002", "info", "Planned stop began"),
@@ -96,6 +96,30 @@
   upstreamEjected: event("CL1602", "warn", "Upstream is left out for a while"),
   chainRepaired: event("CL1603", "info", "Pipeline goes on over another stage"),
   lateFrame: event("CL1604", "debug", "Late answer of an older epoch dropped"),
+  gatewayJoined: event("CL1701", "info", "Gateway opened a session"),
+  gatewayLost: event("CL1702", "warn", "Gateway's session ended"),
+  engineJoined: event("CL1703", "info", "Upstream registered"),
+  engineChanged: event("CL1704", "info", "Upstream changed"),
+  engineLost: event("CL1705", "warn", "Upstream is no longer counted on"),
+  engineLeaves: event("CL1706", "info", "Upstream's leave is recorded"),
+  layersOrdered: event("CL1707", "info", "Engine was ordered to hold layers"),
+  configAccepted: event("CL1708", "info", "Whole configuration accepted"),
+  configInvalid: event("CL1709", "warn", "Whole configuration is invalid"),
+  callFailed: event("CL1710", "warn", "Leader could not answer a call"),
+  membersNotChanged: event(
+    "CL1711",
+    "warn",
+    "Quorum membership could not be changed",
+  ),
+  engineSuspected: event("CL1712", "warn", "Upstream is left out for a while"),
+  callSent: event("CL1801", "debug", "Request was sent to an upstream"),
+  callNotRun: event("CL1802", "info", "Upstream did not run the request"),
+  callBroken: event("CL1803", "info", "Answer broke off or failed"),
+  callGivenUp: event("CL1804", "info", "Nowhere is left to send the request"),
+  callEnded: event("CL1805", "info", "Request ended"),
+  engineAsked: event("CL1806", "info", "Engine gave no report"),
+  pathChanged: event("CL1807", "info", "Running request changed its path"),
+  settingsChanged: event("CL1011", "info", "Settings were read again"),
 } as const;
 
 /** The short name of an event. */
--- a/src/quorum/plan_members_change.ts
+++ b/src/quorum/plan_members_change.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { isCaughtUp } from "./plan_voter_change.ts";
 import type { Member, QuorumState } from "./types.ts";
 
 /** Which VMs are meant to hold a voter, and how far a learner may lag. */
@@ -52,13 +53,3 @@
   if (!replaced) return undefined;
   return members.filter((member) => member.id !== replaced.id);
 }
-
-function isCaughtUp(
-  state: QuorumState,
-  options: { id: string; maxLagEntries: number },
-): boolean {
-  const progress = state.peers[options.id];
-  if (!progress) return false;
-  return progress.matchIndex + options.maxLagEntries >= state.commitIndex &&
-    progress.matchIndex > 0;
-}
--- /dev/null
+++ b/src/quorum/plan_voter_change_test.ts
@@ -0,0 +1,78 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { createQuorumState } from "./create_quorum_state.ts";
+import { planVoterChange } from "./plan_voter_change.ts";
+import type { Member, QuorumState } from "./types.ts";
+
+function makeMember(id: string, role: Member["role"] = "voter"): Member {
+  return { id, vm: id, address: id, role };
+}
+
+function makeLeader(members: readonly Member[]): QuorumState {
+  const progress = {
+    nextIndex: 11,
+    matchIndex: 10,
+    ackedSentMs: 0,
+    snapshotSentMs: 0,
+  };
+  return {
+    ...createQuorumState("a"),
+    role: "leader",
+    members,
+    commitIndex: 10,
+    membersIndex: 0,
+    peers: Object.fromEntries(members.map(({ id }) => [id, progress])),
+  };
+}
+
+function plan(members: readonly Member[], silent: readonly string[]) {
+  return planVoterChange(makeLeader(members), {
+    voters: 3,
+    isSilent: (id) => silent.includes(id),
+  })?.map(({ id, role }) => `${id}:${role}`);
+}
+
+const THREE = ["a", "b", "c"].map((id) => makeMember(id));
+
+test("a learner stays one while all voters answer", () => {
+  assert.is(plan([...THREE, makeMember("d", "learner")], []), undefined);
+});
+
+test("a silent voter stays while nobody can take its place", () => {
+  assert.is(plan(THREE, ["c"]), undefined);
+});
+
+test("a learner that has caught up is promoted, then the silent voter goes", () => {
+  assert.equal(plan([...THREE, makeMember("d", "learner")], ["c"]), [
+    "a:voter",
+    "b:voter",
+    "c:voter",
+    "d:voter",
+  ]);
+  assert.equal(plan([...THREE, makeMember("d")], ["c"]), [
+    "a:voter",
+    "b:voter",
+    "d:voter",
+  ]);
+});
+
+test("a cluster with too few voters grows", () => {
+  const members = [makeMember("a"), makeMember("b", "learner")];
+  assert.equal(plan(members, []), ["a:voter", "b:voter"]);
+});
+
+test("a learner that lags or is silent is not promoted", () => {
+  assert.is(
+    plan([...THREE, makeMember("d", "learner")], ["c", "d"]),
+    undefined,
+  );
+  const leader = makeLeader([...THREE, makeMember("d", "learner")]);
+  const lagging = {
+    ...leader,
+    commitIndex: 500,
+  };
+  const options = { voters: 3, isSilent: (id: string) => id === "c" };
+  assert.is(planVoterChange(lagging, options), undefined);
+});
+
+test.run();
--- /dev/null
+++ b/src/routes/choose_target.ts
@@ -0,0 +1,32 @@
+/**
+ * Picks the service of a request among a route's weighted targets.
+ *
+ * @module
+ */
+
+import type { Route } from "./schemas.ts";
+
+/**
+ * Picks a target in proportion to the weights.
+ *
+ * @param route - The route.
+ * @param random - A number in [0, 1).
+ * @returns The name of the service.
+ * @throws Nothing.
+ * @example
+ * const service = chooseTarget(route, Math.random());
+ */
+export function chooseTarget(
+  route: Pick<Route, "targets">,
+  random: number,
+): string {
+  const { targets } = route;
+  const total = targets.reduce((sum, target) => sum + target.weight, 0);
+  let left = random * total;
+  for (const { service, weight } of targets) {
+    left -= weight;
+    if (weight > 0 && left < 0) return service;
+  }
+  return targets.findLast((target) => target.weight > 0)?.service ??
+    targets[0].service;
+}
--- /dev/null
+++ b/src/routes/routes_test.ts
@@ -0,0 +1,103 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { chooseTarget } from "./choose_target.ts";
+import { createRouteTable } from "./create_route_table.ts";
+import { findConfigProblems } from "./find_config_problems.ts";
+import type { Route, RouteConfig } from "./schemas.ts";
+
+function makeRoute(fields: Partial<Route> = {}): Route {
+  return {
+    name: "r",
+    host: "a.example",
+    pathPrefix: "/x/",
+    repeatability: "once",
+    isStream: false,
+    timeoutMs: 1_000,
+    objectiveMs: 300,
+    gapObjectiveMs: 0,
+    priority: 1,
+    targets: [{ service: "s", weight: 1 }],
+    maxAttempts: 1,
+    isAnonymous: false,
+    ...fields,
+  };
+}
+
+function makeConfig(fields: Partial<RouteConfig> = {}): RouteConfig {
+  return {
+    version: 1,
+    routes: [makeRoute()],
+    services: [{ name: "s", maxConnections: 10 }],
+    accounts: [{ name: "one", keys: ["k1"] }],
+    limits: {
+      headerBytes: 1,
+      bodyBytes: 1,
+      headerTimeoutMs: 1,
+      idleTimeoutMs: 1,
+    },
+    ...fields,
+  };
+}
+
+test("the longest prefix of the host wins, whatever its port and case", () => {
+  const table = createRouteTable(makeConfig({
+    routes: [
+      makeRoute({ name: "short", pathPrefix: "/x/" }),
+      makeRoute({ name: "long", pathPrefix: "/x/y/" }),
+      makeRoute({ name: "other", host: "b.example", pathPrefix: "/" }),
+    ],
+  }));
+  assert.is(table.findRoute("A.example:80", "/x/y/z")?.name, "long");
+  assert.is(table.findRoute("a.example", "/x/yz")?.name, "short");
+  assert.is(table.findRoute("a.example", "/x/y/")?.name, "long");
+  assert.is(table.findRoute("a.example", "/xy/"), undefined);
+  assert.is(table.findRoute("b.example", "/anything")?.name, "other");
+  assert.is(table.findRoute("c.example", "/x/"), undefined);
+});
+
+test("a key finds its account", () => {
+  const table = createRouteTable(makeConfig());
+  assert.is(table.findAccount("k1")?.name, "one");
+  assert.is(table.findAccount("k2"), undefined);
+  assert.ok(table.needsKeys);
+});
+
+test("weights decide, and a target of weight 0 is never chosen", () => {
+  const targets = [
+    { service: "a", weight: 0 },
+    { service: "b", weight: 3 },
+    { service: "c", weight: 1 },
+    { service: "d", weight: 0 },
+  ];
+  assert.is(chooseTarget({ targets }, 0), "b");
+  assert.is(chooseTarget({ targets }, 0.74), "b");
+  assert.is(chooseTarget({ targets }, 0.76), "c");
+  assert.is(chooseTarget({ targets }, 0.999999), "c");
+});
+
+test("a valid configuration has no problems", () => {
+  assert.equal(findConfigProblems(makeConfig()), []);
+});
+
+const INVALID: Readonly<Record<string, Partial<RouteConfig>>> = {
+  "unknown service": {
+    routes: [makeRoute({ targets: [{ service: "t", weight: 1 }] })],
+  },
+  "second route": { routes: [makeRoute(), makeRoute({ name: "again" })] },
+  "weights sum": {
+    routes: [makeRoute({ targets: [{ service: "s", weight: 0 }] })],
+  },
+  "timeoutMs": { routes: [makeRoute({ timeoutMs: 0 })] },
+  "share a key": {
+    accounts: [{ name: "one", keys: ["k"] }, { name: "two", keys: ["k"] }],
+  },
+};
+
+for (const [word, fields] of Object.entries(INVALID)) {
+  test(`an invalid configuration is told by its field: ${word}`, () => {
+    const problems = findConfigProblems(makeConfig(fields));
+    assert.ok(problems.some((problem) => problem.includes(word)), problems[0]);
+  });
+}
+
+test.run();
--- a/src/storage/identity.ts
+++ b/src/storage/identity.ts
@@ -7,6 +7,7 @@
 import { Buffer } from "node:buffer";
 import { randomBytes } from "node:crypto";
 import { join } from "node:path";
+import type { Member } from "../quorum/index.ts";
 import { FORMAT_VERSION, IDENTITY_FILE, SNAPSHOT_FILE } from "./constants.ts";
 import { readFileIfAny, replaceFile } from "./files.ts";
 import { encodeFrame, scanFrames } from "./frame.ts";
@@ -27,6 +28,11 @@
   /** Where the first replica is reached. */
   readonly address: string;
   readonly clusterId: string;
+  /**
+   * The first voters; by default this replica alone. Where several replicas
+   * form a cluster together, all are given the same list.
+   */
+  readonly members?: readonly Member[];
 }
 
 /** Whose folder it is meant to be. */
@@ -36,6 +42,11 @@
   readonly vm: string;
   /** Set to form a new cluster of this replica alone in a new folder. */
   readonly form?: FormOptions;
+  /**
+   * Whether the folder is locked against other processes; set to false only
+   * where nothing else can reach it.
+   */
+  readonly isLocked?: boolean;
   /** Makes the identity of a new folder; by default random. */
   readonly makeReplicaId?: (vm: string) => string;
 }
@@ -133,7 +144,8 @@
 ): Promise<StorageIdentity> {
   const { folder, form } = options;
   const { replicaId: id, vm } = identity;
-  const members = [{ id, vm, address: form.address, role: "voter" }];
+  const self: Member = { id, vm, address: form.address, role: "voter" };
+  const members = form.members ?? [self];
   const meta = { index: 0, term: 0, members };
   const frames = [encodeFrame(JSON.stringify(meta)), encodeFrame("")];
   await replaceFile(join(folder, SNAPSHOT_FILE), Buffer.concat(frames));
--- a/src/storage/open_quorum_storage.ts
+++ b/src/storage/open_quorum_storage.ts
@@ -76,7 +76,9 @@
 ): Promise<QuorumStorage> {
   const { folder } = options;
   await mkdir(folder, { recursive: true });
-  const lock = await lockDataFolder(folder);
+  const lock = options.isLocked === false
+    ? { async [Symbol.asyncDispose]() {} }
+    : await lockDataFolder(folder);
   try {
     return await openLocked(options, lock);
   } catch (error) {
--- a/src/wire/gen/crowlever.ts
+++ b/src/wire/gen/crowlever.ts
@@ -219,6 +219,26 @@
     | undefined;
 }
 
+/**
+ * One message of a session between a gateway and the leader; its types stand
+ * in src/fleet/messages.ts.
+ */
+export interface FleetMessage {
+  /** JSON text. */
+  json: string;
+}
+
+/** A call that a control process passes on to the leader. */
+export interface FleetCall {
+  /** JSON text. */
+  json: string;
+}
+
+export interface FleetReply {
+  /** JSON text. */
+  json: string;
+}
+
 function createBaseLogEntry(): LogEntry {
   return { index: 0, term: 0, kind: "", body: "" };
 }
@@ -2121,6 +2141,144 @@
   },
 };
 
+function createBaseFleetMessage(): FleetMessage {
+  return { json: "" };
+}
+
+export const FleetMessage: MessageFns<FleetMessage> = {
+  encode(message: FleetMessage, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.json !== "") {
+      writer.uint32(10).string(message.json);
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): FleetMessage {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseFleetMessage();
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 10) {
+              break;
+            }
+
+            message.json = reader.string();
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+};
+
+function createBaseFleetCall(): FleetCall {
+  return { json: "" };
+}
+
+export const FleetCall: MessageFns<FleetCall> = {
+  encode(message: FleetCall, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.json !== "") {
+      writer.uint32(10).string(message.json);
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): FleetCall {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseFleetCall();
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 10) {
+              break;
+            }
+
+            message.json = reader.string();
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+};
+
+function createBaseFleetReply(): FleetReply {
+  return { json: "" };
+}
+
+export const FleetReply: MessageFns<FleetReply> = {
+  encode(message: FleetReply, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.json !== "") {
+      writer.uint32(10).string(message.json);
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): FleetReply {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseFleetReply();
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 10) {
+              break;
+            }
+
+            message.json = reader.string();
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+};
+
 export type PeerService = typeof PeerService;
 export const PeerService = {
   /** One stream a sender and receiver; answers travel on the receiver's stream. */
@@ -2218,6 +2376,60 @@
   serviceName: string;
 };
 
+export type FleetService = typeof FleetService;
+export const FleetService = {
+  /** A gateway's session: beats one way, configuration and engines the other. */
+  session: {
+    path: "/crowlever.v1.Fleet/Session" as const,
+    requestStream: true as const,
+    responseStream: true as const,
+    requestSerialize: (value: FleetMessage): Buffer => Buffer.from(FleetMessage.encode(value).finish()),
+    requestDeserialize: (value: Buffer): FleetMessage => FleetMessage.decode(value),
+    responseSerialize: (value: FleetMessage): Buffer => Buffer.from(FleetMessage.encode(value).finish()),
+    responseDeserialize: (value: Buffer): FleetMessage => FleetMessage.decode(value),
+  },
+  call: {
+    path: "/crowlever.v1.Fleet/Call" as const,
+    requestStream: false as const,
+    responseStream: false as const,
+    requestSerialize: (value: FleetCall): Buffer => Buffer.from(FleetCall.encode(value).finish()),
+    requestDeserialize: (value: Buffer): FleetCall => FleetCall.decode(value),
+    responseSerialize: (value: FleetReply): Buffer => Buffer.from(FleetReply.encode(value).finish()),
+    responseDeserialize: (value: Buffer): FleetReply => FleetReply.decode(value),
+  },
+} as const;
+
+export interface FleetServer extends UntypedServiceImplementation {
+  /** A gateway's session: beats one way, configuration and engines the other. */
+  session: handleBidiStreamingCall<FleetMessage, FleetMessage>;
+  call: handleUnaryCall<FleetCall, FleetReply>;
+}
+
+export interface FleetClient extends Client {
+  /** A gateway's session: beats one way, configuration and engines the other. */
+  session(): ClientDuplexStream<FleetMessage, FleetMessage>;
+  session(options: Partial<CallOptions>): ClientDuplexStream<FleetMessage, FleetMessage>;
+  session(metadata: Metadata, options?: Partial<CallOptions>): ClientDuplexStream<FleetMessage, FleetMessage>;
+  call(request: FleetCall, callback: (error: ServiceError | null, response: FleetReply) => void): ClientUnaryCall;
+  call(
+    request: FleetCall,
+    metadata: Metadata,
+    callback: (error: ServiceError | null, response: FleetReply) => void,
+  ): ClientUnaryCall;
+  call(
+    request: FleetCall,
+    metadata: Metadata,
+    options: Partial<CallOptions>,
+    callback: (error: ServiceError | null, response: FleetReply) => void,
+  ): ClientUnaryCall;
+}
+
+export const FleetClient = makeGenericClientConstructor(FleetService, "crowlever.v1.Fleet") as unknown as {
+  new (address: string, credentials: ChannelCredentials, options?: Partial<ClientOptions>): FleetClient;
+  service: typeof FleetService;
+  serviceName: string;
+};
+
 function longToNumber(int64: { toString(): string }): number {
   const num = globalThis.Number(int64.toString());
   if (num > globalThis.Number.MAX_SAFE_INTEGER) {
