After a loss of power: engines recorded, starts waited for, resets told apart

Cause: (1) after all machines lost power a new leader knew only the engines that had beaten since, so that one chain of engines out of three copies took every retried request, filled up and stood still; gateways without a configuration refused callers that have one retry.

Ruled out: memory for requests (reports showed 132 of 134 slots and a full memory on one engine, none on its peers); prompts' cost (260 tokens a ms).

Change: the leader records engines in the log and a new one begins with them once its own term has committed; requests wait up to 1.8 s for a start and 1 s for a path; the budget's share is small while no other gateway is known; loads are shared through the leader; a path pays more for leaving a data centre on the way than at its beginning; streams move only on evidence that they stand still, one report serving all that wait; a reset is read off the lost peer address at the end.

--- a/src/engines/take_beat.ts
+++ b/src/engines/take_beat.ts
@@ -58,6 +58,16 @@
   return { state: { engines }, changed: same ? undefined : record };
 }
 
-function isSameRecord(a: EngineRecord, b: EngineRecord): boolean {
+/**
+ * Compares what two records say.
+ *
+ * @param a - A record.
+ * @param b - Another one.
+ * @returns Whether they say the same.
+ * @throws Nothing.
+ * @example
+ * isSameRecord(known, record);
+ */
+export function isSameRecord(a: EngineRecord, b: EngineRecord): boolean {
   return JSON.stringify(a) === JSON.stringify(b);
 }
--- a/src/fleet/create_engine_registry.ts
+++ b/src/fleet/create_engine_registry.ts
@@ -37,6 +37,11 @@
 export interface EngineRegistry {
   /** Forgets all: a new leader starts from what it hears itself. */
   reset(): void;
+  /**
+   * Adds what earlier leaders recorded and this one has not heard of yet; who
+   * does not beat counts as lost after the usual silence.
+   */
+  addRecorded(records: Iterable<EngineRecord>): void;
   take(beat: EngineBeat): void;
   /** Takes an accepted leave. */
   takeLeave(engineId: string, kind: LeaveKind): void;
@@ -110,7 +115,6 @@
     const leave = options.getLeave(engineId);
     const taken = takeBeat(state, beat, { nowMs: now(), leave });
     state = taken.state;
-    suspicions.delete(engineId);
     if (!taken.changed) return;
     const { address, service, isLeaving, layers } = taken.changed;
     log(isNew ? "engineJoined" : "engineChanged", {
@@ -166,6 +170,16 @@
       changed = new Map();
       gone = new Set();
     },
+    addRecorded(records) {
+      const heardMs = now();
+      const engines = new Map(state.engines);
+      for (const record of records) {
+        if (engines.has(record.engineId)) continue;
+        engines.set(record.engineId, { record, heardMs, sequence: -1 });
+        tell(record);
+      }
+      state = { engines };
+    },
     take,
     takeLeave,
     tick,
--- a/src/fleet/create_fleet_machine.ts
+++ b/src/fleet/create_fleet_machine.ts
@@ -1,11 +1,11 @@
 /**
- * What the log's commands are applied to: the accepted configuration and the
- * upstreams that leave.
+ * What the log's commands are applied to: the accepted configuration, the
+ * upstreams that leave, and those that were last heard of.
  *
  * @module
  */
 
-import type { LeaveKind } from "../engines/index.ts";
+import type { EngineRecord, LeaveKind } from "../engines/index.ts";
 import type { RouteConfig } from "../routes/index.ts";
 
 /** A command of the log. */
@@ -19,6 +19,13 @@
     readonly type: "leave";
     readonly engineId: string;
     readonly kind: LeaveKind;
+  }
+  | {
+    readonly type: "engines";
+    /** Upstreams that are new or changed. */
+    readonly changed: readonly EngineRecord[];
+    /** Upstreams that are no longer counted on. */
+    readonly lost: readonly string[];
   };
 
 /** An accepted configuration, also as the operator wrote it. */
@@ -31,6 +38,11 @@
 export interface FleetMachine {
   getAccepted(): AcceptedConfig | undefined;
   getLeave(engineId: string): LeaveKind | undefined;
+  /**
+   * Upstreams as the newest leader heard of them: what a new one begins with,
+   * so that a restart of all processes needs no beat before it serves.
+   */
+  getEngines(): ReadonlyMap<string, EngineRecord>;
   apply(body: string): void;
   save(): string;
   restore(data: string): void;
@@ -50,6 +62,7 @@
 interface SavedMachine {
   readonly accepted?: AcceptedConfig;
   readonly leaves: readonly (readonly [string, LeaveKind])[];
+  readonly engines: readonly EngineRecord[];
 }
 
 /**
@@ -67,6 +80,7 @@
   const { onChange = () => {}, maxLeaves = MAX_LEAVES } = options;
   let accepted: AcceptedConfig | undefined;
   let leaves = new Map<string, LeaveKind>();
+  let engines = new Map<string, EngineRecord>();
 
   function takeConfig(command: FleetCommand & { type: "putConfig" }): boolean {
     const { config, document } = command;
@@ -87,25 +101,47 @@
     return true;
   }
 
+  function takeEngines(command: FleetCommand & { type: "engines" }): boolean {
+    for (const engineId of command.lost) engines.delete(engineId);
+    for (const record of command.changed) engines.set(record.engineId, record);
+    return true;
+  }
+
+  function take(command: FleetCommand): boolean {
+    switch (command.type) {
+      case "putConfig":
+        return takeConfig(command);
+      case "leave":
+        return takeLeave(command);
+      case "engines":
+        return takeEngines(command);
+    }
+  }
+
   return {
     getAccepted: () => accepted,
     getLeave: (engineId) => leaves.get(engineId),
+    getEngines: () => engines,
     apply(body) {
       const command = JSON.parse(body) as FleetCommand;
-      const changed = command.type === "putConfig"
-        ? takeConfig(command)
-        : takeLeave(command);
-      if (changed) onChange(command);
+      if (take(command)) onChange(command);
+    },
+    save() {
+      const saved: SavedMachine = {
+        accepted,
+        leaves: [...leaves],
+        engines: [...engines.values()],
+      };
+      return JSON.stringify(saved);
     },
-    save: () =>
-      JSON.stringify(
-        { accepted, leaves: [...leaves] } satisfies SavedMachine,
-      ),
     restore(data) {
       if (data === "") return;
       const saved = JSON.parse(data) as SavedMachine;
       accepted = saved.accepted;
       leaves = new Map(saved.leaves);
+      engines = new Map(
+        saved.engines.map((record) => [record.engineId, record]),
+      );
     },
   };
 }
--- a/src/fleet/create_gateway_sessions.ts
+++ b/src/fleet/create_gateway_sessions.ts
@@ -12,7 +12,9 @@
 import type { Logger } from "../logs/index.ts";
 import type { wire } from "../wire/index.ts";
 import type { AcceptedConfig } from "./create_fleet_machine.ts";
+import { sumLoads } from "./sum_loads.ts";
 import type {
+  EngineLoads,
   GatewayMessage,
   GatewayRecord,
   LeaderMessage,
@@ -54,6 +56,8 @@
   publishAllEngines(): void;
   /** Ends the sessions that fell silent; tells the others who is live. */
   tick(): void;
+  /** Tells each gateway what the others have in flight. */
+  publishLoads(): void;
   getGateways(): readonly GatewayRecord[];
   closeAll(): void;
 }
@@ -63,6 +67,10 @@
   gateway: GatewayRecord | undefined;
   sentVersion: number;
   heardMs: number;
+  /** Its work in flight, as it told last. */
+  loads: EngineLoads;
+  /** What it was told of the others, as text. */
+  toldLoads: string;
 }
 
 /** Ms of silence after which a gateway is no longer named to callers. */
@@ -156,6 +164,7 @@
     const { gateway } = session;
     if (!gateway || sessions.get(gateway.vm) !== session) return;
     session.heardMs = now();
+    if (beat.loads) session.loads = beat.loads;
     if (beat.suspects.length > 0) {
       options.onSuspects(gateway.vm, beat.suspects);
     }
@@ -174,6 +183,8 @@
       gateway: undefined,
       sentVersion: -1,
       heardMs: now(),
+      loads: {},
+      toldLoads: "{}",
     };
     stream.on("data", ({ json }: wire.FleetMessage) => {
       const message = JSON.parse(json) as GatewayMessage;
@@ -236,6 +247,17 @@
       }
       publishGateways();
     },
+    publishLoads() {
+      const all = [...sessions.values()];
+      for (const session of all) {
+        const others = all.filter((other) => other !== session);
+        const loads = sumLoads(others.map((other) => other.loads));
+        const told = JSON.stringify(loads);
+        if (told === session.toldLoads) continue;
+        session.toldLoads = told;
+        send(session, { type: "loads", loads });
+      }
+    },
     getGateways,
     closeAll() {
       for (const { stream } of sessions.values()) redirect(stream);
--- a/src/fleet/index.ts
+++ b/src/fleet/index.ts
@@ -8,3 +8,4 @@
 export * from "./create_fleet_machine.ts";
 export * from "./messages.ts";
 export * from "./start_fleet_control.ts";
+export * from "./sum_loads.ts";
--- a/src/fleet/messages.ts
+++ b/src/fleet/messages.ts
@@ -17,6 +17,14 @@
   readonly isReady: boolean;
 }
 
+/**
+ * Work in flight by upstream: tokens on it, and requests that begin there.
+ * Upstreams without any are left out.
+ */
+export type EngineLoads = Readonly<
+  Record<string, { readonly tokens: number; readonly requests: number }>
+>;
+
 /** What a gateway tells the leader. */
 export type GatewayMessage =
   | {
@@ -32,6 +40,8 @@
     readonly isReady: boolean;
     /** Engines that did not answer it. */
     readonly suspects: readonly string[];
+    /** Its own work in flight; absent where it has not changed. */
+    readonly loads?: EngineLoads;
   };
 
 /** What the leader tells a gateway. */
@@ -54,6 +64,11 @@
     readonly type: "gateways";
     readonly gateways: readonly GatewayRecord[];
   }
+  | {
+    readonly type: "loads";
+    /** Work in flight of all other gateways. */
+    readonly loads: EngineLoads;
+  }
   | {
     readonly type: "beatAck";
     readonly sentMs: number;
--- a/src/fleet/start_fleet_control.ts
+++ b/src/fleet/start_fleet_control.ts
@@ -16,6 +16,7 @@
   joinCluster,
   type Replica,
 } from "../control/index.ts";
+import { type EngineRecord, isSameRecord } from "../engines/index.ts";
 import type { Logger } from "../logs/index.ts";
 import type { Metrics } from "../metrics/index.ts";
 import {
@@ -83,19 +84,19 @@
   stop(): Promise<void>;
 }
 
-/** Times of the quorum, in ms: a leader's loss is felt for under two seconds. */
+/** Times of the quorum, in ms: a leader's loss is felt for about a second. */
 const QUORUM_TIMING: QuorumTiming = {
-  electionTimeoutMs: 800,
-  electionJitterMs: 400,
-  heartbeatIntervalMs: 150,
-  leaseMs: 640,
+  electionTimeoutMs: 500,
+  electionJitterMs: 250,
+  heartbeatIntervalMs: 120,
+  leaseMs: 400,
 };
 
 /** Entries between two snapshots. */
 const SNAPSHOT_ENTRIES = 200;
 
 /** Ms between two looks at leases, gaps and members. */
-const TICK_INTERVAL_MS = 200;
+const TICK_INTERVAL_MS = 250;
 
 /** Ms of silence after which a voter may be replaced. */
 const VOTER_SILENCE_MS = 2_500;
@@ -202,6 +203,7 @@
   let toldAllEngines = false;
 
   function takeChange(command: FleetCommand): void {
+    if (command.type === "engines") return;
     if (command.type === "leave") {
       return registry.takeLeave(command.engineId, command.kind);
     }
@@ -221,6 +223,7 @@
       toldAllEngines = false;
       registry.reset();
       keeper.reset();
+      void addRecordedEngines();
     }
     if (!leads && led) {
       leadingSinceMs = Infinity;
@@ -228,6 +231,21 @@
     }
   }
 
+  // Only once its own term has committed has a leader applied all that counts.
+  async function addRecordedEngines(): Promise<void> {
+    try {
+      await replica.confirmRead();
+    } catch {
+      // It no longer leads: whoever does adds them.
+      return;
+    }
+    const recorded = [...machine.getEngines().values()];
+    const staying = recorded.filter(({ engineId }) =>
+      machine.getLeave(engineId) !== "gone"
+    );
+    registry.addRecorded(staying);
+  }
+
   function getMemberAddress(id: string): string | undefined {
     const { members } = replica.getState();
     return members.find((member) => member.id === id)?.address;
@@ -320,6 +338,18 @@
     changing = false;
   }
 
+  let recording = false;
+  async function recordEngines(): Promise<void> {
+    if (recording) return;
+    const command = findEngineNews(registry.getRecords(), machine.getEngines());
+    if (!command) return;
+    recording = true;
+    // What is not recorded now is news at the next look again.
+    await replica.propose(JSON.stringify(command))
+      .catch((error) => log("enginesNotRecorded", { error }));
+    recording = false;
+  }
+
   let keeping = false;
   async function keepLayers(): Promise<void> {
     if (keeping) return;
@@ -331,8 +361,13 @@
   function tick(): void {
     if (!isLeader() || !replica.hasLease()) return;
     sessions.tick();
-    if (!leadsFor(silenceMs)) return void keepLayersOfNewFleet();
+    sessions.publishLoads();
+    if (!leadsFor(silenceMs)) {
+      void recordEngines();
+      return keepLayersOfNewFleet();
+    }
     registry.tick();
+    void recordEngines();
     if (!toldAllEngines) {
       toldAllEngines = true;
       sessions.publishAllEngines();
@@ -372,6 +407,20 @@
   };
 }
 
+function findEngineNews(
+  heard: readonly EngineRecord[],
+  recorded: ReadonlyMap<string, EngineRecord>,
+): FleetCommand | undefined {
+  const heardIds = new Set(heard.map(({ engineId }) => engineId));
+  const lost = [...recorded.keys()].filter((id) => !heardIds.has(id));
+  const changed = heard.filter((record) => {
+    const known = recorded.get(record.engineId);
+    return !known || !isSameRecord(known, record);
+  });
+  if (lost.length === 0 && changed.length === 0) return undefined;
+  return { type: "engines", changed, lost };
+}
+
 async function handOver(replica: Replica): Promise<void> {
   if (replica.getState().role !== "leader") return;
   replica.transferLeadership();
--- a/src/gateway/choose_engine.ts
+++ b/src/gateway/choose_engine.ts
@@ -9,10 +9,10 @@
 /** What the choice goes by. */
 export interface ChooseEngineOptions {
   readonly place: string;
-  /** Gateways that send to the same upstreams. */
-  readonly gatewayCount: number;
   /** Upstreams that were tried already. */
   readonly excluded: ReadonlySet<string>;
+  /** Monotonic time, in ms. */
+  readonly nowMs: number;
   /** A number in [0, 1). */
   readonly random: number;
 }
@@ -42,7 +42,9 @@
   options: ChooseEngineOptions,
 ): EngineView | undefined {
   const { excluded, random } = options;
-  const left = engines.filter(({ record }) => !excluded.has(record.engineId));
+  const left = engines.filter(({ record, fullUntilMs }) =>
+    !excluded.has(record.engineId) && fullUntilMs <= options.nowMs
+  );
   if (left.length === 0) return undefined;
   const scores = left.map((engine) => getLoad(engine, options));
   const least = Math.min(...scores);
@@ -51,8 +53,8 @@
 }
 
 function getLoad(engine: EngineView, options: ChooseEngineOptions): number {
-  const { record, inFlight, toldLoad, failureShare } = engine;
-  const own = inFlight * options.gatewayCount / Math.max(1, record.slots);
+  const { record, inFlight, otherRequests, toldLoad, failureShare } = engine;
+  const known = (inFlight + otherRequests) / Math.max(1, record.slots);
   const distance = record.place === options.place ? 0 : OTHER_PLACE_LOAD;
-  return Math.max(own, toldLoad) + failureShare * FAILURE_LOAD + distance;
+  return Math.max(known, toldLoad) + failureShare * FAILURE_LOAD + distance;
 }
--- a/src/gateway/choose_path.ts
+++ b/src/gateway/choose_path.ts
@@ -13,10 +13,12 @@
 export interface ChoosePathOptions {
   readonly model: LayeredModel;
   readonly place: string;
-  /** Gateways that send over the same engines. */
+  /** Gateways of this place; they may all send in the same moment. */
   readonly gatewayCount: number;
   /** Engines that may not be used. */
   readonly excluded: ReadonlySet<string>;
+  /** Monotonic time, in ms. */
+  readonly nowMs: number;
   /** Layer at which the path begins; 0 by default. */
   readonly fromLayer?: number;
 }
@@ -27,15 +29,33 @@
 /** Cost of a hop, in ms for each token: a round on a local network. */
 const HOP_COST_MS = 0.3;
 
-/** Cost, on top, into another data centre: its delay and the shared pipe. */
-const PLACE_COST_MS = 4;
+/**
+ * Cost, on top, of a first engine in another data centre: its delay, and more
+ * than copies differ in pace while they are calm.
+ */
+const ENTRY_PLACE_COST_MS = 6;
+
+/**
+ * Cost, on top, of leaving a data centre on the way: a prompt's activations
+ * are thousands of times larger than the prompt, and all share one pipe.
+ */
+const PLACE_COST_MS = 12;
 
 /** Share of an engine's memory for requests above which it costs more. */
 const BUSY_SHARE = 0.6;
 
+/** Share of an engine's slots above which it costs more as the first. */
+const BUSY_SLOTS_SHARE = 0.4;
+
+/** Cost of a first engine whose slots are all taken, in ms for each token. */
+const FULL_SLOTS_COST_MS = 40;
+
 /** Factor on an engine's cost where its memory for requests is full. */
 const FULL_FACTOR = 8;
 
+/** Factor on the cost of an engine that has just refused for want of room. */
+const REFUSED_FACTOR = 100;
+
 /** Factor on an engine's cost where all its answers failed. */
 const FAILURE_FACTOR = 10;
 
@@ -67,6 +87,7 @@
       fromLayer,
       place,
       hopCost: HOP_COST_MS,
+      entryPlaceCost: ENTRY_PLACE_COST_MS,
       placeCost: PLACE_COST_MS,
       maxParts: MAX_PARTS,
     },
@@ -82,18 +103,38 @@
   options: ChoosePathOptions,
 ): PathEngine {
   const { record, failureShare } = view;
-  const { model, gatewayCount } = options;
+  const { model, nowMs } = options;
   const { engineId, place } = record;
   const range = record.layers ?? { fromLayer: 0, toLayer: 0 };
   const card = model.cards.find(({ name }) => name === record.card);
   const stepMs = model.stepMs * (card?.stepFactor ?? 1) / model.layers;
-  const room = getTokenRoom(view, model);
-  const used = view.tokensInFlight * gatewayCount / Math.max(1, room);
-  const busy = Math.min(1, Math.max(0, used - BUSY_SHARE) / (1 - BUSY_SHARE));
+  const busy = getExcess(getUsedMemory(view, options), BUSY_SHARE);
+  const isFull = view.fullUntilMs > nowMs;
   const layerCost = stepMs * (1 + busy * FULL_FACTOR) *
-    (1 + failureShare * FAILURE_FACTOR);
-  const mayBeFirst = view.inFlight * gatewayCount < record.slots;
-  return { engineId, place, ...range, layerCost, mayBeFirst };
+    (1 + failureShare * FAILURE_FACTOR) * (isFull ? REFUSED_FACTOR : 1);
+  const firstCost = FULL_SLOTS_COST_MS *
+    getExcess(getUsedSlots(view, options), BUSY_SLOTS_SHARE);
+  return { engineId, place, ...range, layerCost, firstCost };
+}
+
+// The other gateways' work is known with a lag: what this one has in flight
+// stands for what its neighbours take on in the same moment.
+function getUsedMemory(view: EngineView, options: ChoosePathOptions): number {
+  const { tokensInFlight, otherTokens } = view;
+  const told = tokensInFlight + otherTokens;
+  const alike = tokensInFlight * options.gatewayCount;
+  return Math.max(told, alike) / Math.max(1, getTokenRoom(view, options.model));
+}
+
+function getUsedSlots(view: EngineView, options: ChoosePathOptions): number {
+  const { inFlight, otherRequests, record } = view;
+  const told = inFlight + otherRequests;
+  return Math.max(told, inFlight * options.gatewayCount) / record.slots;
+}
+
+/** How far a share is above a threshold: 0 below it, 1 at the whole. */
+function getExcess(share: number, threshold: number): number {
+  return Math.min(1, Math.max(0, share - threshold) / (1 - threshold));
 }
 
 /**
--- a/src/gateway/create_engine_table.ts
+++ b/src/gateway/create_engine_table.ts
@@ -6,21 +6,27 @@
  */
 
 import type { EngineRecord } from "../engines/index.ts";
-import type { LeaderMessage } from "../fleet/index.ts";
+import type { EngineLoads, LeaderMessage } from "../fleet/index.ts";
 import type { Logger } from "../logs/index.ts";
 
 /** An upstream with what this gateway saw of it. */
 export interface EngineView {
   /** Newest record; the view itself stays the same while it changes. */
   record: EngineRecord;
-  /** Requests of this gateway that it works on. */
+  /** Requests of this gateway that begin there. */
   inFlight: number;
-  /** Tokens of these requests. */
+  /** Tokens of this gateway's requests on it. */
   tokensInFlight: number;
+  /** Requests of the other gateways that begin there, as the leader told. */
+  otherRequests: number;
+  /** Tokens of the other gateways' requests on it. */
+  otherTokens: number;
   /** Newest load that it told, over its slots. */
   toldLoad: number;
   /** Until when it is left out, in ms. */
   suspectUntilMs: number;
+  /** Until when it counts as full, in ms. */
+  fullUntilMs: number;
   /** How often in a row it was suspected. */
   suspicions: number;
   /** Share of its newest answers that failed, smoothed. */
@@ -30,12 +36,18 @@
 /** The upstreams as a gateway knows them. */
 export interface EngineTable {
   take(message: LeaderMessage & { type: "engines" }): void;
+  /** Takes what the other gateways have in flight. */
+  takeLoads(loads: EngineLoads): void;
+  /** What this gateway has in flight. */
+  getLoads(): EngineLoads;
   /** Upstreams of a service that take new work. */
   listUsable(service: string): EngineView[];
   get(engineId: string): EngineView | undefined;
   findByAddress(address: string): EngineView | undefined;
   /** Leaves an upstream out for a while; longer each time in a row. */
   suspect(engineId: string, reason: string): void;
+  /** Leaves an upstream out for a moment: it had no room. */
+  noteFull(engineId: string): void;
   /** Notes how an answer ended. */
   noteAnswer(engineId: string, outcome: { failed: boolean }): void;
   /** Upstreams suspected since the last call. */
@@ -49,6 +61,9 @@
 /** Ms for which it is left out at most. */
 const MAX_SUSPECT_MS = 6_000;
 
+/** Ms for which an upstream that had no room is not asked again. */
+const FULL_MS = 200;
+
 /** Weight of the newest answer in the smoothed share of failures. */
 const FAILURE_WEIGHT = 0.2;
 
@@ -81,8 +96,11 @@
     engines.set(record.engineId, {
       inFlight: 0,
       tokensInFlight: 0,
+      otherRequests: 0,
+      otherTokens: 0,
       toldLoad: 0,
       suspectUntilMs: 0,
+      fullUntilMs: 0,
       suspicions: 0,
       failureShare: 0,
       record,
@@ -101,10 +119,25 @@
       const named = new Set(records.map(({ engineId }) => engineId));
       [...engines.keys()].filter((id) => !named.has(id)).forEach(remove);
     },
+    takeLoads(loads) {
+      for (const [engineId, engine] of engines) {
+        engine.otherRequests = loads[engineId]?.requests ?? 0;
+        engine.otherTokens = loads[engineId]?.tokens ?? 0;
+      }
+    },
+    getLoads: () =>
+      Object.fromEntries(
+        [...engines].flatMap(([engineId, engine]) => {
+          const { inFlight: requests, tokensInFlight: tokens } = engine;
+          return requests + tokens > 0
+            ? [[engineId, { tokens, requests }]]
+            : [];
+        }),
+      ),
     listUsable: (service) =>
-      [...engines.values()].filter(({ record, suspectUntilMs }) =>
-        record.service === service && !record.isLeaving &&
-        suspectUntilMs <= now()
+      [...engines.values()].filter((engine) =>
+        engine.record.service === service && !engine.record.isLeaving &&
+        engine.suspectUntilMs <= now()
       ),
     get: (engineId) => engines.get(engineId),
     findByAddress: (address) =>
@@ -124,6 +157,10 @@
       engine.suspectUntilMs = now() + restMs;
       log("engineSuspected", { engineId, reason, restMs });
     },
+    noteFull(engineId) {
+      const engine = engines.get(engineId);
+      if (engine) engine.fullUntilMs = now() + FULL_MS;
+    },
     noteAnswer(engineId, { failed }) {
       const engine = engines.get(engineId);
       if (!engine) return;
--- a/src/gateway/create_exchanger.ts
+++ b/src/gateway/create_exchanger.ts
@@ -6,6 +6,7 @@
  */
 
 import type { Buffer } from "node:buffer";
+import process from "node:process";
 import { buildConnector, type Dispatcher, Pool } from "undici";
 import type { CallerCodec, UpstreamHead } from "./protocol.ts";
 
@@ -57,6 +58,9 @@
 /** Ms by which a connection is closed before the upstream would close it. */
 const KEEP_ALIVE_MARGIN_MS = 1_000;
 
+/** Code of a reset that the library does not take for an end. */
+const RESET_CODE = "CONNECTION_WAS_RESET";
+
 /**
  * Makes an exchanger.
  *
@@ -68,12 +72,22 @@
  */
 export function createExchanger(codec: CallerCodec): Exchanger {
   const pools = new Map<string, Pool>();
+  // True while the end of a connection that was reset is told; the library
+  // ends its answer in the same turn.
+  let isEndedByReset = false;
+
+  function noteResetEnd(): void {
+    isEndedByReset = true;
+    process.nextTick(() => {
+      isEndedByReset = false;
+    });
+  }
 
   function getPool(engineId: string, address: string): Pool {
     const known = pools.get(engineId);
     if (known) return known;
     const pool = new Pool(`http://${address}`, {
-      connect: createConnector(),
+      connect: createConnector(noteResetEnd),
       pipelining: 1,
       keepAliveTimeout: KEEP_ALIVE_MS,
       keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
@@ -131,7 +145,10 @@
       onResponseData(_controller, chunk) {
         if (!isEnded) options.onData(chunk);
       },
-      onResponseEnd: () => end({ type: "complete" }),
+      onResponseEnd() {
+        if (isEndedByReset) fail("reset behind the data");
+        else end({ type: "complete" });
+      },
       onResponseError: (_controller, error) => fail(error.message),
     };
     getPool(engineId, address).dispatch(
@@ -163,15 +180,23 @@
   };
 }
 
-// The library takes a reset at the end of an answer without a length for its
-// end. An answer that was reset is not complete, so its sign is renamed.
-function createConnector(): buildConnector.connector {
+// An answer without a length ends with its connection, and one that is reset
+// is not complete. Two signs of a reset get lost on the way: the library takes
+// the error for an end, and the runtime tells an end where the reset came right
+// behind the data. In the second case the peer's address is gone at the end; it
+// is looked at only then, for the runtime keeps the first one it reads.
+function createConnector(
+  onResetEnd: () => void,
+): buildConnector.connector {
   const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS * 4 });
   return (options, done) => {
     connect(options, (...result) => {
       const socket = result[1];
       socket?.prependListener("error", (error: NodeJS.ErrnoException) => {
-        if (error.code === "ECONNRESET") error.code = "ERESET";
+        if (error.code === "ECONNRESET") error.code = RESET_CODE;
+      });
+      socket?.prependListener("end", () => {
+        if (socket.remoteAddress === undefined) onResetEnd();
       });
       done(...result);
     });
--- /dev/null
+++ b/src/gateway/create_exchanger_test.ts
@@ -0,0 +1,173 @@
+import { Buffer } from "node:buffer";
+import { type AddressInfo, createServer, type Socket } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { createExchanger, type ExchangeEnd } from "./create_exchanger.ts";
+import type { CallerCodec, UpstreamHead } from "./protocol.ts";
+
+const codec = {
+  readUpstreamHead: (status, headers): UpstreamHead => ({
+    status,
+    headers: [],
+    requestId: String(headers["x-id"] ?? ""),
+    isSigned: true,
+    saysNotRun: false,
+    faultAddress: undefined,
+    load: undefined,
+    isEventStream: false,
+  }),
+} as CallerCodec;
+
+/** Serves each request on a raw socket as the test says. */
+async function startRawServer(answer: (socket: Socket) => void) {
+  const server = createServer((socket) => {
+    socket.on("data", () => answer(socket));
+    socket.on("error", () => {});
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, "127.0.0.1", resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  return {
+    address: `127.0.0.1:${port}`,
+    async [Symbol.asyncDispose]() {
+      await new Promise((resolve) => server.close(resolve));
+    },
+  };
+}
+
+async function exchange(
+  answer: (socket: Socket) => void,
+  requestId = "r1",
+): Promise<{ end: ExchangeEnd; body: string; status: number | undefined }> {
+  await using server = await startRawServer(answer);
+  await using exchanger = createExchanger(codec);
+  const chunks: Buffer[] = [];
+  let status: number | undefined;
+  const end = await new Promise<ExchangeEnd>((resolve) => {
+    exchanger.start({
+      engineId: "e",
+      address: server.address,
+      method: "POST",
+      target: "/x",
+      headers: [],
+      body: Buffer.from("hello"),
+      requestId,
+      onHead: (head) => {
+        status = head.status;
+      },
+      onData: (chunk) => void chunks.push(chunk),
+      onEnd: resolve,
+    });
+  });
+  return { end, body: Buffer.concat(chunks).toString(), status };
+}
+
+const HEAD = "HTTP/1.1 200 OK\r\nx-id: r1\r\n";
+
+test("an answer with a length is complete when it is all there", async () => {
+  const { end, body } = await exchange((socket) =>
+    socket.write(`${HEAD}content-length: 4\r\n\r\nabcd`)
+  );
+  assert.is(end.type, "complete");
+  assert.is(body, "abcd");
+});
+
+test("an answer without a length is complete when the connection ends", async () => {
+  const { end, body } = await exchange((socket) =>
+    socket.end(`${HEAD}\r\nabcd`)
+  );
+  assert.is(end.type, "complete");
+  assert.is(body, "abcd");
+});
+
+for (
+  const [name, head] of Object.entries({
+    "without a length": `${HEAD}\r\n`,
+    "without a length, closing": `${HEAD}connection: close\r\n\r\n`,
+    "in chunks, closing":
+      `${HEAD}connection: close\r\ntransfer-encoding: chunked\r\n\r\n2\r\nab\r\n`,
+    "with a length": `${HEAD}content-length: 9\r\n\r\n`,
+  })
+) {
+  test(`an answer that is reset is broken: ${name}`, async () => {
+    const { end } = await exchange((socket) => {
+      socket.write(`${head}ab`);
+      setTimeout(() => socket.resetAndDestroy(), 30);
+    });
+    assert.is(end.type, "broken");
+  });
+
+  test(`an answer that is reset at once is broken: ${name}`, async () => {
+    const { end } = await exchange((socket) => {
+      socket.write(`${head}ab`, () => socket.resetAndDestroy());
+    });
+    assert.is(end.type, "broken");
+  });
+}
+
+test("an answer in chunks that ends early is broken", async () => {
+  const { end } = await exchange((socket) =>
+    socket.end(`${HEAD}transfer-encoding: chunked\r\n\r\n2\r\nab\r\n`)
+  );
+  assert.is(end.type, "broken");
+});
+
+test("an answer to another request is broken and tells no head", async () => {
+  const { end, status } = await exchange(
+    (socket) => socket.write(`${HEAD}content-length: 0\r\n\r\n`),
+    "r2",
+  );
+  assert.is(end.type, "broken");
+  assert.is(status, undefined);
+});
+
+test("a connection that nobody takes has sent nothing", async () => {
+  await using exchanger = createExchanger(codec);
+  const end = await new Promise<ExchangeEnd>((resolve) => {
+    exchanger.start({
+      engineId: "e",
+      address: "127.0.0.1:9",
+      method: "POST",
+      target: "/x",
+      headers: [],
+      body: null,
+      requestId: "r1",
+      onHead: () => {},
+      onData: () => {},
+      onEnd: resolve,
+    });
+  });
+  assert.is(end.type, "notSent");
+});
+
+test("a second answer on a connection reaches nobody", async () => {
+  const whole = `${HEAD}content-length: 1\r\n\r\na`;
+  await using server = await startRawServer((socket) =>
+    socket.write(whole + whole)
+  );
+  await using exchanger = createExchanger(codec);
+  for (const requestId of ["r1", "r1"]) {
+    const body: string[] = [];
+    const end = await new Promise<ExchangeEnd>((resolve) => {
+      exchanger.start({
+        engineId: "e",
+        address: server.address,
+        method: "POST",
+        target: "/x",
+        headers: [],
+        body: null,
+        requestId,
+        onHead: () => {},
+        onData: (chunk) => void body.push(chunk.toString()),
+        onEnd: resolve,
+      });
+    });
+    assert.is(end.type, "complete");
+    assert.equal(body, ["a"]);
+    await sleep(20);
+  }
+});
+
+test.run();
--- a/src/gateway/create_fleet_link.ts
+++ b/src/gateway/create_fleet_link.ts
@@ -6,6 +6,7 @@
 
 import type { ClientDuplexStream } from "@grpc/grpc-js";
 import type {
+  EngineLoads,
   GatewayMessage,
   GatewayRecord,
   LeaderMessage,
@@ -25,6 +26,8 @@
   /** Version of the configuration in force here; -1 without any. */
   readonly getVersion: () => number;
   readonly takeSuspects: () => readonly string[];
+  /** This gateway's work in flight. */
+  readonly getLoads: () => EngineLoads;
   readonly onMessage: (message: LeaderMessage) => void;
   /** Called when the leader surely held this version at `sentMs`. */
   readonly onConfirmed: (sentMs: number, version: number) => void;
@@ -59,6 +62,8 @@
   readonly stream: SessionStream;
   heardMs: number;
   isWelcome: boolean;
+  /** Loads that the leader was told, as text. */
+  toldLoads: string;
 }
 
 /**
@@ -90,6 +95,7 @@
       stream,
       heardMs: now(),
       isWelcome: false,
+      toldLoads: "{}",
     };
     session = opened;
     stream.on("data", ({ json }: wire.FleetMessage) => {
@@ -158,11 +164,16 @@
   function beat(): void {
     if (!session?.isWelcome) return;
     beatDueMs = now() + BEAT_INTERVAL_MS;
+    const loads = options.getLoads();
+    const told = JSON.stringify(loads);
+    const isNews = told !== session.toldLoads;
+    session.toldLoads = told;
     send(session, {
       type: "beat",
       sentMs: now(),
       isReady: options.getGateway().isReady,
       suspects: options.takeSuspects(),
+      ...(isNews ? { loads } : {}),
     });
   }
 
--- a/src/gateway/serve_plain_call.ts
+++ b/src/gateway/serve_plain_call.ts
@@ -90,8 +90,8 @@
     function choose(): EngineView | undefined {
       return chooseEngine(engines.listUsable(service), {
         place: context.place,
-        gatewayCount: context.getGatewayCount(),
         excluded,
+        nowMs: now(),
         random: context.random(),
       });
     }
--- a/src/gateway/serve_stream_call.ts
+++ b/src/gateway/serve_stream_call.ts
@@ -24,9 +24,6 @@
 /** Ms of silence after which the first engine is asked what stands still. */
 const STALL_CHECK_MS = 400;
 
-/** Ms of silence after which the stream goes on elsewhere. */
-const STALL_LIMIT_MS = 1_500;
-
 /** Ms for a question or an order to an engine. */
 const ENGINE_CONTROL_TIMEOUT_MS = 400;
 
@@ -42,6 +39,9 @@
 /** Ms for which a begun stream waits for a path. */
 const MAX_PATH_WAIT_MS = 1_500;
 
+/** Ms for which a new request waits for one: a lost range is soon held again. */
+const NEW_PATH_WAIT_MS = 1_000;
+
 /** One send of the call. */
 interface Leg {
   /** First engine; the others are in the path. */
@@ -73,7 +73,7 @@
     const { request, response, route, service } = call;
     const { engines, budget, now, log, codec } = context;
     const { requestId } = request;
-    const tokens = request.promptTokens + request.answerTokens;
+    const tokens = estimateTokens();
     const excluded = new Set<string>();
     const isResumable = route.repeatability === "resumable";
     let lastEventId = request.lastEventId;
@@ -83,6 +83,9 @@
     let leg: Leg | undefined;
     let eventCount = 0;
     let progressMs = now();
+    let firstEventMs: number | undefined;
+    let lastEventMs = 0;
+    let longestGapMs = 0;
     let checking = false;
     const deadlineTimer = setTimeout(
       finishTimedOut,
@@ -91,6 +94,12 @@
     const stallTimer = setInterval(checkStall, STALL_TICK_MS);
     response.on("close", () => end("caller left"));
 
+    // Callers name the most that an answer may hold; most hold far less.
+    function estimateTokens(): number {
+      const usual = getModel()?.usualAnswerTokens ?? request.answerTokens;
+      return request.promptTokens + Math.min(usual, request.answerTokens);
+    }
+
     function end(outcome: string): void {
       if (ended) return;
       ended = true;
@@ -106,6 +115,8 @@
         tries,
         runs,
         events: eventCount,
+        firstEventMs: firstEventMs && Math.round(firstEventMs - call.startedMs),
+        longestGapMs: Math.round(longestGapMs),
         tookMs,
         service,
       });
@@ -132,13 +143,19 @@
       const model = getModel();
       const { place } = context;
       if (model) {
-        const gatewayCount = context.getPlaceGatewayCount();
-        return choosePath(usable, { model, place, gatewayCount, excluded });
+        const path = choosePath(usable, {
+          model,
+          place,
+          gatewayCount: context.getPlaceGatewayCount(),
+          excluded,
+          nowMs: now(),
+        });
+        return path?.some(isFull) ? undefined : path;
       }
       const engine = chooseEngine(usable, {
         place,
-        gatewayCount: context.getGatewayCount(),
         excluded,
+        nowMs: now(),
         random: context.random(),
       });
       if (!engine) return undefined;
@@ -146,6 +163,10 @@
       return [{ engineId, address, fromLayer: 0, toLayer: 0 }];
     }
 
+    function isFull({ engineId }: AddressedPart): boolean {
+      return (engines.get(engineId)?.fullUntilMs ?? 0) > now();
+    }
+
     function getModel(): LayeredModel | undefined {
       return context.getTable()?.getService(service)?.model;
     }
@@ -162,9 +183,10 @@
 
     function waitForPath(): void {
       const waitedMs = now() - progressMs;
-      if (!response.headersSent || waitedMs > MAX_PATH_WAIT_MS) {
-        return giveUp("no path");
-      }
+      const limitMs = response.headersSent
+        ? MAX_PATH_WAIT_MS
+        : NEW_PATH_WAIT_MS;
+      if (waitedMs > limitMs) return giveUp("no path");
       // Engines that were left out for this call may be back by then.
       excluded.clear();
       setTimeout(next, PATH_WAIT_MS);
@@ -272,7 +294,13 @@
       sent: Leg,
     ): void {
       if (ended) return;
-      progressMs = now();
+      const atMs = now();
+      if (firstEventMs !== undefined) {
+        longestGapMs = Math.max(longestGapMs, atMs - lastEventMs);
+      }
+      firstEventMs ??= atMs;
+      lastEventMs = atMs;
+      progressMs = atMs;
       if (event.id !== undefined) {
         // A run that goes on may begin with what the caller already has.
         if (!isAfter(event.id, lastEventId)) return;
@@ -333,7 +361,7 @@
       const tookMs = now() - sent.sentMs;
       if (head.status === 421 || tookMs > DEAD_REFUSAL_MS) {
         engines.suspect(faulty, `refused with ${head.status}`);
-      }
+      } else engines.noteFull(faulty);
       log("callNotRun", { requestId, faulty, status: head.status, tookMs });
       next();
     }
@@ -359,7 +387,6 @@
       const silentMs = now() - progressMs;
       if (!leg || checking || silentMs < STALL_CHECK_MS) return;
       if (!isResumable || !getModel()) return;
-      if (silentMs > STALL_LIMIT_MS) return moveOn(leg, "silent");
       checking = true;
       void askFirstEngine(leg).finally(() => {
         checking = false;
@@ -368,12 +395,10 @@
 
     async function askFirstEngine(asked: Leg): Promise<void> {
       const { address, engineId } = asked.engine.record;
-      const timeoutMs = ENGINE_CONTROL_TIMEOUT_MS;
       const sinceMs = progressMs;
       let stalledAt: string | undefined;
       try {
-        const stalled = await context.engineControl
-          .readStalled(address, { timeoutMs });
+        const stalled = await context.stallWatch.ask(address);
         stalledAt = stalled.find((one) => one.requestId === requestId)?.address;
       } catch (error) {
         log("engineAsked", { requestId, engineId, error });
@@ -415,6 +440,7 @@
         place: asked.engine.record.place,
         gatewayCount: context.getPlaceGatewayCount(),
         excluded: new Set([...excluded, first.engineId]),
+        nowMs: now(),
         fromLayer: first.toLayer,
       });
       return rest && [first, ...rest];
--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -22,6 +22,7 @@
 import { createExchanger } from "./create_exchanger.ts";
 import { createFleetLink } from "./create_fleet_link.ts";
 import { createRepeatBudget } from "./create_repeat_budget.ts";
+import { createStallWatch } from "./create_stall_watch.ts";
 import type {
   CallerCodec,
   CallerRequest,
@@ -83,6 +84,18 @@
 /** Ms after which a caller may come again where this gateway can't serve. */
 const NOT_READY_RETRY_MS = 300;
 
+/**
+ * Ms for which a gateway that has just started lets requests wait for its
+ * first configuration: about as long as a new leader takes to be found.
+ */
+const START_WAIT_MS = 1_800;
+
+/** Gateways assumed for the budget of repeats while none are known. */
+const UNKNOWN_GATEWAYS = 50;
+
+/** Ms between two looks whether the first configuration is there. */
+const START_POLL_MS = 10;
+
 /** Ms in which callers and the other gateways hear of a leave. */
 const LEAVE_NEWS_MS = 2_500;
 
@@ -128,13 +141,16 @@
     );
   const budget = createRepeatBudget({
     ...settings.repeats,
-    getGatewayCount: () => Math.max(1, gateways.length),
+    // A gateway that has just started knows none and takes a small share.
+    getGatewayCount: () =>
+      gateways.length === 0 ? UNKNOWN_GATEWAYS : gateways.length,
     now,
   });
   const context: ServingContext = {
     place,
     codec,
     engineControl: options.engineControl,
+    stallWatch: createStallWatch({ engineControl: options.engineControl, now }),
     engines,
     exchanger,
     budget,
@@ -157,6 +173,8 @@
       case "engines":
         knowsEngines = true;
         return engines.take(message);
+      case "loads":
+        return engines.takeLoads(message.loads);
       case "gateways":
         gateways = message.gateways;
         return;
@@ -176,6 +194,7 @@
     getGateway: () => ({ vm, place, address, isReady: isReady() }),
     getVersion: () => table?.version ?? -1,
     takeSuspects: engines.takeSuspects,
+    getLoads: engines.getLoads,
     onMessage: takeMessage,
     onConfirmed: (sentMs, version) =>
       lease.confirm({ sentMs, version, held: table?.version ?? -1 }),
@@ -235,6 +254,7 @@
     taken: Pick<Call, "request" | "response" | "body" | "startedMs">,
   ): Promise<void> {
     const { request, response, startedMs } = taken;
+    await untilStarted(taken);
     const decided = decide(request);
     if (!decided.call) return refuse(request, response, decided.refusal);
     const { route, account, service } = decided.call;
@@ -251,6 +271,16 @@
     else await servePlainCall(call, context);
   }
 
+  async function untilStarted(
+    taken: Pick<Call, "startedMs" | "response">,
+  ): Promise<void> {
+    const hasStarted = () => table !== undefined && knowsEngines;
+    while (!hasStarted() && !isLastCall && !taken.response.destroyed) {
+      if (now() - taken.startedMs > START_WAIT_MS) return;
+      await sleep(START_POLL_MS);
+    }
+  }
+
   function decide(request: CallerRequest):
     | {
       readonly call: Pick<Call, "route" | "account" | "service">;
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -12,6 +12,7 @@
 import type { EngineTable } from "./create_engine_table.ts";
 import type { Exchanger } from "./create_exchanger.ts";
 import type { RepeatBudget } from "./create_repeat_budget.ts";
+import type { StallWatch } from "./create_stall_watch.ts";
 import type { CallerCodec, CallerRequest, EngineControl } from "./protocol.ts";
 
 /** A request that is let in, with all that was decided about it. */
@@ -33,6 +34,7 @@
   readonly place: string;
   readonly codec: CallerCodec;
   readonly engineControl: EngineControl;
+  readonly stallWatch: StallWatch;
   readonly engines: EngineTable;
   readonly exchanger: Exchanger;
   readonly budget: RepeatBudget;
--- a/src/layers/find_layer_path.ts
+++ b/src/layers/find_layer_path.ts
@@ -13,8 +13,8 @@
   readonly place: string;
   /** Cost of one layer on it; the unit is the caller's. */
   readonly layerCost: number;
-  /** Whether it may be the first of a path. */
-  readonly mayBeFirst: boolean;
+  /** Cost of being the first of a path; undefined where it may not be. */
+  readonly firstCost: number | undefined;
 }
 
 /** What a path costs besides its layers. */
@@ -26,7 +26,9 @@
   readonly place: string;
   /** Cost of going on to another engine. */
   readonly hopCost: number;
-  /** Cost, on top, where that engine is in another data centre. */
+  /** Cost, on top, where the first engine is in another data centre. */
+  readonly entryPlaceCost: number;
+  /** Cost, on top, where a later one is in another than the one before. */
   readonly placeCost: number;
   /** Parts that a path may have at most. */
   readonly maxParts: number;
@@ -72,7 +74,7 @@
     if (reached.length === 0 || cut === layers) continue;
     for (const engine of engines) {
       if (engine.fromLayer > cut || engine.toLayer <= cut) continue;
-      if (cut === 0 && !engine.mayBeFirst) continue;
+      if (cut === 0 && engine.firstCost === undefined) continue;
       const before = findCheapest(reached, engine, { place, options });
       if (!before || before.step.parts >= options.maxParts) continue;
       extend({ engine, cut, cuts, before, ends });
@@ -104,12 +106,17 @@
   engine: PathEngine,
   context: { place: string; options: FindLayerPathOptions },
 ): CheapestStep | undefined {
-  const { place, options: { hopCost, placeCost } } = context;
+  const { place, options: { hopCost, placeCost, entryPlaceCost } } = context;
   let best: CheapestStep | undefined;
   for (const step of reached) {
     if (step.engine?.engineId === engine.engineId) continue;
     const from = step.engine?.place ?? place;
-    const cost = step.cost + hopCost + (from === engine.place ? 0 : placeCost);
+    const awayCost = step.engine ? placeCost : entryPlaceCost;
+    const firstCost = step.fromLayer === 0 && !step.engine
+      ? engine.firstCost ?? 0
+      : 0;
+    const cost = step.cost + hopCost + firstCost +
+      (from === engine.place ? 0 : awayCost);
     if (!best || cost < best.cost) best = { step, cost };
   }
   return best;
--- a/src/layers/layers_test.ts
+++ b/src/layers/layers_test.ts
@@ -127,6 +127,7 @@
   layers: 80,
   place: "a",
   hopCost: 0.3,
+  entryPlaceCost: 2,
   placeCost: 4,
   maxParts: 32,
 };
@@ -143,7 +144,7 @@
     fromLayer,
     toLayer,
     layerCost: 0.1,
-    mayBeFirst: true,
+    firstCost: 0,
     ...fields,
   };
 }
@@ -157,6 +158,16 @@
   assert.equal(path?.map(({ engineId }) => engineId), ["a1", "a2"]);
 });
 
+test("another data centre's whole copy is better than two changes on the way", () => {
+  const path = findLayerPath([
+    makeHolder("a1", [0, 30]),
+    makeHolder("a3", [50, 80]),
+    makeHolder("b1", [0, 45], { place: "b" }),
+    makeHolder("b2", [45, 80], { place: "b" }),
+  ], OPTIONS);
+  assert.equal(path?.map(({ engineId }) => engineId), ["b1", "b2"]);
+});
+
 test("a missing range is patched with parts of other data centres' ranges", () => {
   const path = findLayerPath([
     makeHolder("a1", [0, 30]),
@@ -183,7 +194,7 @@
     size: fc.integer({ min: 1, max: 40 }),
     place: fc.constantFrom("a", "b"),
     layerCost: fc.constantFrom(0.01, 0.1, 1),
-    mayBeFirst: fc.boolean(),
+    firstCost: fc.constantFrom(undefined, 0, 5),
   });
   fc.assert(
     fc.property(fc.array(holder, { maxLength: 30 }), (holders) => {
@@ -203,7 +214,7 @@
         assert.ok(engine.toLayer >= part.toLayer);
         next = part.toLayer;
       }
-      assert.ok(engines[Number(path[0].engineId)].mayBeFirst);
+      assert.ok(engines[Number(path[0].engineId)].firstCost !== undefined);
       const ids = new Set(path.map(({ engineId }) => engineId));
       assert.is(ids.size, path.length);
       return next === 80;
--- a/src/logs/events.ts
+++ b/src/logs/events.ts
@@ -84,7 +84,7 @@
     "warn",
     "Platform's list could not be read",
   ),
-  requestRefused: event("CL1501", "debug", "Request refused"),
+  requestRefused: event("CL1501", "info", "Request refused"),
   requestEnded: event("CL1502", "debug", "Request ended"),
   requestFailed: event("CL1503", "warn", "Request came to a bad end"),
   pipelineInvariant: event(
@@ -112,6 +112,11 @@
     "Quorum membership could not be changed",
   ),
   engineSuspected: event("CL1712", "warn", "Upstream is left out for a while"),
+  enginesNotRecorded: event(
+    "CL1713",
+    "warn",
+    "Upstreams heard of could not be recorded",
+  ),
   callSent: event("CL1801", "debug", "Request was sent to an upstream"),
   callNotRun: event("CL1802", "info", "Upstream did not run the request"),
   callBroken: event("CL1803", "info", "Answer broke off or failed"),
