A stand-in of the platform's engines; the whole path and its failures tested

Change: standins/start_layer_engine.ts (beats, layers, orders, paths, stalls, resets, cut events, lost and mixed answers) and test/fleet_test.ts with control processes and gateways around it; a launcher that loads the bundle with V8's code cache. Ruled out: tests through the bundle (settings files, ports and logs would hide what is tested).

--- a/scripts/build_target.mjs
+++ b/scripts/build_target.mjs
@@ -1,7 +1,8 @@
 // Bundles the program that runs on the platform into target/: one file loads
 // in a fraction of the time that the packages' many files take.
 import { execFileSync } from "node:child_process";
-import { existsSync, statSync } from "node:fs";
+import { copyFileSync, existsSync, rmSync, statSync } from "node:fs";
+import process from "node:process";
 
 const lock = "node_modules/.package-lock.json";
 const isInstalled = existsSync(lock) &&
@@ -14,7 +15,7 @@
 const { build } = await import("esbuild");
 await build({
   entryPoints: ["platform/main.ts"],
-  outfile: "target/crowlever.cjs",
+  outfile: "target/bundle.cjs",
   bundle: true,
   minify: true,
   keepNames: true,
@@ -26,3 +27,11 @@
   format: "cjs",
   logLevel: "warning",
 });
+// The cache fits only a runtime with the flags under which it was made: these
+// are the ones in deploy/system.toml.
+const FLAGS = ["--max-old-space-size=160", "--max-semi-space-size=4"];
+rmSync("target/bundle.cache", { force: true });
+copyFileSync("scripts/launch.cjs", "target/crowlever.cjs");
+execFileSync(process.execPath, [...FLAGS, "target/crowlever.cjs"], {
+  env: { ...process.env, CREATE_CACHE: "1" },
+});
--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -342,6 +342,9 @@
     while (inFlight > 0 && leftMs() > 0) await sleep(20);
     if (inFlight > 0) log("drainTimedOut", { inFlight });
     await link[Symbol.asyncDispose]();
+    server.server.closeAllConnections();
+    await server.close();
+    await exchanger[Symbol.asyncDispose]();
   }
 
   return {
--- a/standins/index.ts
+++ b/standins/index.ts
@@ -6,5 +6,6 @@
 
 export * from "./engine_math.ts";
 export * from "./start_engine.ts";
+export * from "./start_layer_engine.ts";
 export * from "./start_plain_service.ts";
 export * from "./start_platform.ts";
--- /dev/null
+++ b/standins/start_layer_engine.ts
@@ -0,0 +1,313 @@
+/**
+ * A stand-in of an engine on the users' platform: registers by heartbeat,
+ * holds a range of layers, streams events over a path, obeys orders.
+ *
+ * It does not pass the work on: as the first engine of a path it asks the
+ * others whether they hold their parts, and makes the events itself.
+ *
+ * @module
+ */
+
+import { createServer, type ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+import type { Socket } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
+import { request } from "undici";
+import { ENGINE_CALL, HEADER } from "../platform/names.ts";
+
+/** What an engine does wrong from now on. */
+export interface LayerEngineFault {
+  /** Resets a stream after so many of its events, once. */
+  resetAfterEvents?: number;
+  /** Cuts the event after which it resets in two. */
+  cutsEvent?: boolean;
+  /** Closes plain requests without an answer, after it ran them. */
+  losesAnswers?: boolean;
+  /** Answers plain requests with the id of another one. */
+  mixesIds?: boolean;
+  /** Refuses all requests as full. */
+  isFull?: boolean;
+  /** Address of an engine for which all streams here wait. */
+  stalledFor?: string;
+}
+
+/** Options of {@link startLayerEngine}. */
+export interface StartLayerEngineOptions {
+  readonly service: string;
+  readonly place: string;
+  /** Where beats go; tried in turn. */
+  readonly controlAddresses: readonly string[];
+  /** Kind of card; absent for a plain service. */
+  readonly card?: string;
+  readonly beatIntervalMs?: number;
+  /** Ms between two events. */
+  readonly eventIntervalMs?: number;
+  /** Events of an answer. */
+  readonly events?: number;
+}
+
+/** A running stand-in. */
+export interface LayerEngine extends AsyncDisposable {
+  readonly engineId: string;
+  readonly address: string;
+  readonly fault: LayerEngineFault;
+  /** Ids of the requests that it ran, with their headers. */
+  readonly runs: readonly EngineRun[];
+  getRange(): readonly [number, number];
+  /** Says in its beats that it leaves; resolves once one is acknowledged. */
+  drain(): Promise<void>;
+  /** Ends without a word. */
+  crash(): Promise<void>;
+}
+
+/** One run of a request. */
+export interface EngineRun {
+  readonly requestId: string;
+  readonly account: string | undefined;
+  readonly lastEventId: string | undefined;
+  readonly body: string;
+  /** Whether the caller's connection closed before its end. */
+  wasCut: boolean;
+}
+
+let nextEngine = 0;
+
+/**
+ * Starts a stand-in of an engine.
+ *
+ * @param options - Its service, place, card, and where its beats go.
+ * @returns The engine.
+ * @throws {Error} When no port is free.
+ * @example
+ * await using engine = await startLayerEngine(options);
+ */
+export async function startLayerEngine(
+  options: StartLayerEngineOptions,
+): Promise<LayerEngine> {
+  const {
+    service,
+    place,
+    card,
+    beatIntervalMs = 200,
+    eventIntervalMs = 5,
+    events = 20,
+  } = options;
+  nextEngine += 1;
+  const engineId = `i-${nextEngine}`;
+  const fault: LayerEngineFault = {};
+  const runs: EngineRun[] = [];
+  const sockets = new Set<Socket>();
+  const paths = new Map<string, string>();
+  let range: readonly [number, number] = [0, 0];
+  let orders = 0;
+  let sequence = 0;
+  let state = "ready";
+  let closed = false;
+  let onDrained: (() => void) | undefined;
+
+  const server = createServer((message, response) => {
+    const chunks: Uint8Array[] = [];
+    message.on("data", (chunk: Uint8Array) => chunks.push(chunk));
+    message.on("end", () => {
+      const body = new TextDecoder().decode(joinBytes(chunks));
+      const { url = "", headers } = message;
+      if (url === ENGINE_CALL.report) return report(response);
+      if (url === ENGINE_CALL.order) return obey(response, body);
+      const get = (name: string) => headers[name] as string | undefined;
+      void serve(response, { get, body }).catch(() => response.destroy());
+    });
+  });
+  server.on("connection", (socket) => {
+    sockets.add(socket);
+    socket.on("close", () => sockets.delete(socket));
+    socket.on("error", () => {});
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as AddressInfo;
+  const address = `127.0.0.1:${port}`;
+
+  function report(response: ServerResponse): void {
+    const stalled = fault.stalledFor === undefined
+      ? []
+      : [...paths.keys()].map((id) => ({ id, address: fault.stalledFor }));
+    sendJson(response, { status: 200, body: { stalled, seq: orders } });
+  }
+
+  function obey(response: ServerResponse, body: string): void {
+    const order = JSON.parse(body);
+    orders += 1;
+    if (order.operation === "place") {
+      range = [order.from, order.targetVersion];
+      return sendJson(response, { status: 202, body: {} });
+    }
+    if (!paths.has(order.id)) {
+      return sendJson(response, { status: 404, body: {} });
+    }
+    paths.set(order.id, order.path);
+    if (!order.path.includes(fault.stalledFor)) fault.stalledFor = undefined;
+    sendJson(response, { status: 200, body: {} });
+  }
+
+  async function serve(
+    response: ServerResponse,
+    options: { get: (name: string) => string | undefined; body: string },
+  ): Promise<void> {
+    const { get, body } = options;
+    const requestId = get(HEADER.requestId) ?? "";
+    const own = { [HEADER.requestId]: requestId };
+    if (get(HEADER.expectedEngine) !== engineId) {
+      response.writeHead(421, { ...own, [HEADER.notRun]: "1" }).end();
+      return;
+    }
+    if (fault.isFull) {
+      response.writeHead(503, { ...own, [HEADER.notRun]: "1" }).end();
+      return;
+    }
+    const run: EngineRun = {
+      requestId,
+      account: get(HEADER.account),
+      lastEventId: get(HEADER.lastEventId),
+      body,
+      wasCut: false,
+    };
+    runs.push(run);
+    response.on("close", () => {
+      run.wasCut = !response.writableFinished;
+    });
+    if (card !== undefined) return await stream(response, { run, get });
+    if (fault.losesAnswers) {
+      response.destroy();
+      return;
+    }
+    const id = fault.mixesIds ? "another" : requestId;
+    const text = `answer to ${requestId}`;
+    response.writeHead(200, {
+      [HEADER.requestId]: id,
+      [HEADER.signature]: "s",
+      "content-length": text.length,
+    }).end(text);
+  }
+
+  async function stream(
+    response: ServerResponse,
+    options: { run: EngineRun; get: (name: string) => string | undefined },
+  ): Promise<void> {
+    const { run, get } = options;
+    const { requestId, lastEventId } = run;
+    paths.set(requestId, get(HEADER.path) ?? "");
+    response.writeHead(200, {
+      [HEADER.requestId]: requestId,
+      [HEADER.signature]: "s",
+      "content-type": "text/event-stream",
+    });
+    let made = 0;
+    for (let id = Number(lastEventId ?? 0) + 1; id <= events; id++) {
+      await sleep(eventIntervalMs);
+      while (fault.stalledFor !== undefined && !closed) await sleep(5);
+      if (response.destroyed) break;
+      if (made === fault.resetAfterEvents) {
+        fault.resetAfterEvents = undefined;
+        if (fault.cutsEvent) response.write(`id: ${id}\nda`);
+        await sleep(5);
+        response.destroy();
+        break;
+      }
+      response.write(`id: ${id}\ndata: token ${id}\n\n`);
+      made += 1;
+    }
+    paths.delete(requestId);
+    response.end();
+  }
+
+  async function beat(): Promise<void> {
+    sequence += 1;
+    const [from, targetVersion] = range;
+    const said = state;
+    const body = JSON.stringify({
+      service,
+      address,
+      zone: place,
+      version: "v1",
+      slots: 8,
+      state,
+      coldLeftMs: 0,
+      seq: sequence,
+      ...(card === undefined ? {} : {
+        routeType: card,
+        models: [{ name: "m", version: 1, adapters: [] }],
+        layers: { from, targetVersion, version: 1 },
+      }),
+    });
+    for (const control of options.controlAddresses) {
+      try {
+        const answer = await request(
+          `http://${control}/api/instances/${engineId}/heartbeat`,
+          {
+            method: "POST",
+            headers: { "content-type": "application/json" },
+            body,
+            signal: AbortSignal.timeout(500),
+          },
+        );
+        await answer.body.dump();
+        if (answer.statusCode !== 200) continue;
+        if (said === "draining") onDrained?.();
+        return;
+      } catch {
+        // The next control process is asked, as on the platform.
+      }
+    }
+  }
+
+  async function keepBeating(): Promise<void> {
+    while (!closed) {
+      await beat();
+      await sleep(beatIntervalMs);
+    }
+  }
+  const beating = keepBeating();
+
+  async function crash(): Promise<void> {
+    closed = true;
+    for (const socket of sockets) socket.resetAndDestroy();
+    await new Promise((resolve) => server.close(resolve));
+    await beating;
+  }
+
+  return {
+    engineId,
+    address,
+    fault,
+    runs,
+    getRange: () => range,
+    drain() {
+      state = "draining";
+      return new Promise((resolve) => {
+        onDrained = resolve;
+      });
+    },
+    crash,
+    async [Symbol.asyncDispose]() {
+      if (!closed) await crash();
+    },
+  };
+}
+
+function joinBytes(chunks: readonly Uint8Array[]): Uint8Array {
+  const size = chunks.reduce((sum, chunk) => sum + chunk.length, 0);
+  const joined = new Uint8Array(size);
+  let at = 0;
+  for (const chunk of chunks) {
+    joined.set(chunk, at);
+    at += chunk.length;
+  }
+  return joined;
+}
+
+function sendJson(
+  response: ServerResponse,
+  answer: { status: number; body: object },
+): void {
+  response.writeHead(answer.status, { "content-type": "application/json" });
+  response.end(JSON.stringify(answer.body));
+}
--- /dev/null
+++ b/test/fleet_test.ts
@@ -0,0 +1,225 @@
+/**
+ * The whole path on the stand-in of the users' platform, and its failures.
+ */
+
+import { setTimeout as sleep } from "node:timers/promises";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { until } from "../demo/launch_fleet.ts";
+import {
+  call,
+  LAYERS,
+  makeWireConfig,
+  startTestFleet,
+  type TestFleet,
+} from "./support/fleet.ts";
+
+const EVENTS = 20;
+
+function expectStream(events = EVENTS): string {
+  const ids = Array.from({ length: events }, (_, at) => at + 1);
+  return ids.map((id) => `id: ${id}\ndata: token ${id}\n\n`).join("");
+}
+
+async function untilPlaced(fleet: TestFleet): Promise<void> {
+  const isPlaced = (place: readonly [number, number][]) =>
+    place.reduce((sum, [from, to]) => sum + to - from, 0) === LAYERS;
+  await until("each data centre holds a copy", () => {
+    const ranges = fleet.engines.map((engine) => engine.getRange());
+    return isPlaced(ranges.slice(0, 2).map(([a, b]) => [a, b])) &&
+      isPlaced(ranges.slice(2, 4).map(([a, b]) => [a, b]));
+  });
+  // The ranges reach the gateways with the engines' next beats.
+  await sleep(600);
+}
+
+async function startServing(
+  options: { controls?: number; gateways?: number } = {},
+): Promise<TestFleet> {
+  const fleet = await startTestFleet(options);
+  await until(
+    "a configuration is taken",
+    async () => await fleet.put(makeWireConfig(1)) === 200,
+  );
+  await fleet.settle(1);
+  await untilPlaced(fleet);
+  return fleet;
+}
+
+test("streams and plain calls are served whole", async () => {
+  await using fleet = await startServing();
+  const [{ address }] = fleet.gateways;
+  const stream = await call(address, { path: "/stream/1" });
+  assert.is(stream.status, 200);
+  assert.is(stream.text, expectStream());
+  assert.is(stream.headers["x-server-seal"], "s");
+  const plain = await call(address, { path: "/once/1" });
+  assert.is(plain.text, `answer to ${plain.requestId}`);
+  const runs = fleet.plain.flatMap((engine) => engine.runs);
+  assert.is(runs[0].account, "one");
+  assert.is(runs[0].body, "hello");
+});
+
+test("unknown routes and keys are refused as such", async () => {
+  await using fleet = await startServing({ controls: 1, gateways: 1 });
+  const [{ address }] = fleet.gateways;
+  assert.is((await call(address, { path: "/none/1" })).status, 404);
+  const unknown = await call(address, { path: "/once/1", key: "other" });
+  assert.is(unknown.status, 401);
+});
+
+test("a stream that breaks off goes on elsewhere, each event once", async () => {
+  await using fleet = await startServing();
+  const [{ address }] = fleet.gateways;
+  for (const engine of fleet.engines) {
+    engine.fault.resetAfterEvents = 5;
+    engine.fault.cutsEvent = true;
+  }
+  const { status, text } = await call(address, { path: "/stream/1" });
+  assert.is(status, 200);
+  assert.is(text, expectStream());
+  const runs = fleet.engines.flatMap((engine) => engine.runs);
+  const resumedAfter = runs.map((run) => Number(run.lastEventId ?? 0)).sort();
+  assert.is(resumedAfter[0], 0);
+  assert.ok(resumedAfter.includes(5));
+});
+
+test("a stream that stands still leaves the engine it waits for", async () => {
+  await using fleet = await startServing({ controls: 1, gateways: 1 });
+  const [{ address }] = fleet.gateways;
+  // In the gateway's own place the path goes over both of its engines.
+  const [one, two] = fleet.engines;
+  const [first, second] = one.getRange()[0] === 0 ? [one, two] : [two, one];
+  first.fault.stalledFor = second.address;
+  const { text } = await call(address, { path: "/stream/1" });
+  assert.is(text, expectStream());
+  const runs = fleet.engines.flatMap((engine) => engine.runs);
+  assert.is(runs.length, 1, "it went on where it ran");
+});
+
+test("what must not be repeated runs once, whatever happens to its answer", async () => {
+  await using fleet = await startServing({ controls: 1, gateways: 1 });
+  const [{ address }] = fleet.gateways;
+  for (const engine of fleet.plain) engine.fault.losesAnswers = true;
+  const lost = await call(address, { path: "/once/1" });
+  assert.is(lost.status, 502);
+  const count = () => fleet.plain.flatMap((engine) => engine.runs).length;
+  assert.is(count(), 1);
+});
+
+test("what may be repeated runs again where its answer was lost", async () => {
+  await using fleet = await startServing({ controls: 1, gateways: 1 });
+  const [{ address }] = fleet.gateways;
+  for (const engine of fleet.plain) engine.fault.losesAnswers = true;
+  assert.is((await call(address, { path: "/safe/1" })).status, 502);
+  assert.is(fleet.plain.flatMap((engine) => engine.runs).length, 2);
+});
+
+test("an answer to another request is never passed on", async () => {
+  await using fleet = await startServing({ controls: 1, gateways: 1 });
+  const [{ address }] = fleet.gateways;
+  for (const engine of fleet.plain) engine.fault.mixesIds = true;
+  const answer = await call(address, { path: "/once/1" });
+  assert.is(answer.status, 502);
+  assert.is(answer.headers["x-server-seal"], undefined);
+});
+
+test("a refusal says that it has not run and when to come back", async () => {
+  await using fleet = await startServing({ controls: 1, gateways: 1 });
+  const [{ address }] = fleet.gateways;
+  for (const engine of fleet.plain) engine.fault.isFull = true;
+  const answer = await call(address, { path: "/once/1" });
+  assert.is(answer.status, 503);
+  assert.ok(Number(answer.headers["retry-after"]) > 0);
+  assert.is(fleet.plain.flatMap((engine) => engine.runs).length, 0);
+});
+
+test("work is cancelled when its caller leaves", async () => {
+  await using fleet = await startServing({ controls: 1, gateways: 1 });
+  const [{ address }] = fleet.gateways;
+  const leaving = AbortSignal.timeout(40);
+  const left = call(address, { path: "/stream/1", signal: leaving });
+  await left.then(() => assert.unreachable(), () => {});
+  const runs = () => fleet.engines.flatMap((engine) => engine.runs);
+  await until("the engine's run was cut", () => runs()[0]?.wasCut);
+});
+
+test("an engine that drains gets no new work once it is acknowledged", async () => {
+  await using fleet = await startServing();
+  const [{ address }] = fleet.gateways;
+  const [leaving] = fleet.plain;
+  await leaving.drain();
+  await sleep(100);
+  const before = leaving.runs.length;
+  for (let at = 0; at < 10; at++) await call(address, { path: "/once/1" });
+  assert.is(leaving.runs.length, before);
+});
+
+test("the highest version holds everywhere, resent and older ones are taken", async () => {
+  await using fleet = await startServing();
+  assert.is(await fleet.put(makeWireConfig(7), 1), 200);
+  assert.is(await fleet.put(makeWireConfig(7), 2), 200);
+  assert.is(await fleet.put(makeWireConfig(5), 0), 200);
+  await fleet.settle(7);
+  for (const at of [0, 1, 2]) {
+    const { status, text } = await fleet.readConfig(at);
+    assert.is(status, 200);
+    assert.is(JSON.parse(text).version, 7);
+  }
+  const invalid = makeWireConfig(9) as { services: unknown[] };
+  invalid.services = [];
+  assert.is(await fleet.put(invalid), 400);
+});
+
+test("a key that is taken away is refused, a new one is served", async () => {
+  await using fleet = await startServing({ controls: 1, gateways: 1 });
+  const [{ address }] = fleet.gateways;
+  await fleet.put(makeWireConfig(2, { keys: ["key-2"] }));
+  await fleet.settle(2);
+  assert.is((await call(address, { path: "/once/1" })).status, 401);
+  const served = await call(address, { path: "/once/1", key: "key-2" });
+  assert.is(served.status, 200);
+});
+
+test("the loss of the leader is not felt, and nothing accepted is lost", async () => {
+  await using fleet = await startServing();
+  const [{ address }] = fleet.gateways;
+  const at = fleet.controls.findIndex(({ control }) =>
+    control.getState().role === "leader"
+  );
+  await fleet.controls[at].stop();
+  fleet.controls.splice(at, 1);
+  assert.is((await call(address, { path: "/stream/1" })).status, 200);
+  const other = at === 0 ? 1 : 0;
+  await until(
+    "another leader takes changes",
+    async () => await fleet.put(makeWireConfig(3), other) === 200,
+  );
+  await fleet.settle(3);
+  assert.is(JSON.parse((await fleet.readConfig(other)).text).version, 3);
+  assert.is((await call(address, { path: "/stream/1" })).text, expectStream());
+});
+
+test("a lost range is held again by an empty engine", async () => {
+  await using fleet = await startServing();
+  const [lost] = fleet.engines.splice(0, 1);
+  const range = lost.getRange();
+  await lost.crash();
+  const empty = await fleet.addEngine("p1");
+  await until(
+    "the range is held again",
+    () => empty.getRange()[0] === range[0] && empty.getRange()[1] === range[1],
+  );
+});
+
+test("callers are told the gateways of their data centre", async () => {
+  await using fleet = await startServing();
+  await until(
+    "both gateways are known",
+    () => fleet.gateways[0].gateway.listAddresses("p1").length === 2,
+  );
+  const told = fleet.gateways[0].gateway.listAddresses("elsewhere");
+  assert.equal([...told].sort(), fleet.gateways.map((one) => one.address));
+});
+
+test.run();
--- /dev/null
+++ b/test/support/fleet.ts
@@ -0,0 +1,281 @@
+/**
+ * A fleet on the stand-in of the users' platform: control processes and
+ * gateways in this process, engines and the operator as stand-ins.
+ *
+ * @module
+ */
+
+import { mkdtemp, rm } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { request } from "undici";
+import { findFreePorts, until } from "../../demo/launch_fleet.ts";
+import { callerCodec } from "../../platform/codec.ts";
+import { createControlApi } from "../../platform/control_api.ts";
+import { engineControl, sendLayerOrder } from "../../platform/engine_calls.ts";
+import { type FleetControl, startFleetControl } from "../../src/fleet/index.ts";
+import { type Gateway, startGateway } from "../../src/gateway/index.ts";
+import type { Logger } from "../../src/logs/index.ts";
+import { createMetrics } from "../../src/metrics/index.ts";
+import { type LayerEngine, startLayerEngine } from "../../standins/index.ts";
+
+/** A control process with its data folder. */
+export interface TestControl {
+  readonly callerAddress: string;
+  readonly control: FleetControl;
+  stop(): Promise<void>;
+}
+
+/** A fleet under test. */
+export interface TestFleet extends AsyncDisposable {
+  readonly controls: TestControl[];
+  readonly gateways: readonly { gateway: Gateway; address: string }[];
+  /** Engines that hold layers. */
+  readonly engines: LayerEngine[];
+  /** Engines of the plain service. */
+  readonly plain: readonly LayerEngine[];
+  /** Sends a configuration to one control process. */
+  put(config: object, at?: number): Promise<number>;
+  readConfig(at?: number): Promise<{ status: number; text: string }>;
+  /** Resolves once all gateways hold this version and are ready. */
+  settle(version: number): Promise<void>;
+  addEngine(place?: string): Promise<LayerEngine>;
+}
+
+const SILENT: Logger = () => {};
+
+/** Layers of the model under test. */
+export const LAYERS = 8;
+
+/** The model service's engines on the wire. */
+const ENGINE = {
+  slots: 8,
+  kvTokenBytes: 1_000,
+  models: [{ name: "m", loadS: 0.2 }],
+  step_ms: 1,
+  read_per_s: 100_000,
+  loads_at_once: 6,
+  usual: { prompt: 20, answer: 20 },
+  layers: LAYERS,
+  layerMb: 100,
+  kinds: [{ name: "card", mb: 500, pace: 1, readX: 1 }],
+};
+
+/** Makes a configuration on the wire. */
+export function makeWireConfig(
+  version: number,
+  fields: { keys?: readonly string[]; timeoutMs?: number } = {},
+): object {
+  const { keys = ["key-1"], timeoutMs = 5_000 } = fields;
+  const common = {
+    host: "a.example",
+    timeoutMs,
+    targetLatencyMs: 500,
+    priority: 1,
+    anonymous: false,
+  };
+  return {
+    version,
+    routes: [
+      {
+        ...common,
+        name: "stream",
+        pathPrefix: "/stream/",
+        routeType: "stream",
+        resumable: true,
+        maxAttempts: 2,
+        service: "model",
+      },
+      {
+        ...common,
+        name: "once",
+        pathPrefix: "/once/",
+        routeType: "unsafe",
+        maxAttempts: 1,
+        service: "plain",
+      },
+      {
+        ...common,
+        name: "safe",
+        pathPrefix: "/safe/",
+        routeType: "safe",
+        maxAttempts: 2,
+        service: "plain",
+      },
+    ],
+    services: [
+      { name: "model", maxConns: 100, engine: ENGINE },
+      { name: "plain", maxConns: 100 },
+    ],
+    limits: { maxHeaderBytes: 16_384, maxBodyBytes: 65_536 },
+    tenants: [{ name: "one", apiKeys: keys, priority: 1 }],
+  };
+}
+
+/** A caller's answer. */
+export interface CallAnswer {
+  readonly status: number;
+  readonly text: string;
+  readonly headers: Record<string, string | string[] | undefined>;
+}
+
+let nextRequest = 0;
+
+/** Sends one request as a caller. */
+export async function call(
+  address: string,
+  options: {
+    path: string;
+    key?: string;
+    deadlineMs?: number;
+    signal?: AbortSignal;
+    body?: string;
+  },
+): Promise<CallAnswer & { requestId: string }> {
+  const { path, key = "key-1", deadlineMs = 5_000, signal } = options;
+  nextRequest += 1;
+  const requestId = `request-${nextRequest}`;
+  const answer = await request(`http://${address}${path}`, {
+    method: "POST",
+    headers: {
+      host: "a.example",
+      "x-attempt-id": requestId,
+      "x-deadline-ms": String(deadlineMs),
+      "x-token-usage": "20,20",
+      "x-api-key": key,
+    },
+    body: options.body ?? "hello",
+    signal,
+  });
+  const text = await answer.body.text();
+  const { statusCode: status, headers } = answer;
+  return { status, text, headers, requestId };
+}
+
+/** Starts a fleet. */
+export async function startTestFleet(
+  options: { controls?: number; gateways?: number; events?: number } = {},
+): Promise<TestFleet> {
+  const { controls: controlCount = 3, gateways: gatewayCount = 2 } = options;
+  const folder = await mkdtemp(join(tmpdir(), "fleet-"));
+  const ports = await findFreePorts(controlCount * 2 + gatewayCount);
+  const seeds = Array.from({ length: controlCount }, (_, at) => ({
+    callerAddress: `127.0.0.1:${ports[2 * at]}`,
+    peerAddress: `127.0.0.1:${ports[2 * at + 1]}`,
+  }));
+  const metrics = createMetrics();
+
+  async function startControl(at: number): Promise<TestControl> {
+    const { callerAddress, peerAddress } = seeds[at];
+    const control = await startFleetControl({
+      fleetId: "test",
+      callerAddress,
+      peerAddress,
+      dataFolder: join(folder, String(at)),
+      isFirstStart: true,
+      voters: controlCount,
+      beatIntervalMs: 200,
+    }, {
+      getSeeds: () => seeds,
+      sendLayerOrder,
+      log: SILENT,
+      metrics,
+      onFatal: (error) => {
+        throw error;
+      },
+    });
+    const api = createControlApi({
+      call: control.call,
+      getLeaderAddress: control.getLeaderCallerAddress,
+    });
+    const [host, port] = callerAddress.split(":");
+    await api.listen({ host, port: Number(port) });
+    return {
+      callerAddress,
+      control,
+      async stop() {
+        await control.stop();
+        await api.close();
+      },
+    };
+  }
+
+  const controls = await Promise.all(
+    seeds.map((_seed, at) => startControl(at)),
+  );
+  const gateways = await Promise.all(
+    ports.slice(controlCount * 2).map(async (port, at) => ({
+      address: `127.0.0.1:${port}`,
+      gateway: await startGateway({
+        vm: `gateway-${at}`,
+        place: "p1",
+        listen: { host: "127.0.0.1", port },
+        revokeMs: 5_000,
+        repeats: { ratio: 0.2, extra: 100, windowMs: 10_000 },
+        graceMs: 500,
+      }, {
+        codec: callerCodec,
+        engineControl,
+        getSeedAddresses: () => seeds.map((seed) => seed.peerAddress),
+        log: SILENT,
+        metrics,
+      }),
+    })),
+  );
+  const controlAddresses = seeds.map((seed) => seed.callerAddress);
+  const startOne = (service: string, card?: string, place = "p1") =>
+    startLayerEngine({
+      service,
+      place,
+      controlAddresses,
+      card,
+      events: options.events,
+    });
+  const engines = await Promise.all([
+    ...[0, 1].map(() => startOne("model", "card", "p1")),
+    ...[0, 1].map(() => startOne("model", "card", "p2")),
+  ]);
+  const plain = await Promise.all([0, 1].map(() => startOne("plain")));
+
+  return {
+    controls,
+    gateways,
+    engines,
+    plain,
+    async put(config, at = 0) {
+      const answer = await request(
+        `http://${controlAddresses[at]}/api/config/put`,
+        { method: "POST", body: JSON.stringify(config) },
+      );
+      await answer.body.dump();
+      return answer.statusCode;
+    },
+    async readConfig(at = 0) {
+      const answer = await request(
+        `http://${controlAddresses[at]}/api/config/get`,
+      );
+      return { status: answer.statusCode, text: await answer.body.text() };
+    },
+    async settle(version) {
+      await until(
+        "gateways hold the version",
+        () =>
+          gateways.every(({ gateway }) =>
+            gateway.getVersion() >= version && gateway.isReady()
+          ),
+      );
+    },
+    async addEngine(place = "p1") {
+      const engine = await startOne("model", "card", place);
+      engines.push(engine);
+      return engine;
+    },
+    async [Symbol.asyncDispose]() {
+      await Promise.all(gateways.map(({ gateway }) => gateway.stop()));
+      const all = [...engines, ...plain];
+      await Promise.all(all.map((one) => one[Symbol.asyncDispose]()));
+      await Promise.all(controls.map((control) => control.stop()));
+      await rm(folder, { recursive: true, force: true });
+    },
+  };
+}
