Streams that stand still go on in one place; starts are faster; paces watched

Cause: (1) after a crash streams were moved to parts in other data centres; reading all tokens anew for a few layers sent some 850 MB over the pipe that all share, the streams stood still past two seconds and their callers left. (2) Requests that had waited for a start were refused when the configuration came, for the lease came one beat later. (3) With all processes killed callers met closed ports for 0.7 s, of which the bundle's load is half. (4) Engines that turned slow went on getting the same work.

Ruled out: detection alone (streams were moved 0.66 s after the crash and stood still after that).

Change: a detour stays in the first engine's data centre, else the run goes on elsewhere; the hello confirms the lease; the launcher listens before it loads the bundle; a planned stop takes its last new request earlier; one timer watches all streams; gateways tell of long pauses, and while they do the leader asks engines for their pace.

--- a/src/engines/take_beat.ts
+++ b/src/engines/take_beat.ts
@@ -51,7 +51,12 @@
     return { state, changed: undefined };
   }
   const { sequence, ...told } = beat;
-  const record = { ...told, isLeaving: beat.isLeaving || leave !== undefined };
+  const slowness = known?.record.slowness;
+  const record: EngineRecord = {
+    ...told,
+    isLeaving: beat.isLeaving || leave !== undefined,
+    ...(slowness === undefined ? {} : { slowness }),
+  };
   const next: RegisteredEngine = { record, sequence, heardMs: nowMs };
   const engines = new Map(state.engines).set(beat.engineId, next);
   const same = known !== undefined && isSameRecord(known.record, record);
--- a/src/engines/types.ts
+++ b/src/engines/types.ts
@@ -32,7 +32,10 @@
 }
 
 /** What gateways are told of an upstream. */
-export type EngineRecord = Omit<EngineBeat, "sequence">;
+export interface EngineRecord extends Omit<EngineBeat, "sequence"> {
+  /** How many times as long as usual it works; absent where it is not slow. */
+  readonly slowness?: number;
+}
 
 /** An upstream that leaves: it still answers, or it is gone. */
 export type LeaveKind = "draining" | "gone";
--- a/src/fleet/create_engine_registry.ts
+++ b/src/fleet/create_engine_registry.ts
@@ -48,6 +48,8 @@
   /** Drops the silent; a gateway's suspicion shortens the silence. */
   tick(): void;
   takeSuspects(vm: string, engineIds: readonly string[]): void;
+  /** Takes how slow an upstream says it is; 1 where it is not. */
+  takePace(engineId: string, pace: number): void;
   getRecords(): EngineRecord[];
 }
 
@@ -60,6 +62,9 @@
 /** Ms after which a suspicion is forgotten. */
 const SUSPICION_MS = 2_000;
 
+/** Pace, as a factor on the usual times, from which on it counts as slow. */
+const SLOW_PACE = 1.5;
+
 /** Share of the usual silence that is too long for a suspected upstream. */
 const SUSPECT_SILENCE_SHARE = 0.45;
 
@@ -183,6 +188,19 @@
     take,
     takeLeave,
     tick,
+    takePace(engineId, pace) {
+      const engine = state.engines.get(engineId);
+      if (!engine) return;
+      const { slowness: known, ...rest } = engine.record;
+      const slowness = pace > SLOW_PACE ? Math.round(pace) : undefined;
+      if (slowness === known) return;
+      const record = slowness === undefined ? rest : { ...rest, slowness };
+      const engines = new Map(state.engines);
+      engines.set(engineId, { ...engine, record });
+      state = { engines };
+      log("engineChanged", { engineId, slowness: slowness ?? 1 });
+      tell(record);
+    },
     takeSuspects,
     getRecords: () => [...state.engines.values()].map(({ record }) => record),
   };
--- a/src/fleet/create_gateway_sessions.ts
+++ b/src/fleet/create_gateway_sessions.ts
@@ -37,6 +37,8 @@
   /** Whether gateways have had the time to find this leader. */
   readonly knowsAllGateways: () => boolean;
   readonly onSuspects: (vm: string, engineIds: readonly string[]) => void;
+  /** Called when a gateway tells of slow streams or silent engines. */
+  readonly onSlow: () => void;
   /** Monotonic time, in ms. */
   readonly now: () => number;
   readonly log: Logger;
@@ -140,7 +142,7 @@
     } catch {
       return redirect(session.stream);
     }
-    const { gateway, version } = hello;
+    const { gateway, version, sentMs } = hello;
     sessions.get(gateway.vm)?.stream.end();
     session.gateway = gateway;
     session.sentVersion = version;
@@ -150,6 +152,8 @@
     send(session, { type: "welcome", controlAddresses });
     sendConfig(session);
     sendEngines(session);
+    // The read was confirmed after the hello was sent, as with any beat.
+    confirm(session, sentMs);
     const wasTold = publishGateways();
     if (!wasTold && options.knowsAllGateways()) {
       send(session, { type: "gateways", gateways: getGateways() });
@@ -167,14 +171,19 @@
     if (beat.loads) session.loads = beat.loads;
     if (beat.suspects.length > 0) {
       options.onSuspects(gateway.vm, beat.suspects);
+      options.onSlow();
     }
     if (gateway.isReady !== beat.isReady) {
       session.gateway = { ...gateway, isReady: beat.isReady };
       publishGateways();
     }
-    if (!options.hasLease()) return;
+    if (beat.isSlow) options.onSlow();
+    if (options.hasLease()) confirm(session, beat.sentMs);
+  }
+
+  function confirm(session: Session, sentMs: number): void {
     const version = options.getAccepted()?.config.version ?? -1;
-    send(session, { type: "beatAck", sentMs: beat.sentMs, version });
+    send(session, { type: "beatAck", sentMs, version });
   }
 
   function handleSession(stream: SessionStream): void {
--- a/src/fleet/index.ts
+++ b/src/fleet/index.ts
@@ -6,6 +6,7 @@
 
 export * from "./create_layer_keeper.ts";
 export * from "./create_fleet_machine.ts";
+export * from "./create_pace_watch.ts";
 export * from "./messages.ts";
 export * from "./start_fleet_control.ts";
 export * from "./sum_loads.ts";
--- a/src/fleet/messages.ts
+++ b/src/fleet/messages.ts
@@ -32,6 +32,8 @@
     readonly gateway: GatewayRecord;
     /** Version of the configuration that it has; -1 without any. */
     readonly version: number;
+    /** Gateway's monotonic time, in ms, when it sent this. */
+    readonly sentMs: number;
   }
   | {
     readonly type: "beat";
@@ -42,6 +44,8 @@
     readonly suspects: readonly string[];
     /** Its own work in flight; absent where it has not changed. */
     readonly loads?: EngineLoads;
+    /** Whether its streams lately had pauses near what callers bear. */
+    readonly isSlow: boolean;
   };
 
 /** What the leader tells a gateway. */
--- a/src/fleet/start_fleet_control.ts
+++ b/src/fleet/start_fleet_control.ts
@@ -39,6 +39,7 @@
 } from "./create_layer_keeper.ts";
 import { createLeaderCaller } from "./create_leader_caller.ts";
 import { createLeaderDesk } from "./create_leader_desk.ts";
+import { createPaceWatch, type ReadPace } from "./create_pace_watch.ts";
 import type { FleetCall, FleetReply } from "./messages.ts";
 
 /** Settings of a control process. */
@@ -63,6 +64,7 @@
   /** Control processes to begin with; read anew whenever they are needed. */
   readonly getSeeds: () => readonly FleetSeed[];
   readonly sendLayerOrder: SendLayerOrder;
+  readonly readPace: ReadPace;
   readonly log: Logger;
   readonly metrics: Metrics;
   readonly onFatal: (error: unknown) => void;
@@ -180,9 +182,17 @@
     knowsAllEngines: () => leadsFor(silenceMs),
     knowsAllGateways: () => leadsFor(GATEWAYS_SETTLE_MS),
     onSuspects: registry.takeSuspects,
+    onSlow: () => paces.noteSlow(),
     now,
     log,
   });
+  const paces = createPaceWatch({
+    getEngines: () =>
+      registry.getRecords().filter((record) => record.layers !== undefined),
+    readPace: options.readPace,
+    onPace: registry.takePace,
+    now,
+  });
   const keeper = createLayerKeeper({
     getServices: () => machine.getAccepted()?.config.services ?? [],
     getEngines: registry.getRecords,
@@ -362,6 +372,7 @@
     if (!isLeader() || !replica.hasLease()) return;
     sessions.tick();
     sessions.publishLoads();
+    void paces.tick();
     if (!leadsFor(silenceMs)) {
       void recordEngines();
       return keepLayersOfNewFleet();
--- a/src/gateway/choose_path.ts
+++ b/src/gateway/choose_path.ts
@@ -107,7 +107,8 @@
   const { engineId, place } = record;
   const range = record.layers ?? { fromLayer: 0, toLayer: 0 };
   const card = model.cards.find(({ name }) => name === record.card);
-  const stepMs = model.stepMs * (card?.stepFactor ?? 1) / model.layers;
+  const stepMs = model.stepMs * (card?.stepFactor ?? 1) *
+    (record.slowness ?? 1) / model.layers;
   const busy = getExcess(getUsedMemory(view, options), BUSY_SHARE);
   const isFull = view.fullUntilMs > nowMs;
   const layerCost = stepMs * (1 + busy * FULL_FACTOR) *
--- a/src/gateway/create_config_lease.ts
+++ b/src/gateway/create_config_lease.ts
@@ -17,6 +17,8 @@
   /** The leader surely held `version` after `sentMs`. */
   confirm(confirmed: { sentMs: number; version: number; held: number }): void;
   isValid(): boolean;
+  /** Whether it was confirmed since the gateway started. */
+  wasEverValid(): boolean;
   /** Ms that are left of it; below 0 once it has run out. */
   getLeftMs(): number;
 }
@@ -49,6 +51,7 @@
       untilMs = Math.max(untilMs, sentMs + revokeMs - MARGIN_MS);
     },
     isValid: () => now() < untilMs,
+    wasEverValid: () => untilMs > -Infinity,
     getLeftMs: () => untilMs - now(),
   };
 }
--- a/src/gateway/create_fleet_link.ts
+++ b/src/gateway/create_fleet_link.ts
@@ -26,6 +26,8 @@
   /** Version of the configuration in force here; -1 without any. */
   readonly getVersion: () => number;
   readonly takeSuspects: () => readonly string[];
+  /** Whether streams had long pauses since the last call. */
+  readonly takeSlow: () => boolean;
   /** This gateway's work in flight. */
   readonly getLoads: () => EngineLoads;
   readonly onMessage: (message: LeaderMessage) => void;
@@ -52,7 +54,7 @@
 const WELCOME_TIMEOUT_MS = 600;
 
 /** Ms between two looks at the session. */
-const CHECK_INTERVAL_MS = 50;
+const CHECK_INTERVAL_MS = 100;
 
 type SessionStream = ClientDuplexStream<wire.FleetMessage, wire.FleetMessage>;
 
@@ -107,6 +109,7 @@
       type: "hello",
       gateway: options.getGateway(),
       version: options.getVersion(),
+      sentMs: now(),
     });
   }
 
@@ -173,6 +176,7 @@
       sentMs: now(),
       isReady: options.getGateway().isReady,
       suspects: options.takeSuspects(),
+      isSlow: options.takeSlow(),
       ...(isNews ? { loads } : {}),
     });
   }
--- a/src/gateway/serve_stream_call.ts
+++ b/src/gateway/serve_stream_call.ts
@@ -22,14 +22,11 @@
 const RETRY_AFTER_MS = 500;
 
 /** Ms of silence after which the first engine is asked what stands still. */
-const STALL_CHECK_MS = 400;
+const STALL_CHECK_MS = 300;
 
 /** Ms for a question or an order to an engine. */
 const ENGINE_CONTROL_TIMEOUT_MS = 400;
 
-/** Ms between two looks at a silent stream. */
-const STALL_TICK_MS = 100;
-
 /** Ms after which a refusal tells of an engine that is dead, not full. */
 const DEAD_REFUSAL_MS = 1_000;
 
@@ -91,7 +88,7 @@
       finishTimedOut,
       Math.max(0, call.deadlineMs - now()),
     );
-    const stallTimer = setInterval(checkStall, STALL_TICK_MS);
+    const unwatch = context.pauses.add({ check: checkStall });
     response.on("close", () => end("caller left"));
 
     // Callers name the most that an answer may hold; most hold far less.
@@ -104,7 +101,7 @@
       if (ended) return;
       ended = true;
       clearTimeout(deadlineTimer);
-      clearInterval(stallTimer);
+      unwatch();
       leg?.exchange?.abort(outcome);
       const tookMs = Math.round(now() - call.startedMs);
       const status = response.headersSent ? response.statusCode : 0;
@@ -296,7 +293,10 @@
       if (ended) return;
       const atMs = now();
       if (firstEventMs !== undefined) {
-        longestGapMs = Math.max(longestGapMs, atMs - lastEventMs);
+        const pauseMs = atMs - lastEventMs;
+        longestGapMs = Math.max(longestGapMs, pauseMs);
+        const bearableMs = route.gapObjectiveMs;
+        context.pauses.notePause(pauseMs, { bearableMs });
       }
       firstEventMs ??= atMs;
       lastEventMs = atMs;
@@ -424,7 +424,7 @@
         });
       log("pathChanged", { requestId, dead: dead.engineId, moved });
       if (leg !== asked || ended) return;
-      if (!moved || !path) return moveOn(asked, "no detour");
+      if (!moved || !path) return moveOn(asked, "no detour near");
       countOut(asked);
       asked.path = path;
       countIn(asked);
@@ -443,7 +443,13 @@
         nowMs: now(),
         fromLayer: first.toLayer,
       });
-      return rest && [first, ...rest];
+      // Through another data centre every token read so far would cross the
+      // pipe that all share: to read anew in one place takes far less.
+      const { place } = asked.engine.record;
+      const isNear = rest?.every(({ engineId }) =>
+        engines.get(engineId)?.record.place === place
+      );
+      return rest && isNear ? [first, ...rest] : undefined;
     }
 
     function moveOn(from: Leg, reason: string): void {
--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -6,6 +6,7 @@
  */
 
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import Fastify from "fastify";
 import type { GatewayRecord, LeaderMessage } from "../fleet/index.ts";
@@ -21,6 +22,7 @@
 import { createEngineTable } from "./create_engine_table.ts";
 import { createExchanger } from "./create_exchanger.ts";
 import { createFleetLink } from "./create_fleet_link.ts";
+import { createPauseWatch } from "./create_pause_watch.ts";
 import { createRepeatBudget } from "./create_repeat_budget.ts";
 import { createStallWatch } from "./create_stall_watch.ts";
 import type {
@@ -58,10 +60,21 @@
   readonly engineControl: EngineControl;
   /** Control processes to begin with; read anew for each search. */
   readonly getSeedAddresses: () => readonly string[];
+  /**
+   * A listener that was opened before the program was loaded; by default the
+   * gateway opens one itself.
+   */
+  readonly earlyListener?: EarlyListener;
   readonly log: Logger;
   readonly metrics: Metrics;
 }
 
+/** A listener that keeps its connections until somebody takes them. */
+export interface EarlyListener {
+  /** Gives the connections that wait, and all later ones. */
+  take(onConnection: (socket: Socket) => void): void;
+}
+
 /** A running gateway. */
 export interface Gateway {
   /** Whether callers may be sent here. */
@@ -99,8 +112,11 @@
 /** Ms in which callers and the other gateways hear of a leave. */
 const LEAVE_NEWS_MS = 2_500;
 
-/** Share of the grace after which no new request is let in. */
-const LAST_CALL_SHARE = 0.55;
+/**
+ * Share of the grace after which no new request is let in: what is left is as
+ * long as most streams take.
+ */
+const LAST_CALL_SHARE = 0.4;
 
 /** Ms kept at the end of the grace for the process to end. */
 const END_MARGIN_MS = 400;
@@ -139,6 +155,7 @@
       1,
       listReady().filter((one) => at === undefined || one.place === at).length,
     );
+  const pauses = createPauseWatch();
   const budget = createRepeatBudget({
     ...settings.repeats,
     // A gateway that has just started knows none and takes a small share.
@@ -150,6 +167,7 @@
     place,
     codec,
     engineControl: options.engineControl,
+    pauses,
     stallWatch: createStallWatch({ engineControl: options.engineControl, now }),
     engines,
     exchanger,
@@ -194,6 +212,7 @@
     getGateway: () => ({ vm, place, address, isReady: isReady() }),
     getVersion: () => table?.version ?? -1,
     takeSuspects: engines.takeSuspects,
+    takeSlow: pauses.takeSlow,
     getLoads: engines.getLoads,
     onMessage: takeMessage,
     onConfirmed: (sentMs, version) =>
@@ -274,7 +293,8 @@
   async function untilStarted(
     taken: Pick<Call, "startedMs" | "response">,
   ): Promise<void> {
-    const hasStarted = () => table !== undefined && knowsEngines;
+    const hasStarted = () =>
+      table !== undefined && knowsEngines && lease.wasEverValid();
     while (!hasStarted() && !isLastCall && !taken.response.destroyed) {
       if (now() - taken.startedMs > START_WAIT_MS) return;
       await sleep(START_POLL_MS);
@@ -322,7 +342,13 @@
     answerRefusal(response, { codec, request, refusal, closes: isLeaving });
   }
 
-  await server.listen(listen);
+  if (options.earlyListener) {
+    await server.ready();
+    options.earlyListener.take((socket) => {
+      server.server.emit("connection", socket);
+      socket.resume();
+    });
+  } else await server.listen(listen);
   log("started", { vm, address });
 
   async function stop(): Promise<void> {
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -11,6 +11,7 @@
 import type { Account, Route, RouteTable } from "../routes/index.ts";
 import type { EngineTable } from "./create_engine_table.ts";
 import type { Exchanger } from "./create_exchanger.ts";
+import type { PauseWatch } from "./create_pause_watch.ts";
 import type { RepeatBudget } from "./create_repeat_budget.ts";
 import type { StallWatch } from "./create_stall_watch.ts";
 import type { CallerCodec, CallerRequest, EngineControl } from "./protocol.ts";
@@ -34,6 +35,7 @@
   readonly place: string;
   readonly codec: CallerCodec;
   readonly engineControl: EngineControl;
+  readonly pauses: PauseWatch;
   readonly stallWatch: StallWatch;
   readonly engines: EngineTable;
   readonly exchanger: Exchanger;
--- a/test/support/fleet.ts
+++ b/test/support/fleet.ts
@@ -12,7 +12,11 @@
 import { findFreePorts, until } from "../../demo/launch_fleet.ts";
 import { callerCodec } from "../../platform/codec.ts";
 import { createControlApi } from "../../platform/control_api.ts";
-import { engineControl, sendLayerOrder } from "../../platform/engine_calls.ts";
+import {
+  engineControl,
+  readPace,
+  sendLayerOrder,
+} from "../../platform/engine_calls.ts";
 import { type FleetControl, startFleetControl } from "../../src/fleet/index.ts";
 import { type Gateway, startGateway } from "../../src/gateway/index.ts";
 import type { Logger } from "../../src/logs/index.ts";
@@ -178,6 +182,7 @@
     }, {
       getSeeds: () => seeds,
       sendLayerOrder,
+      readPace,
       log: SILENT,
       metrics,
       onFatal: (error) => {
