Streams served by small modules; a sent request is never told as not run

Cause: serving a stream, starting control and starting a gateway had each grown into one long function.

--- a/src/fleet/start_fleet_control.ts
+++ b/src/fleet/start_fleet_control.ts
@@ -6,9 +6,7 @@
  * @module
  */
 
-import { createHash } from "node:crypto";
 import { setTimeout as sleep } from "node:timers/promises";
-import { Server } from "@grpc/grpc-js";
 import {
   createJoinHandler,
   createPeerTransport,
@@ -16,18 +14,11 @@
   joinCluster,
   type Replica,
 } from "../control/index.ts";
-import { type EngineRecord, isSameRecord } from "../engines/index.ts";
 import type { Logger } from "../logs/index.ts";
 import type { Metrics } from "../metrics/index.ts";
-import {
-  type Member,
-  planVoterChange,
-  type QuorumState,
-  type QuorumTiming,
-} from "../quorum/index.ts";
+import type { Member, QuorumState, QuorumTiming } from "../quorum/index.ts";
 import type { Service } from "../routes/index.ts";
-import { openQuorumStorage, type QuorumStorage } from "../storage/index.ts";
-import { bindGrpc, CHANNEL_OPTIONS, wire } from "../wire/index.ts";
+import { createEngineRecorder } from "./create_engine_recorder.ts";
 import { createEngineRegistry } from "./create_engine_registry.ts";
 import {
   createFleetMachine,
@@ -40,9 +31,12 @@
 } from "./create_layer_keeper.ts";
 import { createLeaderCaller } from "./create_leader_caller.ts";
 import { createLeaderDesk } from "./create_leader_desk.ts";
+import { createMemberKeeper } from "./create_member_keeper.ts";
 import { createPaceWatch, type ReadPace } from "./create_pace_watch.ts";
 import type { DecodeConfig, FleetCall, FleetReply } from "./messages.ts";
+import { type FleetSeed, openFleetStorage } from "./open_fleet_storage.ts";
 import { unpackDocument } from "./pack_document.ts";
+import { startFleetServer } from "./start_fleet_server.ts";
 
 /** Settings of a control process. */
 export interface FleetControlSettings {
@@ -73,12 +67,6 @@
   readonly onFatal: (error: unknown) => void;
 }
 
-/** A control process as the settings name it. */
-export interface FleetSeed {
-  readonly callerAddress: string;
-  readonly peerAddress: string;
-}
-
 /** A running control process. */
 export interface FleetControl {
   /** Answers a call itself where it leads, and passes it on elsewhere. */
@@ -135,7 +123,8 @@
 ): Promise<FleetControl> {
   const { log, metrics } = options;
   const now = () => performance.now();
-  const storage = await openFleetStorage(settings, options);
+  const seeds = options.getSeeds();
+  const storage = await openFleetStorage({ ...settings, seeds, log });
   const { replicaId } = storage.identity;
   let leadingSinceMs = Infinity;
   const leadsFor = (spanMs: number) => now() - leadingSinceMs >= spanMs;
@@ -208,11 +197,25 @@
     now,
     log,
   });
+  const propose = (command: FleetCommand) =>
+    replica.propose(JSON.stringify(command));
+  const recorder = createEngineRecorder({
+    getHeard: registry.getRecords,
+    getRecorded: machine.getEngines,
+    propose,
+    log,
+  });
+  const members = createMemberKeeper({
+    replica,
+    voters: settings.voters,
+    silenceMs: VOTER_SILENCE_MS,
+    now,
+    log,
+  });
   const desk = createLeaderDesk({
     machine,
     registry,
-    propose: (command: FleetCommand) =>
-      replica.propose(JSON.stringify(command)),
+    propose,
     confirmRead: () => replica.confirmRead(),
     decodeConfig: options.decodeConfig,
     log,
@@ -289,7 +292,7 @@
     return caller.call(leader.address, request);
   }
 
-  async function handleCall(json: string): Promise<FleetReply> {
+  async function takeCall(json: string): Promise<FleetReply> {
     // A call is passed on once: two processes that take each other for the
     // leader must not send it to and fro.
     if (isLeader()) return await desk.take(JSON.parse(json) as FleetCall);
@@ -303,27 +306,13 @@
     getLeaderAddress: () => getLeader()?.address ?? "",
     isKnownVm: () => true,
   });
-  const grpc = new Server(CHANNEL_OPTIONS);
-  grpc.addService(
-    wire.PeerService,
-    {
-      deliver: transport.handleDeliver,
-      join: (request, done) => {
-        void takeJoin(request.request).then((answer) => done(null, answer));
-      },
-    } satisfies wire.PeerServer,
-  );
-  grpc.addService(
-    wire.FleetService,
-    {
-      session: sessions.handleSession,
-      call: (request, done) => {
-        void handleCall(request.request.json)
-          .then((reply) => done(null, { json: JSON.stringify(reply) }));
-      },
-    } satisfies wire.FleetServer,
-  );
-  await bindGrpc(grpc, { address: settings.peerAddress });
+  const server = await startFleetServer({
+    address: settings.peerAddress,
+    handleDeliver: transport.handleDeliver,
+    handleSession: sessions.handleSession,
+    takeJoin,
+    takeCall,
+  });
 
   const joining = new AbortController();
   if (storage.identity.clusterId === "") {
@@ -342,38 +331,6 @@
     });
   }
 
-  let changing = false;
-  async function changeMembers(): Promise<void> {
-    if (changing || !leadsFor(VOTER_SILENCE_MS)) return;
-    const state = replica.getState();
-    const isSilent = (id: string) =>
-      now() - (state.peers[id]?.ackedSentMs ?? -Infinity) > VOTER_SILENCE_MS;
-    const members = planVoterChange(state, {
-      voters: settings.voters,
-      isSilent,
-    });
-    if (!members) return;
-    changing = true;
-    log("membersChanged", {
-      members: members.map(({ id, role }) => `${id}:${role}`),
-    });
-    await replica.changeMembers(members)
-      .catch((error) => log("membersNotChanged", { error }));
-    changing = false;
-  }
-
-  let recording = false;
-  async function recordEngines(): Promise<void> {
-    if (recording) return;
-    const command = findEngineNews(registry.getRecords(), machine.getEngines());
-    if (!command) return;
-    recording = true;
-    // What is not recorded now is news at the next look again.
-    await replica.propose(JSON.stringify(command))
-      .catch((error) => log("enginesNotRecorded", { error }));
-    recording = false;
-  }
-
   let keeping = false;
   async function keepLayers(): Promise<void> {
     if (keeping) return;
@@ -390,16 +347,16 @@
     if (ticks % LOADS_TICKS === 0) sessions.publishLoads();
     void paces.tick();
     if (!leadsFor(silenceMs)) {
-      void recordEngines();
+      void recorder.run();
       return keepLayersOfNewFleet();
     }
     registry.tick();
-    void recordEngines();
+    void recorder.run();
     if (!toldAllEngines) {
       toldAllEngines = true;
       sessions.publishAllEngines();
     }
-    void changeMembers();
+    if (leadsFor(VOTER_SILENCE_MS)) void members.run();
     void keepLayers();
   }
 
@@ -422,7 +379,7 @@
     sessions.closeAll();
     await caller[Symbol.asyncDispose]();
     await transport[Symbol.asyncDispose]();
-    grpc.forceShutdown();
+    server.forceShutdown();
     await replica[Symbol.asyncDispose]();
   }
 
@@ -434,20 +391,6 @@
   };
 }
 
-function findEngineNews(
-  heard: readonly EngineRecord[],
-  recorded: ReadonlyMap<string, EngineRecord>,
-): FleetCommand | undefined {
-  const heardIds = new Set(heard.map(({ engineId }) => engineId));
-  const lost = [...recorded.keys()].filter((id) => !heardIds.has(id));
-  const changed = heard.filter((record) => {
-    const known = recorded.get(record.engineId);
-    return !known || !isSameRecord(known, record);
-  });
-  if (lost.length === 0 && changed.length === 0) return undefined;
-  return { type: "engines", changed, lost };
-}
-
 async function handOver(replica: Replica): Promise<void> {
   if (replica.getState().role !== "leader") return;
   replica.transferLeadership();
@@ -458,44 +401,3 @@
     await sleep(10);
   }
 }
-
-// All first voters are given the same list, so that they form one cluster
-// without asking each other, and no half of them can form another.
-async function openFleetStorage(
-  settings: FleetControlSettings,
-  options: StartFleetControlOptions,
-): Promise<QuorumStorage> {
-  const { fleetId, callerAddress, dataFolder, isFirstStart } = settings;
-  const seeds = [...options.getSeeds()]
-    .sort((a, b) => a.callerAddress < b.callerAddress ? -1 : 1);
-  const members = seeds.map((seed): Member => ({
-    id: getFirstReplicaId(seed.callerAddress),
-    vm: seed.callerAddress,
-    address: seed.peerAddress,
-    role: "voter",
-  }));
-  const isFirstVoter = isFirstStart &&
-    seeds.some((seed) => seed.callerAddress === callerAddress);
-  const names = seeds.map((seed) => seed.callerAddress).join(" ");
-  const clusterId = createHash("sha256").update(names).digest("hex")
-    .slice(0, 16);
-  const storage = await openQuorumStorage({
-    folder: dataFolder,
-    fleetId,
-    vm: callerAddress,
-    // The platform starts one process on a folder.
-    isLocked: false,
-    form: isFirstVoter
-      ? { address: settings.peerAddress, clusterId, members }
-      : undefined,
-    makeReplicaId: isFirstVoter ? getFirstReplicaId : undefined,
-  });
-  if (storage.stored.tornBytes > 0) {
-    options.log("tornTailCut", { sizeBytes: storage.stored.tornBytes });
-  }
-  return storage;
-}
-
-function getFirstReplicaId(callerAddress: string): string {
-  return `${callerAddress}.first`;
-}
--- /dev/null
+++ b/src/fleet/start_fleet_server.ts
@@ -0,0 +1,57 @@
+/**
+ * The listener on which the system's own processes talk to a control process.
+ *
+ * @module
+ */
+
+import { Server } from "@grpc/grpc-js";
+import { bindGrpc, CHANNEL_OPTIONS, wire } from "../wire/index.ts";
+import type { FleetReply } from "./messages.ts";
+
+/** Who answers what comes in. */
+export interface StartFleetServerOptions {
+  /** Host and port. */
+  readonly address: string;
+  readonly handleDeliver: wire.PeerServer["deliver"];
+  readonly handleSession: wire.FleetServer["session"];
+  readonly takeJoin: (request: wire.JoinRequest) => Promise<wire.JoinResponse>;
+  /** Answers a call, given as JSON text. */
+  readonly takeCall: (json: string) => Promise<FleetReply>;
+}
+
+/**
+ * Starts the listener.
+ *
+ * @param options - Its address, and who answers.
+ * @returns The server; `forceShutdown` ends it.
+ * @throws {Error} When the address is taken.
+ * @example
+ * const server = await startFleetServer(options);
+ */
+export async function startFleetServer(
+  options: StartFleetServerOptions,
+): Promise<Server> {
+  const { address, takeJoin, takeCall } = options;
+  const server = new Server(CHANNEL_OPTIONS);
+  server.addService(
+    wire.PeerService,
+    {
+      deliver: options.handleDeliver,
+      join: (call, done) => {
+        void takeJoin(call.request).then((answer) => done(null, answer));
+      },
+    } satisfies wire.PeerServer,
+  );
+  server.addService(
+    wire.FleetService,
+    {
+      session: options.handleSession,
+      call: (call, done) => {
+        void takeCall(call.request.json)
+          .then((reply) => done(null, { json: JSON.stringify(reply) }));
+      },
+    } satisfies wire.FleetServer,
+  );
+  await bindGrpc(server, { address });
+  return server;
+}
--- /dev/null
+++ b/src/gateway/choose_call_path.ts
@@ -0,0 +1,123 @@
+/**
+ * Chooses where a stream's next run goes.
+ *
+ * @module
+ */
+
+import type { LayeredModel } from "../routes/index.ts";
+import { chooseEngine } from "./choose_engine.ts";
+import { choosePath } from "./choose_path.ts";
+import type { AddressedPart } from "./protocol.ts";
+import type { Call, ServingContext } from "./types.ts";
+
+/** Who is left out. */
+export interface ChooseCallPathOptions {
+  /** Engines that failed this call. */
+  readonly excluded: ReadonlySet<string>;
+}
+
+/**
+ * Chooses the path of a run: over parts where the service's model is layered,
+ * else one engine with everything.
+ *
+ * @param call - The call.
+ * @param context - The engines and the time.
+ * @param options - Who is left out.
+ * @returns The path; undefined where layers are missing or there is no room.
+ * @throws Nothing.
+ * @example
+ * const path = chooseCallPath(call, context, { excluded });
+ */
+export function chooseCallPath(
+  call: Call,
+  context: ServingContext,
+  options: ChooseCallPathOptions,
+): AddressedPart[] | undefined {
+  const { engines, place, now } = context;
+  const { excluded } = options;
+  const model = getCallModel(call, context);
+  const usable = engines.listUsable(call.service);
+  if (!model) return chooseWhole(call, context, options);
+  const path = choosePath(usable, {
+    model,
+    place,
+    gatewayCount: context.getPlaceGatewayCount(),
+    excluded,
+    nowMs: now(),
+  });
+  const isFull = path?.some(({ engineId }) =>
+    (engines.get(engineId)?.fullUntilMs ?? 0) > now()
+  );
+  return isFull ? undefined : path;
+}
+
+function chooseWhole(
+  call: Call,
+  context: ServingContext,
+  options: ChooseCallPathOptions,
+): AddressedPart[] | undefined {
+  const { engines, place, now, random } = context;
+  const engine = chooseEngine(engines.listUsable(call.service), {
+    place,
+    excluded: options.excluded,
+    nowMs: now(),
+    random: random(),
+  });
+  if (!engine) return undefined;
+  const { engineId, address } = engine.record;
+  return [{ engineId, address, fromLayer: 0, toLayer: 0 }];
+}
+
+/**
+ * Finds another way for a running stream: the first part stays, the others may
+ * change, all in the first one's data centre. Through another one every token
+ * read so far would cross the pipe that all share; to read it anew in one place
+ * takes far less.
+ *
+ * @param call - The call.
+ * @param context - The engines and the time.
+ * @param options - The first part, and who is left out.
+ * @returns The path, or undefined where there is none near by.
+ * @throws Nothing.
+ * @example
+ * const path = findDetour(call, context, { first, excluded });
+ */
+export function findDetour(
+  call: Call,
+  context: ServingContext,
+  options: ChooseCallPathOptions & { readonly first: AddressedPart },
+): AddressedPart[] | undefined {
+  const { engines, now } = context;
+  const { first, excluded } = options;
+  const model = getCallModel(call, context);
+  const place = engines.get(first.engineId)?.record.place;
+  if (!model || place === undefined) return undefined;
+  const near = engines.listUsable(call.service)
+    .filter(({ record }) => record.place === place);
+  const rest = choosePath(near, {
+    model,
+    place,
+    gatewayCount: context.getPlaceGatewayCount(),
+    excluded: new Set([...excluded, first.engineId]),
+    nowMs: now(),
+    fromLayer: first.toLayer,
+  });
+  return rest && [first, ...rest];
+}
+
+/**
+ * Gets the layered model of a call's service.
+ *
+ * @param call - The call.
+ * @param context - The configuration in force.
+ * @returns The model, or undefined where the service has none.
+ * @throws Nothing.
+ * @example
+ * const model = getCallModel(call, context);
+ */
+export function getCallModel(
+  call: Call,
+  context: Pick<ServingContext, "getTable">,
+): LayeredModel | undefined {
+  return context.getTable()?.getService(call.service)?.model;
+}
--- a/src/gateway/create_engine_table.ts
+++ b/src/gateway/create_engine_table.ts
@@ -7,6 +7,7 @@
 
 import type { EngineRecord } from "../engines/index.ts";
 import type { EngineLoads, LeaderMessage } from "../fleet/index.ts";
+import type { PathPart } from "../layers/index.ts";
 import type { Logger } from "../logs/index.ts";
 
 /** An upstream with what this gateway saw of it. */
@@ -44,6 +45,10 @@
   listUsable(service: string): EngineView[];
   get(engineId: string): EngineView | undefined;
   findByAddress(address: string): EngineView | undefined;
+  /** Counts a request in on the engines of its path. */
+  addWork(path: readonly PathPart[], work: { tokens: number }): void;
+  /** Counts a request out again. */
+  removeWork(path: readonly PathPart[], work: { tokens: number }): void;
   /** Leaves an upstream out for a while; longer each time in a row. */
   suspect(engineId: string, reason: string): void;
   /** Leaves an upstream out for a moment: it had no room. */
@@ -107,6 +112,19 @@
     });
   }
 
+  function count(
+    path: readonly PathPart[],
+    work: { tokens: number; requests: number },
+  ): void {
+    const [first] = path;
+    const begins = engines.get(first.engineId);
+    if (begins) begins.inFlight += work.requests;
+    for (const { engineId } of path) {
+      const engine = engines.get(engineId);
+      if (engine) engine.tokensInFlight += work.tokens;
+    }
+  }
+
   function remove(engineId: string): void {
     if (engines.delete(engineId)) onGone(engineId);
   }
@@ -144,6 +162,9 @@
       [...engines.values()].findLast(({ record }) =>
         record.address === address
       ),
+    addWork: (path, { tokens }) => count(path, { tokens, requests: 1 }),
+    removeWork: (path, { tokens }) =>
+      count(path, { tokens: -tokens, requests: -1 }),
     suspect(engineId, reason) {
       const engine = engines.get(engineId);
       if (!engine) return;
--- /dev/null
+++ b/src/gateway/create_stream_relay.ts
@@ -0,0 +1,103 @@
+/**
+ * Passes the events of a stream on to its caller, whichever run they come from.
+ *
+ * @module
+ */
+
+import type { Buffer } from "node:buffer";
+import type { ServerResponse } from "node:http";
+import type { PauseWatch } from "./create_pause_watch.ts";
+import type { StreamEvent } from "./split_events.ts";
+
+/** What the relay needs. */
+export interface CreateStreamRelayOptions {
+  readonly response: ServerResponse;
+  /** Event after which the caller wants the stream to go on. */
+  readonly lastEventId: string | undefined;
+  /** Pause, in ms, that callers of the route bear; 0 where it is not said. */
+  readonly bearablePauseMs: number;
+  readonly pauses: PauseWatch;
+  readonly onFirstEvent: () => void;
+  /** Monotonic time, in ms. */
+  readonly now: () => number;
+}
+
+/** How a stream went so far. */
+export interface StreamProgress {
+  readonly events: number;
+  /** Id of the newest event that the caller has. */
+  readonly lastEventId: string | undefined;
+  /** Time, in ms, of the first event. */
+  readonly firstEventMs: number | undefined;
+  readonly longestPauseMs: number;
+}
+
+/** Passes the events of a stream on to its caller. */
+export interface StreamRelay {
+  /** Passes an event on; false where the caller must first read. */
+  pass(event: StreamEvent): boolean;
+  getProgress(): StreamProgress;
+  /** Ms since the newest event, or since the last call of `restart`. */
+  getSilenceMs(): number;
+  /** Counts the silence anew: something was done about it. */
+  restart(): void;
+}
+
+/**
+ * Makes the relay of one call.
+ *
+ * @param options - The caller, and what it has already.
+ * @returns The relay.
+ * @throws Nothing.
+ * @example
+ * const goesOn = relay.pass(event);
+ */
+export function createStreamRelay(
+  options: CreateStreamRelayOptions,
+): StreamRelay {
+  const { response, pauses, now } = options;
+  let { lastEventId } = options;
+  let events = 0;
+  let firstEventMs: number | undefined;
+  let lastEventMs = 0;
+  let longestPauseMs = 0;
+  let quietSinceMs = now();
+
+  function notePause(atMs: number): void {
+    if (firstEventMs === undefined) {
+      firstEventMs = atMs;
+      options.onFirstEvent();
+    } else {
+      const pauseMs = atMs - lastEventMs;
+      longestPauseMs = Math.max(longestPauseMs, pauseMs);
+      pauses.notePause(pauseMs, { bearableMs: options.bearablePauseMs });
+    }
+    lastEventMs = atMs;
+    quietSinceMs = atMs;
+  }
+
+  function write(bytes: Buffer): boolean {
+    events += 1;
+    return response.write(bytes);
+  }
+
+  return {
+    pass({ id, bytes }) {
+      notePause(now());
+      // A run that goes on may begin with what the caller already has.
+      if (id !== undefined && !isAfter(id, lastEventId)) return true;
+      if (id !== undefined) lastEventId = id;
+      return write(bytes);
+    },
+    getProgress: () => ({ events, lastEventId, firstEventMs, longestPauseMs }),
+    getSilenceMs: () => now() - quietSinceMs,
+    restart() {
+      quietSinceMs = now();
+    },
+  };
+}
+
+function isAfter(id: string, last: string | undefined): boolean {
+  if (last === undefined || last === "") return true;
+  return Number(id) > Number(last);
+}
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -5,5 +5,6 @@
  * @module
  */
 
+export type { EarlyListener } from "./create_caller_server.ts";
 export * from "./protocol.ts";
 export * from "./start_gateway.ts";
--- /dev/null
+++ b/src/gateway/rescue_stream.ts
@@ -0,0 +1,89 @@
+/**
+ * What is done about a stream that stands still.
+ *
+ * @module
+ */
+
+import { findDetour } from "./choose_call_path.ts";
+import type { AddressedPart } from "./protocol.ts";
+import type { Call, ServingContext } from "./types.ts";
+
+/** A run that gives no events. */
+export interface RescueStreamOptions {
+  readonly path: readonly AddressedPart[];
+  /** Engines that failed this call. */
+  readonly excluded: ReadonlySet<string>;
+}
+
+/** What a look at a silent stream came to. */
+export type StreamRescue =
+  /** Nothing stands still: the engines are busy. */
+  | { readonly type: "wait" }
+  /** The run goes on over this path. */
+  | { readonly type: "moved"; readonly path: readonly AddressedPart[] }
+  /** The run is lost; this engine is at fault. */
+  | {
+    readonly type: "lost";
+    readonly engineId: string;
+    readonly reason: string;
+  };
+
+/** Ms for an order to an engine, which answers at once. */
+const ORDER_TIMEOUT_MS = 400;
+
+/**
+ * Asks the first engine of a silent run for whom it waits, and moves the run
+ * off that engine where another one near by holds the same layers.
+ *
+ * @param call - The call.
+ * @param context - The engines, and how they are asked.
+ * @param options - The run.
+ * @returns What it came to.
+ * @throws Nothing.
+ * @example
+ * const rescue = await rescueStream(call, context, { path, excluded });
+ */
+export async function rescueStream(
+  call: Call,
+  context: ServingContext,
+  options: RescueStreamOptions,
+): Promise<StreamRescue> {
+  const [first] = options.path;
+  const { requestId } = call.request;
+  let stalledAt: string | undefined;
+  try {
+    const stalled = await context.stallWatch.ask(first.address);
+    stalledAt = stalled.find((one) => one.requestId === requestId)?.address;
+  } catch (error) {
+    const { engineId } = first;
+    context.log("engineAsked", { requestId, engineId, error });
+    return { type: "lost", engineId, reason: "gives no report" };
+  }
+  if (stalledAt === undefined) return { type: "wait" };
+  return await moveOff(stalledAt, { call, context, run: options });
+}
+
+async function moveOff(
+  address: string,
+  options: { call: Call; context: ServingContext; run: RescueStreamOptions },
+): Promise<StreamRescue> {
+  const { call, context, run } = options;
+  const [first] = run.path;
+  const { requestId } = call.request;
+  const dead = run.path.find((part) => part.address === address) ?? first;
+  const { engineId } = dead;
+  const excluded = new Set([...run.excluded, engineId]);
+  const path = dead === first
+    ? undefined
+    : findDetour(call, context, { first, excluded });
+  const moved = path !== undefined && await context.engineControl
+    .changePath(first.address, {
+      requestId,
+      path,
+      timeoutMs: ORDER_TIMEOUT_MS,
+    });
+  context.log("pathChanged", { requestId, dead: engineId, moved });
+  if (!moved) return { type: "lost", engineId, reason: "stands still" };
+  context.engines.suspect(engineId, "stands still");
+  return { type: "moved", path };
+}
--- a/src/gateway/serve_stream_call.ts
+++ b/src/gateway/serve_stream_call.ts
@@ -5,13 +5,12 @@
  */
 
 import { Buffer } from "node:buffer";
-import type { LayeredModel } from "../routes/index.ts";
-import { answerRefusal } from "./answer_refusal.ts";
-import { chooseEngine } from "./choose_engine.ts";
-import { choosePath } from "./choose_path.ts";
-import type { EngineView } from "./create_engine_table.ts";
+import { chooseCallPath, getCallModel } from "./choose_call_path.ts";
+import { createCallEnd } from "./create_call_end.ts";
 import type { Exchange, ExchangeEnd } from "./create_exchanger.ts";
-import type { AddressedPart, Refusal, UpstreamHead } from "./protocol.ts";
+import { createStreamRelay } from "./create_stream_relay.ts";
+import type { AddressedPart, UpstreamHead } from "./protocol.ts";
+import { rescueStream } from "./rescue_stream.ts";
 import { createEventSplitter } from "./split_events.ts";
 import type { Call, ServingContext } from "./types.ts";
 
@@ -24,9 +23,6 @@
 /** Ms of silence after which the first engine is asked what stands still. */
 const STALL_CHECK_MS = 300;
 
-/** Ms for a question or an order to an engine. */
-const ENGINE_CONTROL_TIMEOUT_MS = 400;
-
 /** Ms after which a refusal tells of an engine that is dead, not full. */
 const DEAD_REFUSAL_MS = 1_000;
 
@@ -40,9 +36,7 @@
 const NEW_PATH_WAIT_MS = 1_000;
 
 /** One send of the call. */
-interface Leg {
-  /** First engine; the others are in the path. */
-  readonly engine: EngineView;
+interface Run {
   path: readonly AddressedPart[];
   readonly sentMs: number;
   exchange: Exchange | undefined;
@@ -51,6 +45,15 @@
   isRelaying: boolean;
 }
 
+/** How a run ended. */
+interface RunEnd {
+  readonly how: ExchangeEnd;
+  /** Whether it ended in the middle of an event. */
+  readonly isCut: boolean;
+  /** What came of an answer that is no stream. */
+  readonly body: Buffer;
+}
+
 /**
  * Serves a call: passes whole events on as they come, moves the path off
  * engines that stand still, goes on elsewhere where the stream breaks.
@@ -68,112 +71,70 @@
 ): Promise<void> {
   return new Promise((resolve) => {
     const { request, response, route, service } = call;
-    const { engines, budget, now, log, codec } = context;
+    const { engines, budget, now, log, codec, metrics } = context;
     const { requestId } = request;
-    const tokens = estimateTokens();
-    const excluded = new Set<string>();
+    const model = getCallModel(call, context);
     const isResumable = route.repeatability === "resumable";
-    let lastEventId = request.lastEventId;
+    const excluded = new Set<string>();
     let tries = 0;
     let runs = 0;
-    let ended = false;
-    let leg: Leg | undefined;
-    let eventCount = 0;
-    let progressMs = now();
-    let firstEventMs: number | undefined;
-    let lastEventMs = 0;
-    let longestGapMs = 0;
+    let run: Run | undefined;
     let checking = false;
-    const deadlineTimer = setTimeout(
-      finishTimedOut,
-      Math.max(0, call.deadlineMs - now()),
-    );
-    const unwatch = context.pauses.add({ check: checkStall });
-    response.on("close", () => end("caller left"));
 
     // Callers name the most that an answer may hold; most hold far less.
-    function estimateTokens(): number {
-      const usual = getModel()?.usualAnswerTokens ?? request.answerTokens;
-      return request.promptTokens + Math.min(usual, request.answerTokens);
-    }
-
-    function end(outcome: string): void {
-      if (ended) return;
-      ended = true;
-      clearTimeout(deadlineTimer);
-      unwatch();
-      leg?.exchange?.abort(outcome);
-      const tookMs = Math.round(now() - call.startedMs);
-      context.metrics.timing("requests.duration_ms", tookMs);
-      const status = response.headersSent ? response.statusCode : 0;
-      log(outcome === "answered" ? "callEnded" : "callEndedBadly", {
-        requestId,
-        outcome,
-        status,
+    const usualTokens = model?.usualAnswerTokens ?? request.answerTokens;
+    const tokens = request.promptTokens +
+      Math.min(usualTokens, request.answerTokens);
+    const relay = createStreamRelay({
+      response,
+      lastEventId: request.lastEventId,
+      bearablePauseMs: route.gapObjectiveMs,
+      pauses: context.pauses,
+      onFirstEvent: () =>
+        metrics.timing("requests.first_token_ms", now() - call.startedMs),
+      now,
+    });
+    const unwatch = context.pauses.add({ check: checkStall });
+    const callEnd = createCallEnd({
+      call,
+      context,
+      describe,
+      onEnd(outcome) {
+        unwatch();
+        run?.exchange?.abort(outcome);
+        resolve();
+      },
+      onDeadline: finishTimedOut,
+    });
+
+    function describe() {
+      const { events, firstEventMs, longestPauseMs } = relay.getProgress();
+      return {
         tries,
         runs,
-        events: eventCount,
+        events,
         firstEventMs: firstEventMs && Math.round(firstEventMs - call.startedMs),
-        longestGapMs: Math.round(longestGapMs),
-        tookMs,
-        service,
-      });
-      resolve();
-    }
-
-    function refuse(refusal: Refusal): void {
-      if (ended) return;
-      const closes = context.isLeaving();
-      context.metrics.countRefusal(refusal.reason);
-      answerRefusal(response, { codec, request, refusal, closes });
-      end(refusal.reason);
+        longestGapMs: Math.round(longestPauseMs),
+      };
     }
 
     function finishTimedOut(): void {
-      refuse(
-        runs > 0 || leg?.head
-          ? { status: 504, reason: "deadline" }
-          : { status: 503, reason: "not_taken", retryAfterMs: RETRY_AFTER_MS },
-      );
-    }
-
-    function choose(): AddressedPart[] | undefined {
-      const usable = engines.listUsable(service);
-      const model = getModel();
-      const { place } = context;
-      if (model) {
-        const path = choosePath(usable, {
-          model,
-          place,
-          gatewayCount: context.getPlaceGatewayCount(),
-          excluded,
-          nowMs: now(),
-        });
-        return path?.some(isFull) ? undefined : path;
+      // What was sent may run, even where no answer has begun.
+      const mayHaveRun = runs > 0 || run !== undefined;
+      if (mayHaveRun) {
+        return callEnd.refuse({ status: 504, reason: "deadline" });
       }
-      const engine = chooseEngine(usable, {
-        place,
-        excluded,
-        nowMs: now(),
-        random: context.random(),
+      callEnd.refuse({
+        status: 503,
+        reason: "not_taken",
+        retryAfterMs: RETRY_AFTER_MS,
       });
-      if (!engine) return undefined;
-      const { engineId, address } = engine.record;
-      return [{ engineId, address, fromLayer: 0, toLayer: 0 }];
-    }
-
-    function isFull({ engineId }: AddressedPart): boolean {
-      return (engines.get(engineId)?.fullUntilMs ?? 0) > now();
-    }
-
-    function getModel(): LayeredModel | undefined {
-      return context.getTable()?.getService(service)?.model;
     }
 
     function next(): void {
-      if (ended) return;
+      if (callEnd.hasEnded()) return;
       if (tries >= MAX_TRIES) return giveUp("too many tries");
-      const path = choose();
+      const path = chooseCallPath(call, context, { excluded });
       if (!path) return waitForPath();
       if (tries > 0 && !budget.spend(service)) return giveUp("no budget");
       tries += 1;
@@ -181,11 +142,10 @@
     }
 
     function waitForPath(): void {
-      const waitedMs = now() - progressMs;
       const limitMs = response.headersSent
         ? MAX_PATH_WAIT_MS
         : NEW_PATH_WAIT_MS;
-      if (waitedMs > limitMs) return giveUp("no path");
+      if (relay.getSilenceMs() > limitMs) return giveUp("no path");
       // Engines that were left out for this call may be back by then.
       excluded.clear();
       setTimeout(next, PATH_WAIT_MS);
@@ -194,9 +154,9 @@
     function giveUp(reason: string): void {
       log("callGivenUp", { requestId, reason, tries, runs });
       if (response.headersSent || runs > 0) {
-        return refuse({ status: 502, reason: "outcome_unknown" });
+        return callEnd.refuse({ status: 502, reason: "outcome_unknown" });
       }
-      refuse({
+      callEnd.refuse({
         status: 503,
         reason: "no_upstream",
         retryAfterMs: RETRY_AFTER_MS,
@@ -205,27 +165,17 @@
 
     function send(path: readonly AddressedPart[]): void {
       const [{ engineId, address }] = path;
-      const engine = engines.get(engineId);
-      if (!engine) return next();
-      const sent: Leg = {
-        engine,
+      const { lastEventId } = relay.getProgress();
+      const sent: Run = {
         path,
         sentMs: now(),
         exchange: undefined,
         head: undefined,
         isRelaying: false,
       };
-      leg = sent;
-      progressMs = now();
-      countIn(sent);
-      const hasLayers = getModel() !== undefined;
-      const envelope = {
-        deadlineMs: Math.max(1, Math.floor(call.deadlineMs - now())),
-        engineId,
-        account: call.account?.name,
-        lastEventId,
-        path: hasLayers ? path : [],
-      };
+      run = sent;
+      relay.restart();
+      engines.addWork(path, { tokens });
       const splitter = createEventSplitter();
       const chunks: Buffer[] = [];
       log("callSent", {
@@ -240,47 +190,43 @@
         address,
         method: request.method,
         target: request.target,
-        headers: codec.formatUpstreamHeaders(request, envelope),
+        headers: codec.formatUpstreamHeaders(request, {
+          deadlineMs: Math.max(1, Math.floor(call.deadlineMs - now())),
+          engineId,
+          account: call.account?.name,
+          lastEventId,
+          path: model ? path : [],
+        }),
         body: call.body,
         requestId,
         onHead: (head) => takeHead(sent, head),
         onData(chunk) {
-          if (!sent.isRelaying) chunks.push(chunk);
-          else for (const event of splitter.take(chunk)) relay(event, sent);
+          if (!sent.isRelaying) return void chunks.push(chunk);
+          for (const event of splitter.take(chunk)) {
+            if (!callEnd.hasEnded() && !relay.pass(event)) waitForCaller(sent);
+          }
         },
         onEnd(how) {
-          countOut(sent);
-          if (ended || leg !== sent) return;
-          leg = undefined;
-          takeEnd(sent, {
-            how,
-            isCut: splitter.hasRest(),
-            body: Buffer.concat(chunks),
-          });
+          engines.removeWork(sent.path, { tokens });
+          if (callEnd.hasEnded() || run !== sent) return;
+          run = undefined;
+          const body = Buffer.concat(chunks);
+          takeEnd(sent, { how, isCut: splitter.hasRest(), body });
         },
       });
     }
 
-    function countIn({ engine, path }: Leg): void {
-      engine.inFlight += 1;
-      for (const { engineId } of path) {
-        const view = engines.get(engineId);
-        if (view) view.tokensInFlight += tokens;
-      }
-    }
-
-    function countOut({ engine, path }: Leg): void {
-      engine.inFlight -= 1;
-      for (const { engineId } of path) {
-        const view = engines.get(engineId);
-        if (view) view.tokensInFlight -= tokens;
-      }
+    function waitForCaller(sent: Run): void {
+      sent.exchange?.pause();
+      response.once("drain", () => sent.exchange?.resume());
     }
 
-    function takeHead(sent: Leg, head: UpstreamHead): void {
+    function takeHead(sent: Run, head: UpstreamHead): void {
       sent.head = head;
       sent.isRelaying = head.status === 200 && head.isSigned;
-      if (!sent.isRelaying || response.headersSent || ended) return;
+      if (!sent.isRelaying || response.headersSent || callEnd.hasEnded()) {
+        return;
+      }
       response.writeHead(200, [
         ...head.headers,
         ...(context.isLeaving() ? ["connection", "close"] : []),
@@ -288,48 +234,14 @@
       response.flushHeaders();
     }
 
-    function relay(
-      event: { readonly bytes: Buffer; readonly id: string | undefined },
-      sent: Leg,
-    ): void {
-      if (ended) return;
-      const atMs = now();
-      if (firstEventMs !== undefined) {
-        const pauseMs = atMs - lastEventMs;
-        longestGapMs = Math.max(longestGapMs, pauseMs);
-        const bearableMs = route.gapObjectiveMs;
-        context.pauses.notePause(pauseMs, { bearableMs });
-      }
-      if (firstEventMs === undefined) {
-        firstEventMs = atMs;
-        const waitedMs = atMs - call.startedMs;
-        context.metrics.timing("requests.first_token_ms", waitedMs);
-      }
-      lastEventMs = atMs;
-      progressMs = atMs;
-      if (event.id !== undefined) {
-        // A run that goes on may begin with what the caller already has.
-        if (!isAfter(event.id, lastEventId)) return;
-        lastEventId = event.id;
-      }
-      eventCount += 1;
-      if (response.write(event.bytes)) return;
-      sent.exchange?.pause();
-      response.once("drain", () => sent.exchange?.resume());
-    }
-
-    function takeEnd(
-      sent: Leg,
-      result: { how: ExchangeEnd; isCut: boolean; body: Buffer },
-    ): void {
-      const { how, isCut, body } = result;
-      const { engineId } = sent.engine.record;
+    function takeEnd(sent: Run, { how, isCut, body }: RunEnd): void {
+      const [{ engineId }] = sent.path;
+      const { head } = sent;
       if (how.type === "notSent") {
-        context.metrics.countRetry("connect_failed");
+        metrics.countRetry("connect_failed");
         engines.suspect(engineId, how.reason);
         return next();
       }
-      const { head } = sent;
       if (how.type === "complete" && head?.saysNotRun) {
         return takeNotRun(sent, head);
       }
@@ -338,142 +250,86 @@
       engines.noteAnswer(engineId, { failed: !isWhole });
       if (isWhole) {
         response.end();
-        return end("answered");
+        return callEnd.end("answered");
       }
-      if (how.type === "broken") engines.suspect(engineId, how.reason);
-      excluded.add(engineId);
-      log("callBroken", {
-        requestId,
-        engineId,
-        how: how.type,
-        reason: how.type === "broken" ? how.reason : undefined,
-        status: head?.status,
-        lastEventId,
-        runs,
-      });
+      takeBroken(sent, how);
       // An upstream that is gone no longer counts as one that runs it.
       const mayGoOn = isResumable &&
         runs < route.maxAttempts + (how.type === "broken" ? 1 : 0);
       if (mayGoOn) {
-        context.metrics.count("streams.resumed");
+        metrics.count("streams.resumed");
         return next();
       }
-      passOnFailure(head, how.type === "complete" ? body : undefined);
+      const isOwnFailure = how.type === "complete" && head !== undefined &&
+        head.status >= 300 && !response.headersSent;
+      if (isOwnFailure) return callEnd.passOn(head, body);
+      callEnd.refuse({ status: 502, reason: "answer_broken" });
     }
 
-    function takeNotRun(sent: Leg, head: UpstreamHead): void {
-      const { engineId } = sent.engine.record;
-      const faulty = head.faultAddress === undefined
-        ? engineId
-        : sent.path.find((part) => part.address === head.faultAddress)
-          ?.engineId ?? engineId;
-      excluded.add(faulty);
-      const tookMs = now() - sent.sentMs;
-      if (head.status === 421 || tookMs > DEAD_REFUSAL_MS) {
-        engines.suspect(faulty, `refused with ${head.status}`);
-      } else engines.noteFull(faulty);
-      context.metrics.countRetry("upstream_refused");
-      log("callNotRun", { requestId, faulty, status: head.status, tookMs });
-      next();
+    function takeBroken(sent: Run, how: ExchangeEnd): void {
+      const [{ engineId }] = sent.path;
+      const reason = how.type === "complete" ? undefined : how.reason;
+      if (reason !== undefined) engines.suspect(engineId, reason);
+      excluded.add(engineId);
+      log("callBroken", {
+        requestId,
+        engineId,
+        how: how.type,
+        reason,
+        status: sent.head?.status,
+        lastEventId: relay.getProgress().lastEventId,
+        runs,
+      });
     }
 
-    function passOnFailure(
-      head: UpstreamHead | undefined,
-      body: Buffer | undefined,
-    ): void {
-      const isOwnFailure = head && body && head.status >= 300;
-      if (response.headersSent || !isOwnFailure) {
-        return refuse({ status: 502, reason: "answer_broken" });
-      }
-      response.writeHead(head.status, [
-        ...head.headers,
-        "content-length",
-        String(body.length),
-      ]);
-      response.end(body);
-      end("answered");
+    function takeNotRun(sent: Run, head: UpstreamHead): void {
+      const [first] = sent.path;
+      const faulty = sent.path
+        .find((part) => part.address === head.faultAddress) ?? first;
+      const { engineId } = faulty;
+      const { status } = head;
+      const tookMs = Math.round(now() - sent.sentMs);
+      excluded.add(engineId);
+      if (status === 421 || tookMs > DEAD_REFUSAL_MS) {
+        engines.suspect(engineId, `refused with ${status}`);
+      } else engines.noteFull(engineId);
+      metrics.countRetry("upstream_refused");
+      log("callNotRun", { requestId, faulty: engineId, status, tookMs });
+      next();
     }
 
     function checkStall(): void {
-      const silentMs = now() - progressMs;
-      if (!leg || checking || silentMs < STALL_CHECK_MS) return;
-      if (!isResumable || !getModel()) return;
+      const isSilent = relay.getSilenceMs() >= STALL_CHECK_MS;
+      if (!run || checking || !isSilent || !isResumable || !model) return;
       checking = true;
-      void askFirstEngine(leg).finally(() => {
+      void rescue(run).finally(() => {
         checking = false;
       });
     }
 
-    async function askFirstEngine(asked: Leg): Promise<void> {
-      const { address, engineId } = asked.engine.record;
-      const sinceMs = progressMs;
-      let stalledAt: string | undefined;
-      try {
-        const stalled = await context.stallWatch.ask(address);
-        stalledAt = stalled.find((one) => one.requestId === requestId)?.address;
-      } catch (error) {
-        log("engineAsked", { requestId, engineId, error });
-        if (leg !== asked || ended || progressMs !== sinceMs) return;
-        engines.suspect(engineId, "no report");
-        return moveOn(asked, "first engine silent");
-      }
-      if (leg !== asked || ended || stalledAt === undefined) return;
-      await changePath(asked, stalledAt);
-    }
-
-    async function changePath(asked: Leg, stalledAt: string): Promise<void> {
-      const dead = asked.path.find((part) => part.address === stalledAt);
-      if (!dead || dead === asked.path[0]) return moveOn(asked, "stalled");
-      engines.suspect(dead.engineId, "stands still");
-      excluded.add(dead.engineId);
-      const path = findDetour(asked);
-      const moved = path !== undefined && await context.engineControl
-        .changePath(asked.engine.record.address, {
-          requestId,
-          path,
-          timeoutMs: ENGINE_CONTROL_TIMEOUT_MS,
-        });
-      log("pathChanged", { requestId, dead: dead.engineId, moved });
-      if (leg !== asked || ended) return;
-      if (!moved || !path) return moveOn(asked, "no detour near");
-      countOut(asked);
-      asked.path = path;
-      countIn(asked);
-      progressMs = now();
-      context.metrics.count("paths.changed");
-    }
-
-    function findDetour(asked: Leg): AddressedPart[] | undefined {
-      const model = getModel();
-      const [first] = asked.path;
-      if (!model) return undefined;
-      const rest = choosePath(engines.listUsable(service), {
-        model,
-        place: asked.engine.record.place,
-        gatewayCount: context.getPlaceGatewayCount(),
-        excluded: new Set([...excluded, first.engineId]),
-        nowMs: now(),
-        fromLayer: first.toLayer,
-      });
-      // Through another data centre every token read so far would cross the
-      // pipe that all share: to read anew in one place takes far less.
-      const { place } = asked.engine.record;
-      const isNear = rest?.every(({ engineId }) =>
-        engines.get(engineId)?.record.place === place
-      );
-      return rest && isNear ? [first, ...rest] : undefined;
+    async function rescue(silent: Run): Promise<void> {
+      const { events } = relay.getProgress();
+      const { path } = silent;
+      const found = await rescueStream(call, context, { path, excluded });
+      if (run !== silent || callEnd.hasEnded()) return;
+      if (found.type === "moved") return takeMove(silent, found.path);
+      // What gave an event meanwhile is not lost.
+      const isLost = found.type === "lost" &&
+        relay.getProgress().events === events;
+      if (!isLost) return;
+      engines.suspect(found.engineId, found.reason);
+      excluded.add(found.engineId).add(path[0].engineId);
+      silent.exchange?.abort(found.reason);
     }
 
-    function moveOn(from: Leg, reason: string): void {
-      excluded.add(from.engine.record.engineId);
-      from.exchange?.abort(reason);
+    function takeMove(moved: Run, path: readonly AddressedPart[]): void {
+      engines.removeWork(moved.path, { tokens });
+      moved.path = path;
+      engines.addWork(path, { tokens });
+      relay.restart();
+      metrics.count("paths.changed");
     }
 
     next();
   });
 }
-
-function isAfter(id: string, last: string | undefined): boolean {
-  if (last === undefined || last === "") return true;
-  return Number(id) > Number(last);
-}
--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -5,10 +5,8 @@
  * @module
  */
 
-import type { IncomingMessage, ServerResponse } from "node:http";
-import type { Socket } from "node:net";
+import type { ServerResponse } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
-import Fastify from "fastify";
 import {
   type DecodeConfig,
   type GatewayRecord,
@@ -16,13 +14,15 @@
   unpackDocument,
 } from "../fleet/index.ts";
 import type { Logger } from "../logs/index.ts";
-import type { Metrics, RefusalReason } from "../metrics/index.ts";
-import {
-  chooseTarget,
-  createRouteTable,
-  type RouteTable,
-} from "../routes/index.ts";
+import type { Metrics } from "../metrics/index.ts";
+import { createRouteTable, type RouteTable } from "../routes/index.ts";
 import { answerRefusal } from "./answer_refusal.ts";
+import {
+  createCallerServer,
+  type EarlyListener,
+  listenForCallers,
+  type ReceivedRequest,
+} from "./create_caller_server.ts";
 import { createConfigLease } from "./create_config_lease.ts";
 import { createEngineTable } from "./create_engine_table.ts";
 import { createExchanger } from "./create_exchanger.ts";
@@ -30,6 +30,7 @@
 import { createPauseWatch } from "./create_pause_watch.ts";
 import { createRepeatBudget } from "./create_repeat_budget.ts";
 import { createStallWatch } from "./create_stall_watch.ts";
+import { decideCall } from "./decide_call.ts";
 import type {
   CallerCodec,
   CallerRequest,
@@ -75,12 +76,6 @@
   readonly metrics: Metrics;
 }
 
-/** A listener that keeps its connections until somebody takes them. */
-export interface EarlyListener {
-  /** Gives the connections that wait, and all later ones. */
-  take(onConnection: (socket: Socket) => void): void;
-}
-
 /** A running gateway. */
 export interface Gateway {
   /** Whether callers may be sent here. */
@@ -94,15 +89,6 @@
 /** Body that is read where no configuration says how large it may be. */
 const DEFAULT_BODY_BYTES = 4 * 1024 * 1024;
 
-/** Header that is read; the platform's callers stay within it. */
-const MAX_HEADER_BYTES = 32 * 1024;
-
-/** Ms for which an idle connection is kept where no configuration says. */
-const DEFAULT_IDLE_MS = 16_000;
-
-/** Ms after which a caller may come again where this gateway can't serve. */
-const NOT_READY_RETRY_MS = 300;
-
 /**
  * Ms for which a gateway that has just started lets requests wait for its
  * first configuration: about as long as a new leader takes to be found.
@@ -231,29 +217,10 @@
     log,
   });
 
-  const server = Fastify({
-    logger: false,
-    exposeHeadRoutes: false,
-    http: { maxHeaderSize: MAX_HEADER_BYTES },
-    keepAliveTimeout: DEFAULT_IDLE_MS,
-    // Routes come from the configuration, not from the library's router.
-    rewriteUrl: () => "/",
-  });
-  server.removeAllContentTypeParsers();
-  server.addContentTypeParser("*", (_request, _payload, done) => done(null));
-  server.all("/", (request, reply) => {
-    reply.hijack();
-    void take(request.raw, {
-      response: reply.raw,
-      target: request.originalUrl,
-    });
-  });
+  const server = createCallerServer((received) => void take(received));
 
-  async function take(
-    message: IncomingMessage,
-    options: { response: ServerResponse; target: string },
-  ): Promise<void> {
-    const { response, target } = options;
+  async function take(received: ReceivedRequest): Promise<void> {
+    const { message, response, target } = received;
     const startedMs = now();
     inFlight += 1;
     try {
@@ -287,9 +254,17 @@
   ): Promise<void> {
     const { request, response, startedMs } = taken;
     await untilStarted(taken);
-    const decided = decide(request);
-    if (!decided.call) return refuse(request, response, decided.refusal);
-    const { route, account, service } = decided.call;
+    const decision = decideCall(request, {
+      table,
+      knowsEngines,
+      isTrusted: lease.isValid(),
+      isLastCall,
+      random: context.random(),
+    });
+    if (decision.type === "refuse") {
+      return refuse(request, response, decision.refusal);
+    }
+    const { route, account, service } = decision.call;
     budget.noteRequest(service);
     const limitMs = Math.min(request.deadlineMs ?? Infinity, route.timeoutMs);
     const call: Call = {
@@ -314,32 +289,6 @@
     }
   }
 
-  function decide(request: CallerRequest):
-    | {
-      readonly call: Pick<Call, "route" | "account" | "service">;
-    }
-    | { readonly call?: undefined; readonly refusal: Refusal } {
-    const notReady = (reason: RefusalReason) => ({
-      refusal: { status: 503, reason, retryAfterMs: NOT_READY_RETRY_MS },
-    });
-    if (isLastCall) return notReady("leaving");
-    if (!table || !knowsEngines) return notReady("no_config");
-    const route = table.findRoute(request.host, request.path);
-    const isTrusted = lease.isValid();
-    const refuseFor = (status: number, reason: RefusalReason) =>
-      isTrusted ? { refusal: { status, reason } } : notReady("stale_config");
-    if (!route) return refuseFor(404, "not_found");
-    const service = chooseTarget(route, Math.random());
-    const needsKey = table.needsKeys && !route.isAnonymous;
-    const account = request.key === undefined
-      ? undefined
-      : table.findAccount(request.key);
-    if (!needsKey) return { call: { route, account, service } };
-    if (!isTrusted) return notReady("stale_config");
-    if (!account) return refuseFor(401, "unknown_key");
-    return { call: { route, account, service } };
-  }
-
   function refuse(
     request: CallerRequest,
     response: ServerResponse,
@@ -356,13 +305,8 @@
     answerRefusal(response, { codec, request, refusal, closes: isLeaving });
   }
 
-  if (options.earlyListener) {
-    await server.ready();
-    options.earlyListener.take((socket) => {
-      server.server.emit("connection", socket);
-      socket.resume();
-    });
-  } else await server.listen(listen);
+  const { earlyListener } = options;
+  await listenForCallers(server, { ...listen, earlyListener });
   log("started", { vm, address });
 
   const gauges = setInterval(() => {
--- a/standins/start_layer_engine.ts
+++ b/standins/start_layer_engine.ts
@@ -25,6 +25,8 @@
   losesAnswers?: boolean;
   /** Answers plain requests with the id of another one. */
   mixesIds?: boolean;
+  /** Takes requests and never answers. */
+  hangs?: boolean;
   /** Refuses all requests as full. */
   isFull?: boolean;
   /** Address of an engine for which all streams here wait. */
@@ -174,6 +176,7 @@
     response.on("close", () => {
       run.wasCut = !response.writableFinished;
     });
+    if (fault.hangs) return;
     if (card !== undefined) return await stream(response, { run, get });
     if (fault.losesAnswers) {
       response.destroy();
--- a/test/fleet_test.ts
+++ b/test/fleet_test.ts
@@ -144,6 +144,17 @@
   assert.is(fleet.plain.flatMap((engine) => engine.runs).length, 2);
 });
 
+test("a request that was sent is never refused as not run at its deadline", async () => {
+  await using fleet = await startServing({ controls: 1, gateways: 1 });
+  const [{ address }] = fleet.gateways;
+  const all = [...fleet.plain, ...fleet.engines];
+  for (const engine of all) engine.fault.hangs = true;
+  for (const path of ["/once/1", "/safe/1", "/stream/1"]) {
+    const { status } = await call(address, { path, deadlineMs: 250 });
+    assert.ok(status === 504 || status === 502, `${path}: ${status}`);
+  }
+});
+
 test("an answer to another request is never passed on", async () => {
   await using fleet = await startServing({ controls: 1, gateways: 1 });
   const [{ address }] = fleet.gateways;
