--- a/test/fleet_test.ts
+++ b/test/fleet_test.ts
@@ -17,6 +17,7 @@
   type TestFleet,
 } from "./support/fleet.ts";
 
+/** Events of a stand-in's answer unless a test says otherwise. */
 const EVENTS = 20;
 
 function expectStream(events = EVENTS): string {
@@ -37,7 +38,7 @@
 }
 
 async function startServing(
-  options: { controls?: number; gateways?: number } = {},
+  options: Parameters<typeof startTestFleet>[0] = {},
 ): Promise<TestFleet> {
   const fleet = await startTestFleet(options);
   await until(
@@ -252,6 +253,33 @@
   );
 });
 
+test("a planned stop finishes what runs and what comes meanwhile", async () => {
+  await using fleet = await startServing({
+    controls: 1,
+    gateways: 1,
+    events: 100,
+    graceMs: 4_000,
+  });
+  const [{ address, gateway }] = fleet.gateways;
+  const running = Array.from(
+    { length: 5 },
+    () => call(address, { path: "/stream/1" }),
+  );
+  await until(
+    "all have begun",
+    () => fleet.engines.flatMap((engine) => engine.runs).length === 5,
+  );
+  const stopped = gateway.stop();
+  assert.not.ok(gateway.isReady());
+  const meanwhile = await call(address, { path: "/once/1" });
+  assert.is(meanwhile.status, 200);
+  assert.is(meanwhile.headers.connection, "close");
+  for (const { text } of await Promise.all(running)) {
+    assert.is(text, expectStream(100));
+  }
+  await stopped;
+});
+
 test("callers are told the gateways of their data centre", async () => {
   await using fleet = await startServing();
   await until(
--- a/test/support/fleet.ts
+++ b/test/support/fleet.ts
@@ -159,9 +159,18 @@
 
 /** Starts a fleet. */
 export async function startTestFleet(
-  options: { controls?: number; gateways?: number; events?: number } = {},
+  options: {
+    controls?: number;
+    gateways?: number;
+    events?: number;
+    graceMs?: number;
+  } = {},
 ): Promise<TestFleet> {
-  const { controls: controlCount = 3, gateways: gatewayCount = 2 } = options;
+  const {
+    controls: controlCount = 3,
+    gateways: gatewayCount = 2,
+    graceMs = 500,
+  } = options;
   const folder = await mkdtemp(join(tmpdir(), "fleet-"));
   const ports = await findFreePorts(controlCount * 2 + gatewayCount);
   const seeds = Array.from({ length: controlCount }, (_, at) => ({
@@ -219,7 +228,7 @@
         listen: { host: "127.0.0.1", port },
         revokeMs: 5_000,
         repeats: { ratio: 0.2, extra: 100, windowMs: 10_000 },
-        graceMs: 500,
+        graceMs,
       }, {
         codec: callerCodec,
         engineControl,
