--- a/src/fleet/create_gateway_sessions.ts
+++ b/src/fleet/create_gateway_sessions.ts
@@ -12,7 +12,7 @@
 import type { Logger } from "../logs/index.ts";
 import type { wire } from "../wire/index.ts";
 import type { AcceptedConfig } from "./create_fleet_machine.ts";
-import { sumLoads } from "./sum_loads.ts";
+import { subtractLoads, sumLoads } from "./sum_loads.ts";
 import type {
   EngineLoads,
   GatewayMessage,
@@ -258,9 +258,9 @@
     },
     publishLoads() {
       const all = [...sessions.values()];
+      const sum = sumLoads(all.map((session) => session.loads));
       for (const session of all) {
-        const others = all.filter((other) => other !== session);
-        const loads = sumLoads(others.map((other) => other.loads));
+        const loads = subtractLoads(sum, session.loads);
         const told = JSON.stringify(loads);
         if (told === session.toldLoads) continue;
         session.toldLoads = told;
--- a/src/fleet/fleet_parts_test.ts
+++ b/src/fleet/fleet_parts_test.ts
@@ -4,6 +4,7 @@
   createFleetMachine,
   type FleetCommand,
 } from "./create_fleet_machine.ts";
+import { subtractLoads, sumLoads } from "./sum_loads.ts";
 import { packDocument, unpackDocument } from "./pack_document.ts";
 
 function putConfig(version: number, packed: string): FleetCommand {
@@ -24,6 +25,15 @@
   assert.ok(packed.length < document.length / 5);
 });
 
+test("each gateway is told the others' work, not its own", () => {
+  const one = { a: { tokens: 5, requests: 1 }, b: { tokens: 7, requests: 0 } };
+  const two = { a: { tokens: 2, requests: 1 } };
+  const sum = sumLoads([one, two]);
+  assert.equal(sum, { ...one, a: { tokens: 7, requests: 2 } });
+  assert.equal(subtractLoads(sum, one), two);
+  assert.equal(subtractLoads(sum, two), one);
+});
+
 test("the highest version holds, whatever comes later", () => {
   const told: number[] = [];
   const machine = createFleetMachine({
--- a/src/fleet/sum_loads.ts
+++ b/src/fleet/sum_loads.ts
@@ -26,3 +26,23 @@
   }
   return sums;
 }
+
+/**
+ * Takes one gateway's work out of a sum that it is part of.
+ *
+ * @param sum - The sum of all.
+ * @param own - The part.
+ * @returns What the others have in flight.
+ * @throws Nothing.
+ * @example
+ * const others = subtractLoads(sumLoads(all), own);
+ */
+export function subtractLoads(sum: EngineLoads, own: EngineLoads): EngineLoads {
+  const others: Record<string, { tokens: number; requests: number }> = {};
+  for (const [engineId, all] of Object.entries(sum)) {
+    const tokens = all.tokens - (own[engineId]?.tokens ?? 0);
+    const requests = all.requests - (own[engineId]?.requests ?? 0);
+    if (tokens + requests > 0) others[engineId] = { tokens, requests };
+  }
+  return others;
+}
