A stream runs on no more engines than its route allows

Change: only an engine that is no longer registered stops counting.

Conclusion: a third run needs proof that an engine is gone.

--- a/src/gateway/serve_stream_call.ts
+++ b/src/gateway/serve_stream_call.ts
@@ -76,6 +76,7 @@
     const model = getCallModel(call, context);
     const isResumable = route.repeatability === "resumable";
     const excluded = new Set<string>();
+    const ranOn = new Set<string>();
     let tries = 0;
     let runs = 0;
     let run: Run | undefined;
@@ -253,10 +254,8 @@
         return callEnd.end("answered");
       }
       takeBroken(sent, how);
-      // An upstream that is gone no longer counts as one that runs it.
-      const mayGoOn = isResumable &&
-        runs < route.maxAttempts + (how.type === "broken" ? 1 : 0);
-      if (mayGoOn) {
+      ranOn.add(engineId);
+      if (isResumable && mayRunElsewhere()) {
         metrics.count("streams.resumed");
         return next();
       }
@@ -266,6 +265,13 @@
       callEnd.refuse({ status: 502, reason: "answer_broken" });
     }
 
+    // An upstream that is gone no longer counts as one that runs it; one whose
+    // connection broke may be well.
+    function mayRunElsewhere(): boolean {
+      const counted = [...ranOn].filter((id) => engines.get(id) !== undefined);
+      return counted.length < route.maxAttempts;
+    }
+
     function takeBroken(sent: Run, how: ExchangeEnd): void {
       const [{ engineId }] = sent.path;
       const reason = how.type === "complete" ? undefined : how.reason;
