An upstream that failed is tried again after a while

Cause: found by reading: what spoke against an upstream faded only with its own answers; one that failed part of its requests was asked no more and could never show that it was well again. Ruled out: suspicion (it ends by time); this weight did not. Change: the share of failures halves every 3 s. Test: with the old constancy the upstream is still left out after 30 s (seen failing), with the change it is taken back.

--- a/src/gateway/choose_engine.ts
+++ b/src/gateway/choose_engine.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { EngineView } from "./create_engine_table.ts";
+import { type EngineView, getFailureShare } from "./create_engine_table.ts";
 
 /** What the choice goes by. */
 export interface ChooseEngineOptions {
@@ -53,7 +53,8 @@
 }
 
 function getLoad(engine: EngineView, options: ChooseEngineOptions): number {
-  const { record, inFlight, otherRequests, toldLoad, failureShare } = engine;
+  const { record, inFlight, otherRequests, toldLoad } = engine;
+  const failureShare = getFailureShare(engine, options.nowMs);
   const known = (inFlight + otherRequests) / Math.max(1, record.slots);
   const distance = record.place === options.place ? 0 : OTHER_PLACE_LOAD;
   return Math.max(known, toldLoad) + failureShare * FAILURE_LOAD + distance;
--- a/src/gateway/choose_path.ts
+++ b/src/gateway/choose_path.ts
@@ -6,7 +6,7 @@
 
 import { findLayerPath, type PathEngine } from "../layers/index.ts";
 import type { LayeredModel } from "../routes/index.ts";
-import type { EngineView } from "./create_engine_table.ts";
+import { type EngineView, getFailureShare } from "./create_engine_table.ts";
 import type { AddressedPart } from "./protocol.ts";
 
 /** What the choice goes by. */
@@ -102,8 +102,9 @@
   view: EngineView,
   options: ChoosePathOptions,
 ): PathEngine {
-  const { record, failureShare } = view;
+  const { record } = view;
   const { model, nowMs } = options;
+  const failureShare = getFailureShare(view, nowMs);
   const { engineId, place } = record;
   const range = record.layers ?? { fromLayer: 0, toLayer: 0 };
   const card = model.cards.find(({ name }) => name === record.card);
--- a/src/gateway/create_engine_table.ts
+++ b/src/gateway/create_engine_table.ts
@@ -30,8 +30,32 @@
   fullUntilMs: number;
   /** How often in a row it was suspected. */
   suspicions: number;
-  /** Share of its newest answers that failed, smoothed. */
+  /** Share of its answers that failed, smoothed, when one was last noted. */
   failureShare: number;
+  /** When an answer was last noted, in ms. */
+  answeredMs: number;
+}
+
+/** Ms in which half of what speaks against an upstream is forgotten. */
+const FAILURE_HALF_LIFE_MS = 3_000;
+
+/**
+ * Tells how far an upstream's newest answers failed. It fades with time, so
+ * that one that is not asked any more is tried again.
+ *
+ * @param view - The upstream.
+ * @param nowMs - Monotonic time, in ms.
+ * @returns A share from 0 to 1.
+ * @throws Nothing.
+ * @example
+ * const share = getFailureShare(view, performance.now());
+ */
+export function getFailureShare(
+  view: Pick<EngineView, "failureShare" | "answeredMs">,
+  nowMs: number,
+): number {
+  const ageMs = Math.max(0, nowMs - view.answeredMs);
+  return view.failureShare * 2 ** (-ageMs / FAILURE_HALF_LIFE_MS);
 }
 
 /** The upstreams as a gateway knows them. */
@@ -108,6 +132,7 @@
       fullUntilMs: 0,
       suspicions: 0,
       failureShare: 0,
+      answeredMs: 0,
       record,
     });
   }
@@ -186,8 +211,10 @@
       const engine = engines.get(engineId);
       if (!engine) return;
       if (!failed) engine.suspicions = 0;
-      engine.failureShare += FAILURE_WEIGHT *
-        ((failed ? 1 : 0) - engine.failureShare);
+      const share = getFailureShare(engine, now());
+      engine.failureShare = share +
+        FAILURE_WEIGHT * ((failed ? 1 : 0) - share);
+      engine.answeredMs = now();
     },
     takeSuspects() {
       const taken = [...suspects];
--- /dev/null
+++ b/src/gateway/create_engine_table_test.ts
@@ -0,0 +1,67 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { chooseEngine } from "./choose_engine.ts";
+import { createEngineTable } from "./create_engine_table.ts";
+
+function makeTable() {
+  const clock = { nowMs: 0 };
+  const gone: string[] = [];
+  const table = createEngineTable({
+    now: () => clock.nowMs,
+    log: () => {},
+    onGone: (engineId) => void gone.push(engineId),
+  });
+  const engines = ["e1", "e2"].map((engineId) => ({
+    engineId,
+    service: "s",
+    address: `${engineId}:80`,
+    place: "p",
+    slots: 4,
+    isLeaving: false,
+  }));
+  table.take({ type: "engines", isWhole: true, engines, gone: [] });
+  const choose = () =>
+    chooseEngine(table.listUsable("s"), {
+      place: "p",
+      excluded: new Set(),
+      nowMs: clock.nowMs,
+      random: 0,
+    })?.record.engineId;
+  return { table, clock, gone, engines, choose };
+}
+
+test("an upstream that fails gets less, and is tried again after a while", () => {
+  const { table, clock, choose } = makeTable();
+  assert.is(choose(), "e1");
+  for (let at = 0; at < 10; at++) table.noteAnswer("e1", { failed: true });
+  assert.is(choose(), "e2");
+  clock.nowMs = 30_000;
+  assert.is(choose(), "e1");
+});
+
+test("a suspected upstream is left out, longer each time in a row", () => {
+  const { table, clock } = makeTable();
+  table.suspect("e1", "test");
+  assert.is(table.listUsable("s").length, 1);
+  clock.nowMs = 1_600;
+  assert.is(table.listUsable("s").length, 2);
+  table.suspect("e1", "test");
+  clock.nowMs = 3_300;
+  assert.is(table.listUsable("s").length, 1);
+  assert.equal(table.takeSuspects(), ["e1"]);
+  assert.equal(table.takeSuspects(), []);
+});
+
+test("news keep what was seen; a whole list removes the others", () => {
+  const { table, gone, engines } = makeTable();
+  table.addWork([{ engineId: "e1", fromLayer: 0, toLayer: 0 }], { tokens: 9 });
+  const [first] = engines;
+  const moved = { ...first, isLeaving: true };
+  table.take({ type: "engines", isWhole: false, engines: [moved], gone: [] });
+  assert.equal(table.getLoads(), { e1: { tokens: 9, requests: 1 } });
+  assert.is(table.listUsable("s").length, 1);
+  table.take({ type: "engines", isWhole: true, engines: [moved], gone: [] });
+  assert.equal(gone, ["e2"]);
+});
+
+test.run();
