Copies are spread anew one at a time; orders without an answer are repeated

Ruled out: a shorter wait for gaps (the copies would have been spread at once all the same).

A repeat that the engine calls a conflict is its own order at work.

--- a/src/fleet/create_layer_keeper.ts
+++ b/src/fleet/create_layer_keeper.ts
@@ -44,6 +44,8 @@
 interface OrderUnderWay {
   readonly range: LayerRange;
   readonly untilMs: number;
+  /** Whether the engine has not said that it took the order. */
+  readonly isUnanswered: boolean;
 }
 
 /** Ms without a new engine before the first spread: all have registered. */
@@ -52,6 +54,9 @@
 /** Ms that a gap waits for an empty engine before a copy is spread anew. */
 const RESPREAD_AFTER_MS = 7_000;
 
+/** Ms for which an engine that refused an order is left alone. */
+const REFUSED_MS = 500;
+
 /** Ms, on top of the load, in which an engine's beat tells of a new range. */
 const ORDER_SLACK_MS = 4_000;
 
@@ -111,7 +116,18 @@
     };
     const orders = planLayerOrders(engines, { figures: model, mayRespread });
     gapSinceMs = gaps;
-    await Promise.all(orders.map((order) => give(order, { members, model })));
+    const repeated = listUnanswered(members);
+    await Promise.all(
+      [...orders, ...repeated].map((order) => give(order, { members, model })),
+    );
+  }
+
+  // Orders may get lost; an engine that took one answers that it holds it.
+  function listUnanswered(members: readonly EngineRecord[]): LayerOrder[] {
+    return members.flatMap(({ engineId }) => {
+      const order = underWay.get(engineId);
+      return order?.isUnanswered ? [{ engineId, ...order.range }] : [];
+    });
   }
 
   function describeEngine(
@@ -120,9 +136,11 @@
   ): LayerEngine[] {
     const card = model.cards.find(({ name }) => name === engine.card);
     if (!card) return [];
-    const range = underWay.get(engine.engineId)?.range ?? engine.layers;
     const { engineId, place } = engine;
-    return [{ engineId, place, memoryMb: card.memoryMb, range }];
+    const order = underWay.get(engineId);
+    const range = order?.range ?? engine.layers;
+    const isLoading = order !== undefined;
+    return [{ engineId, place, memoryMb: card.memoryMb, range, isLoading }];
   }
 
   function forgetEnded(members: readonly EngineRecord[]): void {
@@ -147,13 +165,22 @@
     const range = { fromLayer, toLayer };
     const share = (toLayer - fromLayer) / model.layers;
     const slowdown = Math.max(1, members.length / model.loadsAtOnce);
-    const untilMs = now() + model.loadMs * share * slowdown + ORDER_SLACK_MS;
-    underWay.set(order.engineId, { range, untilMs });
+    const fullMs = now() + model.loadMs * share * slowdown + ORDER_SLACK_MS;
+    const earlier = underWay.get(order.engineId);
+    const isRepeat = earlier?.isUnanswered === true;
+    const untilMs = isRepeat ? earlier.untilMs : fullMs;
+    underWay.set(order.engineId, { range, untilMs, isUnanswered: false });
     const answer = await options.sendOrder(engine, range);
     log("layersOrdered", { engineId: order.engineId, ...range, answer });
-    if (answer === "refused" || answer === "conflict") {
-      underWay.set(order.engineId, { range, untilMs: now() + 500 });
-    }
+    const isUnanswered = answer === "unknown";
+    // An engine that is busy with the order already calls a repeat a conflict.
+    const isRefused = answer === "refused" ||
+      (answer === "conflict" && !isRepeat);
+    underWay.set(order.engineId, {
+      range,
+      untilMs: isRefused ? now() + REFUSED_MS : untilMs,
+      isUnanswered,
+    });
   }
 
   return {
--- /dev/null
+++ b/src/fleet/create_layer_keeper_test.ts
@@ -0,0 +1,83 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import type { EngineRecord, LayerRange } from "../engines/index.ts";
+import type { Service } from "../routes/index.ts";
+import { createLayerKeeper, type OrderAnswer } from "./create_layer_keeper.ts";
+
+const SERVICE: Service = {
+  name: "model",
+  maxConnections: 100,
+  model: {
+    layers: 8,
+    layerMb: 100,
+    kvTokenBytes: 1_000,
+    cards: [{ name: "card", memoryMb: 1_000, stepFactor: 1, readFactor: 1 }],
+    slots: 8,
+    stepMs: 1,
+    readTokensPerS: 1_000,
+    usualPromptTokens: 20,
+    loadMs: 1_000,
+    loadsAtOnce: 6,
+    usualAnswerTokens: 20,
+  },
+};
+
+function makeEngine(engineId: string, layers?: LayerRange): EngineRecord {
+  return {
+    engineId,
+    service: "model",
+    address: `${engineId}:1`,
+    place: "a",
+    slots: 8,
+    isLeaving: false,
+    card: "card",
+    ...(layers ? { layers } : {}),
+  };
+}
+
+function startKeeper(answers: OrderAnswer[]) {
+  let nowMs = 0;
+  const sent: string[] = [];
+  const engines = [makeEngine("one")];
+  const keeper = createLayerKeeper({
+    getServices: () => [SERVICE],
+    getEngines: () => engines,
+    sendOrder: ({ engineId }, { fromLayer, toLayer }) => {
+      sent.push(`${engineId}:${fromLayer}-${toLayer}`);
+      return Promise.resolve(answers.shift() ?? "begun");
+    },
+    now: () => nowMs,
+    log: () => {},
+  });
+  const runAfter = async (ms: number) => {
+    nowMs += ms;
+    await keeper.run();
+  };
+  return { sent, engines, runAfter };
+}
+
+test("an order without an answer is given again until there is one", async () => {
+  const { sent, runAfter } = startKeeper(["unknown", "unknown", "begun"]);
+  await runAfter(0);
+  await runAfter(1_000);
+  assert.equal(sent, ["one:0-8"]);
+  await runAfter(250);
+  await runAfter(250);
+  assert.equal(sent, ["one:0-8", "one:0-8", "one:0-8"]);
+  await runAfter(250);
+  assert.is(sent.length, 3);
+});
+
+test("a repeat that meets the order's own work is left alone", async () => {
+  const { sent, engines, runAfter } = startKeeper(["unknown", "conflict"]);
+  await runAfter(0);
+  await runAfter(1_000);
+  await runAfter(250);
+  await runAfter(600);
+  assert.is(sent.length, 2);
+  engines[0] = makeEngine("one", { fromLayer: 0, toLayer: 8 });
+  await runAfter(250);
+  assert.is(sent.length, 2);
+});
+
+test.run();
--- a/src/layers/layers_test.ts
+++ b/src/layers/layers_test.ts
@@ -117,6 +117,27 @@
   assert.equal(findGaps(ranges, 80), []);
 });
 
+test("of two copies with gaps one at a time is spread anew", () => {
+  const engines = holdPlan([
+    ...makeEngines(12, { place: "a" }),
+    ...makeEngines(12, { place: "b" }),
+  ]);
+  const left = engines.filter(({ engineId }) => !/^[ab]5$/.test(engineId));
+  const options = { figures: FIGURES, mayRespread: () => true };
+  const first = planLayerOrders(left, options);
+  assert.ok(first.length > 0);
+  assert.ok(first.every(({ engineId }) => engineId.startsWith("a")));
+  const ordered = left.map((engine) => {
+    const order = first.find(({ engineId }) => engineId === engine.engineId);
+    return order ? { ...engine, range: order, isLoading: true } : engine;
+  });
+  assert.equal(planLayerOrders(ordered, options), []);
+  const done = ordered.map((engine) => ({ ...engine, isLoading: false }));
+  const second = planLayerOrders(done, options);
+  assert.ok(second.length > 0);
+  assert.ok(second.every(({ engineId }) => engineId.startsWith("b")));
+});
+
 test("room for tokens is as large as the group allows", () => {
   const tokens = findTokensInFlight(makeEngines(12), FIGURES) ?? 0;
   assert.ok(tokens > 50_000, String(tokens));
--- a/src/layers/plan_layer_orders.ts
+++ b/src/layers/plan_layer_orders.ts
@@ -24,7 +24,8 @@
  * can hold one, one more over the engines of the others together.
  *
  * A copy that lost a range gets it back on empty engines; without any, and
- * where the options allow it, the copy is spread anew over what is left.
+ * where the options allow it, the copy is spread anew over what is left. Only
+ * one copy at a time is: while its engines load, the others serve.
  *
  * @param engines - The engines that stay, with what they hold or were ordered
  * to hold.
@@ -38,9 +39,23 @@
   engines: readonly LayerEngine[],
   options: PlanLayerOrdersOptions,
 ): LayerOrder[] {
-  return groupEngines(engines, options.figures).flatMap((group) =>
-    planGroup(group, options)
-  );
+  const { figures, mayRespread } = options;
+  const groups = groupEngines(engines, figures);
+  let spreadGroup = groups.find(isLoadingGroup);
+  return groups.flatMap((group) => {
+    const orders = planGroup(group, figures);
+    if (orders.type === "orders") return orders.orders;
+    // A copy that is spread anew serves little meanwhile: one at a time.
+    const mayBegin = mayRespread(group.name);
+    const isAlone = spreadGroup === undefined || spreadGroup === group;
+    if (!mayBegin || !isAlone) return orders.filling;
+    spreadGroup = group;
+    return spread(group.engines, figures);
+  });
+}
+
+function isLoadingGroup(group: EngineGroup): boolean {
+  return group.engines.some((engine) => engine.isLoading);
 }
 
 /** Engines that together hold one copy. */
@@ -77,20 +92,23 @@
   return a < b ? -1 : 1;
 }
 
-function planGroup(
-  group: EngineGroup,
-  options: PlanLayerOrdersOptions,
-): LayerOrder[] {
-  const { figures, mayRespread } = options;
+/** What one copy needs. */
+type GroupPlan =
+  | { readonly type: "orders"; readonly orders: readonly LayerOrder[] }
+  /** Gaps that empty engines can't fill; what they fill of them. */
+  | { readonly type: "gaps"; readonly filling: readonly LayerOrder[] };
+
+function planGroup(group: EngineGroup, figures: LayerFigures): GroupPlan {
   const held = group.engines.filter((engine) => engine.range !== undefined);
-  if (held.length === 0) return spread(group.engines, figures);
+  if (held.length === 0) {
+    return { type: "orders", orders: spread(group.engines, figures) };
+  }
   const ranges = held.map((engine) => engine.range as LayerRange);
   const gaps = findGaps(ranges, figures.layers);
-  if (gaps.length === 0) return [];
-  const orders = fillGaps(gaps, group, figures);
-  const left = findGaps([...ranges, ...orders], figures.layers);
-  if (left.length === 0 || !mayRespread(group.name)) return orders;
-  return spread(group.engines, figures);
+  const filling = fillGaps(gaps, group, figures);
+  const left = findGaps([...ranges, ...filling], figures.layers);
+  if (left.length === 0) return { type: "orders", orders: filling };
+  return { type: "gaps", filling };
 }
 
 // The order of the layers follows what is held, so that a new spread moves as
--- a/src/layers/types.ts
+++ b/src/layers/types.ts
@@ -13,6 +13,8 @@
   readonly memoryMb: number;
   /** What it holds, or has been ordered to hold; undefined where nothing. */
   readonly range?: LayerRange;
+  /** Whether it was ordered to hold its range and has not said yet that it does. */
+  readonly isLoading?: boolean;
 }
 
 /** One engine's part of a path. */
