Streams leave a lost engine after 60 ms; restarted voters elect at once

(1) One engine that crashes makes some 27 streams late: all wait 300 ms before the first engine is asked, whose report is 200 ms old, then all go on over one other copy, whose reading queue takes 150 ms. (2) Three dark VMs: a quarter of the callers' questions for addresses meet a dark process, at 1 s each; answers lived 1 s. (3) After a loss of power of all, voters are ready 0.8 s after their processes start and then keep silent for another 500 to 750 ms, although no leader can have reached them before their start. (4) With answers that live 5 s a gateway that stops took a request 3.1 s after the signal and cut it at the end: also possible before, since some callers use an answer for three times as long.

Change: runs that begin at one engine are a group; where all of them are silent for 60 ms (a single one for 115 ms) every engine of their paths is asked whether it is there, and runs leave those that refuse or say nothing. An engine that is named in a refusal is asked too. Resumed streams count the prompts that are being read and spread over copies. The time since its process started counts as a voter's silence, and until a leader is heard it stands again after 100 ms. Schedules now lose power everywhere at once.

Each change has a test that failed on the code before but for the times of answers.

--- a/proof/run_schedule.ts
+++ b/proof/run_schedule.ts
@@ -365,13 +365,19 @@
       ) && hasLeaderLease(state, leader.replica.getLocalMs());
   }
 
+  function crash(node: Node, options?: { losesWrites: boolean }): void {
+    counts.crashes += 1;
+    node.replica.crash(options);
+    node.frozenUntilMs = timeMs + random.integer(0, 1_500);
+  }
+
   let wipeSerial = 1;
   function hurt(): void {
     const node = random.pick(nodes);
-    if (random.chance(0.002)) {
-      counts.crashes += 1;
-      node.replica.crash();
-      node.frozenUntilMs = timeMs + random.integer(0, 1_500);
+    if (random.chance(0.002)) crash(node);
+    // All may lose power in one moment: nothing is left but what was synced.
+    if (random.chance(0.0004)) {
+      nodes.forEach((one) => crash(one, { losesWrites: true }));
     }
     if (random.chance(0.001)) {
       counts.cuts += 1;
--- a/proof/schedule_replica.ts
+++ b/proof/schedule_replica.ts
@@ -91,7 +91,8 @@
   /** Ends the running sync, if one runs. */
   sync(): void;
   /** Loses what was not synced, and starts again from the disk. */
-  crash(): void;
+  /** Starts it anew from its disk, without its unsynced writes if so said. */
+  crash(options?: { losesWrites: boolean }): void;
 }
 
 const NEW_DISK: Disk = {
@@ -259,10 +260,11 @@
     waiting.push({ type: "compact", meta });
   }
 
-  function crash(): void {
+  function crash({ losesWrites = false } = {}): void {
     // A write that was under way may have reached the disk in part.
     for (const effect of syncing ?? []) {
-      if (effect.type === "persist" && random.chance(0.5)) {
+      const isKept = !losesWrites && random.chance(0.5);
+      if (effect.type === "persist" && isKept) {
         disk = writeRecord(disk, effect);
       } else if (effect.type === "persist") break;
     }
--- a/src/control/create_replica.ts
+++ b/src/control/create_replica.ts
@@ -58,6 +58,11 @@
   readonly metrics: Metrics;
   /** Monotonic time, in ms. */
   readonly now: () => number;
+  /**
+   * Monotonic time, in ms, since which it surely heard no leader; that of the
+   * call by default.
+   */
+  readonly quietSinceMs?: number;
   /** A number in [0, 1). */
   readonly random: () => number;
 }
@@ -103,6 +108,7 @@
     log: stored.log,
     timing: options.timing,
     nowMs: now(),
+    quietSinceMs: options.quietSinceMs,
     random: random(),
   });
   let appliedIndex = state.commitIndex;
--- a/src/fleet/start_fleet_control.ts
+++ b/src/fleet/start_fleet_control.ts
@@ -53,6 +53,11 @@
   readonly voters: number;
   /** Ms between two beats of an upstream. */
   readonly beatIntervalMs: number;
+  /**
+   * Monotonic time, in ms, at which this process started: no leader reached it
+   * before. That of the call by default.
+   */
+  readonly processStartedMs?: number;
 }
 
 /** Options of {@link startFleetControl}. */
@@ -157,6 +162,7 @@
     log,
     metrics,
     now,
+    quietSinceMs: settings.processStartedMs,
     random: Math.random,
   });
   const isLeader = () => replica.getState().role === "leader";
--- a/src/gateway/choose_path.ts
+++ b/src/gateway/choose_path.ts
@@ -50,6 +50,13 @@
 /** Cost of a first engine whose slots are all taken, in ms for each token. */
 const FULL_SLOTS_COST_MS = 40;
 
+/**
+ * Cost of a first engine for each prompt of this gateway that is being read
+ * there. When an engine is lost, its streams all go on elsewhere in one moment:
+ * some of them on a farther copy come sooner than all on the nearest.
+ */
+const UNREAD_PROMPT_COST_MS = 1;
+
 /** Factor on an engine's cost where its memory for requests is full. */
 const FULL_FACTOR = 8;
 
@@ -114,8 +121,9 @@
   const isFull = view.fullUntilMs > nowMs;
   const layerCost = stepMs * (1 + busy * FULL_FACTOR) *
     (1 + failureShare * FAILURE_FACTOR) * (isFull ? REFUSED_FACTOR : 1);
-  const firstCost = FULL_SLOTS_COST_MS *
-    getExcess(getUsedSlots(view, options), BUSY_SLOTS_SHARE);
+  const slotsExcess = getExcess(getUsedSlots(view, options), BUSY_SLOTS_SHARE);
+  const firstCost = FULL_SLOTS_COST_MS * slotsExcess +
+    UNREAD_PROMPT_COST_MS * view.unreadPrompts;
   return { engineId, place, ...range, layerCost, firstCost };
 }
 
--- a/src/gateway/create_engine_table.ts
+++ b/src/gateway/create_engine_table.ts
@@ -16,6 +16,8 @@
   record: EngineRecord;
   /** Requests of this gateway that begin there. */
   inFlight: number;
+  /** Those of them whose prompt is being read: they have given no event. */
+  unreadPrompts: number;
   /** Tokens of this gateway's requests on it. */
   tokensInFlight: number;
   /** Requests of the other gateways that begin there, as the leader told. */
@@ -73,6 +75,8 @@
   addWork(path: readonly PathPart[], work: { tokens: number }): void;
   /** Counts a request out again. */
   removeWork(path: readonly PathPart[], work: { tokens: number }): void;
+  /** Counts a prompt that begins to be read there until what it returns is called. */
+  beginPrompt(engineId: string): () => void;
   /** Leaves an upstream out for a while; longer each time in a row. */
   suspect(engineId: string, reason: string): void;
   /** Leaves an upstream out for a moment: it had no room. */
@@ -124,6 +128,7 @@
     }
     engines.set(record.engineId, {
       inFlight: 0,
+      unreadPrompts: 0,
       tokensInFlight: 0,
       otherRequests: 0,
       otherTokens: 0,
@@ -190,6 +195,15 @@
     addWork: (path, { tokens }) => count(path, { tokens, requests: 1 }),
     removeWork: (path, { tokens }) =>
       count(path, { tokens: -tokens, requests: -1 }),
+    beginPrompt(engineId) {
+      const engine = engines.get(engineId);
+      if (engine) engine.unreadPrompts += 1;
+      let isRead = false;
+      return () => {
+        if (engine && !isRead) engine.unreadPrompts -= 1;
+        isRead = true;
+      };
+    },
     suspect(engineId, reason) {
       const engine = engines.get(engineId);
       if (!engine) return;
--- /dev/null
+++ b/src/gateway/create_run_watch.ts
@@ -0,0 +1,168 @@
+/**
+ * Watches the runs of streams: when those that begin at one engine fall silent
+ * together, their engines are asked whether they are there, and runs are told
+ * to leave the ones that are not.
+ *
+ * @module
+ */
+
+import { groupRuns, type RunGroup } from "./group_runs.ts";
+import type { AddressedPart, EngineControl } from "./protocol.ts";
+
+/** A run of a stream, as the watch sees it. */
+export interface WatchedRun {
+  getPath(): readonly AddressedPart[];
+  /** Whether it has given an event. */
+  hasBegun(): boolean;
+  /** Ms since its newest event, or since something was done about it. */
+  getSilenceMs(): number;
+  /** Called at each look at a run that was silent for long by itself. */
+  checkStall(): void;
+  /** Called when an engine of its path is lost. */
+  leave(engineId: string, reason: string): void;
+}
+
+/** What the watch needs. */
+export interface CreateRunWatchOptions {
+  readonly engineControl: Pick<EngineControl, "checkPresence">;
+  /** Called when an engine is found to be lost. */
+  readonly onLost: (engineId: string, reason: string) => void;
+  /** Monotonic time, in ms. */
+  readonly now: () => number;
+}
+
+/** Watches the runs of streams. */
+export interface RunWatch {
+  /** Watches a run until what is returned is called. */
+  add(run: WatchedRun): () => void;
+  /** Asks one engine that another one named as missing. */
+  checkEngine(engine: Pick<AddressedPart, "engineId" | "address">): void;
+}
+
+/** Ms of silence from which on a run looks after itself. */
+const STALL_CHECK_MS = 300;
+
+/** Ms between two looks at most. */
+const MAX_LOOK_MS = 100;
+
+/** Ms between two looks at least. */
+const MIN_LOOK_MS = 10;
+
+/**
+ * Ms for an engine to say that it is there: a round of a few ms, and some more
+ * where it is busy.
+ */
+const PRESENCE_TIMEOUT_MS = 25;
+
+/** Ms for which what an engine said is not asked again. */
+const PRESENCE_AGE_MS = 250;
+
+/**
+ * Ms by which a look is late where this process itself stood still: then the
+ * silence was its own.
+ */
+const OWN_STALL_MS = 30;
+
+/**
+ * Makes the watch; its timer runs only while runs are watched.
+ *
+ * @param options - How engines are asked, and who hears of lost ones.
+ * @returns The watch.
+ * @throws Nothing.
+ * @example
+ * const watch = createRunWatch({ engineControl, onLost, now });
+ */
+export function createRunWatch(options: CreateRunWatchOptions): RunWatch {
+  const { engineControl, now } = options;
+  const runs = new Set<WatchedRun>();
+  const askedMs = new Map<string, number>();
+  let timer: ReturnType<typeof setTimeout> | undefined;
+  let dueMs = 0;
+  let trustedFromMs = 0;
+
+  function arm(delayMs: number): void {
+    dueMs = now() + delayMs;
+    timer = setTimeout(look, delayMs);
+  }
+
+  function look(): void {
+    timer = undefined;
+    if (runs.size === 0) return;
+    if (now() - dueMs > OWN_STALL_MS) trustedFromMs = now();
+    for (const run of [...runs]) {
+      if (run.getSilenceMs() >= STALL_CHECK_MS) run.checkStall();
+    }
+    const groups = listGroups();
+    groups.filter(isSilent).forEach(askGroup);
+    const waits = groups.map((group) => group.limitMs - group.silenceMs)
+      .filter((waitMs) => waitMs > 0);
+    arm(Math.max(MIN_LOOK_MS, Math.min(MAX_LOOK_MS, ...waits)));
+  }
+
+  function listGroups() {
+    return groupRuns([...runs].map((run) => ({
+      run,
+      firstEngineId: run.getPath()[0].engineId,
+      hasBegun: run.hasBegun(),
+      silenceMs: Math.min(run.getSilenceMs(), now() - trustedFromMs),
+    })));
+  }
+
+  type Group = RunGroup<ReturnType<typeof listGroups>[number]["runs"][number]>;
+
+  function isSilent(group: Group): boolean {
+    return group.silenceMs >= group.limitMs;
+  }
+
+  function askGroup(group: Group): void {
+    const parts = group.runs.flatMap(({ run }) => run.getPath());
+    const engines = new Map(parts.map((part) => [part.engineId, part]));
+    const { firstEngineId } = group;
+    const isStillSilent = () =>
+      listGroups().some((one) =>
+        one.firstEngineId === firstEngineId && isSilent(one)
+      );
+    for (const engine of engines.values()) void ask(engine, { isStillSilent });
+  }
+
+  // An engine that refuses connections is gone. One that says nothing may just
+  // be slow: it counts as lost only while its runs stay silent too.
+  async function ask(
+    engine: Pick<AddressedPart, "engineId" | "address">,
+    { isStillSilent }: { isStillSilent: () => boolean },
+  ): Promise<void> {
+    const { engineId, address } = engine;
+    if (now() - (askedMs.get(engineId) ?? -Infinity) < PRESENCE_AGE_MS) return;
+    askedMs.set(engineId, now());
+    const dueAnswerMs = now() + PRESENCE_TIMEOUT_MS;
+    const presence = await engineControl
+      .checkPresence(address, { timeoutMs: PRESENCE_TIMEOUT_MS });
+    const stoodStill = now() - dueAnswerMs > OWN_STALL_MS;
+    if (presence === "absent") lose(engineId, "refuses connections");
+    const isLost = presence === "silent" && !stoodStill && isStillSilent();
+    if (isLost) lose(engineId, "does not answer");
+  }
+
+  function lose(engineId: string, reason: string): void {
+    options.onLost(engineId, reason);
+    for (const run of [...runs]) {
+      const isOver = run.getPath().some((part) => part.engineId === engineId);
+      if (isOver) run.leave(engineId, reason);
+    }
+  }
+
+  return {
+    add(run) {
+      runs.add(run);
+      if (!timer) arm(MAX_LOOK_MS);
+      return () => {
+        runs.delete(run);
+        if (runs.size > 0) return;
+        clearTimeout(timer);
+        timer = undefined;
+        askedMs.clear();
+      };
+    },
+    checkEngine: (engine) => void ask(engine, { isStillSilent: () => false }),
+  };
+}
--- /dev/null
+++ b/src/gateway/create_run_watch_test.ts
@@ -0,0 +1,109 @@
+import { setTimeout as sleep } from "node:timers/promises";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { createRunWatch, type WatchedRun } from "./create_run_watch.ts";
+import {
+  groupRuns,
+  SHARED_SILENCE_MS,
+  SINGLE_SILENCE_MS,
+} from "./group_runs.ts";
+import type { EnginePresence } from "./protocol.ts";
+
+interface FakeRun extends WatchedRun {
+  readonly left: string[];
+  silenceMs: number;
+}
+
+function makeRun(engineIds: readonly string[], silenceMs: number): FakeRun {
+  const path = engineIds.map((engineId, at) => ({
+    engineId,
+    address: engineId,
+    fromLayer: at,
+    toLayer: at + 1,
+  }));
+  const run: FakeRun = {
+    left: [],
+    silenceMs,
+    getPath: () => path,
+    hasBegun: () => true,
+    getSilenceMs: () => run.silenceMs,
+    checkStall: () => {},
+    leave: (engineId) => void run.left.push(engineId),
+  };
+  return run;
+}
+
+function startWatch(presence: Readonly<Record<string, EnginePresence>>) {
+  const asked: string[] = [];
+  const lost: string[] = [];
+  const watch = createRunWatch({
+    engineControl: {
+      checkPresence(address) {
+        asked.push(address);
+        return Promise.resolve(presence[address] ?? "present");
+      },
+    },
+    onLost: (engineId) => void lost.push(engineId),
+    now: () => performance.now(),
+  });
+  return { watch, asked, lost };
+}
+
+async function untilAsked(asked: readonly string[]): Promise<void> {
+  while (asked.length === 0) await sleep(5);
+  await sleep(5);
+}
+
+test("a group is as silent as its newest event; several say more than one", () => {
+  const one = { firstEngineId: "a", hasBegun: true, silenceMs: 90 };
+  const [group] = groupRuns([one, { ...one, silenceMs: 70 }]);
+  assert.is(group.silenceMs, 70);
+  assert.is(group.limitMs, SHARED_SILENCE_MS);
+  assert.is(groupRuns([one])[0].limitMs, SINGLE_SILENCE_MS);
+  const fresh = { ...one, hasBegun: false };
+  assert.is(groupRuns([one, fresh])[0].limitMs, SINGLE_SILENCE_MS);
+});
+
+test("runs over an engine that refuses connections leave it, others stay", async () => {
+  const { watch, asked, lost } = startWatch({ b: "absent" });
+  const over = [makeRun(["a", "b"], 200), makeRun(["a", "b"], 200)];
+  const beside = makeRun(["c", "d"], 5);
+  const removals = [...over, beside].map(watch.add);
+  await untilAsked(asked);
+  assert.equal(lost, ["b"]);
+  assert.equal(over.map(({ left }) => left), [["b"], ["b"]]);
+  assert.equal(beside.left, []);
+  assert.not.ok(asked.includes("c"));
+  removals.forEach((remove) => remove());
+});
+
+test("an engine that says nothing is left only while its runs are silent", async () => {
+  const { watch, asked, lost } = startWatch({ b: "silent" });
+  const run = makeRun(["a", "b"], 200);
+  const remove = watch.add(run);
+  await untilAsked(asked);
+  assert.equal(lost, ["b"]);
+  remove();
+
+  const other = startWatch({ b: "silent" });
+  const busy = makeRun(["a", "b"], 5);
+  const removeBusy = other.watch.add(busy);
+  other.watch.checkEngine(busy.getPath()[1]);
+  await untilAsked(other.asked);
+  assert.equal(other.lost, []);
+  assert.equal(busy.left, []);
+  removeBusy();
+});
+
+test("engines that are there are left to the run's own look", async () => {
+  const { watch, asked, lost } = startWatch({});
+  let looks = 0;
+  const run = { ...makeRun(["a", "b"], 400), checkStall: () => void looks++ };
+  const remove = watch.add(run);
+  await untilAsked(asked);
+  assert.ok(looks > 0);
+  assert.equal(lost, []);
+  remove();
+});
+
+test.run();
--- a/src/gateway/gateway_parts_test.ts
+++ b/src/gateway/gateway_parts_test.ts
@@ -3,6 +3,7 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { createConfigLease } from "./create_config_lease.ts";
+import { getLastCallMs } from "./get_last_call_ms.ts";
 import { createRepeatBudget } from "./create_repeat_budget.ts";
 import { createEventSplitter } from "./split_events.ts";
 
@@ -74,4 +75,9 @@
   assert.ok(spent > bound / 2 && spent <= bound, String(spent));
 });
 
+test("a gateway that stops lets nothing in that may outlive its grace", () => {
+  assert.ok(getLastCallMs(8_000) < 3_000);
+  assert.is(getLastCallMs(1_000), 400);
+});
+
 test.run();
--- a/src/gateway/protocol.ts
+++ b/src/gateway/protocol.ts
@@ -97,8 +97,15 @@
   ): Record<string, string>;
 }
 
+/** Whether an engine answers; an absent one refuses connections. */
+export type EnginePresence = "present" | "absent" | "silent";
+
 /** Asks engines of a layered model and gives them orders. */
 export interface EngineControl {
+  checkPresence(
+    address: string,
+    options: { timeoutMs: number },
+  ): Promise<EnginePresence>;
   /** Requests that stand still at an engine, and whom they wait for. */
   readStalled(
     address: string,
--- a/src/gateway/serve_stream_call.ts
+++ b/src/gateway/serve_stream_call.ts
@@ -20,9 +20,6 @@
 /** Ms after which a caller may come again where no upstream took its call. */
 const RETRY_AFTER_MS = 500;
 
-/** Ms of silence after which the first engine is asked what stands still. */
-const STALL_CHECK_MS = 300;
-
 /** Ms after which a refusal tells of an engine that is dead, not full. */
 const DEAD_REFUSAL_MS = 1_000;
 
@@ -38,11 +35,14 @@
 /** One send of the call. */
 interface Run {
   path: readonly AddressedPart[];
+  /** Engine of the path that was found to be lost. */
+  lostEngineId: string | undefined;
   readonly sentMs: number;
   exchange: Exchange | undefined;
   head: UpstreamHead | undefined;
   /** Whether its events are passed on. */
   isRelaying: boolean;
+  hasBegun: boolean;
 }
 
 /** How a run ended. */
@@ -95,7 +95,7 @@
         metrics.timing("requests.first_token_ms", now() - call.startedMs),
       now,
     });
-    const unwatch = context.pauses.add({ check: checkStall });
+    let unwatch = () => {};
     const callEnd = createCallEnd({
       call,
       context,
@@ -169,14 +169,18 @@
       const { lastEventId } = relay.getProgress();
       const sent: Run = {
         path,
+        lostEngineId: undefined,
         sentMs: now(),
         exchange: undefined,
         head: undefined,
         isRelaying: false,
+        hasBegun: false,
       };
       run = sent;
       relay.restart();
+      watch(sent);
       engines.addWork(path, { tokens });
+      const endPrompt = engines.beginPrompt(engineId);
       const splitter = createEventSplitter();
       const chunks: Buffer[] = [];
       log("callSent", {
@@ -204,11 +208,15 @@
         onData(chunk) {
           if (!sent.isRelaying) return void chunks.push(chunk);
           for (const event of splitter.take(chunk)) {
+            sent.hasBegun = true;
+            endPrompt();
             if (!callEnd.hasEnded() && !relay.pass(event)) waitForCaller(sent);
           }
         },
         onEnd(how) {
           engines.removeWork(sent.path, { tokens });
+          endPrompt();
+          if (run === sent) unwatch();
           if (callEnd.hasEnded() || run !== sent) return;
           run = undefined;
           const body = Buffer.concat(chunks);
@@ -217,6 +225,24 @@
       });
     }
 
+    function watch(sent: Run): void {
+      unwatch();
+      // Only over parts can another engine than the first be the one at fault,
+      // and only what may go on elsewhere can leave it.
+      if (!model || !isResumable) return;
+      unwatch = context.runWatch.add({
+        getPath: () => sent.path,
+        hasBegun: () => sent.hasBegun,
+        getSilenceMs: relay.getSilenceMs,
+        checkStall: () => checkStall(sent),
+        leave(engineId, reason) {
+          sent.lostEngineId = engineId;
+          excluded.add(engineId);
+          sent.exchange?.abort(reason);
+        },
+      });
+    }
+
     function waitForCaller(sent: Run): void {
       sent.exchange?.pause();
       response.once("drain", () => sent.exchange?.resume());
@@ -247,14 +273,15 @@
         return takeNotRun(sent, head);
       }
       runs += 1;
+      ranOn.add(engineId);
       const isWhole = how.type === "complete" && sent.isRelaying && !isCut;
-      engines.noteAnswer(engineId, { failed: !isWhole });
+      const blamedId = sent.lostEngineId ?? engineId;
+      engines.noteAnswer(blamedId, { failed: !isWhole });
       if (isWhole) {
         response.end();
         return callEnd.end("answered");
       }
       takeBroken(sent, how);
-      ranOn.add(engineId);
       if (isResumable && mayRunElsewhere()) {
         metrics.count("streams.resumed");
         return next();
@@ -273,7 +300,7 @@
     }
 
     function takeBroken(sent: Run, how: ExchangeEnd): void {
-      const [{ engineId }] = sent.path;
+      const engineId = sent.lostEngineId ?? sent.path[0].engineId;
       const reason = how.type === "complete" ? undefined : how.reason;
       if (reason !== undefined) engines.suspect(engineId, reason);
       excluded.add(engineId);
@@ -298,17 +325,19 @@
       excluded.add(engineId);
       if (status === 421 || tookMs > DEAD_REFUSAL_MS) {
         engines.suspect(engineId, `refused with ${status}`);
-      } else engines.noteFull(engineId);
+      } else {
+        engines.noteFull(engineId);
+        context.runWatch.checkEngine(faulty);
+      }
       metrics.countRetry("upstream_refused");
       log("callNotRun", { requestId, faulty: engineId, status, tookMs });
       next();
     }
 
-    function checkStall(): void {
-      const isSilent = relay.getSilenceMs() >= STALL_CHECK_MS;
-      if (!run || checking || !isSilent || !isResumable || !model) return;
+    function checkStall(silent: Run): void {
+      if (run !== silent || checking) return;
       checking = true;
-      void rescue(run).finally(() => {
+      void rescue(silent).finally(() => {
         checking = false;
       });
     }
--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -29,6 +29,7 @@
 import { createFleetLink } from "./create_fleet_link.ts";
 import { createPauseWatch } from "./create_pause_watch.ts";
 import { createRepeatBudget } from "./create_repeat_budget.ts";
+import { createRunWatch } from "./create_run_watch.ts";
 import { createStallWatch } from "./create_stall_watch.ts";
 import { decideCall } from "./decide_call.ts";
 import type {
@@ -37,6 +38,7 @@
   EngineControl,
   Refusal,
 } from "./protocol.ts";
+import { getLastCallMs } from "./get_last_call_ms.ts";
 import { readBody } from "./read_body.ts";
 import { servePlainCall } from "./serve_plain_call.ts";
 import { serveStreamCall } from "./serve_stream_call.ts";
@@ -107,12 +109,6 @@
 /** Ms in which callers and the other gateways hear of a leave. */
 const LEAVE_NEWS_MS = 2_500;
 
-/**
- * Share of the grace after which no new request is let in: what is left is as
- * long as most streams take.
- */
-const LAST_CALL_SHARE = 0.4;
-
 /** Ms kept at the end of the grace for the process to end. */
 const END_MARGIN_MS = 400;
 
@@ -145,11 +141,8 @@
   const exchanger = createExchanger(codec);
   const engines = createEngineTable({ now, log, onGone: exchanger.forget });
   const listReady = () => gateways.filter((gateway) => gateway.isReady);
-  const countReady = (at?: string) =>
-    Math.max(
-      1,
-      listReady().filter((one) => at === undefined || one.place === at).length,
-    );
+  const countReady = (at: string) =>
+    Math.max(1, listReady().filter((one) => one.place === at).length);
   const pauses = createPauseWatch();
   const budget = createRepeatBudget({
     ...settings.repeats,
@@ -163,12 +156,16 @@
     codec,
     engineControl: options.engineControl,
     pauses,
+    runWatch: createRunWatch({
+      engineControl: options.engineControl,
+      onLost: engines.suspect,
+      now,
+    }),
     stallWatch: createStallWatch({ engineControl: options.engineControl, now }),
     engines,
     exchanger,
     budget,
     getTable: () => table,
-    getGatewayCount: () => countReady(),
     getPlaceGatewayCount: () => countReady(place),
     isLeaving: () => isLeaving,
     now,
@@ -325,7 +322,7 @@
     link.beat();
     // Callers go on with connections that they have, and with addresses that
     // they were told: both are served for a while.
-    const lastCallMs = settings.graceMs * LAST_CALL_SHARE;
+    const lastCallMs = getLastCallMs(settings.graceMs);
     while (now() - startedMs < lastCallMs) {
       await sleep(20);
       if (now() - startedMs > LEAVE_NEWS_MS && inFlight === 0) break;
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -13,6 +13,7 @@
 import type { Exchanger } from "./create_exchanger.ts";
 import type { PauseWatch } from "./create_pause_watch.ts";
 import type { RepeatBudget } from "./create_repeat_budget.ts";
+import type { RunWatch } from "./create_run_watch.ts";
 import type { StallWatch } from "./create_stall_watch.ts";
 import type { CallerCodec, CallerRequest, EngineControl } from "./protocol.ts";
 
@@ -36,13 +37,12 @@
   readonly codec: CallerCodec;
   readonly engineControl: EngineControl;
   readonly pauses: PauseWatch;
+  readonly runWatch: RunWatch;
   readonly stallWatch: StallWatch;
   readonly engines: EngineTable;
   readonly exchanger: Exchanger;
   readonly budget: RepeatBudget;
   readonly getTable: () => RouteTable | undefined;
-  /** Gateways that take callers, this one included. */
-  readonly getGatewayCount: () => number;
   /** Gateways of this place that take callers, this one included. */
   readonly getPlaceGatewayCount: () => number;
   readonly isLeaving: () => boolean;
--- a/src/quorum/_lib/draft.ts
+++ b/src/quorum/_lib/draft.ts
@@ -102,11 +102,19 @@
   });
 }
 
+/** Share of the election timeout between two tries before any leader is heard. */
+const FIRST_ELECTION_SHARE = 0.2;
+
 /** Draws the time at which the replica will stand for election. */
 export function resetElectionTimer(draft: Draft): void {
   const { electionTimeoutMs, electionJitterMs } = draft.timing;
   const jitterMs = draft.context.random * electionJitterMs;
-  draft.electionDeadlineMs = draft.context.nowMs + electionTimeoutMs + jitterMs;
+  // Where all start together, the first to stand finds the others not there
+  // yet; there is no leader whose beats a longer wait would let in.
+  const waitMs = draft.isLeaderUnheard
+    ? electionTimeoutMs * FIRST_ELECTION_SHARE
+    : electionTimeoutMs;
+  draft.electionDeadlineMs = draft.context.nowMs + waitMs + jitterMs;
 }
 
 /** Enters a term as follower; an older term's vote is forgotten. */
--- a/src/quorum/_lib/election.ts
+++ b/src/quorum/_lib/election.ts
@@ -153,6 +153,7 @@
     draft.members.map(({ id }) => [id, getProgress(draft, id)]),
   );
   draft.leaderContactMs = nowMs;
+  draft.isLeaderUnheard = false;
   setRole(draft, "leader");
   const index = getLastIndex(draft) + 1;
   const noop = { index, term: draft.term, kind: "noop" as const, body: "" };
--- a/src/quorum/_lib/replication.ts
+++ b/src/quorum/_lib/replication.ts
@@ -107,6 +107,7 @@
     becomeFollower(draft, { term: message.term, leaderId: message.from });
   }
   draft.leaderContactMs = draft.context.nowMs;
+  draft.isLeaderUnheard = false;
   resetElectionTimer(draft);
 }
 
--- a/src/quorum/create_quorum_state.ts
+++ b/src/quorum/create_quorum_state.ts
@@ -23,6 +23,11 @@
   readonly timing?: QuorumTiming;
   /** Monotonic time, in ms. */
   readonly nowMs?: number;
+  /**
+   * Time, in ms, since which it surely heard no leader: when its process
+   * started; now by default.
+   */
+  readonly quietSinceMs?: number;
   /** A number in [0, 1). */
   readonly random?: number;
 }
@@ -30,9 +35,10 @@
 /**
  * Makes the state of a replica that starts.
  *
- * The start counts as contact with a leader: a replica that voted for nobody
- * it remembers may still have promised its silence to one, so it keeps that
- * promise before it votes.
+ * The start of its process counts as contact with a leader: a replica that
+ * voted for nobody it remembers may still have promised its silence to one, so
+ * it keeps that promise before it votes. Once that is over it stands soon, for
+ * all may have started together.
  *
  * @param selfId - The replica's id.
  * @param options - What stands on its disk, its times, the time now.
@@ -51,9 +57,11 @@
     log = [],
     timing = DEFAULT_QUORUM_TIMING,
     nowMs = 0,
+    quietSinceMs = nowMs,
     random = 0.5,
   } = options;
-  const waitMs = timing.electionTimeoutMs + random * timing.electionJitterMs;
+  const promisedMs = quietSinceMs + timing.electionTimeoutMs;
+  const jitterMs = random * timing.electionJitterMs;
   return {
     selfId,
     timing,
@@ -65,8 +73,9 @@
     ...findMembers(snapshot, log),
     role: "follower",
     leaderId: null,
-    leaderContactMs: nowMs,
-    electionDeadlineMs: nowMs + waitMs,
+    leaderContactMs: quietSinceMs,
+    isLeaderUnheard: true,
+    electionDeadlineMs: Math.max(nowMs, promisedMs) + jitterMs,
     heartbeatDueMs: 0,
     votes: {},
     peers: {},
--- a/src/quorum/types.ts
+++ b/src/quorum/types.ts
@@ -94,6 +94,8 @@
   readonly leaderId: ReplicaId | null;
   /** Last time, in ms, when a leader was heard, or when the replica started. */
   readonly leaderContactMs: number;
+  /** Whether it has heard no leader since it started. */
+  readonly isLeaderUnheard: boolean;
   readonly electionDeadlineMs: number;
   readonly heartbeatDueMs: number;
   readonly votes: Readonly<Record<ReplicaId, boolean>>;
--- a/standins/start_layer_engine.ts
+++ b/standins/start_layer_engine.ts
@@ -31,6 +31,8 @@
   isFull?: boolean;
   /** Address of an engine for which all streams here wait. */
   stalledFor?: string;
+  /** Leaves the streams that wait out of its reports. */
+  hidesStalled?: boolean;
 }
 
 /** Options of {@link startLayerEngine}. */
@@ -129,7 +131,7 @@
   const address = `127.0.0.1:${port}`;
 
   function report(response: ServerResponse): void {
-    const stalled = fault.stalledFor === undefined
+    const stalled = fault.stalledFor === undefined || fault.hidesStalled
       ? []
       : [...paths.keys()].map((id) => ({ id, address: fault.stalledFor }));
     sendJson(response, { status: 200, body: { stalled, seq: orders } });
--- a/test/fleet_test.ts
+++ b/test/fleet_test.ts
@@ -147,6 +147,21 @@
   assert.is(others.flatMap((engine) => engine.runs).length, 1);
 });
 
+test("a stream leaves an engine that is gone, before any report names it", async () => {
+  await using fleet = await startServing({ controls: 1, gateways: 1 });
+  const [{ address }] = fleet.gateways;
+  const [first, second] = getFirstPath(fleet);
+  first.fault.stalledFor = second.address;
+  first.fault.hidesStalled = true;
+  const answer = call(address, { path: "/stream/1" });
+  await until("it runs", () => first.runs.length === 1);
+  await second.crash();
+  const { text } = await answer;
+  assert.is(text, expectStream());
+  const [, , ...others] = fleet.engines;
+  assert.is(others.flatMap((engine) => engine.runs).length, 1);
+});
+
 test("what must not be repeated runs once, whatever happens to its answer", async () => {
   await using fleet = await startServing({ controls: 1, gateways: 1 });
   const [{ address }] = fleet.gateways;
