The test of a killed entry comes again when its claim is refused

The test before it kills the leader; under load the fleet had none for a moment. The refusal was true and at once; the test waited 30 s for a request that nobody had taken.

Ruled out: a request that was taken and lost (not_run, and none was counted), the platform's code (no process of it runs).

Change: the test does what callers do: it comes again when told to, and demands that what was refused has not run. Its other demands stand.

--- a/test/outcomes_test.ts
+++ b/test/outcomes_test.ts
@@ -56,6 +56,24 @@
   });
 }
 
+// While control has no leader an entry refuses claims as not run; callers come
+// again when they are told to.
+async function postUntilTaken(
+  trial: Trial,
+  path: string,
+  options: { key: string },
+): Promise<Answer> {
+  while (true) {
+    const answer = await post(trial, path, options);
+    if (answer.headers["crowlever-reason"] !== "no_quorum") return answer;
+    assert.is(answer.headers["crowlever-outcome"], "not_run");
+    assert.is(countRuns(trial, path), 0, "what was refused has not run");
+    const retryAfterS = Number(answer.headers["retry-after"]);
+    assert.ok(retryAfterS > 0, "a refusal says when to come back");
+    await sleep(retryAfterS * 1_000);
+  }
+}
+
 interface Row {
   readonly name: string;
   readonly fault: PlainFault;
@@ -208,7 +226,7 @@
   setFault(trial, { delayMs: 2_000 });
   const key = `claim-${nextKey++}`;
   const path = `/crash/${key}`;
-  const first = post(trial, path, { key }).catch(() => undefined);
+  const first = postUntilTaken(trial, path, { key }).catch(() => undefined);
   await fleet.until("the request runs", () => countRuns(trial, path) === 1);
   victim.kill("SIGKILL");
   await first;
