Five voters where two losses are to be borne; processes without a disk only observe

Cause: the grown sites ask for two losses at once; one control process a data centre gives three voters.

Ruled out: voters inside gateways (their role can't tell whether control runs on the same VM).

Change: two control processes a data centre. Those without a disk join as observers: they follow, pass calls on, never vote. A new configuration is taken only once as many vote as the losses ask for (for ten seconds; then there may be no more disks). Replicas say in their streams where they are reached, so that a process without state can answer, join those who write to it, and be found again where its seeds name only itself. A VM that comes back under another identity takes the place of its old one where that did not vote.

--- a/src/control/create_join_handler.ts
+++ b/src/control/create_join_handler.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import type { Member } from "../quorum/index.ts";
 import type { StorageIdentity } from "../storage/index.ts";
 import type { wire } from "../wire/index.ts";
 import type { Replica } from "./create_replica.ts";
@@ -46,10 +47,8 @@
     if (state.role !== "leader") return refuse("not_leader");
     const known = state.members.some((m) => m.id === request.replicaId);
     if (!known) {
-      const { replicaId: id, vm, address } = request;
-      const learner = { id, vm, address, role: "learner" as const };
       try {
-        await replica.changeMembers([...state.members, learner]);
+        await replica.changeMembers(addMember(state.members, request));
       } catch {
         return refuse("busy");
       }
@@ -57,3 +56,19 @@
     return { clusterId, accepted: true, leaderAddress, reason: "" };
   };
 }
+
+// A VM that comes back under another identity has lost what it held: where it
+// did not vote, its old identity goes at once.
+function addMember(
+  members: readonly Member[],
+  request: wire.JoinRequest,
+): Member[] {
+  const { replicaId: id, vm, address, isObserver } = request;
+  const staying = members.filter((one) =>
+    one.role === "voter" || one.vm !== vm
+  );
+  return [
+    ...staying,
+    { id, vm, address, role: isObserver ? "observer" : "learner" },
+  ];
+}
--- a/src/control/create_peer_transport.ts
+++ b/src/control/create_peer_transport.ts
@@ -5,9 +5,10 @@
  */
 
 import { Buffer } from "node:buffer";
-import type {
-  ClientWritableStream,
-  handleClientStreamingCall,
+import {
+  type ClientWritableStream,
+  type handleClientStreamingCall,
+  Metadata,
 } from "@grpc/grpc-js";
 import type { Logger } from "../logs/index.ts";
 import type { Member, QuorumMessage, ReplicaId } from "../quorum/index.ts";
@@ -27,6 +28,9 @@
 /** Bytes that may wait for a slow peer; what comes on top is dropped. */
 const MAX_WAITING_BYTES = 64 * 1024 * 1024;
 
+/** Names the sender's address in the metadata of a stream. */
+const ADDRESS_KEY = "crowlever-address";
+
 /** Ms before a broken stream is opened again. */
 const REOPEN_DELAY_MS = 50;
 
@@ -37,6 +41,8 @@
   /** Where a replica is reached; undefined where that is not known. */
   readonly getAddress: (id: ReplicaId) => string | undefined;
   readonly deliver: (message: QuorumMessage) => void;
+  /** Called with whoever sends messages, also where they are for another. */
+  readonly onSender?: (id: ReplicaId, address: string) => void;
   readonly readSnapshot: () => Promise<StoredSnapshot | undefined>;
   /** Term in which a snapshot is sent. */
   readonly getTerm: () => number;
@@ -101,7 +107,9 @@
     if (connection.stream) return connection.stream;
     if (now() < connection.openAfterMs) return undefined;
     // A call with one answer tells its end by the callback alone.
-    const stream = connection.client.deliver(() => {
+    const metadata = new Metadata();
+    metadata.set(ADDRESS_KEY, options.getAddress(getSelfId()) ?? "");
+    const stream = connection.client.deliver(metadata, () => {
       if (connection.stream !== stream) return;
       connection.stream = undefined;
       connection.openAfterMs = now() + REOPEN_DELAY_MS;
@@ -163,7 +171,9 @@
     done: Parameters<PeerTransport["handleDeliver"]>[1],
   ): void {
     const assembler = createSnapshotAssembler();
+    const [sender = ""] = call.metadata.get(ADDRESS_KEY).map(String);
     call.on("data", (message: wire.PeerMessage) => {
+      if (sender !== "") options.onSender?.(message.from, sender);
       if (!isOurs(message)) return;
       const whole = parsePeerMessage(message) ?? assembler.take(message);
       if (whole) options.deliver(whole);
--- a/src/control/join_cluster.ts
+++ b/src/control/join_cluster.ts
@@ -22,6 +22,8 @@
   readonly vm: string;
   /** Where this replica is reached. */
   readonly address: string;
+  /** Whether it keeps nothing over a restart; it then never votes. */
+  readonly isObserver?: boolean;
   /** Its identity gets the cluster's id. */
   readonly storage: QuorumStorage;
   /** Ends the asking. */
@@ -44,12 +46,18 @@
   options: JoinClusterOptions,
 ): Promise<boolean> {
   const { storage, signal, fleetId, vm, address, tls } = options;
+  const { isObserver = false } = options;
   const { replicaId, clusterId } = storage.identity;
-  const request = { fleetId, clusterId, replicaId, vm, address };
+  const request = { fleetId, clusterId, replicaId, vm, address, isObserver };
+  // Whoever does not lead names the leader, which may be in no one's list.
+  let leaders: readonly string[] = [];
   while (!signal.aborted) {
+    const peers = new Set([...options.getPeerAddresses(), ...leaders]);
+    peers.delete("");
     const answers = await Promise.all(
-      options.getPeerAddresses().map((peer) => ask(peer, { request, tls })),
+      [...peers].map((peer) => ask(peer, { request, tls })),
     );
+    leaders = answers.map((answer) => answer?.leaderAddress ?? "");
     const accepted = answers.find((answer) => answer?.accepted);
     if (accepted) {
       await storage.setClusterId(accepted.clusterId);
--- a/src/fleet/create_leader_desk.ts
+++ b/src/fleet/create_leader_desk.ts
@@ -19,6 +19,8 @@
   /** Resolves once the command is committed and applied. */
   readonly propose: (command: FleetCommand) => Promise<unknown>;
   readonly confirmRead: () => Promise<void>;
+  /** Whether what is accepted now outlives the losses that are to be borne. */
+  readonly hasEnoughVoters: () => boolean;
   readonly decodeConfig: DecodeConfig;
   readonly log: Logger;
 }
@@ -54,7 +56,11 @@
     }
     const { version } = config;
     const held = machine.getAccepted()?.version ?? -1;
-    if (version > held) await propose({ type: "putConfig", version, packed });
+    if (version <= held) return DONE;
+    if (!options.hasEnoughVoters()) {
+      return { type: "unavailable", reason: "too few voters" };
+    }
+    await propose({ type: "putConfig", version, packed });
     return DONE;
   }
 
--- a/src/fleet/open_fleet_storage.ts
+++ b/src/fleet/open_fleet_storage.ts
@@ -24,6 +24,8 @@
   readonly dataFolder: string;
   /** Whether the cluster is formed now, by all seeds together. */
   readonly isFirstStart: boolean;
+  /** Whether it has no disk and never votes. */
+  readonly isObserver?: boolean;
   readonly seeds: readonly FleetSeed[];
   readonly log: Logger;
 }
@@ -45,7 +47,7 @@
   const { fleetId, callerAddress, peerAddress, dataFolder } = options;
   const seeds = [...options.seeds]
     .sort((a, b) => a.callerAddress < b.callerAddress ? -1 : 1);
-  const isFirstVoter = options.isFirstStart &&
+  const isFirstVoter = options.isFirstStart && !options.isObserver &&
     seeds.some((seed) => seed.callerAddress === callerAddress);
   const names = seeds.map((seed) => seed.callerAddress).join(" ");
   const clusterId = createHash("sha256").update(names).digest("hex")
--- a/src/fleet/start_fleet_control.ts
+++ b/src/fleet/start_fleet_control.ts
@@ -51,6 +51,8 @@
   readonly isFirstStart: boolean;
   /** Voters that losses leave enough of. */
   readonly voters: number;
+  /** Whether it has no disk: it then follows, passes calls on and never votes. */
+  readonly isObserver?: boolean;
   /** Ms between two beats of an upstream. */
   readonly beatIntervalMs: number;
   /**
@@ -99,6 +101,13 @@
 /** Ticks between two pieces of news of what gateways have in flight. */
 const LOADS_TICKS = 2;
 
+/**
+ * Ms for which a new leader takes no configuration while there are fewer
+ * voters than the losses to be borne ask for. Afterwards it takes them all the
+ * same: there may be no more disks.
+ */
+const VOTERS_WAIT_MS = 10_000;
+
 /** Ms of silence after which a voter may be replaced. */
 const VOTER_SILENCE_MS = 2_500;
 
@@ -138,12 +147,16 @@
   // Services of the accepted configuration; after a restart read on leading.
   let services: readonly Service[] = [];
   const machine = createFleetMachine({ onChange: takeChange });
+  // Where replicas say that they are reached: one that starts without state
+  // knows no members, and answers and joins those who write to it.
+  const senders = new Map<string, string>();
   const transport = createPeerTransport({
     getClusterId: () => storage.identity.clusterId,
     getSelfId: () => replicaId,
     getAddress: getMemberAddress,
     getTerm: () => replica.getState().term,
     deliver: (message) => replica.deliver(message),
+    onSender: (id, address) => void senders.set(id, address),
     readSnapshot: () => storage.readSnapshot(),
     now,
     log,
@@ -218,7 +231,10 @@
     now,
     log,
   });
+  const hasEnoughVoters = () =>
+    leadsFor(VOTERS_WAIT_MS) || countVoters(replica) >= settings.voters;
   const desk = createLeaderDesk({
+    hasEnoughVoters,
     machine,
     registry,
     propose,
@@ -281,7 +297,8 @@
 
   function getMemberAddress(id: string): string | undefined {
     const { members } = replica.getState();
-    return members.find((member) => member.id === id)?.address;
+    const member = members.find((one) => one.id === id);
+    return member?.address ?? senders.get(id);
   }
 
   function getLeader(): Member | undefined {
@@ -326,12 +343,14 @@
       fleetId: settings.fleetId,
       vm: settings.callerAddress,
       address: settings.peerAddress,
+      isObserver: settings.isObserver,
       storage,
       signal: joining.signal,
       getPeerAddresses: () =>
-        options.getSeeds()
-          .map((seed) => seed.peerAddress)
-          .filter((address) => address !== settings.peerAddress),
+        [
+          ...options.getSeeds().map((seed) => seed.peerAddress),
+          ...senders.values(),
+        ].filter((address) => address !== settings.peerAddress),
     }).then((joined) => {
       if (joined) log("clusterJoined", { ...storage.identity });
     });
@@ -397,6 +416,11 @@
   };
 }
 
+function countVoters(replica: Replica): number {
+  const { members } = replica.getState();
+  return members.filter(({ role }) => role === "voter").length;
+}
+
 async function handOver(replica: Replica): Promise<void> {
   if (replica.getState().role !== "leader") return;
   replica.transferLeadership();
--- a/src/quorum/types.ts
+++ b/src/quorum/types.ts
@@ -9,8 +9,12 @@
 /** Names one replica: the VM and the identity of its data folder. */
 export type ReplicaId = string;
 
-/** What a replica may do: voters count for the quorum, learners only follow. */
-export type ReplicaRole = "voter" | "learner";
+/**
+ * What a replica may do: voters count for the quorum, learners follow until
+ * they are needed as voters, observers only follow: they keep nothing over a
+ * restart.
+ */
+export type ReplicaRole = "voter" | "learner" | "observer";
 
 /** A replica as the log's membership entries name it. */
 export interface Member {
--- a/src/wire/gen/crowlever.ts
+++ b/src/wire/gen/crowlever.ts
@@ -104,6 +104,8 @@
   replicaId: string;
   vm: string;
   address: string;
+  /** It keeps no state over a restart, so it must never vote. */
+  isObserver: boolean;
 }
 
 export interface JoinResponse {
@@ -942,7 +944,7 @@
 };
 
 function createBaseJoinRequest(): JoinRequest {
-  return { fleetId: "", clusterId: "", replicaId: "", vm: "", address: "" };
+  return { fleetId: "", clusterId: "", replicaId: "", vm: "", address: "", isObserver: false };
 }
 
 export const JoinRequest: MessageFns<JoinRequest> = {
@@ -962,6 +964,9 @@
     if (message.address !== "") {
       writer.uint32(42).string(message.address);
     }
+    if (message.isObserver !== false) {
+      writer.uint32(48).bool(message.isObserver);
+    }
     return writer;
   },
 
@@ -1018,6 +1023,14 @@
             message.address = reader.string();
             continue;
           }
+          case 6: {
+            if (tag !== 48) {
+              break;
+            }
+
+            message.isObserver = reader.bool();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
