Several copies of the model where a data centre has engines for them

Cause: the grown sites have 33 engines a data centre and three times the traffic; one copy over all of them has one first engine, whose 134 places are taken, and paths of more parts than engines accept.

Ruled out: memory (the room for requests of one copy was not used up).

Change: the engines of a data centre are dealt, the largest first, among as many copies as run the most requests by places and memory. What engines hold is read as chains of ranges, so that a plan leaves alone what is in place, whichever copy an engine was dealt to. A first engine's taken places cost from the first one on, so that copies share.

--- a/src/gateway/choose_path.ts
+++ b/src/gateway/choose_path.ts
@@ -47,6 +47,12 @@
 /** Share of an engine's slots above which it costs more as the first. */
 const BUSY_SLOTS_SHARE = 0.4;
 
+/**
+ * Cost of a first engine's share of taken slots, in ms for each token: more than
+ * copies of a data centre differ, less than leaving it costs.
+ */
+const SLOTS_COST_MS = 4;
+
 /** Cost of a first engine whose slots are all taken, in ms for each token. */
 const FULL_SLOTS_COST_MS = 40;
 
@@ -123,6 +129,7 @@
     (1 + failureShare * FAILURE_FACTOR) * (isFull ? REFUSED_FACTOR : 1);
   const slotsExcess = getExcess(getUsedSlots(view, options), BUSY_SLOTS_SHARE);
   const firstCost = FULL_SLOTS_COST_MS * slotsExcess +
+    SLOTS_COST_MS * getUsedSlots(view, options) +
     UNREAD_PROMPT_COST_MS * view.unreadPrompts;
   return { engineId, place, ...range, layerCost, firstCost };
 }
--- a/src/gateway/create_run_watch.ts
+++ b/src/gateway/create_run_watch.ts
@@ -54,6 +54,15 @@
  */
 const PRESENCE_TIMEOUT_MS = 25;
 
+/**
+ * Each question makes the next one need twice the silence, up to so many times:
+ * where engines are busy, silence says little and questions cost.
+ */
+const MAX_CAUTION = 32;
+
+/** Ms in which half of the caution is forgotten. */
+const CAUTION_HALF_LIFE_MS = 2_000;
+
 /** Ms for which what an engine said is not asked again. */
 const PRESENCE_AGE_MS = 250;
 
@@ -76,6 +85,7 @@
   const { engineControl, now } = options;
   const runs = new Set<WatchedRun>();
   const askedMs = new Map<string, number>();
+  const cautions = new Map<string, { factor: number; sinceMs: number }>();
   let timer: ReturnType<typeof setTimeout> | undefined;
   let dueMs = 0;
   let trustedFromMs = 0;
@@ -108,19 +118,32 @@
     })));
   }
 
+  function getCaution(firstEngineId: string): number {
+    const caution = cautions.get(firstEngineId);
+    if (!caution) return 1;
+    const ageMs = now() - caution.sinceMs;
+    return Math.max(1, caution.factor * 2 ** (-ageMs / CAUTION_HALF_LIFE_MS));
+  }
+
   type Group = RunGroup<ReturnType<typeof listGroups>[number]["runs"][number]>;
 
   function isSilent(group: Group): boolean {
-    return group.silenceMs >= group.limitMs;
+    return group.silenceMs >= group.limitMs * getCaution(group.firstEngineId);
+  }
+
+  function noteQuestion(firstEngineId: string): void {
+    const factor = Math.min(MAX_CAUTION, 2 * getCaution(firstEngineId));
+    cautions.set(firstEngineId, { factor, sinceMs: now() });
   }
 
   function askGroup(group: Group): void {
     const parts = group.runs.flatMap(({ run }) => run.getPath());
     const engines = new Map(parts.map((part) => [part.engineId, part]));
     const { firstEngineId } = group;
+    noteQuestion(firstEngineId);
     const isStillSilent = () =>
       listGroups().some((one) =>
-        one.firstEngineId === firstEngineId && isSilent(one)
+        one.firstEngineId === firstEngineId && one.silenceMs >= one.limitMs
       );
     for (const engine of engines.values()) void ask(engine, { isStillSilent });
   }
@@ -161,6 +184,7 @@
         clearTimeout(timer);
         timer = undefined;
         askedMs.clear();
+        cautions.clear();
       };
     },
     checkEngine: (engine) => void ask(engine, { isStillSilent: () => false }),
--- a/src/gateway/create_run_watch_test.ts
+++ b/src/gateway/create_run_watch_test.ts
@@ -106,4 +106,15 @@
   remove();
 });
 
+test("the longer nothing is found lost, the fewer questions are asked", async () => {
+  const { watch, asked } = startWatch({});
+  const run = makeRun(["a"], 100);
+  const removals = [watch.add(run), watch.add(makeRun(["a"], 100))];
+  await untilAsked(asked);
+  // Longer than what an engine said is kept for.
+  await sleep(400);
+  assert.is(asked.length, 1);
+  removals.forEach((remove) => remove());
+});
+
 test.run();
--- a/src/layers/index.ts
+++ b/src/layers/index.ts
@@ -6,6 +6,7 @@
 
 export * from "./find_gaps.ts";
 export * from "./find_layer_path.ts";
+export * from "./group_copies.ts";
 export * from "./plan_copy.ts";
 export * from "./plan_layer_orders.ts";
 export * from "./types.ts";
--- a/src/layers/layers_test.ts
+++ b/src/layers/layers_test.ts
@@ -4,10 +4,18 @@
 import { findGaps } from "./find_gaps.ts";
 import { findLayerPath, type PathEngine } from "./find_layer_path.ts";
 import { findTokensInFlight, planCopy } from "./plan_copy.ts";
+import { groupCopies } from "./group_copies.ts";
 import { planLayerOrders } from "./plan_layer_orders.ts";
 import type { LayerEngine } from "./types.ts";
 
-const FIGURES = { layers: 80, layerMb: 1_750, kvTokenBytes: 845_373 };
+const FIGURES = {
+  layers: 80,
+  layerMb: 1_750,
+  kvTokenBytes: 845_373,
+  slots: 134,
+  usualPromptTokens: 772,
+  usualAnswerTokens: 172,
+};
 
 const MEMORY_MB = [72_000, 36_000, 21_600, 14_400];
 
@@ -138,6 +146,78 @@
   assert.ok(second.every(({ engineId }) => engineId.startsWith("b")));
 });
 
+// The cards of one data centre with 33 engines.
+function makeMany(place = "a"): LayerEngine[] {
+  const memories = [
+    ...Array.from({ length: 4 }, () => 36_000),
+    ...Array.from({ length: 11 }, () => 21_600),
+    ...Array.from({ length: 18 }, () => 14_400),
+  ];
+  return memories.map((memoryMb, at) => ({
+    engineId: `${place}${String(at).padStart(2, "0")}`,
+    place,
+    memoryMb,
+  }));
+}
+
+function countHolders(engines: readonly LayerEngine[]): number[] {
+  return Array.from(
+    { length: FIGURES.layers },
+    (_, layer) =>
+      engines.filter(({ range }) =>
+        range && range.fromLayer <= layer && range.toLayer > layer
+      ).length,
+  );
+}
+
+test("many engines hold as many copies as run the most requests", () => {
+  const engines = holdPlan(makeMany());
+  const holders = countHolders(engines);
+  assert.ok(Math.min(...holders) >= 2);
+  assert.is(Math.min(...holders), Math.max(...holders));
+  const { copies, spares } = groupCopies(engines, FIGURES);
+  assert.is(copies.length, holders[0]);
+  assert.ok(spares.every(({ range }) => range === undefined));
+  for (const copy of copies) assert.ok(copy.length <= 32);
+  const options = { figures: FIGURES, mayRespread: () => true };
+  assert.equal(planLayerOrders(engines, options), []);
+});
+
+test("of many engines a lost one is replaced, whichever it is", () => {
+  const engines = holdPlan(makeMany());
+  for (const lost of engines) {
+    const back = { ...lost, engineId: "new", range: undefined };
+    const left = [...engines.filter((engine) => engine !== lost), back];
+    const orders = planLayerOrders(left, {
+      figures: FIGURES,
+      mayRespread: () => false,
+    });
+    const after = left.map((engine) => ({
+      ...engine,
+      range: orders.find(({ engineId }) => engineId === engine.engineId) ??
+        engine.range,
+    }));
+    assert.equal(countHolders(after), countHolders(engines));
+    assert.ok(orders.length <= 3);
+  }
+});
+
+test("of many engines a lost one's copy is spread anew, the others stay", () => {
+  const engines = holdPlan(makeMany());
+  const left = engines.filter((_engine, at) => at !== 5);
+  const orders = planLayerOrders(left, {
+    figures: FIGURES,
+    mayRespread: () => true,
+  });
+  const after = left.map((engine) => ({
+    ...engine,
+    range: orders.find(({ engineId }) => engineId === engine.engineId) ??
+      engine.range,
+  }));
+  assert.equal(countHolders(after), countHolders(engines));
+  assert.ok(orders.length < left.length / 2);
+});
+
 test("room for tokens is as large as the group allows", () => {
   const tokens = findTokensInFlight(makeEngines(12), FIGURES) ?? 0;
   assert.ok(tokens > 50_000, String(tokens));
--- a/src/layers/plan_layer_orders.ts
+++ b/src/layers/plan_layer_orders.ts
@@ -6,6 +6,7 @@
 
 import type { LayerRange } from "../engines/index.ts";
 import { findGaps } from "./find_gaps.ts";
+import { divideEngines, groupCopies } from "./group_copies.ts";
 import { findTokensInFlight, getLayerRoom, planCopy } from "./plan_copy.ts";
 import type { LayerEngine, LayerFigures, LayerOrder } from "./types.ts";
 
@@ -20,10 +21,11 @@
 const GAP_ROOM_SHARE = 0.5;
 
 /**
- * Plans the next orders: a whole copy of the model in each data centre that
- * can hold one, one more over the engines of the others together.
+ * Plans the next orders: whole copies of the model in each data centre that can
+ * hold one, as many as run the most requests; one more over the engines of the
+ * others together.
  *
- * A copy that lost a range gets it back on empty engines; without any, and
+ * A copy that lost a range gets it back on spare engines; without any, and
  * where the options allow it, the copy is spread anew over what is left. Only
  * one copy at a time is: while its engines load, the others serve.
  *
@@ -39,26 +41,16 @@
   engines: readonly LayerEngine[],
   options: PlanLayerOrdersOptions,
 ): LayerOrder[] {
-  const { figures, mayRespread } = options;
-  const groups = groupEngines(engines, figures);
-  let spreadGroup = groups.find(isLoadingGroup);
-  return groups.flatMap((group) => {
-    const orders = planGroup(group, figures);
-    if (orders.type === "orders") return orders.orders;
-    // A copy that is spread anew serves little meanwhile: one at a time.
-    const mayBegin = mayRespread(group.name);
-    const isAlone = spreadGroup === undefined || spreadGroup === group;
-    if (!mayBegin || !isAlone) return orders.filling;
-    spreadGroup = group;
-    return spread(group.engines, figures);
-  });
-}
-
-function isLoadingGroup(group: EngineGroup): boolean {
-  return group.engines.some((engine) => engine.isLoading);
+  const { figures } = options;
+  const copies = groupEngines(engines, figures)
+    .flatMap((group) => planGroup(group, figures));
+  const chosen = chooseSpread(copies, options);
+  return copies.flatMap((copy) =>
+    copy === chosen ? spread(copy.engines, figures) : copy.filling
+  );
 }
 
-/** Engines that together hold one copy. */
+/** Engines that together hold whole copies. */
 interface EngineGroup {
   readonly name: string;
   readonly engines: readonly LayerEngine[];
@@ -93,22 +85,69 @@
 }
 
 /** What one copy needs. */
-type GroupPlan =
-  | { readonly type: "orders"; readonly orders: readonly LayerOrder[] }
-  /** Gaps that empty engines can't fill; what they fill of them. */
-  | { readonly type: "gaps"; readonly filling: readonly LayerOrder[] };
-
-function planGroup(group: EngineGroup, figures: LayerFigures): GroupPlan {
-  const held = group.engines.filter((engine) => engine.range !== undefined);
-  if (held.length === 0) {
-    return { type: "orders", orders: spread(group.engines, figures) };
-  }
-  const ranges = held.map((engine) => engine.range as LayerRange);
-  const gaps = findGaps(ranges, figures.layers);
-  const filling = fillGaps(gaps, group, figures);
-  const left = findGaps([...ranges, ...filling], figures.layers);
-  if (left.length === 0) return { type: "orders", orders: filling };
-  return { type: "gaps", filling };
+interface CopyPlan {
+  readonly groupName: string;
+  /** Its engines, with the spare ones that it takes. */
+  readonly engines: readonly LayerEngine[];
+  /** Orders to spare engines that fill its gaps, or make it. */
+  readonly filling: readonly LayerOrder[];
+  /** Whether gaps remain. */
+  readonly hasGaps: boolean;
+}
+
+function planGroup(group: EngineGroup, figures: LayerFigures): CopyPlan[] {
+  const { copies, spares } = groupCopies(group.engines, figures);
+  const groupName = group.name;
+  let left = spares;
+  const plans = copies.map((copy): CopyPlan => {
+    const ranges = copy.map((engine) => engine.range as LayerRange);
+    const gaps = findGaps(ranges, figures.layers);
+    const filling = fillGaps(gaps, { copy, spares: left, figures });
+    const ids = new Set(filling.map(({ engineId }) => engineId));
+    const taken = left.filter(({ engineId }) => ids.has(engineId));
+    left = left.filter(({ engineId }) => !ids.has(engineId));
+    const remaining = findGaps([...ranges, ...filling], figures.layers);
+    return {
+      groupName,
+      engines: [...copy, ...taken],
+      filling,
+      hasGaps: remaining.length > 0,
+    };
+  });
+  return [...plans, ...planNewCopies(left, { groupName, figures })];
+}
+
+// Engines that hold a part too small to be repaired wait as one that has gaps:
+// until they are spread anew, paths may use what they hold.
+function planNewCopies(
+  spares: readonly LayerEngine[],
+  options: { groupName: string; figures: LayerFigures },
+): CopyPlan[] {
+  const { groupName, figures } = options;
+  const isHeld = spares.some((engine) => engine.range !== undefined);
+  return divideEngines(spares, figures).map((engines) => ({
+    groupName,
+    engines,
+    filling: isHeld ? [] : spread(engines, figures),
+    hasGaps: isHeld,
+  }));
+}
+
+// A copy that is spread anew serves little meanwhile: one at a time.
+function chooseSpread(
+  copies: readonly CopyPlan[],
+  { figures, mayRespread }: PlanLayerOrdersOptions,
+): CopyPlan | undefined {
+  const broken = copies.filter(({ engines, hasGaps }) =>
+    hasGaps && findTokensInFlight(engines, figures) !== undefined
+  );
+  const names = new Set(broken.map(({ groupName }) => groupName));
+  const ready = new Set([...names].filter(mayRespread));
+  const chosen = broken.find(({ groupName }) => ready.has(groupName));
+  const othersLoad = copies.some((copy) =>
+    copy !== chosen && copy.engines.some((engine) => engine.isLoading)
+  );
+  return othersLoad ? undefined : chosen;
 }
 
 // The order of the layers follows what is held, so that a new spread moves as
@@ -138,13 +177,18 @@
 
 function fillGaps(
   gaps: readonly LayerRange[],
-  group: EngineGroup,
-  figures: LayerFigures,
+  options: {
+    copy: readonly LayerEngine[];
+    spares: readonly LayerEngine[];
+    figures: LayerFigures;
+  },
 ): LayerOrder[] {
-  const usual = findTokensInFlight(group.engines, figures) ?? 0;
+  const { copy, spares, figures } = options;
+  if (gaps.length === 0) return [];
+  const usual = findTokensInFlight([...copy, ...spares], figures) ?? 0;
   const tokens = usual * GAP_ROOM_SHARE;
-  let empty = group.engines
-    .filter((engine) => engine.range === undefined)
+  let empty = spares
+    .filter((engine) => !engine.isLoading)
     .map(({ engineId, memoryMb }) => ({
       engineId,
       room: getLayerRoom(memoryMb, figures, { tokens }),
--- a/src/layers/types.ts
+++ b/src/layers/types.ts
@@ -28,6 +28,12 @@
   readonly layerMb: number;
   /** Bytes of KV cache that a token takes over all layers. */
   readonly kvTokenBytes: number;
+  /** Requests that an engine takes as the first of a path. */
+  readonly slots: number;
+  /** Mean tokens of a prompt. */
+  readonly usualPromptTokens: number;
+  /** Mean tokens of an answer. */
+  readonly usualAnswerTokens: number;
 }
 
 /** An order to an engine: hold this range. */
