Observers hold their state in memory; a run of a stream is a module; explain reads logs

Ruled out: another folder (there is none that may be written).

Change: storage in memory for observers, with a new identity at each start. The dead field isEventStream is gone. A run that is given up before it was sent blames the engine that was lost, not the first of its path.

--- a/src/cli/commands/explain.ts
+++ b/src/cli/commands/explain.ts
@@ -4,9 +4,13 @@
  * @module
  */
 
+import { readFile } from "node:fs/promises";
+import { text } from "node:stream/consumers";
+import process from "node:process";
 import { Args, Flags } from "@oclif/core";
 import { request } from "undici";
-import { BaseCommand, EXIT_REFUSED } from "../base_command.ts";
+import { traceRequest } from "../../logs/index.ts";
+import { BaseCommand, EXIT_REFUSED, EXIT_USAGE } from "../base_command.ts";
 
 interface Trace {
   readonly outcome: string;
@@ -18,10 +22,12 @@
   static override summary =
     "Say why a resource is not in force yet, or what became of a request";
   static override description =
-    "With kind/name: what differs, why, and what is being done. With a request's id, --entry and --key: the steps of the request.";
+    "With kind/name: what differs, why, and what is being done. With a request's id, --entry and --key: the steps of the request. With a request's id and --logs: its lines in the logs of all processes, in the order of time.";
   static override examples = [
     "<%= config.bin %> explain service/drafting",
     "<%= config.bin %> explain entry-1-mf2k-17 --entry http://10.0.0.7:8080 --key KEY",
+    "<%= config.bin %> explain 9c41d07be2a35f68 --logs vm-1.log --logs vm-2.log",
+    "cat *.log | <%= config.bin %> explain 9c41d07be2a35f68 --logs -",
   ];
   static override args = {
     what: Args.string({
@@ -32,11 +38,19 @@
   static override flags = {
     entry: Flags.string({ description: "Address of the entry that served it" }),
     key: Flags.string({ description: "Key of the client account" }),
+    logs: Flags.string({
+      description: "File of log lines; - is the standard input",
+      multiple: true,
+    }),
   };
 
   /** Runs the command. */
   async run(): Promise<void> {
     const { args, flags } = await this.parse(ExplainCommand);
+    if (flags.logs !== undefined) {
+      const { logs, output } = flags;
+      return await this.explainFromLogs(args.what, { logs, output });
+    }
     if (flags.entry !== undefined) {
       const { what } = args;
       const { entry, key = "", output } = flags;
@@ -53,6 +67,27 @@
     this.print(answer, { output: flags.output, rows: answer.explanations });
   }
 
+  private async explainFromLogs(
+    requestId: string,
+    from: { logs: readonly string[]; output: "table" | "json" | "name" },
+  ): Promise<void> {
+    const texts = await Promise.all(from.logs.map(readLog)).catch((error) =>
+      this.error((error as Error).message, { exit: EXIT_USAGE })
+    );
+    const lines = texts.flatMap((one) => one.split("\n"));
+    const traced = traceRequest(lines, { requestId });
+    if (traced.length === 0) {
+      this.error(`No line tells of request ${requestId}`, {
+        exit: EXIT_REFUSED,
+      });
+    }
+    const rows = traced.map(({ fields, ...line }) => ({
+      ...line,
+      fields: formatFields(fields),
+    }));
+    this.print(traced, { output: from.output, rows });
+  }
+
   private async explainRequest(
     id: string,
     from: { entry: string; key: string; output: "table" | "json" | "name" },
@@ -74,3 +109,19 @@
     this.print(trace, { output, rows: steps });
   }
 }
+
+function readLog(file: string): Promise<string> {
+  return file === "-" ? text(process.stdin) : readFile(file, "utf8");
+}
+
+// The request's id stands in every line that is its own.
+function formatFields(fields: Readonly<Record<string, unknown>>): string {
+  return Object.entries(fields)
+    .filter(([name]) => name !== "requestId")
+    .map(([name, value]) => `${name}=${formatValue(value)}`)
+    .join(" ");
+}
+
+function formatValue(value: unknown): string {
+  return typeof value === "string" ? value : JSON.stringify(value);
+}
--- a/src/fleet/open_fleet_storage.ts
+++ b/src/fleet/open_fleet_storage.ts
@@ -8,7 +8,11 @@
 import { createHash } from "node:crypto";
 import type { Logger } from "../logs/index.ts";
 import type { Member } from "../quorum/index.ts";
-import { openQuorumStorage, type QuorumStorage } from "../storage/index.ts";
+import {
+  createMemoryStorage,
+  openQuorumStorage,
+  type QuorumStorage,
+} from "../storage/index.ts";
 
 /** A control process as the settings name it. */
 export interface FleetSeed {
@@ -21,11 +25,10 @@
 /** Whose folder it is, and who begins with it. */
 export interface OpenFleetStorageOptions extends FleetSeed {
   readonly fleetId: string;
-  readonly dataFolder: string;
+  /** Absent where there is no disk. */
+  readonly dataFolder?: string;
   /** Whether the cluster is formed now, by all seeds together. */
   readonly isFirstStart: boolean;
-  /** Whether it has no disk and never votes. */
-  readonly isObserver?: boolean;
   readonly seeds: readonly FleetSeed[];
   readonly log: Logger;
 }
@@ -45,9 +48,12 @@
   options: OpenFleetStorageOptions,
 ): Promise<QuorumStorage> {
   const { fleetId, callerAddress, peerAddress, dataFolder } = options;
+  if (dataFolder === undefined) {
+    return createMemoryStorage({ fleetId, vm: callerAddress });
+  }
   const seeds = [...options.seeds]
     .sort((a, b) => a.callerAddress < b.callerAddress ? -1 : 1);
-  const isFirstVoter = options.isFirstStart && !options.isObserver &&
+  const isFirstVoter = options.isFirstStart &&
     seeds.some((seed) => seed.callerAddress === callerAddress);
   const names = seeds.map((seed) => seed.callerAddress).join(" ");
   const clusterId = createHash("sha256").update(names).digest("hex")
--- a/src/fleet/start_fleet_control.ts
+++ b/src/fleet/start_fleet_control.ts
@@ -46,13 +46,15 @@
   readonly callerAddress: string;
   /** Where the other processes of the system reach it. */
   readonly peerAddress: string;
-  readonly dataFolder: string;
+  /**
+   * Folder that outlives the process; absent where there is no disk: it then
+   * follows, passes calls on and never votes.
+   */
+  readonly dataFolder?: string;
   /** Whether the cluster is formed now, by all first voters together. */
   readonly isFirstStart: boolean;
   /** Voters that losses leave enough of. */
   readonly voters: number;
-  /** Whether it has no disk: it then follows, passes calls on and never votes. */
-  readonly isObserver?: boolean;
   /** Ms between two beats of an upstream. */
   readonly beatIntervalMs: number;
   /**
@@ -343,7 +345,7 @@
       fleetId: settings.fleetId,
       vm: settings.callerAddress,
       address: settings.peerAddress,
-      isObserver: settings.isObserver,
+      isObserver: settings.dataFolder === undefined,
       storage,
       signal: joining.signal,
       getPeerAddresses: () =>
--- a/src/gateway/create_exchanger_test.ts
+++ b/src/gateway/create_exchanger_test.ts
@@ -15,7 +15,6 @@
     saysNotRun: false,
     faultAddress: undefined,
     load: undefined,
-    isEventStream: false,
   }),
 } as CallerCodec;
 
--- a/src/gateway/protocol.ts
+++ b/src/gateway/protocol.ts
@@ -62,7 +62,6 @@
   readonly faultAddress: string | undefined;
   /** Running and waiting requests over slots, where it tells them. */
   readonly load: number | undefined;
-  readonly isEventStream: boolean;
 }
 
 /** A final answer of the gateway's own. */
--- a/src/gateway/serve_stream_call.ts
+++ b/src/gateway/serve_stream_call.ts
@@ -4,14 +4,17 @@
  * @module
  */
 
-import { Buffer } from "node:buffer";
 import { chooseCallPath, getCallModel } from "./choose_call_path.ts";
 import { createCallEnd } from "./create_call_end.ts";
-import type { Exchange, ExchangeEnd } from "./create_exchanger.ts";
+import type { ExchangeEnd } from "./create_exchanger.ts";
 import { createStreamRelay } from "./create_stream_relay.ts";
 import type { AddressedPart, UpstreamHead } from "./protocol.ts";
 import { rescueStream } from "./rescue_stream.ts";
-import { createEventSplitter } from "./split_events.ts";
+import {
+  startStreamRun,
+  type StreamRun,
+  type StreamRunEnd,
+} from "./start_stream_run.ts";
 import type { Call, ServingContext } from "./types.ts";
 
 /** Sends of one call, refused ones included. */
@@ -32,28 +35,6 @@
 /** Ms for which a new request waits for one: a lost range is soon held again. */
 const NEW_PATH_WAIT_MS = 1_000;
 
-/** One send of the call. */
-interface Run {
-  path: readonly AddressedPart[];
-  /** Engine of the path that was found to be lost. */
-  lostEngineId: string | undefined;
-  readonly sentMs: number;
-  exchange: Exchange | undefined;
-  head: UpstreamHead | undefined;
-  /** Whether its events are passed on. */
-  isRelaying: boolean;
-  hasBegun: boolean;
-}
-
-/** How a run ended. */
-interface RunEnd {
-  readonly how: ExchangeEnd;
-  /** Whether it ended in the middle of an event. */
-  readonly isCut: boolean;
-  /** What came of an answer that is no stream. */
-  readonly body: Buffer;
-}
-
 /**
  * Serves a call: passes whole events on as they come, moves the path off
  * engines that stand still, goes on elsewhere where the stream breaks.
@@ -71,7 +52,7 @@
 ): Promise<void> {
   return new Promise((resolve) => {
     const { request, response, route, service } = call;
-    const { engines, budget, now, log, codec, metrics } = context;
+    const { engines, budget, now, log, metrics } = context;
     const { requestId } = request;
     const model = getCallModel(call, context);
     const isResumable = route.repeatability === "resumable";
@@ -79,7 +60,7 @@
     const ranOn = new Set<string>();
     let tries = 0;
     let runs = 0;
-    let run: Run | undefined;
+    let run: StreamRun | undefined;
     let checking = false;
 
     // Callers name the most that an answer may hold; most hold far less.
@@ -102,7 +83,7 @@
       describe,
       onEnd(outcome) {
         unwatch();
-        run?.exchange?.abort(outcome);
+        run?.abort(outcome);
         resolve();
       },
       onDeadline: finishTimedOut,
@@ -165,67 +146,35 @@
     }
 
     function send(path: readonly AddressedPart[]): void {
-      const [{ engineId, address }] = path;
       const { lastEventId } = relay.getProgress();
-      const sent: Run = {
-        path,
-        lostEngineId: undefined,
-        sentMs: now(),
-        exchange: undefined,
-        head: undefined,
-        isRelaying: false,
-        hasBegun: false,
-      };
-      run = sent;
-      relay.restart();
-      watch(sent);
-      engines.addWork(path, { tokens });
-      const endPrompt = engines.beginPrompt(engineId);
-      const splitter = createEventSplitter();
-      const chunks: Buffer[] = [];
       log("callSent", {
         requestId,
-        engineId,
+        engineId: path[0].engineId,
         path: path.map((part) => `${part.engineId}:${part.toLayer}`).join(),
         tries,
         lastEventId,
       });
-      sent.exchange = context.exchanger.start({
-        engineId,
-        address,
-        method: request.method,
-        target: request.target,
-        headers: codec.formatUpstreamHeaders(request, {
-          deadlineMs: Math.max(1, Math.floor(call.deadlineMs - now())),
-          engineId,
-          account: call.account?.name,
-          lastEventId,
-          path: model ? path : [],
-        }),
-        body: call.body,
-        requestId,
-        onHead: (head) => takeHead(sent, head),
-        onData(chunk) {
-          if (!sent.isRelaying) return void chunks.push(chunk);
-          for (const event of splitter.take(chunk)) {
-            sent.hasBegun = true;
-            endPrompt();
-            if (!callEnd.hasEnded() && !relay.pass(event)) waitForCaller(sent);
-          }
+      relay.restart();
+      run = startStreamRun(call, context, {
+        path,
+        isLayered: model !== undefined,
+        tokens,
+        lastEventId,
+        onHead: takeHead,
+        onEvent(sent, event) {
+          if (!callEnd.hasEnded() && !relay.pass(event)) waitForCaller(sent);
         },
-        onEnd(how) {
-          engines.removeWork(sent.path, { tokens });
-          endPrompt();
+        onEnd(sent, end) {
           if (run === sent) unwatch();
           if (callEnd.hasEnded() || run !== sent) return;
           run = undefined;
-          const body = Buffer.concat(chunks);
-          takeEnd(sent, { how, isCut: splitter.hasRest(), body });
+          takeEnd(sent, end);
         },
       });
+      watch(run);
     }
 
-    function watch(sent: Run): void {
+    function watch(sent: StreamRun): void {
       unwatch();
       // Only over parts can another engine than the first be the one at fault,
       // and only what may go on elsewhere can leave it.
@@ -236,24 +185,20 @@
         getSilenceMs: relay.getSilenceMs,
         checkStall: () => checkStall(sent),
         leave(engineId, reason) {
-          sent.lostEngineId = engineId;
           excluded.add(engineId);
-          sent.exchange?.abort(reason);
+          sent.leave(engineId, reason);
         },
       });
     }
 
-    function waitForCaller(sent: Run): void {
-      sent.exchange?.pause();
-      response.once("drain", () => sent.exchange?.resume());
+    function waitForCaller(sent: StreamRun): void {
+      sent.pause();
+      response.once("drain", sent.resume);
     }
 
-    function takeHead(sent: Run, head: UpstreamHead): void {
-      sent.head = head;
-      sent.isRelaying = head.status === 200 && head.isSigned;
-      if (!sent.isRelaying || response.headersSent || callEnd.hasEnded()) {
-        return;
-      }
+    function takeHead({ head, isStream }: StreamRun): void {
+      if (!head || !isStream || response.headersSent) return;
+      if (callEnd.hasEnded()) return;
       response.writeHead(200, [
         ...head.headers,
         ...(context.isLeaving() ? ["connection", "close"] : []),
@@ -261,12 +206,16 @@
       response.flushHeaders();
     }
 
-    function takeEnd(sent: Run, { how, isCut, body }: RunEnd): void {
+    function takeEnd(
+      sent: StreamRun,
+      { how, isCut, body }: StreamRunEnd,
+    ): void {
       const [{ engineId }] = sent.path;
       const { head } = sent;
+      const blamedId = sent.lostEngineId ?? engineId;
       if (how.type === "notSent") {
         metrics.countRetry("connect_failed");
-        engines.suspect(engineId, how.reason);
+        engines.suspect(blamedId, how.reason);
         return next();
       }
       if (how.type === "complete" && head?.saysNotRun) {
@@ -274,8 +223,7 @@
       }
       runs += 1;
       ranOn.add(engineId);
-      const isWhole = how.type === "complete" && sent.isRelaying && !isCut;
-      const blamedId = sent.lostEngineId ?? engineId;
+      const isWhole = how.type === "complete" && sent.isStream && !isCut;
       engines.noteAnswer(blamedId, { failed: !isWhole });
       if (isWhole) {
         response.end();
@@ -299,7 +247,7 @@
       return counted.length < route.maxAttempts;
     }
 
-    function takeBroken(sent: Run, how: ExchangeEnd): void {
+    function takeBroken(sent: StreamRun, how: ExchangeEnd): void {
       const engineId = sent.lostEngineId ?? sent.path[0].engineId;
       const reason = how.type === "complete" ? undefined : how.reason;
       if (reason !== undefined) engines.suspect(engineId, reason);
@@ -315,7 +263,7 @@
       });
     }
 
-    function takeNotRun(sent: Run, head: UpstreamHead): void {
+    function takeNotRun(sent: StreamRun, head: UpstreamHead): void {
       const [first] = sent.path;
       const faulty = sent.path
         .find((part) => part.address === head.faultAddress) ?? first;
@@ -334,7 +282,7 @@
       next();
     }
 
-    function checkStall(silent: Run): void {
+    function checkStall(silent: StreamRun): void {
       if (run !== silent || checking) return;
       checking = true;
       void rescue(silent).finally(() => {
@@ -342,7 +290,7 @@
       });
     }
 
-    async function rescue(silent: Run): Promise<void> {
+    async function rescue(silent: StreamRun): Promise<void> {
       const { events } = relay.getProgress();
       const { path } = silent;
       const found = await rescueStream(call, context, { path, excluded });
@@ -354,13 +302,11 @@
       if (!isLost) return;
       engines.suspect(found.engineId, found.reason);
       excluded.add(found.engineId).add(path[0].engineId);
-      silent.exchange?.abort(found.reason);
+      silent.abort(found.reason);
     }
 
-    function takeMove(moved: Run, path: readonly AddressedPart[]): void {
-      engines.removeWork(moved.path, { tokens });
-      moved.path = path;
-      engines.addWork(path, { tokens });
+    function takeMove(moved: StreamRun, path: readonly AddressedPart[]): void {
+      moved.move(path);
       relay.restart();
       metrics.count("paths.changed");
     }
--- a/src/storage/identity.ts
+++ b/src/storage/identity.ts
@@ -64,7 +64,8 @@
 export async function readIdentity(
   options: OpenQuorumStorageOptions,
 ): Promise<StorageIdentity> {
-  const { folder, fleetId, vm, makeReplicaId = makeRandomId } = options;
+  const { folder, fleetId, vm, makeReplicaId: makeId = makeReplicaId } =
+    options;
   const path = join(folder, IDENTITY_FILE);
   const bytes = await readFileIfAny(path);
   if (bytes === undefined) {
@@ -72,7 +73,7 @@
       formatVersion: FORMAT_VERSION,
       fleetId,
       vm,
-      replicaId: makeReplicaId(vm),
+      replicaId: makeId(vm),
       clusterId: "",
     };
     await writeIdentity(folder, identity);
@@ -122,7 +123,16 @@
   await replaceFile(join(folder, IDENTITY_FILE), bytes);
 }
 
-function makeRandomId(vm: string): string {
+/**
+ * Makes the id of a replica that starts with nothing.
+ *
+ * @param vm - The VM on which it runs.
+ * @returns An id that no other replica has.
+ * @throws Nothing.
+ * @example
+ * makeReplicaId("vm-1"); // "vm-1.9f0c2a417b3e"
+ */
+export function makeReplicaId(vm: string): string {
   return `${vm}.${randomBytes(6).toString("hex")}`;
 }
 
--- a/src/storage/index.ts
+++ b/src/storage/index.ts
@@ -5,6 +5,7 @@
  */
 
 export * from "./constants.ts";
+export * from "./create_memory_storage.ts";
 export * from "./frame.ts";
 export * from "./identity.ts";
 export * from "./lock_data_folder.ts";
--- a/test/control_members_test.ts
+++ b/test/control_members_test.ts
@@ -43,9 +43,10 @@
     const control = await startFleetControl({
       fleetId: "test",
       ...addresses[at],
-      dataFolder: join(folder, String(folders)),
+      dataFolder: options.isObserver
+        ? undefined
+        : join(folder, String(folders)),
       isFirstStart,
-      isObserver: options.isObserver,
       voters: options.voters,
       beatIntervalMs: 200,
     }, {
