One way to start a replica with its transport, for both control programs

Cause: startFleetControl and startControl set up transport and replica, told of roles and found the moments of gaining and losing the lead in the same way, in two places.

Change: createReplicaHost does; each program says what it does on its lead and after it. No behaviour changes.

--- a/src/control/index.ts
+++ b/src/control/index.ts
@@ -9,5 +9,5 @@
 export * from "./start_control.ts";
 export * from "./state_machine.ts";
 export * from "./create_join_handler.ts";
-export * from "./create_peer_transport.ts";
+export * from "./create_replica_host.ts";
 export * from "./join_cluster.ts";
--- a/src/control/start_control.ts
+++ b/src/control/start_control.ts
@@ -19,8 +19,8 @@
 import { createJoinHandler } from "./create_join_handler.ts";
 import { createOperatorApi } from "./create_operator_api.ts";
 import { createOrderDispatcher } from "./create_order_dispatcher.ts";
-import { createPeerTransport } from "./create_peer_transport.ts";
-import { createReplica, type Replica } from "./create_replica.ts";
+import type { Replica } from "./create_replica.ts";
+import { createReplicaHost } from "./create_replica_host.ts";
 import { joinCluster } from "./join_cluster.ts";
 import { readPlatformList } from "./read_platform_list.ts";
 import { startLeaderDuties } from "./start_leader_duties.ts";
@@ -95,19 +95,9 @@
     log,
     onChange: (live) => agents.publishLive(live),
   });
-  const transport = createPeerTransport({
-    getClusterId: () => storage.identity.clusterId,
-    getSelfId: () => storage.identity.replicaId,
-    getAddress,
-    getTerm: () => replica.getState().term,
-    deliver: (message) => replica.deliver(message),
-    readSnapshot: () => storage.readSnapshot(),
-    now,
-    tls: settings.peerTls,
-    log,
-  });
-  const replica: Replica = createReplica({
+  const { replica, transport } = createReplicaHost({
     storage,
+    machine,
     timing: {
       ...settings.quorum,
       leaseMs: settings.quorum.electionTimeoutMs *
@@ -115,46 +105,36 @@
           DEFAULT_QUORUM_TIMING.electionTimeoutMs),
     },
     snapshotEntries: settings.snapshotEntries,
-    apply: machine.apply,
-    save: machine.save,
-    restore: machine.restore,
-    send: transport.send,
-    sendSnapshot: transport.sendSnapshot,
-    onRoleChange: takeRoleChange,
+    getAddress,
+    onLead,
+    onLeadLost,
     onFatal: options.onFatal,
+    tls: settings.peerTls,
     log,
     metrics,
     now,
-    random: Math.random,
   });
   let leadingSinceMs = 0;
   let ledgerBase = { startMs: 0, ledgerMs: 0 };
-  let wasLeader = false;
-  let lastRole = "";
 
-  function takeRoleChange(state: QuorumState): void {
-    const { role, term, leaderId } = state;
-    const summary = `${role} ${term} ${leaderId}`;
-    if (summary !== lastRole) log("roleChanged", { role, term, leaderId });
-    lastRole = summary;
-    const leads = role === "leader";
-    if (leads && !wasLeader) {
-      view.reset();
-      leadingSinceMs = now();
-      // The claims' window runs on the leaders' monotonic time alone, so that
-      // no step of a wall clock shortens it.
-      ledgerBase = { startMs: now(), ledgerMs: machine.getLedgerTimeMs() };
-    }
-    if (!leads && wasLeader) {
-      agents.closeAll("not_leader");
-      api.closeWatches();
-    }
-    wasLeader = leads;
+  function onLead(): void {
+    view.reset();
+    leadingSinceMs = now();
+    // The claims' window runs on the leaders' monotonic time alone, so that no
+    // step of a wall clock shortens it.
+    ledgerBase = { startMs: now(), ledgerMs: machine.getLedgerTimeMs() };
+  }
+
+  function onLeadLost(): void {
+    agents.closeAll("not_leader");
+    api.closeWatches();
   }
 
   // A new learner has no members yet: ids begin with the name of their VM.
-  function getAddress(id: string): string | undefined {
-    const { members } = replica.getState();
+  function getAddress(
+    id: string,
+    { members }: QuorumState,
+  ): string | undefined {
     const member = members.find((candidate) => candidate.id === id);
     const named = settings.controlVms.find(({ vm }) => id.startsWith(`${vm}.`));
     return member?.address ?? named?.peerAddress;
--- a/src/fleet/start_fleet_control.ts
+++ b/src/fleet/start_fleet_control.ts
@@ -9,8 +9,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import {
   createJoinHandler,
-  createPeerTransport,
-  createReplica,
+  createReplicaHost,
   joinCluster,
   type Replica,
 } from "../control/index.ts";
@@ -152,33 +151,21 @@
   // Where replicas say that they are reached: one that starts without state
   // knows no members, and answers and joins those who write to it.
   const senders = new Map<string, string>();
-  const transport = createPeerTransport({
-    getClusterId: () => storage.identity.clusterId,
-    getSelfId: () => replicaId,
-    getAddress: getMemberAddress,
-    getTerm: () => replica.getState().term,
-    deliver: (message) => replica.deliver(message),
-    onSender: (id, address) => void senders.set(id, address),
-    readSnapshot: () => storage.readSnapshot(),
-    now,
-    log,
-  });
-  const replica: Replica = createReplica({
+  const { replica, transport } = createReplicaHost({
     storage,
+    machine,
     timing: QUORUM_TIMING,
     snapshotEntries: SNAPSHOT_ENTRIES,
-    apply: machine.apply,
-    save: machine.save,
-    restore: machine.restore,
-    send: transport.send,
-    sendSnapshot: transport.sendSnapshot,
-    onRoleChange: takeRoleChange,
+    getAddress: (id, { members }) =>
+      members.find((one) => one.id === id)?.address ?? senders.get(id),
+    onSender: (id, address) => void senders.set(id, address),
+    onLead,
+    onLeadLost,
     onFatal: options.onFatal,
+    quietSinceMs: settings.processStartedMs,
     log,
     metrics,
     now,
-    quietSinceMs: settings.processStartedMs,
-    random: Math.random,
   });
   const isLeader = () => replica.getState().role === "leader";
   const registry = createEngineRegistry({
@@ -245,7 +232,6 @@
     log,
   });
   const caller = createLeaderCaller();
-  let lastRole = "";
   let toldAllEngines = false;
 
   function takeChange(command: FleetCommand): void {
@@ -258,24 +244,17 @@
     if (isLeader()) sessions.publishConfig();
   }
 
-  function takeRoleChange(state: QuorumState): void {
-    const { role, term, leaderId } = state;
-    const summary = `${role} ${term} ${leaderId}`;
-    if (summary !== lastRole) log("roleChanged", { role, term, leaderId });
-    lastRole = summary;
-    const leads = role === "leader";
-    const led = leadingSinceMs !== Infinity;
-    if (leads && !led) {
-      leadingSinceMs = now();
-      toldAllEngines = false;
-      registry.reset();
-      keeper.reset();
-      void addRecordedEngines();
-    }
-    if (!leads && led) {
-      leadingSinceMs = Infinity;
-      sessions.closeAll();
-    }
+  function onLead(): void {
+    leadingSinceMs = now();
+    toldAllEngines = false;
+    registry.reset();
+    keeper.reset();
+    void addRecordedEngines();
+  }
+
+  function onLeadLost(): void {
+    leadingSinceMs = Infinity;
+    sessions.closeAll();
   }
 
   // Only once its own term has committed has a leader applied all that counts.
@@ -297,12 +276,6 @@
     registry.addRecorded(staying);
   }
 
-  function getMemberAddress(id: string): string | undefined {
-    const { members } = replica.getState();
-    const member = members.find((one) => one.id === id);
-    return member?.address ?? senders.get(id);
-  }
-
   function getLeader(): Member | undefined {
     const { leaderId, members } = replica.getState();
     return members.find((member) => member.id === leaderId);
