--- a/src/gateway/create_run_watch.ts
+++ b/src/gateway/create_run_watch.ts
@@ -11,6 +11,11 @@
 
 /** A run of a stream, as the watch sees it. */
 export interface WatchedRun {
+  /**
+   * Whether its engines are asked when it falls silent. Where one engine serves
+   * alone, its own look is enough.
+   */
+  readonly isOverParts: boolean;
   getPath(): readonly AddressedPart[];
   /** Whether it has given an event. */
   hasBegun(): boolean;
@@ -110,7 +115,8 @@
   }
 
   function listGroups() {
-    return groupRuns([...runs].map((run) => ({
+    const overParts = [...runs].filter((run) => run.isOverParts);
+    return groupRuns(overParts.map((run) => ({
       run,
       firstEngineId: run.getPath()[0].engineId,
       hasBegun: run.hasBegun(),
--- a/src/gateway/create_run_watch_test.ts
+++ b/src/gateway/create_run_watch_test.ts
@@ -23,6 +23,7 @@
   }));
   const run: FakeRun = {
     left: [],
+    isOverParts: true,
     silenceMs,
     getPath: () => path,
     hasBegun: () => true,
@@ -106,6 +107,19 @@
   remove();
 });
 
+test("one engine that serves alone is left to the run's own look", async () => {
+  const { watch, asked } = startWatch({});
+  let looks = 0;
+  const remove = watch.add({
+    ...makeRun(["a"], 400),
+    isOverParts: false,
+    checkStall: () => void looks++,
+  });
+  while (looks === 0) await sleep(5);
+  assert.equal(asked, []);
+  remove();
+});
+
 test("the longer nothing is found lost, the fewer questions are asked", async () => {
   const { watch, asked } = startWatch({});
   const run = makeRun(["a"], 100);
--- a/src/gateway/serve_stream_call.ts
+++ b/src/gateway/serve_stream_call.ts
@@ -176,10 +176,10 @@
 
     function watch(sent: StreamRun): void {
       unwatch();
-      // Only over parts can another engine than the first be the one at fault,
-      // and only what may go on elsewhere can leave it.
-      if (!model || !isResumable) return;
+      // Only what may go on elsewhere can leave an engine.
+      if (!isResumable) return;
       unwatch = context.runWatch.add({
+        isOverParts: model !== undefined,
         getPath: () => sent.path,
         hasBegun: () => sent.hasBegun,
         getSilenceMs: relay.getSilenceMs,
