--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -5,7 +5,6 @@
  * @module
  */
 
-import type { ServerResponse } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
 import {
   type DecodeConfig,
@@ -16,12 +15,10 @@
 import type { Logger } from "../logs/index.ts";
 import type { Metrics } from "../metrics/index.ts";
 import { createRouteTable, type RouteTable } from "../routes/index.ts";
-import { answerRefusal } from "./answer_refusal.ts";
 import {
   createCallerServer,
   type EarlyListener,
   listenForCallers,
-  type ReceivedRequest,
 } from "./create_caller_server.ts";
 import { createConfigLease } from "./create_config_lease.ts";
 import { createEngineTable } from "./create_engine_table.ts";
@@ -29,20 +26,12 @@
 import { createFleetLink } from "./create_fleet_link.ts";
 import { createPauseWatch } from "./create_pause_watch.ts";
 import { createRepeatBudget } from "./create_repeat_budget.ts";
+import { createRequestDesk } from "./create_request_desk.ts";
 import { createRunWatch } from "./create_run_watch.ts";
 import { createStallWatch } from "./create_stall_watch.ts";
-import { decideCall } from "./decide_call.ts";
-import type {
-  CallerCodec,
-  CallerRequest,
-  EngineControl,
-  Refusal,
-} from "./protocol.ts";
+import type { CallerCodec, EngineControl } from "./protocol.ts";
 import { getLastCallMs } from "./get_last_call_ms.ts";
-import { readBody } from "./read_body.ts";
-import { servePlainCall } from "./serve_plain_call.ts";
-import { serveStreamCall } from "./serve_stream_call.ts";
-import type { Call, ServingContext } from "./types.ts";
+import type { ServingContext } from "./types.ts";
 
 /** Settings of a gateway. */
 export interface GatewaySettings {
@@ -88,24 +77,12 @@
   stop(): Promise<void>;
 }
 
-/** Body that is read where no configuration says how large it may be. */
-const DEFAULT_BODY_BYTES = 4 * 1024 * 1024;
-
-/**
- * Ms for which a gateway that has just started lets requests wait for its
- * first configuration: about as long as a new leader takes to be found.
- */
-const START_WAIT_MS = 1_800;
-
 /** Ms between two looks at what gauges tell. */
 const GAUGE_INTERVAL_MS = 2_000;
 
 /** Gateways assumed for the budget of repeats while none are known. */
 const UNKNOWN_GATEWAYS = 20;
 
-/** Ms between two looks whether the first configuration is there. */
-const START_POLL_MS = 10;
-
 /** Ms in which callers and the other gateways hear of a leave. */
 const LEAVE_NEWS_MS = 2_500;
 
@@ -135,7 +112,6 @@
   let isLeaving = false;
   let isLastCall = false;
   let knowsEngines = false;
-  let inFlight = 0;
 
   const lease = createConfigLease({ revokeMs: settings.revokeMs, now });
   const exchanger = createExchanger(codec);
@@ -214,107 +190,27 @@
     log,
   });
 
-  const server = createCallerServer((received) => void take(received));
-
-  async function take(received: ReceivedRequest): Promise<void> {
-    const { message, response, target } = received;
-    const startedMs = now();
-    inFlight += 1;
-    try {
-      const maxBytes = table?.limits.bodyBytes ?? DEFAULT_BODY_BYTES;
-      const read = await readBody(message, { maxBytes });
-      if (read.type === "cut") return;
-      const request = codec.readRequest({
-        method: message.method ?? "GET",
-        target,
-        headers: message.headers,
-        rawHeaders: message.rawHeaders,
-      });
-      if (read.type === "tooLarge") {
-        return refuse(request, response, {
-          status: 413,
-          reason: "body_too_large",
-        });
-      }
-      const { body } = read;
-      await serve({ request, response, body, startedMs });
-    } catch (error) {
-      log("internalError", { error });
-      response.destroy();
-    } finally {
-      inFlight -= 1;
-    }
-  }
-
-  async function serve(
-    taken: Pick<Call, "request" | "response" | "body" | "startedMs">,
-  ): Promise<void> {
-    const { request, response, startedMs } = taken;
-    await untilStarted(taken);
-    const decision = decideCall(request, {
-      table,
-      knowsEngines,
-      isTrusted: lease.isValid(),
-      isLastCall,
-      random: context.random(),
-    });
-    if (decision.type === "refuse") {
-      return refuse(request, response, decision.refusal);
-    }
-    const { route, account, service } = decision.call;
-    budget.noteRequest(service);
-    const limitMs = Math.min(request.deadlineMs ?? Infinity, route.timeoutMs);
-    const call: Call = {
-      ...taken,
-      route,
-      account,
-      service,
-      deadlineMs: startedMs + limitMs,
-    };
-    if (route.isStream) await serveStreamCall(call, context);
-    else await servePlainCall(call, context);
-  }
-
-  async function untilStarted(
-    taken: Pick<Call, "startedMs" | "response">,
-  ): Promise<void> {
-    const hasStarted = () =>
-      table !== undefined && knowsEngines && lease.wasEverValid();
-    while (!hasStarted() && !isLastCall && !taken.response.destroyed) {
-      if (now() - taken.startedMs > START_WAIT_MS) return;
-      await sleep(START_POLL_MS);
-    }
-  }
-
-  function refuse(
-    request: CallerRequest,
-    response: ServerResponse,
-    refusal: Refusal,
-  ): void {
-    const { requestId } = request;
-    metrics.countRefusal(refusal.reason);
-    log("requestRefused", {
-      requestId,
-      ...refusal,
-      version: table?.version,
-      leaseLeftMs: Math.round(lease.getLeftMs()),
-    });
-    answerRefusal(response, { codec, request, refusal, closes: isLeaving });
-  }
+  const desk = createRequestDesk({
+    context,
+    lease,
+    knowsEngines: () => knowsEngines,
+    isLastCall: () => isLastCall,
+  });
+  const server = createCallerServer((received) => void desk.take(received));
 
   const { earlyListener } = options;
   await listenForCallers(server, { ...listen, earlyListener });
   log("started", { vm, address });
 
   const gauges = setInterval(() => {
-    metrics.gauge("requests.in_flight", inFlight);
+    metrics.gauge("requests.in_flight", desk.getInFlight());
     metrics.gauge("config.revision", table?.version ?? -1);
     metrics.gauge("config.lease_ms", Math.max(0, lease.getLeftMs()));
     metrics.gauge("engines.known", engines.getSize());
   }, GAUGE_INTERVAL_MS);
 
   async function stop(): Promise<void> {
-    log("stopping", { inFlight });
+    log("stopping", { inFlight: desk.getInFlight() });
     clearInterval(gauges);
     const startedMs = now();
     const leftMs = () => settings.graceMs - END_MARGIN_MS - (now() - startedMs);
@@ -325,10 +221,12 @@
     const lastCallMs = getLastCallMs(settings.graceMs);
     while (now() - startedMs < lastCallMs) {
       await sleep(20);
-      if (now() - startedMs > LEAVE_NEWS_MS && inFlight === 0) break;
+      const isToldOf = now() - startedMs > LEAVE_NEWS_MS;
+      if (isToldOf && desk.getInFlight() === 0) break;
     }
     isLastCall = true;
-    while (inFlight > 0 && leftMs() > 0) await sleep(20);
+    while (desk.getInFlight() > 0 && leftMs() > 0) await sleep(20);
+    const inFlight = desk.getInFlight();
     if (inFlight > 0) log("drainTimedOut", { inFlight });
     await link[Symbol.asyncDispose]();
     server.server.closeAllConnections();
