--- a/src/gateway/serve_plain_call.ts
+++ b/src/gateway/serve_plain_call.ts
@@ -119,6 +119,7 @@
           engineId,
           account: call.account?.name,
           lastEventId: request.lastEventId,
+          isUrgent: false,
           path: [],
         }),
         body: call.body,
