--- a/src/gateway/protocol.ts
+++ b/src/gateway/protocol.ts
@@ -38,8 +38,6 @@
   readonly engineId: string;
   readonly account: string | undefined;
   readonly lastEventId: string | undefined;
-  /** Whether it is to be let in before requests that begin. */
-  readonly isUrgent: boolean;
   /** Parts of a layered model, with addresses; none where one engine has all. */
   readonly path: readonly AddressedPart[];
 }
--- a/src/gateway/serve_plain_call.ts
+++ b/src/gateway/serve_plain_call.ts
@@ -119,7 +119,6 @@
           engineId,
           account: call.account?.name,
           lastEventId: request.lastEventId,
-          isUrgent: false,
           path: [],
         }),
         body: call.body,
--- a/src/gateway/start_stream_run.ts
+++ b/src/gateway/start_stream_run.ts
@@ -109,8 +109,6 @@
       engineId,
       account: call.account?.name,
       lastEventId: options.lastEventId,
-      // Its caller waits for the next event, no longer for the first.
-      isUrgent: call.response.headersSent,
       path: options.isLayered ? path : [],
     }),
     body: call.body,
