Gateways hear of each other once a tick and by what changed

Each change of one gateway sent the list of all, 9 KB, to all: 70 MB whenever all became ready or not. News was written out once a session, and loads were subtracted for each.

Ruled out: appends to replicas that are cut off (what was sent once is not sent again without an answer).

Change: the list goes out once a tick of 250 ms, only what changed; what all are told is written out once; loads go out as one sum, from which a gateway takes what it told.

--- a/src/fleet/create_gateway_sessions.ts
+++ b/src/fleet/create_gateway_sessions.ts
@@ -12,7 +12,7 @@
 import type { Logger } from "../logs/index.ts";
 import type { wire } from "../wire/index.ts";
 import type { AcceptedConfig } from "./create_fleet_machine.ts";
-import { subtractLoads, sumLoads } from "./sum_loads.ts";
+import { sumLoads } from "./sum_loads.ts";
 import type {
   EngineLoads,
   GatewayMessage,
@@ -58,7 +58,7 @@
   publishAllEngines(): void;
   /** Ends the sessions that fell silent; tells the others who is live. */
   tick(): void;
-  /** Tells each gateway what the others have in flight. */
+  /** Tells the gateways what all of them have in flight. */
   publishLoads(): void;
   getGateways(): readonly GatewayRecord[];
   closeAll(): void;
@@ -71,8 +71,6 @@
   heardMs: number;
   /** Its work in flight, as it told last. */
   loads: EngineLoads;
-  /** What it was told of the others, as text. */
-  toldLoads: string;
 }
 
 /** Ms of silence after which a gateway is no longer named to callers. */
@@ -98,16 +96,27 @@
 ): GatewaySessions {
   const { now, log } = options;
   const sessions = new Map<string, Session>();
-  let toldGateways = "";
+  // What all sessions were told, by VM; undefined before the first time.
+  let toldGateways: ReadonlyMap<string, string> | undefined;
+  let toldLoads = "{}";
   let gathering: ReturnType<typeof setTimeout> | undefined;
 
   function send(session: Session, message: LeaderMessage): void {
-    const { stream } = session;
+    write(session, JSON.stringify(message));
+  }
+
+  // What all are told is written out once.
+  function broadcast(message: LeaderMessage): void {
+    const json = JSON.stringify(message);
+    for (const session of sessions.values()) write(session, json);
+  }
+
+  function write({ stream }: Session, json: string): void {
     if (stream.writableLength > MAX_WAITING_BYTES) {
       stream.end();
       return;
     }
-    stream.write({ json: JSON.stringify(message) });
+    stream.write({ json });
   }
 
   function redirect(stream: SessionStream): void {
@@ -154,9 +163,9 @@
     sendEngines(session);
     // The read was confirmed after the hello was sent, as with any beat.
     confirm(session, sentMs);
-    const wasTold = publishGateways();
-    if (!wasTold && options.knowsAllGateways()) {
-      send(session, { type: "gateways", gateways: getGateways() });
+    if (toldGateways) {
+      const gateways = getGateways();
+      send(session, { type: "gateways", isWhole: true, gateways, gone: [] });
     }
     log("gatewayJoined", { vm: gateway.vm, version });
   }
@@ -175,7 +184,6 @@
     }
     if (gateway.isReady !== beat.isReady) {
       session.gateway = { ...gateway, isReady: beat.isReady };
-      publishGateways();
     }
     if (beat.isSlow) options.onSlow();
     if (options.hasLease()) confirm(session, beat.sentMs);
@@ -193,7 +201,6 @@
       sentVersion: -1,
       heardMs: now(),
       loads: {},
-      toldLoads: "{}",
     };
     stream.on("data", ({ json }: wire.FleetMessage) => {
       const message = JSON.parse(json) as GatewayMessage;
@@ -210,7 +217,6 @@
     if (!gateway || sessions.get(gateway.vm) !== session) return;
     sessions.delete(gateway.vm);
     log("gatewayLost", { vm: gateway.vm });
-    if (options.isLeader()) publishGateways();
   }
 
   function getGateways(): GatewayRecord[] {
@@ -219,17 +225,24 @@
       .sort((a, b) => a.vm < b.vm ? -1 : 1);
   }
 
-  // A new leader's first few would empty the callers' choice.
-  function publishGateways(): boolean {
-    if (!options.knowsAllGateways()) return false;
+  // Once a tick, and only what changed: when many gateways change together,
+  // each piece of news goes to all of them. A new leader's first few would
+  // empty the callers' choice.
+  function publishGateways(): void {
+    if (!options.knowsAllGateways()) return;
     const gateways = getGateways();
-    const told = JSON.stringify(gateways);
-    if (told === toldGateways) return false;
-    toldGateways = told;
-    for (const session of sessions.values()) {
-      send(session, { type: "gateways", gateways });
-    }
-    return true;
+    const current = new Map(
+      gateways.map((one) => [one.vm, JSON.stringify(one)]),
+    );
+    const told = toldGateways ?? new Map<string, string>();
+    const isWhole = toldGateways === undefined;
+    const changed = gateways.filter(({ vm }) =>
+      told.get(vm) !== current.get(vm)
+    );
+    const gone = [...told.keys()].filter((vm) => !current.has(vm));
+    toldGateways = current;
+    if (!isWhole && changed.length + gone.length === 0) return;
+    broadcast({ type: "gateways", isWhole, gateways: changed, gone });
   }
 
   return {
@@ -241,9 +254,7 @@
       }, CONFIG_GATHER_MS);
     },
     publishEngines({ engines, gone }) {
-      for (const session of sessions.values()) {
-        send(session, { type: "engines", isWhole: false, engines, gone });
-      }
+      broadcast({ type: "engines", isWhole: false, engines, gone });
     },
     publishAllEngines() {
       for (const session of sessions.values()) sendEngines(session);
@@ -257,21 +268,19 @@
       publishGateways();
     },
     publishLoads() {
-      const all = [...sessions.values()];
-      const sum = sumLoads(all.map((session) => session.loads));
-      for (const session of all) {
-        const loads = subtractLoads(sum, session.loads);
-        const told = JSON.stringify(loads);
-        if (told === session.toldLoads) continue;
-        session.toldLoads = told;
-        send(session, { type: "loads", loads });
-      }
+      const loads = sumLoads(
+        [...sessions.values()].map((session) => session.loads),
+      );
+      const told = JSON.stringify(loads);
+      if (told === toldLoads) return;
+      toldLoads = told;
+      broadcast({ type: "loads", loads });
     },
     getGateways,
     closeAll() {
       for (const { stream } of sessions.values()) redirect(stream);
       sessions.clear();
-      toldGateways = "";
+      toldGateways = undefined;
     },
   };
 }
--- /dev/null
+++ b/src/fleet/create_gateway_sessions_test.ts
@@ -0,0 +1,118 @@
+import { EventEmitter } from "node:events";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { createGatewaySessions } from "./create_gateway_sessions.ts";
+import type { GatewayMessage, LeaderMessage } from "./messages.ts";
+
+type SessionStream = Parameters<
+  ReturnType<typeof createGatewaySessions>["handleSession"]
+>[0];
+
+/** A gateway's end of a session. */
+class FakeStream extends EventEmitter {
+  readonly taken: LeaderMessage[] = [];
+  readonly writableLength = 0;
+
+  write({ json }: { json: string }): void {
+    this.taken.push(JSON.parse(json) as LeaderMessage);
+  }
+
+  end(): void {
+    this.emit("close");
+  }
+
+  say(message: GatewayMessage): void {
+    this.emit("data", { json: JSON.stringify(message) });
+  }
+
+  takeNews(): LeaderMessage[] {
+    return this.taken.splice(0)
+      .filter(({ type }) => type === "gateways" || type === "loads");
+  }
+}
+
+function makeSessions() {
+  return createGatewaySessions({
+    isLeader: () => true,
+    hasLease: () => true,
+    confirmRead: () => Promise.resolve(),
+    getLeaderAddress: () => "",
+    getControlAddresses: () => [],
+    getAccepted: () => undefined,
+    getEngines: () => [],
+    knowsAllEngines: () => true,
+    knowsAllGateways: () => true,
+    onSuspects: () => {},
+    onSlow: () => {},
+    now: () => 0,
+    log: () => {},
+  });
+}
+
+async function join(
+  sessions: ReturnType<typeof makeSessions>,
+  vm: string,
+): Promise<FakeStream> {
+  const stream = new FakeStream();
+  sessions.handleSession(stream as unknown as SessionStream);
+  const gateway = { vm, place: "a", address: `${vm}:1`, isReady: true };
+  stream.say({ type: "hello", gateway, version: -1, sentMs: 0 });
+  await new Promise((resolve) => setImmediate(resolve));
+  return stream;
+}
+
+const BEAT = { type: "beat", sentMs: 0, suspects: [], isSlow: false } as const;
+
+test("gateways that change together are one piece of news to each", async () => {
+  const sessions = makeSessions();
+  const streams = [];
+  for (const vm of ["g1", "g2", "g3"]) streams.push(await join(sessions, vm));
+  sessions.tick();
+  for (const stream of streams) stream.takeNews();
+  streams[0].say({ ...BEAT, isReady: false });
+  streams[1].say({ ...BEAT, isReady: false });
+  sessions.tick();
+  sessions.tick();
+  const [news, ...rest] = streams[2].takeNews();
+  assert.equal(rest, []);
+  assert.ok(news.type === "gateways" && !news.isWhole);
+  assert.equal(news.gateways.map(({ vm }) => vm), ["g1", "g2"]);
+  streams[0].end();
+  sessions.tick();
+  const [left] = streams[2].takeNews();
+  assert.ok(left.type === "gateways");
+  assert.equal(left.gone, ["g1"]);
+  assert.equal(left.gateways, []);
+});
+
+test("who joins is told all gateways, the others who joined", async () => {
+  const sessions = makeSessions();
+  const first = await join(sessions, "g1");
+  sessions.tick();
+  first.takeNews();
+  const second = await join(sessions, "g2");
+  const [whole] = second.takeNews();
+  assert.ok(whole.type === "gateways" && whole.isWhole);
+  assert.equal(whole.gateways.map(({ vm }) => vm), ["g1", "g2"]);
+  assert.equal(first.takeNews(), []);
+  sessions.tick();
+  const [joined] = first.takeNews();
+  assert.ok(joined.type === "gateways" && !joined.isWhole);
+  assert.equal(joined.gateways.map(({ vm }) => vm), ["g2"]);
+});
+
+test("all gateways are told one sum of their work, when it has changed", async () => {
+  const sessions = makeSessions();
+  const streams = [await join(sessions, "g1"), await join(sessions, "g2")];
+  sessions.tick();
+  for (const stream of streams) stream.takeNews();
+  const loads = { e1: { tokens: 5, requests: 1 } };
+  for (const stream of streams) stream.say({ ...BEAT, isReady: true, loads });
+  sessions.publishLoads();
+  sessions.publishLoads();
+  const sum = { type: "loads", loads: { e1: { tokens: 10, requests: 2 } } };
+  assert.equal(streams[0].takeNews(), [sum]);
+  assert.equal(streams[1].takeNews(), [sum]);
+});
+
+test.run();
--- a/src/fleet/messages.ts
+++ b/src/fleet/messages.ts
@@ -74,11 +74,15 @@
   }
   | {
     readonly type: "gateways";
+    /** Whether these are all; otherwise only what changed. */
+    readonly isWhole: boolean;
     readonly gateways: readonly GatewayRecord[];
+    /** VMs whose gateways are no longer there. */
+    readonly gone: readonly string[];
   }
   | {
     readonly type: "loads";
-    /** Work in flight of all other gateways. */
+    /** Work in flight of all gateways, the one that is told included. */
     readonly loads: EngineLoads;
   }
   | {
--- a/src/gateway/create_engine_table.ts
+++ b/src/gateway/create_engine_table.ts
@@ -6,7 +6,11 @@
  */
 
 import type { EngineRecord } from "../engines/index.ts";
-import type { EngineLoads, LeaderMessage } from "../fleet/index.ts";
+import {
+  type EngineLoads,
+  type LeaderMessage,
+  subtractLoads,
+} from "../fleet/index.ts";
 import type { PathPart } from "../layers/index.ts";
 import type { Logger } from "../logs/index.ts";
 
@@ -63,9 +67,9 @@
 /** The upstreams as a gateway knows them. */
 export interface EngineTable {
   take(message: LeaderMessage & { type: "engines" }): void;
-  /** Takes what the other gateways have in flight. */
+  /** Takes what all gateways have in flight, as the leader sums it up. */
   takeLoads(loads: EngineLoads): void;
-  /** What this gateway has in flight. */
+  /** What this gateway has in flight; the leader is told so. */
   getLoads(): EngineLoads;
   /** Upstreams of a service that take new work. */
   listUsable(service: string): EngineView[];
@@ -119,6 +123,8 @@
   const { now, log, onGone } = options;
   const engines = new Map<string, EngineView>();
   let suspects = new Set<string>();
+  // Part of what the leader tells of all gateways.
+  let toldLoads: EngineLoads = {};
 
   function put(record: EngineRecord): void {
     const known = engines.get(record.engineId);
@@ -155,6 +161,18 @@
     }
   }
 
+  function sumOwnLoads(): EngineLoads {
+    const working = [...engines].filter(([, engine]) =>
+      engine.inFlight + engine.tokensInFlight > 0
+    );
+    return Object.fromEntries(
+      working.map(([engineId, { inFlight, tokensInFlight }]) => [
+        engineId,
+        { tokens: tokensInFlight, requests: inFlight },
+      ]),
+    );
+  }
+
   function remove(engineId: string): void {
     if (engines.delete(engineId)) onGone(engineId);
   }
@@ -168,20 +186,16 @@
       [...engines.keys()].filter((id) => !named.has(id)).forEach(remove);
     },
     takeLoads(loads) {
+      const others = subtractLoads(loads, toldLoads);
       for (const [engineId, engine] of engines) {
-        engine.otherRequests = loads[engineId]?.requests ?? 0;
-        engine.otherTokens = loads[engineId]?.tokens ?? 0;
+        engine.otherRequests = others[engineId]?.requests ?? 0;
+        engine.otherTokens = others[engineId]?.tokens ?? 0;
       }
     },
-    getLoads: () =>
-      Object.fromEntries(
-        [...engines].flatMap(([engineId, engine]) => {
-          const { inFlight: requests, tokensInFlight: tokens } = engine;
-          return requests + tokens > 0
-            ? [[engineId, { tokens, requests }]]
-            : [];
-        }),
-      ),
+    getLoads() {
+      toldLoads = sumOwnLoads();
+      return toldLoads;
+    },
     listUsable: (service) =>
       [...engines.values()].filter((engine) =>
         engine.record.service === service && !engine.record.isLeaving &&
--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -162,11 +162,20 @@
       case "loads":
         return engines.takeLoads(message.loads);
       case "gateways":
-        gateways = message.gateways;
-        return;
+        return takeGateways(message);
     }
   }
 
+  function takeGateways(message: LeaderMessage & { type: "gateways" }): void {
+    const known = message.isWhole
+      ? []
+      : gateways.map((one) => [one.vm, one] as const);
+    const next = new Map(known);
+    message.gone.forEach((one) => next.delete(one));
+    for (const gateway of message.gateways) next.set(gateway.vm, gateway);
+    gateways = [...next.values()];
+  }
+
   function takeConfig(message: LeaderMessage & { type: "config" }): void {
     // Whatever a late leader says: within one life nothing goes back.
     if (table && message.version <= table.version) return;
