Few prompts at a time are read across data centres

Ruled out: detection (nine gateways left the dark engine within 60 ms), memory (no preemption), the budget of repeats.

Change: a gateway reads at most two prompts across data centres at a time; beyond that such a path counts as none.

--- a/src/gateway/choose_call_path.ts
+++ b/src/gateway/choose_call_path.ts
@@ -10,6 +10,14 @@
 import type { AddressedPart } from "./protocol.ts";
 import type { Call, ServingContext } from "./types.ts";
 
+/**
+ * Prompts of one gateway that are read across data centres at a time. The
+ * activations of a prompt take some 30 ms of the pipe that all share: with ten
+ * gateways the last of two each waits for a good half second. More of them stood
+ * in each other's way until callers left (inc-e89f).
+ */
+const MAX_CROSSING_PROMPTS = 2;
+
 /** Who is left out. */
 export interface ChooseCallPathOptions {
   /** Engines that failed this call. */
@@ -43,6 +51,7 @@
     place,
     gatewayCount: context.getPlaceGatewayCount(),
     excluded,
+    mayCross: engines.getCrossingPrompts() < MAX_CROSSING_PROMPTS,
     nowMs: now(),
   });
   const isFull = path?.some(({ engineId }) =>
--- a/src/gateway/choose_path.ts
+++ b/src/gateway/choose_path.ts
@@ -19,6 +19,8 @@
   readonly excluded: ReadonlySet<string>;
   /** Monotonic time, in ms. */
   readonly nowMs: number;
+  /** Whether a path may leave a data centre on the way; by default it may. */
+  readonly mayCross?: boolean;
   /** Layer at which the path begins; 0 by default. */
   readonly fromLayer?: number;
 }
@@ -41,6 +43,9 @@
  */
 const PLACE_COST_MS = 12;
 
+/** Cost that no path within one data centre comes to. */
+const FORBIDDEN_COST_MS = 1e9;
+
 /** Share of an engine's memory for requests above which it costs more. */
 const BUSY_SHARE = 0.6;
 
@@ -88,7 +93,7 @@
   engines: readonly EngineView[],
   options: ChoosePathOptions,
 ): AddressedPart[] | undefined {
-  const { model, place, excluded, fromLayer } = options;
+  const { model, place, excluded, fromLayer, mayCross = true } = options;
   const usable = engines.filter(({ record }) =>
     record.layers !== undefined && !excluded.has(record.engineId)
   );
@@ -101,13 +106,17 @@
       place,
       hopCost: HOP_COST_MS,
       entryPlaceCost: ENTRY_PLACE_COST_MS,
-      placeCost: PLACE_COST_MS,
+      placeCost: mayCross ? PLACE_COST_MS : FORBIDDEN_COST_MS,
       maxParts: MAX_PARTS,
     },
   );
-  return path?.map((part) => ({
+  const records = path?.map(({ engineId }) => views.get(engineId)?.record);
+  const isCrossing = new Set(records?.map((record) => record?.place)).size > 1;
+  // Where one path stays in a data centre it costs less than any that does not.
+  if (isCrossing && !mayCross) return undefined;
+  return path?.map((part, at) => ({
     ...part,
-    address: views.get(part.engineId)?.record.address ?? "",
+    address: records?.[at]?.address ?? "",
   }));
 }
 
--- a/src/gateway/choose_path_test.ts
+++ b/src/gateway/choose_path_test.ts
@@ -48,7 +48,7 @@
       nowMs: 0,
     });
     const engineId = path?.[0].engineId ?? "none";
-    return { engineId, end: table.beginPrompt(engineId) };
+    return { engineId, end: table.beginPrompt(path ?? []) };
   };
   const alone = begin();
   assert.is(alone.engineId, "b");
@@ -60,4 +60,49 @@
   assert.is(begin().engineId, "b");
 });
 
+test("few prompts at a time are read across data centres, whatever it costs", () => {
+  const table = createEngineTable({
+    now: () => 0,
+    log: () => {},
+    onGone: () => {},
+  });
+  const makeHalf = (place: string, fromLayer: number) => ({
+    engineId: `${place}${fromLayer}`,
+    service: "model",
+    address: `${place}${fromLayer}:1`,
+    place,
+    slots: 8,
+    isLeaving: false,
+    card: "slow",
+    layers: { fromLayer, toLayer: fromLayer + 4 },
+  });
+  const engines = [makeHalf("a", 0), makeHalf("b", 4)];
+  table.take({ type: "engines", isWhole: true, engines, gone: [] });
+  const choose = (mayCross: boolean) =>
+    choosePath(table.listUsable("model"), {
+      model: MODEL,
+      place: "a",
+      gatewayCount: 1,
+      excluded: new Set(),
+      mayCross,
+      nowMs: 0,
+    });
+  const path = choose(true);
+  assert.equal(path?.map(({ engineId }) => engineId), ["a0", "b4"]);
+  assert.is(choose(false), undefined);
+  const end = table.beginPrompt(path ?? []);
+  assert.is(table.getCrossingPrompts(), 1);
+  end();
+  end();
+  assert.is(table.getCrossingPrompts(), 0);
+  const whole = { ...makeHalf("c", 0), layers: { fromLayer: 0, toLayer: 8 } };
+  const full = { ...whole, card: "slow", slots: 1 };
+  table.take({ type: "engines", isWhole: false, engines: [full], gone: [] });
+  table.addWork([{ engineId: "c0", fromLayer: 0, toLayer: 8 }], {
+    tokens: 1e9,
+  });
+  assert.equal(choose(true)?.map(({ engineId }) => engineId), ["a0", "b4"]);
+  assert.equal(choose(false)?.map(({ engineId }) => engineId), ["c0"]);
+});
+
 test.run();
--- a/src/gateway/create_engine_table.ts
+++ b/src/gateway/create_engine_table.ts
@@ -79,8 +79,10 @@
   addWork(path: readonly PathPart[], work: { tokens: number }): void;
   /** Counts a request out again. */
   removeWork(path: readonly PathPart[], work: { tokens: number }): void;
-  /** Counts a prompt that begins to be read there until what it returns is called. */
-  beginPrompt(engineId: string): () => void;
+  /** Counts a prompt that is read over a path until what it returns is called. */
+  beginPrompt(path: readonly PathPart[]): () => void;
+  /** Prompts of this gateway that are read across data centres. */
+  getCrossingPrompts(): number;
   /** Leaves an upstream out for a while; longer each time in a row. */
   suspect(engineId: string, reason: string): void;
   /** Leaves an upstream out for a moment: it had no room. */
@@ -123,6 +125,7 @@
   const { now, log, onGone } = options;
   const engines = new Map<string, EngineView>();
   let suspects = new Set<string>();
+  let crossingPrompts = 0;
   // Part of what the leader tells of all gateways.
   let toldLoads: EngineLoads = {};
 
@@ -161,6 +164,13 @@
     }
   }
 
+  function crosses(path: readonly PathPart[]): boolean {
+    const places = path.map(({ engineId }) =>
+      engines.get(engineId)?.record.place
+    );
+    return new Set(places).size > 1;
+  }
+
   function sumOwnLoads(): EngineLoads {
     const working = [...engines].filter(([, engine]) =>
       engine.inFlight + engine.tokensInFlight > 0
@@ -209,15 +219,20 @@
     addWork: (path, { tokens }) => count(path, { tokens, requests: 1 }),
     removeWork: (path, { tokens }) =>
       count(path, { tokens: -tokens, requests: -1 }),
-    beginPrompt(engineId) {
-      const engine = engines.get(engineId);
+    beginPrompt(path) {
+      const engine = engines.get(path[0].engineId);
+      const crossing = crosses(path) ? 1 : 0;
       if (engine) engine.unreadPrompts += 1;
+      crossingPrompts += crossing;
       let isRead = false;
       return () => {
-        if (engine && !isRead) engine.unreadPrompts -= 1;
+        if (isRead) return;
         isRead = true;
+        if (engine) engine.unreadPrompts -= 1;
+        crossingPrompts -= crossing;
       };
     },
+    getCrossingPrompts: () => crossingPrompts,
     suspect(engineId, reason) {
       const engine = engines.get(engineId);
       if (!engine) return;
--- a/src/gateway/start_stream_run.ts
+++ b/src/gateway/start_stream_run.ts
@@ -81,7 +81,7 @@
   const splitter = createEventSplitter();
   const chunks: Buffer[] = [];
   engines.addWork(path, { tokens });
-  const endPrompt = engines.beginPrompt(engineId);
+  const endPrompt = engines.beginPrompt(path);
 
   function takeData(chunk: Buffer): void {
     if (!isStream()) return void chunks.push(chunk);
--- a/test/control_members_test.ts
+++ b/test/control_members_test.ts
@@ -78,6 +78,14 @@
   };
 }
 
+/** Starts the three processes that are each other's seeds. */
+function startFirst(
+  trial: Awaited<ReturnType<typeof prepare>>,
+  options: ControlOptions,
+): Promise<FleetControl[]> {
+  return Promise.all([0, 1, 2].map((at) => trial.start(at, options)));
+}
+
 function put(control: FleetControl, version: number) {
   const document = JSON.stringify(makeWireConfig(version));
   return control.call({ type: "putConfig", packed: packDocument(document) });
@@ -91,9 +99,7 @@
   await using trial = await prepare(4);
   const seeds = trial.addresses.slice(0, 3);
   const options = { seeds, voters: 3 };
-  const voters = await Promise.all(
-    [0, 1, 2].map((at) => trial.start(at, options)),
-  );
+  const voters = await startFirst(trial, options);
   const observer = await trial.start(3, { ...options, isObserver: true });
   await until(
     "a call through it is taken",
@@ -125,9 +131,7 @@
   await using trial = await prepare(6);
   const seeds = trial.addresses.slice(0, 3);
   const options = { seeds, voters: 5 };
-  const first = await Promise.all(
-    [0, 1, 2].map((at) => trial.start(at, options)),
-  );
+  const first = await startFirst(trial, options);
   const findLeader = () =>
     first.find((one) => one.getState().role === "leader");
   await until("one leads", () => findLeader() !== undefined);
@@ -148,9 +152,7 @@
   await using trial = await prepare(4);
   const seeds = trial.addresses.slice(0, 3);
   const options = { seeds, voters: 3 };
-  const voters = await Promise.all(
-    [0, 1, 2].map((at) => trial.start(at, options)),
-  );
+  const voters = await startFirst(trial, options);
   const observer = await trial.start(3, { ...options, isObserver: true });
   const knowsLeader = (one: FleetControl) =>
     one.getLeaderCallerAddress() !== "";
