Ranges that overlap are read as one copy

Cause: read while looking over the plan: where an order is lost, two ranges of a copy may overlap; the second then began a chain of its own, the first part of the copy counted as spare, and a spare engine was ordered to fill a gap that was none.

Change: a range that begins before its chain's end joins the chain that it takes further with the least overlap.

--- a/src/layers/group_copies.ts
+++ b/src/layers/group_copies.ts
@@ -38,15 +38,8 @@
     .sort((a, b) => getStart(a) - getStart(b) || getEnd(a) - getEnd(b));
   const chains: LayerEngine[][] = [];
   for (const engine of held) {
-    const before = chains.filter((chain) =>
-      getChainEnd(chain) <= getStart(engine)
-    );
-    const nearest = before.reduce<LayerEngine[] | undefined>(
-      (best, chain) =>
-        best && getChainEnd(best) >= getChainEnd(chain) ? best : chain,
-      undefined,
-    );
-    if (nearest) nearest.push(engine);
+    const chain = findChain(chains, engine);
+    if (chain) chain.push(engine);
     else chains.push([engine]);
   }
   const least = figures.layers * LEAST_COPY_SHARE;
@@ -55,6 +48,29 @@
   return { copies, spares: engines.filter((engine) => !inCopies.has(engine)) };
 }
 
+// The chain that ends nearest before the range; else, where orders were lost and
+// ranges overlap, the one that it takes further with the least overlap.
+function findChain(
+  chains: readonly LayerEngine[][],
+  engine: LayerEngine,
+): LayerEngine[] | undefined {
+  const start = getStart(engine);
+  const ended = chains.filter((chain) => getChainEnd(chain) <= start);
+  if (ended.length > 0) {
+    return ended.reduce((best, chain) =>
+      getChainEnd(chain) > getChainEnd(best) ? chain : best
+    );
+  }
+  const overlapping = chains.filter((chain) =>
+    getStart(chain[chain.length - 1]) < start &&
+    getChainEnd(chain) < getEnd(engine)
+  );
+  if (overlapping.length === 0) return undefined;
+  return overlapping.reduce((best, chain) =>
+    getChainEnd(chain) < getChainEnd(best) ? chain : best
+  );
+}
+
 /**
  * Divides engines among as many copies as run the most requests at once: more
  * copies have more first engines, whose places for requests are limited, and
--- a/src/layers/layers_test.ts
+++ b/src/layers/layers_test.ts
@@ -183,6 +183,22 @@
   assert.equal(planLayerOrders(engines, options), []);
 });
 
+test("a copy whose ranges overlap is one copy without gaps", () => {
+  // As many as hold one copy.
+  const engines = holdPlan(makeEngines(6));
+  const held = engines.filter(({ range }) => range !== undefined)
+    .sort((a, b) => a.range!.fromLayer - b.range!.fromLayer);
+  const overlapping = held.map((engine, at) => {
+    const { fromLayer, toLayer } = engine.range!;
+    return at === 3
+      ? { ...engine, range: { fromLayer: fromLayer - 2, toLayer } }
+      : engine;
+  });
+  assert.is(groupCopies(overlapping, FIGURES).copies.length, 1);
+  const options = { figures: FIGURES, mayRespread: () => true };
+  assert.equal(planLayerOrders(overlapping, options), []);
+});
+
 test("of many engines a lost one is replaced, whichever it is", () => {
   const engines = holdPlan(makeMany());
   for (const lost of engines) {
