A leader without a lease takes no beats

Engines go on beating at the old one, which answers; at 11.35 s the new leader drops nearly all engines as silent, and streams are refused for six seconds.

Change: beats are taken only while the lease runs; else they are told that this process is unavailable, and engines ask the next one.

Figures: the new test failed without the change.

--- a/src/fleet/create_leader_desk.ts
+++ b/src/fleet/create_leader_desk.ts
@@ -19,6 +19,8 @@
   /** Resolves once the command is committed and applied. */
   readonly propose: (command: FleetCommand) => Promise<unknown>;
   readonly confirmRead: () => Promise<void>;
+  /** Whether it surely leads at this moment. */
+  readonly hasLease: () => boolean;
   /** Whether what is accepted now outlives the losses that are to be borne. */
   readonly hasEnoughVoters: () => boolean;
   readonly decodeConfig: DecodeConfig;
@@ -71,7 +73,10 @@
     return { type: "document", document };
   }
 
+  // A leader whose disk stands still does not see that another one leads, and
+  // beats that it took would be missing there.
   async function takeBeat(beat: EngineBeat): Promise<FleetReply> {
+    if (!options.hasLease()) return { type: "unavailable", reason: "no lease" };
     const leave = machine.getLeave(beat.engineId);
     if (beat.isLeaving && leave === undefined) {
       await proposeLeave(beat.engineId, "draining");
--- /dev/null
+++ b/src/fleet/create_leader_desk_test.ts
@@ -0,0 +1,53 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import type { EngineBeat } from "../engines/index.ts";
+import { createEngineRegistry } from "./create_engine_registry.ts";
+import { createFleetMachine } from "./create_fleet_machine.ts";
+import { createLeaderDesk } from "./create_leader_desk.ts";
+
+const BEAT: EngineBeat = {
+  engineId: "e1",
+  service: "s",
+  address: "e1:1",
+  place: "a",
+  slots: 4,
+  isLeaving: false,
+  sequence: 1,
+};
+
+function makeDesk(hasLease: () => boolean) {
+  const machine = createFleetMachine();
+  const registry = createEngineRegistry({
+    silenceMs: 1_000,
+    now: () => 0,
+    getLeave: machine.getLeave,
+    publish: () => {},
+    log: () => {},
+  });
+  const desk = createLeaderDesk({
+    machine,
+    registry,
+    propose: () => Promise.resolve(),
+    confirmRead: () => Promise.resolve(),
+    hasLease,
+    hasEnoughVoters: () => true,
+    decodeConfig: () => {
+      throw new Error("No configuration is sent here");
+    },
+    log: () => {},
+  });
+  return { desk, registry };
+}
+
+test("a leader that can't be sure to lead takes no beats", async () => {
+  let hasLease = false;
+  const { desk, registry } = makeDesk(() => hasLease);
+  const call = { type: "beat", beat: BEAT } as const;
+  assert.is((await desk.take(call)).type, "unavailable");
+  assert.equal(registry.getRecords(), []);
+  hasLease = true;
+  assert.is((await desk.take(call)).type, "done");
+  assert.is(registry.getRecords().length, 1);
+});
+
+test.run();
--- a/src/fleet/start_fleet_control.ts
+++ b/src/fleet/start_fleet_control.ts
@@ -224,6 +224,7 @@
     leadsFor(VOTERS_WAIT_MS) || countVoters(replica) >= settings.voters;
   const desk = createLeaderDesk({
     hasEnoughVoters,
+    hasLease: () => replica.hasLease(),
     machine,
     registry,
     propose,
