Calls are sent in one place; a path search can be told to stay

Cause, from reading the whole change once more: what an upstream is told of a call was put together in two places; a path that may not leave a data centre was found with a cost of 1e9 and thrown away afterwards; followers took leaves into a registry that only a leader has, and logged losses; all engines were written out once a session; a look-up by address and a list of gateways had no caller; usable engines and taken slots were worked out twice for one request.

Ruled out: nothing was tried and dropped.

Change: start_call_exchange serves plain calls and streams. The search over layers takes no cost for leaving a data centre where none may be left. Leaves go to the registry of the leader alone. The dead parts are gone.

--- a/src/fleet/create_gateway_sessions.ts
+++ b/src/fleet/create_gateway_sessions.ts
@@ -60,7 +60,6 @@
   tick(): void;
   /** Tells the gateways what all of them have in flight. */
   publishLoads(): void;
-  getGateways(): readonly GatewayRecord[];
   closeAll(): void;
 }
 
@@ -135,10 +134,10 @@
     send(session, { type: "config", ...accepted });
   }
 
-  function sendEngines(session: Session): void {
+  function listEngines(): LeaderMessage {
     const isWhole = options.knowsAllEngines();
     const engines = options.getEngines();
-    send(session, { type: "engines", isWhole, engines, gone: [] });
+    return { type: "engines", isWhole, engines, gone: [] };
   }
 
   async function takeHello(
@@ -160,7 +159,7 @@
     const controlAddresses = options.getControlAddresses();
     send(session, { type: "welcome", controlAddresses });
     sendConfig(session);
-    sendEngines(session);
+    send(session, listEngines());
     // The read was confirmed after the hello was sent, as with any beat.
     confirm(session, sentMs);
     if (toldGateways) {
@@ -256,9 +255,7 @@
     publishEngines({ engines, gone }) {
       broadcast({ type: "engines", isWhole: false, engines, gone });
     },
-    publishAllEngines() {
-      for (const session of sessions.values()) sendEngines(session);
-    },
+    publishAllEngines: () => broadcast(listEngines()),
     tick() {
       for (const session of sessions.values()) {
         if (now() - session.heardMs < SILENCE_MS) continue;
@@ -276,7 +273,6 @@
       toldLoads = told;
       broadcast({ type: "loads", loads });
     },
-    getGateways,
     closeAll() {
       for (const { stream } of sessions.values()) redirect(stream);
       sessions.clear();
--- a/src/fleet/start_fleet_control.ts
+++ b/src/fleet/start_fleet_control.ts
@@ -238,7 +238,9 @@
   function takeChange(command: FleetCommand): void {
     if (command.type === "engines") return;
     if (command.type === "leave") {
-      return registry.takeLeave(command.engineId, command.kind);
+      // Who does not lead keeps no registry; it asks the state when it leads.
+      if (isLeader()) registry.takeLeave(command.engineId, command.kind);
+      return;
     }
     services = options.decodeConfig(unpackDocument(command.packed)).services;
     log("configAccepted", { version: command.version });
--- a/src/gateway/choose_call_path.ts
+++ b/src/gateway/choose_call_path.ts
@@ -44,9 +44,8 @@
   const { engines, place, now } = context;
   const { excluded } = options;
   const model = getCallModel(call, context);
-  const usable = engines.listUsable(call.service);
   if (!model) return chooseWhole(call, context, options);
-  const path = choosePath(usable, {
+  const path = choosePath(engines.listUsable(call.service), {
     model,
     place,
     gatewayCount: context.getPlaceGatewayCount(),
--- a/src/gateway/choose_path.ts
+++ b/src/gateway/choose_path.ts
@@ -43,9 +43,6 @@
  */
 const PLACE_COST_MS = 12;
 
-/** Cost that no path within one data centre comes to. */
-const FORBIDDEN_COST_MS = 1e9;
-
 /** Share of an engine's memory for requests above which it costs more. */
 const BUSY_SHARE = 0.6;
 
@@ -106,17 +103,13 @@
       place,
       hopCost: HOP_COST_MS,
       entryPlaceCost: ENTRY_PLACE_COST_MS,
-      placeCost: mayCross ? PLACE_COST_MS : FORBIDDEN_COST_MS,
+      placeCost: mayCross ? PLACE_COST_MS : undefined,
       maxParts: MAX_PARTS,
     },
   );
-  const records = path?.map(({ engineId }) => views.get(engineId)?.record);
-  const isCrossing = new Set(records?.map((record) => record?.place)).size > 1;
-  // Where one path stays in a data centre it costs less than any that does not.
-  if (isCrossing && !mayCross) return undefined;
-  return path?.map((part, at) => ({
+  return path?.map((part) => ({
     ...part,
-    address: records?.[at]?.address ?? "",
+    address: views.get(part.engineId)?.record.address ?? "",
   }));
 }
 
@@ -136,9 +129,10 @@
   const isFull = view.fullUntilMs > nowMs;
   const layerCost = stepMs * (1 + busy * FULL_FACTOR) *
     (1 + failureShare * FAILURE_FACTOR) * (isFull ? REFUSED_FACTOR : 1);
-  const slotsExcess = getExcess(getUsedSlots(view, options), BUSY_SLOTS_SHARE);
-  const firstCost = FULL_SLOTS_COST_MS * slotsExcess +
-    SLOTS_COST_MS * getUsedSlots(view, options) +
+  const usedSlots = getUsedSlots(view, options);
+  const firstCost =
+    FULL_SLOTS_COST_MS * getExcess(usedSlots, BUSY_SLOTS_SHARE) +
+    SLOTS_COST_MS * usedSlots +
     UNREAD_PROMPT_COST_MS * view.unreadPrompts;
   return { engineId, place, ...range, layerCost, firstCost };
 }
--- a/src/gateway/create_engine_table.ts
+++ b/src/gateway/create_engine_table.ts
@@ -74,7 +74,6 @@
   /** Upstreams of a service that take new work. */
   listUsable(service: string): EngineView[];
   get(engineId: string): EngineView | undefined;
-  findByAddress(address: string): EngineView | undefined;
   /** Counts a request in on the engines of its path. */
   addWork(path: readonly PathPart[], work: { tokens: number }): void;
   /** Counts a request out again. */
@@ -212,10 +211,6 @@
         engine.suspectUntilMs <= now()
       ),
     get: (engineId) => engines.get(engineId),
-    findByAddress: (address) =>
-      [...engines.values()].findLast(({ record }) =>
-        record.address === address
-      ),
     addWork: (path, { tokens }) => count(path, { tokens, requests: 1 }),
     removeWork: (path, { tokens }) =>
       count(path, { tokens: -tokens, requests: -1 }),
--- a/src/gateway/serve_plain_call.ts
+++ b/src/gateway/serve_plain_call.ts
@@ -10,6 +10,7 @@
 import type { EngineView } from "./create_engine_table.ts";
 import type { Exchange, ExchangeEnd } from "./create_exchanger.ts";
 import type { UpstreamHead } from "./protocol.ts";
+import { startCallExchange } from "./start_call_exchange.ts";
 import type { Call, ServingContext } from "./types.ts";
 
 /** Tries of one call, refused ones included. */
@@ -104,25 +105,15 @@
     }
 
     function send(engine: EngineView): void {
-      const { engineId, address } = engine.record;
+      const { engineId } = engine.record;
       const chunks: Buffer[] = [];
       let head: UpstreamHead | undefined;
       engine.inFlight += 1;
       log("callSent", { requestId, engineId, tries, runs });
-      exchange = context.exchanger.start({
-        engineId,
-        address,
-        method: request.method,
-        target: request.target,
-        headers: context.codec.formatUpstreamHeaders(request, {
-          deadlineMs: Math.max(1, Math.floor(call.deadlineMs - now())),
-          engineId,
-          account: call.account?.name,
-          lastEventId: request.lastEventId,
-          path: [],
-        }),
-        body: call.body,
-        requestId,
+      exchange = startCallExchange(call, context, {
+        engine: engine.record,
+        path: [],
+        lastEventId: request.lastEventId,
         onHead: (told) => {
           head = told;
         },
--- /dev/null
+++ b/src/gateway/start_call_exchange.ts
@@ -0,0 +1,61 @@
+/**
+ * Sends a call to an upstream.
+ *
+ * @module
+ */
+
+import type { Exchange, ExchangeOptions } from "./create_exchanger.ts";
+import type { AddressedPart } from "./protocol.ts";
+import type { Call, ServingContext } from "./types.ts";
+
+/** Where a call is sent, and who hears of the answer. */
+export interface StartCallExchangeOptions
+  extends Pick<ExchangeOptions, "onHead" | "onData" | "onEnd"> {
+  /** Upstream that takes it: the first of the path where there is one. */
+  readonly engine: Pick<AddressedPart, "engineId" | "address">;
+  /** Parts of a layered model; none where one upstream has all. */
+  readonly path: readonly AddressedPart[];
+  /** Event after which the answer is to go on. */
+  readonly lastEventId: string | undefined;
+}
+
+/**
+ * Sends a call with all that an upstream is told of it; the deadline that is
+ * passed on is what is left of the call's.
+ *
+ * @param call - The call.
+ * @param context - The codec, the connections and the time.
+ * @param options - The upstream, and who hears of the answer.
+ * @returns The exchange under way.
+ * @throws Nothing.
+ * @example
+ * const exchange = startCallExchange(call, context, options);
+ */
+export function startCallExchange(
+  call: Call,
+  context: ServingContext,
+  options: StartCallExchangeOptions,
+): Exchange {
+  const { request, body, account } = call;
+  const { engine, path, lastEventId, onHead, onData, onEnd } = options;
+  const { engineId, address } = engine;
+  const leftMs = Math.floor(call.deadlineMs - context.now());
+  return context.exchanger.start({
+    engineId,
+    address,
+    method: request.method,
+    target: request.target,
+    headers: context.codec.formatUpstreamHeaders(request, {
+      deadlineMs: Math.max(1, leftMs),
+      engineId,
+      account: account?.name,
+      lastEventId,
+      path,
+    }),
+    body,
+    requestId: request.requestId,
+    onHead,
+    onData,
+    onEnd,
+  });
+}
--- a/src/gateway/start_stream_run.ts
+++ b/src/gateway/start_stream_run.ts
@@ -5,9 +5,10 @@
  */
 
 import { Buffer } from "node:buffer";
-import type { Exchange, ExchangeEnd } from "./create_exchanger.ts";
+import type { ExchangeEnd } from "./create_exchanger.ts";
 import type { AddressedPart, UpstreamHead } from "./protocol.ts";
 import { createEventSplitter, type StreamEvent } from "./split_events.ts";
+import { startCallExchange } from "./start_call_exchange.ts";
 import type { Call, ServingContext } from "./types.ts";
 
 /** One send of a call. */
@@ -69,10 +70,8 @@
   context: ServingContext,
   options: StartStreamRunOptions,
 ): StreamRun {
-  const { request } = call;
   const { engines, now } = context;
   const { tokens } = options;
-  const [{ engineId, address }] = options.path;
   let { path } = options;
   let head: UpstreamHead | undefined;
   let lostEngineId: string | undefined;
@@ -99,20 +98,10 @@
     options.onEnd(run, { how, isCut: splitter.hasRest(), body });
   }
 
-  const exchange: Exchange = context.exchanger.start({
-    engineId,
-    address,
-    method: request.method,
-    target: request.target,
-    headers: context.codec.formatUpstreamHeaders(request, {
-      deadlineMs: Math.max(1, Math.floor(call.deadlineMs - now())),
-      engineId,
-      account: call.account?.name,
-      lastEventId: options.lastEventId,
-      path: options.isLayered ? path : [],
-    }),
-    body: call.body,
-    requestId: request.requestId,
+  const exchange = startCallExchange(call, context, {
+    engine: path[0],
+    path: options.isLayered ? path : [],
+    lastEventId: options.lastEventId,
     onHead(told) {
       head = told;
       options.onHead(run);
--- a/src/layers/find_layer_path.ts
+++ b/src/layers/find_layer_path.ts
@@ -28,8 +28,11 @@
   readonly hopCost: number;
   /** Cost, on top, where the first engine is in another data centre. */
   readonly entryPlaceCost: number;
-  /** Cost, on top, where a later one is in another than the one before. */
-  readonly placeCost: number;
+  /**
+   * Cost, on top, where a later one is in another than the one before;
+   * undefined where none may be.
+   */
+  readonly placeCost: number | undefined;
   /** Parts that a path may have at most. */
   readonly maxParts: number;
 }
@@ -111,12 +114,13 @@
   for (const step of reached) {
     if (step.engine?.engineId === engine.engineId) continue;
     const from = step.engine?.place ?? place;
-    const awayCost = step.engine ? placeCost : entryPlaceCost;
+    const leaveCost = step.engine ? placeCost : entryPlaceCost;
+    const awayCost = from === engine.place ? 0 : leaveCost;
+    if (awayCost === undefined) continue;
     const firstCost = step.fromLayer === 0 && !step.engine
       ? engine.firstCost ?? 0
       : 0;
-    const cost = step.cost + hopCost + firstCost +
-      (from === engine.place ? 0 : awayCost);
+    const cost = step.cost + hopCost + firstCost + awayCost;
     if (!best || cost < best.cost) best = { step, cost };
   }
   return best;
