Headers of a connection, room for tokens and fixtures stand once

Cause, from the same reading: the platform's codec listed the headers that no intermediary passes on, which the entry already had; the memory that a token takes on a layer was worked out for plans and once more, the other way round, for paths; the same route and the same beat stood in two and three test files.

Ruled out: one list for both with all names: the entry would drop one header more.

Change: src/http holds the common headers, each side adds its own; getTokenRoom stands beside getLayerRoom; makeRoute and makeBeat are test support. Behaviour and assertions stay; a test holds the two rooms together.

--- a/src/engines/engines_test.ts
+++ b/src/engines/engines_test.ts
@@ -1,24 +1,12 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import { makeBeat } from "../../test/support/make_beat.ts";
 import { removeSilent } from "./remove_silent.ts";
 import { takeBeat } from "./take_beat.ts";
-import type { EngineBeat, RegistryState } from "./types.ts";
+import type { RegistryState } from "./types.ts";
 
 const EMPTY: RegistryState = { engines: new Map() };
 
-function makeBeat(fields: Partial<EngineBeat> = {}): EngineBeat {
-  return {
-    engineId: "e1",
-    service: "s",
-    address: "10.0.0.1:80",
-    place: "p",
-    slots: 4,
-    isLeaving: false,
-    sequence: 1,
-    ...fields,
-  };
-}
-
 test("a beat registers, the next one only refreshes", () => {
   const first = takeBeat(EMPTY, makeBeat(), { nowMs: 10 });
   assert.is(first.changed?.engineId, "e1");
--- a/src/entry/hop_headers.ts
+++ b/src/entry/hop_headers.ts
@@ -4,18 +4,11 @@
  * @module
  */
 
+import { CONNECTION_HEADERS } from "../http/index.ts";
+
 const HOP_HEADERS: ReadonlySet<string> = new Set([
-  "connection",
-  "keep-alive",
-  "proxy-authenticate",
-  "proxy-authorization",
-  "te",
-  "trailer",
-  "transfer-encoding",
-  "upgrade",
+  ...CONNECTION_HEADERS,
   "host",
-  "content-length",
-  "expect",
   // A client account's key is not the upstream's business.
   "authorization",
 ]);
--- a/src/fleet/create_engine_registry_test.ts
+++ b/src/fleet/create_engine_registry_test.ts
@@ -1,20 +1,12 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import type { EngineBeat } from "../engines/index.ts";
+import { makeBeat } from "../../test/support/make_beat.ts";
 import {
   createEngineRegistry,
   type EngineChange,
 } from "./create_engine_registry.ts";
 
-const BEAT: EngineBeat = {
-  engineId: "e1",
-  service: "s",
-  address: "10.0.0.1:80",
-  place: "p",
-  slots: 4,
-  isLeaving: false,
-  sequence: 1,
-};
+const BEAT = makeBeat();
 
 function makeRegistry(getLeave = () => undefined) {
   const clock = { nowMs: 0 };
--- a/src/fleet/create_leader_desk_test.ts
+++ b/src/fleet/create_leader_desk_test.ts
@@ -1,20 +1,10 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import type { EngineBeat } from "../engines/index.ts";
+import { makeBeat } from "../../test/support/make_beat.ts";
 import { createEngineRegistry } from "./create_engine_registry.ts";
 import { createFleetMachine } from "./create_fleet_machine.ts";
 import { createLeaderDesk } from "./create_leader_desk.ts";
 
-const BEAT: EngineBeat = {
-  engineId: "e1",
-  service: "s",
-  address: "e1:1",
-  place: "a",
-  slots: 4,
-  isLeaving: false,
-  sequence: 1,
-};
-
 function makeDesk(hasLease: () => boolean) {
   const machine = createFleetMachine();
   const registry = createEngineRegistry({
@@ -42,7 +32,7 @@
 test("a leader that can't be sure to lead takes no beats", async () => {
   let hasLease = false;
   const { desk, registry } = makeDesk(() => hasLease);
-  const call = { type: "beat", beat: BEAT } as const;
+  const call = { type: "beat", beat: makeBeat() } as const;
   assert.is((await desk.take(call)).type, "unavailable");
   assert.equal(registry.getRecords(), []);
   hasLease = true;
--- a/src/gateway/choose_path.ts
+++ b/src/gateway/choose_path.ts
@@ -4,7 +4,11 @@
  * @module
  */
 
-import { findLayerPath, type PathEngine } from "../layers/index.ts";
+import {
+  findLayerPath,
+  getTokenRoom,
+  type PathEngine,
+} from "../layers/index.ts";
 import type { LayeredModel } from "../routes/index.ts";
 import { type EngineView, getFailureShare } from "./create_engine_table.ts";
 import type { AddressedPart } from "./protocol.ts";
@@ -74,8 +78,6 @@
 /** Factor on an engine's cost where all its answers failed. */
 const FAILURE_FACTOR = 10;
 
-const BYTES_PER_MB = 1e6;
-
 /**
  * Chooses the path with the least expected time for a token.
  *
@@ -143,7 +145,7 @@
   const { tokensInFlight, otherTokens } = view;
   const told = tokensInFlight + otherTokens;
   const alike = tokensInFlight * options.gatewayCount;
-  return Math.max(told, alike) / Math.max(1, getTokenRoom(view, options.model));
+  return Math.max(told, alike) / Math.max(1, getRoom(view, options.model));
 }
 
 function getUsedSlots(view: EngineView, options: ChoosePathOptions): number {
@@ -157,22 +159,10 @@
   return Math.min(1, Math.max(0, share - threshold) / (1 - threshold));
 }
 
-/**
- * Tokens for which an engine has memory beside its layers.
- *
- * @param view - The engine.
- * @param model - The model of which it holds layers.
- * @returns Tokens in flight.
- * @throws Nothing.
- * @example
- * const tokens = getTokenRoom(view, model);
- */
-export function getTokenRoom(view: EngineView, model: LayeredModel): number {
-  const { layers, card: cardName } = view.record;
+function getRoom({ record }: EngineView, model: LayeredModel): number {
+  const { layers, card: cardName } = record;
   const card = model.cards.find(({ name }) => name === cardName);
   if (!layers || !card) return 0;
-  const count = layers.toLayer - layers.fromLayer;
-  const freeMb = card.memoryMb - count * model.layerMb;
-  const tokenMb = model.kvTokenBytes * count / model.layers / BYTES_PER_MB;
-  return Math.max(0, freeMb / tokenMb);
+  const layerCount = layers.toLayer - layers.fromLayer;
+  return getTokenRoom(card.memoryMb, model, { layerCount });
 }
--- a/src/gateway/decide_call_test.ts
+++ b/src/gateway/decide_call_test.ts
@@ -1,26 +1,15 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { createRouteTable, type RouteConfig } from "../routes/index.ts";
+import { makeRoute } from "../../test/support/make_route.ts";
+import { createRouteTable } from "../routes/index.ts";
 import { decideCall, type DecideCallOptions } from "./decide_call.ts";
 
-const ROUTE: RouteConfig["routes"][number] = {
-  name: "r",
-  host: "a.example",
-  pathPrefix: "/x/",
-  repeatability: "once",
-  isStream: false,
-  timeoutMs: 1_000,
-  objectiveMs: 300,
-  gapObjectiveMs: 0,
-  priority: 1,
-  targets: [{ service: "s", weight: 1 }],
-  maxAttempts: 1,
-  isAnonymous: false,
-};
-
 const TABLE = createRouteTable({
   version: 1,
-  routes: [ROUTE, { ...ROUTE, pathPrefix: "/open/", isAnonymous: true }],
+  routes: [
+    makeRoute(),
+    makeRoute({ pathPrefix: "/open/", isAnonymous: true }),
+  ],
   services: [{ name: "s", maxConnections: 1 }],
   accounts: [{ name: "one", keys: ["k"] }],
   limits: {
--- a/src/layers/layers_test.ts
+++ b/src/layers/layers_test.ts
@@ -3,7 +3,12 @@
 import * as assert from "uvu/assert";
 import { findGaps } from "./find_gaps.ts";
 import { findLayerPath, type PathEngine } from "./find_layer_path.ts";
-import { findTokensInFlight, planCopy } from "./plan_copy.ts";
+import {
+  findTokensInFlight,
+  getLayerRoom,
+  getTokenRoom,
+  planCopy,
+} from "./plan_copy.ts";
 import { groupCopies } from "./group_copies.ts";
 import { planLayerOrders } from "./plan_layer_orders.ts";
 import type { LayerEngine } from "./types.ts";
@@ -240,6 +245,15 @@
   assert.is(findTokensInFlight(makeEngines(1), FIGURES), undefined);
 });
 
+test("an engine has room for just the tokens for which its layers leave room", () => {
+  for (const memoryMb of MEMORY_MB) {
+    const layerCount = getLayerRoom(memoryMb, FIGURES, { tokens: 50_000 });
+    const tokens = getTokenRoom(memoryMb, FIGURES, { layerCount });
+    assert.ok(tokens >= 50_000);
+    assert.is(getLayerRoom(memoryMb, FIGURES, { tokens }), layerCount);
+  }
+});
+
 const OPTIONS = {
   layers: 80,
   place: "a",
--- a/src/layers/plan_copy.ts
+++ b/src/layers/plan_copy.ts
@@ -27,11 +27,37 @@
   figures: LayerFigures,
   options: { tokens: number },
 ): number {
-  const { layers, layerMb, kvTokenBytes } = figures;
-  const cacheMb = options.tokens * kvTokenBytes / layers / BYTES_PER_MB;
+  const { layers, layerMb } = figures;
+  const cacheMb = options.tokens * getLayerTokenMb(figures);
   return Math.min(layers, Math.floor(memoryMb / (layerMb + cacheMb)));
 }
 
+/**
+ * Tokens in flight for which an engine has memory beside its layers.
+ *
+ * @param memoryMb - The engine's memory.
+ * @param figures - The model's figures.
+ * @param options - Layers that it holds.
+ * @returns Tokens, not rounded.
+ * @throws Nothing.
+ * @example
+ * getTokenRoom(21_600, figures, { layerCount: 8 });
+ */
+export function getTokenRoom(
+  memoryMb: number,
+  figures: LayerFigures,
+  options: { layerCount: number },
+): number {
+  const { layerCount } = options;
+  const freeMb = memoryMb - layerCount * figures.layerMb;
+  return Math.max(0, freeMb / (layerCount * getLayerTokenMb(figures)));
+}
+
+// Memory that a token takes for each layer that an engine holds.
+function getLayerTokenMb({ layers, kvTokenBytes }: LayerFigures): number {
+  return kvTokenBytes / layers / BYTES_PER_MB;
+}
+
 /**
  * Plans a whole copy so that all its engines have room for the same number of
  * tokens in flight, which is then as large as the group allows: a request
--- a/src/routes/routes_test.ts
+++ b/src/routes/routes_test.ts
@@ -1,27 +1,10 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import { makeRoute } from "../../test/support/make_route.ts";
 import { chooseTarget } from "./choose_target.ts";
 import { createRouteTable } from "./create_route_table.ts";
 import { findConfigProblems } from "./find_config_problems.ts";
-import type { Route, RouteConfig } from "./schemas.ts";
-
-function makeRoute(fields: Partial<Route> = {}): Route {
-  return {
-    name: "r",
-    host: "a.example",
-    pathPrefix: "/x/",
-    repeatability: "once",
-    isStream: false,
-    timeoutMs: 1_000,
-    objectiveMs: 300,
-    gapObjectiveMs: 0,
-    priority: 1,
-    targets: [{ service: "s", weight: 1 }],
-    maxAttempts: 1,
-    isAnonymous: false,
-    ...fields,
-  };
-}
+import type { RouteConfig } from "./schemas.ts";
 
 function makeConfig(fields: Partial<RouteConfig> = {}): RouteConfig {
   return {
--- /dev/null
+++ b/test/support/make_beat.ts
@@ -0,0 +1,15 @@
+import type { EngineBeat } from "../../src/engines/index.ts";
+
+/** Makes the first beat of upstream `e1` of service `s`. */
+export function makeBeat(fields: Partial<EngineBeat> = {}): EngineBeat {
+  return {
+    engineId: "e1",
+    service: "s",
+    address: "10.0.0.1:80",
+    place: "p",
+    slots: 4,
+    isLeaving: false,
+    sequence: 1,
+    ...fields,
+  };
+}
