Fast cards hold layers first, slow ones what is left and a second time

Cause: every engine of a data centre got the same room for tokens, so slow cards stood in every path (7.2 times the base step); streams stayed long, and once two losses came together 400 to 500 in flight filled the first engines. Ruled out: memory as the bound (room for 250,000 tokens, 120,000 used). Change: a design weighs how much room for tokens a copy keeps, by the streams it runs whole and after one loss; engines take the window of layers that they help most with, the fastest first; those that are not needed hold layers a second time, and move to layers that nobody holds any more. Tests: copies as chains of ranges no longer exist, so the tests that counted them check covers, pace and gaps instead, for each engine lost in turn.

--- a/src/fleet/create_layer_keeper.ts
+++ b/src/fleet/create_layer_keeper.ts
@@ -140,7 +140,8 @@
     const order = underWay.get(engineId);
     const range = order?.range ?? engine.layers;
     const isLoading = order !== undefined;
-    return [{ engineId, place, memoryMb: card.memoryMb, range, isLoading }];
+    const { memoryMb, stepFactor } = card;
+    return [{ engineId, place, memoryMb, stepFactor, range, isLoading }];
   }
 
   function forgetEnded(members: readonly EngineRecord[]): void {
--- a/src/fleet/create_layer_keeper_test.ts
+++ b/src/fleet/create_layer_keeper_test.ts
@@ -14,6 +14,8 @@
     cards: [{ name: "card", memoryMb: 1_000, stepFactor: 1, readFactor: 1 }],
     slots: 8,
     stepMs: 1,
+    requestStepMs: 0.01,
+    contextStepMs: 0,
     readTokensPerS: 1_000,
     usualPromptTokens: 20,
     loadMs: 1_000,
--- a/src/gateway/choose_path_test.ts
+++ b/src/gateway/choose_path_test.ts
@@ -12,6 +12,8 @@
   loadsAtOnce: 6,
   slots: 8,
   stepMs: 1,
+  requestStepMs: 0.01,
+  contextStepMs: 0,
   readTokensPerS: 1_000,
   usualPromptTokens: 20,
   usualAnswerTokens: 20,
--- /dev/null
+++ b/src/layers/design_copies.ts
@@ -0,0 +1,272 @@
+/**
+ * Designs the copies of a model that a group of engines is to hold.
+ *
+ * @module
+ */
+
+import {
+  addHolder,
+  chooseWindow,
+  type LayerCover,
+  makeCover,
+} from "./layer_cover.ts";
+import { findTokensInFlight, getLayerRoom } from "./token_room.ts";
+import type { LayerEngine, LayerFigures, LayerOrder } from "./types.ts";
+
+/** The figures of a model that the time of a step goes by. */
+export type StepFigures = Pick<
+  LayerFigures,
+  | "stepMs"
+  | "requestStepMs"
+  | "contextStepMs"
+  | "usualPromptTokens"
+  | "usualAnswerTokens"
+>;
+
+/** An engine as a design sees it: what it holds now plays no part. */
+export type DesignEngine = Pick<
+  LayerEngine,
+  "engineId" | "memoryMb" | "stepFactor"
+>;
+
+/** One copy of a design: every layer at least once, some more often. */
+export interface CopyDesign {
+  /** Tokens in flight that every engine has room for. */
+  readonly tokens: number;
+  readonly orders: readonly LayerOrder[];
+}
+
+/**
+ * Room for tokens that is weighed, as shares of the most that a copy can use:
+ * less room lets fast cards hold more layers and frees slow ones to hold layers
+ * a second time.
+ */
+const ROOM_SHARES = [1, 0.8, 0.65, 0.5, 0.4, 0.3, 0.2];
+
+/** Step factor of a layer without a holder, over that of the slowest card. */
+const MISSING_SHARE = 10;
+
+/**
+ * Designs as many copies as run the most streams, counted both while all
+ * engines are there and while one of them is lost. More copies have more first
+ * engines, whose places are limited, and less memory for requests.
+ *
+ * @param engines - The engines of the group.
+ * @param figures - The model's figures.
+ * @returns The copies; none where the engines can't hold one.
+ * @throws Nothing.
+ * @example
+ * const copies = designCopies(engines, figures);
+ */
+export function designCopies(
+  engines: readonly DesignEngine[],
+  figures: LayerFigures,
+): readonly CopyDesign[] {
+  let best: readonly CopyDesign[] = [];
+  let bestRate = -1;
+  for (let count = 1; count <= engines.length; count++) {
+    const dealt = dealEngines(engines, count);
+    const designs = dealt.map((members) => designCopy(members, figures));
+    if (designs.some((design) => design === undefined)) break;
+    const rate = designs.reduce((sum, design) => sum + (design?.rate ?? 0), 0);
+    if (rate <= bestRate) break;
+    best = designs.flatMap((design) => design ? [design] : []);
+    bestRate = rate;
+  }
+  return best;
+}
+
+/**
+ * Gives engines the windows of layers that they help most with, the fastest
+ * engines first.
+ *
+ * @param engines - The engines; none of them is in the cover.
+ * @param options - Who else holds layers, and the room that they need.
+ * @returns The orders.
+ * @throws Nothing.
+ * @example
+ * const orders = layOutEngines(engines, { cover, copies: 1, tokens, figures });
+ */
+export function layOutEngines(
+  engines: readonly DesignEngine[],
+  options: {
+    readonly cover: LayerCover;
+    readonly copies: number;
+    readonly tokens: number;
+    readonly figures: LayerFigures;
+  },
+): LayerOrder[] {
+  const { copies, tokens, figures } = options;
+  const { layers } = figures;
+  let { cover } = options;
+  const missingFactor = getMissingFactor([
+    ...engines.map(({ stepFactor }) => stepFactor),
+    ...cover.flat(),
+  ]);
+  const orders: LayerOrder[] = [];
+  for (const { engineId, memoryMb, stepFactor } of sortBySpeed(engines)) {
+    const room = getLayerRoom(memoryMb, figures, { tokens });
+    const window = chooseWindow(cover, { stepFactor, room }, {
+      layers,
+      copies,
+      missingFactor,
+    });
+    if (!window) continue;
+    const { fromLayer, toLayer } = window;
+    orders.push({ engineId, fromLayer, toLayer });
+    cover = addHolder(cover, { fromLayer, toLayer, stepFactor });
+  }
+  return orders;
+}
+
+/**
+ * Step factor that a layer without a holder is counted with: ten times the
+ * slowest card's, so that no gain of pace outweighs a gap.
+ *
+ * @param factors - The step factors of the group's cards.
+ * @returns The factor.
+ * @throws Nothing.
+ * @example
+ * getMissingFactor([2.4, 16]);
+ */
+export function getMissingFactor(factors: readonly number[]): number {
+  return Math.max(1, ...factors) * MISSING_SHARE;
+}
+
+function sortBySpeed<E extends DesignEngine>(engines: readonly E[]): E[] {
+  return [...engines].sort((a, b) =>
+    a.stepFactor - b.stepFactor || b.memoryMb - a.memoryMb ||
+    (a.engineId < b.engineId ? -1 : 1)
+  );
+}
+
+// In turns, the fastest first, there and back again: all copies get alike.
+function dealEngines(
+  engines: readonly DesignEngine[],
+  count: number,
+): DesignEngine[][] {
+  const copies: DesignEngine[][] = Array.from({ length: count }, () => []);
+  sortBySpeed(engines).forEach((engine, at) => {
+    const turn = Math.floor(at / count);
+    const place = at % count;
+    copies[turn % 2 === 0 ? place : count - 1 - place].push(engine);
+  });
+  return copies;
+}
+
+interface RatedDesign extends CopyDesign {
+  /** Streams for a unit of time: whole, and the mean after one loss. */
+  readonly rate: number;
+}
+
+function designCopy(
+  engines: readonly DesignEngine[],
+  figures: LayerFigures,
+): RatedDesign | undefined {
+  const mostTokens = findTokensInFlight(engines, figures);
+  if (mostTokens === undefined) return undefined;
+  const usableTokens = Math.min(
+    mostTokens,
+    figures.slots * getUsualTokens(figures),
+  );
+  const designs = ROOM_SHARES.map((share) =>
+    rateDesign(engines, { tokens: share * usableTokens, figures })
+  );
+  return designs.reduce((best, one) => one.rate > best.rate ? one : best);
+}
+
+function rateDesign(
+  engines: readonly DesignEngine[],
+  options: { tokens: number; figures: LayerFigures },
+): RatedDesign {
+  const { tokens, figures } = options;
+  const cover = makeCover([], figures.layers);
+  const orders = layOutEngines(engines, {
+    cover,
+    copies: 1,
+    tokens,
+    figures,
+  });
+  const factors = new Map(
+    engines.map(({ engineId, stepFactor }) => [engineId, stepFactor]),
+  );
+  const holders = orders.map((order) => ({
+    ...order,
+    stepFactor: factors.get(order.engineId) ?? 1,
+  }));
+  const whole = makeCover(holders, figures.layers);
+  const pace = getPace(whole, figures);
+  const paces = holders.map((lost) =>
+    pace + getPaceWithout(whole, lost) / figures.layers
+  );
+  const toRate = (one: number) => getStreamRate(one, { tokens, figures });
+  const afterLoss = paces.reduce((sum, one) => sum + toRate(one), 0) /
+    Math.max(1, paces.length);
+  return { tokens, orders, rate: (toRate(pace) + afterLoss) / 2 };
+}
+
+function getPace(cover: LayerCover, { layers }: LayerFigures): number {
+  const factors = cover.map(([fastest = Infinity]) => fastest);
+  return factors.reduce((sum, factor) => sum + factor, 0) / layers;
+}
+
+// Step factor that the layers of one holder cost more without it.
+function getPaceWithout(
+  cover: LayerCover,
+  lost: LayerOrder & { readonly stepFactor: number },
+): number {
+  return cover.slice(lost.fromLayer, lost.toLayer).reduce(
+    (sum, [fastest, second = Infinity]) =>
+      fastest === lost.stepFactor ? sum + second - fastest : sum,
+    0,
+  );
+}
+
+// Little's law: what is in flight over the time of a token. The length of the
+// answers is the same for all designs and left out. Two standard deviations of
+// what is in flight stay free: full engines refuse.
+function getStreamRate(
+  pace: number,
+  { tokens, figures }: { tokens: number; figures: LayerFigures },
+): number {
+  const fitting = tokens / getUsualTokens(figures);
+  const requests = Math.max(
+    0,
+    Math.min(figures.slots, fitting - 2 * Math.sqrt(fitting)),
+  );
+  return requests / (pace * getBatchStepMs(figures, { requests }));
+}
+
+/**
+ * Time of a token step of a batch on the fastest card with all layers.
+ *
+ * @param figures - The model's figures.
+ * @param options - Requests that run at once.
+ * @returns The time, in ms.
+ * @throws Nothing.
+ * @example
+ * getBatchStepMs(figures, { requests: 40 });
+ */
+export function getBatchStepMs(
+  figures: StepFigures,
+  options: { readonly requests: number },
+): number {
+  const { stepMs, requestStepMs, contextStepMs } = figures;
+  const contextMs = getUsualTokens(figures) * contextStepMs;
+  return stepMs + options.requests * (requestStepMs + contextMs);
+}
+
+/**
+ * Tokens that a request usually holds in memory at its end.
+ *
+ * @param figures - The model's figures.
+ * @returns Tokens, one at least.
+ * @throws Nothing.
+ * @example
+ * getUsualTokens(figures);
+ */
+export function getUsualTokens(
+  figures: Pick<LayerFigures, "usualPromptTokens" | "usualAnswerTokens">,
+): number {
+  return Math.max(1, figures.usualPromptTokens + figures.usualAnswerTokens);
+}
--- a/src/layers/index.ts
+++ b/src/layers/index.ts
@@ -6,7 +6,8 @@
 
 export * from "./find_gaps.ts";
 export * from "./find_layer_path.ts";
-export * from "./group_copies.ts";
-export * from "./plan_copy.ts";
+export * from "./design_copies.ts";
+export * from "./layer_cover.ts";
 export * from "./plan_layer_orders.ts";
+export * from "./token_room.ts";
 export * from "./types.ts";
--- /dev/null
+++ b/src/layers/layer_cover.ts
@@ -0,0 +1,198 @@
+/**
+ * Which cards hold each layer, and what it is worth to hold a window of layers
+ * once more.
+ *
+ * @module
+ */
+
+import type { LayerRange } from "../engines/index.ts";
+
+/** Step factors of the holders of each layer, the fastest first. */
+export type LayerCover = readonly (readonly number[])[];
+
+/** What the worth of a holder is judged by. */
+export interface CoverFigures {
+  readonly layers: number;
+  /** Copies of the model that are to run side by side. */
+  readonly copies: number;
+  /** Step factor that a layer without a holder is counted with. */
+  readonly missingFactor: number;
+}
+
+/** A window of layers and what holding it would gain. */
+export interface LayerWindow extends LayerRange {
+  /** Step factor that is saved, added up over its layers. */
+  readonly gain: number;
+}
+
+/**
+ * Share of the time in which a holder is taken to be away: lost, loading or
+ * slow. It weighs a second holder of a layer against a faster first one: an
+ * estimate, since engines come back, empty, a few seconds after a crash.
+ */
+const AWAY_SHARE = 0.1;
+
+/** Gains that differ by less are the same but for rounding. */
+const LEAST_DIFFERENCE = 1e-9;
+
+/**
+ * Makes the cover that ranges give.
+ *
+ * @param holders - The ranges and the step factors of their cards.
+ * @param layers - Layers of the model.
+ * @returns The cover.
+ * @throws Nothing.
+ * @example
+ * const cover = makeCover([{ fromLayer: 0, toLayer: 20, stepFactor: 2 }], 80);
+ */
+export function makeCover(
+  holders: readonly (LayerRange & { readonly stepFactor: number })[],
+  layers: number,
+): LayerCover {
+  return Array.from(
+    { length: layers },
+    (_, layer) =>
+      holders
+        .filter(({ fromLayer, toLayer }) =>
+          fromLayer <= layer && layer < toLayer
+        )
+        .map(({ stepFactor }) => stepFactor)
+        .sort((a, b) => a - b),
+  );
+}
+
+/**
+ * Adds a holder to a cover.
+ *
+ * @param cover - The cover.
+ * @param holder - The range and the step factor of its card.
+ * @returns The cover with it.
+ * @throws Nothing.
+ * @example
+ * const next = addHolder(cover, { fromLayer: 0, toLayer: 9, stepFactor: 16 });
+ */
+export function addHolder(
+  cover: LayerCover,
+  holder: LayerRange & { readonly stepFactor: number },
+): LayerCover {
+  const { fromLayer, toLayer, stepFactor } = holder;
+  return cover.map((factors, layer) =>
+    layer < fromLayer || layer >= toLayer
+      ? factors
+      : [...factors, stepFactor].sort((a, b) => a - b)
+  );
+}
+
+/**
+ * Chooses the window of layers that an engine helps most with: layers that
+ * nobody holds, then those that only slow cards hold or that have no second
+ * holder. Of windows that are alike it takes the first.
+ *
+ * @param cover - Who holds the layers now.
+ * @param engine - The step factor of its card, and the layers it has room for.
+ * @param figures - What the worth is judged by.
+ * @returns The window, or undefined where the engine has room for none.
+ * @throws Nothing.
+ * @example
+ * const window = chooseWindow(cover, { stepFactor: 16, room: 9 }, figures);
+ */
+export function chooseWindow(
+  cover: LayerCover,
+  engine: { readonly stepFactor: number; readonly room: number },
+  figures: CoverFigures,
+): LayerWindow | undefined {
+  const { layers } = figures;
+  const size = Math.min(engine.room, layers);
+  if (size <= 0) return undefined;
+  const gains = cover.map((factors) =>
+    getLayerGain(factors, engine.stepFactor, figures)
+  );
+  let gain = gains.slice(0, size).reduce((sum, one) => sum + one, 0);
+  let best: LayerWindow = { fromLayer: 0, toLayer: size, gain };
+  for (let fromLayer = 1; fromLayer + size <= layers; fromLayer++) {
+    const toLayer = fromLayer + size;
+    gain += gains[toLayer - 1] - gains[fromLayer - 1];
+    if (gain > best.gain + LEAST_DIFFERENCE) {
+      best = { fromLayer, toLayer, gain };
+    }
+  }
+  return best;
+}
+
+/**
+ * Adds up what a window's layers would lose without one of their holders.
+ *
+ * @param cover - Who holds the layers now, that holder included.
+ * @param holder - The range and the step factor of its card.
+ * @param figures - What the worth is judged by.
+ * @returns The step factor that it saves, added up over its layers.
+ * @throws Nothing.
+ * @example
+ * const loss = getHolderGain(cover, holder, figures);
+ */
+export function getHolderGain(
+  cover: LayerCover,
+  holder: LayerRange & { readonly stepFactor: number },
+  figures: CoverFigures,
+): number {
+  const { fromLayer, toLayer, stepFactor } = holder;
+  return cover.slice(fromLayer, toLayer).reduce((sum, factors) => {
+    const at = factors.indexOf(stepFactor);
+    const others = factors.filter((_factor, index) => index !== at);
+    return sum + getLayerGain(others, stepFactor, figures);
+  }, 0);
+}
+
+function getLayerGain(
+  factors: readonly number[],
+  stepFactor: number,
+  figures: CoverFigures,
+): number {
+  let gain = 0;
+  for (let copy = 0; copy < figures.copies; copy++) {
+    gain += getCopyGain(factors, stepFactor, { copy, ...figures });
+  }
+  return gain;
+}
+
+// A layer costs the step factor of its fastest holder, or that of the next one
+// while the former is away. Each further copy begins one holder later; what is
+// faster than its first one is left to the copies before.
+function getCopyGain(
+  factors: readonly number[],
+  stepFactor: number,
+  options: { readonly copy: number; readonly missingFactor: number },
+): number {
+  const { copy, missingFactor } = options;
+  const at = findPlace(factors, stepFactor);
+  if (at < copy) {
+    // The new one moves all that follow by a place.
+    const first = factors[copy - 1];
+    return getCost(factors, copy, missingFactor) -
+      (1 - AWAY_SHARE) * first -
+      AWAY_SHARE * getCost(factors, copy, missingFactor);
+  }
+  const rest = getCost(factors, at, missingFactor);
+  const withIt = (1 - AWAY_SHARE) * stepFactor + AWAY_SHARE * rest;
+  return AWAY_SHARE ** (at - copy) * (rest - withIt);
+}
+
+function findPlace(factors: readonly number[], stepFactor: number): number {
+  const at = factors.findIndex((factor) => factor > stepFactor);
+  return at < 0 ? factors.length : at;
+}
+
+// What a layer costs with the holders from a place on.
+function getCost(
+  factors: readonly number[],
+  from: number,
+  missingFactor: number,
+): number {
+  let cost = 0;
+  let share = 1;
+  for (let at = from; at < factors.length; at++) {
+    cost += share * (1 - AWAY_SHARE) * factors[at];
+    share *= AWAY_SHARE;
+  }
+  return cost + share * missingFactor;
+}
--- a/src/layers/plan_layer_orders.ts
+++ b/src/layers/plan_layer_orders.ts
@@ -5,29 +5,38 @@
  */
 
 import type { LayerRange } from "../engines/index.ts";
-import { findGaps } from "./find_gaps.ts";
-import { divideEngines, groupCopies } from "./group_copies.ts";
-import { findTokensInFlight, getLayerRoom, planCopy } from "./plan_copy.ts";
+import {
+  designCopies,
+  getMissingFactor,
+  layOutEngines,
+} from "./design_copies.ts";
+import {
+  addHolder,
+  chooseWindow,
+  type CoverFigures,
+  getHolderGain,
+  type LayerCover,
+  makeCover,
+} from "./layer_cover.ts";
+import { findTokensInFlight, getLayerRoom } from "./token_room.ts";
 import type { LayerEngine, LayerFigures, LayerOrder } from "./types.ts";
 
 /** What a plan may do. */
 export interface PlanLayerOrdersOptions {
   readonly figures: LayerFigures;
-  /** Whether a copy with a gap that no empty engine fills is spread anew. */
+  /** Whether a group with a gap that no engine can be moved to is spread anew. */
   readonly mayRespread: (place: string) => boolean;
 }
 
-/** Share of a group's own tokens in flight that a filled gap leaves at least. */
-const GAP_ROOM_SHARE = 0.5;
-
 /**
  * Plans the next orders: whole copies of the model in each data centre that can
  * hold one, as many as run the most requests; one more over the engines of the
- * others together.
+ * others together. Engines that the copies don't need hold layers a second time.
  *
- * A copy that lost a range gets it back on spare engines; without any, and
- * where the options allow it, the copy is spread anew over what is left. Only
- * one copy at a time is: while its engines load, the others serve.
+ * An empty engine gets the layers that it helps most with. Layers that are held
+ * too rarely go to engines whose own layers others hold as well; where there
+ * are none, and the options allow it, the group is spread anew over what is
+ * left. Only one group at a time is: while its engines load, the others serve.
  *
  * @param engines - The engines that stay, with what they hold or were ordered
  * to hold.
@@ -42,11 +51,11 @@
   options: PlanLayerOrdersOptions,
 ): LayerOrder[] {
   const { figures } = options;
-  const copies = groupEngines(engines, figures)
-    .flatMap((group) => planGroup(group, figures));
-  const chosen = chooseSpread(copies, options);
-  return copies.flatMap((copy) =>
-    copy === chosen ? spread(copy.engines, figures) : copy.filling
+  const plans = groupEngines(engines, figures)
+    .map((group) => planGroup(group, figures));
+  const chosen = chooseSpread(plans, options);
+  return plans.flatMap((plan) =>
+    plan === chosen ? spread(plan.group.engines, figures) : plan.orders
   );
 }
 
@@ -84,146 +93,225 @@
   return a < b ? -1 : 1;
 }
 
-/** What one copy needs. */
-interface CopyPlan {
-  readonly groupName: string;
-  /** Its engines, with the spare ones that it takes. */
-  readonly engines: readonly LayerEngine[];
-  /** Orders to spare engines that fill its gaps, or make it. */
-  readonly filling: readonly LayerOrder[];
-  /** Whether gaps remain. */
+/** What one group needs. */
+interface GroupPlan {
+  readonly group: EngineGroup;
+  /** Orders that don't disturb what is held. */
+  readonly orders: readonly LayerOrder[];
+  /** Whether layers remain that nobody holds. */
   readonly hasGaps: boolean;
 }
 
-function planGroup(group: EngineGroup, figures: LayerFigures): CopyPlan[] {
-  const { copies, spares } = groupCopies(group.engines, figures);
-  const groupName = group.name;
-  let left = spares;
-  const plans = copies.map((copy): CopyPlan => {
-    const ranges = copy.map((engine) => engine.range as LayerRange);
-    const gaps = findGaps(ranges, figures.layers);
-    const filling = fillGaps(gaps, { copy, spares: left, figures });
-    const ids = new Set(filling.map(({ engineId }) => engineId));
-    const taken = left.filter(({ engineId }) => ids.has(engineId));
-    left = left.filter(({ engineId }) => !ids.has(engineId));
-    const remaining = findGaps([...ranges, ...filling], figures.layers);
-    return {
-      groupName,
-      engines: [...copy, ...taken],
-      filling,
-      hasGaps: remaining.length > 0,
-    };
-  });
-  return [...plans, ...planNewCopies(left, { groupName, figures })];
-}
-
-// Engines that hold a part too small to be repaired wait as one that has gaps:
-// until they are spread anew, paths may use what they hold.
-function planNewCopies(
-  spares: readonly LayerEngine[],
-  options: { groupName: string; figures: LayerFigures },
-): CopyPlan[] {
-  const { groupName, figures } = options;
-  const isHeld = spares.some((engine) => engine.range !== undefined);
-  return divideEngines(spares, figures).map((engines) => ({
-    groupName,
-    engines,
-    filling: isHeld ? [] : spread(engines, figures),
-    hasGaps: isHeld,
-  }));
-}
-
-// A copy that is spread anew serves little meanwhile: one at a time.
-function chooseSpread(
-  copies: readonly CopyPlan[],
-  { figures, mayRespread }: PlanLayerOrdersOptions,
-): CopyPlan | undefined {
-  const broken = copies.filter(({ engines, hasGaps }) =>
-    hasGaps && findTokensInFlight(engines, figures) !== undefined
-  );
-  const names = new Set(broken.map(({ groupName }) => groupName));
-  const ready = new Set([...names].filter(mayRespread));
-  const chosen = broken.find(({ groupName }) => ready.has(groupName));
-  const othersLoad = copies.some((copy) =>
-    copy !== chosen && copy.engines.some((engine) => engine.isLoading)
-  );
-  return othersLoad ? undefined : chosen;
+function planGroup(group: EngineGroup, figures: LayerFigures): GroupPlan {
+  const { engines } = group;
+  if (engines.every((engine) => engine.range === undefined)) {
+    const orders = designCopies(engines, figures)
+      .flatMap((copy) => copy.orders);
+    return { group, orders, hasGaps: false };
+  }
+  const cover = makeCover(engines.flatMap(listHolders), figures.layers);
+  const hasEmpty = engines.some(isEmpty);
+  const isShort = cover.some((factors) => factors.length === 0);
+  if (!hasEmpty && !isShort) return { group, orders: [], hasGaps: false };
+  return repairGroup(group, { cover, figures });
 }
 
-// The order of the layers follows what is held, so that a new spread moves as
-// few layers as it can; larger engines come first among the empty ones.
-function spread(
+interface Holder extends LayerRange {
+  readonly engineId: string;
+  readonly stepFactor: number;
+}
+
+function listHolders({ engineId, range, stepFactor }: LayerEngine): Holder[] {
+  return range ? [{ engineId, ...range, stepFactor }] : [];
+}
+
+function isEmpty({ range, isLoading }: LayerEngine): boolean {
+  return range === undefined && !isLoading;
+}
+
+function repairGroup(
+  group: EngineGroup,
+  context: { cover: LayerCover; figures: LayerFigures },
+): GroupPlan {
+  const { engines } = group;
+  const { figures } = context;
+  const designs = designCopies(engines, figures);
+  const tokens = Math.min(...designs.map((design) => design.tokens));
+  const room = {
+    copies: Math.max(1, designs.length),
+    tokens: designs.length > 0 ? tokens : 0,
+    figures,
+  };
+  const empty = engines.filter(isEmpty);
+  const filling = layOutEngines(empty, { cover: context.cover, ...room });
+  const cover = coverOrders(context.cover, filling, engines);
+  const moves = moveSpares(engines, { cover, ...room });
+  const after = coverOrders(cover, moves, engines);
+  const hasGaps = after.some((factors) => factors.length === 0);
+  return { group, orders: [...filling, ...moves], hasGaps };
+}
+
+function coverOrders(
+  cover: LayerCover,
+  orders: readonly LayerOrder[],
   engines: readonly LayerEngine[],
-  figures: LayerFigures,
-): LayerOrder[] {
-  const sorted = [...engines].sort((a, b) =>
-    getMiddle(a, figures) - getMiddle(b, figures) ||
-    b.memoryMb - a.memoryMb || compareNames([a.engineId, 0], [b.engineId, 0])
+): LayerCover {
+  const factors = new Map(
+    engines.map(({ engineId, stepFactor }) => [engineId, stepFactor]),
   );
-  const ranges = new Map(
-    engines.map(({ engineId, range }) => [engineId, range]),
+  return orders.reduce(
+    (next, order) =>
+      addHolder(next, {
+        ...order,
+        stepFactor: factors.get(order.engineId) ?? 1,
+      }),
+    cover,
   );
-  return (planCopy(sorted, figures) ?? []).filter((order) => {
-    const range = ranges.get(order.engineId);
-    return range?.fromLayer !== order.fromLayer ||
-      range.toLayer !== order.toLayer;
-  });
 }
 
-function getMiddle(engine: LayerEngine, figures: LayerFigures): number {
-  const { range } = engine;
-  return range ? (range.fromLayer + range.toLayer) / 2 : figures.layers;
+/** What moves of engines to layers that nobody holds go by. */
+interface MoveOptions {
+  readonly cover: LayerCover;
+  readonly copies: number;
+  readonly tokens: number;
+  readonly figures: LayerFigures;
 }
 
-function fillGaps(
-  gaps: readonly LayerRange[],
-  options: {
-    copy: readonly LayerEngine[];
-    spares: readonly LayerEngine[];
-    figures: LayerFigures;
-  },
+// An engine all of whose layers another one holds too goes where nobody does.
+// The most useful one moves first, until no gap is left or none may go.
+function moveSpares(
+  engines: readonly LayerEngine[],
+  options: MoveOptions,
 ): LayerOrder[] {
-  const { copy, spares, figures } = options;
-  if (gaps.length === 0) return [];
-  const usual = findTokensInFlight([...copy, ...spares], figures) ?? 0;
-  const tokens = usual * GAP_ROOM_SHARE;
-  let empty = spares
-    .filter((engine) => !engine.isLoading)
-    .map(({ engineId, memoryMb }) => ({
-      engineId,
-      room: getLayerRoom(memoryMb, figures, { tokens }),
-    }))
-    .filter(({ room }) => room > 0);
+  const { copies, figures: { layers } } = options;
+  let { cover } = options;
+  const ready = engines.filter((engine) => !engine.isLoading);
+  let readyCover = makeCover(ready.flatMap(listHolders), layers);
+  let left = ready.filter((engine) => engine.range !== undefined);
+  const factors = engines.map(({ stepFactor }) => stepFactor);
+  const missingFactor = getMissingFactor(factors);
+  const figures: CoverFigures = { layers, copies, missingFactor };
   const orders: LayerOrder[] = [];
-  for (const gap of [...gaps].sort((a, b) => getSize(b) - getSize(a))) {
-    let { fromLayer } = gap;
-    while (fromLayer < gap.toLayer && empty.length > 0) {
-      const size = gap.toLayer - fromLayer;
-      const { engineId, room } = chooseEmpty(empty, size);
-      const toLayer = Math.min(gap.toLayer, fromLayer + room);
-      orders.push({ engineId, fromLayer, toLayer });
-      empty = empty.filter((engine) => engine.engineId !== engineId);
-      fromLayer = toLayer;
-    }
+  while (cover.some((held) => held.length === 0)) {
+    const move = findBestMove(left, {
+      ...options,
+      cover,
+      readyCover,
+      judge: figures,
+    });
+    if (!move) break;
+    const { engine, toRange } = move;
+    orders.push({ engineId: engine.engineId, ...toRange });
+    left = left.filter((one) => one !== engine);
+    readyCover = removeHolder(readyCover, engine);
+    const without = removeHolder(cover, engine);
+    cover = addHolder(without, { ...toRange, stepFactor: engine.stepFactor });
   }
   return orders;
 }
 
-interface EmptyEngine {
-  readonly engineId: string;
-  readonly room: number;
+function findBestMove(
+  engines: readonly LayerEngine[],
+  options: MoveOptions & {
+    /** Cover by the engines that don't load. */
+    readonly readyCover: LayerCover;
+    readonly judge: CoverFigures;
+  },
+): { engine: LayerEngine; toRange: LayerRange } | undefined {
+  const { cover, readyCover, tokens, judge } = options;
+  let best: { engine: LayerEngine; toRange: LayerRange } | undefined;
+  let bestGain = 0;
+  for (const engine of engines) {
+    const { range, stepFactor, memoryMb } = engine;
+    const isSpare = range && readyCover.slice(range.fromLayer, range.toLayer)
+      .every((held) => held.length > 1);
+    if (!isSpare) continue;
+    const room = getLayerRoom(memoryMb, options.figures, { tokens });
+    const without = removeHolder(cover, engine);
+    const window = chooseWindow(without, { stepFactor, room }, judge);
+    if (!window || !hasGap(cover, window)) continue;
+    const gain = window.gain -
+      getHolderGain(cover, { ...range, stepFactor }, judge);
+    if (gain <= bestGain) continue;
+    const { fromLayer, toLayer } = window;
+    best = { engine, toRange: { fromLayer, toLayer } };
+    bestGain = gain;
+  }
+  return best;
 }
 
-// The smallest engine that takes the whole gap, or else the largest there is.
-function chooseEmpty(
-  empty: readonly EmptyEngine[],
-  size: number,
-): EmptyEngine {
-  const sorted = [...empty].sort((a, b) => a.room - b.room);
-  return sorted.find(({ room }) => room >= size) ??
-    sorted[sorted.length - 1];
+function hasGap(cover: LayerCover, range: LayerRange): boolean {
+  return cover.slice(range.fromLayer, range.toLayer)
+    .some((held) => held.length === 0);
+}
+
+function removeHolder(
+  cover: LayerCover,
+  { range, stepFactor }: LayerEngine,
+): LayerCover {
+  if (!range) return cover;
+  return cover.map((held, layer) => {
+    if (layer < range.fromLayer || layer >= range.toLayer) return held;
+    const at = held.indexOf(stepFactor);
+    return held.filter((_factor, index) => index !== at);
+  });
+}
+
+// A group that is spread anew serves little meanwhile: one at a time.
+function chooseSpread(
+  plans: readonly GroupPlan[],
+  { figures, mayRespread }: PlanLayerOrdersOptions,
+): GroupPlan | undefined {
+  const broken = plans.filter(({ group, hasGaps }) =>
+    hasGaps && findTokensInFlight(group.engines, figures) !== undefined
+  );
+  const ready = new Set(
+    broken.filter(({ group }) => mayRespread(group.name)),
+  );
+  const chosen = broken.find((plan) => ready.has(plan));
+  const othersLoad = plans.some((plan) =>
+    plan !== chosen && plan.group.engines.some((engine) => engine.isLoading)
+  );
+  return othersLoad ? undefined : chosen;
 }
 
-function getSize(range: LayerRange): number {
-  return range.toLayer - range.fromLayer;
+// Engines with alike cards keep the order of what they hold, so that a new
+// spread moves as few layers as it can.
+function spread(
+  engines: readonly LayerEngine[],
+  figures: LayerFigures,
+): LayerOrder[] {
+  const orders = designCopies(nameByOrder(engines, figures), figures)
+    .flatMap((copy) => copy.orders);
+  const byId = new Map(engines.map((engine) => [engine.engineId, engine]));
+  return orders
+    .map((order) => ({ ...order, engineId: order.engineId.slice(NAME_DIGITS) }))
+    .filter(({ engineId, fromLayer, toLayer }) => {
+      const range = byId.get(engineId)?.range;
+      return range?.fromLayer !== fromLayer || range.toLayer !== toLayer;
+    });
+}
+
+/** Digits that stand before an engine's id while it is ordered by its layers. */
+const NAME_DIGITS = 6;
+
+// Designs take alike engines in the order of their names.
+function nameByOrder(
+  engines: readonly LayerEngine[],
+  figures: LayerFigures,
+): LayerEngine[] {
+  return [...engines]
+    .sort((a, b) =>
+      getMiddle(a, figures) - getMiddle(b, figures) ||
+      compareNames([a.engineId, 0], [b.engineId, 0])
+    )
+    .map((engine, at) => ({
+      ...engine,
+      engineId: String(at).padStart(NAME_DIGITS, "0") + engine.engineId,
+    }));
+}
+
+function getMiddle(engine: LayerEngine, figures: LayerFigures): number {
+  const { range } = engine;
+  return range ? (range.fromLayer + range.toLayer) / 2 : figures.layers;
 }
--- a/src/layers/plan_copy.ts
+++ b/src/layers/token_room.ts
@@ -1,10 +1,10 @@
 /**
- * Spreads one copy of a model over a group of engines.
+ * Memory for tokens in flight beside the layers that engines hold.
  *
  * @module
  */
 
-import type { LayerEngine, LayerFigures, LayerOrder } from "./types.ts";
+import type { LayerEngine, LayerFigures } from "./types.ts";
 
 const BYTES_PER_MB = 1e6;
 
@@ -59,36 +59,9 @@
 }
 
 /**
- * Plans a whole copy so that all its engines have room for the same number of
- * tokens in flight, which is then as large as the group allows: a request
- * takes memory on every engine of its path, so the tightest one binds.
- *
- * @param engines - The group, in the order of the layers.
- * @param figures - The model's figures.
- * @returns The orders, or undefined where the group can't hold a copy.
- * @throws Nothing.
- * @example
- * const orders = planCopy(engines, figures);
- */
-export function planCopy(
-  engines: readonly LayerEngine[],
-  figures: LayerFigures,
-): LayerOrder[] | undefined {
-  const tokens = findTokensInFlight(engines, figures);
-  if (tokens === undefined) return undefined;
-  const orders: LayerOrder[] = [];
-  let fromLayer = 0;
-  for (const { engineId, memoryMb } of engines) {
-    const room = getLayerRoom(memoryMb, figures, { tokens });
-    const toLayer = Math.min(figures.layers, fromLayer + room);
-    if (toLayer > fromLayer) orders.push({ engineId, fromLayer, toLayer });
-    fromLayer = toLayer;
-  }
-  return orders;
-}
-
-/**
- * Finds how many tokens in flight a copy over a group of engines can have.
+ * Finds how many tokens in flight a copy over a group of engines can have. A
+ * request takes memory on every engine of its path, so the tightest one binds,
+ * and engines that all have the same room hold the most.
  *
  * @param engines - The group.
  * @param figures - The model's figures.
@@ -98,7 +71,7 @@
  * const tokens = findTokensInFlight(engines, figures);
  */
 export function findTokensInFlight(
-  engines: readonly LayerEngine[],
+  engines: readonly Pick<LayerEngine, "memoryMb">[],
   figures: LayerFigures,
 ): number | undefined {
   const holds = (tokens: number) => {
--- a/src/layers/types.ts
+++ b/src/layers/types.ts
@@ -11,6 +11,8 @@
   readonly engineId: string;
   readonly place: string;
   readonly memoryMb: number;
+  /** Factor on the time of a token step on its card. */
+  readonly stepFactor: number;
   /** What it holds, or has been ordered to hold; undefined where nothing. */
   readonly range?: LayerRange;
   /** Whether it was ordered to hold its range and has not said yet that it does. */
@@ -34,6 +36,12 @@
   readonly usualPromptTokens: number;
   /** Mean tokens of an answer. */
   readonly usualAnswerTokens: number;
+  /** Time of a token step, in ms, with all layers on the fastest card. */
+  readonly stepMs: number;
+  /** Time, in ms, that each running request adds to a token step. */
+  readonly requestStepMs: number;
+  /** Time, in ms, that each token of running requests adds to it. */
+  readonly contextStepMs: number;
 }
 
 /** An order to an engine: hold this range. */
--- a/src/routes/schemas.ts
+++ b/src/routes/schemas.ts
@@ -78,6 +78,10 @@
   slots: Type.Integer({ minimum: 1 }),
   /** Time of a token step, in ms, with all layers on the fastest card. */
   stepMs: Type.Number({ minimum: 0 }),
+  /** Time, in ms, that each running request adds to a token step. */
+  requestStepMs: Type.Number({ minimum: 0 }),
+  /** Time, in ms, that each token of running requests adds to it. */
+  contextStepMs: Type.Number({ minimum: 0 }),
   /** Prompt tokens read a second, with all layers on the fastest card. */
   readTokensPerS: Type.Number({ exclusiveMinimum: 0 }),
   /** Mean tokens of a prompt. */
--- a/test/fleet_test.ts
+++ b/test/fleet_test.ts
@@ -119,6 +119,8 @@
   const [{ address }] = fleet.gateways;
   const [first, second] = getFirstPath(fleet);
   const spare = await fleet.addEngine("p1");
+  // The leader's own order for it comes first.
+  await until("the spare one holds layers", () => spare.getRange()[1] > 0);
   await until("the spare one is asked to hold the same layers", async () => {
     const [fromLayer, toLayer] = second.getRange();
     const record = { engineId: spare.engineId, address: spare.address };
