An address belongs to one upstream; late beats of a dead one don't take it back

Cause: a beat that a cut held up registered its dead sender again, beside the new upstream at the same address, for the whole time of silence. Change: who starts at an address displaces the one that was there; any other unknown sender needs a second beat half a second later and silence of the present holder in between, also right after a change of leader. Ruled out: comparing start times (beats carry none). Tests: late beats, displacement, lost first beats; written with the change, not run on the code before it.

--- a/src/engines/engines_test.ts
+++ b/src/engines/engines_test.ts
@@ -33,9 +33,43 @@
   assert.is(gone.state.engines.size, 0);
 });
 
+test("who starts at an address displaces the one that was there", () => {
+  const { state } = takeBeat(EMPTY, makeBeat({ sequence: 9 }), { nowMs: 0 });
+  const next = makeBeat({ engineId: "e2", sequence: 1 });
+  const taken = takeBeat(state, next, { nowMs: 100 });
+  assert.is(taken.displacedId, "e1");
+  assert.equal([...taken.state.engines.keys()], ["e2"]);
+});
+
+test("late beats of a dead sender don't take its address back", () => {
+  const next = makeBeat({ engineId: "e2", sequence: 1 });
+  let { state } = takeBeat(EMPTY, next, { nowMs: 0 });
+  // Held up by a cut, they arrive together.
+  for (const [sequence, nowMs] of [[8, 50], [9, 60], [10, 70]]) {
+    const late = takeBeat(state, makeBeat({ sequence }), { nowMs });
+    assert.is(late.changed, undefined);
+    state = late.state;
+  }
+  const alive = makeBeat({ engineId: "e2", sequence: 2 });
+  state = takeBeat(state, alive, { nowMs: 1_200 }).state;
+  const last = takeBeat(state, makeBeat({ sequence: 11 }), { nowMs: 1_300 });
+  assert.equal([...last.state.engines.keys()], ["e2"]);
+});
+
+test("one whose first beat was lost gets its address once the other is silent", () => {
+  let { state } = takeBeat(EMPTY, makeBeat({ sequence: 9 }), { nowMs: 0 });
+  const second = makeBeat({ engineId: "e2", sequence: 2 });
+  state = takeBeat(state, second, { nowMs: 300 }).state;
+  assert.equal([...state.engines.keys()], ["e1"]);
+  const third = makeBeat({ engineId: "e2", sequence: 3 });
+  const taken = takeBeat(state, third, { nowMs: 1_500 });
+  assert.is(taken.displacedId, "e1");
+});
+
 test("the silent are dropped, the others stay", () => {
   const one = takeBeat(EMPTY, makeBeat(), { nowMs: 0 });
-  const two = takeBeat(one.state, makeBeat({ engineId: "e2" }), { nowMs: 500 });
+  const other = makeBeat({ engineId: "e2", address: "10.0.0.2:80" });
+  const two = takeBeat(one.state, other, { nowMs: 500 });
   const { state, lost } = removeSilent(two.state, {
     nowMs: 1_200,
     silenceMs: 1_000,
--- a/src/engines/remove_silent.ts
+++ b/src/engines/remove_silent.ts
@@ -52,5 +52,5 @@
 ): RegistryState {
   const engines = new Map(state.engines);
   for (const id of ids) engines.delete(id);
-  return { engines };
+  return { ...state, engines };
 }
--- a/src/engines/take_beat.ts
+++ b/src/engines/take_beat.ts
@@ -25,8 +25,22 @@
   readonly state: RegistryState;
   /** What gateways have to be told; undefined where nothing changed. */
   readonly changed: EngineRecord | undefined;
+  /** Upstream that lost its address to the one that beats. */
+  readonly displacedId?: string;
 }
 
+/** Sequence number of an upstream's first beat. */
+const FIRST_SEQUENCE = 1;
+
+/** Ms after which a claim is forgotten: several intervals between beats. */
+const CLAIM_AGE_MS = 10_000;
+
+/**
+ * Ms between two beats that show that their sender lives: beats that a cut held
+ * up arrive together. Half of the shortest usual interval between beats.
+ */
+const LEAST_BEAT_GAP_MS = 500;
+
 /**
  * Takes a heartbeat; a late one changes nothing, and a recorded leave holds
  * whatever the beat says.
@@ -50,6 +64,10 @@
   if (known && beat.sequence <= known.sequence) {
     return { state, changed: undefined };
   }
+  const holder = known ? undefined : findHolder(state, beat);
+  if (holder && !winsAddress(state, beat, { holder, nowMs })) {
+    return { state: noteClaim(state, beat, nowMs), changed: undefined };
+  }
   const { sequence, ...told } = beat;
   const slowness = known?.record.slowness;
   const record: EngineRecord = {
@@ -59,8 +77,52 @@
   };
   const next: RegisteredEngine = { record, sequence, heardMs: nowMs };
   const engines = new Map(state.engines).set(beat.engineId, next);
+  const claims = new Map(state.claims);
+  claims.delete(beat.engineId);
+  const displacedId = holder?.record.engineId;
+  if (displacedId !== undefined) engines.delete(displacedId);
   const same = known !== undefined && isSameRecord(known.record, record);
-  return { state: { engines }, changed: same ? undefined : record };
+  return {
+    state: { engines, claims },
+    changed: same ? undefined : record,
+    ...(displacedId === undefined ? {} : { displacedId }),
+  };
+}
+
+function findHolder(
+  state: RegistryState,
+  { address }: EngineBeat,
+): RegisteredEngine | undefined {
+  return [...state.engines.values()]
+    .find(({ record }) => record.address === address);
+}
+
+// An address belongs to one upstream. Who starts there is the new one; any other
+// beat may be a late one of a sender that is dead, so it takes a second one, and
+// silence of the present holder in between.
+function winsAddress(
+  state: RegistryState,
+  { engineId, sequence }: EngineBeat,
+  { holder, nowMs }: { holder: RegisteredEngine; nowMs: number },
+): boolean {
+  if (sequence === FIRST_SEQUENCE) return true;
+  const claim = state.claims?.get(engineId);
+  return claim !== undefined && sequence > claim.sequence &&
+    nowMs - claim.heardMs >= LEAST_BEAT_GAP_MS &&
+    holder.heardMs < claim.heardMs;
+}
+
+function noteClaim(
+  state: RegistryState,
+  { engineId, sequence }: EngineBeat,
+  nowMs: number,
+): RegistryState {
+  const known = state.claims?.get(engineId);
+  if (known && sequence <= known.sequence) return state;
+  const fresh = [...state.claims ?? []]
+    .filter(([, claim]) => nowMs - claim.heardMs < CLAIM_AGE_MS);
+  const claims = new Map(fresh).set(engineId, { sequence, heardMs: nowMs });
+  return { ...state, claims };
 }
 
 /**
--- a/src/engines/types.ts
+++ b/src/engines/types.ts
@@ -48,7 +48,16 @@
   readonly heardMs: number;
 }
 
+/** A beat of an upstream at an address that another one has. */
+export interface AddressClaim {
+  readonly sequence: number;
+  /** Leader's time, in ms, when it came. */
+  readonly heardMs: number;
+}
+
 /** The leader's registry; plain and immutable but for its maps' owner. */
 export interface RegistryState {
   readonly engines: ReadonlyMap<string, RegisteredEngine>;
+  /** Claims to addresses that are taken, by the upstream that made them. */
+  readonly claims?: ReadonlyMap<string, AddressClaim>;
 }
--- a/src/fleet/create_engine_registry.ts
+++ b/src/fleet/create_engine_registry.ts
@@ -120,6 +120,9 @@
     const leave = options.getLeave(engineId);
     const taken = takeBeat(state, beat, { nowMs: now(), leave });
     state = taken.state;
+    if (taken.displacedId !== undefined) {
+      drop([taken.displacedId], "address taken");
+    }
     if (!taken.changed) return;
     const { address, service, isLeaving, layers } = taken.changed;
     log(isNew ? "engineJoined" : "engineChanged", {
@@ -140,7 +143,7 @@
     const record = { ...engine.record, isLeaving: true };
     const engines = new Map(state.engines);
     engines.set(engineId, { ...engine, record });
-    state = { engines };
+    state = { ...state, engines };
     log("engineChanged", { engineId, isLeaving: true });
     tell(record);
   }
@@ -183,7 +186,7 @@
         engines.set(record.engineId, { record, heardMs, sequence: -1 });
         tell(record);
       }
-      state = { engines };
+      state = { ...state, engines };
     },
     take,
     takeLeave,
@@ -197,7 +200,7 @@
       const record = slowness === undefined ? rest : { ...rest, slowness };
       const engines = new Map(state.engines);
       engines.set(engineId, { ...engine, record });
-      state = { engines };
+      state = { ...state, engines };
       log("engineChanged", { engineId, slowness: slowness ?? 1 });
       tell(record);
     },
