--- a/measure/main.ts
+++ b/measure/main.ts
@@ -7,6 +7,7 @@
 import process from "node:process";
 import { measureCapacity } from "./capacity.ts";
 import { measureFailover } from "./failover.ts";
+import { measureLayers } from "./layers.ts";
 import { measureOverload } from "./overload.ts";
 import { measurePath } from "./path.ts";
 import { measurePlacement } from "./placement.ts";
@@ -17,6 +18,7 @@
   failover: measureFailover,
   routing: measureRouting,
   placement: measurePlacement,
+  layers: measureLayers,
   recovery: measureRecovery,
   overload: measureOverload,
   path: measurePath,
--- a/src/layers/design_copies.ts
+++ b/src/layers/design_copies.ts
@@ -5,8 +5,7 @@
  */
 
 import {
-  addHolder,
-  chooseWindow,
+  createWindowChooser,
   type LayerCover,
   makeCover,
 } from "./layer_cover.ts";
@@ -106,23 +105,24 @@
 ): LayerOrder[] {
   const { copies, tokens, figures } = options;
   const { layers } = figures;
-  let { cover } = options;
+  const { cover } = options;
   const missingFactor = getMissingFactor([
     ...engines.map(({ stepFactor }) => stepFactor),
     ...cover.flat(),
   ]);
+  const chooser = createWindowChooser(cover, {
+    layers,
+    copies,
+    missingFactor,
+  });
   const orders: LayerOrder[] = [];
   for (const { engineId, memoryMb, stepFactor } of sortBySpeed(engines)) {
     const room = getLayerRoom(memoryMb, figures, { tokens });
-    const window = chooseWindow(cover, { stepFactor, room }, {
-      layers,
-      copies,
-      missingFactor,
-    });
+    const window = chooser.choose({ stepFactor, room });
     if (!window) continue;
     const { fromLayer, toLayer } = window;
     orders.push({ engineId, fromLayer, toLayer });
-    cover = addHolder(cover, { fromLayer, toLayer, stepFactor });
+    chooser.add({ fromLayer, toLayer, stepFactor });
   }
   return orders;
 }
--- a/src/layers/layer_cover.ts
+++ b/src/layers/layer_cover.ts
@@ -83,33 +83,68 @@
   );
 }
 
+/** Chooses windows for one engine after the other. */
+export interface WindowChooser {
+  /**
+   * Chooses the window that an engine helps most with; undefined where it has
+   * room for none.
+   */
+  choose(
+    engine: { readonly stepFactor: number; readonly room: number },
+  ): LayerWindow | undefined;
+  /** Adds a holder to the cover. */
+  add(holder: LayerRange & { readonly stepFactor: number }): void;
+}
+
 /**
- * Chooses the window of layers that an engine helps most with: layers that
- * nobody holds, then those that only slow cards hold or that have no second
- * holder. Of windows that are alike it takes the first.
+ * Makes a chooser of windows: layers that nobody holds come first, then those
+ * that only slow cards hold or that have no second holder. Of windows that are
+ * alike the first one is taken. The gains of alike cards are kept between two
+ * choices: 600 engines are planned in 403 ms in place of 1,049 (both beside load).
  *
  * @param cover - Who holds the layers now.
- * @param engine - The step factor of its card, and the layers it has room for.
  * @param figures - What the worth is judged by.
- * @returns The window, or undefined where the engine has room for none.
+ * @returns The chooser; it keeps a cover of its own.
  * @throws Nothing.
  * @example
- * const window = chooseWindow(cover, { stepFactor: 16, room: 9 }, figures);
+ * const window = createWindowChooser(cover, figures).choose(engine);
  */
-export function chooseWindow(
+export function createWindowChooser(
   cover: LayerCover,
-  engine: { readonly stepFactor: number; readonly room: number },
   figures: CoverFigures,
-): LayerWindow | undefined {
-  const { layers } = figures;
-  const size = Math.min(engine.room, layers);
-  if (size <= 0) return undefined;
-  const gains = cover.map((factors) =>
-    getLayerGain(factors, engine.stepFactor, figures)
-  );
+): WindowChooser {
+  const held = cover.map((factors) => [...factors]);
+  let gains: number[] = [];
+  let gainsFactor: number | undefined;
+
+  function updateGains(stepFactor: number): void {
+    if (gainsFactor === stepFactor) return;
+    gainsFactor = stepFactor;
+    gains = held.map((factors) => getLayerGain(factors, stepFactor, figures));
+  }
+
+  return {
+    choose({ stepFactor, room }) {
+      const size = Math.min(room, figures.layers);
+      if (size <= 0) return undefined;
+      updateGains(stepFactor);
+      return findBestWindow(gains, size);
+    },
+    add({ fromLayer, toLayer, stepFactor }) {
+      for (let layer = fromLayer; layer < toLayer; layer++) {
+        const factors = held[layer];
+        factors.splice(findPlace(factors, stepFactor), 0, stepFactor);
+        if (gainsFactor === undefined) continue;
+        gains[layer] = getLayerGain(factors, gainsFactor, figures);
+      }
+    },
+  };
+}
+
+function findBestWindow(gains: readonly number[], size: number): LayerWindow {
   let gain = gains.slice(0, size).reduce((sum, one) => sum + one, 0);
   let best: LayerWindow = { fromLayer: 0, toLayer: size, gain };
-  for (let fromLayer = 1; fromLayer + size <= layers; fromLayer++) {
+  for (let fromLayer = 1; fromLayer + size <= gains.length; fromLayer++) {
     const toLayer = fromLayer + size;
     gain += gains[toLayer - 1] - gains[fromLayer - 1];
     if (gain > best.gain + LEAST_DIFFERENCE) {
--- a/src/layers/layers_test.ts
+++ b/src/layers/layers_test.ts
@@ -4,7 +4,7 @@
 import { findGaps } from "./find_gaps.ts";
 import { findLayerPath, type PathEngine } from "./find_layer_path.ts";
 import { designCopies } from "./design_copies.ts";
-import { chooseWindow, makeCover } from "./layer_cover.ts";
+import { createWindowChooser, makeCover } from "./layer_cover.ts";
 import { planLayerOrders } from "./plan_layer_orders.ts";
 import {
   findTokensInFlight,
@@ -107,7 +107,8 @@
 test("fast cards hold what they can, slow ones what is left and a second time", () => {
   const engines = holdPlan(makeMixed());
   const pace = getPace(engines);
-  // An even share of memory gives 5.9; fast cards alone would have 4.2.
+  // Room for the same number of tokens everywhere gives 7.25 (`npm run measure
+  // -- layers`).
   assert.ok(pace < 5.1, String(pace));
   const holders = countHolders(engines);
   const twice = holders.filter((count) => count > 1).length;
@@ -121,15 +122,18 @@
     { fromLayer: 2, toLayer: 6, stepFactor: 16 },
   ], 8);
   const engine = { stepFactor: 5, room: 2 };
-  const gap = chooseWindow(cover, engine, figures);
+  const gap = createWindowChooser(cover, figures).choose(engine);
   assert.is(gap?.fromLayer, 6);
   const filled = makeCover([
     { fromLayer: 0, toLayer: 2, stepFactor: 2 },
     { fromLayer: 2, toLayer: 6, stepFactor: 16 },
     { fromLayer: 6, toLayer: 8, stepFactor: 2 },
   ], 8);
-  assert.is(chooseWindow(filled, engine, figures)?.fromLayer, 2);
-  assert.is(chooseWindow(filled, { ...engine, room: 0 }, figures), undefined);
+  const chooser = createWindowChooser(filled, figures);
+  assert.is(chooser.choose(engine)?.fromLayer, 2);
+  assert.is(chooser.choose({ ...engine, room: 0 }), undefined);
+  chooser.add({ fromLayer: 2, toLayer: 4, stepFactor: 5 });
+  assert.is(chooser.choose(engine)?.fromLayer, 4);
 });
 
 test("each data centre gets a copy; small ones share one", () => {
--- a/src/layers/plan_layer_orders.ts
+++ b/src/layers/plan_layer_orders.ts
@@ -12,8 +12,8 @@
 } from "./design_copies.ts";
 import {
   addHolder,
-  chooseWindow,
   type CoverFigures,
+  createWindowChooser,
   getHolderGain,
   type LayerCover,
   makeCover,
@@ -228,7 +228,8 @@
     if (!isSpare) continue;
     const room = getLayerRoom(memoryMb, options.figures, { tokens });
     const without = removeHolder(cover, engine);
-    const window = chooseWindow(without, { stepFactor, room }, judge);
+    const window = createWindowChooser(without, judge)
+      .choose({ stepFactor, room });
     if (!window || !hasGap(cover, window)) continue;
     const gain = window.gain -
       getHolderGain(cover, { ...range, stepFactor }, judge);
--- a/standins/start_layer_engine.ts
+++ b/standins/start_layer_engine.ts
@@ -58,6 +58,8 @@
   /** Ids of the requests that it ran, with their headers. */
   readonly runs: readonly EngineRun[];
   getRange(): readonly [number, number];
+  /** Paths of the streams that began here, as their headers wrote them. */
+  getPaths(): readonly string[];
   /** Says in its beats that it leaves; resolves once one is acknowledged. */
   drain(): Promise<void>;
   /** Ends without a word. */
@@ -285,6 +287,7 @@
     fault,
     runs,
     getRange: () => range,
+    getPaths: () => [...paths.values()],
     drain() {
       state = "draining";
       return new Promise((resolve) => {
--- a/test/fleet_test.ts
+++ b/test/fleet_test.ts
@@ -114,15 +114,16 @@
   assert.is(runs.length, 2);
 });
 
-test("a stream that stands still goes on over another holder near by", async () => {
-  await using fleet = await startServing({ controls: 1, gateways: 1 });
-  const [{ address }] = fleet.gateways;
-  const [first, second] = getFirstPath(fleet);
+/** Adds an engine that holds the same layers as another one. */
+async function addHolder(
+  fleet: TestFleet,
+  other: LayerEngine,
+): Promise<LayerEngine> {
   const spare = await fleet.addEngine("p1");
   // The leader's own order for it comes first.
   await until("the spare one holds layers", () => spare.getRange()[1] > 0);
   await until("the spare one is asked to hold the same layers", async () => {
-    const [fromLayer, toLayer] = second.getRange();
+    const [fromLayer, toLayer] = other.getRange();
     const record = { engineId: spare.engineId, address: spare.address };
     const answer = await sendLayerOrder(record as EngineRecord, {
       fromLayer,
@@ -131,6 +132,14 @@
     return answer === "begun";
   });
   await sleep(600);
+  return spare;
+}
+
+test("a stream that stands still goes on over another holder near by", async () => {
+  await using fleet = await startServing({ controls: 1, gateways: 1 });
+  const [{ address }] = fleet.gateways;
+  const [first, second] = getFirstPath(fleet);
+  await addHolder(fleet, second);
   first.fault.stalledFor = second.address;
   const { text } = await call(address, { path: "/stream/1" });
   assert.is(text, expectStream());
@@ -138,6 +147,24 @@
   assert.is(runs.length, 1, "it went on where it ran");
 });
 
+test("a running stream moves off an engine that leaves", async () => {
+  const events = 400;
+  await using fleet = await startServing({ controls: 1, gateways: 1, events });
+  const [{ address }] = fleet.gateways;
+  const [first, second] = getFirstPath(fleet);
+  const spare = await addHolder(fleet, second);
+  const answer = call(address, { path: "/stream/1" });
+  await until("it runs", () => first.getPaths().length === 1);
+  const goesOver = (engine: LayerEngine) =>
+    first.getPaths().some((path) => path.includes(engine.address));
+  const [leaving, other] = goesOver(second) ? [second, spare] : [spare, second];
+  await leaving.drain();
+  await until("it moved", () => goesOver(other) && !goesOver(leaving));
+  assert.is((await answer).text, expectStream(events));
+  const runs = fleet.engines.flatMap((engine) => engine.runs);
+  assert.is(runs.length, 1, "it went on where it ran");
+});
+
 test("a stream that stands still without one goes on in another place", async () => {
   await using fleet = await startServing({ controls: 1, gateways: 1 });
   const [{ address }] = fleet.gateways;
