Streams wait for room by service

Cause: one queue for all services let streams that wait for one model's engines hold up those of another one. Change: a queue for each service. Fleets with one model behave as before. Test: written with the change. Not measured: no deployment at hand has two models on one fleet.

--- a/src/gateway/admission_test.ts
+++ b/src/gateway/admission_test.ts
@@ -5,7 +5,7 @@
 import { createEndRate } from "./create_end_rate.ts";
 import { createEngineTable, getSlowness } from "./create_engine_table.ts";
 import { createReturnSchedule } from "./create_return_schedule.ts";
-import { createRoomQueue } from "./create_room_queue.ts";
+import { createRoomQueue, createRoomQueues } from "./create_room_queue.ts";
 
 const MODEL: LayeredModel = {
   layers: 8,
@@ -114,6 +114,13 @@
   assert.ok(queue.isEmpty());
 });
 
+test("who waits for one model holds up nobody who asks for another", () => {
+  const getRoomQueue = createRoomQueues({ getEndIntervalMs: () => 30 });
+  getRoomQueue("one").join();
+  assert.not(getRoomQueue("one").isEmpty());
+  assert.ok(getRoomQueue("two").isEmpty());
+});
+
 test("the interval between ends follows those of the last seconds", () => {
   let nowMs = 0;
   const rate = createEndRate({ now: () => nowMs });
--- a/src/gateway/create_room_queue.ts
+++ b/src/gateway/create_room_queue.ts
@@ -22,6 +22,29 @@
   join(): RoomTurn;
 }
 
+/**
+ * Makes the queues of all services: who waits for one model's engines holds up
+ * nobody who asks for another one's.
+ *
+ * @param options - Mean time between two ends of streams, in ms.
+ * @returns The queue of a service, made when it is first asked for.
+ * @throws Nothing.
+ * @example
+ * const getRoomQueue = createRoomQueues({ getEndIntervalMs });
+ */
+export function createRoomQueues(
+  options: { readonly getEndIntervalMs: () => number },
+): (service: string) => RoomQueue {
+  const queues = new Map<string, RoomQueue>();
+  return (service) => {
+    const known = queues.get(service);
+    if (known) return known;
+    const queue = createRoomQueue(options);
+    queues.set(service, queue);
+    return queue;
+  };
+}
+
 /**
  * Makes a queue, empty.
  *
--- a/src/gateway/create_room_wait.ts
+++ b/src/gateway/create_room_wait.ts
@@ -36,9 +36,10 @@
  */
 export function createRoomWait(
   call: Call,
-  context: Pick<ServingContext, "roomQueue" | "now">,
+  context: Pick<ServingContext, "getRoomQueue" | "now">,
 ): RoomWait {
-  const { roomQueue, now } = context;
+  const { now } = context;
+  const roomQueue = context.getRoomQueue(call.service);
   const bearableMs = call.route.objectiveMs * WAIT_SHARE;
   let turn: RoomTurn | undefined;
   return {
--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -29,7 +29,7 @@
 import { createRepeatBudget } from "./create_repeat_budget.ts";
 import { createRequestDesk } from "./create_request_desk.ts";
 import { createReturnSchedule } from "./create_return_schedule.ts";
-import { createRoomQueue } from "./create_room_queue.ts";
+import { createRoomQueues } from "./create_room_queue.ts";
 import { createRunWatch } from "./create_run_watch.ts";
 import { createStallWatch } from "./create_stall_watch.ts";
 import type { CallerCodec, EngineControl } from "./protocol.ts";
@@ -123,6 +123,9 @@
   const listReady = () => gateways.filter((gateway) => gateway.isReady);
   const pauses = createPauseWatch();
   const endRate = createEndRate({ now });
+  const getRoomQueue = createRoomQueues({
+    getEndIntervalMs: endRate.getIntervalMs,
+  });
   const budget = createRepeatBudget({
     ...settings.repeats,
     // A gateway that has just started knows none and takes a small share.
@@ -151,7 +154,7 @@
       now,
       random: Math.random,
     }),
-    roomQueue: createRoomQueue({ getEndIntervalMs: endRate.getIntervalMs }),
+    getRoomQueue,
     getTable: () => table,
     getGatewayCount: () => Math.max(1, listReady().length),
     isLeaving: () => isLeaving,
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -47,8 +47,8 @@
   readonly budget: RepeatBudget;
   readonly endRate: EndRate;
   readonly returns: ReturnSchedule;
-  /** New streams that wait for room. */
-  readonly roomQueue: RoomQueue;
+  /** New streams of a service that wait for room. */
+  readonly getRoomQueue: (service: string) => RoomQueue;
   readonly getTable: () => RouteTable | undefined;
   /** Gateways that take callers, this one included. */
   readonly getGatewayCount: () => number;
