Planner, choice of paths and moves of streams: each step stands once

Cause: reading the change again. Step factors were joined to orders in three places; ids were renamed only to steer the order of alike engines; a cover was reduced twice for each move that was weighed; a move off an engine stood twice; a refusal for want of room stood beside the same one under another reason; what all gateways have on an engine was estimated up to four times a choice; each stream request looked through the ended streams though only a stop asks for it. Change: listOrderHolders, LayerHolder and getHolderGain over a cover without the holder; alike engines stay in the order in which they are given, and callers give it; changePath moves and logs; giveUp serves both refusals; getUsage is worked out once an engine; the longest stream is asked for while leaving only. No behaviour changes.

--- a/measure/layers.ts
+++ b/measure/layers.ts
@@ -5,12 +5,13 @@
  * @module
  */
 
-import type { LayerRange } from "../src/engines/index.ts";
 import {
   findTokensInFlight,
   getLayerRoom,
   type LayerEngine,
   type LayerFigures,
+  type LayerHolder,
+  listOrderHolders,
   makeCover,
   planLayerOrders,
 } from "../src/layers/index.ts";
@@ -62,12 +63,10 @@
   );
 }
 
-type Holder = LayerRange & { readonly stepFactor: number };
-
 /** The baseline: one copy, room for the same number of tokens everywhere. */
-export function spreadEvenly(engines: readonly LayerEngine[]): Holder[] {
+export function spreadEvenly(engines: readonly LayerEngine[]): LayerHolder[] {
   const tokens = findTokensInFlight(engines, FIGURES) ?? 0;
-  const holders: Holder[] = [];
+  const holders: LayerHolder[] = [];
   let fromLayer = 0;
   for (const { memoryMb, stepFactor } of engines) {
     const room = getLayerRoom(memoryMb, FIGURES, { tokens });
@@ -79,26 +78,22 @@
 }
 
 /** Ours: what the planner orders where nothing is held. */
-export function planAnew(engines: readonly LayerEngine[]): Holder[] {
+export function planAnew(engines: readonly LayerEngine[]): LayerHolder[] {
   const orders = planLayerOrders(engines, {
     figures: FIGURES,
     mayRespread: () => true,
   });
-  const byId = new Map(engines.map((engine) => [engine.engineId, engine]));
-  return orders.map((order) => ({
-    ...order,
-    stepFactor: byId.get(order.engineId)?.stepFactor ?? 1,
-  }));
+  return listOrderHolders(orders, engines);
 }
 
 /** Mean step factor of the fastest holders; infinite where a layer has none. */
-export function getPace(holders: readonly Holder[]): number {
+export function getPace(holders: readonly LayerHolder[]): number {
   const fastest = makeCover(holders, FIGURES.layers)
     .map(([factor = Infinity]) => factor);
   return fastest.reduce((sum, one) => sum + one, 0) / FIGURES.layers;
 }
 
-function countSurvivable(holders: readonly Holder[]): number {
+function countSurvivable(holders: readonly LayerHolder[]): number {
   return holders
     .filter((lost) => getPace(holders.filter((one) => one !== lost)) < Infinity)
     .length;
--- a/src/gateway/choose_path.ts
+++ b/src/gateway/choose_path.ts
@@ -132,13 +132,15 @@
   options: ChoosePathOptions,
 ): AddressedPart[] | undefined {
   const { model, place, excluded, fromLayer, mayCross = true } = options;
-  const usable = engines.filter((view) =>
-    view.record.layers !== undefined &&
-    !excluded.has(view.record.engineId) && hasRoom(view, options)
-  );
-  const views = new Map(usable.map((view) => [view.record.engineId, view]));
+  const usable = engines
+    .filter(({ record }) =>
+      record.layers !== undefined && !excluded.has(record.engineId)
+    )
+    .map((view) => ({ view, usage: getUsage(view, options) }))
+    .filter(({ usage }) => hasRoom(usage, options.need));
+  const views = new Map(usable.map(({ view }) => [view.record.engineId, view]));
   const path = findLayerPath(
-    usable.map((view) => describeEngine(view, options)),
+    usable.map(({ view, usage }) => describeEngine(view, usage, options)),
     {
       layers: model.layers,
       fromLayer,
@@ -157,77 +159,74 @@
 
 function describeEngine(
   view: EngineView,
+  usage: EngineUsage,
   options: ChoosePathOptions,
 ): PathEngine {
   const { record } = view;
-  const { model, nowMs } = options;
+  const { model, nowMs, need } = options;
   const failureShare = getFailureShare(view, nowMs);
   const { engineId, place } = record;
   const range = record.layers ?? { fromLayer: 0, toLayer: 0 };
   const card = model.cards.find(({ name }) => name === record.card);
-  const usedTokens = getUsedTokens(view, options);
+  const { usedTokens, roomTokens, usedSlotsShare } = usage;
   const requests = usedTokens / getUsualTokens(model);
   const stepMs = getBatchStepMs(model, { requests }) *
     (card?.stepFactor ?? 1) * getSlowness(view, nowMs) / model.layers;
-  const usedMemory = usedTokens / Math.max(1, getRoom(view, model));
+  const usedMemory = usedTokens / Math.max(1, roomTokens);
   const isFull = view.fullUntilMs > nowMs;
   const layerCost = stepMs / (1 - Math.min(usedMemory, MOST_USED_SHARE)) *
     (1 + failureShare * FAILURE_FACTOR) * (isFull ? REFUSED_FACTOR : 1);
-  const usedSlots = getUsedSlots(view, options);
   const firstCost =
-    FULL_SLOTS_COST_MS * getExcess(usedSlots, BUSY_SLOTS_SHARE) +
-    SLOTS_COST_MS * usedSlots +
+    FULL_SLOTS_COST_MS * getExcess(usedSlotsShare, BUSY_SLOTS_SHARE) +
+    SLOTS_COST_MS * usedSlotsShare +
     UNREAD_PROMPT_COST_MS * view.unreadPrompts;
+  const mayBeFirst = !need || usedSlotsShare < getUsableShare(need);
   return {
     engineId,
     place,
     ...range,
     layerCost,
-    firstCost: mayBeFirst(view, options) ? firstCost : undefined,
+    firstCost: mayBeFirst ? firstCost : undefined,
   };
 }
 
-function hasRoom(view: EngineView, options: ChoosePathOptions): boolean {
-  const { need, model } = options;
-  if (!need) return true;
-  const used = getUsedTokens(view, options) + need.tokens;
-  return used <= getRoom(view, model) * getUsableShare(need);
-}
-
-function getUsableShare({ isNew }: PathNeed): number {
-  return isNew ? NEW_WORK_SHARE : RESUMED_WORK_SHARE;
-}
-
-function mayBeFirst(view: EngineView, options: ChoosePathOptions): boolean {
-  const { need } = options;
-  return !need || getUsedSlots(view, options) < getUsableShare(need);
+/** What all gateways together have on an engine, as far as it is known. */
+interface EngineUsage {
+  readonly usedTokens: number;
+  /** Tokens for which it has memory. */
+  readonly roomTokens: number;
+  /** Share of its slots that requests take that begin there. */
+  readonly usedSlotsShare: number;
 }
 
 // The other gateways' work is known with a lag. Where this one has taken on more
 // since then than chance explains, as when a copy is lost, the others have too.
-function estimateOthers(
-  view: EngineView,
-  options: ChoosePathOptions,
-): { readonly requests: number; readonly tokens: number } {
-  const { tokensInFlight, tokensThen, otherRequests, otherTokens } = view;
-  const usualTokens = getUsualTokens(options.model);
+function getUsage(view: EngineView, options: ChoosePathOptions): EngineUsage {
+  const { model, gatewayCount } = options;
+  const { tokensInFlight, tokensThen, otherTokens } = view;
+  const usualTokens = getUsualTokens(model);
   const then = tokensThen / usualTokens;
   const chance = CHANCE_DEVIATIONS * Math.sqrt(then + 1);
   const surge = Math.max(0, tokensInFlight / usualTokens - then - chance);
-  const requests = surge * (options.gatewayCount - 1);
+  const others = surge * (gatewayCount - 1);
+  const requests = view.inFlight + (view.otherRequests + others);
   return {
-    requests: otherRequests + requests,
-    tokens: otherTokens + requests * usualTokens,
+    usedTokens: tokensInFlight + (otherTokens + others * usualTokens),
+    roomTokens: getRoom(view, model),
+    usedSlotsShare: requests / view.record.slots,
   };
 }
 
-function getUsedTokens(view: EngineView, options: ChoosePathOptions): number {
-  return view.tokensInFlight + estimateOthers(view, options).tokens;
+function hasRoom(
+  { usedTokens, roomTokens }: EngineUsage,
+  need: PathNeed | undefined,
+): boolean {
+  if (!need) return true;
+  return usedTokens + need.tokens <= roomTokens * getUsableShare(need);
 }
 
-function getUsedSlots(view: EngineView, options: ChoosePathOptions): number {
-  const { inFlight, record } = view;
-  return (inFlight + estimateOthers(view, options).requests) / record.slots;
+function getUsableShare({ isNew }: PathNeed): number {
+  return isNew ? NEW_WORK_SHARE : RESUMED_WORK_SHARE;
 }
 
 /** How far a share is above a threshold: 0 below it, 1 at the whole, and on. */
--- a/src/gateway/create_request_desk.ts
+++ b/src/gateway/create_request_desk.ts
@@ -133,7 +133,8 @@
   // A planned stop ends what still runs, and a stream that it cuts is lost to
   // callers that can't go on: one as long as others lately has to fit in.
   function mayEndInTime(): boolean {
-    return context.endRate.getLongestMs() < context.getGraceLeftMs();
+    return !context.isLeaving() ||
+      context.endRate.getLongestMs() < context.getGraceLeftMs();
   }
 
   async function untilStarted(taken: TakenRequest): Promise<void> {
--- a/src/gateway/rescue_stream.ts
+++ b/src/gateway/rescue_stream.ts
@@ -69,33 +69,40 @@
 ): Promise<StreamRescue> {
   const { call, context, run } = options;
   const [first] = run.path;
-  const { requestId } = call.request;
   const dead = run.path.find((part) => part.address === address) ?? first;
   const { engineId } = dead;
-  const excluded = new Set([...run.excluded, engineId]);
-  const path = dead === first
-    ? undefined
-    : await changePath({ first, excluded }, { call, context });
-  context.log("pathChanged", { requestId, dead: engineId, moved: !!path });
+  const path = await changePath(call, context, { ...run, engineId });
   if (!path) return { type: "lost", engineId, reason: "stands still" };
   context.engines.suspect(engineId, "stands still");
   return { type: "moved", path };
 }
 
+/** A run, and the engine that it is to leave. */
+interface LeaveEngineOptions extends RescueStreamOptions {
+  readonly engineId: string;
+}
+
 // The other way that a run goes from now on; undefined where there is none, or
 // where its engines did not take it.
 async function changePath(
-  run: { first: AddressedPart; excluded: ReadonlySet<string> },
-  options: { call: Call; context: ServingContext },
+  call: Call,
+  context: ServingContext,
+  options: LeaveEngineOptions,
 ): Promise<AddressedPart[] | undefined> {
-  const { call, context } = options;
-  const path = findDetour(call, context, run);
-  if (!path) return undefined;
-  const moved = await context.engineControl.changePath(run.first.address, {
-    requestId: call.request.requestId,
-    path,
-    timeoutMs: ORDER_TIMEOUT_MS,
-  });
+  const [first] = options.path;
+  const { engineId } = options;
+  const { requestId } = call.request;
+  const excluded = new Set([...options.excluded, engineId]);
+  const path = engineId === first.engineId
+    ? undefined
+    : findDetour(call, context, { first, excluded });
+  const moved = path !== undefined && await context.engineControl
+    .changePath(first.address, {
+      requestId,
+      path,
+      timeoutMs: ORDER_TIMEOUT_MS,
+    });
+  context.log("pathChanged", { requestId, dead: engineId, moved });
   return moved ? path : undefined;
 }
 
@@ -114,14 +121,9 @@
 export async function moveOffEngine(
   call: Call,
   context: ServingContext,
-  options: RescueStreamOptions & { readonly engineId: string },
+  options: LeaveEngineOptions,
 ): Promise<readonly AddressedPart[] | undefined> {
   const [first] = options.path;
-  const { engineId } = options;
-  if (first.engineId === engineId) return undefined;
-  const excluded = new Set([...options.excluded, engineId]);
-  const path = await changePath({ first, excluded }, { call, context });
-  const { requestId } = call.request;
-  context.log("pathChanged", { requestId, dead: engineId, moved: !!path });
-  return path;
+  if (first.engineId === options.engineId) return undefined;
+  return await changePath(call, context, options);
 }
--- a/src/gateway/serve_stream_call.ts
+++ b/src/gateway/serve_stream_call.ts
@@ -143,19 +143,10 @@
 
     // Waits only as long as the first event may still come in time.
     function waitForRoom(): void {
-      if (!roomWait.mayWait()) return refuseFull();
+      if (!roomWait.mayWait()) return giveUp("full");
       setTimeout(next, ROOM_WAIT_MS);
     }
 
-    function refuseFull(): void {
-      log("callGivenUp", { requestId, reason: "full", tries, runs });
-      callEnd.refuse({
-        status: 503,
-        reason: "no_upstream",
-        retryAfterMs: context.returns.getWaitMs(),
-      });
-    }
-
     function waitForPath(): void {
       const limitMs = response.headersSent
         ? MAX_PATH_WAIT_MS
--- a/src/layers/design_copies.ts
+++ b/src/layers/design_copies.ts
@@ -7,6 +7,7 @@
 import {
   createWindowChooser,
   type LayerCover,
+  type LayerHolder,
   makeCover,
 } from "./layer_cover.ts";
 import { findTokensInFlight, getLayerRoom } from "./token_room.ts";
@@ -58,7 +59,8 @@
 /**
  * Designs as many copies as run the most streams, counted both while all
  * engines are there and while one of them is lost. More copies have more first
- * engines, whose places are limited, and less memory for requests.
+ * engines, whose places are limited, and less memory for requests. Of alike
+ * engines those that come first get the earlier layers.
  *
  * @param engines - The engines of the group.
  * @param figures - The model's figures.
@@ -105,9 +107,8 @@
     readonly figures: LayerFigures;
   },
 ): LayerOrder[] {
-  const { copies, tokens, figures } = options;
+  const { cover, copies, tokens, figures } = options;
   const { layers } = figures;
-  const { cover } = options;
   const missingFactor = getMissingFactor([
     ...engines.map(({ stepFactor }) => stepFactor),
     ...cover.flat(),
@@ -143,13 +144,37 @@
   return Math.max(1, ...factors) * MISSING_SHARE;
 }
 
-function sortBySpeed<E extends DesignEngine>(engines: readonly E[]): E[] {
+// Alike engines stay in the order in which they were given.
+function sortBySpeed(engines: readonly DesignEngine[]): DesignEngine[] {
   return [...engines].sort((a, b) =>
-    a.stepFactor - b.stepFactor || b.memoryMb - a.memoryMb ||
-    (a.engineId < b.engineId ? -1 : 1)
+    a.stepFactor - b.stepFactor || b.memoryMb - a.memoryMb
   );
 }
 
+/**
+ * Tells what engines hold once they have carried orders out.
+ *
+ * @param orders - The orders.
+ * @param engines - The engines, those that get orders among them.
+ * @returns The ranges, with the step factors of the engines' cards.
+ * @throws Nothing.
+ * @example
+ * const cover = makeCover(listOrderHolders(orders, engines), 80);
+ */
+export function listOrderHolders(
+  orders: readonly LayerOrder[],
+  engines: readonly Pick<DesignEngine, "engineId" | "stepFactor">[],
+): LayerHolder[] {
+  const factors = new Map(
+    engines.map(({ engineId, stepFactor }) => [engineId, stepFactor]),
+  );
+  return orders.map(({ engineId, fromLayer, toLayer }) => ({
+    fromLayer,
+    toLayer,
+    stepFactor: factors.get(engineId) ?? 1,
+  }));
+}
+
 // In turns, the fastest first, there and back again: all copies get alike.
 function dealEngines(
   engines: readonly DesignEngine[],
@@ -197,13 +222,7 @@
     tokens,
     figures,
   });
-  const factors = new Map(
-    engines.map(({ engineId, stepFactor }) => [engineId, stepFactor]),
-  );
-  const holders = orders.map((order) => ({
-    ...order,
-    stepFactor: factors.get(order.engineId) ?? 1,
-  }));
+  const holders = listOrderHolders(orders, engines);
   const whole = makeCover(holders, figures.layers);
   const pace = getPace(whole, figures);
   const paces = holders.map((lost) =>
@@ -224,7 +243,7 @@
 // Step factor that the layers of one holder cost more without it.
 function getPaceWithout(
   cover: LayerCover,
-  lost: LayerOrder & { readonly stepFactor: number },
+  lost: LayerHolder,
 ): number {
   return cover.slice(lost.fromLayer, lost.toLayer).reduce(
     (sum, [fastest, second = Infinity]) =>
--- a/src/layers/layer_cover.ts
+++ b/src/layers/layer_cover.ts
@@ -10,6 +10,11 @@
 /** Step factors of the holders of each layer, the fastest first. */
 export type LayerCover = readonly (readonly number[])[];
 
+/** A range of layers and the step factor of the card that holds it. */
+export interface LayerHolder extends LayerRange {
+  readonly stepFactor: number;
+}
+
 /** What the worth of a holder is judged by. */
 export interface CoverFigures {
   readonly layers: number;
@@ -46,7 +51,7 @@
  * const cover = makeCover([{ fromLayer: 0, toLayer: 20, stepFactor: 2 }], 80);
  */
 export function makeCover(
-  holders: readonly (LayerRange & { readonly stepFactor: number })[],
+  holders: readonly LayerHolder[],
   layers: number,
 ): LayerCover {
   return Array.from(
@@ -73,7 +78,7 @@
  */
 export function addHolder(
   cover: LayerCover,
-  holder: LayerRange & { readonly stepFactor: number },
+  holder: LayerHolder,
 ): LayerCover {
   const { fromLayer, toLayer, stepFactor } = holder;
   return cover.map((factors, layer) =>
@@ -93,7 +98,7 @@
     engine: { readonly stepFactor: number; readonly room: number },
   ): LayerWindow | undefined;
   /** Adds a holder to the cover. */
-  add(holder: LayerRange & { readonly stepFactor: number }): void;
+  add(holder: LayerHolder): void;
 }
 
 /**
@@ -155,27 +160,26 @@
 }
 
 /**
- * Adds up what a window's layers would lose without one of their holders.
+ * Adds up what a holder gains for its layers.
  *
- * @param cover - Who holds the layers now, that holder included.
+ * @param cover - Who else holds the layers.
  * @param holder - The range and the step factor of its card.
  * @param figures - What the worth is judged by.
  * @returns The step factor that it saves, added up over its layers.
  * @throws Nothing.
  * @example
- * const loss = getHolderGain(cover, holder, figures);
+ * const gain = getHolderGain(cover, holder, figures);
  */
 export function getHolderGain(
   cover: LayerCover,
-  holder: LayerRange & { readonly stepFactor: number },
+  holder: LayerHolder,
   figures: CoverFigures,
 ): number {
   const { fromLayer, toLayer, stepFactor } = holder;
-  return cover.slice(fromLayer, toLayer).reduce((sum, factors) => {
-    const at = factors.indexOf(stepFactor);
-    const others = factors.filter((_factor, index) => index !== at);
-    return sum + getLayerGain(others, stepFactor, figures);
-  }, 0);
+  return cover.slice(fromLayer, toLayer).reduce(
+    (sum, factors) => sum + getLayerGain(factors, stepFactor, figures),
+    0,
+  );
 }
 
 function getLayerGain(
--- a/src/layers/layers_test.ts
+++ b/src/layers/layers_test.ts
@@ -180,15 +180,21 @@
   }));
 }
 
+// What is ordered where a lost engine comes back empty, under another id.
+function replaceEngine(engines: readonly LayerEngine[], lost: LayerEngine) {
+  const back = { ...lost, engineId: "new", range: undefined };
+  const left = [...engines.filter((engine) => engine !== lost), back];
+  const orders = planLayerOrders(left, {
+    figures: FIGURES,
+    mayRespread: () => false,
+  });
+  return { left, orders };
+}
+
 test("an empty engine brings back the pace of the one that was lost", () => {
   const engines = holdPlan(makeMixed());
   for (const lost of engines) {
-    const back = { ...lost, engineId: "new", range: undefined };
-    const left = [...engines.filter((engine) => engine !== lost), back];
-    const orders = planLayerOrders(left, {
-      figures: FIGURES,
-      mayRespread: () => false,
-    });
+    const { left, orders } = replaceEngine(engines, lost);
     assert.equal(orders.map(({ engineId }) => engineId), ["new"]);
     const after = getPace(applyOrders(left, orders));
     assert.ok(after <= getPace(engines) + 1e-9, `${lost.engineId} ${after}`);
@@ -312,12 +318,7 @@
   const engines = holdPlan(makeMany());
   const least = Math.min(...countHolders(engines));
   for (const lost of engines) {
-    const back = { ...lost, engineId: "new", range: undefined };
-    const left = [...engines.filter((engine) => engine !== lost), back];
-    const orders = planLayerOrders(left, {
-      figures: FIGURES,
-      mayRespread: () => false,
-    });
+    const { left, orders } = replaceEngine(engines, lost);
     assert.equal(orders.map(({ engineId }) => engineId), ["new"]);
     const after = applyOrders(left, orders);
     assert.ok(Math.min(...countHolders(after)) >= least);
--- a/src/layers/plan_layer_orders.ts
+++ b/src/layers/plan_layer_orders.ts
@@ -9,6 +9,7 @@
   designCopies,
   getMissingFactor,
   layOutEngines,
+  listOrderHolders,
 } from "./design_copies.ts";
 import {
   addHolder,
@@ -16,6 +17,7 @@
   createWindowChooser,
   getHolderGain,
   type LayerCover,
+  type LayerHolder,
   makeCover,
 } from "./layer_cover.ts";
 import { findTokensInFlight, getLayerRoom } from "./token_room.ts";
@@ -105,7 +107,7 @@
 function planGroup(group: EngineGroup, figures: LayerFigures): GroupPlan {
   const { engines } = group;
   if (engines.every((engine) => engine.range === undefined)) {
-    const orders = designCopies(engines, figures)
+    const orders = designCopies(sortById(engines), figures)
       .flatMap((copy) => copy.orders);
     return { group, orders, hasGaps: false };
   }
@@ -116,13 +118,8 @@
   return repairGroup(group, { cover, figures });
 }
 
-interface Holder extends LayerRange {
-  readonly engineId: string;
-  readonly stepFactor: number;
-}
-
-function listHolders({ engineId, range, stepFactor }: LayerEngine): Holder[] {
-  return range ? [{ engineId, ...range, stepFactor }] : [];
+function listHolders({ range, stepFactor }: LayerEngine): LayerHolder[] {
+  return range ? [{ ...range, stepFactor }] : [];
 }
 
 function isEmpty({ range, isLoading }: LayerEngine): boolean {
@@ -135,14 +132,14 @@
 ): GroupPlan {
   const { engines } = group;
   const { figures } = context;
-  const designs = designCopies(engines, figures);
+  const designs = designCopies(sortById(engines), figures);
   const tokens = Math.min(...designs.map((design) => design.tokens));
   const room = {
     copies: Math.max(1, designs.length),
     tokens: designs.length > 0 ? tokens : 0,
     figures,
   };
-  const empty = engines.filter(isEmpty);
+  const empty = sortById(engines.filter(isEmpty));
   const filling = layOutEngines(empty, { cover: context.cover, ...room });
   const cover = coverOrders(context.cover, filling, engines);
   const moves = moveSpares(engines, { cover, ...room });
@@ -156,17 +153,7 @@
   orders: readonly LayerOrder[],
   engines: readonly LayerEngine[],
 ): LayerCover {
-  const factors = new Map(
-    engines.map(({ engineId, stepFactor }) => [engineId, stepFactor]),
-  );
-  return orders.reduce(
-    (next, order) =>
-      addHolder(next, {
-        ...order,
-        stepFactor: factors.get(order.engineId) ?? 1,
-      }),
-    cover,
-  );
+  return listOrderHolders(orders, engines).reduce(addHolder, cover);
 }
 
 /** What moves of engines to layers that nobody holds go by. */
@@ -232,7 +219,7 @@
       .choose({ stepFactor, room });
     if (!window || !hasGap(cover, window)) continue;
     const gain = window.gain -
-      getHolderGain(cover, { ...range, stepFactor }, judge);
+      getHolderGain(without, { ...range, stepFactor }, judge);
     if (gain <= bestGain) continue;
     const { fromLayer, toLayer } = window;
     best = { engine, toRange: { fromLayer, toLayer } };
@@ -282,34 +269,20 @@
   engines: readonly LayerEngine[],
   figures: LayerFigures,
 ): LayerOrder[] {
-  const orders = designCopies(nameByOrder(engines, figures), figures)
-    .flatMap((copy) => copy.orders);
+  const inOrder = sortById(engines).sort((a, b) =>
+    getMiddle(a, figures) - getMiddle(b, figures)
+  );
   const byId = new Map(engines.map((engine) => [engine.engineId, engine]));
-  return orders
-    .map((order) => ({ ...order, engineId: order.engineId.slice(NAME_DIGITS) }))
+  return designCopies(inOrder, figures)
+    .flatMap((copy) => copy.orders)
     .filter(({ engineId, fromLayer, toLayer }) => {
       const range = byId.get(engineId)?.range;
       return range?.fromLayer !== fromLayer || range.toLayer !== toLayer;
     });
 }
 
-/** Digits that stand before an engine's id while it is ordered by its layers. */
-const NAME_DIGITS = 6;
-
-// Designs take alike engines in the order of their names.
-function nameByOrder(
-  engines: readonly LayerEngine[],
-  figures: LayerFigures,
-): LayerEngine[] {
-  return [...engines]
-    .sort((a, b) =>
-      getMiddle(a, figures) - getMiddle(b, figures) ||
-      compareNames([a.engineId, 0], [b.engineId, 0])
-    )
-    .map((engine, at) => ({
-      ...engine,
-      engineId: String(at).padStart(NAME_DIGITS, "0") + engine.engineId,
-    }));
+function sortById(engines: readonly LayerEngine[]): LayerEngine[] {
+  return [...engines].sort((a, b) => a.engineId < b.engineId ? -1 : 1);
 }
 
 function getMiddle(engine: LayerEngine, figures: LayerFigures): number {
