Waits, turns and growth go by the fleet's streams, not by one gateway's

Cause: of 200 gateways each sees a stream end once in 0.8 s, while the fleet ends one each 4 ms. The queue for room and the time to come back went by the former: a stream may wait for 360 ms, so nobody ever waited, all were refused. And a gateway's own growth beyond chance was counted for all others: four streams where 0.6 are usual made an engine look full that was half empty.

Change: beats tell what streams did (asked, ended, waiting), the leader tells the sums over 2 s with the loads. The wait expects those who wait elsewhere to go first; turns are a gateway's part of the fleet's; the growth of others is bounded by what was asked since they were counted and what left lost engines.

Figures (200 gateways in one process): one stream ends each 4 ms, 200 wait at once: all may wait, before none; 10 copies half full, a surge of 4 at one gateway: room, before none.

--- a/src/fleet/create_gateway_sessions.ts
+++ b/src/fleet/create_gateway_sessions.ts
@@ -11,6 +11,7 @@
 import type { EngineRecord } from "../engines/index.ts";
 import type { Logger } from "../logs/index.ts";
 import type { wire } from "../wire/index.ts";
+import { createActivityTally } from "./create_activity_tally.ts";
 import { createEngineNumbers } from "./create_engine_numbers.ts";
 import type { AcceptedConfig } from "./create_fleet_machine.ts";
 import type {
@@ -102,9 +103,11 @@
   const sessions = new Map<string, Session>();
   // What all sessions were told, by VM; undefined before the first time.
   let toldGateways: ReadonlyMap<string, string> | undefined;
-  let toldLoads = "{}";
+  // What was told of loads and streams, as text.
+  let toldLoads = "";
   let gathering: ReturnType<typeof setTimeout> | undefined;
   const numbers = createEngineNumbers();
+  const tally = createActivityTally({ now });
   // Written out once for all who join between two pieces of news of engines.
   let listedEngines:
     | { isWhole: boolean; message: wire.FleetMessage }
@@ -209,6 +212,7 @@
     if (!gateway || sessions.get(gateway.vm) !== session) return;
     session.heardMs = now();
     if (beat.loads) session.loads = beat.loads;
+    tally.take(gateway.vm, beat.activity ?? {});
     if (beat.suspects.length > 0) {
       options.onSuspects(gateway.vm, beat.suspects);
       options.onSlow();
@@ -247,6 +251,7 @@
     const { gateway } = session;
     if (!gateway || sessions.get(gateway.vm) !== session) return;
     sessions.delete(gateway.vm);
+    tally.forget(gateway.vm);
     log("gatewayLost", { vm: gateway.vm });
   }
 
@@ -305,10 +310,12 @@
       const loads = sumLoads(
         [...sessions.values()].map((session) => session.loads),
       );
-      const told = JSON.stringify(loads);
+      // A new leader has not counted for a whole window yet.
+      const activity = options.knowsAllGateways() ? tally.get() : undefined;
+      const told = JSON.stringify([loads, activity]);
       if (told === toldLoads) return;
       toldLoads = told;
-      broadcast({ type: "loads", loads });
+      broadcast({ type: "loads", loads, activity });
     },
     closeAll() {
       for (const { stream } of sessions.values()) redirect(stream);
--- a/src/fleet/create_gateway_sessions_test.ts
+++ b/src/fleet/create_gateway_sessions_test.ts
@@ -127,7 +127,11 @@
   for (const stream of streams) stream.say({ ...BEAT, isReady: true, loads });
   sessions.publishLoads();
   sessions.publishLoads();
-  const sum = { type: "loads", loads: { e1: { tokens: 10, requests: 2 } } };
+  const sum = {
+    type: "loads",
+    loads: { e1: { tokens: 10, requests: 2 } },
+    activity: {},
+  };
   assert.equal(streams[0].takeNews(), [sum]);
   assert.equal(streams[1].takeNews(), [sum]);
 });
--- a/src/fleet/messages.ts
+++ b/src/fleet/messages.ts
@@ -28,6 +28,28 @@
   Record<string, { readonly tokens: number; readonly requests: number }>
 >;
 
+/** What a gateway's streams did since it last told, by service. */
+export type GatewayActivity = Readonly<
+  Record<string, {
+    /** Streams that callers asked for. */
+    readonly asked: number;
+    /** Streams that ended whole. */
+    readonly ended: number;
+    /** Streams that wait for room now. */
+    readonly waiting: number;
+  }>
+>;
+
+/** What the streams of all gateways do, by service. */
+export type FleetActivity = Readonly<
+  Record<string, {
+    readonly askedPerS: number;
+    readonly endedPerS: number;
+    /** Streams that wait for room. */
+    readonly waiting: number;
+  }>
+>;
+
 /** What a gateway tells the leader. */
 export type GatewayMessage =
   | {
@@ -47,6 +69,8 @@
     readonly suspects: readonly string[];
     /** Its own work in flight; absent where it has not changed. */
     readonly loads?: EngineLoads;
+    /** What its streams did; absent where they did nothing. */
+    readonly activity?: GatewayActivity;
     /** Whether its streams lately had pauses near what callers bear. */
     readonly isSlow: boolean;
   };
@@ -84,6 +108,8 @@
     readonly type: "loads";
     /** Work in flight of all gateways, the one that is told included. */
     readonly loads: EngineLoads;
+    /** Absent while the leader has not heard all of them for long enough. */
+    readonly activity?: FleetActivity;
   }
   | {
     readonly type: "beatAck";
--- a/src/fleet/session_messages.ts
+++ b/src/fleet/session_messages.ts
@@ -16,7 +16,11 @@
 import { deflateRawSync, inflateRawSync } from "node:zlib";
 import { wire } from "../wire/index.ts";
 import type { EngineNumbers } from "./create_engine_numbers.ts";
-import type { GatewayMessage, LeaderMessage } from "./messages.ts";
+import type {
+  FleetActivity,
+  GatewayMessage,
+  LeaderMessage,
+} from "./messages.ts";
 
 /** Characters of text from which on a message is packed: short ones gain nothing. */
 const PACKED_FROM_CHARS = 400;
@@ -37,7 +41,11 @@
   numbers: EngineNumbers,
 ): wire.FleetMessage {
   if (message.type === "loads") {
-    return makeMessage({ loads: numbers.formatLoads(message.loads) });
+    const { activity } = message;
+    return makeMessage({
+      json: activity ? JSON.stringify(activity) : "",
+      loads: numbers.formatLoads(message.loads),
+    });
   }
   const engineNumbers = message.type === "engines"
     ? message.engines.map(({ engineId }) => numbers.assign(engineId))
@@ -60,8 +68,14 @@
   numbers: EngineNumbers,
 ): LeaderMessage {
   const text = unpackText(received);
-  if (text === "" && received.loads) {
-    return { type: "loads", loads: numbers.parseLoads(received.loads) };
+  if (received.loads) {
+    const loads = numbers.parseLoads(received.loads);
+    if (text === "") return { type: "loads", loads };
+    return {
+      type: "loads",
+      loads,
+      activity: JSON.parse(text) as FleetActivity,
+    };
   }
   const message = JSON.parse(text) as LeaderMessage;
   if (message.type === "engines") {
--- a/src/gateway/admission_test.ts
+++ b/src/gateway/admission_test.ts
@@ -101,7 +101,11 @@
 });
 
 test("a stream that waits for room is let in in its order", () => {
-  const queue = createRoomQueue({ getEndIntervalMs: () => 30 });
+  const queue = createRoomQueue({
+    getEndIntervalMs: () => 30,
+    getOthersWaiting: () => 0,
+    beginWait: () => () => {},
+  });
   assert.is(queue.estimateWaitMs(), 30);
   const first = queue.join();
   const second = queue.join();
@@ -115,7 +119,11 @@
 });
 
 test("who waits for one model holds up nobody who asks for another", () => {
-  const getRoomQueue = createRoomQueues({ getEndIntervalMs: () => 30 });
+  const getRoomQueue = createRoomQueues({
+    getEndIntervalMs: () => 30,
+    getOthersWaiting: () => 0,
+    beginWait: () => () => {},
+  });
   getRoomQueue("one").join();
   assert.not(getRoomQueue("one").isEmpty());
   assert.ok(getRoomQueue("two").isEmpty());
@@ -146,13 +154,14 @@
 test("callers come back one after the other, no faster than room comes free", () => {
   const schedule = createReturnSchedule({
     getEndIntervalMs: () => 100,
+    getGatewayCount: () => 1,
     now: () => 0,
     random: () => 0.5,
   });
-  const waits = Array.from({ length: 10 }, schedule.getWaitMs);
+  const waits = Array.from({ length: 10 }, () => schedule.getWaitMs("s"));
   assert.is(waits[0], 2_500);
   assert.equal(waits.slice(1, 4), [2_700, 2_900, 3_100]);
-  const later = Array.from({ length: 30 }, schedule.getWaitMs);
+  const later = Array.from({ length: 30 }, () => schedule.getWaitMs("s"));
   assert.is(Math.max(...later), 6_000);
 });
 
@@ -160,10 +169,14 @@
   const draws = [0, 1];
   const schedule = createReturnSchedule({
     getEndIntervalMs: () => 0,
+    getGatewayCount: () => 1,
     now: () => 0,
     random: () => draws.shift() ?? 0,
   });
-  assert.equal([schedule.getWaitMs(), schedule.getWaitMs()], [2_000, 3_000]);
+  assert.equal([schedule.getWaitMs("s"), schedule.getWaitMs("s")], [
+    2_000,
+    3_000,
+  ]);
 });
 
 test.run();
--- a/src/gateway/choose_call_path.ts
+++ b/src/gateway/choose_call_path.ts
@@ -63,6 +63,7 @@
     model,
     place,
     gatewayCount: context.getGatewayCount(),
+    mostGrowth: getMostGrowth(call, context),
     excluded,
     mayCross: engines.getCrossingPrompts() < MAX_CROSSING_PROMPTS,
     nowMs: now(),
@@ -77,6 +78,23 @@
   }
 }
 
+/**
+ * Ms by which loads are older than the news of them: gateways tell the leader
+ * three times a second, and it tells them twice.
+ */
+const LOADS_LAG_MS = 400;
+
+// What callers asked of the fleet since, and what had to leave lost engines.
+function getMostGrowth(
+  { service }: Call,
+  { engines, rates }: ServingContext,
+): number {
+  const askedPerS = rates.getAskedPerS(service);
+  if (askedPerS === undefined) return Infinity;
+  const ageMs = engines.getLoadsAgeMs() + LOADS_LAG_MS;
+  return askedPerS * ageMs / 1_000 + engines.getDisplacedRequests();
+}
+
 function chooseWhole(
   call: Call,
   context: ServingContext,
--- a/src/gateway/choose_path.ts
+++ b/src/gateway/choose_path.ts
@@ -25,6 +25,11 @@
   readonly place: string;
   /** Gateways that take callers; they may all send in the same moment. */
   readonly gatewayCount: number;
+  /**
+   * Requests that the other gateways may have begun, all together, since the
+   * leader told of their loads; unbounded by default.
+   */
+  readonly mostGrowth?: number;
   /** Engines that may not be used. */
   readonly excluded: ReadonlySet<string>;
   /** Monotonic time, in ms. */
@@ -80,6 +85,15 @@
  */
 const CHANCE_DEVIATIONS = 2;
 
+/**
+ * Times its share of all requests that an engine may have got of those that
+ * others began since they were last counted. With 200 gateways one request more
+ * than chance explains would else count for 199 others: of 1,000 windows of half
+ * a second at an even 1.2 requests a second and gateway, 3 make a copy look full
+ * that is half empty (choose_path_test.ts).
+ */
+const CONCENTRATION = 2;
+
 /**
  * Share of an engine's memory for requests up to which it costs more and more,
  * as a queue does: by one over what is left.
@@ -132,11 +146,14 @@
   options: ChoosePathOptions,
 ): AddressedPart[] | undefined {
   const { model, place, excluded, fromLayer, mayCross = true } = options;
-  const usable = engines
-    .filter(({ record }) =>
-      record.layers !== undefined && !excluded.has(record.engineId)
-    )
-    .map((view) => ({ view, usage: getUsage(view, options) }))
+  const holders = engines.filter(({ record }) => record.layers !== undefined);
+  const getMostGrowth = createGrowthBound(holders, options);
+  const usable = holders
+    .filter(({ record }) => !excluded.has(record.engineId))
+    .map((view) => ({
+      view,
+      usage: getUsage(view, options, getMostGrowth(view)),
+    }))
     .filter(({ usage }) => hasRoom(usage, options.need));
   const views = new Map(usable.map(({ view }) => [view.record.engineId, view]));
   const path = findLayerPath(
@@ -199,16 +216,40 @@
   readonly usedSlotsShare: number;
 }
 
+// What the others began spreads over engines as what they have in flight does; an
+// engine on which they have little may get an even part.
+function createGrowthBound(
+  holders: readonly EngineView[],
+  { model, mostGrowth = Infinity }: ChoosePathOptions,
+): (view: EngineView) => number {
+  if (mostGrowth === Infinity) return () => Infinity;
+  const allRequests = holders
+    .reduce((sum, { otherRequests }) => sum + otherRequests, 0);
+  const firstHolders = holders
+    .filter(({ record }) => record.layers?.fromLayer === 0).length;
+  const evenShare = 1 / Math.max(1, firstHolders);
+  return ({ otherTokens }) => {
+    const requests = otherTokens / getUsualTokens(model);
+    const share = Math.max(evenShare, requests / Math.max(1, allRequests));
+    return mostGrowth * Math.min(1, CONCENTRATION * share);
+  };
+}
+
 // The other gateways' work is known with a lag. Where this one has taken on more
-// since then than chance explains, as when a copy is lost, the others have too.
-function getUsage(view: EngineView, options: ChoosePathOptions): EngineUsage {
+// since then than chance explains, as when a copy is lost, the others have too,
+// but no more than there was to begin.
+function getUsage(
+  view: EngineView,
+  options: ChoosePathOptions,
+  mostGrowth: number,
+): EngineUsage {
   const { model, gatewayCount } = options;
   const { tokensInFlight, tokensThen, otherTokens } = view;
   const usualTokens = getUsualTokens(model);
   const then = tokensThen / usualTokens;
   const chance = CHANCE_DEVIATIONS * Math.sqrt(then + 1);
   const surge = Math.max(0, tokensInFlight / usualTokens - then - chance);
-  const others = surge * (gatewayCount - 1);
+  const others = Math.min(surge * (gatewayCount - 1), mostGrowth);
   const requests = view.inFlight + (view.otherRequests + others);
   return {
     usedTokens: tokensInFlight + (otherTokens + others * usualTokens),
--- a/src/gateway/choose_path_test.ts
+++ b/src/gateway/choose_path_test.ts
@@ -107,4 +107,48 @@
   assert.equal(choose(false)?.map(({ engineId }) => engineId), ["c0"]);
 });
 
+/** Mean streams that each of 200 gateways begins in half a second. */
+const MEAN_BEGUN = 0.6;
+
+test("a surge at one of 200 gateways doesn't fill engines that are half empty", () => {
+  const table = createEngineTable({
+    now: () => 0,
+    log: () => {},
+    onGone: () => {},
+  });
+  const slots = 134;
+  const room = { ...MODEL, kvTokenBytes: 8_000, slots };
+  const ids = Array.from({ length: 10 }, (_, at) => `e${at}`);
+  const engines = ids.map((engineId) => ({
+    engineId,
+    service: "model",
+    address: `${engineId}:1`,
+    place: "p",
+    slots,
+    isLeaving: false,
+    card: "fast",
+    layers: { fromLayer: 0, toLayer: 8 },
+  }));
+  table.take({ type: "engines", isWhole: true, engines, gone: [] });
+  const half = { tokens: 67 * 40, requests: 67 };
+  table.takeLoads(Object.fromEntries(ids.map((id) => [id, half])));
+  const path = [{ engineId: "e0", fromLayer: 0, toLayer: 8 }];
+  for (let begun = 0; begun < 4; begun++) table.addWork(path, { tokens: 40 });
+  const hasRoom = (mostGrowth: number | undefined) =>
+    choosePath(table.listUsable("model"), {
+      model: room,
+      place: "p",
+      gatewayCount: 200,
+      mostGrowth,
+      excluded: new Set(ids.slice(1)),
+      nowMs: 0,
+      need: { tokens: 40, isNew: true },
+    }) !== undefined;
+  // Four begun where 0.6 are usual: once in 300 windows of half a second.
+  assert.not(hasRoom(undefined));
+  assert.ok(hasRoom(200 * MEAN_BEGUN));
+  // Where 300 streams had to leave lost copies besides, all have such a surge.
+  assert.not(hasRoom(200 * MEAN_BEGUN + 300));
+});
+
 test.run();
--- a/src/gateway/create_engine_table.ts
+++ b/src/gateway/create_engine_table.ts
@@ -100,6 +100,10 @@
   take(message: LeaderMessage & { type: "engines" }): void;
   /** Takes what all gateways have in flight, as the leader sums it up. */
   takeLoads(loads: EngineLoads): void;
+  /** Age, in ms, of what the leader last told of loads. */
+  getLoadsAgeMs(): number;
+  /** Requests of other gateways on engines that were lost since about then. */
+  getDisplacedRequests(): number;
   /** What this gateway has in flight; the leader is told so. */
   getLoads(): EngineLoads;
   /** Upstreams of a service that take new work. */
@@ -135,6 +139,12 @@
 /** Ms for which an upstream that had no room is not asked again. */
 const FULL_MS = 200;
 
+/**
+ * Ms for which requests of a lost engine are not yet in what the leader tells:
+ * gateways tell it three times a second, and it tells them twice.
+ */
+const DISPLACED_AGE_MS = 1_000;
+
 /** Weight of the newest answer in the smoothed share of failures. */
 const FAILURE_WEIGHT = 0.2;
 
@@ -160,6 +170,19 @@
   let crossingPrompts = 0;
   // Part of what the leader tells of all gateways.
   let toldLoads: EngineLoads = {};
+  let loadsTakenMs = -Infinity;
+  let displaced: { readonly atMs: number; readonly requests: number }[] = [];
+
+  // Whoever sent requests to an engine that is lost sends them elsewhere.
+  function noteDisplaced({ otherRequests }: EngineView): void {
+    if (otherRequests === 0) return;
+    const fresh = displaced.filter(isFresh);
+    displaced = [...fresh, { atMs: now(), requests: otherRequests }];
+  }
+
+  function isFresh({ atMs }: { readonly atMs: number }): boolean {
+    return now() - atMs < DISPLACED_AGE_MS;
+  }
 
   function put(record: EngineRecord): void {
     const known = engines.get(record.engineId);
@@ -219,7 +242,11 @@
   }
 
   function remove(engineId: string): void {
-    if (engines.delete(engineId)) onGone(engineId);
+    const engine = engines.get(engineId);
+    if (!engine) return;
+    noteDisplaced(engine);
+    engines.delete(engineId);
+    onGone(engineId);
   }
 
   return {
@@ -231,6 +258,7 @@
       [...engines.keys()].filter((id) => !named.has(id)).forEach(remove);
     },
     takeLoads(loads) {
+      loadsTakenMs = now();
       const others = subtractLoads(loads, toldLoads);
       for (const [engineId, engine] of engines) {
         engine.otherRequests = others[engineId]?.requests ?? 0;
@@ -238,6 +266,10 @@
         engine.tokensThen = toldLoads[engineId]?.tokens ?? 0;
       }
     },
+    getLoadsAgeMs: () => now() - loadsTakenMs,
+    getDisplacedRequests: () =>
+      displaced.filter(isFresh)
+        .reduce((sum, { requests }) => sum + requests, 0),
     getLoads() {
       toldLoads = sumOwnLoads();
       return toldLoads;
@@ -270,6 +302,7 @@
       if (!engine) return;
       suspects.add(engineId);
       if (engine.suspectUntilMs > now()) return;
+      noteDisplaced(engine);
       engine.suspicions += 1;
       const restMs = Math.min(
         MAX_SUSPECT_MS,
--- a/src/gateway/create_fleet_link.ts
+++ b/src/gateway/create_fleet_link.ts
@@ -10,6 +10,7 @@
   type EngineLoads,
   type EngineNumbers,
   formatGatewayMessage,
+  type GatewayActivity,
   type GatewayMessage,
   type GatewayRecord,
   type LeaderMessage,
@@ -34,6 +35,8 @@
   readonly takeSlow: () => boolean;
   /** This gateway's work in flight. */
   readonly getLoads: () => EngineLoads;
+  /** What this gateway's streams did since the last call. */
+  readonly takeActivity: () => GatewayActivity;
   readonly onMessage: (message: LeaderMessage) => void;
   /** Called when the leader surely held this version at `sentMs`. */
   readonly onConfirmed: (sentMs: number, version: number) => void;
@@ -179,6 +182,7 @@
     const told = JSON.stringify(loads);
     const isNews = told !== session.toldLoads;
     session.toldLoads = told;
+    const activity = options.takeActivity();
     send(session, {
       type: "beat",
       sentMs: now(),
@@ -186,6 +190,7 @@
       suspects: options.takeSuspects(),
       isSlow: options.takeSlow(),
       ...(isNews ? { loads } : {}),
+      ...(Object.keys(activity).length > 0 ? { activity } : {}),
     });
   }
 
--- /dev/null
+++ b/src/gateway/create_fleet_rates_test.ts
@@ -0,0 +1,139 @@
+/**
+ * What one gateway among 200 knows of the fleet's streams, and what it decides
+ * by that.
+ */
+
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { createActivityTally } from "../fleet/create_activity_tally.ts";
+import { createEndRate } from "./create_end_rate.ts";
+import { createFleetRates } from "./create_fleet_rates.ts";
+import { createReturnSchedule } from "./create_return_schedule.ts";
+import { createRoomQueues } from "./create_room_queue.ts";
+import { createRoomWait } from "./create_room_wait.ts";
+import type { Call } from "./types.ts";
+
+const GATEWAYS = 200;
+const SERVICE = "model";
+
+/** Ms that callers bear to the first event. */
+const OBJECTIVE_MS = 600;
+
+/** Ms between two beats of a gateway. */
+const BEAT_MS = 350;
+
+/** Ms between two pieces of the leader's news. */
+const NEWS_MS = 500;
+
+const CALL = {
+  service: SERVICE,
+  route: { objectiveMs: OBJECTIVE_MS },
+  startedMs: 0,
+} as unknown as Call;
+
+function startFleet() {
+  const clock = { nowMs: 0 };
+  const now = () => clock.nowMs;
+  const tally = createActivityTally({ now });
+  const gateways = Array.from({ length: GATEWAYS }, (_, at) => {
+    const endRate = createEndRate({ now });
+    const rates = createFleetRates({
+      getOwnEndIntervalMs: endRate.getIntervalMs,
+      getGatewayCount: () => GATEWAYS,
+      now,
+    });
+    return { vm: `g${at}`, endRate, rates, queues: createRoomQueues(rates) };
+  });
+
+  function endStream(at: number): void {
+    const { endRate, rates } = gateways[at % GATEWAYS];
+    endRate.noteEnd({ tookMs: 2_000 });
+    rates.noteAsked(SERVICE);
+    rates.noteEnded(SERVICE);
+  }
+
+  /** Lets a stream end each so many ms, at one gateway after the other. */
+  function play(spanMs: number, options: { endEveryMs: number }): void {
+    const untilMs = clock.nowMs + spanMs;
+    let ended = 0;
+    for (; clock.nowMs < untilMs; clock.nowMs += 1) {
+      if (clock.nowMs % options.endEveryMs === 0) endStream(ended++ * 7);
+      if (clock.nowMs % BEAT_MS === 0) {
+        gateways.forEach(({ vm, rates }) => tally.take(vm, rates.takeOwn()));
+      }
+      if (clock.nowMs % NEWS_MS === 0) {
+        gateways.forEach(({ rates }) => rates.take(tally.get()));
+      }
+    }
+  }
+
+  function wait(at: number) {
+    const { queues } = gateways[at];
+    const call = { ...CALL, startedMs: clock.nowMs };
+    return createRoomWait(call, { getRoomQueue: queues, now });
+  }
+
+  return { clock, gateways, play, wait };
+}
+
+test("a stream waits where the fleet ends one each 4 ms, though its gateway ends one a second", () => {
+  const { gateways, play, wait } = startFleet();
+  play(5_000, { endEveryMs: 4 });
+  const [{ endRate, rates }] = gateways;
+  assert.ok(endRate.getIntervalMs() > OBJECTIVE_MS);
+  assert.ok(Math.abs(rates.getEndIntervalMs(SERVICE) - 4) < 0.7);
+  const waits = gateways.map((_, at) => wait(at));
+  const waiting = waits.filter((one) => one.mayWait());
+  assert.is(waiting.length, GATEWAYS);
+});
+
+test("nobody waits behind more than end in the time that callers bear", () => {
+  const { gateways, play, wait } = startFleet();
+  play(5_000, { endEveryMs: 4 });
+  const waits = gateways.map((_, at) => wait(at));
+  assert.ok(waits.every((one) => one.mayWait()));
+  play(1_000, { endEveryMs: 4 });
+  // 200 wait: at one each 4 ms the last of them expects 800 ms.
+  assert.not(wait(0).mayWait());
+  waits.slice(0, 150).forEach((one) => one.end());
+  play(1_000, { endEveryMs: 4 });
+  assert.ok(wait(0).mayWait());
+});
+
+test("nobody waits where the fleet ends few streams", () => {
+  const { play, wait } = startFleet();
+  play(5_000, { endEveryMs: 1_000 });
+  assert.not(wait(3).mayWait());
+});
+
+test("all gateways together send callers back at half the rate of ends", () => {
+  const { clock, gateways, play } = startFleet();
+  play(5_000, { endEveryMs: 4 });
+  const returnsMs = gateways.flatMap(({ rates }) => {
+    const schedule = createReturnSchedule({
+      getEndIntervalMs: rates.getEndIntervalMs,
+      getGatewayCount: () => GATEWAYS,
+      now: () => clock.nowMs,
+      random: () => 0.5,
+    });
+    const [first, second] = [0, 1].map(() => schedule.getWaitMs(SERVICE));
+    return [second - first];
+  });
+  // Each of 200 gateways 1.6 s apart: 125 a second of 250.
+  assert.ok(returnsMs.every((ms) => Math.abs(ms - 1_600) < 300));
+});
+
+test("without news a gateway takes itself for its part of the fleet", () => {
+  const { clock, gateways, play } = startFleet();
+  play(5_000, { endEveryMs: 4 });
+  const [{ rates, endRate }] = gateways;
+  clock.nowMs += 10_000;
+  assert.is(
+    rates.getEndIntervalMs(SERVICE),
+    endRate.getIntervalMs() / GATEWAYS,
+  );
+  assert.is(rates.getOthersWaiting(SERVICE), 0);
+  assert.is(rates.getAskedPerS(SERVICE), undefined);
+});
+
+test.run();
--- a/src/gateway/create_request_desk.ts
+++ b/src/gateway/create_request_desk.ts
@@ -126,8 +126,10 @@
       return refuse(request, response, LEAVING);
     }
     const call: Call = { ...taken, ...decision.call, deadlineMs };
-    if (route.isStream) await serveStreamCall(call, context);
-    else await servePlainCall(call, context);
+    if (route.isStream) {
+      context.rates.noteAsked(service);
+      await serveStreamCall(call, context);
+    } else await servePlainCall(call, context);
   }
 
   // A planned stop ends what still runs, and a stream that it cuts is lost to
--- a/src/gateway/create_return_schedule.ts
+++ b/src/gateway/create_return_schedule.ts
@@ -6,8 +6,10 @@
 
 /** What the schedule needs. */
 export interface CreateReturnScheduleOptions {
-  /** Mean time between two ends of streams, in ms. */
-  readonly getEndIntervalMs: () => number;
+  /** Mean time, in ms, between two ends of the fleet's streams. */
+  readonly getEndIntervalMs: (service: string) => number;
+  /** Gateways that take callers: each gives out its part of the turns. */
+  readonly getGatewayCount: () => number;
   /** Monotonic time, in ms. */
   readonly now: () => number;
   /** A number in [0, 1). */
@@ -16,8 +18,8 @@
 
 /** Tells callers when to come back. */
 export interface ReturnSchedule {
-  /** Takes the next turn; the time until then, in ms. */
-  getWaitMs(): number;
+  /** Takes the next turn of a service; the time until then, in ms. */
+  getWaitMs(service: string): number;
 }
 
 /**
@@ -48,19 +50,28 @@
  * @returns The schedule.
  * @throws Nothing.
  * @example
- * const returns = createReturnSchedule({ getEndIntervalMs, now, random });
+ * const returns = createReturnSchedule(options);
  */
 export function createReturnSchedule(
   options: CreateReturnScheduleOptions,
 ): ReturnSchedule {
-  const { getEndIntervalMs, now, random } = options;
-  let nextTurnMs = 0;
+  const { now, random } = options;
+  const turnsMs = new Map<string, number>();
+
+  // One gateway's turns follow each other as many times slower as there are
+  // gateways: all of them together give out the fleet's.
+  function getTurnIntervalMs(service: string): number {
+    const fleetMs = options.getEndIntervalMs(service) / RETURN_SHARE;
+    return fleetMs * options.getGatewayCount();
+  }
+
   return {
-    getWaitMs() {
-      const turnMs = nextTurnMs + getEndIntervalMs() / RETURN_SHARE;
+    getWaitMs(service) {
+      const turnMs = (turnsMs.get(service) ?? 0) + getTurnIntervalMs(service);
       const earliestMs = now() + LEAST_WAIT_MS;
       const latestMs = now() + MOST_WAIT_MS;
-      nextTurnMs = Math.min(latestMs, Math.max(earliestMs, turnMs));
+      const nextTurnMs = Math.min(latestMs, Math.max(earliestMs, turnMs));
+      turnsMs.set(service, nextTurnMs);
       const spread = 1 + SPREAD_SHARE * (2 * random() - 1);
       return Math.round((nextTurnMs - now()) * spread);
     },
--- a/src/gateway/serve_stream_call.ts
+++ b/src/gateway/serve_stream_call.ts
@@ -165,7 +165,7 @@
       callEnd.refuse({
         status: 503,
         reason: "no_upstream",
-        retryAfterMs: context.returns.getWaitMs(),
+        retryAfterMs: context.returns.getWaitMs(service),
       });
     }
 
@@ -254,6 +254,7 @@
       engines.noteAnswer(blamedId, { failed: !isWhole });
       if (isWhole) {
         context.endRate.noteEnd({ tookMs: now() - call.startedMs });
+        context.rates.noteEnded(service);
         response.end();
         return callEnd.end("answered");
       }
--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -23,6 +23,7 @@
 import { createConfigLease } from "./create_config_lease.ts";
 import { createEngineTable } from "./create_engine_table.ts";
 import { createEndRate } from "./create_end_rate.ts";
+import { createFleetRates } from "./create_fleet_rates.ts";
 import { createExchanger } from "./create_exchanger.ts";
 import { createFleetLink } from "./create_fleet_link.ts";
 import { createPauseWatch } from "./create_pause_watch.ts";
@@ -123,8 +124,11 @@
   const listReady = () => gateways.filter((gateway) => gateway.isReady);
   const pauses = createPauseWatch();
   const endRate = createEndRate({ now });
-  const getRoomQueue = createRoomQueues({
-    getEndIntervalMs: endRate.getIntervalMs,
+  const getGatewayCount = () => Math.max(1, listReady().length);
+  const rates = createFleetRates({
+    getOwnEndIntervalMs: endRate.getIntervalMs,
+    getGatewayCount,
+    now,
   });
   const budget = createRepeatBudget({
     ...settings.repeats,
@@ -149,14 +153,16 @@
     exchanger,
     budget,
     endRate,
+    rates,
     returns: createReturnSchedule({
-      getEndIntervalMs: endRate.getIntervalMs,
+      getEndIntervalMs: rates.getEndIntervalMs,
+      getGatewayCount,
       now,
       random: Math.random,
     }),
-    getRoomQueue,
+    getRoomQueue: createRoomQueues(rates),
     getTable: () => table,
-    getGatewayCount: () => Math.max(1, listReady().length),
+    getGatewayCount,
     isLeaving: () => isLeaving,
     getGraceLeftMs: () => graceEndMs - now(),
     now,
@@ -175,6 +181,7 @@
         knowsEngines = true;
         return engines.take(message);
       case "loads":
+        if (message.activity) rates.take(message.activity);
         return engines.takeLoads(message.loads);
       case "gateways":
         return takeGateways(message);
@@ -207,6 +214,7 @@
     takeSuspects: engines.takeSuspects,
     takeSlow: pauses.takeSlow,
     getLoads: engines.getLoads,
+    takeActivity: rates.takeOwn,
     onMessage: takeMessage,
     onConfirmed: (sentMs, version) =>
       lease.confirm({ sentMs, version, held: table?.version ?? -1 }),
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -11,6 +11,7 @@
 import type { Account, Route, RouteTable } from "../routes/index.ts";
 import type { EngineTable } from "./create_engine_table.ts";
 import type { EndRate } from "./create_end_rate.ts";
+import type { FleetRates } from "./create_fleet_rates.ts";
 import type { Exchanger } from "./create_exchanger.ts";
 import type { PauseWatch } from "./create_pause_watch.ts";
 import type { RepeatBudget } from "./create_repeat_budget.ts";
@@ -46,6 +47,7 @@
   readonly exchanger: Exchanger;
   readonly budget: RepeatBudget;
   readonly endRate: EndRate;
+  readonly rates: FleetRates;
   readonly returns: ReturnSchedule;
   /** New streams of a service that wait for room. */
   readonly getRoomQueue: (service: string) => RoomQueue;
--- a/src/wire/gen/crowlever.ts
+++ b/src/wire/gen/crowlever.ts
@@ -226,7 +226,10 @@
  * in src/fleet/messages.ts.
  */
 export interface FleetMessage {
-  /** JSON text; empty where the message is packed or tells loads alone. */
+  /**
+   * JSON text; empty where the message is packed or tells loads alone. Beside
+   * the leader's loads it is what the fleet's streams do.
+   */
   json: string;
   /** JSON text, deflated: what is long and told to many. */
   packed: Buffer;
