Repeats are lent where they are needed; engines are asked how slow they are by name

Two causes, seen in the logs of one data centre of 43 gateways and read in the code. (1) Each gateway has an even part of the extra repeats, 3 to 4 in 10 s of 200; of 69 streams that were given up after a try, 56 had none left while the others' lay unused. (2) One slow stream anywhere made the leader ask all engines of the fleet every 0.9 s for 2.5 s: of hundreds of gateways one always has one.

A cut stream waits up to 120 ms for the answer. (2) Gateways name the engines of their slow streams; those that most name are asked, 32 a round at most.

--- a/src/fleet/create_gateway_sessions.ts
+++ b/src/fleet/create_gateway_sessions.ts
@@ -42,9 +42,11 @@
   readonly knowsAllEngines: () => boolean;
   /** Whether gateways have had the time to find this leader. */
   readonly knowsAllGateways: () => boolean;
+  /** Lends repeats of a service; gives how many. */
+  readonly lendRepeats: (service: string, wanted: number) => number;
   readonly onSuspects: (vm: string, engineIds: readonly string[]) => void;
-  /** Called when a gateway tells of slow streams or silent engines. */
-  readonly onSlow: () => void;
+  /** Called when a gateway names engines of slow streams, or silent ones. */
+  readonly onSlow: (engineIds: readonly string[]) => void;
   /** Monotonic time, in ms. */
   readonly now: () => number;
   readonly log: Logger;
@@ -215,13 +217,27 @@
     tally.take(gateway.vm, beat.activity ?? {});
     if (beat.suspects.length > 0) {
       options.onSuspects(gateway.vm, beat.suspects);
-      options.onSlow();
+      options.onSlow(beat.suspects);
     }
     if (gateway.isReady !== beat.isReady) {
       session.gateway = { ...gateway, isReady: beat.isReady };
     }
-    if (beat.isSlow) options.onSlow();
-    if (options.hasLease()) confirm(session, beat.sentMs);
+    if (beat.slowEngines) options.onSlow(beat.slowEngines);
+    if (!options.hasLease()) return;
+    confirm(session, beat.sentMs);
+    lendRepeats(session, beat);
+  }
+
+  // Only while it surely leads: no other leader lends at the same time.
+  function lendRepeats(
+    session: Session,
+    { repeatsWanted = {}, sentMs }: GatewayMessage & { type: "beat" },
+  ): void {
+    for (const [service, wanted] of Object.entries(repeatsWanted)) {
+      const count = options.lendRepeats(service, wanted);
+      if (count === 0) continue;
+      send(session, { type: "repeatsLent", service, count, askedMs: sentMs });
+    }
   }
 
   function confirm(session: Session, sentMs: number): void {
--- a/src/fleet/create_gateway_sessions_test.ts
+++ b/src/fleet/create_gateway_sessions_test.ts
@@ -59,6 +59,7 @@
     getEngines: () => ENGINES,
     knowsAllEngines: () => true,
     knowsAllGateways: () => true,
+    lendRepeats: () => 0,
     onSuspects: () => {},
     onSlow: () => {},
     now: () => 0,
@@ -78,7 +79,7 @@
   return stream;
 }
 
-const BEAT = { type: "beat", sentMs: 0, suspects: [], isSlow: false } as const;
+const BEAT = { type: "beat", sentMs: 0, suspects: [] } as const;
 
 test("gateways that change together are one piece of news to each", async () => {
   const sessions = makeSessions();
--- a/src/fleet/create_pace_watch.ts
+++ b/src/fleet/create_pace_watch.ts
@@ -24,8 +24,8 @@
 
 /** Asks engines how slow they are. */
 export interface PaceWatch {
-  /** A gateway tells of slow streams. */
-  noteSlow(): void;
+  /** A gateway tells over which engines slow streams run. */
+  noteSlow(engineIds: readonly string[]): void;
   /** Asks if it is time to. */
   tick(): Promise<void>;
 }
@@ -36,9 +36,22 @@
 /** Ms for which rounds go on after the last sign of slowness. */
 const WATCH_MS = 2_500;
 
+/**
+ * Engines that are asked in a round, at most. Of hundreds of gateways one always
+ * has a slow stream, and each names the engines of a whole path: the slow one is
+ * named by most of them. Rounds that ask all of 216 engines are 240 questions a
+ * second, whatever happens.
+ */
+const MAX_ASKED = 32;
+
 /** Ms for an answer. */
 const TIMEOUT_MS = 500;
 
+interface Naming {
+  readonly atMs: number;
+  readonly engineIds: readonly string[];
+}
+
 /**
  * Makes the watch. A calm fleet is asked nothing; engines that were slow are
  * asked until they no longer are.
@@ -51,7 +64,7 @@
  */
 export function createPaceWatch(options: CreatePaceWatchOptions): PaceWatch {
   const { now } = options;
-  let slowMs = -Infinity;
+  let namings: Naming[] = [];
   let askedMs = -Infinity;
 
   async function ask(engine: EngineRecord): Promise<void> {
@@ -64,17 +77,33 @@
     }
   }
 
+  function countNamings(): Map<string, number> {
+    namings = namings.filter(({ atMs }) => now() - atMs < WATCH_MS);
+    const counts = new Map<string, number>();
+    for (const engineId of namings.flatMap((one) => one.engineIds)) {
+      counts.set(engineId, (counts.get(engineId) ?? 0) + 1);
+    }
+    return counts;
+  }
+
+  // Those known to be slow first, then those that were named most often.
+  function listAsked(): EngineRecord[] {
+    const counts = countNamings();
+    const rank = ({ engineId, slowness }: EngineRecord) =>
+      slowness === undefined ? counts.get(engineId) ?? 0 : Infinity;
+    return options.getEngines()
+      .filter((engine) => rank(engine) > 0)
+      .sort((a, b) => rank(b) === rank(a) ? 0 : rank(b) - rank(a))
+      .slice(0, MAX_ASKED);
+  }
+
   return {
-    noteSlow() {
-      slowMs = now();
+    noteSlow(engineIds) {
+      if (engineIds.length > 0) namings.push({ atMs: now(), engineIds });
     },
     async tick() {
       if (now() - askedMs < ROUND_INTERVAL_MS) return;
-      const engines = options.getEngines();
-      const isTroubled = now() - slowMs < WATCH_MS;
-      const asked = isTroubled
-        ? engines
-        : engines.filter((engine) => engine.slowness !== undefined);
+      const asked = listAsked();
       if (asked.length === 0) return;
       askedMs = now();
       await Promise.all(asked.map(ask));
--- /dev/null
+++ b/src/fleet/create_pace_watch_test.ts
@@ -0,0 +1,71 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import type { EngineRecord } from "../engines/index.ts";
+import { createPaceWatch } from "./create_pace_watch.ts";
+
+const ENGINES = 216;
+
+function startWatch() {
+  const clock = { nowMs: 0 };
+  const asked: string[] = [];
+  const engines: EngineRecord[] = Array.from({ length: ENGINES }, (_, at) => ({
+    engineId: `e${at}`,
+    service: "model",
+    address: `e${at}`,
+    place: "a",
+    slots: 134,
+    isLeaving: false,
+  }));
+  const watch = createPaceWatch({
+    getEngines: () => engines,
+    readPace: (address) => {
+      asked.push(address);
+      return Promise.resolve(address === "e7" ? 6 : 1);
+    },
+    onPace: (engineId, pace) => {
+      const at = engines.findIndex((engine) => engine.engineId === engineId);
+      const slowness = pace > 1 ? pace : undefined;
+      engines[at] = { ...engines[at], slowness };
+    },
+    now: () => clock.nowMs,
+  });
+  return { watch, clock, asked };
+}
+
+test("a calm fleet is asked nothing", async () => {
+  const { watch, asked } = startWatch();
+  watch.noteSlow([]);
+  await watch.tick();
+  assert.equal(asked, []);
+});
+
+test("of 216 engines those are asked over which slow streams run", async () => {
+  const { watch, asked } = startWatch();
+  watch.noteSlow(["e3", "e7"]);
+  await watch.tick();
+  assert.equal([...asked].sort(), ["e3", "e7"]);
+});
+
+test("where all of 216 engines are named, the one that most name is asked", async () => {
+  const { watch, asked } = startWatch();
+  for (let at = 0; at < 200; at++) {
+    // Slow for another reason each, and one in five over the slow engine.
+    const path = [0, 1, 2, 3].map((part) => `e${(at * 13 + part * 54) % 216}`);
+    watch.noteSlow(at % 5 === 0 ? [...path, "e7"] : path);
+  }
+  await watch.tick();
+  assert.ok(asked.includes("e7"));
+  assert.is(asked.length, 32);
+});
+
+test("an engine that is slow is asked until it no longer is", async () => {
+  const { watch, clock, asked } = startWatch();
+  watch.noteSlow(["e7"]);
+  await watch.tick();
+  clock.nowMs = 60_000;
+  asked.length = 0;
+  await watch.tick();
+  assert.equal(asked, ["e7"]);
+});
+
+test.run();
--- a/src/fleet/index.ts
+++ b/src/fleet/index.ts
@@ -8,6 +8,7 @@
 export * from "./create_layer_keeper.ts";
 export * from "./create_fleet_machine.ts";
 export * from "./create_pace_watch.ts";
+export * from "./create_repeat_lender.ts";
 export * from "./messages.ts";
 export type { FleetSeed } from "./open_fleet_storage.ts";
 export * from "./pack_document.ts";
--- a/src/fleet/messages.ts
+++ b/src/fleet/messages.ts
@@ -71,8 +71,13 @@
     readonly loads?: EngineLoads;
     /** What its streams did; absent where they did nothing. */
     readonly activity?: GatewayActivity;
-    /** Whether its streams lately had pauses near what callers bear. */
-    readonly isSlow: boolean;
+    /** Repeats that it would borrow, by service; absent where none. */
+    readonly repeatsWanted?: Readonly<Record<string, number>>;
+    /**
+     * Engines over which streams run that lately had pauses near what callers
+     * bear; absent where none had.
+     */
+    readonly slowEngines?: readonly string[];
   };
 
 /** What the leader tells a gateway. */
@@ -111,6 +116,13 @@
     /** Absent while the leader has not heard all of them for long enough. */
     readonly activity?: FleetActivity;
   }
+  | {
+    readonly type: "repeatsLent";
+    readonly service: string;
+    readonly count: number;
+    /** Gateway's monotonic time, in ms, when it asked. */
+    readonly askedMs: number;
+  }
   | {
     readonly type: "beatAck";
     readonly sentMs: number;
--- a/src/fleet/session_messages_test.ts
+++ b/src/fleet/session_messages_test.ts
@@ -87,7 +87,7 @@
     sentMs: 12.5,
     isReady: true,
     suspects: ["e"],
-    isSlow: false,
+    slowEngines: ["e"],
     loads: makeLoads(4),
   };
   const toldBeat = overTheWire(formatGatewayMessage(beat, gateway));
--- a/src/fleet/start_fleet_control.ts
+++ b/src/fleet/start_fleet_control.ts
@@ -32,6 +32,10 @@
 import { createLeaderDesk } from "./create_leader_desk.ts";
 import { createMemberKeeper } from "./create_member_keeper.ts";
 import { createPaceWatch, type ReadPace } from "./create_pace_watch.ts";
+import {
+  createRepeatLender,
+  type RepeatBounds,
+} from "./create_repeat_lender.ts";
 import type { DecodeConfig, FleetCall, FleetReply } from "./messages.ts";
 import { type FleetSeed, openFleetStorage } from "./open_fleet_storage.ts";
 import { unpackDocument } from "./pack_document.ts";
@@ -56,6 +60,8 @@
   readonly voters: number;
   /** Ms between two beats of an upstream. */
   readonly beatIntervalMs: number;
+  /** Bound on the repeats of all gateways together. */
+  readonly repeats: RepeatBounds;
   /**
    * Monotonic time, in ms, at which this process started: no leader reached it
    * before. That of the call by default.
@@ -175,6 +181,11 @@
     publish: (change) => sessions.publishEngines(change),
     log,
   });
+  const lender = createRepeatLender({
+    ...settings.repeats,
+    getLeadsForMs: () => now() - leadingSinceMs,
+    now,
+  });
   const sessions = createGatewaySessions({
     isLeader,
     hasLease: () => replica.hasLease(),
@@ -186,8 +197,9 @@
     getEngines: registry.getRecords,
     knowsAllEngines: () => leadsFor(silenceMs),
     knowsAllGateways: () => leadsFor(GATEWAYS_SETTLE_MS),
+    lendRepeats: lender.lend,
     onSuspects: registry.takeSuspects,
-    onSlow: () => paces.noteSlow(),
+    onSlow: (engineIds) => paces.noteSlow(engineIds),
     now,
     log,
   });
--- a/src/gateway/create_fleet_link.ts
+++ b/src/gateway/create_fleet_link.ts
@@ -31,10 +31,12 @@
   /** Version of the configuration in force here; -1 without any. */
   readonly getVersion: () => number;
   readonly takeSuspects: () => readonly string[];
-  /** Whether streams had long pauses since the last call. */
-  readonly takeSlow: () => boolean;
+  /** Engines of streams that had long pauses since the last call. */
+  readonly takeSlow: () => readonly string[];
   /** This gateway's work in flight. */
   readonly getLoads: () => EngineLoads;
+  /** Repeats that this gateway would borrow, by service. */
+  readonly getRepeatsWanted: () => Readonly<Record<string, number>>;
   /** What this gateway's streams did since the last call. */
   readonly takeActivity: () => GatewayActivity;
   readonly onMessage: (message: LeaderMessage) => void;
@@ -183,14 +185,17 @@
     const isNews = told !== session.toldLoads;
     session.toldLoads = told;
     const activity = options.takeActivity();
+    const slowEngines = options.takeSlow();
+    const repeatsWanted = options.getRepeatsWanted();
     send(session, {
       type: "beat",
       sentMs: now(),
       isReady: options.getGateway().isReady,
       suspects: options.takeSuspects(),
-      isSlow: options.takeSlow(),
       ...(isNews ? { loads } : {}),
-      ...(Object.keys(activity).length > 0 ? { activity } : {}),
+      ...(slowEngines.length > 0 ? { slowEngines } : {}),
+      ...(isEmpty(activity) ? {} : { activity }),
+      ...(isEmpty(repeatsWanted) ? {} : { repeatsWanted }),
     });
   }
 
@@ -205,3 +210,7 @@
     },
   };
 }
+
+function isEmpty(fields: Readonly<Record<string, unknown>>): boolean {
+  return Object.keys(fields).length === 0;
+}
--- a/src/gateway/create_stream_relay.ts
+++ b/src/gateway/create_stream_relay.ts
@@ -6,7 +6,6 @@
 
 import type { Buffer } from "node:buffer";
 import type { ServerResponse } from "node:http";
-import type { PauseWatch } from "./create_pause_watch.ts";
 import type { StreamEvent } from "./split_events.ts";
 
 /** What the relay needs. */
@@ -14,9 +13,8 @@
   readonly response: ServerResponse;
   /** Event after which the caller wants the stream to go on. */
   readonly lastEventId: string | undefined;
-  /** Pause, in ms, that callers of the route bear; 0 where it is not said. */
-  readonly bearablePauseMs: number;
-  readonly pauses: PauseWatch;
+  /** Called with each pause between two events, in ms. */
+  readonly onPause: (pauseMs: number) => void;
   readonly onFirstEvent: () => void;
   /** Monotonic time, in ms. */
   readonly now: () => number;
@@ -60,7 +58,7 @@
 export function createStreamRelay(
   options: CreateStreamRelayOptions,
 ): StreamRelay {
-  const { response, pauses, now } = options;
+  const { response, now } = options;
   let { lastEventId } = options;
   let events = 0;
   let firstEventMs: number | undefined;
@@ -79,7 +77,7 @@
       usualPauseMs = usualPauseMs === 0
         ? pauseMs
         : usualPauseMs + PAUSE_WEIGHT * (pauseMs - usualPauseMs);
-      pauses.notePause(pauseMs, { bearableMs: options.bearablePauseMs });
+      options.onPause(pauseMs);
     }
     lastEventMs = atMs;
     quietSinceMs = atMs;
--- a/src/gateway/serve_stream_call.ts
+++ b/src/gateway/serve_stream_call.ts
@@ -30,6 +30,12 @@
 /** Ms between two looks for room. */
 const ROOM_WAIT_MS = 20;
 
+/** Ms between two looks for a repeat that may be spent. */
+const REPEATS_WAIT_MS = 20;
+
+/** Ms that a stream waits for repeats to be lent: a few round trips. */
+const MAX_REPEATS_WAIT_MS = 120;
+
 /** Ms between two looks for a path while a stream waits to go on. */
 const PATH_WAIT_MS = 50;
 
@@ -65,6 +71,7 @@
     let tries = 0;
     let runs = 0;
     let run: StreamRun | undefined;
+    let repeatsWaitedMs = 0;
 
     // Callers name the most that an answer may hold; most hold far less.
     const usualTokens = model?.usualAnswerTokens ?? request.answerTokens;
@@ -73,8 +80,12 @@
     const relay = createStreamRelay({
       response,
       lastEventId: request.lastEventId,
-      bearablePauseMs: route.gapObjectiveMs,
-      pauses: context.pauses,
+      onPause: (pauseMs) =>
+        context.pauses.notePause({
+          pauseMs,
+          bearableMs: route.gapObjectiveMs,
+          path: run?.path ?? [],
+        }),
       onFirstEvent: () =>
         metrics.timing("requests.first_token_ms", now() - call.startedMs),
       now,
@@ -136,11 +147,19 @@
       if (choice.type === "full" && isNew) return waitForRoom();
       if (choice.type !== "path") return waitForPath();
       const { path } = choice;
-      if (tries > 0 && !budget.spend(service)) return giveUp("no budget");
+      if (tries > 0 && !budget.spend(service)) return waitForRepeats();
+      repeatsWaitedMs = 0;
       tries += 1;
       send(path);
     }
 
+    // The leader is asked to lend; its answer takes a round trip.
+    function waitForRepeats(): void {
+      if (repeatsWaitedMs >= MAX_REPEATS_WAIT_MS) return giveUp("no budget");
+      repeatsWaitedMs += REPEATS_WAIT_MS;
+      setTimeout(next, REPEATS_WAIT_MS);
+    }
+
     // Waits only as long as the first event may still come in time.
     function waitForRoom(): void {
       if (!roomWait.mayWait()) return giveUp("full");
--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -87,6 +87,9 @@
 /** Gateways assumed for the budget of repeats while none are known. */
 const UNKNOWN_GATEWAYS = 20;
 
+/** Ms between two beats that only ask for repeats. */
+const ASK_INTERVAL_MS = 60;
+
 /** Ms in which callers and the other gateways hear of a leave. */
 const LEAVE_NEWS_MS = 2_500;
 
@@ -117,6 +120,7 @@
   let graceEndMs = Infinity;
   let isLastCall = false;
   let knowsEngines = false;
+  let askedMs = -Infinity;
 
   const lease = createConfigLease({ revokeMs: settings.revokeMs, now });
   const exchanger = createExchanger(codec);
@@ -135,6 +139,7 @@
     // A gateway that has just started knows none and takes a small share.
     getGatewayCount: () =>
       gateways.length === 0 ? UNKNOWN_GATEWAYS : gateways.length,
+    onShort: askForRepeats,
     now,
   });
   const context: ServingContext = {
@@ -173,6 +178,13 @@
   const isReady = () =>
     !isLeaving && table !== undefined && knowsEngines && lease.isValid();
 
+  // A stream that is cut waits for what is lent: the next beat is too late.
+  function askForRepeats(): void {
+    if (now() - askedMs < ASK_INTERVAL_MS) return;
+    askedMs = now();
+    link.beat();
+  }
+
   function takeMessage(message: LeaderMessage): void {
     switch (message.type) {
       case "config":
@@ -185,6 +197,8 @@
         return engines.takeLoads(message.loads);
       case "gateways":
         return takeGateways(message);
+      case "repeatsLent":
+        return budget.takeLoan(message);
     }
   }
 
@@ -214,6 +228,7 @@
     takeSuspects: engines.takeSuspects,
     takeSlow: pauses.takeSlow,
     getLoads: engines.getLoads,
+    getRepeatsWanted: budget.getWanted,
     takeActivity: rates.takeOwn,
     onMessage: takeMessage,
     onConfirmed: (sentMs, version) =>
--- a/test/control_members_test.ts
+++ b/test/control_members_test.ts
@@ -49,6 +49,7 @@
       isFirstStart,
       voters: options.voters,
       beatIntervalMs: 200,
+      repeats: { extra: 100, windowMs: 10_000 },
     }, {
       getSeeds: () => options.seeds,
       decodeConfig,
--- a/test/support/fleet.ts
+++ b/test/support/fleet.ts
@@ -189,6 +189,7 @@
       isFirstStart: true,
       voters: controlCount,
       beatIntervalMs: 200,
+      repeats: { extra: 100, windowMs: 10_000 },
     }, {
       getSeeds: () => seeds,
       decodeConfig,
