Few gateways of a data centre ask after silent streams; the others hear from them

Cause: each of 21 gateways in a data centre asks all engines of a path by itself as soon as its streams there are silent; most questions open a connection of their own. After a leader is lost, all gateways look for the next one at once.

Change: by rendezvous three gateways of a data centre ask at once, the others 40 ms later each set, 160 ms at most. What two of one data centre find lost the leader tells the others there; their silent runs leave without asking. Those that lose a leader look for the next one over 3 ms for each gateway.

--- a/src/fleet/create_gateway_sessions.ts
+++ b/src/fleet/create_gateway_sessions.ts
@@ -13,6 +13,7 @@
 import type { wire } from "../wire/index.ts";
 import { createActivityTally } from "./create_activity_tally.ts";
 import { createEngineNumbers } from "./create_engine_numbers.ts";
+import { createLossReports } from "./create_loss_reports.ts";
 import type { AcceptedConfig } from "./create_fleet_machine.ts";
 import type {
   EngineLoads,
@@ -110,6 +111,7 @@
   let gathering: ReturnType<typeof setTimeout> | undefined;
   const numbers = createEngineNumbers();
   const tally = createActivityTally({ now });
+  const losses = createLossReports({ now });
   // Written out once for all who join between two pieces of news of engines.
   let listedEngines:
     | { isWhole: boolean; message: wire.FleetMessage }
@@ -219,6 +221,7 @@
       options.onSuspects(gateway.vm, beat.suspects);
       options.onSlow(beat.suspects);
     }
+    if (beat.lost) tellLost(gateway, beat.lost);
     if (gateway.isReady !== beat.isReady) {
       session.gateway = { ...gateway, isReady: beat.isReady };
     }
@@ -228,6 +231,19 @@
     lendRepeats(session, beat);
   }
 
+  function tellLost(
+    { vm, place }: GatewayRecord,
+    found: readonly string[],
+  ): void {
+    const engineIds = losses.take({ vm, place, engineIds: found });
+    if (engineIds.length === 0) return;
+    for (const session of sessions.values()) {
+      if (session.gateway?.place !== place) continue;
+      send(session, { type: "lost", engineIds });
+    }
+    log("engineFoundLost", { engineIds, place });
+  }
+
   // Only while it surely leads: no other leader lends at the same time.
   function lendRepeats(
     session: Session,
--- /dev/null
+++ b/src/fleet/create_loss_reports_test.ts
@@ -0,0 +1,31 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { createLossReports } from "./create_loss_reports.ts";
+
+function startReports() {
+  const clock = { nowMs: 0 };
+  const reports = createLossReports({ now: () => clock.nowMs });
+  const report = (vm: string, place: string, engineIds: readonly string[]) =>
+    reports.take({ vm, place, engineIds });
+  return { clock, report };
+}
+
+test("two gateways of a data centre are believed, one or two of two are not", () => {
+  const { report } = startReports();
+  assert.equal(report("g1", "a", ["e"]), []);
+  assert.equal(report("g1", "a", ["e"]), []);
+  assert.equal(report("g2", "b", ["e"]), []);
+  assert.equal(report("g3", "a", ["e", "other"]), ["e"]);
+});
+
+test("what was told is not told again until it is old", () => {
+  const { clock, report } = startReports();
+  report("g1", "a", ["e"]);
+  assert.equal(report("g2", "a", ["e"]), ["e"]);
+  assert.equal(report("g3", "a", ["e"]), []);
+  clock.nowMs = 2_500;
+  assert.equal(report("g3", "a", ["e"]), []);
+  assert.equal(report("g1", "a", ["e"]), ["e"]);
+});
+
+test.run();
--- a/src/fleet/messages.ts
+++ b/src/fleet/messages.ts
@@ -67,6 +67,8 @@
     readonly isReady: boolean;
     /** Engines that did not answer it. */
     readonly suspects: readonly string[];
+    /** Engines that it found lost by its questions; absent where none. */
+    readonly lost?: readonly string[];
     /** Its own work in flight; absent where it has not changed. */
     readonly loads?: EngineLoads;
     /** What its streams did; absent where they did nothing. */
@@ -116,6 +118,11 @@
     /** Absent while the leader has not heard all of them for long enough. */
     readonly activity?: FleetActivity;
   }
+  | {
+    /** Engines that gateways of the same data centre found lost. */
+    readonly type: "lost";
+    readonly engineIds: readonly string[];
+  }
   | {
     readonly type: "repeatsLent";
     readonly service: string;
--- a/src/gateway/create_engine_table.ts
+++ b/src/gateway/create_engine_table.ts
@@ -119,6 +119,8 @@
   getCrossingPrompts(): number;
   /** Leaves an upstream out for a while; longer each time in a row. */
   suspect(engineId: string, reason: string): void;
+  /** The same for one that others found lost: the leader knows already. */
+  takeLost(engineId: string): void;
   /** Leaves an upstream out for a moment: it had no room. */
   noteFull(engineId: string): void;
   /** Notes how slow it says that it is; 1 where it is not. */
@@ -249,6 +251,19 @@
     onGone(engineId);
   }
 
+  function leaveOut(engineId: string, reason: string): void {
+    const engine = engines.get(engineId);
+    if (!engine || engine.suspectUntilMs > now()) return;
+    noteDisplaced(engine);
+    engine.suspicions += 1;
+    const restMs = Math.min(
+      MAX_SUSPECT_MS,
+      SUSPECT_MS * 2 ** (engine.suspicions - 1),
+    );
+    engine.suspectUntilMs = now() + restMs;
+    log("engineSuspected", { engineId, reason, restMs });
+  }
+
   return {
     take({ isWhole, engines: records, gone }) {
       gone.forEach(remove);
@@ -298,19 +313,11 @@
     },
     getCrossingPrompts: () => crossingPrompts,
     suspect(engineId, reason) {
-      const engine = engines.get(engineId);
-      if (!engine) return;
+      if (!engines.has(engineId)) return;
       suspects.add(engineId);
-      if (engine.suspectUntilMs > now()) return;
-      noteDisplaced(engine);
-      engine.suspicions += 1;
-      const restMs = Math.min(
-        MAX_SUSPECT_MS,
-        SUSPECT_MS * 2 ** (engine.suspicions - 1),
-      );
-      engine.suspectUntilMs = now() + restMs;
-      log("engineSuspected", { engineId, reason, restMs });
+      leaveOut(engineId, reason);
     },
+    takeLost: (engineId) => leaveOut(engineId, "others found it lost"),
     noteFull(engineId) {
       const engine = engines.get(engineId);
       if (engine) engine.fullUntilMs = now() + FULL_MS;
--- a/src/gateway/create_fleet_link.ts
+++ b/src/gateway/create_fleet_link.ts
@@ -28,9 +28,13 @@
   /** Control processes to begin with; read anew for each search. */
   readonly getSeedAddresses: () => readonly string[];
   readonly getGateway: () => GatewayRecord;
+  /** Gateways that lose a leader together with this one; 0 if not known. */
+  readonly getGatewayCount: () => number;
   /** Version of the configuration in force here; -1 without any. */
   readonly getVersion: () => number;
   readonly takeSuspects: () => readonly string[];
+  /** Engines that questions found lost since the last call. */
+  readonly takeLost: () => readonly string[];
   /** Engines of streams that had long pauses since the last call. */
   readonly takeSlow: () => readonly string[];
   /** This gateway's work in flight. */
@@ -44,6 +48,8 @@
   readonly onConfirmed: (sentMs: number, version: number) => void;
   /** Monotonic time, in ms. */
   readonly now: () => number;
+  /** A number in [0, 1). */
+  readonly random: () => number;
   readonly log: Logger;
 }
 
@@ -51,14 +57,26 @@
 export interface FleetLink extends AsyncDisposable {
   /** Sends a beat at once, for news that must not wait. */
   beat(): void;
+  /** Sends a beat in a moment, together with what else is found meanwhile. */
+  beatSoon(): void;
 }
 
 /** Ms between two beats. */
 const BEAT_INTERVAL_MS = 350;
 
+/** Ms for which news that must not wait is gathered into one beat. */
+const GATHER_MS = 5;
+
 /** Ms of silence after which the leader is looked for anew. */
 const SILENCE_MS = 1_200;
 
+/**
+ * Ms, for each gateway, over which those that lost a leader look for the next
+ * one: to take a session costs the leader about 2 ms of a small VM, and 200 in
+ * one moment keep it from its heartbeats for longer than followers wait.
+ */
+const SEARCH_SPREAD_MS = 3;
+
 /** Ms for a control process to welcome or redirect. */
 const WELCOME_TIMEOUT_MS = 600;
 
@@ -94,6 +112,8 @@
   let session: Session | undefined;
   let queue: string[] = [];
   let beatDueMs = 0;
+  let searchDueMs = 0;
+  let gathering: ReturnType<typeof setTimeout> | undefined;
 
   function open(address: string): void {
     const client = new wire.FleetClient(
@@ -135,9 +155,10 @@
     closed.client.close();
     if (session !== closed) return;
     session = undefined;
-    if (closed.isWelcome) {
-      log("controlLost", { address: closed.address, reason });
-    }
+    if (!closed.isWelcome) return;
+    const spreadMs = SEARCH_SPREAD_MS * options.getGatewayCount();
+    searchDueMs = now() + spreadMs * options.random();
+    log("controlLost", { address: closed.address, reason });
   }
 
   function take(from: Session, message: LeaderMessage): void {
@@ -161,7 +182,7 @@
   }
 
   function check(): void {
-    if (!session) return search();
+    if (!session) return now() >= searchDueMs ? search() : undefined;
     const limitMs = session.isWelcome ? SILENCE_MS : WELCOME_TIMEOUT_MS;
     if (now() - session.heardMs > limitMs) return close(session, "silent");
     if (session.isWelcome && now() >= beatDueMs) beat();
@@ -185,6 +206,7 @@
     const isNews = told !== session.toldLoads;
     session.toldLoads = told;
     const activity = options.takeActivity();
+    const lost = options.takeLost();
     const slowEngines = options.takeSlow();
     const repeatsWanted = options.getRepeatsWanted();
     send(session, {
@@ -193,19 +215,29 @@
       isReady: options.getGateway().isReady,
       suspects: options.takeSuspects(),
       ...(isNews ? { loads } : {}),
+      ...(lost.length > 0 ? { lost } : {}),
       ...(slowEngines.length > 0 ? { slowEngines } : {}),
       ...(isEmpty(activity) ? {} : { activity }),
       ...(isEmpty(repeatsWanted) ? {} : { repeatsWanted }),
     });
   }
 
+  function beatSoon(): void {
+    gathering ??= setTimeout(() => {
+      gathering = undefined;
+      beat();
+    }, GATHER_MS);
+  }
+
   const timer = setInterval(check, CHECK_INTERVAL_MS);
   check();
   return {
     beat,
+    beatSoon,
     async [Symbol.asyncDispose]() {
       await Promise.resolve();
       clearInterval(timer);
+      clearTimeout(gathering);
       if (session) close(session, "stopping");
     },
   };
--- a/src/gateway/create_run_watch.ts
+++ b/src/gateway/create_run_watch.ts
@@ -38,6 +38,11 @@
   readonly onPace: (engineId: string, pace: number) => void;
   /** Called when an engine is found to be lost. */
   readonly onLost: (engineId: string, reason: string) => void;
+  /**
+   * This gateway's place in the order in which those of its data centre ask
+   * after the streams that begin at an engine; the first by default.
+   */
+  readonly getAskerRank?: (firstEngineId: string) => number;
   /** Monotonic time, in ms. */
   readonly now: () => number;
 }
@@ -46,6 +51,8 @@
 export interface RunWatch {
   /** Watches a run until what is returned is called. */
   add(run: WatchedRun): () => void;
+  /** Other gateways found engines lost: silent runs over them leave them. */
+  takeLost(engineIds: readonly string[]): void;
   /** Asks one engine that another one named as missing. */
   checkEngine(engine: Pick<AddressedPart, "engineId" | "address">): void;
 }
@@ -77,6 +84,22 @@
 /** Ms for which what an engine said is not asked again. */
 const PRESENCE_AGE_MS = 250;
 
+/**
+ * Gateways of a data centre that ask as soon as runs are silent. The others hear
+ * of what these find and ask by themselves only a while later: with 21 gateways in
+ * a data centre one silent engine is else asked by all of them.
+ */
+const FIRST_ASKERS = 3;
+
+/** Ms by which each next set of as many gateways asks later. */
+const BACKUP_STEP_MS = 40;
+
+/** Ms by which the last ones ask later: callers bear pauses of 200 ms and more. */
+const MAX_BACKUP_MS = 160;
+
+/** Ms for which what others found counts. */
+const FOUND_AGE_MS = 1_000;
+
 /**
  * Ms by which a look is late where this process itself stood still: then the
  * silence was its own.
@@ -93,9 +116,11 @@
  * const watch = createRunWatch({ engineControl, onLost, now });
  */
 export function createRunWatch(options: CreateRunWatchOptions): RunWatch {
-  const { engineControl, now } = options;
+  const { engineControl, now, getAskerRank = () => 0 } = options;
   const runs = new Set<WatchedRun>();
   const askedMs = new Map<string, number>();
+  const foundMs = new Map<string, number>();
+  const leftByRun = new WeakMap<WatchedRun, Set<string>>();
   const cautions = new Map<string, { factor: number; sinceMs: number }>();
   let timer: ReturnType<typeof setTimeout> | undefined;
   let dueMs = 0;
@@ -114,6 +139,7 @@
       run.checkLeaving();
       if (run.getSilenceMs() >= STALL_CHECK_MS) run.checkStall();
     }
+    listGroups().forEach(leaveFound);
     const groups = listGroups();
     groups.filter(isSilent).forEach(askGroup);
     const waits = groups.map((group) => group.limitMs - group.silenceMs)
@@ -141,8 +167,36 @@
 
   type Group = RunGroup<ReturnType<typeof listGroups>[number]["runs"][number]>;
 
-  function isSilent(group: Group): boolean {
-    return group.silenceMs >= group.limitMs * getCaution(group.firstEngineId);
+  function isSilent({ silenceMs, limitMs, firstEngineId }: Group): boolean {
+    const askAfterMs = limitMs * getCaution(firstEngineId);
+    if (silenceMs < askAfterMs) return false;
+    return silenceMs >= askAfterMs + getBackupMs(firstEngineId);
+  }
+
+  function getBackupMs(firstEngineId: string): number {
+    const sets = Math.floor(getAskerRank(firstEngineId) / FIRST_ASKERS);
+    return Math.min(MAX_BACKUP_MS, sets * BACKUP_STEP_MS);
+  }
+
+  // What others found takes the place of a question, not of the silence.
+  function leaveFound(group: Group): void {
+    if (group.silenceMs < group.limitMs) return;
+    for (const { run } of group.runs) {
+      const lost = run.getPath().find(({ engineId }) => isFound(engineId));
+      if (lost) leaveOnce(run, lost.engineId);
+    }
+  }
+
+  // To leave takes a moment, in which the run is looked at again.
+  function leaveOnce(run: WatchedRun, engineId: string): void {
+    const left = leftByRun.get(run) ?? new Set<string>();
+    if (left.has(engineId)) return;
+    leftByRun.set(run, left.add(engineId));
+    run.leave(engineId, "others found it lost");
+  }
+
+  function isFound(engineId: string): boolean {
+    return now() - (foundMs.get(engineId) ?? -Infinity) < FOUND_AGE_MS;
   }
 
   function noteQuestion(firstEngineId: string): void {
@@ -199,9 +253,16 @@
         clearTimeout(timer);
         timer = undefined;
         askedMs.clear();
+        foundMs.clear();
         cautions.clear();
       };
     },
+    takeLost(engineIds) {
+      for (const engineId of engineIds) foundMs.set(engineId, now());
+      if (!timer) return;
+      clearTimeout(timer);
+      look();
+    },
     checkEngine: (engine) => void ask(engine, { isStillSilent: () => false }),
   };
 }
--- a/src/gateway/create_run_watch_test.ts
+++ b/src/gateway/create_run_watch_test.ts
@@ -40,6 +40,7 @@
 
 function startWatch(
   presence: Readonly<Record<string, EnginePresence>>,
+  options: { readonly getAskerRank?: () => number } = {},
 ) {
   const asked: string[] = [];
   const lost: string[] = [];
@@ -53,6 +54,7 @@
     },
     onPace: (engineId, pace) => void paces.set(engineId, pace),
     onLost: (engineId) => void lost.push(engineId),
+    ...options,
     now: () => performance.now(),
   });
   return { watch, asked, lost, paces };
@@ -155,4 +157,33 @@
   removals.forEach((remove) => remove());
 });
 
+test("of many gateways few ask at once, the others when nothing is heard from them", async () => {
+  const silenceMs = SINGLE_SILENCE_MS + 20;
+  const late = startWatch({}, { getAskerRank: () => 7 });
+  const run = makeRun(["a"], silenceMs);
+  const remove = late.watch.add(run);
+  await sleep(150);
+  assert.equal(late.asked, []);
+  run.silenceMs = SINGLE_SILENCE_MS + 81;
+  await untilAsked(late.asked);
+  remove();
+});
+
+test("silent runs leave what other gateways found lost, without a question", async () => {
+  const { watch, asked } = startWatch({}, { getAskerRank: () => 30 });
+  const silent = makeRun(["a", "b"], SINGLE_SILENCE_MS + 5);
+  const beside = makeRun(["c", "b"], 5);
+  const removals = [silent, beside].map(watch.add);
+  watch.takeLost(["b"]);
+  assert.equal(silent.left, ["b"]);
+  assert.equal(beside.left, []);
+  // It falls silent a little later.
+  beside.silenceMs = SINGLE_SILENCE_MS + 5;
+  while (beside.left.length === 0) await sleep(5);
+  await sleep(150);
+  assert.equal([silent.left, beside.left], [["b"], ["b"]]);
+  assert.equal(asked, []);
+  removals.forEach((remove) => remove());
+});
+
 test.run();
--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -15,6 +15,7 @@
 import type { Logger } from "../logs/index.ts";
 import type { Metrics } from "../metrics/index.ts";
 import { createRouteTable, type RouteTable } from "../routes/index.ts";
+import { rankByRendezvous } from "../routing/index.ts";
 import {
   createCallerServer,
   type EarlyListener,
@@ -121,6 +122,7 @@
   let isLastCall = false;
   let knowsEngines = false;
   let askedMs = -Infinity;
+  let lost = new Set<string>();
 
   const lease = createConfigLease({ revokeMs: settings.revokeMs, now });
   const exchanger = createExchanger(codec);
@@ -149,7 +151,8 @@
     pauses,
     runWatch: createRunWatch({
       engineControl: options.engineControl,
-      onLost: engines.suspect,
+      onLost: noteLost,
+      getAskerRank,
       onPace: engines.notePace,
       now,
     }),
@@ -178,6 +181,25 @@
   const isReady = () =>
     !isLeaving && table !== undefined && knowsEngines && lease.isValid();
 
+  function noteLost(engineId: string, reason: string): void {
+    engines.suspect(engineId, reason);
+    lost.add(engineId);
+    link.beatSoon();
+  }
+
+  function takeLost(): readonly string[] {
+    const taken = [...lost];
+    lost = new Set();
+    return taken;
+  }
+
+  function getAskerRank(engineId: string): number {
+    const near = gateways.filter((one) => one.isReady && one.place === place);
+    const rank = rankByRendezvous(near.map((one) => one.vm), engineId)
+      .indexOf(vm);
+    return Math.max(0, rank);
+  }
+
   // A stream that is cut waits for what is lent: the next beat is too late.
   function askForRepeats(): void {
     if (now() - askedMs < ASK_INTERVAL_MS) return;
@@ -197,6 +219,9 @@
         return engines.takeLoads(message.loads);
       case "gateways":
         return takeGateways(message);
+      case "lost":
+        message.engineIds.forEach(engines.takeLost);
+        return context.runWatch.takeLost(message.engineIds);
       case "repeatsLent":
         return budget.takeLoan(message);
     }
@@ -224,8 +249,10 @@
   const link = createFleetLink({
     getSeedAddresses: options.getSeedAddresses,
     getGateway: () => ({ vm, place, address, isReady: isReady() }),
+    getGatewayCount: () => gateways.length,
     getVersion: () => table?.version ?? -1,
     takeSuspects: engines.takeSuspects,
+    takeLost,
     takeSlow: pauses.takeSlow,
     getLoads: engines.getLoads,
     getRepeatsWanted: budget.getWanted,
@@ -234,6 +261,7 @@
     onConfirmed: (sentMs, version) =>
       lease.confirm({ sentMs, version, held: table?.version ?? -1 }),
     now,
+    random: Math.random,
     log,
   });
 
--- a/src/logs/events.ts
+++ b/src/logs/events.ts
@@ -117,6 +117,11 @@
     "warn",
     "Upstreams heard of could not be recorded",
   ),
+  engineFoundLost: event(
+    "CL1714",
+    "warn",
+    "Gateways of a data centre found upstreams lost",
+  ),
   callSent: event("CL1801", "info", "Request was sent to an upstream"),
   callNotRun: event("CL1802", "info", "Upstream did not run the request"),
   callBroken: event("CL1803", "info", "Answer broke off or failed"),
--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -10,6 +10,7 @@
 export * from "./compute_interval_shares.ts";
 export * from "./constants.ts";
 export * from "./list_usable.ts";
+export * from "./rank_by_rendezvous.ts";
 export * from "./rank_entries.ts";
 export * from "./score_upstream.ts";
 export * from "./types.ts";
--- a/src/routing/rank_entries.ts
+++ b/src/routing/rank_entries.ts
@@ -4,8 +4,8 @@
  * @module
  */
 
-import { createHash } from "node:crypto";
 import type { LiveEntry } from "../model/index.ts";
+import { rankByRendezvous } from "./rank_by_rendezvous.ts";
 
 /** Options of {@link rankEntries}. */
 export interface RankEntriesOptions {
@@ -40,16 +40,8 @@
     const distant = place !== undefined && entry.place !== place ? 1 : 0;
     return overloaded + distant;
   };
-  return staying
-    .map((entry) => ({
-      entry,
-      rank: rank(entry),
-      weight: weigh(`${service}\n${clientAccount}\n${entry.vm}`),
-    }))
-    .sort((a, b) => a.rank - b.rank || (a.weight < b.weight ? 1 : -1))
-    .map(({ entry }) => entry);
-}
-
-function weigh(text: string): string {
-  return createHash("sha256").update(text).digest("hex");
+  const byVm = new Map(staying.map((entry) => [entry.vm, entry]));
+  return rankByRendezvous([...byVm.keys()], `${service}\n${clientAccount}`)
+    .flatMap((vm) => byVm.get(vm) ?? [])
+    .sort((a, b) => rank(a) - rank(b));
 }
