A path over hundreds of engines is found ten times faster

Cause: at each layer at which a range begins or ends, the search compared all ways that lead there with all engines that go on. 216 engines: 7 ms on this machine, more on a gateway with a third of a core, for each stream.

Change: one pass over the layers; for each engine the best way that ends on it, entered from the two cheapest ways of each data centre.

Ruled out: keeping the two cheapest ways alone (4.7 ms): the inner loop over all further ends was most of it.

--- a/measure/layers.ts
+++ b/measure/layers.ts
@@ -6,6 +6,7 @@
  */
 
 import {
+  findLayerPath,
   findTokensInFlight,
   getLayerRoom,
   type LayerEngine,
@@ -99,6 +100,42 @@
     .length;
 }
 
+/** Prints how long a path over what is planned takes to find. */
+function measurePaths(): void {
+  printTable([3, 5, 8].map((places): TableRow => {
+    const engines = Array.from(
+      { length: places },
+      (_, at) => makeLayerEngines(PLACES[3], `p${at}`),
+    ).flat();
+    const orders = planLayerOrders(engines, {
+      figures: FIGURES,
+      mayRespread: () => true,
+    });
+    const byId = new Map(engines.map((one) => [one.engineId, one]));
+    const holders = orders.map((order) => {
+      const { place = "", stepFactor = 1 } = byId.get(order.engineId) ?? {};
+      return { ...order, place, layerCost: stepFactor / 80, firstCost: 0 };
+    });
+    const find = () =>
+      findLayerPath(holders, {
+        layers: FIGURES.layers,
+        place: "p0",
+        hopCost: 0.3,
+        entryPlaceCost: 2,
+        placeCost: 12,
+        maxParts: 32,
+      });
+    for (let warm = 0; warm < PATHS; warm++) find();
+    const startedMs = performance.now();
+    for (let found = 0; found < PATHS; found++) find();
+    const tookMs = (performance.now() - startedMs) / PATHS;
+    return { engines: holders.length, "path ms": tookMs.toFixed(2) };
+  }));
+}
+
+/** Paths that are found for one figure. */
+const PATHS = 200;
+
 /** Prints the designs of some data centres, and the time of large plans. */
 export function measureLayers(): void {
   printTable(PLACES.map((counts): TableRow => {
@@ -125,4 +162,5 @@
     const tookMs = performance.now() - startedMs;
     return { engines: engines.length, "plan ms": tookMs.toFixed(1) };
   }));
+  measurePaths();
 }
--- a/src/fleet/create_gateway_sessions_test.ts
+++ b/src/fleet/create_gateway_sessions_test.ts
@@ -2,7 +2,7 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import type { EngineRecord } from "../engines/index.ts";
-import type { wire } from "../wire/index.ts";
+import { wire } from "../wire/index.ts";
 import { createEngineNumbers } from "./create_engine_numbers.ts";
 import { createGatewaySessions } from "./create_gateway_sessions.ts";
 import type { GatewayMessage, LeaderMessage } from "./messages.ts";
@@ -28,9 +28,11 @@
 class FakeStream extends EventEmitter {
   readonly taken: LeaderMessage[] = [];
   readonly numbers = createEngineNumbers();
+  takenBytes = 0;
   readonly writableLength = 0;
 
   write(message: wire.FleetMessage): void {
+    this.takenBytes += wire.FleetMessage.encode(message).finish().length;
     this.taken.push(parseLeaderMessage(message, this.numbers));
   }
 
@@ -48,7 +50,7 @@
   }
 }
 
-function makeSessions() {
+function makeSessions(engines = ENGINES) {
   return createGatewaySessions({
     isLeader: () => true,
     hasLease: () => true,
@@ -56,7 +58,7 @@
     getLeaderAddress: () => "",
     getControlAddresses: () => [],
     getAccepted: () => undefined,
-    getEngines: () => ENGINES,
+    getEngines: () => engines,
     knowsAllEngines: () => true,
     knowsAllGateways: () => true,
     lendRepeats: () => 0,
@@ -137,4 +139,31 @@
   assert.equal(streams[1].takeNews(), [sum]);
 });
 
+/** Bytes that a link of 100 Mbit/s carries in a fifth of a second. */
+const LINK_BYTES = 2_500_000;
+
+test("a new leader's first words to 200 gateways don't hold up its heartbeats", async () => {
+  const engines = Array.from({ length: 221 }, (_, at) => ({
+    ...ENGINES[0],
+    engineId: `i-${(Math.imul(at + 1, 2_654_435_761) >>> 0).toString(16)}`,
+    address: `10.128.${at % 7}.${at}:8080`,
+    layers: { fromLayer: at % 40, toLayer: at % 40 + 9 },
+    card: `card-${at % 4}`,
+  }));
+  const sessions = makeSessions(engines);
+  const streams = [];
+  for (let at = 0; at < 200; at++) {
+    streams.push(await join(sessions, `front-place-${at % 5}-${at}`));
+  }
+  const joinBytes = streams.reduce((sum, one) => sum + one.takenBytes, 0);
+  assert.ok(joinBytes < LINK_BYTES, `${joinBytes} to who joins`);
+  sessions.publishAllEngines();
+  sessions.tick();
+  const allBytes = streams.reduce((sum, one) => sum + one.takenBytes, 0);
+  assert.ok(
+    allBytes - joinBytes < LINK_BYTES,
+    `${allBytes - joinBytes} to all`,
+  );
+});
+
 test.run();
--- a/src/layers/find_layer_path.ts
+++ b/src/layers/find_layer_path.ts
@@ -37,6 +37,7 @@
   readonly maxParts: number;
 }
 
+/** A way to a layer: the part that ends there, and what came before. */
 interface Step {
   readonly cost: number;
   readonly engine: PathEngine | undefined;
@@ -49,6 +50,13 @@
 /**
  * Finds the cheapest path. An engine may serve a part of what it holds.
  *
+ * Goes from one layer at which some engine's range begins or ends to the next,
+ * and keeps for each engine the best way that ends on it. What it costs to go on
+ * depends on the data centre where a part ended, so few ways are looked at for
+ * each engine: among 216 engines with ranges at random a path is found in 0.7 to
+ * 1.0 ms, where comparing all ways with each other takes 6.8 to 8.0 ms (both
+ * beside load).
+ *
  * @param engines - The engines that may be used.
  * @param options - The layers, the caller's place, the costs of hops.
  * @returns The parts in order, or undefined where layers are missing.
@@ -60,10 +68,8 @@
   engines: readonly PathEngine[],
   options: FindLayerPathOptions,
 ): PathPart[] | undefined {
-  const { layers, place, fromLayer = 0 } = options;
+  const { layers, fromLayer = 0 } = options;
   const cuts = getCuts(engines, { fromLayer, layers });
-  // For each cut the best way to end a part there, by its engine.
-  const ends = new Map<number, Map<string, Step>>();
   const start: Step = {
     cost: 0,
     engine: undefined,
@@ -71,20 +77,13 @@
     parts: 0,
     previous: undefined,
   };
-  ends.set(fromLayer, new Map([["", start]]));
-  for (const cut of cuts) {
-    const reached = [...ends.get(cut)?.values() ?? []];
-    if (reached.length === 0 || cut === layers) continue;
-    for (const engine of engines) {
-      if (engine.fromLayer > cut || engine.toLayer <= cut) continue;
-      if (cut === 0 && engine.firstCost === undefined) continue;
-      const before = findCheapest(reached, engine, { place, options });
-      if (!before || before.step.parts >= options.maxParts) continue;
-      extend({ engine, cut, cuts, before, ends });
-    }
+  let steps: readonly Step[] = [start];
+  for (let at = 0; at + 1 < cuts.length && steps.length > 0; at++) {
+    const segment = { fromLayer: cuts[at], toLayer: cuts[at + 1] };
+    steps = takeSegment(engines, { steps, segment, options });
   }
-  const last = findMinimum([...ends.get(layers)?.values() ?? []]);
-  return last && joinParts(readBack(last, layers));
+  const last = findMinimum(steps);
+  return last?.engine && joinParts(readBack(last, layers));
 }
 
 function getCuts(
@@ -94,61 +93,113 @@
   const { fromLayer, layers } = options;
   const cuts = new Set([fromLayer, layers]);
   for (const engine of engines) {
-    cuts.add(engine.fromLayer).add(Math.min(engine.toLayer, layers));
+    cuts.add(engine.fromLayer).add(engine.toLayer);
   }
-  return [...cuts].filter((cut) => cut >= fromLayer).sort((a, b) => a - b);
+  return [...cuts]
+    .filter((cut) => cut >= fromLayer && cut <= layers)
+    .sort((a, b) => a - b);
 }
 
-interface CheapestStep {
-  readonly step: Step;
-  readonly cost: number;
+/** Layers between two cuts, and the ways that lead to them. */
+interface SegmentContext {
+  readonly steps: readonly Step[];
+  readonly segment: LayerRange;
+  readonly options: FindLayerPathOptions;
 }
 
-function findCheapest(
-  reached: readonly Step[],
-  engine: PathEngine,
-  context: { place: string; options: FindLayerPathOptions },
-): CheapestStep | undefined {
-  const { place, options: { hopCost, placeCost, entryPlaceCost } } = context;
-  let best: CheapestStep | undefined;
-  for (const step of reached) {
-    if (step.engine?.engineId === engine.engineId) continue;
-    const from = step.engine?.place ?? place;
-    const leaveCost = step.engine ? placeCost : entryPlaceCost;
-    const awayCost = from === engine.place ? 0 : leaveCost;
-    if (awayCost === undefined) continue;
-    const firstCost = step.fromLayer === 0 && !step.engine
-      ? engine.firstCost ?? 0
-      : 0;
-    const cost = step.cost + hopCost + firstCost + awayCost;
-    if (!best || cost < best.cost) best = { step, cost };
+// The best way over the segment that ends on each engine: its part goes on, or
+// begins here.
+function takeSegment(
+  engines: readonly PathEngine[],
+  context: SegmentContext,
+): Step[] {
+  const { segment, options } = context;
+  const byEngine = new Map(context.steps.map((step) => [step.engine, step]));
+  const cheapest = keepCheapest(context.steps);
+  const next: Step[] = [];
+  for (const engine of engines) {
+    const isHeld = engine.fromLayer <= segment.fromLayer &&
+      engine.toLayer >= segment.toLayer;
+    if (!isHeld) continue;
+    const entered = enter(engine, cheapest, context);
+    const step = pickCheaper(byEngine.get(engine), entered);
+    if (!step || step.parts > options.maxParts) continue;
+    const layerCount = segment.toLayer - segment.fromLayer;
+    next.push({
+      cost: step.cost + layerCount * engine.layerCost,
+      engine,
+      fromLayer: step.fromLayer,
+      parts: step.parts,
+      previous: step.previous,
+    });
   }
-  return best;
+  return next;
+}
+
+/** The two cheapest ways to a data centre: the second for whom ends the first. */
+interface CheapestSteps {
+  first: Step;
+  second: Step | undefined;
 }
 
-function extend(
-  options: {
-    engine: PathEngine;
-    cut: number;
-    cuts: readonly number[];
-    before: CheapestStep;
-    ends: Map<number, Map<string, Step>>;
-  },
-): void {
-  const { engine, cut, cuts, before, ends } = options;
-  for (const end of cuts) {
-    if (end <= cut || end > engine.toLayer) continue;
-    const cost = before.cost + (end - cut) * engine.layerCost;
-    const parts = before.step.parts + 1;
-    const there = ends.get(end) ?? new Map<string, Step>();
-    const known = there.get(engine.engineId);
-    if (!known || cost < known.cost) {
-      const previous = before.step;
-      const step = { cost, engine, fromLayer: cut, parts, previous };
-      there.set(engine.engineId, step);
+function keepCheapest(steps: readonly Step[]): CheapestSteps[] {
+  const byPlace = new Map<string | undefined, CheapestSteps>();
+  for (const step of steps) {
+    const place = step.engine?.place;
+    const near = byPlace.get(place);
+    if (!near) byPlace.set(place, { first: step, second: undefined });
+    else if (step.cost < near.first.cost) {
+      near.second = near.first;
+      near.first = step;
+    } else if (!near.second || step.cost < near.second.cost) {
+      near.second = step;
     }
-    ends.set(end, there);
   }
+  return [...byPlace.values()];
+}
+
+// The cheapest way to begin a part on an engine.
+function enter(
+  engine: PathEngine,
+  cheapest: readonly CheapestSteps[],
+  { segment, options }: SegmentContext,
+): Step | undefined {
+  let best: Step | undefined;
+  let bestCost = Infinity;
+  for (const { first, second } of cheapest) {
+    const previous = first.engine === engine ? second : first;
+    if (!previous) continue;
+    const cost = previous.cost + getEnterCost(previous, engine, options);
+    if (cost >= bestCost) continue;
+    best = previous;
+    bestCost = cost;
+  }
+  return best && {
+    cost: bestCost,
+    engine,
+    fromLayer: segment.fromLayer,
+    parts: best.parts + 1,
+    previous: best,
+  };
+}
+
+// Infinite where the engine may not follow.
+function getEnterCost(
+  { engine: before }: Step,
+  engine: PathEngine,
+  options: FindLayerPathOptions,
+): number {
+  const { hopCost, fromLayer = 0 } = options;
+  const isNear = (before?.place ?? options.place) === engine.place;
+  if (before) return hopCost + (isNear ? 0 : options.placeCost ?? Infinity);
+  const awayCost = hopCost + (isNear ? 0 : options.entryPlaceCost);
+  // Where a path begins further on, another engine is its first.
+  return fromLayer > 0 ? awayCost : awayCost + (engine.firstCost ?? Infinity);
+}
+
+function pickCheaper(a: Step | undefined, b: Step | undefined) {
+  if (!a || !b) return a ?? b;
+  return a.cost <= b.cost ? a : b;
 }
 
 function findMinimum(steps: readonly Step[]): Step | undefined {
