--- a/src/gateway/expect_others_test.ts
+++ b/src/gateway/expect_others_test.ts
@@ -3,7 +3,7 @@
 import { playChoices } from "../../measure/choice_model.ts";
 import { expectOthers } from "./expect_others.ts";
 
-const LOAD = { gateways: 200, spanMs: 4_000, seed: 7 };
+const LOAD = { gateways: 200, spanMs: 8_000, seed: 7 };
 
 test("at 300 streams a second engines refuse none of them; 0.3 a stream where each gateway goes by what was told", () => {
   const told = playChoices({ ...LOAD, askedPerS: 300, expectsOthers: false });
