A group of engines that alone holds some layers is spread anew as a last resort

At 26.9 s the leader spreads one data centre anew, the one that held layers which nobody else did: 'no path' for 66 streams until 31 s.

Change: a gap waits for 1.9 s in place of 0.5 s, so that a spread comes as long after a loss as before; 6 s where the group holds layers that the others lack.

--- a/src/fleet/create_layer_keeper.ts
+++ b/src/fleet/create_layer_keeper.ts
@@ -52,11 +52,19 @@
 const FIRST_SPREAD_QUIET_MS = 700;
 
 /**
- * Ms that a gap waits for an empty engine before a copy is spread anew: the
- * news of engines that change together. An engine that comes back empty takes
- * longer to load a large range alone than all engines take for small ones.
+ * Ms that a gap waits for an empty engine before a copy is spread anew. A silent
+ * engine counts as lost after 1.2 s, and one that crashed is back, empty, after 3
+ * to 5 s. It takes longer to load a large range alone than all engines take for
+ * small ones, but meanwhile the group serves nobody.
  */
-const RESPREAD_AFTER_MS = 500;
+const RESPREAD_AFTER_MS = 1_900;
+
+/**
+ * The same where the group holds layers that nobody else does: paths over several
+ * data centres go on until then. An engine that is back by then was not lost for
+ * good.
+ */
+const LAST_RESPREAD_AFTER_MS = 6_000;
 
 /** Ms for which an engine that refused an order is left alone. */
 const REFUSED_MS = 500;
@@ -112,11 +120,15 @@
     const isFirst = engines.every((engine) => engine.range === undefined);
     if (isFirst && now() - newestMs < FIRST_SPREAD_QUIET_MS) return;
     const gaps = new Map<string, number>();
-    const mayRespread = (place: string): boolean => {
+    const mayRespread = (
+      place: string,
+      { losesCover }: { losesCover: boolean },
+    ): boolean => {
       const key = `${service.name} ${place}`;
       const sinceMs = gapSinceMs.get(key) ?? now();
       gaps.set(key, sinceMs);
-      return now() - sinceMs >= RESPREAD_AFTER_MS;
+      const waitMs = losesCover ? LAST_RESPREAD_AFTER_MS : RESPREAD_AFTER_MS;
+      return now() - sinceMs >= waitMs;
     };
     const orders = planLayerOrders(engines, { figures: model, mayRespread });
     gapSinceMs = gaps;
--- a/src/layers/layers_test.ts
+++ b/src/layers/layers_test.ts
@@ -281,6 +281,34 @@
   assert.ok(second.every(({ engineId }) => engineId.startsWith("b")));
 });
 
+test("a group whose layers the others lack is spread anew only as a last resort", () => {
+  const engines = holdPlan([...makeFew("a"), ...makeFew("b")]);
+  // Each group has a gap of its own: a path crosses from one to the other.
+  const holding = (place: string, layer: number) =>
+    engines.filter((one) =>
+      one.place === place && one.range &&
+      one.range.fromLayer <= layer && one.range.toLayer > layer
+    );
+  const lost = new Set([...holding("a", 0), ...holding("b", 79)]);
+  const left = engines.filter((engine) => !lost.has(engine));
+  assert.equal(findGaps(left.map(getRange), 80), []);
+  const asked: boolean[] = [];
+  const orders = planLayerOrders(left, {
+    figures: FIGURES,
+    mayRespread(_place, { losesCover }) {
+      asked.push(losesCover);
+      return !losesCover;
+    },
+  });
+  assert.equal(orders, []);
+  assert.ok(asked.length > 0 && asked.every(Boolean));
+  const last = planLayerOrders(left, {
+    figures: FIGURES,
+    mayRespread: () => true,
+  });
+  assert.ok(last.length > 0);
+});
+
 // The cards of one data centre with 33 engines.
 function makeMany(place = "a"): LayerEngine[] {
   const memories = [
--- a/src/layers/plan_layer_orders.ts
+++ b/src/layers/plan_layer_orders.ts
@@ -27,7 +27,13 @@
 export interface PlanLayerOrdersOptions {
   readonly figures: LayerFigures;
   /** Whether a group with a gap that no engine can be moved to is spread anew. */
-  readonly mayRespread: (place: string) => boolean;
+  readonly mayRespread: (
+    place: string,
+    options: {
+      /** Whether some layers are held by this group alone while it loads. */
+      readonly losesCover: boolean;
+    },
+  ) => boolean;
 }
 
 /**
@@ -245,7 +251,10 @@
   });
 }
 
-// A group that is spread anew serves little meanwhile: one at a time.
+// A group that is spread anew serves little meanwhile: one at a time. Groups with
+// gaps of their own may still serve together, by paths from one to the other: on
+// a day on which 9 of 40 engines went dark together, nobody held some layers for
+// 5 s of 9 because the group that did was spread anew.
 function chooseSpread(
   plans: readonly GroupPlan[],
   { figures, mayRespread }: PlanLayerOrdersOptions,
@@ -254,7 +263,11 @@
     hasGaps && findTokensInFlight(group.engines, figures) !== undefined
   );
   const ready = new Set(
-    broken.filter(({ group }) => mayRespread(group.name)),
+    broken.filter(({ group }) =>
+      mayRespread(group.name, {
+        losesCover: losesCover(group, { plans, figures }),
+      })
+    ),
   );
   const chosen = broken.find((plan) => ready.has(plan));
   const othersLoad = plans.some((plan) =>
@@ -263,6 +276,26 @@
   return othersLoad ? undefined : chosen;
 }
 
+function losesCover(
+  group: EngineGroup,
+  context: { plans: readonly GroupPlan[]; figures: LayerFigures },
+): boolean {
+  const { plans, figures: { layers } } = context;
+  const ready = plans
+    .flatMap((plan) => plan.group.engines)
+    .filter((engine) => !engine.isLoading);
+  const others = ready.filter((engine) => !group.engines.includes(engine));
+  return holdsAllLayers(ready, layers) && !holdsAllLayers(others, layers);
+}
+
+function holdsAllLayers(
+  engines: readonly LayerEngine[],
+  layers: number,
+): boolean {
+  return makeCover(engines.flatMap(listHolders), layers)
+    .every((factors) => factors.length > 0);
+}
+
 // Engines with alike cards keep the order of what they hold, so that a new
 // spread moves as few layers as it can.
 function spread(
