Engines over which events come are not asked; slow ones need two namings

A silent group asks all engines of its paths, also those over which other streams get events at that moment; the leader asks 32 engines a round, nearly all of 40.

Change: engines of a run with an event in the last 60 ms are taken as present; an engine is asked for its pace once it is named twice in 2.5 s, 16 a round at most.

--- a/src/fleet/create_pace_watch.ts
+++ b/src/fleet/create_pace_watch.ts
@@ -42,7 +42,10 @@
  * named by most of them. Rounds that ask all of 216 engines are 240 questions a
  * second, whatever happens.
  */
-const MAX_ASKED = 32;
+const MAX_ASKED = 16;
+
+/** Gateways, or beats of one, that have to name an engine before it is asked. */
+const LEAST_NAMINGS = 2;
 
 /** Ms for an answer. */
 const TIMEOUT_MS = 500;
@@ -92,7 +95,7 @@
     const rank = ({ engineId, slowness }: EngineRecord) =>
       slowness === undefined ? counts.get(engineId) ?? 0 : Infinity;
     return options.getEngines()
-      .filter((engine) => rank(engine) > 0)
+      .filter((engine) => rank(engine) >= LEAST_NAMINGS)
       .sort((a, b) => rank(b) === rank(a) ? 0 : rank(b) - rank(a))
       .slice(0, MAX_ASKED);
   }
--- a/src/gateway/create_run_watch.ts
+++ b/src/gateway/create_run_watch.ts
@@ -6,7 +6,7 @@
  * @module
  */
 
-import { groupRuns, type RunGroup } from "./group_runs.ts";
+import { groupRuns, type RunGroup, SHARED_SILENCE_MS } from "./group_runs.ts";
 import type {
   AddressedPart,
   EngineControl,
@@ -223,7 +223,9 @@
   }
 
   function askGroup(group: Group): void {
-    const parts = group.runs.flatMap(({ run }) => run.getPath());
+    const alive = listAlive();
+    const parts = group.runs.flatMap(({ run }) => run.getPath())
+      .filter(({ engineId }) => !alive.has(engineId));
     const engines = new Map(parts.map((part) => [part.engineId, part]));
     const { firstEngineId } = group;
     noteQuestion(firstEngineId);
@@ -234,6 +236,15 @@
     for (const engine of engines.values()) void ask(engine, { isStillSilent });
   }
 
+  // Engines over which some run has just got an event.
+  function listAlive(): ReadonlySet<string> {
+    const fresh = [...runs].filter((run) =>
+      run.hasBegun() && run.getSilenceMs() < SHARED_SILENCE_MS
+    );
+    const parts = fresh.flatMap((run) => run.getPath());
+    return new Set(parts.map(({ engineId }) => engineId));
+  }
+
   // An engine that refuses connections is gone. One that says nothing may just
   // be slow: it counts as lost only while its runs stay silent too.
   async function ask(
--- a/src/gateway/create_run_watch_test.ts
+++ b/src/gateway/create_run_watch_test.ts
@@ -191,6 +191,16 @@
   remove();
 });
 
+test("engines over which other runs get events are not asked", async () => {
+  const { watch, asked } = startWatch({});
+  const silent = makeRun(["a", "b", "c"], SINGLE_SILENCE_MS + 5);
+  const beside = makeRun(["d", "b"], 5);
+  const removals = [silent, beside].map(watch.add);
+  await untilAsked(asked);
+  assert.equal([...asked].sort(), ["a", "c"]);
+  removals.forEach((remove) => remove());
+});
+
 test("silent runs leave what other gateways found lost, without a question", async () => {
   const { watch, asked } = startWatch({}, { getAskerRank: () => 30 });
   const silent = makeRun(["a", "b"], SINGLE_SILENCE_MS + 5);
