--- a/src/fleet/create_layer_keeper.ts
+++ b/src/fleet/create_layer_keeper.ts
@@ -10,6 +10,7 @@
   type LayerEngine,
   type LayerOrder,
   planLayerOrders,
+  type SpreadCover,
 } from "../layers/index.ts";
 import type { Logger } from "../logs/index.ts";
 import type { LayeredModel, Service } from "../routes/index.ts";
@@ -66,6 +67,19 @@
  */
 const LAST_RESPREAD_AFTER_MS = 6_000;
 
+/**
+ * The same where nobody serves in any case: the news of engines that change
+ * together.
+ */
+const IDLE_RESPREAD_AFTER_MS = 500;
+
+/** Ms that a gap waits, by who else holds the layers. */
+const RESPREAD_WAITS_MS: Readonly<Record<SpreadCover, number>> = {
+  others: RESPREAD_AFTER_MS,
+  lost: LAST_RESPREAD_AFTER_MS,
+  none: IDLE_RESPREAD_AFTER_MS,
+};
+
 /** Ms for which an engine that refused an order is left alone. */
 const REFUSED_MS = 500;
 
@@ -122,13 +136,12 @@
     const gaps = new Map<string, number>();
     const mayRespread = (
       place: string,
-      { losesCover }: { losesCover: boolean },
+      { cover }: { cover: SpreadCover },
     ): boolean => {
       const key = `${service.name} ${place}`;
       const sinceMs = gapSinceMs.get(key) ?? now();
       gaps.set(key, sinceMs);
-      const waitMs = losesCover ? LAST_RESPREAD_AFTER_MS : RESPREAD_AFTER_MS;
-      return now() - sinceMs >= waitMs;
+      return now() - sinceMs >= RESPREAD_WAITS_MS[cover];
     };
     const orders = planLayerOrders(engines, { figures: model, mayRespread });
     gapSinceMs = gaps;
--- a/src/layers/layers_test.ts
+++ b/src/layers/layers_test.ts
@@ -292,16 +292,16 @@
   const lost = new Set([...holding("a", 0), ...holding("b", 79)]);
   const left = engines.filter((engine) => !lost.has(engine));
   assert.equal(findGaps(left.map(getRange), 80), []);
-  const asked: boolean[] = [];
+  const asked: string[] = [];
   const orders = planLayerOrders(left, {
     figures: FIGURES,
-    mayRespread(_place, { losesCover }) {
-      asked.push(losesCover);
-      return !losesCover;
+    mayRespread(_place, { cover }) {
+      asked.push(cover);
+      return cover !== "lost";
     },
   });
   assert.equal(orders, []);
-  assert.ok(asked.length > 0 && asked.every(Boolean));
+  assert.equal([...new Set(asked)], ["lost"]);
   const last = planLayerOrders(left, {
     figures: FIGURES,
     mayRespread: () => true,
@@ -309,6 +309,27 @@
   assert.ok(last.length > 0);
 });
 
+test("it is told whether others hold what a group is spread anew with, or nobody does", () => {
+  const engines = holdPlan([...makeFew("a"), ...makeFew("b")]);
+  const asked: string[] = [];
+  const options = {
+    figures: FIGURES,
+    mayRespread(place: string, { cover }: { cover: string }) {
+      asked.push(`${place} ${cover}`);
+      return false;
+    },
+  };
+  const withoutOne = engines.filter(({ engineId }) => engineId !== "ax1");
+  planLayerOrders(withoutOne, options);
+  assert.equal(asked, ["a others"]);
+  asked.length = 0;
+  planLayerOrders(
+    withoutOne.filter(({ engineId }) => engineId !== "bx1"),
+    options,
+  );
+  assert.equal(asked, ["a none", "b none"]);
+});
+
 // The cards of one data centre with 33 engines.
 function makeMany(place = "a"): LayerEngine[] {
   const memories = [
--- a/src/layers/plan_layer_orders.ts
+++ b/src/layers/plan_layer_orders.ts
@@ -23,16 +23,19 @@
 import { findTokensInFlight, getLayerRoom } from "./token_room.ts";
 import type { LayerEngine, LayerFigures, LayerOrder } from "./types.ts";
 
+/**
+ * Who holds all layers while a group is spread anew: the other groups, nobody then
+ * though all together do now, or nobody even now.
+ */
+export type SpreadCover = "others" | "lost" | "none";
+
 /** What a plan may do. */
 export interface PlanLayerOrdersOptions {
   readonly figures: LayerFigures;
   /** Whether a group with a gap that no engine can be moved to is spread anew. */
   readonly mayRespread: (
     place: string,
-    options: {
-      /** Whether some layers are held by this group alone while it loads. */
-      readonly losesCover: boolean;
-    },
+    options: { readonly cover: SpreadCover },
   ) => boolean;
 }
 
@@ -265,7 +268,7 @@
   const ready = new Set(
     broken.filter(({ group }) =>
       mayRespread(group.name, {
-        losesCover: losesCover(group, { plans, figures }),
+        cover: getSpreadCover(group, { plans, figures }),
       })
     ),
   );
@@ -276,16 +279,17 @@
   return othersLoad ? undefined : chosen;
 }
 
-function losesCover(
+function getSpreadCover(
   group: EngineGroup,
   context: { plans: readonly GroupPlan[]; figures: LayerFigures },
-): boolean {
+): SpreadCover {
   const { plans, figures: { layers } } = context;
   const ready = plans
     .flatMap((plan) => plan.group.engines)
     .filter((engine) => !engine.isLoading);
   const others = ready.filter((engine) => !group.engines.includes(engine));
-  return holdsAllLayers(ready, layers) && !holdsAllLayers(others, layers);
+  if (holdsAllLayers(others, layers)) return "others";
+  return holdsAllLayers(ready, layers) ? "lost" : "none";
 }
 
 function holdsAllLayers(
