A process that leads again tells no engines that went meanwhile

Cause, found in reading: the list of all engines is written once for those who join, and outlived the lead. Should the process lead again before an engine changes, it told the engines of its earlier lead as live. Waiting streams of gateways that did not come back stayed counted.

Change: what is written once is a module of its own (create_written_news) and is forgotten when the lead is lost, as are the waits. The test failed without it.

--- a/src/fleet/create_gateway_sessions.ts
+++ b/src/fleet/create_gateway_sessions.ts
@@ -12,8 +12,8 @@
 import type { Logger } from "../logs/index.ts";
 import type { wire } from "../wire/index.ts";
 import { createActivityTally } from "./create_activity_tally.ts";
-import { createEngineNumbers } from "./create_engine_numbers.ts";
 import { createLossReports } from "./create_loss_reports.ts";
+import { createWrittenNews } from "./create_written_news.ts";
 import type { AcceptedConfig } from "./create_fleet_machine.ts";
 import type {
   EngineLoads,
@@ -21,10 +21,6 @@
   GatewayRecord,
   LeaderMessage,
 } from "./messages.ts";
-import {
-  formatLeaderMessage,
-  parseGatewayMessage,
-} from "./session_messages.ts";
 import { sumLoads } from "./sum_loads.ts";
 
 type SessionStream = ServerDuplexStream<wire.FleetMessage, wire.FleetMessage>;
@@ -109,25 +105,20 @@
   // What was told of loads and streams, as text.
   let toldLoads = "";
   let gathering: ReturnType<typeof setTimeout> | undefined;
-  const numbers = createEngineNumbers();
+  const news = createWrittenNews(options);
   const tally = createActivityTally({ now });
   const losses = createLossReports({ now });
-  // Written out once for all who join between two pieces of news of engines.
-  let listedEngines:
-    | { isWhole: boolean; message: wire.FleetMessage }
-    | undefined;
-  let writtenConfig:
-    | { version: number; message: wire.FleetMessage }
-    | undefined;
 
   function send(session: Session, message: LeaderMessage): void {
-    write(session, formatLeaderMessage(message, numbers));
+    write(session, news.format(message));
   }
 
-  // What all are told is written out once.
   function broadcast(message: LeaderMessage): void {
-    const written = formatLeaderMessage(message, numbers);
-    for (const session of sessions.values()) write(session, written);
+    writeToAll(news.format(message));
+  }
+
+  function writeToAll(message: wire.FleetMessage): void {
+    for (const session of sessions.values()) write(session, message);
   }
 
   function write({ stream }: Session, message: wire.FleetMessage): void {
@@ -143,7 +134,7 @@
       type: "redirect",
       address: options.getLeaderAddress(),
     };
-    stream.write(formatLeaderMessage(message, numbers));
+    stream.write(news.format(message));
     stream.end();
   }
 
@@ -151,32 +142,7 @@
     const accepted = options.getAccepted();
     if (!accepted || accepted.version <= session.sentVersion) return;
     session.sentVersion = accepted.version;
-    write(session, writeConfig(accepted));
-  }
-
-  function writeConfig(accepted: AcceptedConfig): wire.FleetMessage {
-    const { version } = accepted;
-    if (writtenConfig?.version !== version) {
-      const config: LeaderMessage = { type: "config", ...accepted };
-      const message = formatLeaderMessage(config, numbers);
-      writtenConfig = { version, message };
-    }
-    return writtenConfig.message;
-  }
-
-  function listEngines(): wire.FleetMessage {
-    const isWhole = options.knowsAllEngines();
-    if (listedEngines?.isWhole !== isWhole) {
-      const engines = options.getEngines();
-      const list: LeaderMessage = {
-        type: "engines",
-        isWhole,
-        engines,
-        gone: [],
-      };
-      listedEngines = { isWhole, message: formatLeaderMessage(list, numbers) };
-    }
-    return listedEngines.message;
+    write(session, news.formatConfig(accepted));
   }
 
   async function takeHello(
@@ -198,7 +164,7 @@
     const controlAddresses = options.getControlAddresses();
     send(session, { type: "welcome", controlAddresses });
     sendConfig(session);
-    write(session, listEngines());
+    write(session, news.formatEngines());
     // The read was confirmed after the hello was sent, as with any beat.
     confirm(session, sentMs);
     if (toldGateways) {
@@ -270,7 +236,7 @@
       loads: {},
     };
     stream.on("data", (received: wire.FleetMessage) => {
-      const message = parseGatewayMessage(received, numbers);
+      const message = news.parse(received);
       if (message.type === "beat") takeBeat(session, message);
       else void takeHello(session, message);
     });
@@ -322,13 +288,12 @@
       }, CONFIG_GATHER_MS);
     },
     publishEngines({ engines, gone }) {
-      listedEngines = undefined;
+      news.forgetEngines();
       broadcast({ type: "engines", isWhole: false, engines, gone });
     },
     publishAllEngines() {
-      listedEngines = undefined;
-      const message = listEngines();
-      for (const session of sessions.values()) write(session, message);
+      news.forgetEngines();
+      writeToAll(news.formatEngines());
     },
     tick() {
       for (const session of sessions.values()) {
@@ -351,7 +316,10 @@
     },
     closeAll() {
       for (const { stream } of sessions.values()) redirect(stream);
+      for (const vm of sessions.keys()) tally.forget(vm);
       sessions.clear();
+      // Should it lead again, engines that were there now may be gone.
+      news.forgetEngines();
       toldGateways = undefined;
     },
   };
--- a/src/fleet/create_gateway_sessions_test.ts
+++ b/src/fleet/create_gateway_sessions_test.ts
@@ -139,6 +139,18 @@
   assert.equal(streams[1].takeNews(), [sum]);
 });
 
+test("one that leads again tells no engines that went meanwhile", async () => {
+  const engines = [...ENGINES];
+  const sessions = makeSessions(engines);
+  await join(sessions, "g1");
+  sessions.closeAll();
+  engines.pop();
+  const stream = await join(sessions, "g1");
+  const list = stream.taken.find(({ type }) => type === "engines");
+  assert.ok(list?.type === "engines");
+  assert.equal(list.engines.map(({ engineId }) => engineId), ["e0"]);
+});
+
 /** Bytes that a link of 100 Mbit/s carries in a fifth of a second. */
 const LINK_BYTES = 2_500_000;
 
