--- a/src/gateway/admission_test.ts
+++ b/src/gateway/admission_test.ts
@@ -3,7 +3,8 @@
 import type { LayeredModel } from "../routes/index.ts";
 import { choosePath, type PathNeed } from "./choose_path.ts";
 import { createEndRate } from "./create_end_rate.ts";
-import { createEngineTable, getSlowness } from "./create_engine_table.ts";
+import { createEngineTable } from "./create_engine_table.ts";
+import { getSlowness } from "./engine_view.ts";
 import { createReturnSchedule } from "./create_return_schedule.ts";
 import { createRoomQueue, createRoomQueues } from "./create_room_queue.ts";
 
--- a/src/gateway/choose_call_path.ts
+++ b/src/gateway/choose_call_path.ts
@@ -8,7 +8,7 @@
 import type { LayeredModel } from "../routes/index.ts";
 import { chooseEngine } from "./choose_engine.ts";
 import { choosePath, type PathNeed } from "./choose_path.ts";
-import type { EngineView } from "./create_engine_table.ts";
+import type { EngineView } from "./engine_view.ts";
 import { type ExpectedWork, expectOthers } from "./expect_others.ts";
 import type { AddressedPart } from "./protocol.ts";
 import type { Call, ServingContext } from "./types.ts";
--- a/src/gateway/choose_engine.ts
+++ b/src/gateway/choose_engine.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { type EngineView, getFailureShare } from "./create_engine_table.ts";
+import { type EngineView, getFailureShare } from "./engine_view.ts";
 
 /** What the choice goes by. */
 export interface ChooseEngineOptions {
--- a/src/gateway/choose_path.ts
+++ b/src/gateway/choose_path.ts
@@ -16,7 +16,7 @@
   type EngineView,
   getFailureShare,
   getSlowness,
-} from "./create_engine_table.ts";
+} from "./engine_view.ts";
 import type { ExpectedWork } from "./expect_others.ts";
 import type { AddressedPart } from "./protocol.ts";
 
--- a/src/gateway/serve_plain_call.ts
+++ b/src/gateway/serve_plain_call.ts
@@ -7,7 +7,7 @@
 import { Buffer } from "node:buffer";
 import { chooseEngine } from "./choose_engine.ts";
 import { createCallEnd } from "./create_call_end.ts";
-import type { EngineView } from "./create_engine_table.ts";
+import type { EngineView } from "./engine_view.ts";
 import type { Exchange, ExchangeEnd } from "./create_exchanger.ts";
 import { createTryPayment } from "./create_try_payment.ts";
 import type { UpstreamHead } from "./protocol.ts";
--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -15,7 +15,6 @@
 import type { Logger } from "../logs/index.ts";
 import type { Metrics } from "../metrics/index.ts";
 import { createRouteTable, type RouteTable } from "../routes/index.ts";
-import { rankByRendezvous } from "../routing/index.ts";
 import {
   createCallerServer,
   type EarlyListener,
@@ -27,6 +26,7 @@
 import { createFleetRates } from "./create_fleet_rates.ts";
 import { createExchanger } from "./create_exchanger.ts";
 import { createFleetLink } from "./create_fleet_link.ts";
+import { createLossNews } from "./create_loss_news.ts";
 import { createPauseWatch } from "./create_pause_watch.ts";
 import { createRepeatBudget } from "./create_repeat_budget.ts";
 import { createRequestDesk } from "./create_request_desk.ts";
@@ -122,12 +122,12 @@
   let isLastCall = false;
   let knowsEngines = false;
   let askedMs = -Infinity;
-  let lost = new Set<string>();
 
   const lease = createConfigLease({ revokeMs: settings.revokeMs, now });
   const exchanger = createExchanger(codec);
   const engines = createEngineTable({ now, log, onGone: exchanger.forget });
   const listReady = () => gateways.filter((gateway) => gateway.isReady);
+  const losses = createLossNews({ vm, place, listReady });
   const pauses = createPauseWatch();
   const endRate = createEndRate({ now });
   const getGatewayCount = () => Math.max(1, listReady().length);
@@ -152,7 +152,7 @@
     runWatch: createRunWatch({
       engineControl: options.engineControl,
       onLost: noteLost,
-      getAskerRank,
+      getAskerRank: losses.getAskerRank,
       onPace: engines.notePace,
       now,
     }),
@@ -184,23 +184,10 @@
 
   function noteLost(engineId: string, reason: string): void {
     engines.suspect(engineId, reason);
-    lost.add(engineId);
+    losses.note(engineId);
     link.beatSoon();
   }
 
-  function takeLost(): readonly string[] {
-    const taken = [...lost];
-    lost = new Set();
-    return taken;
-  }
-
-  function getAskerRank(engineId: string): number {
-    const near = gateways.filter((one) => one.isReady && one.place === place);
-    const rank = rankByRendezvous(near.map((one) => one.vm), engineId)
-      .indexOf(vm);
-    return Math.max(0, rank);
-  }
-
   // A stream that is cut waits for what is lent: the next beat is too late.
   function askForRepeats(): void {
     if (now() - askedMs < ASK_INTERVAL_MS) return;
@@ -253,7 +240,7 @@
     getGatewayCount: () => gateways.length,
     getVersion: () => table?.version ?? -1,
     takeSuspects: engines.takeSuspects,
-    takeLost,
+    takeLost: losses.take,
     takeSlow: pauses.takeSlow,
     getLoads: engines.getLoads,
     getRepeatsWanted: budget.getWanted,
