--- a/src/fleet/create_gateway_sessions.ts
+++ b/src/fleet/create_gateway_sessions.ts
@@ -140,9 +140,11 @@
 
   function sendConfig(session: Session): void {
     const accepted = options.getAccepted();
-    if (!accepted || accepted.version <= session.sentVersion) return;
+    if (!accepted) return;
+    news.noteConfig(accepted);
+    if (accepted.version <= session.sentVersion) return;
+    write(session, news.formatConfig(accepted, session.sentVersion));
     session.sentVersion = accepted.version;
-    write(session, news.formatConfig(accepted));
   }
 
   async function takeHello(
--- a/src/fleet/index.ts
+++ b/src/fleet/index.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+export * from "./config_delta.ts";
 export * from "./create_engine_numbers.ts";
 export * from "./create_layer_keeper.ts";
 export * from "./create_fleet_machine.ts";
--- a/src/fleet/messages.ts
+++ b/src/fleet/messages.ts
@@ -96,6 +96,14 @@
     /** The configuration as the operator wrote it, packed. */
     readonly packed: string;
   }
+  | {
+    readonly type: "configChange";
+    readonly version: number;
+    /** Version that the gateway has, as it or this leader said. */
+    readonly fromVersion: number;
+    /** What changed between the two documents. */
+    readonly delta: string;
+  }
   | {
     readonly type: "engines";
     /** Whether these are all; otherwise only what changed. */
--- a/src/gateway/create_fleet_link.ts
+++ b/src/gateway/create_fleet_link.ts
@@ -59,6 +59,8 @@
   beat(): void;
   /** Sends a beat in a moment, together with what else is found meanwhile. */
   beatSoon(): void;
+  /** Ends the session; the next one begins with a hello again. */
+  renew(): void;
 }
 
 /** Ms between two beats. */
@@ -234,6 +236,9 @@
   return {
     beat,
     beatSoon,
+    renew() {
+      if (session) close(session, "renewed");
+    },
     async [Symbol.asyncDispose]() {
       await Promise.resolve();
       clearInterval(timer);
--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -7,6 +7,7 @@
 
 import { setTimeout as sleep } from "node:timers/promises";
 import {
+  applyConfigDelta,
   type DecodeConfig,
   type GatewayRecord,
   type LeaderMessage,
@@ -116,6 +117,9 @@
   const { vm, place, listen } = settings;
   const address = `${listen.host}:${listen.port}`;
   let table: RouteTable | undefined;
+  // The configuration in force as the operator wrote it: changes are told of it.
+  let document = "";
+  let isConfigWanted = false;
   let gateways: readonly GatewayRecord[] = [];
   let isLeaving = false;
   let graceEndMs = Infinity;
@@ -198,7 +202,9 @@
   function takeMessage(message: LeaderMessage): void {
     switch (message.type) {
       case "config":
-        return takeConfig(message);
+        return takeConfig(message.version, unpackDocument(message.packed));
+      case "configChange":
+        return takeConfigChange(message);
       case "engines":
         knowsEngines = true;
         return engines.take(message);
@@ -225,10 +231,25 @@
     gateways = [...next.values()];
   }
 
-  function takeConfig(message: LeaderMessage & { type: "config" }): void {
+  function takeConfigChange(
+    { version, fromVersion, delta }: LeaderMessage & { type: "configChange" },
+  ): void {
+    if (table && version <= table.version) return;
+    if (table?.version !== fromVersion) {
+      log("configChangeUnfit", { version, fromVersion, held: table?.version });
+      // The next session says that it has none, and is told the whole one.
+      isConfigWanted = true;
+      return link.renew();
+    }
+    takeConfig(version, applyConfigDelta(document, delta));
+  }
+
+  function takeConfig(version: number, text: string): void {
+    isConfigWanted = false;
     // Whatever a late leader says: within one life nothing goes back.
-    if (table && message.version <= table.version) return;
-    const config = options.decodeConfig(unpackDocument(message.packed));
+    if (table && version <= table.version) return;
+    const config = options.decodeConfig(text);
+    document = text;
     table = createRouteTable(config);
     server.server.keepAliveTimeout = config.limits.idleTimeoutMs + 1_000;
     log("configApplied", { version: config.version });
@@ -238,7 +259,7 @@
     getSeedAddresses: options.getSeedAddresses,
     getGateway: () => ({ vm, place, address, isReady: isReady() }),
     getGatewayCount: () => gateways.length,
-    getVersion: () => table?.version ?? -1,
+    getVersion: () => isConfigWanted ? -1 : table?.version ?? -1,
     takeSuspects: engines.takeSuspects,
     takeLost: losses.take,
     takeSlow: pauses.takeSlow,
--- a/src/logs/events.ts
+++ b/src/logs/events.ts
@@ -117,6 +117,11 @@
     "warn",
     "Upstreams heard of could not be recorded",
   ),
+  configChangeUnfit: event(
+    "CL1715",
+    "error",
+    "Change of a configuration is from another version; the whole is asked for",
+  ),
   engineFoundLost: event(
     "CL1714",
     "warn",
