--- a/src/gateway/choose_call_path.ts
+++ b/src/gateway/choose_call_path.ts
@@ -70,6 +70,7 @@
     place,
     gatewayCount: context.getGatewayCount(),
     mostGrowth: begunRequests,
+    hasIdleConnection: context.exchanger.hasIdleConnection,
     expected: expectWork(usable, { call, context, model, begunRequests }),
     excluded,
     mayCross: engines.getCrossingPrompts() < MAX_CROSSING_PROMPTS,
--- a/src/gateway/choose_path.ts
+++ b/src/gateway/choose_path.ts
@@ -31,6 +31,8 @@
    * leader told of their loads; unbounded by default.
    */
   readonly mostGrowth?: number;
+  /** Whether a connection to an engine stands idle; all do by default. */
+  readonly hasIdleConnection?: (engineId: string) => boolean;
   /** What the others have, beside what was told; nothing by default. */
   readonly expected?: ExpectedWork;
   /** Engines that may not be used. */
@@ -128,6 +130,13 @@
  */
 const UNREAD_PROMPT_COST_MS = 1;
 
+/**
+ * Cost of a first engine to which no connection stands idle: a round on a local
+ * network, as a hop. Of engines that are alike a gateway stays with those that it
+ * uses, up to some ten streams' difference in their load.
+ */
+const NEW_CONNECTION_COST_MS = 0.3;
+
 /** Factor on the cost of an engine that has just refused for want of room. */
 const REFUSED_FACTOR = 100;
 
@@ -199,7 +208,10 @@
   const firstCost =
     FULL_SLOTS_COST_MS * getExcess(usedSlotsShare, BUSY_SLOTS_SHARE) +
     SLOTS_COST_MS * usedSlotsShare +
-    UNREAD_PROMPT_COST_MS * view.unreadPrompts;
+    UNREAD_PROMPT_COST_MS * view.unreadPrompts +
+    (options.hasIdleConnection?.(engineId) === false
+      ? NEW_CONNECTION_COST_MS
+      : 0);
   const mayBeFirst = !need || usedSlotsShare < getUsableShare(need);
   return {
     engineId,
--- a/src/gateway/choose_path_test.ts
+++ b/src/gateway/choose_path_test.ts
@@ -107,6 +107,38 @@
   assert.equal(choose(false)?.map(({ engineId }) => engineId), ["c0"]);
 });
 
+test("of alike engines one with an idle connection is taken, until it has more to do", () => {
+  const table = createEngineTable({
+    now: () => 0,
+    log: () => {},
+    onGone: () => {},
+  });
+  const engines = ["a", "b", "c"].map((engineId) => ({
+    engineId,
+    service: "model",
+    address: `${engineId}:1`,
+    place: "p",
+    slots: 134,
+    isLeaving: false,
+    card: "fast",
+    layers: { fromLayer: 0, toLayer: 8 },
+  }));
+  table.take({ type: "engines", isWhole: true, engines, gone: [] });
+  const choose = () =>
+    choosePath(table.listUsable("model"), {
+      model: { ...MODEL, kvTokenBytes: 8_000, slots: 134 },
+      place: "p",
+      gatewayCount: 200,
+      hasIdleConnection: (engineId) => engineId === "b",
+      excluded: new Set(),
+      nowMs: 0,
+    })?.[0].engineId;
+  table.takeLoads({ b: { tokens: 40, requests: 1 } });
+  assert.is(choose(), "b");
+  table.takeLoads({ b: { tokens: 2_000, requests: 50 } });
+  assert.is(choose(), "a");
+});
+
 /** Mean streams that each of 200 gateways begins in half a second. */
 const MEAN_BEGUN = 0.6;
 
--- a/src/gateway/create_exchanger.ts
+++ b/src/gateway/create_exchanger.ts
@@ -45,6 +45,8 @@
 /** Makes exchanges; keeps the connections. */
 export interface Exchanger extends AsyncDisposable {
   start(options: ExchangeOptions): Exchange;
+  /** Whether a connection to an upstream stands idle. */
+  hasIdleConnection(engineId: string): boolean;
   /** Closes the idle connections to an upstream that is gone. */
   forget(engineId: string): void;
 }
@@ -180,6 +182,7 @@
 
   return {
     start,
+    hasIdleConnection: (engineId) => (pools.get(engineId)?.stats.free ?? 0) > 0,
     forget(engineId) {
       const pool = pools.get(engineId);
       pools.delete(engineId);
--- a/src/gateway/create_exchanger_test.ts
+++ b/src/gateway/create_exchanger_test.ts
@@ -192,4 +192,30 @@
   }
 });
 
+test("a connection stands idle between two exchanges, until the upstream is gone", async () => {
+  await using server = await startRawServer((socket) =>
+    socket.write(`${HEAD}content-length: 4\r\n\r\nabcd`)
+  );
+  await using exchanger = createExchanger(codec);
+  assert.not(exchanger.hasIdleConnection("e"));
+  await new Promise<ExchangeEnd>((resolve) => {
+    exchanger.start({
+      engineId: "e",
+      address: server.address,
+      method: "GET",
+      target: "/x",
+      headers: [],
+      body: null,
+      requestId: "r1",
+      onHead: () => assert.not(exchanger.hasIdleConnection("e")),
+      onData: () => {},
+      onEnd: resolve,
+    });
+  });
+  await sleep(20);
+  assert.ok(exchanger.hasIdleConnection("e"));
+  exchanger.forget("e");
+  assert.not(exchanger.hasIdleConnection("e"));
+});
+
 test.run();
