A new leader tells loads once it knows those of all gateways; untold loads stay news

Found by a test with 200 gateways before three real control processes, which failed on both. (1) A new leader told sums of those that had come back so far: with 30 of 200 gateways all engines look empty, and new streams go to full ones. (2) Loads of engines that had no number yet counted as told: constant ones never were.

Loads without a number are left out before they are compared with what was told.

--- a/src/fleet/create_engine_numbers.ts
+++ b/src/fleet/create_engine_numbers.ts
@@ -14,6 +14,8 @@
   assign(engineId: string): number;
   /** Takes a number that the other side gave. */
   learn(engineId: string, number: number): void;
+  /** Leaves out the loads of engines that have no number. */
+  keepNumbered(loads: EngineLoads): EngineLoads;
   /** Writes loads as columns; engines without a number are left out. */
   formatLoads(loads: EngineLoads): wire.EngineLoads;
   /** Reads such columns. */
@@ -48,6 +50,11 @@
       return number;
     },
     learn,
+    // The leader does not know them: it would tell nobody of their work.
+    keepNumbered: (loads) =>
+      Object.fromEntries(
+        Object.entries(loads).filter(([engineId]) => numbers.has(engineId)),
+      ),
     formatLoads(loads) {
       const columns: wire.EngineLoads = {
         engineNumbers: [],
@@ -56,7 +63,6 @@
       };
       for (const [engineId, { tokens, requests }] of Object.entries(loads)) {
         const number = numbers.get(engineId);
-        // The leader does not know it: it would tell nobody of its work.
         if (number === undefined) continue;
         columns.engineNumbers.push(number);
         columns.tokens.push(Math.max(0, Math.round(tokens)));
--- a/src/fleet/create_gateway_sessions.ts
+++ b/src/fleet/create_gateway_sessions.ts
@@ -306,11 +306,13 @@
       publishGateways();
     },
     publishLoads() {
+      // A part of the gateways told as all would make engines look empty, and a
+      // new leader has not counted streams for a whole window yet.
+      if (!options.knowsAllGateways()) return;
       const loads = sumLoads(
         [...sessions.values()].map((session) => session.loads),
       );
-      // A new leader has not counted for a whole window yet.
-      const activity = options.knowsAllGateways() ? tally.get() : undefined;
+      const activity = tally.get();
       const told = JSON.stringify([loads, activity]);
       if (told === toldLoads) return;
       toldLoads = told;
--- a/src/fleet/messages.ts
+++ b/src/fleet/messages.ts
@@ -123,8 +123,7 @@
     readonly type: "loads";
     /** Work in flight of all gateways, the one that is told included. */
     readonly loads: EngineLoads;
-    /** Absent while the leader has not heard all of them for long enough. */
-    readonly activity?: FleetActivity;
+    readonly activity: FleetActivity;
   }
   | {
     /** Engines that gateways of the same data centre found lost. */
--- a/src/fleet/session_messages.ts
+++ b/src/fleet/session_messages.ts
@@ -41,9 +41,8 @@
   numbers: EngineNumbers,
 ): wire.FleetMessage {
   if (message.type === "loads") {
-    const { activity } = message;
     return makeMessage({
-      json: activity ? JSON.stringify(activity) : "",
+      json: JSON.stringify(message.activity),
       loads: numbers.formatLoads(message.loads),
     });
   }
@@ -70,7 +69,6 @@
   const text = unpackText(received);
   if (received.loads) {
     const loads = numbers.parseLoads(received.loads);
-    if (text === "") return { type: "loads", loads };
     return {
       type: "loads",
       loads,
--- a/src/fleet/session_messages_test.ts
+++ b/src/fleet/session_messages_test.ts
@@ -79,7 +79,11 @@
 test("messages come out of the wire as they went in", () => {
   const { leader, gateway, list, heard } = meet();
   assert.equal(heard, list);
-  const sum: LeaderMessage = { type: "loads", loads: makeLoads(3) };
+  const sum: LeaderMessage = {
+    type: "loads",
+    loads: makeLoads(3),
+    activity: { model: { askedPerS: 240, endedPerS: 238.5, waiting: 2 } },
+  };
   const toldSum = overTheWire(formatLeaderMessage(sum, leader));
   assert.equal(parseLeaderMessage(toldSum, gateway), sum);
   const beat: GatewayMessage = {
@@ -102,7 +106,7 @@
 
 test("loads of no engine at all are news too", () => {
   const { leader, gateway } = meet();
-  const none: LeaderMessage = { type: "loads", loads: {} };
+  const none: LeaderMessage = { type: "loads", loads: {}, activity: {} };
   const told = overTheWire(formatLeaderMessage(none, leader));
   assert.equal(parseLeaderMessage(told, gateway), none);
 });
@@ -124,7 +128,7 @@
   const all = Array.from({ length: GATEWAYS }, (_, at) => makeLoads(at));
   const sum = sumLoads(all);
   const sumBytes = measure(
-    formatLeaderMessage({ type: "loads", loads: sum }, leader),
+    formatLeaderMessage({ type: "loads", loads: sum, activity: {} }, leader),
   );
   const sumTextBytes = JSON.stringify({ type: "loads", loads: sum }).length;
   assert.ok(sumBytes < sumTextBytes / 7, `${sumBytes} of ${sumTextBytes}`);
--- a/src/gateway/create_fleet_link.ts
+++ b/src/gateway/create_fleet_link.ts
@@ -203,7 +203,8 @@
   function beat(): void {
     if (!session?.isWelcome) return;
     beatDueMs = now() + BEAT_INTERVAL_MS;
-    const loads = options.getLoads();
+    // What the leader can't be told yet is news once it can.
+    const loads = session.numbers.keepNumbered(options.getLoads());
     const told = JSON.stringify(loads);
     const isNews = told !== session.toldLoads;
     session.toldLoads = told;
--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -209,7 +209,7 @@
         knowsEngines = true;
         return engines.take(message);
       case "loads":
-        if (message.activity) rates.take(message.activity);
+        rates.take(message.activity);
         return engines.takeLoads(message.loads);
       case "gateways":
         return takeGateways(message);
--- /dev/null
+++ b/test/many_gateways_test.ts
@@ -0,0 +1,228 @@
+/**
+ * Two hundred gateways before three control processes: all are told, and none
+ * loses what it knows when the leader goes.
+ */
+
+import { mkdtemp, rm } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { findFreePorts, until } from "../demo/launch_fleet.ts";
+import { decodeConfig } from "../platform/decode_config.ts";
+import {
+  applyConfigDelta,
+  type FleetControl,
+  type FleetSeed,
+  type LeaderMessage,
+  packDocument,
+  startFleetControl,
+  unpackDocument,
+} from "../src/fleet/index.ts";
+import {
+  createFleetLink,
+  type FleetLink,
+} from "../src/gateway/create_fleet_link.ts";
+import { createMetrics } from "../src/metrics/index.ts";
+import { makeWireConfig } from "./support/fleet.ts";
+import { makeBeat } from "./support/make_beat.ts";
+
+const GATEWAYS = 200;
+const ENGINES = 60;
+const CONTROLS = 3;
+
+/** Ms between two beats of an engine. */
+const BEAT_MS = 500;
+
+/** A gateway's session with what it was told. */
+interface ToldGateway {
+  readonly link: FleetLink;
+  readonly engineIds: Set<string>;
+  /** Fewest engines that it knew once it knew all. */
+  fewestEngines: number;
+  document: string;
+  confirmedVersion: number;
+  /** Times that it was told all loads. */
+  sums: number;
+  /** Requests that begin on the first engine, as it was told last. */
+  requestsOnFirst: number;
+  /** Fewest of them that it was told once it was told of all gateways'. */
+  fewestRequests: number;
+}
+
+function openGateway(at: number, seeds: readonly FleetSeed[]): ToldGateway {
+  const gateway: Omit<ToldGateway, "link"> = {
+    engineIds: new Set(),
+    fewestEngines: Infinity,
+    document: "",
+    confirmedVersion: -1,
+    sums: 0,
+    requestsOnFirst: 0,
+    fewestRequests: Infinity,
+  };
+  const getVersion = () =>
+    gateway.document === "" ? -1 : JSON.parse(gateway.document).version;
+
+  function takeEngines(message: LeaderMessage & { type: "engines" }): void {
+    const { engineIds } = gateway;
+    if (message.isWhole) engineIds.clear();
+    message.gone.forEach((id) => engineIds.delete(id));
+    message.engines.forEach(({ engineId }) => engineIds.add(engineId));
+    if (gateway.fewestEngines === Infinity && engineIds.size < ENGINES) return;
+    gateway.fewestEngines = Math.min(gateway.fewestEngines, engineIds.size);
+  }
+
+  function takeLoads({ loads }: LeaderMessage & { type: "loads" }): void {
+    const requests = loads.e0?.requests ?? 0;
+    gateway.sums += 1;
+    gateway.requestsOnFirst = requests;
+    if (gateway.fewestRequests === Infinity && requests < GATEWAYS) return;
+    gateway.fewestRequests = Math.min(gateway.fewestRequests, requests);
+  }
+
+  const link = createFleetLink({
+    getSeedAddresses: () => seeds.map((seed) => seed.peerAddress),
+    getGateway: () => ({
+      vm: `g${at}`,
+      place: `p${at % 5}`,
+      address: `10.0.${at % 5}.${at}:80`,
+      isReady: true,
+    }),
+    getGatewayCount: () => GATEWAYS,
+    getVersion,
+    takeSuspects: () => [],
+    takeLost: () => [],
+    takeSlow: () => [],
+    getLoads: () => ({ e0: { tokens: 100, requests: 1 } }),
+    getRepeatsWanted: () => ({}),
+    takeActivity: () => ({}),
+    onMessage(message) {
+      if (message.type === "engines") takeEngines(message);
+      if (message.type === "config") {
+        gateway.document = unpackDocument(message.packed);
+      }
+      if (message.type === "configChange") {
+        gateway.document = applyConfigDelta(gateway.document, message.delta);
+      }
+      if (message.type === "loads") takeLoads(message);
+    },
+    onConfirmed: (_sentMs, version) => {
+      gateway.confirmedVersion = version;
+    },
+    now: () => performance.now(),
+    random: Math.random,
+    log: () => {},
+  });
+  return Object.assign(gateway, { link });
+}
+
+async function startFleet() {
+  const folder = await mkdtemp(join(tmpdir(), "many-"));
+  const ports = await findFreePorts(CONTROLS * 2);
+  const seeds = Array.from({ length: CONTROLS }, (_, at) => ({
+    callerAddress: `127.0.0.1:${ports[2 * at]}`,
+    peerAddress: `127.0.0.1:${ports[2 * at + 1]}`,
+  }));
+  const running = new Set<FleetControl>();
+  for (const [at, seed] of seeds.entries()) {
+    running.add(
+      await startFleetControl({
+        fleetId: "many",
+        ...seed,
+        dataFolder: join(folder, String(at)),
+        isFirstStart: true,
+        voters: CONTROLS,
+        beatIntervalMs: BEAT_MS,
+        repeats: { extra: 100, windowMs: 10_000 },
+      }, {
+        getSeeds: () => seeds,
+        decodeConfig,
+        sendLayerOrder: () => Promise.resolve("begun"),
+        readPace: () => Promise.resolve(1),
+        log: () => {},
+        metrics: createMetrics(),
+        onFatal: (error) => {
+          throw error;
+        },
+      }),
+    );
+  }
+  const findLeader = () =>
+    [...running].find((one) => one.getState().role === "leader");
+  let sequence = 0;
+  const beating = setInterval(() => {
+    sequence += 1;
+    const [any] = running;
+    for (let at = 0; at < ENGINES; at++) {
+      const beat = makeBeat({
+        engineId: `e${at}`,
+        address: `10.1.0.${at}:80`,
+        sequence,
+      });
+      void any?.call({ type: "beat", beat });
+    }
+  }, BEAT_MS);
+  const gateways = Array.from(
+    { length: GATEWAYS },
+    (_, at) => openGateway(at, seeds),
+  );
+  return {
+    gateways,
+    findLeader,
+    async put(version: number) {
+      const packed = packDocument(JSON.stringify(makeWireConfig(version)));
+      const reply = await findLeader()?.call({ type: "putConfig", packed });
+      return reply?.type === "done";
+    },
+    async stopLeader() {
+      const leader = findLeader();
+      if (!leader) throw new Error("Nobody leads");
+      running.delete(leader);
+      await leader.stop();
+    },
+    async [Symbol.asyncDispose]() {
+      clearInterval(beating);
+      await Promise.all(
+        gateways.map(({ link }) => link[Symbol.asyncDispose]()),
+      );
+      await Promise.all([...running].map((control) => control.stop()));
+      await rm(folder, { recursive: true, force: true });
+    },
+  };
+}
+
+test("200 gateways are told all, and keep it when the leader goes", async () => {
+  await using fleet = await startFleet();
+  const { gateways } = fleet;
+  const all = (holds: (gateway: ToldGateway) => boolean) => () =>
+    gateways.every(holds);
+  await until("a version is taken", () => fleet.put(1));
+  await until("all know it", all((one) => one.confirmedVersion === 1));
+  await until(
+    "all know all engines",
+    all(({ engineIds }) => engineIds.size === ENGINES),
+  );
+  await until(
+    "all are told the work of all",
+    all((one) => one.requestsOnFirst === GATEWAYS),
+  );
+  await fleet.put(3);
+  await until("all have the change", all((one) => one.confirmedVersion === 3));
+  assert.ok(gateways.every((one) => JSON.parse(one.document).version === 3));
+
+  for (const gateway of gateways) gateway.sums = 0;
+  await fleet.stopLeader();
+  await until("another leads", () => fleet.findLeader() !== undefined);
+  await until("it takes a version", () => fleet.put(5));
+  await until("all follow it", all((one) => one.confirmedVersion === 5));
+  await until(
+    "all are told the work of all again",
+    all((one) => one.sums > 0 && one.requestsOnFirst === GATEWAYS),
+  );
+  // A new leader had to hear all engines first; nobody forgot any meanwhile.
+  assert.ok(gateways.every((one) => one.fewestEngines === ENGINES));
+  // Nor was a part of the work told as all of it: engines would look empty.
+  assert.ok(gateways.every((one) => one.fewestRequests === GATEWAYS));
+});
+
+test.run();
