A gap that a planned leave makes is not waited for

Cause, found in reading: since a gap waits for 1.9 s before its group is spread anew, it would also for engines that leave as planned, whose layers have to be held elsewhere within the 2 to 3 s that they still serve: streams would be cut.

Change: a data centre from which an engine left, or leaves, in the last 6 s waits for 0.5 s as before. Tests: one that leaves, one that is gone from the list, one that is lost; the first two failed with 1.9 s.

--- a/src/fleet/create_layer_keeper.ts
+++ b/src/fleet/create_layer_keeper.ts
@@ -29,6 +29,8 @@
   readonly getServices: () => readonly Service[];
   readonly getEngines: () => readonly EngineRecord[];
   readonly sendOrder: SendLayerOrder;
+  /** Whether an engine leaves or has left as planned; it may serve for a while. */
+  readonly hasLeft: (engineId: string) => boolean;
   /** Monotonic time, in ms. */
   readonly now: () => number;
   readonly log: Logger;
@@ -68,16 +70,20 @@
 const LAST_RESPREAD_AFTER_MS = 6_000;
 
 /**
- * The same where nobody serves in any case: the news of engines that change
- * together.
+ * The same where nobody serves in any case, or where an engine leaves as planned:
+ * the news of engines that change together. What one that leaves holds has to be
+ * held elsewhere while it still serves.
  */
-const IDLE_RESPREAD_AFTER_MS = 500;
+const SOON_RESPREAD_AFTER_MS = 500;
+
+/** Ms for which a planned leave counts as the cause of a gap. */
+const LEAVE_AGE_MS = 6_000;
 
 /** Ms that a gap waits, by who else holds the layers. */
 const RESPREAD_WAITS_MS: Readonly<Record<SpreadCover, number>> = {
   others: RESPREAD_AFTER_MS,
   lost: LAST_RESPREAD_AFTER_MS,
-  none: IDLE_RESPREAD_AFTER_MS,
+  none: SOON_RESPREAD_AFTER_MS,
 };
 
 /** Ms for which an engine that refused an order is left alone. */
@@ -101,6 +107,8 @@
   const { now, log } = options;
   let underWay = new Map<string, OrderUnderWay>();
   let gapSinceMs = new Map<string, number>();
+  const places = new Map<string, string>();
+  const leaveMs = new Map<string, number>();
   let knownIds = "";
   let newestMs = now();
 
@@ -110,9 +118,30 @@
     knownIds = ids;
   }
 
+  function noteLeaves(engines: readonly EngineRecord[]): void {
+    for (const { engineId, place } of engines) places.set(engineId, place);
+    const staying = new Set(
+      engines.filter((engine) => !engine.isLeaving)
+        .map(({ engineId }) => engineId),
+    );
+    for (const [engineId, place] of places) {
+      if (staying.has(engineId)) continue;
+      places.delete(engineId);
+      if (options.hasLeft(engineId)) leaveMs.set(place, now());
+    }
+  }
+
+  // A group of several data centres is named for all of them.
+  function isLeaveFresh(group: string): boolean {
+    return group.split("+").some((place) =>
+      now() - (leaveMs.get(place) ?? -Infinity) < LEAVE_AGE_MS
+    );
+  }
+
   async function run(): Promise<void> {
     const engines = options.getEngines();
     noteNewEngines(engines);
+    noteLeaves(engines);
     for (const service of options.getServices()) {
       if (!service.model) continue;
       const members = engines.filter((engine) =>
@@ -141,7 +170,10 @@
       const key = `${service.name} ${place}`;
       const sinceMs = gapSinceMs.get(key) ?? now();
       gaps.set(key, sinceMs);
-      return now() - sinceMs >= RESPREAD_WAITS_MS[cover];
+      const waitMs = isLeaveFresh(place)
+        ? SOON_RESPREAD_AFTER_MS
+        : RESPREAD_WAITS_MS[cover];
+      return now() - sinceMs >= waitMs;
     };
     const orders = planLayerOrders(engines, { figures: model, mayRespread });
     gapSinceMs = gaps;
--- a/src/fleet/create_layer_keeper_test.ts
+++ b/src/fleet/create_layer_keeper_test.ts
@@ -37,10 +37,13 @@
   };
 }
 
-function startKeeper(answers: OrderAnswer[]) {
+function startKeeper(
+  answers: OrderAnswer[],
+  engines: EngineRecord[] = [makeEngine("one")],
+) {
   let nowMs = 0;
   const sent: string[] = [];
-  const engines = [makeEngine("one")];
+  const left = new Set<string>();
   const keeper = createLayerKeeper({
     getServices: () => [SERVICE],
     getEngines: () => engines,
@@ -48,6 +51,7 @@
       sent.push(`${engineId}:${fromLayer}-${toLayer}`);
       return Promise.resolve(answers.shift() ?? "begun");
     },
+    hasLeft: (engineId) => left.has(engineId),
     now: () => nowMs,
     log: () => {},
   });
@@ -55,7 +59,7 @@
     nowMs += ms;
     await keeper.run();
   };
-  return { sent, engines, runAfter };
+  return { sent, engines, left, runAfter };
 }
 
 test("an order without an answer is given again until there is one", async () => {
@@ -82,4 +86,55 @@
   assert.is(sent.length, 2);
 });
 
+/** Two engines that each hold half of the layers. */
+function makeHalves(): EngineRecord[] {
+  return [
+    makeEngine("one", { fromLayer: 0, toLayer: 4 }),
+    makeEngine("two", { fromLayer: 4, toLayer: 8 }),
+  ];
+}
+
+// Nobody else holds all layers: the gap waits only for the news of engines that
+// change together.
+test("what an engine that leaves holds is ordered elsewhere at once", async () => {
+  const { sent, engines, left, runAfter } = startKeeper([], makeHalves());
+  await runAfter(0);
+  engines[0] = { ...engines[0], isLeaving: true };
+  left.add("one");
+  await runAfter(100);
+  await runAfter(600);
+  assert.equal(sent, ["two:0-8"]);
+});
+
+/** The same in a data centre beside one that holds all layers. */
+function makeBeside(): EngineRecord[] {
+  const whole = { ...makeEngine("whole", { fromLayer: 0, toLayer: 8 }) };
+  return [...makeHalves(), { ...whole, place: "b" }];
+}
+
+test("an engine that is lost may be back before its group is spread anew", async () => {
+  const { sent, engines, runAfter } = startKeeper([], makeBeside());
+  await runAfter(0);
+  engines.shift();
+  await runAfter(100);
+  await runAfter(1_500);
+  assert.equal(sent, []);
+  await runAfter(500);
+  assert.equal(sent, ["two:0-8"]);
+});
+
+for (const stays of [true, false]) {
+  const how = stays ? "says so and stays a while" : "is gone from the list";
+  test(`one that leaves and ${how} is not waited for`, async () => {
+    const { sent, engines, left, runAfter } = startKeeper([], makeBeside());
+    await runAfter(0);
+    left.add("one");
+    if (stays) engines[0] = { ...engines[0], isLeaving: true };
+    else engines.shift();
+    await runAfter(100);
+    await runAfter(600);
+    assert.equal(sent, ["two:0-8"]);
+  });
+}
+
 test.run();
--- a/src/fleet/start_fleet_control.ts
+++ b/src/fleet/start_fleet_control.ts
@@ -214,6 +214,7 @@
     getServices: () => services,
     getEngines: registry.getRecords,
     sendOrder: options.sendLayerOrder,
+    hasLeft: (engineId) => machine.getLeave(engineId) !== undefined,
     now,
     log,
   });
