--- /dev/null
+++ b/src/layers/_lib/sort_by_id.ts
@@ -0,0 +1,10 @@
+/**
+ * @module
+ */
+
+import type { LayerEngine } from "../types.ts";
+
+/** Sorts engines by id, so that a plan doesn't depend on who registered first. */
+export function sortById(engines: readonly LayerEngine[]): LayerEngine[] {
+  return [...engines].sort((a, b) => a.engineId < b.engineId ? -1 : 1);
+}
