A change of a configuration that doesn't fit ends no process

Cause, found in reading: a change whose result fails its checksum threw out of the session's handler and ended the process. The test with a leader of its own ended the same way before.

Change: it is logged and the whole is asked for with the next hello, as for a change of another version.

--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -234,14 +234,17 @@
   function takeConfigChange(
     { version, fromVersion, delta }: LeaderMessage & { type: "configChange" },
   ): void {
-    if (table && version <= table.version) return;
-    if (table?.version !== fromVersion) {
-      log("configChangeUnfit", { version, fromVersion, held: table?.version });
+    const held = table?.version ?? -1;
+    if (version <= held) return;
+    try {
+      if (held !== fromVersion) throw new Error("From another version");
+      takeConfig(version, applyConfigDelta(document, delta));
+    } catch (error) {
+      log("configChangeUnfit", { version, fromVersion, held, error });
       // The next session says that it has none, and is told the whole one.
       isConfigWanted = true;
-      return link.renew();
+      link.renew();
     }
-    takeConfig(version, applyConfigDelta(document, delta));
   }
 
   function takeConfig(version: number, text: string): void {
