A start loads what it uses, from a cache of its role; measure profile

The bundle evaluated all of undici (fetch, caches, mocks, WebSockets), and its code cache was written before anything had run, so most functions were compiled again in each process.

`npm run measure -- profile` starts a fleet, meters starts, idle seconds and streams, and sums a profile.

--- a/measure/main.ts
+++ b/measure/main.ts
@@ -11,6 +11,7 @@
 import { measureLayers } from "./layers.ts";
 import { measureOverload } from "./overload.ts";
 import { measurePath } from "./path.ts";
+import { measureProfile } from "./profile.ts";
 import { measurePlacement } from "./placement.ts";
 import { measureRecovery } from "./recovery.ts";
 import { measureRouting } from "./routing.ts";
@@ -25,6 +26,7 @@
   choice: measureChoice,
   path: measurePath,
   capacity: measureCapacity,
+  profile: measureProfile,
 };
 
 const name = process.argv[2] ?? "";
--- a/scripts/build_target.mjs
+++ b/scripts/build_target.mjs
@@ -3,6 +3,7 @@
 import { execFileSync } from "node:child_process";
 import { copyFileSync, existsSync, rmSync, statSync } from "node:fs";
 import process from "node:process";
+import { fileURLToPath } from "node:url";
 
 const lock = "node_modules/.package-lock.json";
 const isInstalled = existsSync(lock) &&
@@ -13,25 +14,53 @@
   });
 }
 const { build } = await import("esbuild");
-await build({
-  entryPoints: ["platform/main.ts"],
-  outfile: "target/bundle.cjs",
+
+const OPTIONS = {
   bundle: true,
-  minify: true,
-  keepNames: true,
-  lineLimit: 160,
   platform: "node",
   // One package has a UMD main whose requires the bundler cannot follow.
   mainFields: ["module", "main"],
   target: "node20",
   format: "cjs",
   logLevel: "warning",
+};
+
+/** Puts the parts of undici that the programs use in the place of its index. */
+const undiciParts = {
+  name: "undici-parts",
+  setup(bundler) {
+    const path = fileURLToPath(new URL("undici_parts.cjs", import.meta.url));
+    bundler.onResolve({ filter: /^undici$/ }, () => ({ path }));
+  },
+};
+
+for (const old of ["entry.cache", "control.cache", "bundle.cache"]) {
+  rmSync(`target/${old}`, { force: true });
+}
+await build({
+  ...OPTIONS,
+  entryPoints: ["platform/main.ts"],
+  outfile: "target/bundle.cjs",
+  minify: true,
+  keepNames: true,
+  lineLimit: 160,
+  plugins: [undiciParts],
 });
-// The cache fits only a runtime with the flags under which it was made: these
-// are the ones in deploy/system.toml.
-const FLAGS = ["--max-old-space-size=160", "--max-semi-space-size=4"];
-rmSync("target/bundle.cache", { force: true });
 copyFileSync("scripts/launch.cjs", "target/crowlever.cjs");
-execFileSync(process.execPath, [...FLAGS, "target/crowlever.cjs"], {
-  env: { ...process.env, CREATE_CACHE: "1" },
+
+// The caches only save time: where a machine can't run the programs, they start
+// without.
+await build({
+  ...OPTIONS,
+  entryPoints: ["scripts/warm_up.ts"],
+  outfile: "target/warm_up.cjs",
 });
+try {
+  execFileSync(process.execPath, ["target/warm_up.cjs"], {
+    stdio: ["ignore", 2, 2],
+    timeout: 60_000,
+  });
+} catch (error) {
+  process.stderr.write(`No code caches: ${error.message}\n`);
+}
+rmSync("target/warm_up.cjs", { force: true });
--- a/scripts/launch.cjs
+++ b/scripts/launch.cjs
@@ -4,7 +4,8 @@
 // Usage: crowlever.cjs ROLE [HOST:PORT]. Where an address is given, callers can
 // connect there at once; their connections wait until the bundle is loaded.
 //
-// With CREATE_CACHE set it writes the cache and ends.
+// With CREATE_CACHE set it writes the cache of the role when it ends: the
+// functions that have run by then need not be compiled in a later process.
 "use strict";
 const { existsSync, readFileSync, writeFileSync } = require("node:fs");
 const Module = require("node:module");
@@ -12,8 +13,9 @@
 const { dirname, join } = require("node:path");
 const { Script } = require("node:vm");
 
+const [role, address] = process.argv.slice(2);
 const file = join(__dirname, "bundle.cjs");
-const cacheFile = join(__dirname, "bundle.cache");
+const cacheFile = join(__dirname, `${role}.cache`);
 
 function loadBundle() {
   const source = Module.wrap(readFileSync(file, "utf8"));
@@ -24,10 +26,15 @@
   const bundle = { exports: {} };
   const load = script.runInThisContext();
   load(bundle.exports, require, bundle, file, dirname(file));
-  return { script, exports: bundle.exports };
+  if (process.env.CREATE_CACHE) {
+    process.on("exit", () => {
+      writeFileSync(cacheFile, script.createCachedData());
+    });
+  }
+  return bundle.exports;
 }
 
-function listenEarly(address) {
+function listenEarly() {
   const [host, port] = address.split(":");
   let waiting = [];
   let onConnection = (socket) => waiting.push(socket);
@@ -50,13 +57,8 @@
 }
 
 async function run() {
-  const [role, address] = process.argv.slice(2);
-  const earlyListener = address ? await listenEarly(address) : undefined;
-  await loadBundle().exports.main(role, { earlyListener });
+  const earlyListener = address ? await listenEarly() : undefined;
+  await loadBundle().main(role, { earlyListener });
 }
 
-if (process.env.CREATE_CACHE) {
-  writeFileSync(cacheFile, loadBundle().script.createCachedData());
-} else {
-  void run();
-}
+void run();
