A leader's rounds, the held configuration and the list of gateways stand alone

Cause: start_fleet_control (424 lines) and start_gateway (336) each did several jobs, and what they decide had no test but through whole fleets.

No behaviour changes.

Ruled out: creating the rounds behind the server's start, where a sole voter could lead before they are there.

--- /dev/null
+++ b/src/fleet/create_leader_rounds.ts
@@ -0,0 +1,108 @@
+/**
+ * What a leader does again and again: it looks at sessions, engines, layers and
+ * members.
+ *
+ * @module
+ */
+
+import type { Logger } from "../logs/index.ts";
+import type { EngineRecorder } from "./create_engine_recorder.ts";
+import type { EngineRegistry } from "./create_engine_registry.ts";
+import type { GatewaySessions } from "./create_gateway_sessions.ts";
+import type { LayerKeeper } from "./create_layer_keeper.ts";
+import type { MemberKeeper } from "./create_member_keeper.ts";
+import type { PaceWatch } from "./create_pace_watch.ts";
+
+/** What the rounds look after. */
+export interface CreateLeaderRoundsOptions {
+  /** Whether this process surely leads at this moment. */
+  readonly isLeading: () => boolean;
+  /** Whether it has led for so many ms. */
+  readonly leadsFor: (spanMs: number) => boolean;
+  /** Ms of silence after which an upstream is lost. */
+  readonly silenceMs: number;
+  /** Whether the fleet is new: nobody can hold anything yet. */
+  readonly isFirstStart: boolean;
+  readonly sessions: Pick<
+    GatewaySessions,
+    "tick" | "publishLoads" | "publishAllEngines"
+  >;
+  readonly registry: Pick<EngineRegistry, "tick" | "getRecords">;
+  readonly paces: Pick<PaceWatch, "tick">;
+  readonly recorder: Pick<EngineRecorder, "run">;
+  readonly members: Pick<MemberKeeper, "run">;
+  readonly keeper: Pick<LayerKeeper, "run">;
+  readonly log: Logger;
+}
+
+/** The rounds of a leader. */
+export interface LeaderRounds {
+  /** Makes a round, if this process leads. */
+  tick(): void;
+  /** Forgets what an earlier time of leading has told. */
+  reset(): void;
+}
+
+/** Rounds between two pieces of news of what gateways have in flight. */
+const LOADS_ROUNDS = 2;
+
+/** Ms of silence after which a voter may be replaced. */
+export const VOTER_SILENCE_MS = 2_500;
+
+/**
+ * Makes the rounds.
+ *
+ * @param options - What they look after.
+ * @returns The rounds.
+ * @throws Nothing.
+ * @example
+ * setInterval(createLeaderRounds(options).tick, 250);
+ */
+export function createLeaderRounds(
+  options: CreateLeaderRoundsOptions,
+): LeaderRounds {
+  const { leadsFor, sessions, registry, keeper, log } = options;
+  let rounds = 0;
+  let hasToldAllEngines = false;
+  let isKeeping = false;
+
+  async function keepLayers(): Promise<void> {
+    if (isKeeping) return;
+    isKeeping = true;
+    await keeper.run().catch((error) => log("internalError", { error }));
+    isKeeping = false;
+  }
+
+  // Before anyone holds layers there is nothing that a late beat could tell.
+  function keepLayersOfNewFleet(): void {
+    const records = registry.getRecords();
+    const isNew = options.isFirstStart &&
+      records.every((record) => record.layers === undefined);
+    if (isNew) void keepLayers();
+  }
+
+  return {
+    tick() {
+      if (!options.isLeading()) return;
+      sessions.tick();
+      rounds += 1;
+      if (rounds % LOADS_ROUNDS === 0) sessions.publishLoads();
+      void options.paces.tick();
+      if (!leadsFor(options.silenceMs)) {
+        void options.recorder.run();
+        return keepLayersOfNewFleet();
+      }
+      registry.tick();
+      void options.recorder.run();
+      if (!hasToldAllEngines) {
+        hasToldAllEngines = true;
+        sessions.publishAllEngines();
+      }
+      if (leadsFor(VOTER_SILENCE_MS)) void options.members.run();
+      void keepLayers();
+    },
+    reset() {
+      hasToldAllEngines = false;
+    },
+  };
+}
--- a/src/fleet/start_fleet_control.ts
+++ b/src/fleet/start_fleet_control.ts
@@ -30,6 +30,10 @@
 } from "./create_layer_keeper.ts";
 import { createLeaderCaller } from "./create_leader_caller.ts";
 import { createLeaderDesk } from "./create_leader_desk.ts";
+import {
+  createLeaderRounds,
+  VOTER_SILENCE_MS,
+} from "./create_leader_rounds.ts";
 import { createMemberKeeper } from "./create_member_keeper.ts";
 import { createPaceWatch, type ReadPace } from "./create_pace_watch.ts";
 import {
@@ -105,9 +109,6 @@
 /** Ms between two looks at leases, gaps and members. */
 const TICK_INTERVAL_MS = 250;
 
-/** Ticks between two pieces of news of what gateways have in flight. */
-const LOADS_TICKS = 2;
-
 /**
  * Ms for which a new leader takes no configuration while there are fewer
  * voters than the losses to be borne ask for. Afterwards it takes them all the
@@ -115,9 +116,6 @@
  */
 const VOTERS_WAIT_MS = 10_000;
 
-/** Ms of silence after which a voter may be replaced. */
-const VOTER_SILENCE_MS = 2_500;
-
 /** Beats that an upstream may miss before it counts as lost. */
 const BEATS_OF_SILENCE = 2.6;
 
@@ -245,8 +243,20 @@
     decodeConfig: options.decodeConfig,
     log,
   });
+  const rounds = createLeaderRounds({
+    isLeading: () => isLeader() && replica.hasLease(),
+    leadsFor,
+    silenceMs,
+    isFirstStart: settings.isFirstStart,
+    sessions,
+    registry,
+    paces,
+    recorder,
+    members,
+    keeper,
+    log,
+  });
   const caller = createLeaderCaller();
-  let toldAllEngines = false;
 
   function takeChange(command: FleetCommand): void {
     if (command.type === "engines") return;
@@ -262,7 +272,7 @@
 
   function onLead(): void {
     leadingSinceMs = now();
-    toldAllEngines = false;
+    rounds.reset();
     registry.reset();
     keeper.reset();
     void addRecordedEngines();
@@ -347,44 +357,7 @@
     });
   }
 
-  let keeping = false;
-  async function keepLayers(): Promise<void> {
-    if (keeping) return;
-    keeping = true;
-    await keeper.run().catch((error) => log("internalError", { error }));
-    keeping = false;
-  }
-
-  let ticks = 0;
-  function tick(): void {
-    if (!isLeader() || !replica.hasLease()) return;
-    sessions.tick();
-    ticks += 1;
-    if (ticks % LOADS_TICKS === 0) sessions.publishLoads();
-    void paces.tick();
-    if (!leadsFor(silenceMs)) {
-      void recorder.run();
-      return keepLayersOfNewFleet();
-    }
-    registry.tick();
-    void recorder.run();
-    if (!toldAllEngines) {
-      toldAllEngines = true;
-      sessions.publishAllEngines();
-    }
-    if (leadsFor(VOTER_SILENCE_MS)) void members.run();
-    void keepLayers();
-  }
-
-  // Before anyone holds layers there is nothing that a late beat could tell.
-  function keepLayersOfNewFleet(): void {
-    const records = registry.getRecords();
-    const isNew = settings.isFirstStart &&
-      records.every((record) => record.layers === undefined);
-    if (isNew) void keepLayers();
-  }
-
-  const timer = setInterval(tick, TICK_INTERVAL_MS);
+  const timer = setInterval(rounds.tick, TICK_INTERVAL_MS);
   log("started", { vm: settings.callerAddress, replicaId });
 
   async function stop(): Promise<void> {
--- /dev/null
+++ b/src/gateway/create_gateway_list_test.ts
@@ -0,0 +1,25 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { createGatewayList } from "./create_gateway_list.ts";
+
+const makeGateway = (vm: string, isReady = true) => ({
+  vm,
+  place: "a",
+  address: `${vm}:1`,
+  isReady,
+});
+
+const TOLD = { type: "gateways", isWhole: false, gone: [] } as const;
+
+test("changes are applied to what is known, a whole list takes its place", () => {
+  const list = createGatewayList();
+  const listNames = () => list.list().map(({ vm }) => vm);
+  list.take({ ...TOLD, gateways: [makeGateway("g1"), makeGateway("g2")] });
+  list.take({ ...TOLD, gone: ["g1"], gateways: [makeGateway("g3", false)] });
+  assert.equal(listNames(), ["g2", "g3"]);
+  assert.equal(list.listReady().map(({ vm }) => vm), ["g2"]);
+  list.take({ ...TOLD, isWhole: true, gateways: [makeGateway("g4")] });
+  assert.equal(listNames(), ["g4"]);
+});
+
+test.run();
--- /dev/null
+++ b/src/gateway/create_held_config.ts
@@ -0,0 +1,86 @@
+/**
+ * The configuration that is in force at a gateway.
+ *
+ * @module
+ */
+
+import {
+  applyConfigDelta,
+  type DecodeConfig,
+  type LeaderMessage,
+  unpackDocument,
+} from "../fleet/index.ts";
+import type { Logger } from "../logs/index.ts";
+import { createRouteTable, type RouteTable } from "../routes/index.ts";
+
+/** What the configuration needs of its gateway. */
+export interface CreateHeldConfigOptions {
+  readonly decodeConfig: DecodeConfig;
+  /** Called when another configuration is in force. */
+  readonly onChange: (table: RouteTable) => void;
+  /** Called when a change doesn't fit: the whole configuration is wanted. */
+  readonly onUnfit: () => void;
+  readonly log: Logger;
+}
+
+/** The configuration that is in force. */
+export interface HeldConfig {
+  /** Takes a whole configuration. */
+  take(message: LeaderMessage & { type: "config" }): void;
+  /** Takes the change from an earlier configuration to a newer one. */
+  takeChange(message: LeaderMessage & { type: "configChange" }): void;
+  /** Undefined before the first one. */
+  getTable(): RouteTable | undefined;
+  /** Version in force; -1 without any. */
+  getVersion(): number;
+  /** Version that a leader may tell changes of; -1 where the whole is wanted. */
+  getToldVersion(): number;
+}
+
+/**
+ * Makes the holder, without a configuration.
+ *
+ * @param options - How documents are decoded, and who hears of changes.
+ * @returns The holder.
+ * @throws Nothing.
+ * @example
+ * const config = createHeldConfig({ decodeConfig, onChange, onUnfit, log });
+ */
+export function createHeldConfig(options: CreateHeldConfigOptions): HeldConfig {
+  const { log } = options;
+  let table: RouteTable | undefined;
+  // As the operator wrote it: changes are told of it.
+  let document = "";
+  let isWholeWanted = false;
+  const getVersion = () => table?.version ?? -1;
+
+  function put(version: number, text: string): void {
+    isWholeWanted = false;
+    // Whatever a late leader says: within one life nothing goes back.
+    if (version <= getVersion()) return;
+    const config = options.decodeConfig(text);
+    document = text;
+    table = createRouteTable(config);
+    options.onChange(table);
+    log("configApplied", { version: config.version });
+  }
+
+  return {
+    take: ({ version, packed }) => put(version, unpackDocument(packed)),
+    takeChange({ version, fromVersion, delta }) {
+      const held = getVersion();
+      if (version <= held) return;
+      try {
+        if (held !== fromVersion) throw new Error("From another version");
+        put(version, applyConfigDelta(document, delta));
+      } catch (error) {
+        log("configChangeUnfit", { version, fromVersion, held, error });
+        isWholeWanted = true;
+        options.onUnfit();
+      }
+    },
+    getTable: () => table,
+    getVersion,
+    getToldVersion: () => isWholeWanted ? -1 : getVersion(),
+  };
+}
--- /dev/null
+++ b/src/gateway/create_held_config_test.ts
@@ -0,0 +1,61 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { decodeConfig } from "../../platform/decode_config.ts";
+import { makeWireConfig } from "../../test/support/fleet.ts";
+import { createConfigDelta, packDocument } from "../fleet/index.ts";
+import { createHeldConfig } from "./create_held_config.ts";
+
+const write = (version: number) => JSON.stringify(makeWireConfig(version));
+
+const makeWhole = (version: number) => ({
+  type: "config" as const,
+  version,
+  packed: packDocument(write(version)),
+});
+
+const makeChange = (fromVersion: number, version: number) => ({
+  type: "configChange" as const,
+  version,
+  fromVersion,
+  delta: createConfigDelta(write(fromVersion), write(version)),
+});
+
+function startHeldConfig() {
+  const versions: number[] = [];
+  let unfit = 0;
+  const config = createHeldConfig({
+    decodeConfig,
+    onChange: ({ version }) => void versions.push(version),
+    onUnfit: () => {
+      unfit += 1;
+    },
+    log: () => {},
+  });
+  return { config, versions, getUnfit: () => unfit };
+}
+
+test("within one life no configuration goes back", () => {
+  const { config, versions } = startHeldConfig();
+  assert.is(config.getVersion(), -1);
+  config.take(makeWhole(5));
+  config.take(makeWhole(4));
+  config.takeChange(makeChange(3, 4));
+  assert.equal(versions, [5]);
+  config.takeChange(makeChange(5, 7));
+  assert.equal(versions, [5, 7]);
+  assert.is(config.getTable()?.version, 7);
+});
+
+test("a change that doesn't fit leaves what is held and asks for the whole", () => {
+  const { config, versions, getUnfit } = startHeldConfig();
+  config.take(makeWhole(5));
+  config.takeChange(makeChange(6, 8));
+  assert.is(getUnfit(), 1);
+  assert.is(config.getVersion(), 5);
+  assert.is(config.getToldVersion(), -1);
+  config.take(makeWhole(8));
+  assert.is(config.getToldVersion(), 8);
+  assert.equal(versions, [5, 8]);
+});
+
+test.run();
--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -6,16 +6,9 @@
  */
 
 import { setTimeout as sleep } from "node:timers/promises";
-import {
-  applyConfigDelta,
-  type DecodeConfig,
-  type GatewayRecord,
-  type LeaderMessage,
-  unpackDocument,
-} from "../fleet/index.ts";
+import type { DecodeConfig, LeaderMessage } from "../fleet/index.ts";
 import type { Logger } from "../logs/index.ts";
 import type { Metrics } from "../metrics/index.ts";
-import { createRouteTable, type RouteTable } from "../routes/index.ts";
 import {
   createCallerServer,
   type EarlyListener,
@@ -26,6 +19,8 @@
 import { createEndRate } from "./create_end_rate.ts";
 import { createFleetRates } from "./create_fleet_rates.ts";
 import { createExchanger } from "./create_exchanger.ts";
+import { createGatewayList } from "./create_gateway_list.ts";
+import { createHeldConfig } from "./create_held_config.ts";
 import { createFleetLink } from "./create_fleet_link.ts";
 import { createLossNews } from "./create_loss_news.ts";
 import { createPauseWatch } from "./create_pause_watch.ts";
@@ -83,6 +78,9 @@
   stop(): Promise<void>;
 }
 
+/** Ms by which idle callers are kept longer than the configuration says. */
+const IDLE_MARGIN_MS = 1_000;
+
 /** Ms between two looks at what gauges tell. */
 const GAUGE_INTERVAL_MS = 2_000;
 
@@ -116,11 +114,6 @@
   const now = () => performance.now();
   const { vm, place, listen } = settings;
   const address = `${listen.host}:${listen.port}`;
-  let table: RouteTable | undefined;
-  // The configuration in force as the operator wrote it: changes are told of it.
-  let document = "";
-  let isConfigWanted = false;
-  let gateways: readonly GatewayRecord[] = [];
   let isLeaving = false;
   let graceEndMs = Infinity;
   let isLastCall = false;
@@ -130,7 +123,17 @@
   const lease = createConfigLease({ revokeMs: settings.revokeMs, now });
   const exchanger = createExchanger(codec);
   const engines = createEngineTable({ now, log, onGone: exchanger.forget });
-  const listReady = () => gateways.filter((gateway) => gateway.isReady);
+  const gateways = createGatewayList();
+  const { listReady } = gateways;
+  const config = createHeldConfig({
+    decodeConfig: options.decodeConfig,
+    onChange({ limits }) {
+      server.server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS;
+    },
+    // The next session says that it has none, and is told the whole one.
+    onUnfit: () => link.renew(),
+    log,
+  });
   const losses = createLossNews({ vm, place, listReady });
   const pauses = createPauseWatch();
   const endRate = createEndRate({ now });
@@ -144,7 +147,7 @@
     ...settings.repeats,
     // A gateway that has just started knows none and takes a small share.
     getGatewayCount: () =>
-      gateways.length === 0 ? UNKNOWN_GATEWAYS : gateways.length,
+      gateways.list().length === 0 ? UNKNOWN_GATEWAYS : gateways.list().length,
     onShort: askForRepeats,
     now,
   });
@@ -173,7 +176,7 @@
       random: Math.random,
     }),
     getRoomQueue: createRoomQueues(rates),
-    getTable: () => table,
+    getTable: config.getTable,
     getGatewayCount,
     listGatewayPlaces: () => listReady().map((one) => one.place),
     isLeaving: () => isLeaving,
@@ -184,7 +187,8 @@
     metrics,
   };
   const isReady = () =>
-    !isLeaving && table !== undefined && knowsEngines && lease.isValid();
+    !isLeaving && config.getTable() !== undefined && knowsEngines &&
+    lease.isValid();
 
   function noteLost(engineId: string, reason: string): void {
     engines.suspect(engineId, reason);
@@ -202,9 +206,9 @@
   function takeMessage(message: LeaderMessage): void {
     switch (message.type) {
       case "config":
-        return takeConfig(message.version, unpackDocument(message.packed));
+        return config.take(message);
       case "configChange":
-        return takeConfigChange(message);
+        return config.takeChange(message);
       case "engines":
         knowsEngines = true;
         return engines.take(message);
@@ -212,7 +216,7 @@
         rates.take(message.activity);
         return engines.takeLoads(message.loads);
       case "gateways":
-        return takeGateways(message);
+        return gateways.take(message);
       case "lost":
         message.engineIds.forEach(engines.takeLost);
         return context.runWatch.takeLost(message.engineIds);
@@ -221,48 +225,11 @@
     }
   }
 
-  function takeGateways(message: LeaderMessage & { type: "gateways" }): void {
-    const known = message.isWhole
-      ? []
-      : gateways.map((one) => [one.vm, one] as const);
-    const next = new Map(known);
-    message.gone.forEach((one) => next.delete(one));
-    for (const gateway of message.gateways) next.set(gateway.vm, gateway);
-    gateways = [...next.values()];
-  }
-
-  function takeConfigChange(
-    { version, fromVersion, delta }: LeaderMessage & { type: "configChange" },
-  ): void {
-    const held = table?.version ?? -1;
-    if (version <= held) return;
-    try {
-      if (held !== fromVersion) throw new Error("From another version");
-      takeConfig(version, applyConfigDelta(document, delta));
-    } catch (error) {
-      log("configChangeUnfit", { version, fromVersion, held, error });
-      // The next session says that it has none, and is told the whole one.
-      isConfigWanted = true;
-      link.renew();
-    }
-  }
-
-  function takeConfig(version: number, text: string): void {
-    isConfigWanted = false;
-    // Whatever a late leader says: within one life nothing goes back.
-    if (table && version <= table.version) return;
-    const config = options.decodeConfig(text);
-    document = text;
-    table = createRouteTable(config);
-    server.server.keepAliveTimeout = config.limits.idleTimeoutMs + 1_000;
-    log("configApplied", { version: config.version });
-  }
-
   const link = createFleetLink({
     getSeedAddresses: options.getSeedAddresses,
     getGateway: () => ({ vm, place, address, isReady: isReady() }),
-    getGatewayCount: () => gateways.length,
-    getVersion: () => isConfigWanted ? -1 : table?.version ?? -1,
+    getGatewayCount: () => gateways.list().length,
+    getVersion: config.getToldVersion,
     takeSuspects: engines.takeSuspects,
     takeLost: losses.take,
     takeSlow: pauses.takeSlow,
@@ -271,7 +238,7 @@
     takeActivity: rates.takeOwn,
     onMessage: takeMessage,
     onConfirmed: (sentMs, version) =>
-      lease.confirm({ sentMs, version, held: table?.version ?? -1 }),
+      lease.confirm({ sentMs, version, held: config.getVersion() }),
     now,
     random: Math.random,
     log,
@@ -291,7 +258,7 @@
 
   const gauges = setInterval(() => {
     metrics.gauge("requests.in_flight", desk.getInFlight());
-    metrics.gauge("config.revision", table?.version ?? -1);
+    metrics.gauge("config.revision", config.getVersion());
     metrics.gauge("config.lease_ms", Math.max(0, lease.getLeftMs()));
     metrics.gauge("engines.known", engines.getSize());
   }, GAUGE_INTERVAL_MS);
@@ -330,7 +297,7 @@
       const named = (near.length > 0 ? near : ready).map((one) => one.address);
       return named.length > 0 ? named : [address];
     },
-    getVersion: () => table?.version ?? -1,
+    getVersion: config.getVersion,
     stop,
   };
 }
