--- a/src/http/limit_time_test.ts
+++ b/src/http/limit_time_test.ts
@@ -1,6 +1,6 @@
 import { createServer } from "node:net";
 import type { AddressInfo } from "node:net";
-import { request } from "undici";
+import { getGlobalDispatcher, request } from "undici";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { limitTime, TimeLimitError } from "./limit_time.ts";
@@ -35,4 +35,26 @@
   server.close();
 });
 
+test("an answer that came while this process stood still is read", async () => {
+  const server = createServer((socket) => {
+    socket.on("data", () => {
+      socket.write("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nhi");
+    });
+  });
+  await new Promise<void>((done) => server.listen(0, "127.0.0.1", done));
+  const { port } = server.address() as AddressInfo;
+  const ask = () => request(`http://127.0.0.1:${port}/`);
+  const first = await ask();
+  await first.body.dump();
+  const answer = limitTime(ask(), { timeoutMs: 10 });
+  await new Promise((done) => setImmediate(done));
+  const untilMs = performance.now() + 40;
+  while (performance.now() < untilMs);
+  const { statusCode, body } = await answer;
+  assert.is(statusCode, 200);
+  await body.dump();
+  await getGlobalDispatcher().close();
+  server.close();
+});
+
 test.run();
