The lists of gateways are made when they are told, not when they are asked for

Cause: list and listReady copied and filtered all gateways at each call; streams, repeats and questions ask several times each, the leader tells seldom.

Ruled out: a cache with a check of its age; what was told is the only source.

Change: both lists are made in take. Behaviour is the same.

--- a/src/gateway/create_gateway_list.ts
+++ b/src/gateway/create_gateway_list.ts
@@ -25,14 +25,19 @@
  */
 export function createGatewayList(): GatewayList {
   let known = new Map<string, GatewayRecord>();
+  let all: readonly GatewayRecord[] = [];
+  let ready: readonly GatewayRecord[] = [];
   return {
     take({ isWhole, gateways, gone }) {
       const next = new Map(isWhole ? [] : known);
       gone.forEach((vm) => next.delete(vm));
       for (const gateway of gateways) next.set(gateway.vm, gateway);
       known = next;
+      // Asked for with each stream, told seldom.
+      all = [...known.values()];
+      ready = all.filter(({ isReady }) => isReady);
     },
-    list: () => [...known.values()],
-    listReady: () => [...known.values()].filter(({ isReady }) => isReady),
+    list: () => all,
+    listReady: () => ready,
   };
 }
