Programs of the platform are started, bundled and waited for by one piece of code each

Cause: warm_up and the profile wrote again what the project had: free ports, waiting for a condition, the wire's configuration, header and call names; each spawned the programs in its own way, and the profile bundled them a second time, without the parts of undici, the code caches and the flags that the platform runs. So its command did not measure what it claimed to.

The warm-up's time limit is longer than its own waits, so that it ends what it started. A cache's name that nothing writes any more is gone.

Ruled out: sharing models of data between measurements: their numbers differ.

--- a/demo/launch_fleet.ts
+++ b/demo/launch_fleet.ts
@@ -7,17 +7,17 @@
 
 import { type ChildProcess, spawn } from "node:child_process";
 import { mkdtemp, rm, writeFile } from "node:fs/promises";
-import { createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import process from "node:process";
-import { setTimeout as sleep } from "node:timers/promises";
 import { fileURLToPath } from "node:url";
 import {
   createOperatorClient,
   type OperatorClient,
 } from "../src/cli/create_operator_client.ts";
 import { hashSecret } from "../src/http/index.ts";
+import { findFreePorts } from "./find_free_ports.ts";
+import { until } from "./until.ts";
 
 /** Token of the fleet's first operator. */
 export const OPERATOR_TOKEN = "operator-of-the-trial";
@@ -66,9 +66,6 @@
   readonly controlSettings?: Readonly<Record<string, unknown>>;
 }
 
-/** Time, in ms, for a condition to come true. */
-const UNTIL_TIMEOUT_MS = 30_000;
-
 const BIN_FOLDER = fileURLToPath(new URL("../src/bin/", import.meta.url));
 
 /** Launches a fleet and waits until it leads and all entries are live. */
@@ -190,19 +187,6 @@
     status.entries.length === fleet.entries.length;
 }
 
-/** Waits until a condition holds. */
-export async function until(
-  what: string,
-  test: () => Promise<boolean> | boolean,
-): Promise<void> {
-  const endMs = Date.now() + UNTIL_TIMEOUT_MS;
-  while (Date.now() < endMs) {
-    if (await Promise.resolve(test()).catch(() => false)) return;
-    await sleep(20);
-  }
-  throw new Error(`Waited in vain until ${what}`);
-}
-
 async function makeProcess(
   options: {
     program: string;
@@ -239,31 +223,3 @@
     },
   };
 }
-
-/** Ports that are tried: below those that outgoing connections take. */
-const FIRST_PORT = 20_000;
-const LAST_PORT = 32_000;
-
-// Launchers that run side by side begin at unlike places.
-let nextPort = FIRST_PORT +
-  (process.pid * 97) % (LAST_PORT - FIRST_PORT);
-
-/** Finds ports that are free now and that no other connection will take. */
-export async function findFreePorts(count: number): Promise<number[]> {
-  const ports: number[] = [];
-  while (ports.length < count) {
-    nextPort = nextPort >= LAST_PORT ? FIRST_PORT : nextPort + 1;
-    if (await isFree(nextPort)) ports.push(nextPort);
-  }
-  return ports;
-}
-
-function isFree(port: number): Promise<boolean> {
-  const server = createServer();
-  return new Promise((resolve) => {
-    server.once("error", () => resolve(false));
-    server.listen(port, "127.0.0.1", () => {
-      server.close(() => resolve(true));
-    });
-  });
-}
--- a/scripts/build_target.mjs
+++ b/scripts/build_target.mjs
@@ -1,5 +1,8 @@
 // Bundles the program that runs on the platform into target/: one file loads
 // in a fraction of the time that the packages' many files take.
+//
+// With --readable FILE it only writes a bundle whose lines name the modules that
+// they come from, for a profile; it runs the role that it is given.
 import { execFileSync } from "node:child_process";
 import { copyFileSync, existsSync, rmSync, statSync } from "node:fs";
 import process from "node:process";
@@ -25,6 +28,9 @@
   logLevel: "warning",
 };
 
+/** Ms for the warm-up: longer than it waits for anything, so that it ends what it started. */
+const WARM_UP_LIMIT_MS = 90_000;
+
 /** Puts the parts of undici that the programs use in the place of its index. */
 const undiciParts = {
   name: "undici-parts",
@@ -34,17 +40,31 @@
   },
 };
 
-for (const old of ["entry.cache", "control.cache", "bundle.cache"]) {
+const PROGRAM = {
+  ...OPTIONS,
+  entryPoints: ["platform/main.ts"],
+  plugins: [undiciParts],
+};
+
+const [option, readableFile] = process.argv.slice(2);
+if (option === "--readable") {
+  await build({
+    ...PROGRAM,
+    outfile: readableFile,
+    footer: { js: "void module.exports.main(process.argv[2]);" },
+  });
+  process.exit();
+}
+
+for (const old of ["entry.cache", "control.cache"]) {
   rmSync(`target/${old}`, { force: true });
 }
 await build({
-  ...OPTIONS,
-  entryPoints: ["platform/main.ts"],
+  ...PROGRAM,
   outfile: "target/bundle.cjs",
   minify: true,
   keepNames: true,
   lineLimit: 160,
-  plugins: [undiciParts],
 });
 copyFileSync("scripts/launch.cjs", "target/crowlever.cjs");
 
@@ -58,9 +78,11 @@
 try {
   execFileSync(process.execPath, ["target/warm_up.cjs"], {
     stdio: ["ignore", 2, 2],
-    timeout: 60_000,
+    timeout: WARM_UP_LIMIT_MS,
   });
 } catch (error) {
-  process.stderr.write(`No code caches: ${error.message}\n`);
+  process.stderr.write(
+    `The warm-up failed, starts may cost more: ${error.message}\n`,
+  );
 }
 rmSync("target/warm_up.cjs", { force: true });
--- a/test/config_change_test.ts
+++ b/test/config_change_test.ts
@@ -5,7 +5,8 @@
 import { Server, type ServerDuplexStream } from "@grpc/grpc-js";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { findFreePorts, until } from "../demo/launch_fleet.ts";
+import { findFreePorts } from "../demo/find_free_ports.ts";
+import { until } from "../demo/until.ts";
 import { callerCodec } from "../platform/codec.ts";
 import { decodeConfig } from "../platform/decode_config.ts";
 import { engineControl } from "../platform/engine_calls.ts";
