Logs name what a request is, and whether an upstream ended under it

Each try of a caller has an id of its own, and a broken stream's line doesn't say whether the upstream ended or only a connection to it did. Ruled out: ids of tries; the silence of heartbeats, which tells it seconds later. Change: sends, breaks and ends carry a key of what is asked (method, host, path, client account, body). Where a run breaks that had just begun, a connection of its own is opened: turned down, the upstream has ended, and CL1809 says under which request, with how long it ran; counters beside it. No decision follows from it.

--- a/src/gateway/create_call_end.ts
+++ b/src/gateway/create_call_end.ts
@@ -61,6 +61,7 @@
     metrics.timing("requests.duration_ms", tookMs);
     log(outcome === "answered" ? "callEnded" : "callEndedBadly", {
       requestId: request.requestId,
+      requestKey: call.requestKey,
       outcome,
       status: response.headersSent ? response.statusCode : 0,
       ...options.describe(),
--- /dev/null
+++ b/src/gateway/create_end_check_test.ts
@@ -0,0 +1,40 @@
+import { createServer } from "node:net";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { findFreePorts } from "../../demo/find_free_ports.ts";
+import { createEndCheck, probeAddress } from "./create_end_check.ts";
+
+test("what listens is there, what turns connections down has ended", async () => {
+  const [port] = await findFreePorts(1);
+  const address = `127.0.0.1:${port}`;
+  assert.is(await probeAddress(address, { timeoutMs: 2_000 }), "ended");
+  const server = createServer();
+  await new Promise<void>((resolve) =>
+    server.listen(port, "127.0.0.1", resolve)
+  );
+  assert.is(await probeAddress(address, { timeoutMs: 2_000 }), "listening");
+  await new Promise((resolve) => server.close(resolve));
+});
+
+test("streams that break together ask once", async () => {
+  let nowMs = 0;
+  const probed: string[] = [];
+  const checks = createEndCheck({
+    now: () => nowMs,
+    probe: (address) => {
+      probed.push(address);
+      return Promise.resolve("ended" as const);
+    },
+  });
+  const engine = { engineId: "e1", address: "10.0.0.1:80" };
+  const answers = await Promise.all(
+    Array.from({ length: 9 }, () => checks.check(engine)),
+  );
+  assert.equal(new Set(answers), new Set(["ended"]));
+  assert.is(probed.length, 1);
+  nowMs = 1_000;
+  await checks.check(engine);
+  assert.is(probed.length, 2);
+});
+
+test.run();
--- a/src/gateway/create_request_desk.ts
+++ b/src/gateway/create_request_desk.ts
@@ -10,6 +10,7 @@
 import type { ReceivedRequest } from "./create_caller_server.ts";
 import type { ConfigLease } from "./create_config_lease.ts";
 import { decideCall } from "./decide_call.ts";
+import { getRequestKey } from "./get_request_key.ts";
 import type { CallerRequest, Refusal } from "./protocol.ts";
 import { readBody } from "./read_body.ts";
 import { servePlainCall } from "./serve_plain_call.ts";
@@ -125,7 +126,12 @@
     if (route.isStream && !mayEndInTime()) {
       return refuse(request, response, LEAVING);
     }
-    const call: Call = { ...taken, ...decision.call, deadlineMs };
+    const requestKey = getRequestKey({
+      ...request,
+      account: decision.call.account?.name,
+      body: taken.body,
+    });
+    const call: Call = { ...taken, ...decision.call, requestKey, deadlineMs };
     if (route.isStream) {
       context.rates.noteAsked(service);
       await serveStreamCall(call, context);
--- a/src/gateway/serve_plain_call.ts
+++ b/src/gateway/serve_plain_call.ts
@@ -10,6 +10,7 @@
 import type { EngineView } from "./engine_view.ts";
 import type { Exchange, ExchangeEnd } from "./create_exchanger.ts";
 import { createTryPayment } from "./create_try_payment.ts";
+import { findUpstreamEnd } from "./find_upstream_end.ts";
 import type { UpstreamHead } from "./protocol.ts";
 import { startCallExchange } from "./start_call_exchange.ts";
 import type { Call, ServingContext } from "./types.ts";
@@ -54,6 +55,7 @@
     let tries = 0;
     let runs = 0;
     let exchange: Exchange | undefined;
+    let sentMs = 0;
     const callEnd = createCallEnd({
       call,
       context,
@@ -110,7 +112,9 @@
       const chunks: Buffer[] = [];
       let head: UpstreamHead | undefined;
       engine.inFlight += 1;
-      log("callSent", { requestId, engineId, tries, runs });
+      const { requestKey } = call;
+      log("callSent", { requestId, requestKey, engineId, tries, runs });
+      sentMs = now();
       exchange = startCallExchange(call, context, {
         engine: engine.record,
         path: [],
@@ -147,7 +151,12 @@
         (head.isSigned || head.status >= 300);
       const failed = !isWhole || head.status >= FIRST_SERVER_ERROR;
       engines.noteAnswer(engineId, { failed });
-      if (how.type === "broken") engines.suspect(engineId, how.reason);
+      if (how.type === "broken") {
+        engines.suspect(engineId, how.reason);
+        const upstream = engine.record;
+        const run = { upstream, sentMs, firstEventMs: undefined };
+        void findUpstreamEnd(call, context, run);
+      }
       const mayRepeat = route.repeatability !== "once" &&
         runs < route.maxAttempts && now() < call.deadlineMs;
       if (failed && mayRepeat) {
--- a/src/gateway/serve_stream_call.ts
+++ b/src/gateway/serve_stream_call.ts
@@ -11,6 +11,7 @@
 import { createTryPayment } from "./create_try_payment.ts";
 import type { ExchangeEnd } from "./create_exchanger.ts";
 import { createStreamRelay } from "./create_stream_relay.ts";
+import { findUpstreamEnd } from "./find_upstream_end.ts";
 import type { AddressedPart, UpstreamHead } from "./protocol.ts";
 import {
   startStreamRun,
@@ -195,6 +196,7 @@
       const { lastEventId } = relay.getProgress();
       log("callSent", {
         requestId,
+        requestKey: call.requestKey,
         engineId: path[0].engineId,
         path: path.map((part) => `${part.engineId}:${part.toLayer}`).join(),
         tries,
@@ -307,8 +309,16 @@
         engines.suspect(engineId, reason);
       }
       excluded.add(engineId);
+      const upstream = sent.path.find((part) => part.engineId === engineId);
+      const { sentMs, firstEventMs } = sent;
+      void findUpstreamEnd(call, context, {
+        upstream: upstream ?? sent.path[0],
+        sentMs,
+        firstEventMs,
+      });
       log("callBroken", {
         requestId,
+        requestKey: call.requestKey,
         engineId,
         how: how.type,
         reason,
--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -15,6 +15,7 @@
   listenForCallers,
 } from "./create_caller_server.ts";
 import { createConfigLease } from "./create_config_lease.ts";
+import { createEndCheck } from "./create_end_check.ts";
 import { createEngineTable } from "./create_engine_table.ts";
 import { createEndRate } from "./create_end_rate.ts";
 import { createFleetRates } from "./create_fleet_rates.ts";
@@ -166,6 +167,7 @@
     stallWatch: createStallWatch({ engineControl: options.engineControl, now }),
     engines,
     exchanger,
+    endCheck: createEndCheck({ now }),
     budget,
     endRate,
     rates,
--- a/src/gateway/start_stream_run.ts
+++ b/src/gateway/start_stream_run.ts
@@ -22,6 +22,8 @@
   readonly isStream: boolean;
   /** Whether it has given an event. */
   readonly hasBegun: boolean;
+  /** When its first event came, in ms. */
+  readonly firstEventMs: number | undefined;
   /** Notes that it goes on over another path with the same first part. */
   move(path: readonly AddressedPart[]): void;
   /** Ends it because an engine of its path is lost. */
@@ -75,7 +77,7 @@
   let { path } = options;
   let head: UpstreamHead | undefined;
   let lostEngineId: string | undefined;
-  let hasBegun = false;
+  let firstEventMs: number | undefined;
   const isStream = () => head?.status === 200 && head.isSigned;
   const splitter = createEventSplitter();
   const chunks: Buffer[] = [];
@@ -85,7 +87,7 @@
   function takeData(chunk: Buffer): void {
     if (!isStream()) return void chunks.push(chunk);
     for (const event of splitter.take(chunk)) {
-      hasBegun = true;
+      firstEventMs ??= now();
       endPrompt();
       options.onEvent(run, event);
     }
@@ -125,7 +127,10 @@
       return isStream();
     },
     get hasBegun() {
-      return hasBegun;
+      return firstEventMs !== undefined;
+    },
+    get firstEventMs() {
+      return firstEventMs;
     },
     move(next) {
       engines.removeWork(path, { tokens });
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -12,6 +12,7 @@
 import type { EngineTable } from "./create_engine_table.ts";
 import type { EndRate } from "./create_end_rate.ts";
 import type { FleetRates } from "./create_fleet_rates.ts";
+import type { EndCheck } from "./create_end_check.ts";
 import type { Exchanger } from "./create_exchanger.ts";
 import type { PauseWatch } from "./create_pause_watch.ts";
 import type { RepeatBudget } from "./create_repeat_budget.ts";
@@ -30,6 +31,8 @@
   readonly account: Account | undefined;
   /** Service that the route's weights gave it. */
   readonly service: string;
+  /** The same for all tries of one request, see {@link getRequestKey}. */
+  readonly requestKey: string;
   readonly startedMs: number;
   /** Time, in ms, at which it has to have ended. */
   readonly deadlineMs: number;
@@ -45,6 +48,7 @@
   readonly stallWatch: StallWatch;
   readonly engines: EngineTable;
   readonly exchanger: Exchanger;
+  readonly endCheck: EndCheck;
   readonly budget: RepeatBudget;
   readonly endRate: EndRate;
   readonly rates: FleetRates;
--- a/src/logs/events.ts
+++ b/src/logs/events.ts
@@ -135,6 +135,11 @@
   callEndedBadly: event("CL1808", "warn", "Request came to a bad end"),
   engineAsked: event("CL1806", "info", "Engine gave no report"),
   pathChanged: event("CL1807", "info", "Running request changed its path"),
+  upstreamEnded: event(
+    "CL1809",
+    "warn",
+    "Upstream ended when it had just begun a request",
+  ),
   linesDropped: event(
     "CL1012",
     "warn",
--- a/src/metrics/metric_catalogue.ts
+++ b/src/metrics/metric_catalogue.ts
@@ -66,6 +66,9 @@
   "pipeline.repairs": "Chains that went on over another stage",
   "pipeline.invariant": "Broken invariants of a pipeline",
   "upstream.ejected": "Upstreams left out for a while",
+  "upstream.end_checks": "Looks whether an upstream ended under a request",
+  "upstream.ended_under_request":
+    "Runs that had just begun when their upstream ended",
   "config.revision": "Revision in force at this process",
   "config.lease_ms": "Ms for which the configuration may still be trusted",
   "engines.known": "Upstreams that registered",
