--- a/standins/start_layer_engine.ts
+++ b/standins/start_layer_engine.ts
@@ -33,6 +33,10 @@
   stalledFor?: string;
   /** Leaves the streams that wait out of its reports. */
   hidesStalled?: boolean;
+  /** Ends at once when it begins to run a request with this body. */
+  crashesOnBody?: string;
+  /** Ms after which it starts again under its id; it stays down without. */
+  restartsAfterMs?: number;
 }
 
 /** Options of {@link startLayerEngine}. */
@@ -64,6 +68,8 @@
   drain(): Promise<void>;
   /** Ends without a word. */
   crash(): Promise<void>;
+  /** How often it ended by a request. */
+  getCrashes(): number;
 }
 
 /** One run of a request. */
@@ -109,6 +115,9 @@
   let sequence = 0;
   let state = "ready";
   let closed = false;
+  let isDown = false;
+  let crashes = 0;
+  let bornMs = Date.now();
   let onDrained: (() => void) | undefined;
 
   const server = createServer((message, response) => {
@@ -180,6 +189,7 @@
     response.on("close", () => {
       run.wasCut = !response.writableFinished;
     });
+    if (body === fault.crashesOnBody) return await goDown(response);
     if (fault.hangs) return;
     if (card !== undefined) return await stream(response, { run, get });
     if (fault.losesAnswers) {
@@ -195,6 +205,38 @@
     }).end(text);
   }
 
+  // What it held and counted is forgotten when it starts again.
+  async function goDown(response: ServerResponse): Promise<void> {
+    crashes += 1;
+    isDown = true;
+    response.writeHead(200, {
+      [HEADER.requestId]: runs[runs.length - 1].requestId,
+      [HEADER.signature]: "s",
+      "content-type": "text/event-stream",
+    });
+    response.flushHeaders();
+    // The head of its answer is on its way before the connection breaks.
+    await sleep(5);
+    endConnections();
+    await new Promise((resolve) => server.close(resolve));
+    if (fault.restartsAfterMs === undefined) return;
+    await sleep(fault.restartsAfterMs);
+    if (closed) return;
+    range = [0, 0];
+    orders = 0;
+    sequence = 0;
+    paths.clear();
+    bornMs = Date.now();
+    await new Promise<void>((resolve) =>
+      server.listen(port, "127.0.0.1", resolve)
+    );
+    isDown = false;
+  }
+
+  function endConnections(): void {
+    for (const socket of sockets) socket.resetAndDestroy();
+  }
+
   async function stream(
     response: ServerResponse,
     options: { run: EngineRun; get: (name: string) => string | undefined },
@@ -239,6 +281,7 @@
       state,
       coldLeftMs: 0,
       seq: sequence,
+      born: bornMs,
       ...(card === undefined ? {} : {
         routeType: card,
         models: [{ name: "m", version: 1, adapters: [] }],
@@ -268,7 +311,7 @@
 
   async function keepBeating(): Promise<void> {
     while (!closed) {
-      await beat();
+      if (!isDown) await beat();
       await sleep(beatIntervalMs);
     }
   }
@@ -276,7 +319,7 @@
 
   async function crash(): Promise<void> {
     closed = true;
-    for (const socket of sockets) socket.resetAndDestroy();
+    endConnections();
     await new Promise((resolve) => server.close(resolve));
     await beating;
   }
@@ -295,6 +338,7 @@
       });
     },
     crash,
+    getCrashes: () => crashes,
     async [Symbol.asyncDispose]() {
       if (!closed) await crash();
     },
--- a/test/fleet_test.ts
+++ b/test/fleet_test.ts
@@ -11,45 +11,13 @@
 import type { LayerEngine } from "../standins/index.ts";
 import {
   call,
+  expectStream,
   LAYERS,
   makeWireConfig,
-  startTestFleet,
+  startServing,
   type TestFleet,
 } from "./support/fleet.ts";
 
-/** Events of a stand-in's answer unless a test says otherwise. */
-const EVENTS = 20;
-
-function expectStream(events = EVENTS): string {
-  const ids = Array.from({ length: events }, (_, at) => at + 1);
-  return ids.map((id) => `id: ${id}\ndata: token ${id}\n\n`).join("");
-}
-
-async function untilPlaced(fleet: TestFleet): Promise<void> {
-  const isPlaced = (place: readonly [number, number][]) =>
-    place.reduce((sum, [from, to]) => sum + to - from, 0) === LAYERS;
-  await until("each data centre holds a copy", () => {
-    const ranges = fleet.engines.map((engine) => engine.getRange());
-    return isPlaced(ranges.slice(0, 2).map(([a, b]) => [a, b])) &&
-      isPlaced(ranges.slice(2, 4).map(([a, b]) => [a, b]));
-  });
-  // The ranges reach the gateways with the engines' next beats.
-  await sleep(600);
-}
-
-async function startServing(
-  options: Parameters<typeof startTestFleet>[0] = {},
-): Promise<TestFleet> {
-  const fleet = await startTestFleet(options);
-  await until(
-    "a configuration is taken",
-    async () => await fleet.put(makeWireConfig(1)) === 200,
-  );
-  await fleet.settle(1);
-  await untilPlaced(fleet);
-  return fleet;
-}
-
 test("streams and plain calls are served whole", async () => {
   await using fleet = await startServing();
   const [{ address }] = fleet.gateways;
--- a/test/support/fleet.ts
+++ b/test/support/fleet.ts
@@ -8,6 +8,7 @@
 import { mkdtemp, rm } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import { setTimeout as sleep } from "node:timers/promises";
 import { request } from "undici";
 import { findFreePorts } from "../../demo/find_free_ports.ts";
 import { until } from "../../demo/until.ts";
@@ -23,10 +24,15 @@
 import { type Gateway, startGateway } from "../../src/gateway/index.ts";
 import type { Logger } from "../../src/logs/index.ts";
 import { createMetrics } from "../../src/metrics/index.ts";
-import { type LayerEngine, startLayerEngine } from "../../standins/index.ts";
+import {
+  type LayerEngine,
+  LAYERS,
+  makeWireConfig,
+  startLayerEngine,
+} from "../../standins/index.ts";
 import { findSeeds } from "./find_seeds.ts";
 
-export { LAYERS, makeWireConfig } from "../../standins/index.ts";
+export { LAYERS, makeWireConfig };
 
 /** A control process with its data folder. */
 export interface TestControl {
@@ -230,3 +236,38 @@
     },
   };
 }
+
+/** Events of a stand-in's answer unless a test says otherwise. */
+const EVENTS = 20;
+
+/** What a caller of a whole stream gets. */
+export function expectStream(events = EVENTS): string {
+  const ids = Array.from({ length: events }, (_, at) => at + 1);
+  return ids.map((id) => `id: ${id}\ndata: token ${id}\n\n`).join("");
+}
+
+async function untilPlaced(fleet: TestFleet): Promise<void> {
+  const isPlaced = (place: readonly [number, number][]) =>
+    place.reduce((sum, [from, to]) => sum + to - from, 0) === LAYERS;
+  await until("each data centre holds a copy", () => {
+    const ranges = fleet.engines.map((engine) => engine.getRange());
+    return isPlaced(ranges.slice(0, 2).map(([a, b]) => [a, b])) &&
+      isPlaced(ranges.slice(2, 4).map(([a, b]) => [a, b]));
+  });
+  // The ranges reach the gateways with the engines' next beats.
+  await sleep(600);
+}
+
+/** Starts a fleet and waits until it serves. */
+export async function startServing(
+  options: Parameters<typeof startTestFleet>[0] = {},
+): Promise<TestFleet> {
+  const fleet = await startTestFleet(options);
+  await until(
+    "a configuration is taken",
+    async () => await fleet.put(makeWireConfig(1)) === 200,
+  );
+  await fleet.settle(1);
+  await untilPlaced(fleet);
+  return fleet;
+}
