--- a/src/engines/engines_test.ts
+++ b/src/engines/engines_test.ts
@@ -37,7 +37,7 @@
   const { state } = takeBeat(EMPTY, makeBeat({ sequence: 9 }), { nowMs: 0 });
   const next = makeBeat({ engineId: "e2", sequence: 1 });
   const taken = takeBeat(state, next, { nowMs: 100 });
-  assert.is(taken.displacedId, "e1");
+  assert.equal(taken.displacedIds, ["e1"]);
   assert.equal([...taken.state.engines.keys()], ["e2"]);
 });
 
@@ -63,7 +63,7 @@
   assert.equal([...state.engines.keys()], ["e1"]);
   const third = makeBeat({ engineId: "e2", sequence: 3 });
   const taken = takeBeat(state, third, { nowMs: 1_500 });
-  assert.is(taken.displacedId, "e1");
+  assert.equal(taken.displacedIds, ["e1"]);
 });
 
 test("the silent are dropped, the others stay", () => {
--- a/src/engines/index.ts
+++ b/src/engines/index.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+export * from "./newest_runs.ts";
 export * from "./remove_silent.ts";
 export * from "./take_beat.ts";
 export * from "./types.ts";
--- a/src/engines/take_beat.ts
+++ b/src/engines/take_beat.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { getUpstreamName, isOfEarlierRun, noteRun } from "./newest_runs.ts";
 import type {
   EngineBeat,
   EngineRecord,
@@ -25,8 +26,8 @@
   readonly state: RegistryState;
   /** What gateways have to be told; undefined where nothing changed. */
   readonly changed: EngineRecord | undefined;
-  /** Upstream that lost its address to the one that beats. */
-  readonly displacedId?: string;
+  /** Runs that the one that beats takes the place of. */
+  readonly displacedIds: readonly string[];
 }
 
 /** Sequence number of an upstream's first beat. */
@@ -60,13 +61,15 @@
 ): TakenBeat {
   const { nowMs, leave } = options;
   const known = state.engines.get(beat.engineId);
-  if (leave === "gone") return { state, changed: undefined };
-  if (known && beat.sequence <= known.sequence) {
-    return { state, changed: undefined };
-  }
+  const unchanged = { state, changed: undefined, displacedIds: [] };
+  if (leave === "gone") return unchanged;
+  if (isOfEarlierRun(beat, state.newestRuns)) return unchanged;
+  if (known && beat.sequence <= known.sequence) return unchanged;
+  const earlier = listEarlierRuns(state, beat);
   const holder = known ? undefined : findHolder(state, beat);
-  if (holder && !winsAddress(state, beat, { holder, nowMs })) {
-    return { state: noteClaim(state, beat, nowMs), changed: undefined };
+  const isOther = holder && !earlier.includes(holder.record.engineId);
+  if (isOther && !winsAddress(state, beat, { holder, nowMs })) {
+    return { ...unchanged, state: noteClaim(state, beat, nowMs) };
   }
   const { sequence, ...told } = beat;
   const slowness = known?.record.slowness;
@@ -79,16 +82,30 @@
   const engines = new Map(state.engines).set(beat.engineId, next);
   const claims = new Map(state.claims);
   claims.delete(beat.engineId);
-  const displacedId = holder?.record.engineId;
-  if (displacedId !== undefined) engines.delete(displacedId);
+  const displacedIds = [
+    ...earlier,
+    ...(isOther ? [holder.record.engineId] : []),
+  ];
+  for (const id of displacedIds) engines.delete(id);
   const same = known !== undefined && isSameRecord(known.record, record);
   return {
-    state: { engines, claims },
+    state: { engines, claims, newestRuns: noteRun(state.newestRuns, record) },
     changed: same ? undefined : record,
-    ...(displacedId === undefined ? {} : { displacedId }),
+    displacedIds,
   };
 }
 
+function listEarlierRuns(
+  state: RegistryState,
+  beat: EngineBeat,
+): string[] {
+  const name = getUpstreamName(beat);
+  return [...state.engines.values()]
+    .filter(({ record }) => getUpstreamName(record) === name)
+    .map(({ record }) => record.engineId)
+    .filter((id) => id !== beat.engineId);
+}
+
 function findHolder(
   state: RegistryState,
   { address }: EngineBeat,
--- a/src/engines/types.ts
+++ b/src/engines/types.ts
@@ -14,6 +14,13 @@
 export interface EngineBeat {
   /** Names this run of the upstream; a restart gets another. */
   readonly engineId: string;
+  /** Names the upstream, whichever run of it; absent where its id does. */
+  readonly name?: string;
+  /**
+   * When this run started, in Unix ms of the upstream's own clock: it orders the
+   * runs of one upstream and means nothing besides. Absent where none tells it.
+   */
+  readonly startedMs?: number;
   readonly service: string;
   /** Host and port where it takes requests. */
   readonly address: string;
@@ -60,4 +67,16 @@
   readonly engines: ReadonlyMap<string, RegisteredEngine>;
   /** Claims to addresses that are taken, by the upstream that made them. */
   readonly claims?: ReadonlyMap<string, AddressClaim>;
+  /** Newest runs, by the upstream's name, also of those that are gone. */
+  readonly newestRuns?: NewestRuns;
 }
+
+/** The newest run of an upstream. */
+export interface NewestRun {
+  readonly engineId: string;
+  /** When it started, by its own clock, in Unix ms. */
+  readonly startedMs: number;
+}
+
+/** The newest runs by the upstream's name. */
+export type NewestRuns = ReadonlyMap<string, NewestRun>;
--- a/src/fleet/create_engine_registry.ts
+++ b/src/fleet/create_engine_registry.ts
@@ -8,7 +8,11 @@
 import {
   type EngineBeat,
   type EngineRecord,
+  getUpstreamName,
+  isOfEarlierRun,
   type LeaveKind,
+  type NewestRuns,
+  noteRun,
   type RegistryState,
   removeEngines,
   removeSilent,
@@ -29,6 +33,8 @@
   /** Monotonic time, in ms. */
   readonly now: () => number;
   readonly getLeave: (engineId: string) => LeaveKind | undefined;
+  /** Whether a service is configured; all are by default. */
+  readonly isService?: (service: string) => boolean;
   readonly publish: (change: EngineChange) => void;
   readonly log: Logger;
 }
@@ -41,8 +47,13 @@
    * Adds what earlier leaders recorded and this one has not heard of yet; who
    * does not beat counts as lost after the usual silence.
    */
-  addRecorded(records: Iterable<EngineRecord>): void;
+  addRecorded(
+    records: Iterable<EngineRecord>,
+    options?: { readonly newestRuns?: NewestRuns },
+  ): void;
   take(beat: EngineBeat): void;
+  /** The newest run of an upstream, also of one that is gone. */
+  findRunId(name: string): string | undefined;
   /** Takes an accepted leave. */
   takeLeave(engineId: string, kind: LeaveKind): void;
   /** Drops the silent; a gateway's suspicion shortens the silence. */
@@ -80,7 +91,7 @@
 export function createEngineRegistry(
   options: CreateEngineRegistryOptions,
 ): EngineRegistry {
-  const { now, log, silenceMs } = options;
+  const { now, log, silenceMs, isService = () => true } = options;
   let state: RegistryState = { engines: new Map() };
   let suspicions = new Map<string, Map<string, number>>();
   let changed = new Map<string, EngineRecord>();
@@ -114,17 +125,33 @@
     if (ids.length > 0) gather();
   }
 
+  function dropEarlierRuns(): void {
+    const earlier = [...state.engines.values()]
+      .filter(({ record }) => isOfEarlierRun(record, state.newestRuns));
+    drop(earlier.map(({ record }) => record.engineId), "of an earlier run");
+  }
+
+  function findRunId(name: string): string | undefined {
+    const newest = state.newestRuns?.get(name)?.engineId;
+    if (newest !== undefined) return newest;
+    const known = [...state.engines.values()]
+      .find(({ record }) => getUpstreamName(record) === name);
+    return known?.record.engineId;
+  }
+
   function take(beat: EngineBeat): void {
-    const { engineId } = beat;
+    const { engineId, service } = beat;
     const isNew = !state.engines.has(engineId);
+    // It would take an address from the upstream that really is there.
+    if (isNew && !isService(service)) {
+      return log("serviceUnknown", { engineId, service });
+    }
     const leave = options.getLeave(engineId);
     const taken = takeBeat(state, beat, { nowMs: now(), leave });
     state = taken.state;
-    if (taken.displacedId !== undefined) {
-      drop([taken.displacedId], "address taken");
-    }
+    drop(taken.displacedIds, "replaced by another run");
     if (!taken.changed) return;
-    const { address, service, isLeaving, layers } = taken.changed;
+    const { address, isLeaving, layers } = taken.changed;
     log(isNew ? "engineJoined" : "engineChanged", {
       engineId,
       address,
@@ -173,22 +200,31 @@
 
   return {
     reset() {
-      state = { engines: new Map() };
+      // What was heard of an earlier run is never news again.
+      state = { engines: new Map(), newestRuns: state.newestRuns };
       suspicions = new Map();
       changed = new Map();
       gone = new Set();
     },
-    addRecorded(records) {
+    addRecorded(records, { newestRuns: recorded = new Map() } = {}) {
       const heardMs = now();
+      const newestRuns = [...recorded].reduce(
+        (runs, [name, run]) => noteRun(runs, { name, ...run }),
+        state.newestRuns ?? new Map(),
+      );
+      state = { ...state, newestRuns };
+      dropEarlierRuns();
       const engines = new Map(state.engines);
       for (const record of records) {
         if (engines.has(record.engineId)) continue;
+        if (isOfEarlierRun(record, newestRuns)) continue;
         engines.set(record.engineId, { record, heardMs, sequence: -1 });
         tell(record);
       }
       state = { ...state, engines };
     },
     take,
+    findRunId,
     takeLeave,
     tick,
     takePace(engineId, pace) {
--- a/src/fleet/create_fleet_machine.ts
+++ b/src/fleet/create_fleet_machine.ts
@@ -5,7 +5,19 @@
  * @module
  */
 
-import type { EngineRecord, LeaveKind } from "../engines/index.ts";
+import {
+  type EngineRecord,
+  type LeaveKind,
+  type NewestRun,
+  type NewestRuns,
+  noteRun,
+} from "../engines/index.ts";
+import {
+  type CrashCase,
+  type CrashCases,
+  type JudgedReport,
+  takeCrashes,
+} from "../quarantine/index.ts";
 
 /** A command of the log. */
 export type FleetCommand =
@@ -17,8 +29,11 @@
   }
   | {
     readonly type: "leave";
+    /** A run, or an upstream of which no run was known. */
     readonly engineId: string;
     readonly kind: LeaveKind;
+    /** Upstream whose leave was recorded before its run was known. */
+    readonly name?: string;
   }
   | {
     readonly type: "engines";
@@ -26,6 +41,16 @@
     readonly changed: readonly EngineRecord[];
     /** Upstreams that are no longer counted on. */
     readonly lost: readonly string[];
+  }
+  | {
+    /** Upstreams that ended when they had just begun a request. */
+    readonly type: "crashes";
+    readonly reports: readonly JudgedReport[];
+  }
+  | {
+    /** Requests that nothing speaks against any more. */
+    readonly type: "casesCleared";
+    readonly requestKeys: readonly string[];
   };
 
 /** An accepted configuration. */
@@ -44,6 +69,10 @@
    * so that a restart of all processes needs no beat before it serves.
    */
   getEngines(): ReadonlyMap<string, EngineRecord>;
+  /** Requests that are suspected of ending upstreams. */
+  getCases(): CrashCases;
+  /** Newest runs of upstreams, also of those that are gone. */
+  getNewestRuns(): NewestRuns;
   apply(body: string): void;
   save(): string;
   restore(data: string): void;
@@ -57,13 +86,16 @@
   readonly maxLeaves?: number;
 }
 
-/** Far more than leave in an hour; an id is never used again. */
+/** Far more than leave in an hour; a run's id is never used again. */
 const MAX_LEAVES = 5_000;
 
 interface SavedMachine {
   readonly accepted?: AcceptedConfig;
   readonly leaves: readonly (readonly [string, LeaveKind])[];
   readonly engines: readonly EngineRecord[];
+  /** Absent in snapshots of earlier versions, as the cases are. */
+  readonly newestRuns?: readonly (readonly [string, NewestRun])[];
+  readonly cases?: readonly CrashCase[];
 }
 
 /**
@@ -82,6 +114,8 @@
   let accepted: AcceptedConfig | undefined;
   let leaves = new Map<string, LeaveKind>();
   let engines = new Map<string, EngineRecord>();
+  let newestRuns: NewestRuns = new Map();
+  let cases: CrashCases = new Map();
 
   function takeConfig(command: FleetCommand & { type: "putConfig" }): boolean {
     const { version, packed } = command;
@@ -92,7 +126,8 @@
   }
 
   function takeLeave(command: FleetCommand & { type: "leave" }): boolean {
-    const { engineId, kind } = command;
+    const { engineId, kind, name } = command;
+    if (name !== undefined) leaves.delete(name);
     const known = leaves.get(engineId);
     if (known === kind || known === "gone") return false;
     leaves.set(engineId, kind);
@@ -105,9 +140,21 @@
   function takeEngines(command: FleetCommand & { type: "engines" }): boolean {
     for (const engineId of command.lost) engines.delete(engineId);
     for (const record of command.changed) engines.set(record.engineId, record);
+    newestRuns = command.changed.reduce(noteRun, newestRuns);
     return true;
   }
 
+  function putCases(next: CrashCases): boolean {
+    const isNews = next !== cases;
+    cases = next;
+    return isNews;
+  }
+
+  function clearCases(requestKeys: readonly string[]): boolean {
+    const left = [...cases].filter(([key]) => !requestKeys.includes(key));
+    return left.length < cases.size && putCases(new Map(left));
+  }
+
   function take(command: FleetCommand): boolean {
     switch (command.type) {
       case "putConfig":
@@ -116,6 +163,10 @@
         return takeLeave(command);
       case "engines":
         return takeEngines(command);
+      case "crashes":
+        return putCases(takeCrashes(cases, command.reports));
+      case "casesCleared":
+        return clearCases(command.requestKeys);
     }
   }
 
@@ -123,6 +174,8 @@
     getAccepted: () => accepted,
     getLeave: (engineId) => leaves.get(engineId),
     getEngines: () => engines,
+    getCases: () => cases,
+    getNewestRuns: () => newestRuns,
     apply(body) {
       const command = JSON.parse(body) as FleetCommand;
       if (take(command)) onChange(command);
@@ -132,6 +185,8 @@
         accepted,
         leaves: [...leaves],
         engines: [...engines.values()],
+        newestRuns: [...newestRuns],
+        cases: [...cases.values()],
       };
       return JSON.stringify(saved);
     },
@@ -143,6 +198,10 @@
       engines = new Map(
         saved.engines.map((record) => [record.engineId, record]),
       );
+      newestRuns = new Map(saved.newestRuns);
+      cases = new Map(
+        (saved.cases ?? []).map((one) => [one.requestKey, one]),
+      );
     },
   };
 }
--- a/src/fleet/create_gateway_sessions.ts
+++ b/src/fleet/create_gateway_sessions.ts
@@ -13,6 +13,7 @@
 import type { wire } from "../wire/index.ts";
 import { createActivityTally } from "./create_activity_tally.ts";
 import { createLossReports } from "./create_loss_reports.ts";
+import type { QuarantineDesk } from "./create_quarantine_desk.ts";
 import { createWrittenNews } from "./create_written_news.ts";
 import type { AcceptedConfig } from "./create_fleet_machine.ts";
 import type {
@@ -41,6 +42,10 @@
   readonly knowsAllGateways: () => boolean;
   /** Lends repeats of a service; gives how many. */
   readonly lendRepeats: (service: string, wanted: number) => number;
+  readonly quarantine: Pick<
+    QuarantineDesk,
+    "take" | "grantTrial" | "getWhole"
+  >;
   readonly onSuspects: (vm: string, engineIds: readonly string[]) => void;
   /** Called when a gateway names engines of slow streams, or silent ones. */
   readonly onSlow: (engineIds: readonly string[]) => void;
@@ -63,6 +68,8 @@
   publishAllEngines(): void;
   /** Ends the sessions that fell silent; tells the others who is live. */
   tick(): void;
+  /** Tells all gateways something. */
+  publish(message: LeaderMessage): void;
   /** Tells the gateways what all of them have in flight. */
   publishLoads(): void;
   closeAll(): void;
@@ -166,6 +173,8 @@
     const controlAddresses = options.getControlAddresses();
     send(session, { type: "welcome", controlAddresses });
     sendConfig(session);
+    // Before the engines: from then on it sends requests.
+    send(session, options.quarantine.getWhole());
     write(session, news.formatEngines());
     // The read was confirmed after the hello was sent, as with any beat.
     confirm(session, sentMs);
@@ -190,6 +199,7 @@
       options.onSlow(beat.suspects);
     }
     if (beat.lost) tellLost(gateway, beat.lost);
+    options.quarantine.take(gateway.vm, beat);
     if (gateway.isReady !== beat.isReady) {
       session.gateway = { ...gateway, isReady: beat.isReady };
     }
@@ -197,6 +207,7 @@
     if (!options.hasLease()) return;
     confirm(session, beat.sentMs);
     lendRepeats(session, beat);
+    grantTrials(session, beat);
   }
 
   function tellLost(
@@ -224,6 +235,19 @@
     }
   }
 
+  function grantTrials(
+    session: Session,
+    { trialsWanted = [], sentMs }: GatewayMessage & { type: "beat" },
+  ): void {
+    const vm = session.gateway?.vm ?? "";
+    for (const wish of trialsWanted) {
+      const engineId = options.quarantine.grantTrial(vm, wish);
+      if (engineId === undefined) continue;
+      const { requestKey } = wish;
+      send(session, { type: "trial", requestKey, engineId, askedMs: sentMs });
+    }
+  }
+
   function confirm(session: Session, sentMs: number): void {
     const version = options.getAccepted()?.version ?? -1;
     send(session, { type: "beatAck", sentMs, version });
@@ -293,6 +317,7 @@
       news.forgetEngines();
       broadcast({ type: "engines", isWhole: false, engines, gone });
     },
+    publish: broadcast,
     publishAllEngines() {
       news.forgetEngines();
       writeToAll(news.formatEngines());
--- a/src/fleet/create_gateway_sessions_test.ts
+++ b/src/fleet/create_gateway_sessions_test.ts
@@ -62,6 +62,16 @@
     knowsAllEngines: () => true,
     knowsAllGateways: () => true,
     lendRepeats: () => 0,
+    quarantine: {
+      take: () => {},
+      grantTrial: () => undefined,
+      getWhole: () => ({
+        type: "cases",
+        isWhole: true,
+        cases: [],
+        cleared: [],
+      }),
+    },
     onSuspects: () => {},
     onSlow: () => {},
     now: () => 0,
--- a/src/fleet/create_leader_desk.ts
+++ b/src/fleet/create_leader_desk.ts
@@ -4,11 +4,16 @@
  * @module
  */
 
-import type { EngineBeat, LeaveKind } from "../engines/index.ts";
+import {
+  type EngineBeat,
+  getUpstreamName,
+  type LeaveKind,
+} from "../engines/index.ts";
 import type { Logger } from "../logs/index.ts";
 import { findConfigProblems } from "../routes/index.ts";
 import type { EngineRegistry } from "./create_engine_registry.ts";
 import type { FleetCommand, FleetMachine } from "./create_fleet_machine.ts";
+import type { QuarantineDesk } from "./create_quarantine_desk.ts";
 import type { DecodeConfig, FleetCall, FleetReply } from "./messages.ts";
 import { unpackDocument } from "./pack_document.ts";
 
@@ -16,6 +21,7 @@
 export interface CreateLeaderDeskOptions {
   readonly machine: FleetMachine;
   readonly registry: EngineRegistry;
+  readonly quarantine: Pick<QuarantineDesk, "list" | "lift">;
   /** Resolves once the command is committed and applied. */
   readonly propose: (command: FleetCommand) => Promise<unknown>;
   readonly confirmRead: () => Promise<void>;
@@ -77,15 +83,33 @@
   // beats that it took would be missing there.
   async function takeBeat(beat: EngineBeat): Promise<FleetReply> {
     if (!options.hasLease()) return { type: "unavailable", reason: "no lease" };
-    const leave = machine.getLeave(beat.engineId);
-    if (beat.isLeaving && leave === undefined) {
-      await proposeLeave(beat.engineId, "draining");
+    const { engineId } = beat;
+    const leave = machine.getLeave(engineId);
+    const early = leave === undefined
+      ? machine.getLeave(getUpstreamName(beat))
+      : undefined;
+    if (early !== undefined) await bindLeave(beat, early);
+    else if (beat.isLeaving && leave === undefined) {
+      await proposeLeave(engineId, "draining");
     }
     registry.take(beat);
     return DONE;
   }
 
-  async function takeLeave(engineId: string): Promise<FleetReply> {
+  // A leave that came before any beat is of the run that is heard of first.
+  async function bindLeave(
+    beat: EngineBeat,
+    kind: LeaveKind,
+  ): Promise<void> {
+    const { engineId } = beat;
+    const name = getUpstreamName(beat);
+    await propose({ type: "leave", engineId, kind, name });
+    log("engineLeaves", { engineId, kind });
+  }
+
+  // Who leaves names itself, not its run: the newest one is meant.
+  async function takeLeave(name: string): Promise<FleetReply> {
+    const engineId = registry.findRunId(name) ?? name;
     if (machine.getLeave(engineId) !== "gone") {
       await proposeLeave(engineId, "gone");
     }
@@ -110,6 +134,12 @@
         return await takeBeat(call.beat);
       case "leave":
         return await takeLeave(call.engineId);
+      case "listCases":
+        await options.confirmRead();
+        return { type: "cases", cases: options.quarantine.list() };
+      case "liftCase":
+        await options.quarantine.lift(call.requestKey);
+        return DONE;
     }
   }
 
--- a/src/fleet/create_leader_desk_test.ts
+++ b/src/fleet/create_leader_desk_test.ts
@@ -17,6 +17,7 @@
   const desk = createLeaderDesk({
     machine,
     registry,
+    quarantine: { list: () => [], lift: () => Promise.resolve() },
     propose: () => Promise.resolve(),
     confirmRead: () => Promise.resolve(),
     hasLease,
--- a/src/fleet/create_leader_rounds.ts
+++ b/src/fleet/create_leader_rounds.ts
@@ -12,6 +12,7 @@
 import type { LayerKeeper } from "./create_layer_keeper.ts";
 import type { MemberKeeper } from "./create_member_keeper.ts";
 import type { PaceWatch } from "./create_pace_watch.ts";
+import type { QuarantineDesk } from "./create_quarantine_desk.ts";
 
 /** What the rounds look after. */
 export interface CreateLeaderRoundsOptions {
@@ -29,6 +30,7 @@
   >;
   readonly registry: Pick<EngineRegistry, "tick" | "getRecords">;
   readonly paces: Pick<PaceWatch, "tick">;
+  readonly quarantine: Pick<QuarantineDesk, "tick">;
   readonly recorder: Pick<EngineRecorder, "run">;
   readonly members: Pick<MemberKeeper, "run">;
   readonly keeper: Pick<LayerKeeper, "run">;
@@ -88,6 +90,7 @@
       rounds += 1;
       if (rounds % LOADS_ROUNDS === 0) sessions.publishLoads();
       void options.paces.tick();
+      options.quarantine.tick();
       if (!leadsFor(options.silenceMs)) {
         void options.recorder.run();
         return keepLayersOfNewFleet();
--- a/src/fleet/create_leader_rounds_test.ts
+++ b/src/fleet/create_leader_rounds_test.ts
@@ -25,6 +25,7 @@
     },
     registry: { tick: note("engines"), getRecords: () => [] },
     paces: { tick: noteRun("paces") },
+    quarantine: { tick: () => {} },
     recorder: { run: noteRun("recorder") },
     members: { run: noteRun("members") },
     keeper: { run: noteRun("layers") },
--- /dev/null
+++ b/src/fleet/create_quarantine_desk.ts
@@ -0,0 +1,247 @@
+/**
+ * The leader's part of the quarantine: records which upstreams ended under which
+ * requests, gives out trials, says who is held back and for how long.
+ *
+ * @module
+ */
+
+import type { Logger } from "../logs/index.ts";
+import {
+  CONVICTION_AGE_MS,
+  type CrashCase,
+  type CrashCases,
+  type CrashReport,
+  getHoldMs,
+  isExplained,
+  type JudgedReport,
+  needsTrial,
+  SUSPICION_AGE_MS,
+  TRIAL_MS,
+} from "../quarantine/index.ts";
+import type { FleetCommand } from "./create_fleet_machine.ts";
+import type { LeaderMessage, ToldCase, TrialWish } from "./messages.ts";
+
+type CasesMessage = LeaderMessage & { type: "cases" };
+
+/** What the desk needs of its program. */
+export interface CreateQuarantineDeskOptions {
+  readonly getCases: () => CrashCases;
+  /** Resolves once the command is committed and applied. */
+  readonly propose: (command: FleetCommand) => Promise<unknown>;
+  /** Tells all gateways. */
+  readonly publish: (message: CasesMessage) => void;
+  /** Monotonic time, in ms. */
+  readonly now: () => number;
+  readonly log: Logger;
+}
+
+/** What a gateway tells of suspected requests. */
+export interface QuarantineNews {
+  readonly crashes?: readonly CrashReport[];
+  readonly proved?: readonly string[];
+}
+
+/** The leader's part of the quarantine. */
+export interface QuarantineDesk {
+  /** Takes what a gateway tells. */
+  take(vm: string, news: QuarantineNews): void;
+  /** Gives out a trial: the upstream where the request may begin, if any. */
+  grantTrial(vm: string, wish: TrialWish): string | undefined;
+  /** All cases, for a gateway that joins. */
+  getWhole(): CasesMessage;
+  list(): readonly ToldCase[];
+  /** Lets a request go free. */
+  lift(requestKey: string): Promise<void>;
+  /** Called on every replica after each change of the cases. */
+  noteChange(options: { readonly isLeader: boolean }): void;
+  /** Forgets what is old; for the leader only. */
+  tick(): void;
+}
+
+/** A request that runs as the only suspect of its upstream. */
+interface Trial {
+  readonly vm: string;
+  readonly engineId: string;
+  readonly untilMs: number;
+}
+
+/** Ms for which reports are gathered into one entry of the log. */
+const GATHER_MS = 3;
+
+/**
+ * Makes the desk. Times count from when this process first saw a change: a
+ * replica that starts again holds convicted requests back for longer, never for
+ * less.
+ *
+ * @param options - The cases, how they are changed, who is told.
+ * @returns The desk.
+ * @throws Nothing.
+ * @example
+ * const desk = createQuarantineDesk({ getCases, propose, publish, now, log });
+ */
+export function createQuarantineDesk(
+  options: CreateQuarantineDeskOptions,
+): QuarantineDesk {
+  const { getCases, propose, now, log } = options;
+  const trials = new Map<string, Trial>();
+  const seen = new Map<
+    string,
+    { readonly crashCase: CrashCase; readonly changedMs: number }
+  >();
+  let told: CrashCases = new Map();
+  let reports: JudgedReport[] = [];
+  let clearing = new Set<string>();
+  let gathering: ReturnType<typeof setTimeout> | undefined;
+
+  function gather(): void {
+    gathering ??= setTimeout(() => {
+      gathering = undefined;
+      const requestKeys = [...clearing];
+      const taken = reports;
+      reports = [];
+      clearing = new Set();
+      if (taken.length > 0) change({ type: "crashes", reports: taken });
+      if (requestKeys.length > 0) change({ type: "casesCleared", requestKeys });
+    }, GATHER_MS);
+  }
+
+  // What fails here is told again: gateways repeat what the list does not say.
+  function change(command: FleetCommand): void {
+    propose(command).catch((error) => log("casesNotRecorded", { error }));
+  }
+
+  function findTrial(engineId: string): [string, Trial] | undefined {
+    return [...trials].find(([, trial]) => trial.engineId === engineId);
+  }
+
+  function dropEndedTrials(): void {
+    for (const [key, trial] of trials) {
+      if (now() >= trial.untilMs || !getCases().has(key)) trials.delete(key);
+    }
+  }
+
+  // What ends under a trial is put down to it, and to nobody beside it.
+  function takeReport(vm: string, report: CrashReport): void {
+    const { requestKey, engineId } = report;
+    const cases = getCases();
+    if (cases.get(requestKey)?.engineIds.includes(engineId)) return;
+    if (isExplained(cases, engineId)) return;
+    const [key, trial] = findTrial(engineId) ?? [];
+    if (key !== undefined && key !== requestKey) return;
+    const isTrial = trial?.vm === vm;
+    const isKnown = reports.some((one) =>
+      one.requestKey === requestKey && one.engineId === engineId
+    );
+    if (!isKnown) reports.push({ ...report, isTrial });
+  }
+
+  function look(): void {
+    const cases = getCases();
+    for (const key of seen.keys()) {
+      if (!cases.has(key)) seen.delete(key);
+    }
+    for (const [key, crashCase] of cases) {
+      if (seen.get(key)?.crashCase !== crashCase) {
+        seen.set(key, { crashCase, changedMs: now() });
+      }
+    }
+  }
+
+  function getAgeMs(requestKey: string): number {
+    return now() - (seen.get(requestKey)?.changedMs ?? now());
+  }
+
+  function getHeldMs({ requestKey, convictions }: CrashCase): number {
+    return Math.max(0, getHoldMs(convictions) - getAgeMs(requestKey));
+  }
+
+  function describe(crashCase: CrashCase): ToldCase {
+    const { requestKey, engineIds } = crashCase;
+    const heldMs = Math.round(getHeldMs(crashCase));
+    return { requestKey, engineIds, heldMs };
+  }
+
+  function list(): ToldCase[] {
+    look();
+    return [...getCases().values()].map(describe);
+  }
+
+  function tellChange(): void {
+    const cases = getCases();
+    const changed = [...cases.values()]
+      .filter((one) => told.get(one.requestKey) !== one);
+    const cleared = [...told.keys()].filter((key) => !cases.has(key));
+    changed.filter(isNewConviction).forEach(logConviction);
+    told = cases;
+    if (changed.length + cleared.length === 0) return;
+    const message = changed.map(describe);
+    options.publish({
+      type: "cases",
+      isWhole: false,
+      cases: message,
+      cleared,
+    });
+  }
+
+  function isNewConviction({ requestKey, convictions }: CrashCase): boolean {
+    return convictions > (told.get(requestKey)?.convictions ?? 0);
+  }
+
+  function logConviction(crashCase: CrashCase): void {
+    const heldMs = Math.round(getHeldMs(crashCase));
+    log("requestConvicted", { ...crashCase, heldMs });
+  }
+
+  function isOld({ requestKey, convictions }: CrashCase): boolean {
+    const ageMs = getAgeMs(requestKey);
+    return convictions === 0
+      ? ageMs > SUSPICION_AGE_MS
+      : ageMs > getHoldMs(convictions) + CONVICTION_AGE_MS;
+  }
+
+  return {
+    take(vm, { crashes = [], proved = [] }) {
+      dropEndedTrials();
+      for (const report of crashes) takeReport(vm, report);
+      for (const key of proved) if (getCases().has(key)) clearing.add(key);
+      if (reports.length + clearing.size > 0) gather();
+    },
+    grantTrial(vm, { requestKey, engineIds }) {
+      dropEndedTrials();
+      const crashCase = getCases().get(requestKey);
+      if (!crashCase || !needsTrial(crashCase)) return undefined;
+      if (getHeldMs(crashCase) > 0) return undefined;
+      const running = trials.get(requestKey);
+      if (running && running.vm !== vm) return undefined;
+      trials.delete(requestKey);
+      const engineId = engineIds.find((id) => !findTrial(id));
+      if (engineId === undefined) return undefined;
+      trials.set(requestKey, { vm, engineId, untilMs: now() + TRIAL_MS });
+      log("trialGranted", { requestKey, vm, engineId });
+      return engineId;
+    },
+    getWhole: () => ({
+      type: "cases",
+      isWhole: true,
+      cases: list(),
+      cleared: [],
+    }),
+    list,
+    async lift(requestKey) {
+      await propose({ type: "casesCleared", requestKeys: [requestKey] });
+      log("casesCleared", { requestKeys: [requestKey], reason: "lifted" });
+    },
+    noteChange({ isLeader }) {
+      look();
+      if (isLeader) tellChange();
+    },
+    tick() {
+      look();
+      const old = [...getCases().values()].filter(isOld);
+      if (old.length === 0) return;
+      const requestKeys = old.map((one) => one.requestKey);
+      log("casesCleared", { requestKeys, reason: "old" });
+      change({ type: "casesCleared", requestKeys });
+    },
+  };
+}
--- a/src/fleet/index.ts
+++ b/src/fleet/index.ts
@@ -6,6 +6,7 @@
 
 export * from "./config_delta.ts";
 export * from "./create_engine_numbers.ts";
+export * from "./create_engine_registry.ts";
 export * from "./create_layer_keeper.ts";
 export * from "./create_fleet_machine.ts";
 export * from "./create_pace_watch.ts";
--- a/src/fleet/messages.ts
+++ b/src/fleet/messages.ts
@@ -5,6 +5,7 @@
  */
 
 import type { EngineBeat, EngineRecord } from "../engines/index.ts";
+import type { CrashReport } from "../quarantine/index.ts";
 import type { RouteConfig } from "../routes/index.ts";
 
 /** Decodes a configuration as an operator wrote it; throws where it can't. */
@@ -80,8 +81,30 @@
      * bear; absent where none had.
      */
     readonly slowEngines?: readonly string[];
+    /** Upstreams that ended under its requests; absent where none. */
+    readonly crashes?: readonly CrashReport[];
+    /** Suspected requests that upstreams have run well; absent where none. */
+    readonly proved?: readonly string[];
+    /** Suspected requests that it would run on trial; absent where none. */
+    readonly trialsWanted?: readonly TrialWish[];
   };
 
+/** A suspected request that a gateway would run on trial. */
+export interface TrialWish {
+  readonly requestKey: string;
+  /** Upstreams at which it may begin, the preferred first. */
+  readonly engineIds: readonly string[];
+}
+
+/** A suspected request as gateways are told of it. */
+export interface ToldCase {
+  readonly requestKey: string;
+  /** Runs of upstreams that ended under it. */
+  readonly engineIds: readonly string[];
+  /** Ms for which it is held back from now on; 0 where it may be tried. */
+  readonly heldMs: number;
+}
+
 /** What the leader tells a gateway. */
 export type LeaderMessage =
   | { readonly type: "redirect"; readonly address: string }
@@ -137,6 +160,23 @@
     /** Gateway's monotonic time, in ms, when it asked. */
     readonly askedMs: number;
   }
+  | {
+    /** Requests that are suspected of ending upstreams. */
+    readonly type: "cases";
+    /** Whether these are all; otherwise only what changed. */
+    readonly isWhole: boolean;
+    readonly cases: readonly ToldCase[];
+    /** Requests that nothing speaks against any more. */
+    readonly cleared: readonly string[];
+  }
+  | {
+    /** A suspected request may run once, beginning at this upstream. */
+    readonly type: "trial";
+    readonly requestKey: string;
+    readonly engineId: string;
+    /** Gateway's monotonic time, in ms, when it asked. */
+    readonly askedMs: number;
+  }
   | {
     readonly type: "beatAck";
     readonly sentMs: number;
@@ -153,11 +193,20 @@
   }
   | { readonly type: "readConfig" }
   | { readonly type: "beat"; readonly beat: EngineBeat }
-  | { readonly type: "leave"; readonly engineId: string };
+  | {
+    readonly type: "leave";
+    /** The upstream's name, as it says it itself. */
+    readonly engineId: string;
+  }
+  /** Asks which requests are suspected of ending upstreams. */
+  | { readonly type: "listCases" }
+  /** Lets a request go free, whatever speaks against it. */
+  | { readonly type: "liftCase"; readonly requestKey: string };
 
 /** The leader's answer to a call. */
 export type FleetReply =
   | { readonly type: "done" }
   | { readonly type: "document"; readonly document: string | null }
+  | { readonly type: "cases"; readonly cases: readonly ToldCase[] }
   | { readonly type: "invalid"; readonly problems: readonly string[] }
   | { readonly type: "unavailable"; readonly reason: string };
--- a/src/fleet/start_fleet_control.ts
+++ b/src/fleet/start_fleet_control.ts
@@ -36,6 +36,7 @@
 } from "./create_leader_rounds.ts";
 import { createMemberKeeper } from "./create_member_keeper.ts";
 import { createPaceWatch, type ReadPace } from "./create_pace_watch.ts";
+import { createQuarantineDesk } from "./create_quarantine_desk.ts";
 import {
   createRepeatLender,
   type RepeatBounds,
@@ -176,6 +177,9 @@
     silenceMs,
     now,
     getLeave: machine.getLeave,
+    // Before the first configuration any may come to be.
+    isService: (service) =>
+      services.length === 0 || services.some(({ name }) => name === service),
     publish: (change) => sessions.publishEngines(change),
     log,
   });
@@ -184,6 +188,15 @@
     getLeadsForMs: () => now() - leadingSinceMs,
     now,
   });
+  const propose = (command: FleetCommand) =>
+    replica.propose(JSON.stringify(command));
+  const quarantine = createQuarantineDesk({
+    getCases: machine.getCases,
+    propose,
+    publish: (message) => sessions.publish(message),
+    now,
+    log,
+  });
   const sessions = createGatewaySessions({
     isLeader,
     hasLease: () => replica.hasLease(),
@@ -196,6 +209,7 @@
     knowsAllEngines: () => leadsFor(silenceMs),
     knowsAllGateways: () => leadsFor(GATEWAYS_SETTLE_MS),
     lendRepeats: lender.lend,
+    quarantine,
     onSuspects: registry.takeSuspects,
     onSlow: (engineIds) => paces.noteSlow(engineIds),
     now,
@@ -216,8 +230,6 @@
     now,
     log,
   });
-  const propose = (command: FleetCommand) =>
-    replica.propose(JSON.stringify(command));
   const recorder = createEngineRecorder({
     getHeard: registry.getRecords,
     getRecorded: machine.getEngines,
@@ -238,6 +250,7 @@
     hasLease: () => replica.hasLease(),
     machine,
     registry,
+    quarantine,
     propose,
     confirmRead: () => replica.confirmRead(),
     decodeConfig: options.decodeConfig,
@@ -251,6 +264,7 @@
     sessions,
     registry,
     paces,
+    quarantine,
     recorder,
     members,
     keeper,
@@ -260,6 +274,9 @@
 
   function takeChange(command: FleetCommand): void {
     if (command.type === "engines") return;
+    if (command.type === "crashes" || command.type === "casesCleared") {
+      return quarantine.noteChange({ isLeader: isLeader() });
+    }
     if (command.type === "leave") {
       // Who does not lead keeps no registry; it asks the state when it leads.
       if (isLeader()) registry.takeLeave(command.engineId, command.kind);
@@ -299,7 +316,8 @@
     const staying = recorded.filter(({ engineId }) =>
       machine.getLeave(engineId) !== "gone"
     );
-    registry.addRecorded(staying);
+    const newestRuns = machine.getNewestRuns();
+    registry.addRecorded(staying, { newestRuns });
   }
 
   function getLeader(): Member | undefined {
--- a/src/gateway/create_fleet_link.ts
+++ b/src/gateway/create_fleet_link.ts
@@ -22,6 +22,7 @@
   createClientCredentials,
   wire,
 } from "../wire/index.ts";
+import type { QuarantineTold } from "./create_quarantine.ts";
 
 /** What the link needs of its program. */
 export interface CreateFleetLinkOptions {
@@ -43,6 +44,8 @@
   readonly getRepeatsWanted: () => Readonly<Record<string, number>>;
   /** What this gateway's streams did since the last call. */
   readonly takeActivity: () => GatewayActivity;
+  /** What the leader is told of suspected requests. */
+  readonly getQuarantineNews: () => QuarantineTold;
   readonly onMessage: (message: LeaderMessage) => void;
   /** Called when the leader surely held this version at `sentMs`. */
   readonly onConfirmed: (sentMs: number, version: number) => void;
@@ -223,6 +226,7 @@
       ...(slowEngines.length > 0 ? { slowEngines } : {}),
       ...(isEmpty(activity) ? {} : { activity }),
       ...(isEmpty(repeatsWanted) ? {} : { repeatsWanted }),
+      ...options.getQuarantineNews(),
     });
   }
 
--- a/src/gateway/create_run_watch.ts
+++ b/src/gateway/create_run_watch.ts
@@ -67,6 +67,9 @@
   checkEngine(engine: EngineAddress): void;
 }
 
+/** Why a run leaves an engine whose machine turns connections down. */
+export const REFUSES_CONNECTIONS = "refuses connections";
+
 /** Ms of silence from which on a run looks after itself. */
 const STALL_CHECK_MS = 300;
 
@@ -253,7 +256,7 @@
   ): Promise<void> {
     const { engineId } = engine;
     const state = await askPresence(engine);
-    if (state === "absent") lose(engineId, "refuses connections");
+    if (state === "absent") lose(engineId, REFUSES_CONNECTIONS);
     if (state === "silent" && isStillSilent()) {
       lose(engineId, "does not answer");
     }
@@ -280,7 +283,7 @@
   async function checkEngine(engine: EngineAddress): Promise<void> {
     const { engineId } = engine;
     const state = await askPresence(engine);
-    if (state === "absent") lose(engineId, "refuses connections");
+    if (state === "absent") lose(engineId, REFUSES_CONNECTIONS);
     if (state !== "silent") return;
     foundMs.set(engineId, now());
     options.onLost(engineId, "is named as at fault and does not answer");
--- a/src/gateway/find_upstream_end.ts
+++ b/src/gateway/find_upstream_end.ts
@@ -24,6 +24,9 @@
  */
 const JUST_BEGUN_MS = 250;
 
+/** Ms after its first event after which a run has shown that it ends nothing. */
+const PROVED_MS = 500;
+
 /**
  * Tells whether a run had only just begun: one that has given events for a while
  * did not end its upstream.
@@ -44,7 +47,26 @@
 }
 
 /**
- * Looks whether the upstream of a broken run has ended, and logs it.
+ * Tells whether a run has gone on for long enough to prove its request.
+ *
+ * @param run - When its first event came.
+ * @param nowMs - Monotonic time, in ms.
+ * @returns Whether it has.
+ * @throws Nothing.
+ * @example
+ * if (isProved(run, now())) quarantine.noteProved(requestKey);
+ */
+export function isProved(
+  run: Pick<BrokenRun, "firstEventMs">,
+  nowMs: number,
+): boolean {
+  return run.firstEventMs !== undefined &&
+    nowMs - run.firstEventMs >= PROVED_MS;
+}
+
+/**
+ * Looks whether the upstream of a broken run has ended. If so the quarantine is
+ * told, and the call goes on only once all gateways know.
  *
  * @param call - The call.
  * @param context - How upstreams are probed, and where it is told.
@@ -56,7 +78,10 @@
  */
 export async function findUpstreamEnd(
   call: Call,
-  context: Pick<ServingContext, "endCheck" | "log" | "metrics" | "now">,
+  context: Pick<
+    ServingContext,
+    "endCheck" | "quarantine" | "log" | "metrics" | "now"
+  >,
   run: BrokenRun,
 ): Promise<boolean> {
   const { upstream, sentMs, firstEventMs } = run;
@@ -73,5 +98,9 @@
     sinceSentMs: Math.round(brokeMs - sentMs),
     sinceFirstEventMs: firstEventMs && Math.round(brokeMs - firstEventMs),
   });
+  const { requestKey } = call;
+  const { engineId } = upstream;
+  context.quarantine.noteCrash({ requestKey, engineId });
+  await context.quarantine.untilTold(requestKey);
   return true;
 }
--- a/src/gateway/serve_plain_call.ts
+++ b/src/gateway/serve_plain_call.ts
@@ -9,6 +9,11 @@
 import { createCallEnd } from "./create_call_end.ts";
 import type { EngineView } from "./engine_view.ts";
 import type { Exchange, ExchangeEnd } from "./create_exchanger.ts";
+import {
+  createRunPermit,
+  holdBack,
+  PERMIT_POLL_MS,
+} from "./create_run_permit.ts";
 import { createTryPayment } from "./create_try_payment.ts";
 import { findUpstreamEnd } from "./find_upstream_end.ts";
 import type { UpstreamHead } from "./protocol.ts";
@@ -52,6 +57,7 @@
     const { requestId } = request;
     const excluded = new Set<string>();
     const payment = createTryPayment(() => context.budget.spend(service));
+    const permit = createRunPermit(call, context);
     let tries = 0;
     let runs = 0;
     let exchange: Exchange | undefined;
@@ -81,14 +87,40 @@
 
     function next(): void {
       if (callEnd.hasEnded()) return;
-      const engine = tries < MAX_TRIES ? choose() : undefined;
+      const permitted = permit.ask({ excluded });
+      if (permitted.type === "held") {
+        const { leftMs } = permitted;
+        return holdBack(call, context, { callEnd, leftMs, hasRun: runs > 0 });
+      }
+      if (permitted.type === "wait") return waitForPermit();
+      const { trialEngineId } = permitted;
+      const engine = tries < MAX_TRIES ? choose(trialEngineId) : undefined;
       if (!engine || !payment.payNext()) return giveUp();
       tries += 1;
       send(engine);
     }
 
-    function choose(): EngineView | undefined {
-      return chooseEngine(engines.listUsable(service), {
+    function waitForPermit(): void {
+      setTimeout(next, PERMIT_POLL_MS);
+    }
+
+    // Suspected requests begin apart from each other, as far as that goes.
+    function choose(trialEngineId?: string): EngineView | undefined {
+      if (trialEngineId !== undefined) {
+        return chooseAmong((id) => id === trialEngineId);
+      }
+      const taken = context.quarantine.isSuspect(call.requestKey)
+        ? context.quarantine.listTaken(call.requestKey)
+        : [];
+      return chooseAmong((id) => !taken.includes(id)) ?? chooseAmong();
+    }
+
+    function chooseAmong(
+      isAllowed: (engineId: string) => boolean = () => true,
+    ): EngineView | undefined {
+      const usable = engines.listUsable(service)
+        .filter(({ record }) => isAllowed(record.engineId));
+      return chooseEngine(usable, {
         place: context.place,
         excluded,
         nowMs: now(),
@@ -112,6 +144,7 @@
       const chunks: Buffer[] = [];
       let head: UpstreamHead | undefined;
       engine.inFlight += 1;
+      permit.noteSent(engineId);
       const { requestKey } = call;
       log("callSent", { requestId, requestKey, engineId, tries, runs });
       sentMs = now();
@@ -151,18 +184,15 @@
         (head.isSigned || head.status >= 300);
       const failed = !isWhole || head.status >= FIRST_SERVER_ERROR;
       engines.noteAnswer(engineId, { failed });
-      if (how.type === "broken") {
-        engines.suspect(engineId, how.reason);
-        const upstream = engine.record;
-        const run = { upstream, sentMs, firstEventMs: undefined };
-        void findUpstreamEnd(call, context, run);
-      }
+      if (how.type === "broken") engines.suspect(engineId, how.reason);
+      else context.quarantine.noteProved(call.requestKey);
+      const whenEndIsKnown = findEnd(engine, how);
       const mayRepeat = route.repeatability !== "once" &&
         runs < route.maxAttempts && now() < call.deadlineMs;
       if (failed && mayRepeat) {
         const wasCut = how.type === "broken";
         metrics.countRetry(wasCut ? "reset_before_answer" : "upstream_error");
-        return next();
+        return void whenEndIsKnown.then(next);
       }
       if (isWhole) return callEnd.passOn(head, body);
       const isLate = now() >= call.deadlineMs;
@@ -173,6 +203,15 @@
       );
     }
 
+    async function findEnd(
+      { record: upstream }: EngineView,
+      how: ExchangeEnd,
+    ): Promise<void> {
+      if (how.type !== "broken") return;
+      const run = { upstream, sentMs, firstEventMs: undefined };
+      await findUpstreamEnd(call, context, run);
+    }
+
     next();
   });
 }
--- a/src/gateway/serve_stream_call.ts
+++ b/src/gateway/serve_stream_call.ts
@@ -4,14 +4,21 @@
  * @module
  */
 
-import { chooseCallPath, getCallModel } from "./choose_call_path.ts";
+import { getCallModel } from "./choose_call_path.ts";
+import { chooseRunPath } from "./choose_run_path.ts";
 import { createCallEnd } from "./create_call_end.ts";
 import { createRoomWait } from "./create_room_wait.ts";
+import {
+  createRunPermit,
+  holdBack,
+  PERMIT_POLL_MS,
+} from "./create_run_permit.ts";
 import { createRunMover } from "./create_run_mover.ts";
+import { REFUSES_CONNECTIONS } from "./create_run_watch.ts";
 import { createTryPayment } from "./create_try_payment.ts";
 import type { ExchangeEnd } from "./create_exchanger.ts";
 import { createStreamRelay } from "./create_stream_relay.ts";
-import { findUpstreamEnd } from "./find_upstream_end.ts";
+import { findUpstreamEnd, isProved } from "./find_upstream_end.ts";
 import type { AddressedPart, UpstreamHead } from "./protocol.ts";
 import {
   startStreamRun,
@@ -73,6 +80,7 @@
     const payment = createTryPayment(() => context.budget.spend(service));
     let tries = 0;
     let runs = 0;
+    let isRunProved = false;
     let run: StreamRun | undefined;
     let repeatsWaitedMs = 0;
 
@@ -95,6 +103,7 @@
     });
     let unwatch = () => {};
     const roomWait = createRoomWait(call, context);
+    const permit = createRunPermit(call, context);
     const callEnd = createCallEnd({
       call,
       context,
@@ -141,10 +150,14 @@
     function next(): void {
       if (callEnd.hasEnded()) return;
       if (tries >= MAX_TRIES) return giveUp("too many tries");
+      const answer = permit.ask({ excluded });
+      if (answer.type === "held") return endHeld(answer.leftMs);
+      if (answer.type === "wait") return void setTimeout(next, PERMIT_POLL_MS);
       const isNew = runs === 0 && request.lastEventId === undefined;
       if (isNew && !roomWait.isFirst()) return waitForRoom();
-      const choice = chooseCallPath(call, context, {
+      const choice = chooseRunPath(call, context, {
         excluded,
+        trialEngineId: answer.trialEngineId,
         need: { tokens, isNew },
       });
       if (choice.type === "full" && isNew) return waitForRoom();
@@ -179,6 +192,11 @@
       setTimeout(next, PATH_WAIT_MS);
     }
 
+    function endHeld(leftMs: number): void {
+      const hasRun = response.headersSent || runs > 0;
+      holdBack(call, context, { callEnd, leftMs, hasRun });
+    }
+
     function giveUp(reason: string): void {
       log("callGivenUp", { requestId, reason, tries, runs });
       if (response.headersSent || runs > 0) {
@@ -203,6 +221,7 @@
         lastEventId,
       });
       relay.restart();
+      permit.noteSent(path[0].engineId);
       run = startStreamRun(call, context, {
         path,
         isLayered: model !== undefined,
@@ -210,6 +229,7 @@
         lastEventId,
         onHead: takeHead,
         onEvent(sent, event) {
+          noteProof(sent);
           if (!callEnd.hasEnded() && !relay.pass(event)) waitForCaller(sent);
         },
         onEnd(sent, end) {
@@ -222,6 +242,12 @@
       watch(run);
     }
 
+    function noteProof(sent: StreamRun): void {
+      if (isRunProved || !isProved(sent, now())) return;
+      isRunProved = true;
+      context.quarantine.noteProved(call.requestKey);
+    }
+
     function watch(sent: StreamRun): void {
       unwatch();
       // Only what may go on elsewhere can leave an engine.
@@ -279,13 +305,15 @@
       if (isWhole) {
         context.endRate.noteEnd({ tookMs: now() - call.startedMs });
         context.rates.noteEnded(service);
+        context.quarantine.noteProved(call.requestKey);
         response.end();
         return callEnd.end("answered");
       }
       takeBroken(sent, how);
+      const whenEndIsKnown = findEnd(sent, how);
       if (isResumable && mayRunElsewhere()) {
         metrics.count("streams.resumed");
-        return next();
+        return void whenEndIsKnown.then(next);
       }
       const isOwnFailure = how.type === "complete" && head !== undefined &&
         head.status >= 300 && !response.headersSent;
@@ -309,13 +337,6 @@
         engines.suspect(engineId, reason);
       }
       excluded.add(engineId);
-      const upstream = sent.path.find((part) => part.engineId === engineId);
-      const { sentMs, firstEventMs } = sent;
-      void findUpstreamEnd(call, context, {
-        upstream: upstream ?? sent.path[0],
-        sentMs,
-        firstEventMs,
-      });
       log("callBroken", {
         requestId,
         requestKey: call.requestKey,
@@ -328,6 +349,17 @@
       });
     }
 
+    // What was left because it was silent may be dark or cut off: that proves nothing.
+    async function findEnd(sent: StreamRun, how: ExchangeEnd): Promise<void> {
+      const isSilent = sent.wasLeft && how.type !== "complete" &&
+        how.reason !== REFUSES_CONNECTIONS;
+      if (isSilent) return;
+      const { path, lostEngineId, sentMs, firstEventMs } = sent;
+      const lost = path.find((part) => part.engineId === lostEngineId);
+      const upstream = lost ?? path[0];
+      await findUpstreamEnd(call, context, { upstream, sentMs, firstEventMs });
+    }
+
     function takeNotRun(sent: StreamRun, head: UpstreamHead): void {
       const [first] = sent.path;
       const faulty = sent.path
--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -25,6 +25,7 @@
 import { createFleetLink } from "./create_fleet_link.ts";
 import { createLossNews } from "./create_loss_news.ts";
 import { createPauseWatch } from "./create_pause_watch.ts";
+import { createQuarantine } from "./create_quarantine.ts";
 import { createRepeatBudget } from "./create_repeat_budget.ts";
 import { createRequestDesk } from "./create_request_desk.ts";
 import { createReturnSchedule } from "./create_return_schedule.ts";
@@ -152,6 +153,10 @@
     onShort: askForRepeats,
     now,
   });
+  const quarantine = createQuarantine({
+    onNews: () => link.beatSoon(),
+    now,
+  });
   const context: ServingContext = {
     place,
     codec,
@@ -168,6 +173,7 @@
     engines,
     exchanger,
     endCheck: createEndCheck({ now }),
+    quarantine,
     budget,
     endRate,
     rates,
@@ -224,6 +230,10 @@
         return context.runWatch.takeLost(message.engineIds);
       case "repeatsLent":
         return budget.takeLoan(message);
+      case "cases":
+        return quarantine.takeCases(message);
+      case "trial":
+        return quarantine.takeGrant(message);
     }
   }
 
@@ -238,6 +248,7 @@
     getLoads: engines.getLoads,
     getRepeatsWanted: budget.getWanted,
     takeActivity: rates.takeOwn,
+    getQuarantineNews: quarantine.getTold,
     onMessage: takeMessage,
     onConfirmed: (sentMs, version) =>
       lease.confirm({ sentMs, version, held: config.getVersion() }),
@@ -263,6 +274,9 @@
     metrics.gauge("config.revision", config.getVersion());
     metrics.gauge("config.lease_ms", Math.max(0, lease.getLeftMs()));
     metrics.gauge("engines.known", engines.getSize());
+    const { suspects, held } = quarantine.count();
+    metrics.gauge("quarantine.suspects", suspects);
+    metrics.gauge("quarantine.held", held);
   }, GAUGE_INTERVAL_MS);
 
   async function stop(): Promise<void> {
--- a/src/gateway/start_stream_run.ts
+++ b/src/gateway/start_stream_run.ts
@@ -17,6 +17,8 @@
   readonly sentMs: number;
   /** Engine of the path that was found to be lost. */
   readonly lostEngineId: string | undefined;
+  /** Whether this gateway ended it by itself. */
+  readonly wasLeft: boolean;
   readonly head: UpstreamHead | undefined;
   /** Whether its answer is a stream that may be passed on. */
   readonly isStream: boolean;
@@ -77,6 +79,7 @@
   let { path } = options;
   let head: UpstreamHead | undefined;
   let lostEngineId: string | undefined;
+  let wasLeft = false;
   let firstEventMs: number | undefined;
   const isStream = () => head?.status === 200 && head.isSigned;
   const splitter = createEventSplitter();
@@ -100,6 +103,11 @@
     options.onEnd(run, { how, isCut: splitter.hasRest(), body });
   }
 
+  function abort(reason: string): void {
+    wasLeft = true;
+    exchange.abort(reason);
+  }
+
   const exchange = startCallExchange(call, context, {
     engine: path[0],
     path: options.isLayered ? path : [],
@@ -120,6 +128,9 @@
     get lostEngineId() {
       return lostEngineId;
     },
+    get wasLeft() {
+      return wasLeft;
+    },
     get head() {
       return head;
     },
@@ -139,9 +150,9 @@
     },
     leave(lostId, reason) {
       lostEngineId = lostId;
-      exchange.abort(reason);
+      abort(reason);
     },
-    abort: exchange.abort,
+    abort,
     pause: exchange.pause,
     resume: exchange.resume,
   };
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -15,6 +15,7 @@
 import type { EndCheck } from "./create_end_check.ts";
 import type { Exchanger } from "./create_exchanger.ts";
 import type { PauseWatch } from "./create_pause_watch.ts";
+import type { Quarantine } from "./create_quarantine.ts";
 import type { RepeatBudget } from "./create_repeat_budget.ts";
 import type { ReturnSchedule } from "./create_return_schedule.ts";
 import type { RoomQueue } from "./create_room_queue.ts";
@@ -49,6 +50,7 @@
   readonly engines: EngineTable;
   readonly exchanger: Exchanger;
   readonly endCheck: EndCheck;
+  readonly quarantine: Quarantine;
   readonly budget: RepeatBudget;
   readonly endRate: EndRate;
   readonly rates: FleetRates;
--- a/src/logs/events.ts
+++ b/src/logs/events.ts
@@ -127,6 +127,22 @@
     "warn",
     "Gateways of a data centre found upstreams lost",
   ),
+  casesNotRecorded: event(
+    "CL1716",
+    "warn",
+    "News of suspected requests could not be recorded",
+  ),
+  requestConvicted: event(
+    "CL1717",
+    "error",
+    "Request ends upstreams that run it; it is held back",
+  ),
+  trialGranted: event("CL1718", "warn", "Suspected request runs on trial"),
+  casesCleared: event(
+    "CL1719",
+    "info",
+    "Requests are no longer suspected of ending upstreams",
+  ),
   callSent: event("CL1801", "info", "Request was sent to an upstream"),
   callNotRun: event("CL1802", "info", "Upstream did not run the request"),
   callBroken: event("CL1803", "info", "Answer broke off or failed"),
@@ -140,6 +156,21 @@
     "warn",
     "Upstream ended when it had just begun a request",
   ),
+  entryUnreadable: event(
+    "CL1720",
+    "warn",
+    "Heartbeat or configuration can't be read; it says nothing",
+  ),
+  serviceUnknown: event(
+    "CL1721",
+    "warn",
+    "Upstream of a service that is not configured is left out",
+  ),
+  requestHeldBack: event(
+    "CL1810",
+    "warn",
+    "Request is held back: upstreams ended under it",
+  ),
   linesDropped: event(
     "CL1012",
     "warn",
--- a/src/metrics/metric_catalogue.ts
+++ b/src/metrics/metric_catalogue.ts
@@ -27,6 +27,7 @@
   not_resumable: "The answer is no longer kept here",
   not_taken: "No upstream took the request before its time ran out",
   deadline: "The request's time ran out while an upstream worked on it",
+  held_back: "Upstreams ended under the request; it is held back for a while",
   outcome_unknown: "The request was sent, and whether it ran is not known",
   answer_broken: "The upstream's answer broke off",
 } as const;
@@ -71,6 +72,9 @@
     "Runs that had just begun when their upstream ended",
   "config.revision": "Revision in force at this process",
   "config.lease_ms": "Ms for which the configuration may still be trusted",
+  "quarantine.suspects": "Requests under which upstreams ended",
+  "quarantine.held": "Requests that are held back for it",
+  "entries.unreadable": "Heartbeats and configurations that could not be read",
   "engines.known": "Upstreams that registered",
   "engines.suspected": "Upstreams left out for a while by this gateway",
   "paths.changed": "Running requests moved to other parts of a path",
--- /dev/null
+++ b/src/quarantine/index.ts
@@ -0,0 +1,10 @@
+/**
+ * Finds requests that end the upstreams that run them, and holds them back.
+ *
+ * @module
+ */
+
+export * from "./constants.ts";
+export * from "./get_hold_ms.ts";
+export * from "./take_crashes.ts";
+export * from "./types.ts";
--- /dev/null
+++ b/src/quarantine/quarantine_test.ts
@@ -0,0 +1,65 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { MAX_HOLD_MS } from "./constants.ts";
+import { getHoldMs } from "./get_hold_ms.ts";
+import { isExplained, needsTrial, takeCrashes } from "./take_crashes.ts";
+import type { CrashCases, JudgedReport } from "./types.ts";
+
+const NONE: CrashCases = new Map();
+
+function crash(
+  requestKey: string,
+  engineId: string,
+  isTrial = false,
+): JudgedReport {
+  return { requestKey, engineId, isTrial };
+}
+
+test("one upstream's end counts once, however many tell of it", () => {
+  const cases = takeCrashes(NONE, [crash("r", "e1"), crash("r", "e1")]);
+  assert.equal(cases.get("r")?.engineIds, ["e1"]);
+  assert.not.ok(needsTrial({ engineIds: ["e1"] }));
+  assert.is(takeCrashes(cases, [crash("r", "e1")]), cases);
+});
+
+test("nine upstreams lost at once convict nobody", () => {
+  const reports = Array.from({ length: 9 }, (_, at) => crash("r", `e${at}`));
+  const one = takeCrashes(NONE, reports).get("r");
+  assert.is(one?.convictions, 0);
+  assert.ok(one && needsTrial(one));
+});
+
+test("a conviction clears those that ran beside the guilty one", () => {
+  const beside = ["e1", "e2", "e3"].flatMap((engineId) => [
+    crash("guilty", engineId),
+    crash("beside", engineId),
+  ]);
+  const cases = takeCrashes(NONE, [
+    ...beside.slice(0, 4),
+    crash("beside", "e9"),
+    crash("other", "e8"),
+    crash("guilty", "e3", true),
+    crash("beside", "e3"),
+    crash("late", "e2"),
+  ]);
+  assert.is(cases.get("guilty")?.convictions, 1);
+  assert.ok(isExplained(cases, "e1"));
+  assert.equal(cases.get("beside")?.engineIds, ["e9"]);
+  assert.equal(cases.get("other")?.engineIds, ["e8"]);
+  assert.not.ok(cases.has("late"));
+});
+
+test("the list is bounded, and convictions are dropped last", () => {
+  const guilty = [crash("g", "a"), crash("g", "b"), crash("g", "c", true)];
+  const many = Array.from({ length: 20 }, (_, at) => crash(`r${at}`, `e${at}`));
+  const cases = takeCrashes(NONE, [...guilty, ...many], { maxCases: 5 });
+  assert.equal([...cases.keys()], ["g", "r16", "r17", "r18", "r19"]);
+});
+
+test("holds double, up to a bound", () => {
+  assert.is(getHoldMs(0), 0);
+  assert.is(getHoldMs(2), 2 * getHoldMs(1));
+  assert.is(getHoldMs(50), MAX_HOLD_MS);
+});
+
+test.run();
--- a/test/many_gateways_test.ts
+++ b/test/many_gateways_test.ts
@@ -97,6 +97,7 @@
     getLoads: () => ({ e0: { tokens: 100, requests: 1 } }),
     getRepeatsWanted: () => ({}),
     takeActivity: () => ({}),
+    getQuarantineNews: () => ({}),
     onMessage(message) {
       if (message.type === "engines") takeEngines(message);
       if (message.type === "config") {
