Leases, loans and deadlines end also while a machine is suspended

Cause: all programs counted by the steady clock alone, which stands still meanwhile: a gateway believed in its configuration, a leader in its lease, for as long again. Change: a clock that reads the time of day beside the steady one and counts what the first gains; set forward it ends a lease too soon at worst. Gateways count leases, loans, trials and deadlines by it, and look at the deadline before each send. A leader's lease needs a round that began after waking. Windows of repeats and promises not to vote stay on the steady clock: standing still, they hold longer. Ruled out: the runtime's uptime (a file at each call, steps of 10 ms), and one clock for all (a step of the time of day would open votes and windows too soon).

--- a/proof/run_schedule.ts
+++ b/proof/run_schedule.ts
@@ -362,7 +362,7 @@
         state.members.some((member) =>
           member.id === node.replica.id && member.role === "voter"
         )
-      ) && hasLeaderLease(state, leader.replica.getLocalMs());
+      ) && hasLeaderLease(state, { nowMs: leader.replica.getLocalMs() });
   }
 
   function crash(node: Node, options?: { losesWrites: boolean }): void {
@@ -404,7 +404,9 @@
   function checkLeases(): void {
     const holders = nodes.filter((node) =>
       !isFrozen(node) &&
-      hasLeaderLease(node.replica.getState(), node.replica.getLocalMs())
+      hasLeaderLease(node.replica.getState(), {
+        nowMs: node.replica.getLocalMs(),
+      })
     );
     if (holders.length > 1) {
       fail(`leases of ${holders.map((node) => node.replica.id).join(" and ")}`);
@@ -444,7 +446,9 @@
 
   function checkAgreement(): void {
     const leader = nodes.find((node) =>
-      hasLeaderLease(node.replica.getState(), node.replica.getLocalMs())
+      hasLeaderLease(node.replica.getState(), {
+        nowMs: node.replica.getLocalMs(),
+      })
     );
     if (!leader) fail("nobody leads after the calm");
     const { commitIndex } = leader.replica.getState();
--- /dev/null
+++ b/src/clocks/index.ts
@@ -0,0 +1,7 @@
+/**
+ * Clocks for what may be believed for a while only.
+ *
+ * @module
+ */
+
+export * from "./create_elapsed_clock.ts";
--- a/src/control/create_replica.ts
+++ b/src/control/create_replica.ts
@@ -63,6 +63,11 @@
    * call by default.
    */
   readonly quietSinceMs?: number;
+  /**
+   * When the machine was last found to have been suspended, in ms of the same
+   * clock; never by default.
+   */
+  readonly getWokeMs?: () => number;
   /** A number in [0, 1). */
   readonly random: () => number;
 }
@@ -100,6 +105,7 @@
  */
 export function createReplica(options: CreateReplicaOptions): Replica {
   const { storage, log, metrics, now, random } = options;
+  const { getWokeMs = () => -Infinity } = options;
   const { stored } = storage;
   options.restore(stored.snapshot?.data ?? "");
   let state = createQuorumState(storage.identity.replicaId, {
@@ -169,7 +175,7 @@
 
   function step(event: QuorumEvent): readonly QuorumEffect[] {
     const before = state;
-    const context = { nowMs: now(), random: random() };
+    const context = { nowMs: now(), wokeMs: getWokeMs(), random: random() };
     const result = stepQuorum(before, event, context);
     assertQuorumInvariants(before, result.state);
     state = result.state;
@@ -300,7 +306,8 @@
 
   return {
     getState: () => state,
-    hasLease: () => hasLeaderLease(state, now()),
+    hasLease: () =>
+      hasLeaderLease(state, { nowMs: now(), wokeMs: getWokeMs() }),
     isDiskFull: () => diskFull,
     propose: (body) =>
       propose((proposalId) => ({ type: "propose", proposalId, body })),
--- a/src/control/create_replica_host.ts
+++ b/src/control/create_replica_host.ts
@@ -43,6 +43,8 @@
   readonly tls?: TlsFilesSettings;
   /** Monotonic time, in ms, since which it surely heard no leader. */
   readonly quietSinceMs?: number;
+  /** When the machine was last found to have been suspended; never by default. */
+  readonly getWokeMs?: () => number;
   readonly log: Logger;
   readonly metrics: Metrics;
   /** Monotonic time, in ms. */
@@ -97,6 +99,7 @@
     metrics,
     now,
     quietSinceMs: options.quietSinceMs,
+    getWokeMs: options.getWokeMs,
     random: Math.random,
   });
 
--- a/src/fleet/start_fleet_control.ts
+++ b/src/fleet/start_fleet_control.ts
@@ -7,6 +7,7 @@
  */
 
 import { setTimeout as sleep } from "node:timers/promises";
+import { createElapsedClock } from "../clocks/index.ts";
 import {
   createJoinHandler,
   createReplicaHost,
@@ -142,7 +143,13 @@
   options: StartFleetControlOptions,
 ): Promise<FleetControl> {
   const { log, metrics } = options;
+  // What waits for others' silence counts by the steady clock, on which a suspended
+  // machine waits longer; only the lease ends with a suspension.
   const now = () => performance.now();
+  const { getWokeMs } = createElapsedClock({
+    steadyNow: now,
+    dayNow: Date.now,
+  });
   const seeds = options.getSeeds();
   const storage = await openFleetStorage({ ...settings, seeds, log });
   const { replicaId } = storage.identity;
@@ -168,6 +175,7 @@
     onLeadLost,
     onFatal: options.onFatal,
     quietSinceMs: settings.processStartedMs,
+    getWokeMs,
     log,
     metrics,
     now,
--- a/src/gateway/create_repeat_budget.ts
+++ b/src/gateway/create_repeat_budget.ts
@@ -19,15 +19,23 @@
   readonly getGatewayCount: () => number;
   /** Called when a repeat is wanted and none is left. */
   readonly onShort?: () => void;
-  /** Monotonic time, in ms. */
+  /**
+   * Monotonic time, in ms, for the window: where it stands still while the machine
+   * is suspended, fewer repeats are sent, never more.
+   */
   readonly now: () => number;
+  /**
+   * Monotonic time, in ms, that counts suspensions, for loans; the same clock by
+   * default.
+   */
+  readonly elapsedNow?: () => number;
 }
 
 /** Repeats that are lent. */
 export interface RepeatLoan {
   readonly service: string;
   readonly count: number;
-  /** When this gateway asked, in ms of its monotonic time. */
+  /** When this gateway asked, in ms of the clock that counts suspensions. */
   readonly askedMs: number;
 }
 
@@ -80,7 +88,7 @@
 export function createRepeatBudget(
   options: CreateRepeatBudgetOptions,
 ): RepeatBudget {
-  const { ratio, extra, windowMs, now } = options;
+  const { ratio, extra, windowMs, now, elapsedNow = now } = options;
   const services = new Map<string, Counts>();
   const startedMs = now();
 
@@ -93,7 +101,7 @@
       while (times.length > 0 && times[0] < sinceMs) times.shift();
     }
     counts.loans = counts.loans
-      .filter(({ untilMs, left }) => left > 0 && now() < untilMs);
+      .filter(({ untilMs, left }) => left > 0 && elapsedNow() < untilMs);
     services.set(service, counts);
     return counts;
   }
--- a/src/gateway/create_repeat_budget_test.ts
+++ b/src/gateway/create_repeat_budget_test.ts
@@ -55,6 +55,30 @@
   return { clock, gateways, changeLeader, lend };
 }
 
+test("a loan has run out at waking, and the window goes on", () => {
+  const clock = { steadyMs: 0, missedMs: 0 };
+  const budget = createRepeatBudget({
+    ratio: 0,
+    extra: 0,
+    windowMs: WINDOW_MS,
+    getGatewayCount: () => 1,
+    now: () => clock.steadyMs,
+    elapsedNow: () => clock.steadyMs + clock.missedMs,
+  });
+  const lend = () =>
+    budget.takeLoan({
+      service: SERVICE,
+      count: 4,
+      askedMs: clock.steadyMs + clock.missedMs,
+    });
+  lend();
+  assert.ok(budget.spend(SERVICE));
+  clock.missedMs = 6_000;
+  assert.not.ok(budget.spend(SERVICE));
+  lend();
+  assert.ok(budget.spend(SERVICE));
+});
+
 test("one gateway's streams of a lost engine all go on, out of what others don't use", () => {
   const { clock, gateways, lend } = startFleet();
   clock.nowMs = SETTLED_MS;
--- a/src/gateway/serve_plain_call.ts
+++ b/src/gateway/serve_plain_call.ts
@@ -87,6 +87,8 @@
 
     function next(): void {
       if (callEnd.hasEnded()) return;
+      // The timer of the deadline stands still while the machine is suspended.
+      if (now() >= call.deadlineMs) return finishTimedOut();
       const permitted = permit.ask({ excluded });
       if (permitted.type === "held") {
         const { leftMs } = permitted;
--- a/src/gateway/serve_stream_call.ts
+++ b/src/gateway/serve_stream_call.ts
@@ -149,6 +149,8 @@
 
     function next(): void {
       if (callEnd.hasEnded()) return;
+      // The timer of the deadline stands still while the machine is suspended.
+      if (now() >= call.deadlineMs) return finishTimedOut();
       if (tries >= MAX_TRIES) return giveUp("too many tries");
       const answer = permit.ask({ excluded });
       if (answer.type === "held") return endHeld(answer.leftMs);
--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -6,6 +6,7 @@
  */
 
 import { setTimeout as sleep } from "node:timers/promises";
+import { createElapsedClock } from "../clocks/index.ts";
 import type { DecodeConfig, LeaderMessage } from "../fleet/index.ts";
 import type { Logger } from "../logs/index.ts";
 import type { Metrics } from "../metrics/index.ts";
@@ -113,7 +114,10 @@
   options: StartGatewayOptions,
 ): Promise<Gateway> {
   const { codec, log, metrics } = options;
-  const now = () => performance.now();
+  // Leases, loans, trials and deadlines end also while the machine is suspended.
+  // Repeats are bounded over a window of the steady clock: it is never too short.
+  const steadyNow = () => performance.now();
+  const { now } = createElapsedClock({ steadyNow, dayNow: Date.now });
   const { vm, place, listen } = settings;
   const address = `${listen.host}:${listen.port}`;
   let isLeaving = false;
@@ -151,7 +155,8 @@
     getGatewayCount: () =>
       gateways.list().length === 0 ? UNKNOWN_GATEWAYS : gateways.list().length,
     onShort: askForRepeats,
-    now,
+    now: steadyNow,
+    elapsedNow: now,
   });
   const quarantine = createQuarantine({
     onNews: () => link.beatSoon(),
--- a/src/quorum/_lib/reads.ts
+++ b/src/quorum/_lib/reads.ts
@@ -5,7 +5,7 @@
  * @module
  */
 
-import type { QuorumState } from "../types.ts";
+import type { QuorumState, StepContext } from "../types.ts";
 import { type Draft, getTermAt, getVoterIds } from "./draft.ts";
 
 /** Start, in ms, of the newest round that a quorum of voters answered. */
@@ -27,11 +27,18 @@
 }
 
 /** Whether this replica may answer reads and give orders without a round. */
-export function hasLeaderLease(state: QuorumState, nowMs: number): boolean {
+export function hasLeaderLease(
+  state: QuorumState,
+  { nowMs, wokeMs = -Infinity }: Pick<StepContext, "nowMs" | "wokeMs">,
+): boolean {
   if (state.role !== "leader" || state.leaseForfeited) return false;
   const committedOwn = getTermAt(state, state.commitIndex) === state.term;
+  // Others may have voted while the clock stood still: only a round that began
+  // since then says that they have not.
+  const isSinceWaking = getQuorumRoundMs(state, nowMs) >= wokeMs;
   const lengthMs = state.timing.leaseMs;
-  return committedOwn && isLeaseValid(state, { nowMs, lengthMs });
+  return committedOwn && isSinceWaking &&
+    isLeaseValid(state, { nowMs, lengthMs });
 }
 
 /** Answers the waiting reads that a quorum has meanwhile confirmed. */
--- a/src/quorum/create_quorum_state_test.ts
+++ b/src/quorum/create_quorum_state_test.ts
@@ -1,6 +1,7 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { createQuorumState } from "./create_quorum_state.ts";
+import { hasLeaderLease } from "./_lib/reads.ts";
 import { stepQuorum } from "./step_quorum.ts";
 import type { Member, QuorumState } from "./types.ts";
 
@@ -90,4 +91,40 @@
   assert.is(heard.electionDeadlineMs, 1_700);
 });
 
+/** A leader whose newest round was answered at 2,000 ms. */
+function makeLeader(): QuorumState {
+  const answered = {
+    nextIndex: 2,
+    matchIndex: 1,
+    ackedSentMs: 2_000,
+    heardMs: 2_000,
+  };
+  return {
+    ...start(0),
+    role: "leader",
+    term: 1,
+    leaderId: "a",
+    log: [{ index: 1, term: 1, kind: "noop", body: "" }],
+    commitIndex: 1,
+    syncedIndex: 1,
+    peers: { b: answered, c: answered } as unknown as QuorumState["peers"],
+  };
+}
+
+test("a leader that wakes has no lease before a quorum answers anew", () => {
+  const leader = makeLeader();
+  assert.ok(hasLeaderLease(leader, { nowMs: 2_100 }));
+  const woken = { nowMs: 2_110, wokeMs: 2_105, random: 0.5 };
+  assert.not.ok(hasLeaderLease(leader, woken));
+  const { state } = stepQuorum(leader, { type: "read", readId: 1 }, woken);
+  assert.is(state.reads.length, 1, "the read waits for a round");
+  const peers = Object.fromEntries(
+    Object.entries(leader.peers).map(([id, peer]) => [
+      id,
+      { ...peer, ackedSentMs: 2_108 },
+    ]),
+  );
+  assert.ok(hasLeaderLease({ ...leader, peers }, woken));
+});
+
 test.run();
--- a/src/quorum/step_quorum.ts
+++ b/src/quorum/step_quorum.ts
@@ -199,7 +199,7 @@
     draft.effects.push({ type: "readRefused", readId });
     return;
   }
-  if (hasLeaderLease(draft, nowMs)) {
+  if (hasLeaderLease(draft, draft.context)) {
     draft.effects.push({ type: "readReady", readId, index: draft.commitIndex });
     return;
   }
--- a/src/quorum/types.ts
+++ b/src/quorum/types.ts
@@ -250,6 +250,11 @@
 export interface StepContext {
   /** Monotonic time, in ms. */
   readonly nowMs: number;
+  /**
+   * When its machine was last found to have been suspended, in ms of the same
+   * clock; a lease from before then is none. Absent where it never was.
+   */
+  readonly wokeMs?: number;
   /** A number from 0 up to, not including, 1. */
   readonly random: number;
 }
