Trials of one request come one after the other at a gateway too; tests of the innocent

Cause: twelve copies that came at once each had a trial: the leader gives one gateway the same trial again, which is right only for the same call. Change: a gateway runs one trial of a request at a time. Tests play streams beside the guilty one, a body that many send, a caller that repeats itself while engines are lost for other reasons, a new leader and a gateway that starts anew, copies at once. The stand-in ends once, not once for each copy that it had read.

--- a/src/gateway/create_quarantine.ts
+++ b/src/gateway/create_quarantine.ts
@@ -39,6 +39,8 @@
    * leader is asked for one at these upstreams meanwhile.
    */
   takeTrial(wish: TrialWish): string | undefined;
+  /** Ends a trial: another try of the request may have the next one. */
+  endTrial(requestKey: string): void;
   /** Notes where a suspected request was sent. */
   noteSent(sent: CrashReport): void;
   /** Upstreams where another suspected request of this gateway just began. */
@@ -112,6 +114,8 @@
   const proofs = new Map<string, number>();
   const wishes = new Map<string, TrialWish & { readonly atMs: number }>();
   const grants = new Map<string, { engineId: string; untilMs: number }>();
+  // Tries of one request that come together each want a trial; one has it.
+  const onTrialUntilMs = new Map<string, number>();
   let sent: (CrashReport & { readonly atMs: number })[] = [];
 
   function readCase({ engineIds, heldMs }: ToldCase): HeldCase {
@@ -195,10 +199,12 @@
     },
     takeTrial(wish) {
       const { requestKey } = wish;
+      if (now() < (onTrialUntilMs.get(requestKey) ?? 0)) return undefined;
       const grant = grants.get(requestKey);
       grants.delete(requestKey);
       if (grant && now() < grant.untilMs) {
         wishes.delete(requestKey);
+        onTrialUntilMs.set(requestKey, grant.untilMs);
         return grant.engineId;
       }
       const isNew = !wishes.has(requestKey);
@@ -206,6 +212,7 @@
       if (isNew) onNews();
       return undefined;
     },
+    endTrial: (requestKey) => void onTrialUntilMs.delete(requestKey),
     noteSent({ requestKey, engineId }) {
       const fresh = sent.filter(({ atMs }) => now() - atMs < APART_MS);
       sent = [...fresh, { requestKey, engineId, atMs: now() }];
--- a/src/gateway/create_run_permit.ts
+++ b/src/gateway/create_run_permit.ts
@@ -29,6 +29,8 @@
   }): PermitAnswer;
   /** Notes that the call was sent to an upstream. */
   noteSent(engineId: string): void;
+  /** Notes that a run has ended, and that what came of it is told. */
+  noteRunEnd(): void;
 }
 
 /** Ms between two questions. */
@@ -57,6 +59,7 @@
   const { quarantine, now } = context;
   const { requestKey } = call;
   let trialEngineId: string | undefined;
+  let isOnTrial = false;
   let waitsSinceMs: number | undefined;
 
   function askForTrial(excluded: ReadonlySet<string>): PermitAnswer {
@@ -64,7 +67,10 @@
       .map(({ record }) => record.engineId)
       .filter((id) => !excluded.has(id));
     trialEngineId ??= quarantine.takeTrial({ requestKey, engineIds });
-    if (trialEngineId !== undefined) return { type: "go", trialEngineId };
+    if (trialEngineId !== undefined) {
+      isOnTrial = true;
+      return { type: "go", trialEngineId };
+    }
     waitsSinceMs ??= now();
     return now() - waitsSinceMs < MAX_TRIAL_WAIT_MS
       ? { type: "wait" }
@@ -84,6 +90,11 @@
         quarantine.noteSent({ requestKey, engineId });
       }
     },
+    noteRunEnd() {
+      if (isOnTrial) quarantine.endTrial(requestKey);
+      isOnTrial = false;
+      trialEngineId = undefined;
+    },
   };
 }
 
--- a/src/gateway/serve_plain_call.ts
+++ b/src/gateway/serve_plain_call.ts
@@ -62,12 +62,15 @@
     let runs = 0;
     let exchange: Exchange | undefined;
     let sentMs = 0;
+    // Resolves once it is known whether the last run ended its upstream.
+    let endKnown = Promise.resolve();
     const callEnd = createCallEnd({
       call,
       context,
       describe: () => ({ tries, runs }),
       onEnd(outcome) {
         exchange?.abort(outcome);
+        void endKnown.then(permit.noteRunEnd);
         resolve();
       },
       onDeadline: finishTimedOut,
@@ -102,6 +105,11 @@
       send(engine);
     }
 
+    function goOn(): void {
+      permit.noteRunEnd();
+      next();
+    }
+
     function waitForPermit(): void {
       setTimeout(next, PERMIT_POLL_MS);
     }
@@ -173,13 +181,13 @@
       if (how.type === "notSent") {
         metrics.countRetry("connect_failed");
         engines.suspect(engineId, how.reason);
-        return next();
+        return goOn();
       }
       if (head?.load !== undefined) engine.toldLoad = head.load;
       if (how.type === "complete" && head?.saysNotRun) {
         metrics.countRetry("upstream_refused");
         if (head.status === 421) engines.suspect(engineId, "other upstream");
-        return next();
+        return goOn();
       }
       runs += 1;
       const isWhole = how.type === "complete" && head !== undefined &&
@@ -188,13 +196,13 @@
       engines.noteAnswer(engineId, { failed });
       if (how.type === "broken") engines.suspect(engineId, how.reason);
       else context.quarantine.noteProved(call.requestKey);
-      const whenEndIsKnown = findEnd(engine, how);
+      endKnown = findEnd(engine, how);
       const mayRepeat = route.repeatability !== "once" &&
         runs < route.maxAttempts && now() < call.deadlineMs;
       if (failed && mayRepeat) {
         const wasCut = how.type === "broken";
         metrics.countRetry(wasCut ? "reset_before_answer" : "upstream_error");
-        return void whenEndIsKnown.then(next);
+        return void endKnown.then(goOn);
       }
       if (isWhole) return callEnd.passOn(head, body);
       const isLate = now() >= call.deadlineMs;
--- a/src/gateway/serve_stream_call.ts
+++ b/src/gateway/serve_stream_call.ts
@@ -81,6 +81,8 @@
     let tries = 0;
     let runs = 0;
     let isRunProved = false;
+    // Resolves once it is known whether the last run ended its upstream.
+    let endKnown = Promise.resolve();
     let run: StreamRun | undefined;
     let repeatsWaitedMs = 0;
 
@@ -112,6 +114,7 @@
         unwatch();
         roomWait.end();
         run?.abort(outcome);
+        void endKnown.then(permit.noteRunEnd);
         resolve();
       },
       onDeadline: finishTimedOut,
@@ -194,6 +197,11 @@
       setTimeout(next, PATH_WAIT_MS);
     }
 
+    function goOn(): void {
+      permit.noteRunEnd();
+      next();
+    }
+
     function endHeld(leftMs: number): void {
       const hasRun = response.headersSent || runs > 0;
       holdBack(call, context, { callEnd, leftMs, hasRun });
@@ -295,7 +303,7 @@
       if (how.type === "notSent") {
         metrics.countRetry("connect_failed");
         engines.suspect(blamedId, how.reason);
-        return next();
+        return goOn();
       }
       if (how.type === "complete" && head?.saysNotRun) {
         return takeNotRun(sent, head);
@@ -312,10 +320,10 @@
         return callEnd.end("answered");
       }
       takeBroken(sent, how);
-      const whenEndIsKnown = findEnd(sent, how);
+      endKnown = findEnd(sent, how);
       if (isResumable && mayRunElsewhere()) {
         metrics.count("streams.resumed");
-        return void whenEndIsKnown.then(next);
+        return void endKnown.then(goOn);
       }
       const isOwnFailure = how.type === "complete" && head !== undefined &&
         head.status >= 300 && !response.headersSent;
@@ -378,7 +386,7 @@
       }
       metrics.countRetry("upstream_refused");
       log("callNotRun", { requestId, faulty: engineId, status, tookMs });
-      next();
+      goOn();
     }
 
     next();
--- a/standins/start_layer_engine.ts
+++ b/standins/start_layer_engine.ts
@@ -189,6 +189,8 @@
     response.on("close", () => {
       run.wasCut = !response.writableFinished;
     });
+    // It ends once, whatever else comes before its connections are gone.
+    if (isDown) return;
     if (body === fault.crashesOnBody) return await goDown(response);
     if (fault.hangs) return;
     if (card !== undefined) return await stream(response, { run, get });
--- a/test/crashing_request_test.ts
+++ b/test/crashing_request_test.ts
@@ -12,10 +12,12 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import { until } from "../demo/until.ts";
 import type { LayerEngine } from "../standins/index.ts";
 import {
   call,
   type CallAnswer,
+  expectStream,
   startServing,
   type TestFleet,
 } from "./support/fleet.ts";
@@ -77,4 +79,121 @@
   });
 }
 
+/** Callers of other requests; what they get is counted. */
+function startOthers(
+  fleet: TestFleet,
+  options: { readonly path: string; readonly getBody: (at: number) => string },
+): { stop(): Promise<{ asked: number; whole: number }> } {
+  const state = { asked: 0, whole: 0, isOver: false };
+  async function askOnce(at: number): Promise<void> {
+    const { address } = fleet.gateways[at % fleet.gateways.length];
+    const body = options.getBody(at);
+    const answer = await ask(address, { path: options.path, body });
+    if (answer?.text === expectStream()) state.whole += 1;
+  }
+  async function askOn(): Promise<void> {
+    const running: Promise<void>[] = [];
+    while (!state.isOver) {
+      running.push(askOnce(state.asked++));
+      await sleep(25);
+    }
+    await Promise.all(running);
+  }
+  const asking = askOn();
+  return {
+    async stop() {
+      state.isOver = true;
+      await asking;
+      return state;
+    },
+  };
+}
+
+async function untilPlacedAgain(fleet: TestFleet): Promise<void> {
+  await until(
+    "all engines hold layers again",
+    () => fleet.engines.every((engine) => engine.getRange()[1] > 0),
+  );
+  await sleep(600);
+}
+
+test("streams beside it are not held back, nor is a body that many send", async () => {
+  await using fleet = await startServing();
+  armEngines(fleet.engines);
+  const others = startOthers(fleet, {
+    path: "/stream/1",
+    getBody: (at) => at % 2 === 0 ? "asked by many" : `asked once: ${at}`,
+  });
+  await sleep(200);
+  await askAgain(fleet, { path: "/stream/1", times: 8, gapMs: 300 });
+  assert.ok(countCrashes(fleet) <= MOST_CRASHES, `${countCrashes(fleet)}`);
+  await others.stop();
+  await untilPlacedAgain(fleet);
+  const after = startOthers(fleet, {
+    path: "/stream/1",
+    getBody: (at) => at % 2 === 0 ? "asked by many" : `asked once: ${at % 20}`,
+  });
+  await sleep(800);
+  const { asked, whole } = await after.stop();
+  assert.is(whole, asked);
+});
+
+test("a new leader and a gateway that starts anew know whom to hold back", async () => {
+  await using fleet = await startServing();
+  armEngines(fleet.engines);
+  await askAgain(fleet, { path: "/stream/1", times: 6, gapMs: 300 });
+  const before = countCrashes(fleet);
+  assert.ok(before <= MOST_CRASHES, `${before}`);
+  const at = fleet.controls.findIndex(({ control }) =>
+    control.getState().role === "leader"
+  );
+  await fleet.controls[at].stop();
+  fleet.controls.splice(at, 1);
+  const added = await fleet.addGateway();
+  await until("it serves", () => added.gateway.isReady());
+  const late = await ask(added.address, { path: "/stream/1", body: BAD_BODY });
+  assert.is(late?.status, 503);
+  assert.match(late?.text ?? "", /held_back/);
+  await askAgain(fleet, { path: "/stream/1", times: 4, gapMs: 300 });
+  assert.is(countCrashes(fleet), before);
+});
+
+test("many copies at once end no more than run at once before the news", async () => {
+  await using fleet = await startServing();
+  armEngines(fleet.engines);
+  await Promise.all(
+    Array.from({ length: 12 }, (_, at) =>
+      ask(fleet.gateways[at % 2].address, {
+        path: "/stream/1",
+        body: BAD_BODY,
+      })),
+  );
+  await untilPlacedAgain(fleet);
+  await askAgain(fleet, { path: "/stream/1", times: 6, gapMs: 200 });
+  // Two engines begin streams; each may be hit once, and then the trial.
+  assert.ok(countCrashes(fleet) <= MOST_CRASHES + 1, `${countCrashes(fleet)}`);
+});
+
+test("upstreams that are lost for other reasons hold no request back", async () => {
+  await using fleet = await startServing();
+  const others = startOthers(fleet, {
+    path: "/stream/1",
+    getBody: () => "asked by a caller that repeats itself",
+  });
+  await sleep(150);
+  for (const engine of fleet.engines.splice(0, 2)) await engine.crash();
+  await sleep(500);
+  await fleet.addEngine("p1");
+  await fleet.addEngine("p1");
+  await sleep(1_500);
+  await others.stop();
+  const after = startOthers(fleet, {
+    path: "/stream/1",
+    getBody: () => "asked by a caller that repeats itself",
+  });
+  await sleep(500);
+  const { asked, whole } = await after.stop();
+  assert.is(whole, asked);
+});
+
 test.run();
--- a/test/support/fleet.ts
+++ b/test/support/fleet.ts
@@ -41,10 +41,16 @@
   stop(): Promise<void>;
 }
 
+/** A gateway with its address. */
+export interface TestGateway {
+  readonly gateway: Gateway;
+  readonly address: string;
+}
+
 /** A fleet under test. */
 export interface TestFleet extends AsyncDisposable {
   readonly controls: TestControl[];
-  readonly gateways: readonly { gateway: Gateway; address: string }[];
+  readonly gateways: TestGateway[];
   /** Engines that hold layers. */
   readonly engines: LayerEngine[];
   /** Engines of the plain service. */
@@ -55,6 +61,7 @@
   /** Resolves once all gateways hold this version and are ready. */
   settle(version: number): Promise<void>;
   addEngine(place?: string): Promise<LayerEngine>;
+  addGateway(): Promise<TestGateway>;
 }
 
 const SILENT: Logger = () => {};
@@ -159,26 +166,25 @@
   const controls = await Promise.all(
     seeds.map((_seed, at) => startControl(at)),
   );
-  const gateways = await Promise.all(
-    ports.map(async (port, at) => ({
-      address: `127.0.0.1:${port}`,
-      gateway: await startGateway({
-        vm: `gateway-${at}`,
-        place: "p1",
-        listen: { host: "127.0.0.1", port },
-        revokeMs: 5_000,
-        repeats: { ratio: 0.2, extra: 100, windowMs: 10_000 },
-        graceMs,
-      }, {
-        codec: callerCodec,
-        engineControl,
-        decodeConfig,
-        getSeedAddresses: () => seeds.map((seed) => seed.peerAddress),
-        log: SILENT,
-        metrics,
-      }),
-    })),
-  );
+  const startOneGateway = async (port: number, at: number) => ({
+    address: `127.0.0.1:${port}`,
+    gateway: await startGateway({
+      vm: `gateway-${at}`,
+      place: "p1",
+      listen: { host: "127.0.0.1", port },
+      revokeMs: 5_000,
+      repeats: { ratio: 0.2, extra: 100, windowMs: 10_000 },
+      graceMs,
+    }, {
+      codec: callerCodec,
+      engineControl,
+      decodeConfig,
+      getSeedAddresses: () => seeds.map((seed) => seed.peerAddress),
+      log: SILENT,
+      metrics,
+    }),
+  });
+  const gateways = await Promise.all(ports.map(startOneGateway));
   const controlAddresses = seeds.map((seed) => seed.callerAddress);
   const startOne = (service: string, card?: string, place = "p1") =>
     startLayerEngine({
@@ -222,6 +228,12 @@
           ),
       );
     },
+    async addGateway() {
+      const [port] = await findFreePorts(1);
+      const added = await startOneGateway(port, gateways.length);
+      gateways.push(added);
+      return added;
+    },
     async addEngine(place = "p1") {
       const engine = await startOne("model", "card", place);
       engines.push(engine);
