--- a/src/cli/commands/index.ts
+++ b/src/cli/commands/index.ts
@@ -11,6 +11,7 @@
 import { EntriesCommand } from "./entries.ts";
 import { ExplainCommand } from "./explain.ts";
 import { GetCommand } from "./get.ts";
+import { QuarantineCommand } from "./quarantine.ts";
 import { StatusCommand } from "./status.ts";
 import { WatchCommand } from "./watch.ts";
 
@@ -23,6 +24,7 @@
   entries: EntriesCommand,
   explain: ExplainCommand,
   get: GetCommand,
+  quarantine: QuarantineCommand,
   status: StatusCommand,
   watch: WatchCommand,
 };
--- a/src/fleet/index.ts
+++ b/src/fleet/index.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+export * from "./add_quarantine_routes.ts";
 export * from "./config_delta.ts";
 export * from "./create_engine_numbers.ts";
 export * from "./create_engine_registry.ts";
--- a/src/gateway/rescue_stream.ts
+++ b/src/gateway/rescue_stream.ts
@@ -92,6 +92,8 @@
   const [first] = options.path;
   const { engineId } = options;
   const { requestId } = call.request;
+  // To move is to run on other engines: only what may run anywhere does.
+  if (context.quarantine.judge(call.requestKey).type !== "free") return;
   const excluded = new Set([...options.excluded, engineId]);
   const path = engineId === first.engineId
     ? undefined
--- a/test/control_members_test.ts
+++ b/test/control_members_test.ts
@@ -24,6 +24,8 @@
   readonly voters: number;
   readonly isObserver?: boolean;
   readonly isFirstStart?: boolean;
+  /** Names its data folder; an empty one of its own by default. */
+  readonly disk?: string;
 }
 
 /** Starts control processes in one folder; disposing of it ends them. */
@@ -42,7 +44,7 @@
       ...addresses[at],
       dataFolder: options.isObserver
         ? undefined
-        : join(folder, String(folders)),
+        : join(folder, options.disk ?? String(folders)),
       isFirstStart,
       voters: options.voters,
       beatIntervalMs: 200,
@@ -146,6 +148,38 @@
   assert.is(votes.length, 5);
 });
 
+test("a disk that is lost while all others lose power takes nothing accepted with it", async () => {
+  await using trial = await prepare(4);
+  const seeds = trial.addresses.slice(0, 3);
+  const options = { seeds, voters: 3 };
+  const first = [0, 1, 2].map((at) =>
+    trial.start(at, { ...options, disk: `disk-${at}` })
+  );
+  const others = [trial.start(3, { ...options, isObserver: true })];
+  const before = await Promise.all([...first, ...others]);
+  await until(
+    "a change is taken",
+    async () => (await put(before[3], 7)).type === "done",
+  );
+  await Promise.all(before.map(trial.stop));
+  // The one that led is back with an empty disk; who has none knows nobody.
+  const again = { ...options, isFirstStart: false };
+  const after = await Promise.all([
+    trial.start(0, { ...again, disk: "disk-0-new" }),
+    trial.start(1, { ...again, disk: "disk-1" }),
+    trial.start(2, { ...again, disk: "disk-2" }),
+    trial.start(3, { ...again, isObserver: true }),
+  ]);
+  await until("it is read back everywhere", async () => {
+    const replies = await Promise.all(
+      after.map((one) => one.call({ type: "readConfig" })),
+    );
+    return replies.every((reply) =>
+      reply.type === "document" && reply.document?.includes('"version":7')
+    );
+  });
+});
+
 test("one without a disk is found again where it knows nobody", async () => {
   await using trial = await prepare(4);
   const seeds = trial.addresses.slice(0, 3);
--- a/test/crashing_request_test.ts
+++ b/test/crashing_request_test.ts
@@ -13,6 +13,7 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { until } from "../demo/until.ts";
+import { runProgram } from "./support/run_program.ts";
 import type { LayerEngine } from "../standins/index.ts";
 import {
   call,
@@ -138,6 +139,27 @@
   assert.is(whole, asked);
 });
 
+test("operators see who is held back, and let it go free", async () => {
+  await using fleet = await startServing({ controls: 1, gateways: 1 });
+  armEngines(fleet.plain);
+  await askAgain(fleet, { path: "/safe/1", times: 5, gapMs: 300 });
+  const control = ["--control", fleet.controls[0].callerAddress];
+  const crowlever = (...args: string[]) =>
+    runProgram("crowlever", ["quarantine", ...args, ...control]);
+  const listed = await crowlever("-o", "json");
+  assert.is(listed.code, 0, listed.output);
+  const [held] = JSON.parse(listed.output).cases;
+  assert.is(held.engineIds.length, MOST_CRASHES);
+  assert.ok(held.heldMs > 60_000);
+  const lifted = await crowlever("--lift", held.requestKey);
+  assert.is(lifted.code, 0, lifted.output);
+  assert.equal(JSON.parse((await crowlever("-o", "json")).output).cases, []);
+  const [{ address }] = fleet.gateways;
+  for (const { fault } of fleet.plain) fault.crashesOnBody = undefined;
+  const answer = await ask(address, { path: "/safe/1", body: BAD_BODY });
+  assert.is(answer?.status, 200);
+});
+
 test("a new leader and a gateway that starts anew know whom to hold back", async () => {
   await using fleet = await startServing();
   armEngines(fleet.engines);
--- a/test/many_gateways_test.ts
+++ b/test/many_gateways_test.ts
@@ -154,6 +154,7 @@
     for (let at = 0; at < ENGINES; at++) {
       const beat = makeBeat({
         engineId: `e${at}`,
+        service: "model",
         address: `10.1.0.${at}:80`,
         sequence,
       });
--- a/test/programs_test.ts
+++ b/test/programs_test.ts
@@ -1,33 +1,11 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { execFile } from "node:child_process";
 import { mkdtemp, readdir, rm, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
-import process from "node:process";
-import { fileURLToPath } from "node:url";
 import { launchFleet, OPERATOR_TOKEN } from "../demo/launch_fleet.ts";
 import { getTrialResources } from "../demo/trial_resources.ts";
-
-const BIN = fileURLToPath(new URL("../src/bin/", import.meta.url));
-
-interface Ended {
-  readonly code: number;
-  readonly output: string;
-}
-
-function run(program: string, args: readonly string[]): Promise<Ended> {
-  return new Promise((resolve) => {
-    execFile(
-      process.execPath,
-      [join(BIN, `${program}.js`), ...args],
-      (error, stdout, stderr) => {
-        const code = error ? Number(error.code ?? -1) : 0;
-        resolve({ code, output: stdout + stderr });
-      },
-    );
-  });
-}
+import { runProgram as run } from "./support/run_program.ts";
 
 test("wrong settings end a program with 2 and name all mistakes", async () => {
   const folder = await mkdtemp(join(tmpdir(), "crowlever-"));
