--- a/src/fleet/start_fleet_control.ts
+++ b/src/fleet/start_fleet_control.ts
@@ -6,13 +6,11 @@
  * @module
  */
 
-import { setTimeout as sleep } from "node:timers/promises";
 import { createElapsedClock } from "../clocks/index.ts";
 import {
   createJoinHandler,
   createReplicaHost,
   joinCluster,
-  type Replica,
 } from "../control/index.ts";
 import type { Logger } from "../logs/index.ts";
 import type { Metrics } from "../metrics/index.ts";
@@ -45,6 +43,7 @@
 import type { DecodeConfig, FleetCall, FleetReply } from "./messages.ts";
 import { type FleetSeed, openFleetStorage } from "./open_fleet_storage.ts";
 import { unpackDocument } from "./pack_document.ts";
+import { handOver } from "./hand_over.ts";
 import { startFleetServer } from "./start_fleet_server.ts";
 
 /** Settings of a control process. */
@@ -124,9 +123,6 @@
 /** Ms in which gateways find a new leader. */
 const GATEWAYS_SETTLE_MS = 2_000;
 
-/** Ms that a planned stop waits for another leader. */
-const HANDOVER_TIMEOUT_MS = 1_000;
-
 /**
  * Starts a control process.
  *
@@ -251,8 +247,10 @@
     now,
     log,
   });
+  const countVoters = () =>
+    replica.getState().members.filter(({ role }) => role === "voter").length;
   const hasEnoughVoters = () =>
-    leadsFor(VOTERS_WAIT_MS) || countVoters(replica) >= settings.voters;
+    leadsFor(VOTERS_WAIT_MS) || countVoters() >= settings.voters;
   const desk = createLeaderDesk({
     hasEnoughVoters,
     hasLease: () => replica.hasLease(),
@@ -405,19 +403,3 @@
     stop,
   };
 }
-
-function countVoters(replica: Replica): number {
-  const { members } = replica.getState();
-  return members.filter(({ role }) => role === "voter").length;
-}
-
-async function handOver(replica: Replica): Promise<void> {
-  if (replica.getState().role !== "leader") return;
-  replica.transferLeadership();
-  const untilMs = performance.now() + HANDOVER_TIMEOUT_MS;
-  while (
-    replica.getState().role === "leader" && performance.now() < untilMs
-  ) {
-    await sleep(10);
-  }
-}
--- a/src/gateway/create_run_permit.ts
+++ b/src/gateway/create_run_permit.ts
@@ -66,6 +66,10 @@
     const engineIds = listBeginners(call, context)
       .map(({ record }) => record.engineId)
       .filter((id) => !excluded.has(id));
+    // Its upstream may be gone by the time that there is room or a repeat.
+    if (trialEngineId !== undefined && !engineIds.includes(trialEngineId)) {
+      endTrial();
+    }
     trialEngineId ??= quarantine.takeTrial({ requestKey, engineIds });
     if (trialEngineId !== undefined) {
       isOnTrial = true;
@@ -77,6 +81,12 @@
       : { type: "held", leftMs: MAX_TRIAL_WAIT_MS };
   }
 
+  function endTrial(): void {
+    if (isOnTrial) quarantine.endTrial(requestKey);
+    isOnTrial = false;
+    trialEngineId = undefined;
+  }
+
   return {
     ask({ excluded }) {
       const verdict = quarantine.judge(requestKey);
@@ -90,11 +100,7 @@
         quarantine.noteSent({ requestKey, engineId });
       }
     },
-    noteRunEnd() {
-      if (isOnTrial) quarantine.endTrial(requestKey);
-      isOnTrial = false;
-      trialEngineId = undefined;
-    },
+    noteRunEnd: endTrial,
   };
 }
 
--- a/src/gateway/serve_stream_call.ts
+++ b/src/gateway/serve_stream_call.ts
@@ -15,6 +15,7 @@
 } from "./create_run_permit.ts";
 import { createRunMover } from "./create_run_mover.ts";
 import { REFUSES_CONNECTIONS } from "./create_run_watch.ts";
+import { createSendWaits } from "./create_send_waits.ts";
 import { createTryPayment } from "./create_try_payment.ts";
 import type { ExchangeEnd } from "./create_exchanger.ts";
 import { createStreamRelay } from "./create_stream_relay.ts";
@@ -36,24 +37,6 @@
 /** Ms after which a refusal tells of an engine that is dead, not full. */
 const DEAD_REFUSAL_MS = 1_000;
 
-/** Ms between two looks for room. */
-const ROOM_WAIT_MS = 20;
-
-/** Ms between two looks for a repeat that may be spent. */
-const REPEATS_WAIT_MS = 20;
-
-/** Ms that a stream waits for repeats to be lent: a few round trips. */
-const MAX_REPEATS_WAIT_MS = 120;
-
-/** Ms between two looks for a path while a stream waits to go on. */
-const PATH_WAIT_MS = 50;
-
-/** Ms for which a begun stream waits for a path. */
-const MAX_PATH_WAIT_MS = 1_500;
-
-/** Ms for which a new request waits for one: a lost range is soon held again. */
-const NEW_PATH_WAIT_MS = 1_000;
-
 /**
  * Serves a call: passes whole events on as they come, moves the path off
  * engines that stand still, goes on elsewhere where the stream breaks.
@@ -84,7 +67,6 @@
     // Resolves once it is known whether the last run ended its upstream.
     let endKnown = Promise.resolve();
     let run: StreamRun | undefined;
-    let repeatsWaitedMs = 0;
 
     // Callers name the most that an answer may hold; most hold far less.
     const usualTokens = model?.usualAnswerTokens ?? request.answerTokens;
@@ -106,6 +88,13 @@
     let unwatch = () => {};
     const roomWait = createRoomWait(call, context);
     const permit = createRunPermit(call, context);
+    const waits = createSendWaits({
+      roomWait,
+      relay,
+      hasBegun: () => response.headersSent,
+      onLook: next,
+      onGiveUp: giveUp,
+    });
     const callEnd = createCallEnd({
       call,
       context,
@@ -159,42 +148,24 @@
       if (answer.type === "held") return endHeld(answer.leftMs);
       if (answer.type === "wait") return void setTimeout(next, PERMIT_POLL_MS);
       const isNew = runs === 0 && request.lastEventId === undefined;
-      if (isNew && !roomWait.isFirst()) return waitForRoom();
+      if (isNew && !roomWait.isFirst()) return waits.waitForRoom();
       const choice = chooseRunPath(call, context, {
         excluded,
         trialEngineId: answer.trialEngineId,
         need: { tokens, isNew },
       });
-      if (choice.type === "full" && isNew) return waitForRoom();
+      if (choice.type === "full" && isNew) return waits.waitForRoom();
       if (choice.type !== "path") return waitForPath();
       const { path } = choice;
-      if (!payment.payNext()) return waitForRepeats();
-      repeatsWaitedMs = 0;
+      if (!payment.payNext()) return waits.waitForRepeats();
+      waits.noteSent();
       tries += 1;
       send(path);
     }
 
-    // The leader is asked to lend; its answer takes a round trip.
-    function waitForRepeats(): void {
-      if (repeatsWaitedMs >= MAX_REPEATS_WAIT_MS) return giveUp("no budget");
-      repeatsWaitedMs += REPEATS_WAIT_MS;
-      setTimeout(next, REPEATS_WAIT_MS);
-    }
-
-    // Waits only as long as the first event may still come in time.
-    function waitForRoom(): void {
-      if (!roomWait.mayWait()) return giveUp("full");
-      setTimeout(next, ROOM_WAIT_MS);
-    }
-
+    // Engines that were left out for this call may be back by then.
     function waitForPath(): void {
-      const limitMs = response.headersSent
-        ? MAX_PATH_WAIT_MS
-        : NEW_PATH_WAIT_MS;
-      if (relay.getSilenceMs() > limitMs) return giveUp("no path");
-      // Engines that were left out for this call may be back by then.
-      excluded.clear();
-      setTimeout(next, PATH_WAIT_MS);
+      waits.waitForPath({ onWait: () => excluded.clear() });
     }
 
     function goOn(): void {
