A trial lasts until it has ended, not for five seconds

Cause: a request on trial may wait for its turn at a full engine for longer than that; its end would then have counted as any other, without a conviction. Change: a trial keeps others off its upstream for 25 s at most, and its gateway says when it is over. The test of real processes says what was answered where it fails.

--- a/src/fleet/create_quarantine_desk.ts
+++ b/src/fleet/create_quarantine_desk.ts
@@ -14,9 +14,9 @@
   getHoldMs,
   isExplained,
   type JudgedReport,
+  MAX_TRIAL_MS,
   needsTrial,
   SUSPICION_AGE_MS,
-  TRIAL_MS,
 } from "../quarantine/index.ts";
 import type { FleetCommand } from "./create_fleet_machine.ts";
 import type { LeaderMessage, ToldCase, TrialWish } from "./messages.ts";
@@ -39,6 +39,7 @@
 export interface QuarantineNews {
   readonly crashes?: readonly CrashReport[];
   readonly proved?: readonly string[];
+  readonly trialsEnded?: readonly string[];
 }
 
 /** The leader's part of the quarantine. */
@@ -200,9 +201,13 @@
   }
 
   return {
-    take(vm, { crashes = [], proved = [] }) {
+    take(vm, { crashes = [], proved = [], trialsEnded = [] }) {
       dropEndedTrials();
+      // The reports first: the end of an upstream is the end of its trial.
       for (const report of crashes) takeReport(vm, report);
+      for (const key of trialsEnded) {
+        if (trials.get(key)?.vm === vm) trials.delete(key);
+      }
       for (const key of proved) if (getCases().has(key)) clearing.add(key);
       if (reports.length + clearing.size > 0) gather();
     },
@@ -216,7 +221,7 @@
       trials.delete(requestKey);
       const engineId = engineIds.find((id) => !findTrial(id));
       if (engineId === undefined) return undefined;
-      trials.set(requestKey, { vm, engineId, untilMs: now() + TRIAL_MS });
+      trials.set(requestKey, { vm, engineId, untilMs: now() + MAX_TRIAL_MS });
       log("trialGranted", { requestKey, vm, engineId });
       return engineId;
     },
--- a/src/fleet/create_quarantine_desk_test.ts
+++ b/src/fleet/create_quarantine_desk_test.ts
@@ -58,6 +58,24 @@
   assert.is(ask("b"), undefined, "it needs none any more");
 });
 
+test("a trial that waited for long still convicts; one that is over frees its upstream", async () => {
+  const { desk, crash, state } = start();
+  for (const key of ["a", "b"]) {
+    await crash("g1", key, "e1");
+    await crash("g1", key, "e2");
+  }
+  const ask = (vm: string, requestKey: string) =>
+    desk.grantTrial(vm, { requestKey, engineIds: ["e3"] });
+  assert.is(ask("g1", "b"), "e3");
+  desk.take("g1", { trialsEnded: ["b"] });
+  assert.is(ask("g2", "a"), "e3");
+  desk.take("g1", { trialsEnded: ["a"] });
+  state.nowMs = 12_000;
+  await crash("g2", "a", "e3");
+  const held = desk.list().filter(({ heldMs }) => heldMs > 0);
+  assert.equal(held.map(({ requestKey }) => requestKey), ["a"]);
+});
+
 test("an end under a trial speaks against nobody beside it", async () => {
   const { desk, crash, machine } = start();
   await crash("g1", "r", "e1");
--- a/src/fleet/messages.ts
+++ b/src/fleet/messages.ts
@@ -85,6 +85,8 @@
     readonly crashes?: readonly CrashReport[];
     /** Suspected requests that upstreams have run well; absent where none. */
     readonly proved?: readonly string[];
+    /** Requests whose trial here has ended; absent where none. */
+    readonly trialsEnded?: readonly string[];
     /** Suspected requests that it would run on trial; absent where none. */
     readonly trialsWanted?: readonly TrialWish[];
   };
--- a/src/gateway/create_quarantine.ts
+++ b/src/gateway/create_quarantine.ts
@@ -6,7 +6,12 @@
  */
 
 import type { LeaderMessage, ToldCase, TrialWish } from "../fleet/index.ts";
-import { type CrashReport, needsTrial, TRIAL_MS } from "../quarantine/index.ts";
+import {
+  type CrashReport,
+  MAX_TRIAL_MS,
+  needsTrial,
+  TRIAL_MS,
+} from "../quarantine/index.ts";
 
 /** Whether a request may run. */
 export type QuarantineVerdict =
@@ -20,6 +25,7 @@
 export interface QuarantineTold {
   readonly crashes?: readonly CrashReport[];
   readonly proved?: readonly string[];
+  readonly trialsEnded?: readonly string[];
   readonly trialsWanted?: readonly TrialWish[];
 }
 
@@ -116,6 +122,7 @@
   const grants = new Map<string, { engineId: string; untilMs: number }>();
   // Tries of one request that come together each want a trial; one has it.
   const onTrialUntilMs = new Map<string, number>();
+  let trialsEnded = new Set<string>();
   let sent: (CrashReport & { readonly atMs: number })[] = [];
 
   function readCase({ engineIds, heldMs }: ToldCase): HeldCase {
@@ -204,7 +211,7 @@
       grants.delete(requestKey);
       if (grant && now() < grant.untilMs) {
         wishes.delete(requestKey);
-        onTrialUntilMs.set(requestKey, grant.untilMs);
+        onTrialUntilMs.set(requestKey, now() + MAX_TRIAL_MS);
         return grant.engineId;
       }
       const isNew = !wishes.has(requestKey);
@@ -212,7 +219,11 @@
       if (isNew) onNews();
       return undefined;
     },
-    endTrial: (requestKey) => void onTrialUntilMs.delete(requestKey),
+    endTrial(requestKey) {
+      onTrialUntilMs.delete(requestKey);
+      trialsEnded.add(requestKey);
+      onNews();
+    },
     noteSent({ requestKey, engineId }) {
       const fresh = sent.filter(({ atMs }) => now() - atMs < APART_MS);
       sent = [...fresh, { requestKey, engineId, atMs: now() }];
@@ -238,10 +249,13 @@
       const crashes = listUntold()
         .map(({ requestKey, engineId }) => ({ requestKey, engineId }));
       const proved = [...told.keys()].filter(isProved);
+      const ended = [...trialsEnded];
+      trialsEnded = new Set();
       const trialsWanted = listWishes();
       return {
         ...(crashes.length > 0 ? { crashes } : {}),
         ...(proved.length > 0 ? { proved } : {}),
+        ...(ended.length > 0 ? { trialsEnded: ended } : {}),
         ...(trialsWanted.length > 0 ? { trialsWanted } : {}),
       };
     },
--- a/src/gateway/create_quarantine_test.ts
+++ b/src/gateway/create_quarantine_test.ts
@@ -83,6 +83,22 @@
   assert.is(quarantine.takeTrial(wish), undefined);
 });
 
+test("one try of a request is on trial at a time, and its end is told once", () => {
+  const { quarantine, tell } = start();
+  tell([makeCase()]);
+  const wish = { requestKey: "r", engineIds: ["e3", "e4"] };
+  const grant = { type: "trial", requestKey: "r", engineId: "e4" } as const;
+  quarantine.takeGrant({ ...grant, askedMs: 0 });
+  assert.is(quarantine.takeTrial(wish), "e4");
+  quarantine.takeGrant({ ...grant, askedMs: 0 });
+  assert.is(quarantine.takeTrial(wish), undefined);
+  quarantine.endTrial("r");
+  assert.equal(quarantine.getTold().trialsEnded, ["r"]);
+  assert.is(quarantine.getTold().trialsEnded, undefined);
+  quarantine.takeGrant({ ...grant, askedMs: 0 });
+  assert.is(quarantine.takeTrial(wish), "e4");
+});
+
 test("what an upstream ran well is suspected neither before nor after", () => {
   const { state, quarantine, tell } = start();
   quarantine.noteProved("hot");
--- a/src/quarantine/constants.ts
+++ b/src/quarantine/constants.ts
@@ -33,5 +33,11 @@
 /** Ms after the end of a hold after which a conviction is forgotten. */
 export const CONVICTION_AGE_MS = 3_600_000;
 
-/** Ms that a trial has to begin and to prove itself, its wait for a turn included. */
+/** Ms, from the moment at which a gateway asks, for which a trial may begin. */
 export const TRIAL_MS = 5_000;
+
+/**
+ * Ms for which a trial keeps other suspects off its upstream, unless its gateway says
+ * that it has ended: as long as callers wait, for it may wait for its turn there.
+ */
+export const MAX_TRIAL_MS = 25_000;
--- a/test/whole_path_test.ts
+++ b/test/whole_path_test.ts
@@ -43,7 +43,8 @@
       layerCount: LAYER_COUNT,
       tokens: 6,
     });
-    assert.is(response.headers["crowlever-outcome"], "done");
+    const told = JSON.stringify({ headers: response.headers, body });
+    assert.is(response.headers["crowlever-outcome"], "done", told);
     assert.is(body.choices[0].text, expected);
   }));
   for (let at = 0; at < 20; at++) {
