--- a/standins/start_layer_engine.ts
+++ b/standins/start_layer_engine.ts
@@ -12,8 +12,8 @@
 import type { AddressInfo } from "node:net";
 import type { Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
-import { request } from "undici";
 import { ENGINE_CALL, HEADER } from "../platform/names.ts";
+import { sendBeat } from "./send_beat.ts";
 
 /** What an engine does wrong from now on. */
 export interface LayerEngineFault {
@@ -303,7 +303,7 @@
     sequence += 1;
     const [from, targetVersion] = range;
     const said = state;
-    const body = JSON.stringify({
+    const body = {
       service,
       address,
       zone: place,
@@ -318,26 +318,10 @@
         models: [{ name: "m", version: 1, adapters: [] }],
         layers: { from, targetVersion, version: 1 },
       }),
-    });
-    for (const control of options.controlAddresses) {
-      try {
-        const answer = await request(
-          `http://${control}/api/instances/${engineId}/heartbeat`,
-          {
-            method: "POST",
-            headers: { "content-type": "application/json" },
-            body,
-            signal: AbortSignal.timeout(500),
-          },
-        );
-        await answer.body.dump();
-        if (answer.statusCode !== 200) continue;
-        if (said === "draining") onDrained?.();
-        return;
-      } catch {
-        // The next control process is asked, as on the platform.
-      }
-    }
+    };
+    const { controlAddresses } = options;
+    const isTaken = await sendBeat({ engineId, body, controlAddresses });
+    if (isTaken && said === "draining") onDrained?.();
   }
 
   async function keepBeating(): Promise<void> {
