--- a/src/control/create_peer_transport_test.ts
+++ b/src/control/create_peer_transport_test.ts
@@ -1,5 +1,5 @@
 import { once } from "node:events";
-import { type AddressInfo, createServer } from "node:net";
+import { type AddressInfo, createServer, type Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
@@ -17,7 +17,9 @@
 const REOPENED_MS = 200;
 
 test("what is sent after the end is lost, and ends nobody", async () => {
-  const peer = createServer().listen(0, "127.0.0.1");
+  const sockets: Socket[] = [];
+  const peer = createServer((socket) => void sockets.push(socket))
+    .listen(0, "127.0.0.1");
   await once(peer, "listening");
   const { port } = peer.address() as AddressInfo;
   const transport = createPeerTransport({
@@ -36,6 +38,7 @@
   // A replica that stops after its transport still sends heartbeats.
   await sleep(REOPENED_MS);
   assert.not.throws(() => transport.send(MESSAGE));
+  for (const socket of sockets) socket.destroy();
   peer.close();
 });
 
