Logs tell which rate limits upstreams name and whether a send knew of one

Nothing in logs or metrics told a limit that is read and ignored from one that is never read or comes too late. The field is decoded now, its changes are logged (CL1724, CL1725) and counted, and CL1801 tells the limit of the upstream as the gateway knew it when it sent. No choice goes by it yet.

--- a/src/engines/types.ts
+++ b/src/engines/types.ts
@@ -87,6 +87,11 @@
   readonly restMs?: number;
   /** Whether it says that it leaves. */
   readonly isLeaving: boolean;
+  /**
+   * Requests a second that it takes from all gateways together: Infinity where it
+   * names no limit, absent where what it names can't be read.
+   */
+  readonly limitPerS?: number;
 }
 
 /** How long a call to an upstream takes, and who hears what it says of itself. */
--- a/src/gateway/serve_plain_call.ts
+++ b/src/gateway/serve_plain_call.ts
@@ -185,6 +185,7 @@
         requestKey,
         engineId,
         restLeftMs,
+        limitPerS: context.rateLimits.getLimitPerS(engineId),
         tries,
         runs,
       });
--- a/src/gateway/serve_stream_call.ts
+++ b/src/gateway/serve_stream_call.ts
@@ -226,6 +226,7 @@
         engineId: path[0].engineId,
         path: path.map((part) => `${part.engineId}:${part.toLayer}`).join(),
         restLeftMs: getRestLeftMs(path),
+        limitPerS: context.rateLimits.getLimitPerS(path[0].engineId),
         tries,
         lastEventId,
       });
--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -30,6 +30,7 @@
 import { createLossNews } from "./create_loss_news.ts";
 import { createPauseWatch } from "./create_pause_watch.ts";
 import { createQuarantine } from "./create_quarantine.ts";
+import { createRateLimits } from "./create_rate_limits.ts";
 import { createRepeatBudget } from "./create_repeat_budget.ts";
 import { createRequestDesk } from "./create_request_desk.ts";
 import { createRestThrottle } from "./create_rest_throttle.ts";
@@ -138,6 +139,7 @@
     log,
     metrics,
   });
+  const rateLimits = createRateLimits({ log, metrics });
   const exchanger = createExchanger(codec, { onNotice: takeNotice });
   const engines = createEngineTable({
     now,
@@ -200,6 +202,7 @@
     }),
     engines,
     notices,
+    rateLimits,
     throttle: createRestThrottle({ now: steadyNow }),
     usualTimes: createUsualTimes(),
     exchanger,
@@ -240,6 +243,9 @@
   function takeNotice(engineId: string, notice: EngineNotice): void {
     const isNews = notice.isLeaving && !engines.isLeaving(engineId);
     notices.take(engineId, notice);
+    if (notice.limitPerS !== undefined) {
+      rateLimits.take(engineId, notice.limitPerS);
+    }
     if (isNews) link.beatSoon();
   }
 
@@ -316,6 +322,7 @@
     metrics.gauge("config.lease_ms", Math.max(0, lease.getLeftMs()));
     metrics.gauge("engines.known", engines.getSize());
     metrics.gauge("engines.resting", notices.countResting());
+    metrics.gauge("engines.limited", rateLimits.countLimited());
     const { suspects, held } = quarantine.count();
     metrics.gauge("quarantine.suspects", suspects);
     metrics.gauge("quarantine.held", held);
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -18,6 +18,7 @@
 import type { LeftRuns } from "./create_left_runs.ts";
 import type { PauseWatch } from "./create_pause_watch.ts";
 import type { Quarantine } from "./create_quarantine.ts";
+import type { RateLimits } from "./create_rate_limits.ts";
 import type { RepeatBudget } from "./create_repeat_budget.ts";
 import type { RestThrottle } from "./create_rest_throttle.ts";
 import type { ReturnSchedule } from "./create_return_schedule.ts";
@@ -54,6 +55,8 @@
   readonly engines: EngineTable;
   /** What upstreams said of themselves in answers to this gateway. */
   readonly notices: EngineNotices;
+  /** Rate limits that upstreams named. */
+  readonly rateLimits: RateLimits;
   /** Lets in what upstreams can bear while many rest. */
   readonly throttle: RestThrottle;
   /** How long answers usually take. */
--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -8,6 +8,7 @@
 export * from "./create_server.ts";
 export * from "./limit_time.ts";
 export * from "./problem.ts";
+export * from "./read_rate_limit.ts";
 export * from "./read_rest_ms.ts";
 export * from "./read_retry_after.ts";
 export * from "./secrets.ts";
--- a/src/logs/events.ts
+++ b/src/logs/events.ts
@@ -176,6 +176,16 @@
     "info",
     "Upstream says in an answer that it leaves",
   ),
+  engineNamesLimit: event(
+    "CL1724",
+    "warn",
+    "Upstream names the requests a second that it takes from all gateways",
+  ),
+  engineNamesNoLimit: event(
+    "CL1725",
+    "info",
+    "Upstream names no limit any more",
+  ),
   callWithheld: event(
     "CL1811",
     "info",
--- a/src/metrics/metric_catalogue.ts
+++ b/src/metrics/metric_catalogue.ts
@@ -81,6 +81,8 @@
   "engines.known": "Upstreams that registered",
   "engines.rests_asked": "Answers in which upstreams asked for rest",
   "engines.resting": "Upstreams that want nothing of this gateway for now",
+  "engines.limits_named": "Answers in which upstreams named a new rate limit",
+  "engines.limited": "Upstreams that named a rate limit to this gateway",
   "requests.withheld":
     "Requests that had not left yet when their upstream asked for rest or left",
   "engines.suspected": "Upstreams left out for a while by this gateway",
