--- a/standins/start_layer_engine.ts
+++ b/standins/start_layer_engine.ts
@@ -35,6 +35,10 @@
   refusalDelayMs?: number;
   /** Says in all its answers that it leaves. */
   saysLeaving?: boolean;
+  /** Names a rate limit in its answers to requests: its lines of the field. */
+  namesLimit?: readonly string[];
+  /** Names its limit in answers to questions and orders too. */
+  namesLimitToAll?: boolean;
   /** Address of an engine for which all streams here wait. */
   stalledFor?: string;
   /** Leaves the streams that wait out of its reports. */
@@ -95,6 +99,8 @@
   askedForRest?: readonly string[];
   /** Whether the answer said that the engine leaves. */
   readonly toldLeave: boolean;
+  /** Lines of the rate limit that the answer named. */
+  readonly namedLimit?: readonly string[];
 }
 
 /** An end under a request. */
@@ -164,6 +170,8 @@
       const { url = "", headers } = message;
       const arrival = noteArrival(url, headers[HEADER.requestId] ?? "");
       if (arrival.toldLeave) response.setHeader(HEADER.leaving, "1");
+      const { namedLimit } = arrival;
+      if (namedLimit) response.setHeader(HEADER.rateLimit, namedLimit);
       if (url === ENGINE_CALL.report) return report(response);
       if (url === ENGINE_CALL.order) return obey(response, body);
       const get = (name: string) => headers[name] as string | undefined;
@@ -182,12 +190,16 @@
   const address = `127.0.0.1:${port}`;
 
   function noteArrival(url: string, requestId: string | string[]) {
+    const type = getArrivalType(url);
     const arrival: EngineArrival = {
-      type: getArrivalType(url),
+      type,
       atMs: performance.now(),
       requestId: String(requestId),
       bornMs,
       toldLeave: fault.saysLeaving === true,
+      namedLimit: type === "request" || fault.namesLimitToAll
+        ? fault.namesLimit
+        : undefined,
     };
     arrivals.push(arrival);
     return arrival;
