Gateways together keep to the rate limits that upstreams name

Seen: an engine that named 4.6 requests a second for all gateways got 54 in 4 s.

Class: a bound on all gateways together that no part of the system holds. Reading it in each gateway wouldn't have been enough: a gateway knows nothing of what the others send.

Change: the leader keeps the limits in force and grants each send to a limited upstream from one token bucket; gateways ask when they would send there, and otherwise choose another upstream or tell callers at once when to come back. A limit ends or grows only by an answer to a request that was sent by someone who knew it, so a late answer ends nothing. A gateway without a leader keeps to a small part and begins with nothing; grants expire, also while a machine is suspended; a new leader is told the limits by the gateways and begins empty.

--- a/src/fleet/create_gateway_sessions.ts
+++ b/src/fleet/create_gateway_sessions.ts
@@ -13,6 +13,7 @@
 import type { wire } from "../wire/index.ts";
 import { createActivityTally } from "./create_activity_tally.ts";
 import { createLossReports } from "./create_loss_reports.ts";
+import type { LimitDesk } from "./create_limit_desk.ts";
 import type { QuarantineDesk } from "./create_quarantine_desk.ts";
 import { createWrittenNews } from "./create_written_news.ts";
 import type { AcceptedConfig } from "./create_fleet_machine.ts";
@@ -47,6 +48,7 @@
     QuarantineDesk,
     "take" | "grantTrial" | "list"
   >;
+  readonly limits: Pick<LimitDesk, "take" | "grant" | "list">;
   readonly onSuspects: (vm: string, engineIds: readonly string[]) => void;
   /** Called when a gateway names upstreams that said that they leave. */
   readonly onLeaving: (engineIds: readonly string[]) => void;
@@ -177,7 +179,8 @@
     // The suspects come before the engines: from then on it sends requests. They are
     // no message of their own: of what joins cost, nearly all is single messages.
     const cases = options.quarantine.list();
-    send(session, { type: "welcome", controlAddresses, cases });
+    const limits = options.limits.list();
+    send(session, { type: "welcome", controlAddresses, cases, limits });
     sendConfig(session);
     write(session, news.formatEngines());
     // The read was confirmed after the hello was sent, as with any beat.
@@ -204,6 +207,7 @@
     }
     if (beat.lost) tellLost(gateway, beat.lost);
     if (beat.leaving) options.onLeaving(beat.leaving);
+    beat.limits?.forEach(options.limits.take);
     options.quarantine.take(gateway.vm, beat);
     if (gateway.isReady !== beat.isReady) {
       session.gateway = { ...gateway, isReady: beat.isReady };
@@ -240,6 +244,18 @@
     }
   }
 
+  // Only while it surely leads: two leaders would grant a limit twice.
+  function grantSends(
+    session: Session,
+    { counts, askedMs }: GatewayMessage & { type: "grantRequest" },
+  ): void {
+    const { gateway } = session;
+    if (!gateway || sessions.get(gateway.vm) !== session) return;
+    if (!options.hasLease()) return;
+    const grants = options.limits.grant(counts);
+    send(session, { type: "grants", grants, askedMs });
+  }
+
   function grantTrials(
     session: Session,
     { trialsWanted = [], sentMs }: GatewayMessage & { type: "beat" },
@@ -269,6 +285,7 @@
     stream.on("data", (received: wire.FleetMessage) => {
       const message = news.parse(received);
       if (message.type === "beat") takeBeat(session, message);
+      else if (message.type === "grantRequest") grantSends(session, message);
       else void takeHello(session, message);
     });
     stream.on("error", () => forget(session));
--- a/src/fleet/create_gateway_sessions_test.ts
+++ b/src/fleet/create_gateway_sessions_test.ts
@@ -67,6 +67,7 @@
       grantTrial: () => undefined,
       list: () => [],
     },
+    limits: { take: () => {}, grant: () => [], list: () => [] },
     onSuspects: () => {},
     onSlow: () => {},
     onLeaving: () => {},
--- /dev/null
+++ b/src/fleet/create_limit_desk_test.ts
@@ -0,0 +1,117 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { createRandomSource } from "../../proof/random_source.ts";
+import { createLimitDesk, PROBE_RATE_PER_S } from "./create_limit_desk.ts";
+import type { ToldLimit } from "./messages.ts";
+
+function makeDesk() {
+  const clock = { ms: 0 };
+  const published: ToldLimit[] = [];
+  const desk = createLimitDesk({
+    publish: (limit) => void published.push(limit),
+    firstVersion: 100,
+    now: () => clock.ms,
+    log: () => {},
+  });
+  const grant = (count = 1, engineId = "a") =>
+    desk.grant({ [engineId]: count })[0];
+  return { clock, published, desk, grant };
+}
+
+test("a limit is told once, with a version of its own", () => {
+  const { published, desk } = makeDesk();
+  desk.take({ engineId: "a", limitPerS: 4.6 });
+  desk.take({ engineId: "a", limitPerS: 4.6 });
+  desk.take({ engineId: "a", limitPerS: 3 });
+  assert.equal(published, [
+    { engineId: "a", limitPerS: 4.6, version: 100 },
+    { engineId: "a", limitPerS: 3, version: 101 },
+  ]);
+  assert.equal(desk.list(), [published[1]]);
+});
+
+test("only an answer to a request of someone who knew the limit ends it or lets it grow", () => {
+  for (const limitPerS of [null, 9]) {
+    const { published, desk } = makeDesk();
+    desk.take({ engineId: "a", limitPerS: 4 });
+    desk.take({ engineId: "a", limitPerS: 3 });
+    desk.take({ engineId: "a", limitPerS });
+    desk.take({ engineId: "a", limitPerS, knownVersion: 100 });
+    assert.is(published.length, 2);
+    desk.take({ engineId: "a", limitPerS, knownVersion: 101 });
+    assert.is(published[2].limitPerS, limitPerS);
+    // The same news of a second gateway is none.
+    desk.take({ engineId: "a", limitPerS, knownVersion: 101 });
+    assert.is(published.length, 3);
+  }
+});
+
+test("an upstream that is named again after its limit's end is limited anew", () => {
+  const { desk, published } = makeDesk();
+  desk.take({ engineId: "a", limitPerS: 4 });
+  desk.take({ engineId: "a", limitPerS: null, knownVersion: 100 });
+  desk.take({ engineId: "a", limitPerS: 4 });
+  // An answer from before the second limit.
+  desk.take({ engineId: "a", limitPerS: null, knownVersion: 100 });
+  assert.equal(published.map(({ limitPerS }) => limitPerS), [4, null, 4]);
+});
+
+test("nothing is in hand when a limit comes into force", () => {
+  const { clock, desk, grant } = makeDesk();
+  desk.take({ engineId: "a", limitPerS: 4 });
+  assert.equal(grant(), { engineId: "a", count: 0, retryAfterMs: 250 });
+  clock.ms = 250;
+  assert.is(grant().count, 1);
+  assert.is(grant(3, "unlimited").count, 3);
+});
+
+test("a limit that changes doesn't fill what was spent", () => {
+  const { clock, desk, grant } = makeDesk();
+  desk.take({ engineId: "a", limitPerS: 4 });
+  clock.ms = 250;
+  assert.is(grant().count, 1);
+  desk.take({ engineId: "a", limitPerS: 3 });
+  desk.take({ engineId: "a", limitPerS: 50, knownVersion: 101 });
+  assert.is(grant(50).count, 0);
+});
+
+test("whatever is asked for, four seconds bring what the limit allows", () => {
+  for (const limitPerS of [0.2, 0.5, 4.6, 50]) {
+    const { clock, desk, grant } = makeDesk();
+    const random = createRandomSource(7);
+    desk.take({ engineId: "a", limitPerS });
+    const timesMs: number[] = [];
+    for (; clock.ms < 60_000; clock.ms += random.integer(1, 20)) {
+      const { count } = grant(random.integer(1, 3));
+      for (let at = 0; at < count; at++) timesMs.push(clock.ms);
+    }
+    const counts = timesMs.map((fromMs) =>
+      timesMs.filter((ms) => ms >= fromMs && ms < fromMs + 4_000).length
+    );
+    const allowed = 4 * limitPerS + Math.max(1, 0.4 * limitPerS);
+    assert.ok(Math.max(...counts) <= allowed, `${limitPerS}: ${counts}`);
+    assert.ok(timesMs.length >= 0.9 * 60 * limitPerS - 1, `${limitPerS}`);
+  }
+});
+
+test("an upstream that takes nothing is asked now and then", () => {
+  const { clock, desk, grant } = makeDesk();
+  desk.take({ engineId: "a", limitPerS: 0 });
+  const probeMs = 1_000 / PROBE_RATE_PER_S;
+  clock.ms = probeMs - 1;
+  assert.is(grant().count, 0);
+  clock.ms = probeMs;
+  assert.is(grant().count, 1);
+  assert.is(grant().count, 0);
+});
+
+test("a new leader knows no limits until it is told", () => {
+  const { desk, grant } = makeDesk();
+  desk.take({ engineId: "a", limitPerS: 4 });
+  desk.reset();
+  assert.equal(desk.list(), []);
+  desk.take({ engineId: "a", limitPerS: 4 });
+  assert.is(grant().count, 0);
+});
+
+test.run();
--- a/src/fleet/messages.ts
+++ b/src/fleet/messages.ts
@@ -51,6 +51,39 @@
   }>
 >;
 
+/** A rate limit of an upstream as gateways are told of it. */
+export interface ToldLimit {
+  /** Run of the upstream. */
+  readonly engineId: string;
+  /** Requests a second from all gateways together; null where it is unlimited. */
+  readonly limitPerS: number | null;
+  /** Another one for each limit that is told. */
+  readonly version: number;
+}
+
+/** A rate limit that a gateway read in an upstream's answer. */
+export interface LimitReport {
+  readonly engineId: string;
+  /** Requests a second from all gateways together; null where it names no limit. */
+  readonly limitPerS: number | null;
+  /**
+   * Version of the limit that the gateway knew when it sent the request; absent where
+   * it knew none.
+   */
+  readonly knownVersion?: number;
+}
+
+/** Sends for which a gateway asks, by upstream. */
+export type GrantCounts = Readonly<Record<string, number>>;
+
+/** Sends that are granted. */
+export type SendGrants = readonly {
+  readonly engineId: string;
+  readonly count: number;
+  /** Ms until the next may be granted; 0 where all that were asked for are. */
+  readonly retryAfterMs: number;
+}[];
+
 /** What a gateway tells the leader. */
 export type GatewayMessage =
   | {
@@ -94,6 +127,15 @@
     readonly trialsEnded?: readonly string[];
     /** Suspected requests that it would run on trial; absent where none. */
     readonly trialsWanted?: readonly TrialWish[];
+    /** Rate limits that it read in answers; absent where none are new. */
+    readonly limits?: readonly LimitReport[];
+  }
+  | {
+    /** Asks for leave to send to upstreams that are limited. */
+    readonly type: "grantRequest";
+    readonly counts: GrantCounts;
+    /** Gateway's monotonic time, in ms, when it asked. */
+    readonly askedMs: number;
   };
 
 /** A suspected request that a gateway would run on trial. */
@@ -121,6 +163,8 @@
     readonly controlAddresses: readonly string[];
     /** All requests that are suspected of ending upstreams. */
     readonly cases: readonly ToldCase[];
+    /** All rate limits of upstreams that are in force. */
+    readonly limits: readonly ToldLimit[];
   }
   | {
     readonly type: "config";
@@ -184,6 +228,17 @@
     /** Gateway's monotonic time, in ms, when it asked. */
     readonly askedMs: number;
   }
+  | {
+    /** Rate limits of upstreams that came into force, changed or ended. */
+    readonly type: "limits";
+    readonly limits: readonly ToldLimit[];
+  }
+  | {
+    readonly type: "grants";
+    readonly grants: SendGrants;
+    /** Gateway's monotonic time, in ms, when it asked. */
+    readonly askedMs: number;
+  }
   | {
     readonly type: "beatAck";
     readonly sentMs: number;
--- a/src/fleet/start_fleet_control.ts
+++ b/src/fleet/start_fleet_control.ts
@@ -34,6 +34,7 @@
   createLeaderRounds,
   VOTER_SILENCE_MS,
 } from "./create_leader_rounds.ts";
+import { createLimitDesk } from "./create_limit_desk.ts";
 import { createMemberKeeper } from "./create_member_keeper.ts";
 import { createPaceWatch, type ReadPace } from "./create_pace_watch.ts";
 import { createQuarantineDesk } from "./create_quarantine_desk.ts";
@@ -204,6 +205,13 @@
     now,
     log,
   });
+  const limits = createLimitDesk({
+    publish: (limit) => sessions.publish({ type: "limits", limits: [limit] }),
+    // Processes that lead one after the other begin at different times.
+    firstVersion: Date.now(),
+    now,
+    log,
+  });
   const sessions = createGatewaySessions({
     isLeader,
     hasLease: () => replica.hasLease(),
@@ -222,15 +230,19 @@
     knowsAllGateways: () => leadsFor(GATEWAYS_SETTLE_MS),
     lendRepeats: lender.lend,
     quarantine,
+    limits,
     onSuspects: registry.takeSuspects,
     onSlow: (engineIds) => paces.noteSlow(engineIds),
     onLeaving: (engineIds) => void desk.noteLeaves(engineIds),
     now,
     log,
   });
-  // Orders and questions of the leader are no requests; only a leave is news here.
-  function takeNotice(engineId: string, { isLeaving }: EngineNotice): void {
+  // Orders and questions of the leader are no requests: a leave is news here, and a
+  // limit that is named, but not that none is.
+  function takeNotice(engineId: string, notice: EngineNotice): void {
+    const { isLeaving, limitPerS = Infinity } = notice;
     if (isLeaving) void desk.noteLeaves([engineId]);
+    if (limitPerS < Infinity) limits.take({ engineId, limitPerS });
   }
 
   const paces = createPaceWatch({
@@ -318,6 +330,7 @@
     rounds.reset();
     registry.reset();
     keeper.reset();
+    limits.reset();
     addingEngines = addRecordedEngines();
   }
 
--- a/src/gateway/choose_call_path.ts
+++ b/src/gateway/choose_call_path.ts
@@ -9,8 +9,10 @@
 import { chooseEngine } from "./choose_engine.ts";
 import { choosePath, type PathNeed } from "./choose_path.ts";
 import type { EngineView } from "./engine_view.ts";
+import { getLimitWaitMs } from "./get_limit_wait_ms.ts";
 import { type ExpectedWork, expectOthers } from "./expect_others.ts";
 import { getRestWaitMs } from "./get_rest_wait_ms.ts";
+import { listSendable } from "./list_sendable.ts";
 import type { AddressedPart } from "./protocol.ts";
 import type { Call, ServingContext } from "./types.ts";
 
@@ -43,6 +45,12 @@
     /** Ms after which a path has rested. */
     readonly leftMs: number;
   }
+  /** Engines that could begin it are at their rate limits. */
+  | {
+    readonly type: "limited";
+    /** Ms after which one of them may have a send left. */
+    readonly leftMs: number;
+  }
   /** Nobody holds some layers. */
   | { readonly type: "missing" };
 
@@ -63,13 +71,13 @@
   context: ServingContext,
   options: ChooseCallPathOptions,
 ): CallPathChoice {
-  const { engines, place, now } = context;
+  const { engines, place, now, rateLimits } = context;
   const { excluded, need } = options;
   const model = getCallModel(call, context);
   if (!model) {
     const whole = chooseWhole(call, context, options);
     if (whole) return { type: "path", path: whole };
-    return explainMissing(call, context);
+    return explainLimit(call, context) ?? explainMissing(call, context);
   }
   const usable = engines.listUsable(call.service);
   const begunRequests = getBegunRequests(call, context);
@@ -82,19 +90,31 @@
     expected: expectWork(usable, { call, context, model, begunRequests }),
     drawBlindly: begunRequests === Infinity ? context.random : undefined,
     excluded,
+    mayBegin: (engineId: string) => rateLimits.getWaitMs(engineId) === 0,
     mayCross: engines.getCrossingPrompts() < MAX_CROSSING_PROMPTS,
     nowMs: now(),
   };
   const path = choosePath(usable, { ...by, need });
   if (path && !path.some(hasJustRefused)) return { type: "path", path };
   const isHeld = path ?? choosePath(usable, by);
-  return isHeld ? { type: "full" } : explainMissing(call, context, model);
+  if (isHeld) return { type: "full" };
+  const isLimited = choosePath(usable, { ...by, mayBegin: undefined });
+  return (isLimited && explainLimit(call, context)) ??
+    explainMissing(call, context, model);
 
   function hasJustRefused({ engineId }: AddressedPart): boolean {
     return (engines.get(engineId)?.fullUntilMs ?? 0) > now();
   }
 }
 
+function explainLimit(
+  call: Call,
+  context: ServingContext,
+): CallPathChoice | undefined {
+  const leftMs = getLimitWaitMs(call, context);
+  return leftMs === undefined ? undefined : { type: "limited", leftMs };
+}
+
 // One that has just rested takes a few requests at first: there is room in a moment.
 function explainMissing(
   { service }: Call,
@@ -147,6 +167,8 @@
         place: places[Math.floor(random() * places.length)] ?? context.place,
         gatewayCount: 1,
         expected,
+        // What a limit lets through is little beside what goes elsewhere.
+        mayBegin: (id) => context.rateLimits.getLimitPerS(id) === Infinity,
         excluded: new Set(),
         nowMs: context.now(),
         need: { tokens: usualTokens, isNew: true },
@@ -160,8 +182,8 @@
   context: ServingContext,
   options: ChooseCallPathOptions,
 ): AddressedPart[] | undefined {
-  const { engines, place, now, random } = context;
-  const engine = chooseEngine(engines.listUsable(call.service), {
+  const { place, now, random } = context;
+  const engine = chooseEngine(listSendable(call, context), {
     place,
     excluded: options.excluded,
     nowMs: now(),
--- a/src/gateway/choose_call_path_test.ts
+++ b/src/gateway/choose_call_path_test.ts
@@ -2,6 +2,7 @@
 import * as assert from "uvu/assert";
 import { makeEngineRecord } from "../../test/support/make_engine_record.ts";
 import { makeLayeredModel } from "../../test/support/make_layered_model.ts";
+import { makeRateLimits } from "../../test/support/make_rate_limits.ts";
 import type { LayerRange } from "../engines/index.ts";
 import { chooseCallPath, findDetour } from "./choose_call_path.ts";
 import { createEngineNotices } from "./create_engine_notices.ts";
@@ -38,6 +39,7 @@
   const context = {
     engines,
     notices,
+    rateLimits: makeRateLimits({ now: () => clock.ms }),
     place: "p",
     now: () => clock.ms,
     random: () => 0.5,
--- a/src/gateway/choose_path.ts
+++ b/src/gateway/choose_path.ts
@@ -42,6 +42,8 @@
   readonly drawBlindly?: () => number;
   /** Engines that may not be used. */
   readonly excluded: ReadonlySet<string>;
+  /** Whether a path may begin at an engine; by default it may at any. */
+  readonly mayBegin?: (engineId: string) => boolean;
   /** Monotonic time, in ms. */
   readonly nowMs: number;
   /** Whether a path may leave a data centre on the way; by default it may. */
@@ -230,8 +232,9 @@
 function getFirstCost(
   { unreadPrompts, record }: EngineView,
   { usedSlotsShare }: EngineUsage,
-  { need, hasIdleConnection }: ChoosePathOptions,
+  { need, hasIdleConnection, mayBegin }: ChoosePathOptions,
 ): number | undefined {
+  if (mayBegin?.(record.engineId) === false) return undefined;
   if (need && usedSlotsShare >= getUsableShare(need)) return undefined;
   const isConnected = hasIdleConnection?.(record.engineId) ?? true;
   return FULL_SLOTS_COST_MS * getExcess(usedSlotsShare, BUSY_SLOTS_SHARE) +
--- a/src/gateway/create_fleet_link.ts
+++ b/src/gateway/create_fleet_link.ts
@@ -13,9 +13,10 @@
   type GatewayActivity,
   type GatewayMessage,
   type GatewayRecord,
+  type GrantCounts,
   type LeaderMessage,
+  type LimitReport,
   parseLeaderMessage,
-  type ToldCase,
 } from "../fleet/index.ts";
 import type { Logger } from "../logs/index.ts";
 import {
@@ -49,8 +50,10 @@
   readonly takeActivity: () => GatewayActivity;
   /** What the leader is told of suspected requests. */
   readonly getQuarantineNews: () => QuarantineTold;
-  /** Called by each leader that takes it in, with all suspected requests. */
-  readonly onWelcome: (cases: readonly ToldCase[]) => void;
+  /** Rate limits of upstreams of which the leader has not been told. */
+  readonly takeLimitReports: () => readonly LimitReport[];
+  /** Called by each leader that takes it in, with what it knows. */
+  readonly onWelcome: (welcome: LeaderMessage & { type: "welcome" }) => void;
   readonly onMessage: (message: LeaderMessage) => void;
   /** Called when the leader surely held this version at `sentMs`. */
   readonly onConfirmed: (sentMs: number, version: number) => void;
@@ -67,6 +70,8 @@
   beat(): void;
   /** Sends a beat in a moment, together with what else is found meanwhile. */
   beatSoon(): void;
+  /** Asks for leave to send to upstreams that are limited; false without a session. */
+  requestGrants(counts: GrantCounts, askedMs: number): boolean;
   /** Ends the session; the next one begins with a hello again. */
   renew(): void;
 }
@@ -181,7 +186,7 @@
         return;
       case "welcome":
         from.isWelcome = true;
-        options.onWelcome(message.cases);
+        options.onWelcome(message);
         controlAddresses = message.controlAddresses;
         beatDueMs = 0;
         log("controlConnected", { address: from.address });
@@ -223,6 +228,7 @@
     const slowEngines = options.takeSlow();
     const leaving = options.listLeaves();
     const repeatsWanted = options.getRepeatsWanted();
+    const limits = options.takeLimitReports();
     send(session, {
       type: "beat",
       sentMs: now(),
@@ -232,6 +238,7 @@
       ...(lost.length > 0 ? { lost } : {}),
       ...(slowEngines.length > 0 ? { slowEngines } : {}),
       ...(leaving.length > 0 ? { leaving } : {}),
+      ...(limits.length > 0 ? { limits } : {}),
       ...(isEmpty(activity) ? {} : { activity }),
       ...(isEmpty(repeatsWanted) ? {} : { repeatsWanted }),
       ...options.getQuarantineNews(),
@@ -239,10 +246,13 @@
   }
 
   function beatSoon(): void {
-    gathering ??= setTimeout(() => {
-      gathering = undefined;
-      beat();
-    }, GATHER_MS);
+    gathering ??= setTimeout(beatNow, GATHER_MS);
+  }
+
+  function beatNow(): void {
+    clearTimeout(gathering);
+    gathering = undefined;
+    beat();
   }
 
   const timer = setInterval(check, CHECK_INTERVAL_MS);
@@ -250,6 +260,13 @@
   return {
     beat,
     beatSoon,
+    requestGrants(counts, askedMs) {
+      if (!session?.isWelcome) return false;
+      // A limit of which the leader has not heard is none: the news goes first.
+      if (gathering !== undefined) beatNow();
+      send(session, { type: "grantRequest", counts, askedMs });
+      return true;
+    },
     renew() {
       if (session) close(session, "renewed");
     },
--- a/src/gateway/create_return_schedule.ts
+++ b/src/gateway/create_return_schedule.ts
@@ -8,6 +8,8 @@
 export interface CreateReturnScheduleOptions {
   /** Mean time, in ms, between two ends of the fleet's streams. */
   readonly getEndIntervalMs: (service: string) => number;
+  /** Ms that a caller waits at least; what a full fleet asks for by default. */
+  readonly leastWaitMs?: number;
   /** Gateways that take callers: each gives out its part of the turns. */
   readonly getGatewayCount: () => number;
   /** Monotonic time, in ms. */
@@ -55,7 +57,7 @@
 export function createReturnSchedule(
   options: CreateReturnScheduleOptions,
 ): ReturnSchedule {
-  const { now, random } = options;
+  const { now, random, leastWaitMs = LEAST_WAIT_MS } = options;
   const turnsMs = new Map<string, number>();
 
   // One gateway's turns follow each other as many times slower as there are
@@ -68,7 +70,7 @@
   return {
     getWaitMs(service) {
       const turnMs = (turnsMs.get(service) ?? 0) + getTurnIntervalMs(service);
-      const earliestMs = now() + LEAST_WAIT_MS;
+      const earliestMs = now() + leastWaitMs;
       const latestMs = now() + MOST_WAIT_MS;
       const nextTurnMs = Math.min(latestMs, Math.max(earliestMs, turnMs));
       turnsMs.set(service, nextTurnMs);
--- a/src/gateway/create_run_permit.ts
+++ b/src/gateway/create_run_permit.ts
@@ -64,7 +64,7 @@
   call: Call,
   context: ServingContext,
 ): RunPermit {
-  const { quarantine, now } = context;
+  const { quarantine, now, rateLimits } = context;
   const { requestKey } = call;
   let trialEngineId: string | undefined;
   let isOnTrial = false;
@@ -73,7 +73,7 @@
   function askForTrial(excluded: ReadonlySet<string>): PermitAnswer {
     const engineIds = listBeginners(call, context)
       .map(({ record }) => record.engineId)
-      .filter((id) => !excluded.has(id));
+      .filter((id) => !excluded.has(id) && rateLimits.getWaitMs(id) === 0);
     // Its upstream may be gone by the time that there is room or a repeat.
     if (trialEngineId !== undefined && !engineIds.includes(trialEngineId)) {
       endTrial();
--- a/src/gateway/create_run_permit_test.ts
+++ b/src/gateway/create_run_permit_test.ts
@@ -3,6 +3,7 @@
 import { makeEngineRecord } from "../../test/support/make_engine_record.ts";
 import { createRunPermit } from "./create_run_permit.ts";
 import { makeEngineView } from "./engine_view.ts";
+import { makeRateLimits } from "../../test/support/make_rate_limits.ts";
 import type { Call, ServingContext } from "./types.ts";
 
 const CALL = { service: "s", requestKey: "k" } as Call;
@@ -23,6 +24,7 @@
       listUsable: () =>
         usable.map((engineId) => makeEngineView(makeEngineRecord(engineId))),
     },
+    rateLimits: makeRateLimits(),
     getTable: () => undefined,
     now: () => 0,
   } as unknown as ServingContext;
--- a/src/gateway/create_send_waits.ts
+++ b/src/gateway/create_send_waits.ts
@@ -26,8 +26,8 @@
   /** Waits for a path; called back only where it may still come. */
   waitForPath(options: {
     readonly onWait: () => void;
-    /** Ms before which there surely is none, as engines rest; 0 by default. */
-    readonly restLeftMs?: number;
+    /** Ms before which there surely is none; 0 by default. */
+    readonly leftMs?: number;
   }): void;
   /** Waits for a repeat that may be spent. */
   waitForRepeats(): void;
@@ -71,11 +71,11 @@
       if (!options.roomWait.mayWait()) return onGiveUp("full");
       setTimeout(onLook, ROOM_WAIT_MS);
     },
-    waitForPath({ onWait, restLeftMs = 0 }) {
+    waitForPath({ onWait, leftMs = 0 }) {
       const limitMs = options.hasBegun() ? MAX_PATH_WAIT_MS : NEW_PATH_WAIT_MS;
       const silenceMs = options.relay.getSilenceMs();
       if (silenceMs > limitMs) return onGiveUp("no path");
-      if (silenceMs + restLeftMs > limitMs) return onGiveUp("resting");
+      if (silenceMs + leftMs > limitMs) return onGiveUp("no path in time");
       onWait();
       setTimeout(onLook, PATH_WAIT_MS);
     },
--- /dev/null
+++ b/src/gateway/list_sendable.ts
@@ -0,0 +1,27 @@
+/**
+ * The upstreams to which a call may be sent now.
+ *
+ * @module
+ */
+
+import type { EngineView } from "./engine_view.ts";
+import type { Call, ServingContext } from "./types.ts";
+
+/**
+ * Lists the upstreams of a call's service that take new work and have a send left
+ * under their rate limits, as far as this gateway knows.
+ *
+ * @param call - The call.
+ * @param context - The upstreams and their limits.
+ * @returns The upstreams.
+ * @throws Nothing.
+ * @example
+ * const engine = chooseEngine(listSendable(call, context), options);
+ */
+export function listSendable(
+  { service }: Pick<Call, "service">,
+  { engines, rateLimits }: Pick<ServingContext, "engines" | "rateLimits">,
+): EngineView[] {
+  return engines.listUsable(service)
+    .filter(({ record }) => rateLimits.getWaitMs(record.engineId) === 0);
+}
--- a/src/gateway/refuse_for_rest.ts
+++ b/src/gateway/refuse_for_later.ts
@@ -1,5 +1,5 @@
 /**
- * Ends a call that can't be sent because upstreams rest.
+ * Ends a call that can't be sent before a time that is known.
  *
  * @module
  */
@@ -8,8 +8,10 @@
 import type { Call, ServingContext } from "./types.ts";
 
 /** How far the call has come, and when its caller may come again. */
-export interface RefuseForRestOptions {
+export interface RefuseForLaterOptions {
   readonly callEnd: CallEnd;
+  /** Whether upstreams rest or are at their rate limits. */
+  readonly reason: "resting" | "limited";
   readonly tries: number;
   readonly runs: number;
   readonly retryAfterMs: number;
@@ -24,16 +26,15 @@
  * @returns Nothing.
  * @throws Nothing.
  * @example
- * refuseForRest(call, context, { callEnd, tries, runs, retryAfterMs });
+ * refuseForLater(call, context, { callEnd, reason, tries, runs, retryAfterMs });
  */
-export function refuseForRest(
+export function refuseForLater(
   { request }: Call,
   { log }: Pick<ServingContext, "log">,
-  options: RefuseForRestOptions,
+  options: RefuseForLaterOptions,
 ): void {
-  const { callEnd, tries, runs, retryAfterMs } = options;
+  const { callEnd, reason, tries, runs, retryAfterMs } = options;
   const { requestId } = request;
-  const reason = "resting";
   log("callGivenUp", { requestId, reason, tries, runs, retryAfterMs });
   callEnd.refuse({ status: 503, reason, retryAfterMs });
 }
--- a/src/gateway/serve_plain_call.ts
+++ b/src/gateway/serve_plain_call.ts
@@ -21,7 +21,12 @@
 import { noteRest } from "./note_rest.ts";
 import { noteWithheld } from "./note_withheld.ts";
 import type { UpstreamHead } from "./protocol.ts";
-import { refuseForRest } from "./refuse_for_rest.ts";
+import type { SendGrant } from "./create_rate_limits.ts";
+import { getLimitReturnMs } from "./get_limit_return_ms.ts";
+import { getLimitWaitMs } from "./get_limit_wait_ms.ts";
+import { listSendable } from "./list_sendable.ts";
+import { refuseForLater } from "./refuse_for_later.ts";
+import { requestGrant } from "./request_grant.ts";
 import { spreadReturnMs } from "./spread_return_ms.ts";
 import { startCallExchange } from "./start_call_exchange.ts";
 import type { Call, ServingContext } from "./types.ts";
@@ -110,9 +115,16 @@
       if (retryAfterMs !== undefined) return endForRest(retryAfterMs);
       isLetIn = true;
       const engine = tries < MAX_TRIES ? choose(trialEngineId) : undefined;
-      if (!engine || !payment.payNext()) return giveUp();
+      if (!engine) return giveUp();
+      const { engineId } = engine.record;
+      const grant = context.rateLimits.take(engineId);
+      if (!grant) return void requestGrant(call, context, engineId).then(next);
+      if (!payment.payNext()) {
+        grant.giveBack();
+        return giveUp();
+      }
       tries += 1;
-      send(engine);
+      send(engine, grant);
     }
 
     function goOn(): void {
@@ -138,7 +150,7 @@
     function chooseAmong(
       isAllowed: (engineId: string) => boolean = () => true,
     ): EngineView | undefined {
-      const usable = engines.listUsable(service)
+      const usable = listSendable(call, context)
         .filter(({ record }) => isAllowed(record.engineId));
       return chooseEngine(usable, {
         place: context.place,
@@ -161,6 +173,8 @@
       if (restLeftMs !== undefined) {
         return endForRest(spreadReturnMs(restLeftMs, context.random()));
       }
+      const leftMs = getLimitWaitMs(call, context);
+      if (leftMs !== undefined) return endForLimit(leftMs);
       callEnd.refuse({
         status: 503,
         reason: "no_upstream",
@@ -169,10 +183,19 @@
     }
 
     function endForRest(retryAfterMs: number): void {
-      refuseForRest(call, context, { callEnd, tries, runs, retryAfterMs });
+      const reason = "resting";
+      const options = { callEnd, reason, tries, runs, retryAfterMs } as const;
+      refuseForLater(call, context, options);
+    }
+
+    function endForLimit(leftMs: number): void {
+      const retryAfterMs = getLimitReturnMs(context, { service, leftMs });
+      const reason = "limited";
+      const options = { callEnd, reason, tries, runs, retryAfterMs } as const;
+      refuseForLater(call, context, options);
     }
 
-    function send(engine: EngineView): void {
+    function send(engine: EngineView, grant: SendGrant): void {
       const { engineId } = engine.record;
       const chunks: Buffer[] = [];
       let head: UpstreamHead | undefined;
@@ -193,6 +216,7 @@
       exchange = startCallExchange(call, context, {
         engine: engine.record,
         path: [],
+        grant,
         lastEventId: request.lastEventId,
         onHead: (told) => {
           head = told;
--- a/src/gateway/serve_stream_call.ts
+++ b/src/gateway/serve_stream_call.ts
@@ -28,7 +28,10 @@
 } from "./find_upstream_end.ts";
 import { noteWithheld } from "./note_withheld.ts";
 import type { AddressedPart, UpstreamHead } from "./protocol.ts";
-import { refuseForRest } from "./refuse_for_rest.ts";
+import type { SendGrant } from "./create_rate_limits.ts";
+import { getLimitReturnMs } from "./get_limit_return_ms.ts";
+import { refuseForLater } from "./refuse_for_later.ts";
+import { requestGrant } from "./request_grant.ts";
 import { spreadReturnMs } from "./spread_return_ms.ts";
 import {
   startStreamRun,
@@ -168,12 +171,19 @@
       });
       if (choice.type === "full" && isNew) return waits.waitForRoom();
       if (choice.type === "resting") return waitForRest(choice.leftMs);
+      if (choice.type === "limited") return waitForLimit(choice.leftMs);
       if (choice.type !== "path") return waitForPath();
       const { path } = choice;
-      if (!payment.payNext()) return waits.waitForRepeats();
+      const [{ engineId }] = path;
+      const grant = context.rateLimits.take(engineId);
+      if (!grant) return void requestGrant(call, context, engineId).then(next);
+      if (!payment.payNext()) {
+        grant.giveBack();
+        return waits.waitForRepeats();
+      }
       waits.noteSent();
       tries += 1;
-      send(path);
+      send(path, grant);
     }
 
     // Engines that were left out for this call may be back by then.
@@ -183,16 +193,28 @@
 
     // Nobody can take it before the first has rested: a caller that has nothing of
     // it yet is told so at once, in place of being kept for it.
-    function waitForRest(restLeftMs: number): void {
-      if (response.headersSent || runs > 0) {
-        const onWait = () => excluded.clear();
-        return waits.waitForPath({ onWait, restLeftMs });
-      }
-      endForRest(spreadReturnMs(restLeftMs, context.random()));
+    function waitForRest(leftMs: number): void {
+      if (response.headersSent || runs > 0) return waitUntilUsable(leftMs);
+      endForRest(spreadReturnMs(leftMs, context.random()));
+    }
+
+    function waitForLimit(leftMs: number): void {
+      if (response.headersSent || runs > 0) return waitUntilUsable(leftMs);
+      const retryAfterMs = getLimitReturnMs(context, { service, leftMs });
+      const reason = "limited";
+      const options = { callEnd, reason, tries, runs, retryAfterMs } as const;
+      refuseForLater(call, context, options);
+    }
+
+    function waitUntilUsable(leftMs: number): void {
+      const onWait = () => excluded.clear();
+      waits.waitForPath({ onWait, leftMs });
     }
 
     function endForRest(retryAfterMs: number): void {
-      refuseForRest(call, context, { callEnd, tries, runs, retryAfterMs });
+      const reason = "resting";
+      const options = { callEnd, reason, tries, runs, retryAfterMs } as const;
+      refuseForLater(call, context, options);
     }
 
     function goOn(): void {
@@ -217,7 +239,7 @@
       });
     }
 
-    function send(path: readonly AddressedPart[]): void {
+    function send(path: readonly AddressedPart[], grant: SendGrant): void {
       roomWait.end();
       const { lastEventId } = relay.getProgress();
       log("callSent", {
@@ -235,6 +257,7 @@
       run = startStreamRun(call, context, {
         path,
         isLayered: model !== undefined,
+        grant,
         tokens,
         lastEventId,
         onHead: takeHead,
--- a/src/gateway/start_call_exchange.ts
+++ b/src/gateway/start_call_exchange.ts
@@ -5,6 +5,7 @@
  */
 
 import type { Exchange, ExchangeOptions } from "./create_exchanger.ts";
+import type { SendGrant } from "./create_rate_limits.ts";
 import type { AddressedPart } from "./protocol.ts";
 import type { Call, ServingContext } from "./types.ts";
 
@@ -15,6 +16,8 @@
   readonly engine: Pick<AddressedPart, "engineId" | "address">;
   /** Parts of a layered model; none where one upstream has all. */
   readonly path: readonly AddressedPart[];
+  /** Leave to send to the upstream; given back where nothing is sent. */
+  readonly grant: SendGrant;
   /** Event after which the answer is to go on. */
   readonly lastEventId: string | undefined;
 }
@@ -37,14 +40,15 @@
   options: StartCallExchangeOptions,
 ): Exchange {
   const { request, body, account } = call;
-  const { notices } = context;
-  const { engine, path, lastEventId, onData } = options;
+  const { notices, rateLimits } = context;
+  const { engine, path, grant, lastEventId, onData } = options;
   const { engineId, address } = engine;
   const takeAnswer = notices.beginSend(engineId);
   // Its own send may be the one that fills what a rested upstream takes at first.
   const mayReach = (one: string) =>
     notices.getRestLeftMs(one) === 0 && !notices.isLeaving(one);
-  const leftMs = Math.floor(call.deadlineMs - context.now());
+  const sentMs = context.now();
+  const leftMs = Math.floor(call.deadlineMs - sentMs);
   return context.exchanger.start({
     engineId,
     address,
@@ -59,14 +63,21 @@
     }),
     body,
     requestId: request.requestId,
-    mayLeave: () => [engine, ...path].every((one) => mayReach(one.engineId)),
+    mayLeave: () =>
+      grant.isValid() &&
+      [engine, ...path].every((one) => mayReach(one.engineId)),
     onHead(head) {
+      const { limitPerS } = head;
+      if (limitPerS !== undefined) {
+        rateLimits.takeAnswer(engineId, { limitPerS, sentMs });
+      }
       takeAnswer({ isTaken: !head.saysNotRun });
       options.onHead(head);
     },
     onData,
     onEnd(end) {
       takeAnswer({ isTaken: false });
+      if (end.type === "notSent" || end.type === "withheld") grant.giveBack();
       options.onEnd(end);
     },
   });
--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -93,6 +93,8 @@
 /** Ms between two looks at what gauges tell. */
 const GAUGE_INTERVAL_MS = 2_000;
 
+const MS_PER_S = 1_000;
+
 /** Gateways assumed for the budget of repeats while none are known. */
 const UNKNOWN_GATEWAYS = 20;
 
@@ -139,7 +141,15 @@
     log,
     metrics,
   });
-  const rateLimits = createRateLimits({ log, metrics });
+  const rateLimits = createRateLimits({
+    requestGrants: (counts, askedMs) => link.requestGrants(counts, askedMs),
+    onNews: () => link.beatSoon(),
+    getGatewayCount: () =>
+      gateways.list().length === 0 ? UNKNOWN_GATEWAYS : gateways.list().length,
+    now,
+    log,
+    metrics,
+  });
   const exchanger = createExchanger(codec, { onNotice: takeNotice });
   const engines = createEngineTable({
     now,
@@ -218,6 +228,13 @@
       now,
       random: Math.random,
     }),
+    limitReturns: createReturnSchedule({
+      getEndIntervalMs: getLimitIntervalMs,
+      leastWaitMs: 0,
+      getGatewayCount,
+      now,
+      random: Math.random,
+    }),
     getRoomQueue: createRoomQueues(rates),
     getTable: config.getTable,
     getGatewayCount,
@@ -233,6 +250,15 @@
     !isLeaving && config.getTable() !== undefined && knowsEngines &&
     lease.isValid();
 
+  // Mean time between two sends that the limits of a service's upstreams allow.
+  function getLimitIntervalMs(service: string): number {
+    const ratePerS = engines.listUsable(service)
+      .map(({ record }) => rateLimits.getLimitPerS(record.engineId))
+      .filter((limitPerS) => limitPerS < Infinity)
+      .reduce((sum, limitPerS) => sum + limitPerS, 0);
+    return MS_PER_S / ratePerS;
+  }
+
   function noteLost(engineId: string, reason: string): void {
     engines.suspect(engineId, reason);
     losses.note(engineId);
@@ -243,9 +269,8 @@
   function takeNotice(engineId: string, notice: EngineNotice): void {
     const isNews = notice.isLeaving && !engines.isLeaving(engineId);
     notices.take(engineId, notice);
-    if (notice.limitPerS !== undefined) {
-      rateLimits.take(engineId, notice.limitPerS);
-    }
+    const { limitPerS } = notice;
+    if (limitPerS !== undefined) rateLimits.takeAnswer(engineId, { limitPerS });
     if (isNews) link.beatSoon();
   }
 
@@ -275,6 +300,10 @@
         return context.runWatch.takeLost(message.engineIds);
       case "repeatsLent":
         return budget.takeLoan(message);
+      case "limits":
+        return rateLimits.takeTold(message.limits);
+      case "grants":
+        return rateLimits.takeGrants(message);
       case "cases":
         return quarantine.takeCases(message);
       case "trial":
@@ -295,7 +324,11 @@
     getRepeatsWanted: budget.getWanted,
     takeActivity: rates.takeOwn,
     getQuarantineNews: quarantine.getTold,
-    onWelcome: quarantine.takeWhole,
+    takeLimitReports: rateLimits.takeReports,
+    onWelcome({ cases, limits }) {
+      quarantine.takeWhole(cases);
+      rateLimits.takeWhole(limits);
+    },
     onMessage: takeMessage,
     onConfirmed: (sentMs, version) =>
       lease.confirm({ sentMs, version, held: config.getVersion() }),
@@ -322,7 +355,8 @@
     metrics.gauge("config.lease_ms", Math.max(0, lease.getLeftMs()));
     metrics.gauge("engines.known", engines.getSize());
     metrics.gauge("engines.resting", notices.countResting());
-    metrics.gauge("engines.limited", rateLimits.countLimited());
+    const limited = rateLimits.listLimited().filter(engines.get);
+    metrics.gauge("engines.limited", limited.length);
     const { suspects, held } = quarantine.count();
     metrics.gauge("quarantine.suspects", suspects);
     metrics.gauge("quarantine.held", held);
--- a/src/gateway/start_stream_run.ts
+++ b/src/gateway/start_stream_run.ts
@@ -8,6 +8,7 @@
 import type { ExchangeEnd } from "./create_exchanger.ts";
 import type { AddressedPart, UpstreamHead } from "./protocol.ts";
 import { createEventSplitter, type StreamEvent } from "./split_events.ts";
+import type { SendGrant } from "./create_rate_limits.ts";
 import { startCallExchange } from "./start_call_exchange.ts";
 import type { Call, ServingContext } from "./types.ts";
 
@@ -49,6 +50,8 @@
   readonly path: readonly AddressedPart[];
   /** Whether the engines are told the path. */
   readonly isLayered: boolean;
+  /** Leave to send to the first engine. */
+  readonly grant: SendGrant;
   /** Tokens that it will take on each engine. */
   readonly tokens: number;
   /** Event after which the answer is to go on. */
@@ -111,6 +114,7 @@
   const exchange = startCallExchange(call, context, {
     engine: path[0],
     path: options.isLayered ? path : [],
+    grant: options.grant,
     lastEventId: options.lastEventId,
     onHead(told) {
       head = told;
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -69,6 +69,8 @@
   readonly endRate: EndRate;
   readonly rates: FleetRates;
   readonly returns: ReturnSchedule;
+  /** Turns of callers that found all upstreams at their rate limits. */
+  readonly limitReturns: ReturnSchedule;
   /** New streams of a service that wait for room. */
   readonly getRoomQueue: (service: string) => RoomQueue;
   readonly getTable: () => RouteTable | undefined;
--- a/src/logs/events.ts
+++ b/src/logs/events.ts
@@ -176,15 +176,21 @@
     "info",
     "Upstream says in an answer that it leaves",
   ),
-  engineNamesLimit: event(
+  engineLimited: event(
     "CL1724",
     "warn",
-    "Upstream names the requests a second that it takes from all gateways",
+    "Upstream takes so many requests a second from all gateways",
   ),
-  engineNamesNoLimit: event(
-    "CL1725",
+  engineNotLimited: event("CL1725", "info", "Upstream is no longer limited"),
+  limitInForce: event(
+    "CL1726",
     "info",
-    "Upstream names no limit any more",
+    "Rate limit of an upstream came into force, changed or ended",
+  ),
+  callNotGranted: event(
+    "CL1812",
+    "info",
+    "Request was not granted a send to an upstream at its rate limit",
   ),
   callWithheld: event(
     "CL1811",
--- a/src/metrics/metric_catalogue.ts
+++ b/src/metrics/metric_catalogue.ts
@@ -31,6 +31,7 @@
   awaits_trial:
     "Upstreams ended under the request; it has no turn to be tried yet",
   resting: "All upstreams that could take the request have asked for rest",
+  limited: "All upstreams that could take the request are at their rate limits",
   outcome_unknown: "The request was sent, and whether it ran is not known",
   answer_broken: "The upstream's answer broke off",
 } as const;
@@ -82,7 +83,11 @@
   "engines.rests_asked": "Answers in which upstreams asked for rest",
   "engines.resting": "Upstreams that want nothing of this gateway for now",
   "engines.limits_named": "Answers in which upstreams named a new rate limit",
-  "engines.limited": "Upstreams that named a rate limit to this gateway",
+  "engines.limited": "Upstreams that are limited",
+  "grants.requested":
+    "Sends to limited upstreams for which the leader was asked",
+  "grants.denied": "Times that a limited upstream had no send left",
+  "grants.unanswered": "Requests for sends that the leader did not answer",
   "requests.withheld":
     "Requests that had not left yet when their upstream asked for rest or left",
   "engines.suspected": "Upstreams left out for a while by this gateway",
--- a/test/config_change_test.ts
+++ b/test/config_change_test.ts
@@ -46,7 +46,12 @@
         const message = parseGatewayMessage(received, numbers);
         if (message.type !== "hello") return;
         hellos.push(message.version);
-        tell({ type: "welcome", controlAddresses: [address], cases: [] });
+        tell({
+          type: "welcome",
+          controlAddresses: [address],
+          cases: [],
+          limits: [],
+        });
         answer(message.version).forEach(tell);
       });
       stream.on("error", () => {});
--- a/test/many_gateways_test.ts
+++ b/test/many_gateways_test.ts
@@ -94,6 +94,7 @@
     takeSuspects: () => [],
     takeLost: () => [],
     listLeaves: () => [],
+    takeLimitReports: () => [],
     takeSlow: () => [],
     getLoads: () => ({ e0: { tokens: 100, requests: 1 } }),
     getRepeatsWanted: () => ({}),
--- /dev/null
+++ b/test/support/make_rate_limits.ts
@@ -0,0 +1,26 @@
+/**
+ * Rate limits before a leader that isn't there.
+ *
+ * @module
+ */
+
+import {
+  createRateLimits,
+  type CreateRateLimitsOptions,
+  type RateLimits,
+} from "../../src/gateway/create_rate_limits.ts";
+
+/** Makes limits; by default no upstream is limited and no leader is asked. */
+export function makeRateLimits(
+  options: Partial<CreateRateLimitsOptions> = {},
+): RateLimits {
+  return createRateLimits({
+    requestGrants: () => false,
+    onNews: () => {},
+    getGatewayCount: () => 1,
+    now: () => 0,
+    log: () => {},
+    metrics: { count: () => {} },
+    ...options,
+  });
+}
