--- /dev/null
+++ b/measure/limits.ts
@@ -0,0 +1,72 @@
+/**
+ * Ways of dividing an upstream's rate limit among gateways.
+ *
+ * @module
+ */
+
+import {
+  divideEvenly,
+  type DivideLimit,
+  grantOnRequest,
+  leaseByDemand,
+  playLimit,
+} from "./limits_model.ts";
+import { printTable, type TableRow } from "./print_table.ts";
+
+const WAYS: Readonly<Record<string, DivideLimit>> = {
+  "equal shares": divideEvenly,
+  "leases by demand": leaseByDemand,
+  "grants on request": grantOnRequest,
+};
+
+const GATEWAYS = [11, 100, 330];
+
+const LIMITS_PER_S = [0.2, 0.5, 4.6, 50];
+
+/** Demand as a multiple of the limit, and the share of gateways that get most of it. */
+const DEMANDS = [
+  { name: "3, even", demand: 3, busyShare: 1 },
+  { name: "3, a tenth of them", demand: 3, busyShare: 0.1 },
+  { name: "0.8, even", demand: 0.8, busyShare: 1 },
+];
+
+const SEEDS = [1, 2, 3];
+
+/** Prints how well each way keeps to the limit and uses it up. */
+export function measureLimits(): void {
+  const rows = GATEWAYS.flatMap((gateways) =>
+    LIMITS_PER_S.flatMap((limitPerS) =>
+      DEMANDS.flatMap((demand) =>
+        Object.entries(WAYS).map(([way, divide]) =>
+          playWay({ gateways, limitPerS, ...demand, way, divide })
+        )
+      )
+    )
+  );
+  printTable(rows);
+}
+
+function playWay(options: {
+  readonly gateways: number;
+  readonly limitPerS: number;
+  readonly name: string;
+  readonly demand: number;
+  readonly busyShare: number;
+  readonly way: string;
+  readonly divide: DivideLimit;
+}): TableRow {
+  const { gateways, limitPerS, name, way } = options;
+  const results = SEEDS.map((seed) => playLimit({ ...options, seed }));
+  const mean = (get: (one: typeof results[number]) => number) =>
+    results.reduce((sum, one) => sum + get(one), 0) / results.length;
+  return {
+    gateways,
+    limit: limitPerS,
+    demand: name,
+    way,
+    "limit in 4 s": (4 * limitPerS).toFixed(1),
+    "most in 4 s": Math.max(...results.map((one) => one.mostInWindow)),
+    used: mean((one) => one.usedShare).toFixed(2),
+    "messages a second": mean((one) => one.messagesPerS).toFixed(1),
+  };
+}
--- a/measure/main.ts
+++ b/measure/main.ts
@@ -9,6 +9,7 @@
 import { measureChoice } from "./choice.ts";
 import { measureFailover } from "./failover.ts";
 import { measureLayers } from "./layers.ts";
+import { measureLimits } from "./limits.ts";
 import { measureOverload } from "./overload.ts";
 import { measurePath } from "./path.ts";
 import { measureProfile } from "./profile.ts";
@@ -24,6 +25,7 @@
   layers: measureLayers,
   recovery: measureRecovery,
   rest: measureRest,
+  limits: measureLimits,
   overload: measureOverload,
   choice: measureChoice,
   path: measurePath,
