--- a/src/gateway/choose_call_path.ts
+++ b/src/gateway/choose_call_path.ts
@@ -98,9 +98,11 @@
   if (path && !path.some(hasJustRefused)) return { type: "path", path };
   const isHeld = path ?? choosePath(usable, by);
   if (isHeld) return { type: "full" };
-  const isLimited = choosePath(usable, { ...by, mayBegin: undefined });
-  return (isLimited && explainLimit(call, context)) ??
-    explainMissing(call, context, model);
+  const limited = explainLimit(call, context);
+  if (limited && choosePath(usable, { ...by, mayBegin: undefined })) {
+    return limited;
+  }
+  return explainMissing(call, context, model);
 
   function hasJustRefused({ engineId }: AddressedPart): boolean {
     return (engines.get(engineId)?.fullUntilMs ?? 0) > now();
--- a/src/gateway/choose_call_path_test.ts
+++ b/src/gateway/choose_call_path_test.ts
@@ -64,6 +64,33 @@
   return choice.path.map(({ engineId }) => engineId);
 }
 
+test("a path doesn't begin at an engine that has no send left", async () => {
+  const { context, choose } = makeFleet();
+  const { rateLimits } = context;
+  rateLimits.takeTold([{ engineId: "a1", limitPerS: 1, version: 1 }]);
+  rateLimits.takeTold([{ engineId: "b1", limitPerS: 1, version: 2 }]);
+  // Without a leader there is nothing in hand at first.
+  await rateLimits.request("a1");
+  await rateLimits.request("b1");
+  // What comes after the first engine gets nothing from gateways.
+  assert.equal(listIds(choose()), ["a2", "b1"]);
+});
+
+test("where all that could begin are at their limits, it is known until when", async () => {
+  const { context, choose } = makeFleet();
+  const { rateLimits } = context;
+  for (const engineId of ["a1", "a2"]) {
+    rateLimits.takeTold([{ engineId, limitPerS: 1, version: 1 }]);
+    await rateLimits.request(engineId);
+  }
+  assert.equal(choose(), { type: "limited", leftMs: 500 });
+  assert.equal(choose(["a1"]), { type: "limited", leftMs: 500 });
+  // One that failed this call but isn't limited may serve it yet.
+  rateLimits.takeTold([{ engineId: "a2", limitPerS: null, version: 2 }]);
+  assert.is(choose(["a2"]).type, "missing");
+  assert.equal(listIds(choose()), ["a2", "b1"]);
+});
+
 test("neither the first nor the last engine of a path is one that rests", () => {
   const { rest, choose } = makeFleet();
   rest("a1", 500);
