Entries keep to the rate limits that plain services name

Seen: of two services one named 4 requests a second, and two entries sent it 44 in 3 s (test, failing before). Cause: as on the other interface, the limit was read nowhere; its class is the same.

Change: an entry reads the field (`crowlever-rate-limit`) and paces what it sends there to its share of the upstream, which control already divides so that all shares add up to one. A further message between entries and control was not needed.

Stages of a pipeline are not limited by it: their requests are steps.

--- a/src/entry/create_upstream_table.ts
+++ b/src/entry/create_upstream_table.ts
@@ -31,6 +31,10 @@
   share: number;
   ejectedUntilMs: number;
   restUntilMs: number;
+  /** Requests a second that it takes from all entries; Infinity if unlimited. */
+  limitPerS: number;
+  /** Since when that is known, in ms. */
+  limitKnownMs: number;
   closed: boolean;
   layers: UpstreamView["layers"];
 }
@@ -55,10 +59,20 @@
   takeResult(name: string, succeeded: boolean): boolean;
   /** Takes it that an upstream wants no new work for a while. */
   takeRest(name: string, restMs: number): void;
+  /** Takes what an upstream names in its answer to a request. */
+  takeLimit(name: string, answer: NamedLimit): void;
   /** Takes this entry's place on the ring of each pool's capacity. */
   takeIntervals(next: CapacityIntervals): void;
 }
 
+/** A rate limit that an upstream named in its answer to a request. */
+export interface NamedLimit {
+  /** Requests a second from all entries together; Infinity where it names none. */
+  readonly limitPerS: number;
+  /** When the request was sent, in ms. */
+  readonly sentMs: number;
+}
+
 /** Options of {@link createUpstreamTable}. */
 export interface CreateUpstreamTableOptions {
   readonly place: string;
@@ -72,6 +86,14 @@
 /** Time, in ms, there and back to another place of the region. */
 const FAR_ROUND_TRIP_MS = 1.5;
 
+/**
+ * Time, in ms, between two requests to an upstream that takes few or none, at most:
+ * only an answer tells the end of its limit.
+ */
+const MAX_INTERVAL_MS = 10_000;
+
+const MS_PER_S = 1_000;
+
 /** Requests a second of an upstream of which no speed is declared. */
 const DEFAULT_SPEED_PER_S = 200;
 
@@ -157,11 +179,21 @@
       knownSinceMs,
       ejectedUntilMs: 0,
       restUntilMs: 0,
+      limitPerS: Infinity,
+      limitKnownMs: -Infinity,
       closed: false,
       layers: spec.layers,
     };
   }
 
+  // An entry keeps to its share of the upstream, one request at a time: the shares of
+  // all entries add up to the whole limit.
+  function paceSends(record: UpstreamRecord): void {
+    const ratePerS = record.limitPerS * record.share;
+    const intervalMs = Math.min(MAX_INTERVAL_MS, MS_PER_S / ratePerS);
+    record.restUntilMs = Math.max(record.restUntilMs, now() + intervalMs);
+  }
+
   function isClosed(spec: UpstreamSpec): boolean {
     return spec.drain === true || (vms[spec.vm] ?? "live") !== "live";
   }
@@ -177,7 +209,9 @@
     list: (pool) => byPool.get(pool) ?? [],
     begin(name) {
       const record = records.get(name);
-      if (record) record.inFlight += 1;
+      if (!record) return;
+      record.inFlight += 1;
+      if (record.limitPerS < Infinity) paceSends(record);
     },
     end(name) {
       const record = records.get(name);
@@ -196,6 +230,16 @@
       if (!record) return;
       record.restUntilMs = Math.max(record.restUntilMs, now() + restMs);
     },
+    takeLimit(name, { limitPerS, sentMs }) {
+      const record = records.get(name);
+      if (!record || limitPerS === record.limitPerS) return;
+      // An answer to an earlier request may be older than the limit.
+      const isLower = limitPerS < record.limitPerS;
+      if (!isLower && sentMs <= record.limitKnownMs) return;
+      record.limitPerS = limitPerS;
+      record.limitKnownMs = now();
+      if (isLower) paceSends(record);
+    },
     takeIntervals(next) {
       if (next === intervals) return;
       intervals = next;
--- a/src/entry/run_plain_request.ts
+++ b/src/entry/run_plain_request.ts
@@ -8,14 +8,14 @@
 import type { IncomingHttpHeaders } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { Readable } from "node:stream";
-import { readRestMs } from "../http/index.ts";
+import { readRateLimit, readRestMs } from "../http/index.ts";
 import type { Logger } from "../logs/index.ts";
 import {
   type Metrics,
   REFUSAL_REASONS,
   type RetryReason,
 } from "../metrics/index.ts";
-import type { Outcome } from "../model/index.ts";
+import { HEADERS, type Outcome } from "../model/index.ts";
 import {
   classifyFailure,
   createRetryBudget,
@@ -154,6 +154,7 @@
   ): Promise<PlainAnswer | FailedTry> {
     const { call, upstream } = options;
     const { name, spec } = upstream;
+    const sentMs = now();
     table.begin(name);
     let streaming = false;
     try {
@@ -163,6 +164,8 @@
         timeoutMs: Math.max(1, context.deadlineMs - now()),
         signal: context.signal,
       });
+      const limitPerS = readRateLimit(answer.headers[HEADERS.rateLimit]);
+      if (limitPerS !== undefined) table.takeLimit(name, { limitPerS, sentMs });
       const read = await readAnswer(answer, name);
       streaming = !Buffer.isBuffer(read.body);
       if (streaming) {
--- a/src/model/outcome.ts
+++ b/src/model/outcome.ts
@@ -19,5 +19,6 @@
   requestId: "crowlever-request-id",
   path: "crowlever-path",
   reason: "crowlever-reason",
+  rateLimit: "crowlever-rate-limit",
   idempotencyKey: "idempotency-key",
 } as const;
--- a/standins/start_plain_service.ts
+++ b/standins/start_plain_service.ts
@@ -5,6 +5,7 @@
  */
 
 import Fastify from "fastify";
+import { HEADERS } from "../src/model/index.ts";
 
 /** What a test may do to a running stand-in. */
 export interface PlainFault {
@@ -16,6 +17,8 @@
   saysNotRun?: boolean;
   /** Seconds of rest that it asks for when it says so. */
   restS?: number;
+  /** Requests a second that it says it takes from all entries together. */
+  limitPerS?: number;
   /** Time, in ms, before each answer. */
   delayMs?: number;
   /** Answers nothing. */
@@ -49,6 +52,9 @@
   server.all("/*", async (request, reply) => {
     arrived += 1;
     if (fault.restS !== undefined) reply.header("retry-after", fault.restS);
+    if (fault.limitPerS !== undefined) {
+      reply.header(HEADERS.rateLimit, fault.limitPerS);
+    }
     if (fault.saysNotRun) {
       return reply.code(503).header("crowlever-outcome", "not_run").send(
         "busy",
