--- a/src/fleet/create_gateway_sessions.ts
+++ b/src/fleet/create_gateway_sessions.ts
@@ -21,7 +21,9 @@
   EngineLoads,
   GatewayMessage,
   GatewayRecord,
+  GrantCounts,
   LeaderMessage,
+  SendGrants,
 } from "./messages.ts";
 import { sumLoads } from "./sum_loads.ts";
 
@@ -92,6 +94,9 @@
 /** Ms of silence after which a gateway is no longer named to callers. */
 const SILENCE_MS = 1_500;
 
+/** Ms after which a leader that doesn't surely lead may be asked for sends again. */
+const NO_LEASE_RETRY_MS = 300;
+
 /** Bytes that may wait for a slow gateway; then its session ends. */
 const MAX_WAITING_BYTES = 8 * 1024 * 1024;
 
@@ -251,11 +256,20 @@
   ): void {
     const { gateway } = session;
     if (!gateway || sessions.get(gateway.vm) !== session) return;
-    if (!options.hasLease()) return;
-    const grants = options.limits.grant(counts);
+    const grants = options.hasLease()
+      ? options.limits.grant(counts)
+      : denySends(counts);
     send(session, { type: "grants", grants, askedMs });
   }
 
+  function denySends(counts: GrantCounts): SendGrants {
+    return Object.keys(counts).map((engineId) => ({
+      engineId,
+      count: 0,
+      retryAfterMs: NO_LEASE_RETRY_MS,
+    }));
+  }
+
   function grantTrials(
     session: Session,
     { trialsWanted = [], sentMs }: GatewayMessage & { type: "beat" },
