--- a/measure/rest.ts
+++ b/measure/rest.ts
@@ -69,7 +69,7 @@
       workMs: WORK_MS,
       askedPerS: roomPerS * share,
       spanMs: 20_000,
-      restMs: 3_000,
+      backOffMs: 3_000,
       ...policy,
       seed,
     })
@@ -86,7 +86,7 @@
     "turned away a request": mean((one) => one.turnedAway / one.asked)
       .toFixed(3),
     "within rests": mean((one) => one.intruded / one.asked).toFixed(3),
-    resting: mean((one) => one.restingShare).toFixed(2),
+    resting: mean((one) => one.backedOffShare).toFixed(2),
     working: mean((one) => one.busyShare).toFixed(2),
   };
 }
--- a/measure/rest_model.ts
+++ b/measure/rest_model.ts
@@ -20,15 +20,15 @@
   type EngineTable,
 } from "../src/gateway/create_engine_table.ts";
 import {
-  createRestThrottle,
-  type RestThrottle,
-} from "../src/gateway/create_rest_throttle.ts";
+  type BackOffThrottle,
+  createBackOffThrottle,
+} from "../src/gateway/create_back_off_throttle.ts";
 import {
   createUsualTimes,
   type UsualTimes,
 } from "../src/gateway/create_usual_times.ts";
 import type { EngineView } from "../src/gateway/engine_view.ts";
-import { getRestWaitMs } from "../src/gateway/get_rest_wait_ms.ts";
+import { getBackOffWaitMs } from "../src/gateway/get_back_off_wait_ms.ts";
 import { spreadReturnMs } from "../src/gateway/spread_return_ms.ts";
 
 /** The load that is played, and what gateways make of rests. */
@@ -43,7 +43,7 @@
   readonly askedPerS: number;
   readonly spanMs: number;
   /** Ms of rest that a full engine asks for. */
-  readonly restMs: number;
+  readonly backOffMs: number;
   /** Whether gateways heed it. */
   readonly heedsRests: boolean;
   /** How they come back; as the product does by default. */
@@ -66,7 +66,7 @@
   /** Arrivals within a rest that the engine had asked that gateway for. */
   readonly intruded: number;
   /** Mean share of engines that rest, over gateways and time. */
-  readonly restingShare: number;
+  readonly backedOffShare: number;
   /** Mean share of the engines' slots that work. */
   readonly busyShare: number;
 }
@@ -91,7 +91,7 @@
 interface Gateway {
   readonly table: EngineTable;
   readonly notices: EngineNotices;
-  readonly throttle: RestThrottle;
+  readonly throttle: BackOffThrottle;
   readonly usualTimes: UsualTimes;
 }
 
@@ -99,7 +99,7 @@
   running: number;
   readonly waiting: (() => void)[];
   /** Until when it has asked each gateway for rest. */
-  readonly restUntilMs: number[];
+  readonly backOffUntilMs: number[];
 }
 
 /**
@@ -133,7 +133,7 @@
   const engines = Array.from({ length: load.engines }, (): Engine => ({
     running: 0,
     waiting: [],
-    restUntilMs: Array(load.gateways).fill(-Infinity),
+    backOffUntilMs: Array(load.gateways).fill(-Infinity),
   }));
   const gateways = Array.from({ length: load.gateways }, startGateway);
 
@@ -160,7 +160,7 @@
       isLeaving: false,
     }));
     table.take({ type: "engines", isWhole: true, engines: records, gone: [] });
-    const throttle = createRestThrottle({ now: () => nowMs });
+    const throttle = createBackOffThrottle({ now: () => nowMs });
     return { table, notices, throttle, usualTimes: createUsualTimes() };
   }
 
@@ -199,10 +199,10 @@
 
   function refuse(caller: Caller, call: Call): void {
     const { table, notices } = gateways[call.at];
-    const restMs = load.heedsRests
-      ? getRestWaitMs({ engines: table, notices, service: SERVICE })
+    const backOffMs = load.heedsRests
+      ? getBackOffWaitMs({ engines: table, notices, service: SERVICE })
       : undefined;
-    comeAgain(caller, restMs ?? 0);
+    comeAgain(caller, backOffMs ?? 0);
   }
 
   function comeAgain(caller: Caller, leastMs: number): void {
@@ -232,9 +232,14 @@
         engine.inFlight -= 1;
         engine.toldLoad = getToldLoad(engines[Number(engineId)]);
         if (!isTaken) {
-          notices.take(engineId, { restMs: load.restMs, isLeaving: false });
-          const resting = table.listResting(SERVICE).length;
-          throttle.noteRest(SERVICE, { restingShare: resting / load.engines });
+          notices.take(engineId, {
+            backOffMs: load.backOffMs,
+            isLeaving: false,
+          });
+          const resting = table.listBackedOff(SERVICE).length;
+          throttle.noteBackOff(SERVICE, {
+            backedOffShare: resting / load.engines,
+          });
         }
         endSend({ isTaken });
         if (isTaken) {
@@ -264,7 +269,7 @@
   ): void {
     const engine = engines[at];
     const { call, onAnswer } = options;
-    if (nowMs < engine.restUntilMs[call.at]) tally.intruded += 1;
+    if (nowMs < engine.backOffUntilMs[call.at]) tally.intruded += 1;
     if (engine.running < load.slots) return work(engine, onAnswer);
     if (engine.waiting.length < load.queue) {
       engine.waiting.push(() => work(engine, onAnswer));
@@ -272,7 +277,7 @@
     }
     tally.turnedAway += 1;
     after(ON_THE_WAY_MS, () => {
-      engine.restUntilMs[call.at] = nowMs - ON_THE_WAY_MS + load.restMs;
+      engine.backOffUntilMs[call.at] = nowMs - ON_THE_WAY_MS + load.backOffMs;
     });
     onAnswer(false);
   }
@@ -296,7 +301,7 @@
 
   function sample(): void {
     const resting = gateways.reduce(
-      (sum, { notices }) => sum + notices.countResting(),
+      (sum, { notices }) => sum + notices.countBackedOff(),
       0,
     );
     const busy = engines.reduce((sum, { running }) => sum + running, 0);
@@ -325,7 +330,7 @@
   const { samples, resting, busy, ...counts } = tally;
   return {
     ...counts,
-    restingShare: resting / samples,
+    backedOffShare: resting / samples,
     busyShare: busy / samples,
   };
 }
--- a/measure/rest_model_test.ts
+++ b/measure/rest_model_test.ts
@@ -27,16 +27,18 @@
     workMs: WORK_MS,
     askedPerS: share * fleet.engines * fleet.slots * 1_000 / WORK_MS,
     spanMs: 8_000,
-    restMs: 3_000,
+    backOffMs: 3_000,
     seed: 1,
     ...policy,
   };
-  const { asked, inTime, turnedAway, intruded, restingShare } = playRests(load);
+  const { asked, inTime, turnedAway, intruded, backedOffShare } = playRests(
+    load,
+  );
   return {
     inTime: inTime / asked,
     turnedAway: turnedAway / asked,
     intruded,
-    restingShare,
+    backedOffShare,
   };
 }
 
@@ -62,7 +64,7 @@
   const heeded = play(HEEDED, load);
   const now = play(NOW, load);
   assert.ok(now.inTime > 2 * heeded.inTime);
-  assert.ok(now.restingShare < heeded.restingShare);
+  assert.ok(now.backedOffShare < heeded.backedOffShare);
   assert.ok(now.turnedAway < heeded.turnedAway);
 });
 
--- a/src/engines/types.ts
+++ b/src/engines/types.ts
@@ -84,7 +84,7 @@
 /** What an upstream says of itself in an answer, whatever it answers. */
 export interface EngineNotice {
   /** Ms for which it wants nothing of who asked; absent where it asks for none. */
-  readonly restMs?: number;
+  readonly backOffMs?: number;
   /** Whether it says that it leaves. */
   readonly isLeaving: boolean;
   /**
--- a/src/entry/create_upstream_table.ts
+++ b/src/entry/create_upstream_table.ts
@@ -30,7 +30,7 @@
   inFlight: number;
   share: number;
   ejectedUntilMs: number;
-  restUntilMs: number;
+  backOffUntilMs: number;
   /** Requests a second that it takes from all entries; Infinity if unlimited. */
   limitPerS: number;
   /** Since when that is known, in ms. */
@@ -58,7 +58,7 @@
   /** Takes a result; returns whether the upstream is left out from now. */
   takeResult(name: string, succeeded: boolean): boolean;
   /** Takes it that an upstream wants no new work for a while. */
-  takeRest(name: string, restMs: number): void;
+  takeBackOff(name: string, backOffMs: number): void;
   /** Takes what an upstream names in its answer to a request. */
   takeLimit(name: string, answer: NamedLimit): void;
   /** Takes this entry's place on the ring of each pool's capacity. */
@@ -178,7 +178,7 @@
       share: 1,
       knownSinceMs,
       ejectedUntilMs: 0,
-      restUntilMs: 0,
+      backOffUntilMs: 0,
       limitPerS: Infinity,
       limitKnownMs: -Infinity,
       closed: false,
@@ -191,7 +191,7 @@
   function paceSends(record: UpstreamRecord): void {
     const ratePerS = record.limitPerS * record.share;
     const intervalMs = Math.min(MAX_INTERVAL_MS, MS_PER_S / ratePerS);
-    record.restUntilMs = Math.max(record.restUntilMs, now() + intervalMs);
+    record.backOffUntilMs = Math.max(record.backOffUntilMs, now() + intervalMs);
   }
 
   function isClosed(spec: UpstreamSpec): boolean {
@@ -225,10 +225,13 @@
       record.ejectedUntilMs = record.health.ejectedUntilMs;
       return record.health.ejections > before;
     },
-    takeRest(name, restMs) {
+    takeBackOff(name, backOffMs) {
       const record = records.get(name);
       if (!record) return;
-      record.restUntilMs = Math.max(record.restUntilMs, now() + restMs);
+      record.backOffUntilMs = Math.max(
+        record.backOffUntilMs,
+        now() + backOffMs,
+      );
     },
     takeLimit(name, { limitPerS, sentMs }) {
       const record = records.get(name);
--- a/src/entry/get_retry_after_s.ts
+++ b/src/entry/get_retry_after_s.ts
@@ -12,12 +12,12 @@
 /**
  * Gets the time to tell a caller.
  *
- * @param restLeftMs - Ms until upstreams have rested; 0 where no rest is in the way.
+ * @param backOffLeftMs - Ms until back-offs end; 0 where no back-off is in the way.
  * @returns Whole seconds.
  * @throws Nothing.
  * @example
  * getRetryAfterS(2_400); // 3
  */
-export function getRetryAfterS(restLeftMs: number): number {
-  return Math.max(LEAST_S, Math.ceil(restLeftMs / MS_PER_S));
+export function getRetryAfterS(backOffLeftMs: number): number {
+  return Math.max(LEAST_S, Math.ceil(backOffLeftMs / MS_PER_S));
 }
--- a/src/entry/note_rest.ts
+++ b/src/entry/note_back_off.ts
@@ -1,5 +1,5 @@
 /**
- * Notes that an upstream asks for rest.
+ * Notes that an upstream asks for a back-off.
  *
  * @module
  */
@@ -9,30 +9,30 @@
 import type { UpstreamTable } from "./create_upstream_table.ts";
 
 /** Where it is noted and told. */
-export interface NoteRestOptions {
-  readonly table: Pick<UpstreamTable, "takeRest">;
+export interface NoteBackOffOptions {
+  readonly table: Pick<UpstreamTable, "takeBackOff">;
   readonly metrics: Pick<Metrics, "count">;
   readonly log: Logger;
 }
 
 /**
- * Notes that an upstream asks for rest. It works: it is left alone for as long as it
+ * Notes that an upstream asks for a back-off. It works: it is left alone for as long as it
  * wants, and not for a time of this entry's own.
  *
  * @param upstream - Its name.
- * @param restMs - Ms for which it wants no new work.
+ * @param backOffMs - Ms for which it wants no new work.
  * @param options - Where it is noted and told.
  * @returns Nothing.
  * @throws Nothing.
  * @example
- * noteRest(upstream, restMs, { table, metrics, log });
+ * noteBackOff(upstream, backOffMs, { table, metrics, log });
  */
-export function noteRest(
+export function noteBackOff(
   upstream: string,
-  restMs: number,
-  { table, metrics, log }: NoteRestOptions,
+  backOffMs: number,
+  { table, metrics, log }: NoteBackOffOptions,
 ): void {
-  table.takeRest(upstream, restMs);
+  table.takeBackOff(upstream, backOffMs);
   metrics.count("engines.rests_asked");
-  log("engineAsksForRest", { engineId: upstream, restMs });
+  log("engineAsksForBackOff", { engineId: upstream, backOffMs });
 }
--- a/src/entry/run_model_request.ts
+++ b/src/entry/run_model_request.ts
@@ -23,7 +23,7 @@
   stepPipeline,
 } from "../pipeline/index.ts";
 import { classifyFailure, type DispatchFailure } from "../retry/index.ts";
-import { chooseChain, findRestLeftMs } from "../routing/index.ts";
+import { chooseChain, findBackOffLeftMs } from "../routing/index.ts";
 import {
   callStage,
   getFailure,
@@ -33,7 +33,7 @@
 import type { KnownUpstream, UpstreamTable } from "./create_upstream_table.ts";
 import { RequestProblemError } from "./entry_error.ts";
 import { getRetryAfterS } from "./get_retry_after_s.ts";
-import { noteRest } from "./note_rest.ts";
+import { noteBackOff } from "./note_back_off.ts";
 import type { RequestContext } from "./request_context.ts";
 
 /** What the caller asked for. */
@@ -112,9 +112,9 @@
     while (state.epoch < MAX_EPOCHS) {
       const chain = await findChain(context, { call, tried, sent });
       if (!chain) {
-        const restLeftMs = getRestLeftMs(context, call);
-        const reason = restLeftMs > 0 ? "resting" : "no_chain";
-        throw endEarly(state, { sent, reason, restLeftMs });
+        const backOffLeftMs = getBackOffLeftMs(context, call);
+        const reason = backOffLeftMs > 0 ? "resting" : "no_chain";
+        throw endEarly(state, { sent, reason, backOffLeftMs });
       }
       const path = chain.map((view) => view.name);
       context.note(`epoch ${state.epoch + 1} over ${path.join(" > ")}`);
@@ -130,7 +130,7 @@
     throw endEarly(state, { sent, reason: "no_chain" });
   }
 
-  function getRestLeftMs(
+  function getBackOffLeftMs(
     { service }: RequestContext,
     { layerCount }: ModelCall,
   ): number {
@@ -138,7 +138,7 @@
     const nowMs = now();
     const canSend = (atMs: number) =>
       chooseChain(views, layerCount, { nowMs: atMs, random: 0 }) !== undefined;
-    return findRestLeftMs(views, { nowMs, canSend }) ?? 0;
+    return findBackOffLeftMs(views, { nowMs, canSend }) ?? 0;
   }
 
   async function holdChain(
@@ -283,11 +283,11 @@
     const { failure, failedAt, tried, state } = failed;
     if (!failure || failedAt === undefined) return;
     const { reason } = classifyFailure(failure);
-    // What a stage that asks for rest holds of other requests goes on.
-    const { restMs } = failure;
-    if (restMs !== undefined) noteRest(failedAt, restMs, options);
+    // What a stage that asks for a back-off holds of other requests goes on.
+    const { backOffMs } = failure;
+    if (backOffMs !== undefined) noteBackOff(failedAt, backOffMs, options);
     // With the caller's time over, a stage that was cut short is not at fault.
-    const ejected = now() < context.deadlineMs && restMs === undefined &&
+    const ejected = now() < context.deadlineMs && backOffMs === undefined &&
       table.takeResult(failedAt, false);
     if (ejected) {
       metrics.count("upstream.ejected");
@@ -335,9 +335,9 @@
 
 function endEarly(
   state: PipelineState,
-  end: { sent: boolean; reason: RefusalReason; restLeftMs?: number },
+  end: { sent: boolean; reason: RefusalReason; backOffLeftMs?: number },
 ): Error {
-  const { restLeftMs = 0 } = end;
+  const { backOffLeftMs = 0 } = end;
   // Tokens that the caller has make it a known bad end, not an unknown one.
   const outcome: Outcome = state.tokens.length > 0
     ? "failed"
@@ -349,7 +349,7 @@
     reason: end.reason,
     detail: REFUSAL_REASONS[end.reason],
     outcome,
-    retryAfterS: getRetryAfterS(restLeftMs),
+    retryAfterS: getRetryAfterS(backOffLeftMs),
   });
 }
 
--- a/src/entry/run_plain_request.ts
+++ b/src/entry/run_plain_request.ts
@@ -8,7 +8,7 @@
 import type { IncomingHttpHeaders } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { Readable } from "node:stream";
-import { readRateLimit, readRestMs } from "../http/index.ts";
+import { readBackOffMs, readRateLimit } from "../http/index.ts";
 import type { Logger } from "../logs/index.ts";
 import {
   type Metrics,
@@ -26,7 +26,7 @@
   type RetryBudget,
   spendRetry,
 } from "../retry/index.ts";
-import { chooseUpstream, findRestLeftMs } from "../routing/index.ts";
+import { chooseUpstream, findBackOffLeftMs } from "../routing/index.ts";
 import {
   DispatchError,
   getFailure,
@@ -37,7 +37,7 @@
 import type { KnownUpstream, UpstreamTable } from "./create_upstream_table.ts";
 import { RequestProblemError } from "./entry_error.ts";
 import { getRetryAfterS } from "./get_retry_after_s.ts";
-import { noteRest } from "./note_rest.ts";
+import { noteBackOff } from "./note_back_off.ts";
 import type { RequestContext } from "./request_context.ts";
 
 /** What the caller sent. */
@@ -122,8 +122,8 @@
         exclude: tried,
       }) as KnownUpstream | undefined;
       if (!upstream) {
-        const restLeftMs = getRestLeftMs(service.spec.pool);
-        throw refuseNoUpstream({ mayHaveRun, restLeftMs });
+        const backOffLeftMs = getBackOffLeftMs(service.spec.pool);
+        throw refuseNoUpstream({ mayHaveRun, backOffLeftMs });
       }
       tried.add(upstream.name);
       context.note(`try ${tries} at ${upstream.name}`);
@@ -140,12 +140,12 @@
     }
   }
 
-  function getRestLeftMs(pool: string): number {
+  function getBackOffLeftMs(pool: string): number {
     const views = table.list(pool);
     const nowMs = now();
     const canSend = (atMs: number) =>
       chooseUpstream(views, { nowMs: atMs, random: 0 }) !== undefined;
-    return findRestLeftMs(views, { nowMs, canSend }) ?? 0;
+    return findBackOffLeftMs(views, { nowMs, canSend }) ?? 0;
   }
 
   async function tryOnce(
@@ -171,8 +171,8 @@
       if (streaming) {
         (read.body as Readable).once("close", () => table.end(name));
       }
-      const restMs = readRestMs(answer);
-      return takeAnswer(read, { notRun: saidNotRun(answer), restMs });
+      const backOffMs = readBackOffMs(answer);
+      return takeAnswer(read, { notRun: saidNotRun(answer), backOffMs });
     } catch (error) {
       const failure = getFailure(error);
       if (!failure) throw error;
@@ -196,10 +196,10 @@
 
   function takeAnswer(
     answer: PlainAnswer,
-    { notRun, restMs }: { notRun: boolean; restMs: number | undefined },
+    { notRun, backOffMs }: { notRun: boolean; backOffMs: number | undefined },
   ): PlainAnswer | FailedTry {
     const { status, upstream } = answer;
-    if (restMs !== undefined) noteRest(upstream, restMs, options);
+    if (backOffMs !== undefined) noteBackOff(upstream, backOffMs, options);
     else takeResult(upstream, status < 500);
     if (status < 500 && !notRun) return answer;
     const verdict = classifyFailure({
@@ -290,11 +290,11 @@
     : verdict.outcome;
 }
 
-// Where upstreams rest, it is known when the first has rested: callers are told.
+// Where upstreams are backed off, it is known until when: callers are told.
 function refuseNoUpstream(
-  { mayHaveRun, restLeftMs }: { mayHaveRun: boolean; restLeftMs: number },
+  { mayHaveRun, backOffLeftMs }: { mayHaveRun: boolean; backOffLeftMs: number },
 ): Error {
-  const reason = restLeftMs > 0 ? "resting" : "no_upstream";
+  const reason = backOffLeftMs > 0 ? "resting" : "no_upstream";
   const detail = REFUSAL_REASONS[reason];
   return new RequestProblemError(detail, {
     props: {
@@ -303,7 +303,7 @@
         reason,
         detail,
         outcome: mayHaveRun ? "unknown" : "not_run",
-        retryAfterS: getRetryAfterS(restLeftMs),
+        retryAfterS: getRetryAfterS(backOffLeftMs),
       },
     },
   });
--- a/src/gateway/admit_call.ts
+++ b/src/gateway/admit_call.ts
@@ -1,5 +1,5 @@
 /**
- * Whether a new call is let in while upstreams of its service rest.
+ * Whether a new call is let in while upstreams of its service are backed off.
  *
  * @module
  */
@@ -16,7 +16,7 @@
 const LEAST_RETRY_AFTER_MS = 300;
 
 /**
- * Share of the slots of those that don't rest which has to be taken before anything
+ * Share of the slots of those that aren't backed off which has to be taken before anything
  * is limited: what a small load was served says nothing of what they can bear.
  */
 const BUSY_SHARE = 0.5;
--- a/src/gateway/admit_call_test.ts
+++ b/src/gateway/admit_call_test.ts
@@ -2,7 +2,7 @@
 import * as assert from "uvu/assert";
 import { makeEngineRecord } from "../../test/support/make_engine_record.ts";
 import { admitCall } from "./admit_call.ts";
-import { noteRest } from "./note_rest.ts";
+import { noteBackOff } from "./note_back_off.ts";
 import { makeEngineView } from "./engine_view.ts";
 import type { Call, ServingContext } from "./types.ts";
 
@@ -22,15 +22,15 @@
   const context = {
     engines: {
       listUsable: () => usable.map((busy, at) => makeView(`u${at}`, busy)),
-      listResting: () =>
+      listBackedOff: () =>
         Array.from({ length: resting }, (_, at) => makeView(`r${at}`, 0)),
     },
     getTable: () => undefined,
     throttle: {
       isLimited: () => true,
       admit: () => waitMs,
-      noteRest: (_service: string, state: { restingShare: number }) =>
-        void shares.push(state.restingShare),
+      noteBackOff: (_service: string, state: { backedOffShare: number }) =>
+        void shares.push(state.backedOffShare),
     },
     random: () => 0,
   } as unknown as ServingContext;
@@ -58,7 +58,7 @@
 
 test("the throttle hears which share of a service rests", () => {
   const { context, shares } = makeContext({ usable: [0, 0, 0], resting: 1 });
-  noteRest(CALL, context);
+  noteBackOff(CALL, context);
   assert.equal(shares, [0.25]);
 });
 
--- a/src/gateway/choose_call_path.ts
+++ b/src/gateway/choose_call_path.ts
@@ -11,7 +11,7 @@
 import type { EngineView } from "./engine_view.ts";
 import { getLimitWaitMs } from "./get_limit_wait_ms.ts";
 import { type ExpectedWork, expectOthers } from "./expect_others.ts";
-import { getRestWaitMs } from "./get_rest_wait_ms.ts";
+import { getBackOffWaitMs } from "./get_back_off_wait_ms.ts";
 import { listSendable } from "./list_sendable.ts";
 import type { AddressedPart } from "./protocol.ts";
 import type { Call, ServingContext } from "./types.ts";
@@ -39,10 +39,10 @@
   | { readonly type: "path"; readonly path: AddressedPart[] }
   /** Engines hold all layers, but have no room. */
   | { readonly type: "full" }
-  /** Engines that hold some layers want rest. */
+  /** Engines that hold some layers have asked gateways to back off. */
   | {
     readonly type: "resting";
-    /** Ms after which a path has rested. */
+    /** Ms after which a path can be used again. */
     readonly leftMs: number;
   }
   /** Engines that could begin it are at their rate limits. */
@@ -117,14 +117,14 @@
   return leftMs === undefined ? undefined : { type: "limited", leftMs };
 }
 
-// One that has just rested takes a few requests at first: there is room in a moment.
+// Right after a back-off an engine takes a few requests at first: there is room in a moment.
 function explainMissing(
   { service }: Call,
   { engines, notices }: ServingContext,
   model?: LayeredModel,
 ): CallPathChoice {
   const layers = model?.layers;
-  const leftMs = getRestWaitMs({ engines, notices, service, layers });
+  const leftMs = getBackOffWaitMs({ engines, notices, service, layers });
   if (leftMs === undefined) return { type: "missing" };
   return leftMs > 0 ? { type: "resting", leftMs } : { type: "full" };
 }
--- a/src/gateway/choose_call_path_test.ts
+++ b/src/gateway/choose_call_path_test.ts
@@ -49,8 +49,8 @@
     rates: { getAskedPerS: () => undefined },
     exchanger: { hasIdleConnection: () => true },
   } as unknown as ServingContext;
-  const rest = (engineId: string, restMs: number) =>
-    notices.take(engineId, { restMs, isLeaving: false });
+  const rest = (engineId: string, backOffMs: number) =>
+    notices.take(engineId, { backOffMs, isLeaving: false });
   const choose = (excluded: readonly string[] = []) =>
     chooseCallPath(CALL, context, {
       excluded: new Set(excluded),
--- a/src/gateway/create_rest_throttle.ts
+++ b/src/gateway/create_back_off_throttle.ts
@@ -1,29 +1,29 @@
 /**
- * Lets in what upstreams can bear while many of a service rest: what the resting
- * ones don't take would fill the others, which then ask for rest too, one after the
+ * Lets in what upstreams can bear while many of a service are backed off: what those
+ * don't take would fill the others, which then ask for a back-off too, one after the
  * other.
  *
  * The limit of a gateway falls to a little under the rate at which its requests were
  * served, and grows until the next sign of too much (additive increase,
  * multiplicative decrease; cf. adaptive throttling in Site Reliability Engineering).
- * In a model of 11 gateways before 12 upstreams that ask for 3 s of rest whenever they
+ * In a model of 11 gateways before 12 upstreams that ask for a back-off of 3 s whenever they
  * are full, under 1.2 times what they can bear, 0.44 of requests are answered in time
- * in place of 0.21, and 0.51 of upstreams rest in place of 0.83 (npm run measure --
+ * in place of 0.21, and 0.51 of upstreams are backed off in place of 0.83 (npm run measure --
  * rest).
  *
  * @module
  */
 
 /** Lets in what upstreams can bear. */
-export interface RestThrottle {
+export interface BackOffThrottle {
   /** Notes that a request of a service was served. */
   noteServed(service: string): void;
-  /** Notes that an upstream has just asked for rest. */
-  noteRest(
+  /** Notes that an upstream has just asked for a back-off. */
+  noteBackOff(
     service: string,
     state: {
-      /** Share of the upstreams that could take requests which rest now. */
-      readonly restingShare: number;
+      /** Share of the upstreams that could take requests which are backed off. */
+      readonly backedOffShare: number;
     },
   ): void;
   /** Whether anything is limited: nothing else has to be looked at where not. */
@@ -42,7 +42,7 @@
 const LEAST_COUNT_MS = 250;
 
 /**
- * Counts of which the largest tells what upstreams can bear: while they rest they
+ * Counts of which the largest tells what upstreams can bear: while backed off they
  * serve less, and a limit that followed that would fall on and on.
  */
 const MAX_COUNTS = 10;
@@ -51,8 +51,8 @@
 const CUT_INTERVAL_MS = 1_000;
 
 /**
- * Share of a service's upstreams that have to rest before anything is cut: where few
- * rest the others have room. In the same model, 64 gateways, under 0.8 of what they
+ * Share of a service's upstreams that have to be backed off before anything is cut: where few
+ * are, the others have room. In the same model, 64 gateways, under 0.8 of what they
  * can bear: 0.996 in time with 0.3, 1.000 with this.
  */
 const LEAST_RESTING_SHARE = 0.5;
@@ -75,7 +75,7 @@
 /** Requests that may come in one moment. */
 const BURST = 3;
 
-/** Ms without a rest after which everything is let in again. */
+/** Ms without a back-off after which everything is let in again. */
 const LIFT_AFTER_MS = 10_000;
 
 const MS_PER_S = 1_000;
@@ -92,7 +92,7 @@
   tokens: number;
   grownMs: number;
   cutMs: number;
-  restMs: number;
+  backOffMs: number;
 }
 
 /**
@@ -102,11 +102,11 @@
  * @returns The throttle.
  * @throws Nothing.
  * @example
- * const throttle = createRestThrottle({ now });
+ * const throttle = createBackOffThrottle({ now });
  */
-export function createRestThrottle(
+export function createBackOffThrottle(
   options: { readonly now: () => number },
-): RestThrottle {
+): BackOffThrottle {
   const { now } = options;
   const limits = new Map<string, Limit>();
 
@@ -119,7 +119,7 @@
       tokens: BURST,
       grownMs: now(),
       cutMs: -Infinity,
-      restMs: -Infinity,
+      backOffMs: -Infinity,
     };
     limits.set(service, limit);
     return limit;
@@ -172,18 +172,18 @@
     noteServed(service) {
       getCount(getLimit(service)).served += 1;
     },
-    noteRest(service, { restingShare }) {
+    noteBackOff(service, { backedOffShare }) {
       const limit = getLimit(service);
-      limit.restMs = now();
+      limit.backOffMs = now();
       const isDue = now() - limit.cutMs >= CUT_INTERVAL_MS;
-      if (isDue && restingShare >= LEAST_RESTING_SHARE) cut(limit);
+      if (isDue && backedOffShare >= LEAST_RESTING_SHARE) cut(limit);
     },
     isLimited: (service) =>
       (limits.get(service)?.ratePerS ?? Infinity) < Infinity,
     admit(service) {
       const limit = limits.get(service);
       if (!limit || limit.ratePerS === Infinity) return undefined;
-      if (now() - limit.restMs > LIFT_AFTER_MS) {
+      if (now() - limit.backOffMs > LIFT_AFTER_MS) {
         limit.ratePerS = Infinity;
         return undefined;
       }
--- a/src/gateway/create_engine_notices.ts
+++ b/src/gateway/create_engine_notices.ts
@@ -1,6 +1,6 @@
 /**
  * What upstreams said of themselves in their answers to this gateway: that they
- * want rest, and that they leave. Both are of one run of an upstream, and outlast
+ * ask to be left alone for a while, and that they leave. Both are of one run of an upstream, and outlast
  * whatever the leader tells of it meanwhile.
  *
  * @module
@@ -15,9 +15,9 @@
   /** Takes what one said in an answer. */
   take(engineId: string, notice: EngineNotice): void;
   /** Ms for which one still wants nothing of this gateway; 0 where it doesn't. */
-  getRestLeftMs(engineId: string): number;
-  /** Whether one wants nothing, or has just rested and has enough for now. */
-  isResting(engineId: string): boolean;
+  getBackOffLeftMs(engineId: string): number;
+  /** Whether one has asked to be left alone, or takes few requests right after that. */
+  isBackedOff(engineId: string): boolean;
   /** Whether one has said that it leaves. */
   isLeaving(engineId: string): boolean;
   /** Runs that have said that they leave. */
@@ -29,15 +29,15 @@
    * answered, or once it is known that it won't.
    */
   beginSend(engineId: string): (answer: { readonly isTaken: boolean }) => void;
-  /** Upstreams that rest now. */
-  countResting(): number;
+  /** Upstreams that have asked to be left alone. */
+  countBackedOff(): number;
 }
 
 /** What the notices need of their program. */
 export interface CreateEngineNoticesOptions {
   /**
    * Steady time, in ms. A clock that gains, as one does that counts suspensions and
-   * takes a step of the time of day for one, would end a rest too soon.
+   * takes a step of the time of day for one, would end a back-off too soon.
    */
   readonly steadyNow: () => number;
   /** A number in [0, 1). */
@@ -48,9 +48,9 @@
   readonly comeBack?: ComeBack;
 }
 
-/** How gateways come back to an upstream that has rested. */
+/** How gateways come back to an upstream after a back-off. */
 export interface ComeBack {
-  /** Share of a rest by which it is drawn out at random, at most. */
+  /** Share of a back-off by which it is drawn out at random, at most. */
   readonly spreadShare: number;
   /** Requests that may wait for its answer at first; doubled by each it takes. */
   readonly firstWindow: number;
@@ -62,11 +62,11 @@
 /** Leaving runs that are remembered; the oldest are forgotten first. */
 const MAX_LEAVING = 5_000;
 
-/** Questions while an upstream rests: whether it is there at all. */
-const QUESTIONS_PER_REST = 1;
+/** Questions during a back-off: whether it is there at all. */
+const QUESTIONS_PER_BACK_OFF = 1;
 
 /**
- * Gateways that have been asked for rest in the same moment don't come back in the
+ * Gateways that have been asked to back off in the same moment don't come back in the
  * same one, and each with one request first. In a model of 11 gateways before 3
  * upstreams under 0.8 of what they can bear, 0.44 of requests are answered in time
  * where all come back together, 0.57 spread, 0.73 with one request first, 0.77 with
@@ -74,15 +74,15 @@
  */
 const COME_BACK: ComeBack = { spreadShare: 0.1, firstWindow: 1 };
 
-/** Ms after its end at which a rest is forgotten, whether or not anybody came back. */
+/** Ms after its end at which a back-off is forgotten, whether or not anybody came back. */
 const FORGET_AFTER_MS = 60_000;
 
-interface Rest {
+interface BackOff {
   /** Steady time, in ms, at which it ends. */
   endMs: number;
   /** Requests that may wait for an answer once it has ended. */
   window: number;
-  /** Requests that wait for an answer, of those sent since the rest was asked for. */
+  /** Requests that wait for an answer, of those sent since the back-off was asked for. */
   pending: number;
   questionsLeft: number;
 }
@@ -100,38 +100,38 @@
   options: CreateEngineNoticesOptions,
 ): EngineNotices {
   const { steadyNow, random, log, metrics, comeBack = COME_BACK } = options;
-  const rests = new Map<string, Rest>();
+  const backOffs = new Map<string, BackOff>();
   const leaving = new Set<string>();
 
-  function isRunning({ endMs }: Rest): boolean {
+  function isRunning({ endMs }: BackOff): boolean {
     return endMs > steadyNow();
   }
 
-  function getRest(engineId: string): Rest {
-    const known = rests.get(engineId);
+  function getBackOff(engineId: string): BackOff {
+    const known = backOffs.get(engineId);
     if (known) return known;
-    const rest = { endMs: 0, window: 0, pending: 0, questionsLeft: 0 };
-    rests.set(engineId, rest);
-    return rest;
+    const backOff = { endMs: 0, window: 0, pending: 0, questionsLeft: 0 };
+    backOffs.set(engineId, backOff);
+    return backOff;
   }
 
   function forgetOld(): void {
     const oldestMs = steadyNow() - FORGET_AFTER_MS;
-    for (const [engineId, { endMs }] of rests) {
-      if (endMs < oldestMs) rests.delete(engineId);
+    for (const [engineId, { endMs }] of backOffs) {
+      if (endMs < oldestMs) backOffs.delete(engineId);
     }
   }
 
-  function takeRest(engineId: string, restMs: number): void {
+  function takeBackOff(engineId: string, backOffMs: number): void {
     forgetOld();
-    const spreadMs = restMs * comeBack.spreadShare * random();
-    const rest = getRest(engineId);
-    if (!isRunning(rest)) rest.questionsLeft = QUESTIONS_PER_REST;
+    const spreadMs = backOffMs * comeBack.spreadShare * random();
+    const backOff = getBackOff(engineId);
+    if (!isRunning(backOff)) backOff.questionsLeft = QUESTIONS_PER_BACK_OFF;
     // A shorter one that is asked for later doesn't end a longer one.
-    rest.endMs = Math.max(rest.endMs, steadyNow() + restMs + spreadMs);
-    rest.window = comeBack.firstWindow;
+    backOff.endMs = Math.max(backOff.endMs, steadyNow() + backOffMs + spreadMs);
+    backOff.window = comeBack.firstWindow;
     metrics.count("engines.rests_asked");
-    log("engineAsksForRest", { engineId, restMs });
+    log("engineAsksForBackOff", { engineId, backOffMs });
   }
 
   function takeLeave(engineId: string): void {
@@ -143,48 +143,48 @@
     log("engineSaysLeaving", { engineId });
   }
 
-  // An answer to what was sent after an earlier rest says nothing of a later one.
-  function widen(engineId: string, rest: Rest): void {
-    rest.window *= 2;
-    const isNewest = rests.get(engineId) === rest;
-    if (isNewest && rest.window >= OPEN_WINDOW) rests.delete(engineId);
+  // An answer to what was sent after an earlier back-off says nothing of a later one.
+  function widen(engineId: string, backOff: BackOff): void {
+    backOff.window *= 2;
+    const isNewest = backOffs.get(engineId) === backOff;
+    if (isNewest && backOff.window >= OPEN_WINDOW) backOffs.delete(engineId);
   }
 
   return {
-    take(engineId, { restMs, isLeaving }) {
+    take(engineId, { backOffMs, isLeaving }) {
       if (isLeaving) takeLeave(engineId);
-      if (restMs !== undefined) takeRest(engineId, restMs);
+      if (backOffMs !== undefined) takeBackOff(engineId, backOffMs);
     },
-    getRestLeftMs(engineId) {
-      const endMs = rests.get(engineId)?.endMs ?? -Infinity;
+    getBackOffLeftMs(engineId) {
+      const endMs = backOffs.get(engineId)?.endMs ?? -Infinity;
       return Math.max(0, endMs - steadyNow());
     },
-    isResting(engineId) {
-      const rest = rests.get(engineId);
-      if (!rest) return false;
-      return isRunning(rest) || rest.pending >= rest.window;
+    isBackedOff(engineId) {
+      const backOff = backOffs.get(engineId);
+      if (!backOff) return false;
+      return isRunning(backOff) || backOff.pending >= backOff.window;
     },
     isLeaving: (engineId) => leaving.has(engineId),
     listLeaving: () => [...leaving],
     takeQuestion(engineId) {
-      const rest = rests.get(engineId);
-      if (!rest || !isRunning(rest)) return true;
-      if (rest.questionsLeft === 0) return false;
-      rest.questionsLeft -= 1;
+      const backOff = backOffs.get(engineId);
+      if (!backOff || !isRunning(backOff)) return true;
+      if (backOff.questionsLeft === 0) return false;
+      backOff.questionsLeft -= 1;
       return true;
     },
     beginSend(engineId) {
-      const rest = rests.get(engineId);
-      if (!rest) return () => {};
-      rest.pending += 1;
+      const backOff = backOffs.get(engineId);
+      if (!backOff) return () => {};
+      backOff.pending += 1;
       let isAnswered = false;
       return ({ isTaken }) => {
         if (isAnswered) return;
         isAnswered = true;
-        rest.pending -= 1;
-        if (isTaken && !isRunning(rest)) widen(engineId, rest);
+        backOff.pending -= 1;
+        if (isTaken && !isRunning(backOff)) widen(engineId, backOff);
       };
     },
-    countResting: () => [...rests.values()].filter(isRunning).length,
+    countBackedOff: () => [...backOffs.values()].filter(isRunning).length,
   };
 }
--- a/src/gateway/create_engine_notices_test.ts
+++ b/src/gateway/create_engine_notices_test.ts
@@ -12,21 +12,21 @@
     log: (name) => void logged.push(name),
     metrics: { count: () => {} },
   });
-  const rest = (engineId: string, restMs: number) =>
-    notices.take(engineId, { restMs, isLeaving: false });
+  const rest = (engineId: string, backOffMs: number) =>
+    notices.take(engineId, { backOffMs, isLeaving: false });
   return { clock, logged, notices, rest };
 }
 
 test("a rest lasts for as long as it was asked for", () => {
   const { clock, logged, notices, rest } = makeNotices();
   rest("a", 300);
-  assert.equal(logged, ["engineAsksForRest"]);
-  assert.is(notices.getRestLeftMs("a"), 300);
-  assert.is(notices.getRestLeftMs("b"), 0);
+  assert.equal(logged, ["engineAsksForBackOff"]);
+  assert.is(notices.getBackOffLeftMs("a"), 300);
+  assert.is(notices.getBackOffLeftMs("b"), 0);
   clock.ms += 299;
-  assert.ok(notices.isResting("a"));
+  assert.ok(notices.isBackedOff("a"));
   clock.ms += 1;
-  assert.not.ok(notices.isResting("a"));
+  assert.not.ok(notices.isBackedOff("a"));
 });
 
 test("a shorter rest that is asked for later does not end a longer one", () => {
@@ -35,14 +35,14 @@
   clock.ms += 100;
   rest("a", 500);
   notices.take("a", { isLeaving: false });
-  assert.is(notices.getRestLeftMs("a"), 2_900);
+  assert.is(notices.getBackOffLeftMs("a"), 2_900);
 });
 
 test("gateways come back at different times, and never too soon", () => {
   for (const random of [0, 0.5, 0.99]) {
     const { notices, rest } = makeNotices({ random });
     rest("a", 1_000);
-    const leftMs = notices.getRestLeftMs("a");
+    const leftMs = notices.getBackOffLeftMs("a");
     assert.ok(leftMs >= 1_000 && leftMs <= 1_500, String(leftMs));
   }
 });
@@ -53,7 +53,7 @@
   clock.ms += 100;
   const sendAll = () => {
     const ends = [];
-    while (!notices.isResting("a") && ends.length < 50) {
+    while (!notices.isBackedOff("a") && ends.length < 50) {
       ends.push(notices.beginSend("a"));
     }
     return ends;
@@ -72,9 +72,9 @@
   rest("a", 100);
   end({ isTaken: false });
   clock.ms += 100;
-  assert.not.ok(notices.isResting("a"));
+  assert.not.ok(notices.isBackedOff("a"));
   notices.beginSend("a");
-  assert.ok(notices.isResting("a"));
+  assert.ok(notices.isBackedOff("a"));
 });
 
 test("what was sent before a rest and ends after it counts for nothing", () => {
@@ -84,7 +84,7 @@
   clock.ms += 100;
   early({ isTaken: true });
   notices.beginSend("a");
-  assert.ok(notices.isResting("a"));
+  assert.ok(notices.isBackedOff("a"));
 });
 
 test("answers to what went before a later rest do not end it", () => {
@@ -100,7 +100,7 @@
   }
   rest("a", 1_000);
   ends.forEach((end) => end({ isTaken: true }));
-  assert.is(notices.getRestLeftMs("a"), 1_000);
+  assert.is(notices.getBackOffLeftMs("a"), 1_000);
 });
 
 test("while one rests a single question tells whether it is there", () => {
@@ -127,9 +127,9 @@
 test("many that rest are counted while they do", () => {
   const { clock, notices, rest } = makeNotices();
   for (let at = 0; at < 1_000; at++) rest(`e${at}`, 100 + at);
-  assert.is(notices.countResting(), 1_000);
+  assert.is(notices.countBackedOff(), 1_000);
   clock.ms += 600;
-  assert.is(notices.countResting(), 499);
+  assert.is(notices.countBackedOff(), 499);
 });
 
 test.run();
--- a/src/gateway/create_engine_table.ts
+++ b/src/gateway/create_engine_table.ts
@@ -34,7 +34,7 @@
   /** Upstreams of a service that take new work. */
   listUsable(service: string): EngineView[];
   /** Those that would take it, but want nothing of this gateway for now. */
-  listResting(service: string): EngineView[];
+  listBackedOff(service: string): EngineView[];
   /**
    * Whether one leaves, by what the leader or it itself has said. One that is no
    * longer registered may have left without a notice.
@@ -69,11 +69,11 @@
 /** What upstreams have said of themselves, as far as the table goes by it. */
 type NoticesInForce = Pick<
   EngineNotices,
-  "isResting" | "isLeaving" | "listLeaving"
+  "isBackedOff" | "isLeaving" | "listLeaving"
 >;
 
 const NO_NOTICES: NoticesInForce = {
-  isResting: () => false,
+  isBackedOff: () => false,
   isLeaving: () => false,
   listLeaving: () => [],
 };
@@ -194,12 +194,12 @@
     if (!engine || engine.suspectUntilMs > now()) return;
     noteDisplaced(engine);
     engine.suspicions += 1;
-    const restMs = Math.min(
+    const leftOutMs = Math.min(
       MAX_SUSPECT_MS,
       SUSPECT_MS * 2 ** (engine.suspicions - 1),
     );
-    engine.suspectUntilMs = now() + restMs;
-    log("engineSuspected", { engineId, reason, restMs });
+    engine.suspectUntilMs = now() + leftOutMs;
+    log("engineSuspected", { engineId, reason, leftOutMs });
   }
 
   // What an upstream said itself holds whatever the leader tells of that run.
@@ -215,8 +215,8 @@
     );
   }
 
-  const isResting = ({ record }: EngineView) =>
-    notices.isResting(record.engineId);
+  const isBackedOff = ({ record }: EngineView) =>
+    notices.isBackedOff(record.engineId);
 
   return {
     take({ isWhole, engines: records, gone }) {
@@ -244,8 +244,8 @@
       return toldLoads;
     },
     listUsable: (service) =>
-      listSound(service).filter((engine) => !isResting(engine)),
-    listResting: (service) => listSound(service).filter(isResting),
+      listSound(service).filter((engine) => !isBackedOff(engine)),
+    listBackedOff: (service) => listSound(service).filter(isBackedOff),
     isLeaving(engineId) {
       const engine = engines.get(engineId);
       return engine === undefined || isLeaving(engine);
--- a/src/gateway/create_engine_table_test.ts
+++ b/src/gateway/create_engine_table_test.ts
@@ -64,7 +64,7 @@
 test("one that rests is left out and listed apart, whatever is told of it", () => {
   const resting = new Set(["e1"]);
   const { table, engines } = makeTable({
-    isResting: (engineId) => resting.has(engineId),
+    isBackedOff: (engineId) => resting.has(engineId),
     isLeaving: () => false,
     listLeaving: () => [],
   });
@@ -72,7 +72,7 @@
     views.map(({ record }) => record.engineId).sort();
   table.take({ type: "engines", isWhole: true, engines, gone: [] });
   assert.equal(list(table.listUsable("s")), ["e2"]);
-  assert.equal(list(table.listResting("s")), ["e1"]);
+  assert.equal(list(table.listBackedOff("s")), ["e1"]);
   // A rest is no loss: nobody is told of one.
   assert.equal(table.takeSuspects(), []);
   table.take({ type: "engines", isWhole: false, engines: [], gone: ["e1"] });
@@ -84,7 +84,7 @@
 
 test("a leave that one told itself outlasts news, and is told until it is known", () => {
   const { table, engines } = makeTable({
-    isResting: () => false,
+    isBackedOff: () => false,
     isLeaving: (engineId) => engineId === "e1",
     listLeaving: () => ["e1", "e9"],
   });
--- a/src/gateway/create_exchanger.ts
+++ b/src/gateway/create_exchanger.ts
@@ -23,7 +23,7 @@
   readonly requestId: string;
   /**
    * Whether it may still leave, asked when a connection is there; always by default.
-   * A connection takes up to 400 ms, in which its upstream may ask for rest.
+   * A connection takes up to 400 ms, in which its upstream may ask for a back-off.
    */
   readonly mayLeave?: () => boolean;
   /** Called once the head of the answer is in and belongs to the request. */
--- a/src/gateway/get_rest_wait_ms.ts
+++ b/src/gateway/get_back_off_wait_ms.ts
@@ -1,5 +1,5 @@
 /**
- * When upstreams that rest now make requests possible again.
+ * When the end of back-offs makes requests possible again.
  *
  * @module
  */
@@ -8,10 +8,10 @@
 import type { EngineTable } from "./create_engine_table.ts";
 import type { EngineView } from "./engine_view.ts";
 
-/** Who there is, and for how long some of them rest. */
-export interface GetRestWaitOptions {
-  readonly engines: Pick<EngineTable, "listUsable" | "listResting">;
-  readonly notices: Pick<EngineNotices, "getRestLeftMs">;
+/** Who there is, and how long back-offs last. */
+export interface GetBackOffWaitOptions {
+  readonly engines: Pick<EngineTable, "listUsable" | "listBackedOff">;
+  readonly notices: Pick<EngineNotices, "getBackOffLeftMs">;
   readonly service: string;
   /** Layers of its model; none where each upstream serves alone. */
   readonly layers?: number;
@@ -19,23 +19,25 @@
 
 /**
  * Gets the time after which a request can be sent again that can't be now because
- * upstreams rest: the first that serves alone has rested, or enough of them that
+ * upstreams are backed off: until the first that serves alone, or enough of them that
  * hold layers. Known beforehand, it is told at once in place of trying.
  *
- * @param options - Who there is, and for how long some of them rest.
- * @returns Ms; undefined where it isn't rests that are in the way.
+ * @param options - Who there is, and how long back-offs last.
+ * @returns Ms; undefined where it isn't back-offs that are in the way.
  * @throws Nothing.
  * @example
- * const waitMs = getRestWaitMs({ engines, notices, service, layers: 80 });
+ * const waitMs = getBackOffWaitMs({ engines, notices, service, layers: 80 });
  */
-export function getRestWaitMs(options: GetRestWaitOptions): number | undefined {
+export function getBackOffWaitMs(
+  options: GetBackOffWaitOptions,
+): number | undefined {
   const { engines, notices, service, layers = 0 } = options;
   const isEnough = layers === 0 ? hasAny : createCoverCheck(layers);
   if (isEnough(engines.listUsable(service))) return undefined;
-  const inTurn = engines.listResting(service)
+  const inTurn = engines.listBackedOff(service)
     .map((view) => ({
       view,
-      leftMs: notices.getRestLeftMs(view.record.engineId),
+      leftMs: notices.getBackOffLeftMs(view.record.engineId),
     }))
     .sort((a, b) => a.leftMs - b.leftMs);
   return inTurn.find(({ view }) => isEnough([view]))?.leftMs;
--- a/src/gateway/get_rest_wait_ms_test.ts
+++ b/src/gateway/get_back_off_wait_ms_test.ts
@@ -2,7 +2,7 @@
 import * as assert from "uvu/assert";
 import { makeEngineRecord } from "../../test/support/make_engine_record.ts";
 import { makeEngineView } from "./engine_view.ts";
-import { getRestWaitMs } from "./get_rest_wait_ms.ts";
+import { getBackOffWaitMs } from "./get_back_off_wait_ms.ts";
 
 const LAYERS = 8;
 
@@ -22,9 +22,9 @@
   readonly layers?: number;
 }): number | undefined {
   const { usable, resting, layers } = options;
-  return getRestWaitMs({
-    engines: { listUsable: () => usable, listResting: () => resting },
-    notices: { getRestLeftMs: (engineId) => LEFT_MS.get(engineId) ?? 0 },
+  return getBackOffWaitMs({
+    engines: { listUsable: () => usable, listBackedOff: () => resting },
+    notices: { getBackOffLeftMs: (engineId) => LEFT_MS.get(engineId) ?? 0 },
     service: "s",
     layers,
   });
--- a/src/gateway/note_rest.ts
+++ b/src/gateway/note_back_off.ts
@@ -1,5 +1,5 @@
 /**
- * What the throttle hears of upstreams that ask for rest.
+ * Tells the throttle of back-offs that upstreams ask for.
  *
  * @module
  */
@@ -9,16 +9,16 @@
 import type { Call, ServingContext } from "./types.ts";
 
 /**
- * Tells the throttle that an upstream has turned a call away and asked for rest.
+ * Tells the throttle that an upstream has rejected a call and asked for a back-off.
  *
  * @param call - The call.
  * @param context - The upstreams and the throttle.
  * @returns Nothing.
  * @throws Nothing.
  * @example
- * if (head.restMs !== undefined) noteRest(call, context);
+ * if (head.backOffMs !== undefined) noteBackOff(call, context);
  */
-export function noteRest(
+export function noteBackOff(
   call: Call,
   context: Pick<ServingContext, "engines" | "getTable" | "throttle">,
 ): void {
@@ -26,9 +26,9 @@
   const { service } = call;
   const isLayered = getCallModel(call, context) !== undefined;
   const usable = listBeginners(call, context).length;
-  const resting = engines.listResting(service)
+  const resting = engines.listBackedOff(service)
     .filter(({ record }) => !isLayered || record.layers?.fromLayer === 0)
     .length;
-  const restingShare = resting / Math.max(1, usable + resting);
-  throttle.noteRest(service, { restingShare });
+  const backedOffShare = resting / Math.max(1, usable + resting);
+  throttle.noteBackOff(service, { backedOffShare });
 }
--- a/src/gateway/note_withheld.ts
+++ b/src/gateway/note_withheld.ts
@@ -7,7 +7,7 @@
 import type { Call, ServingContext } from "./types.ts";
 
 /**
- * Notes that a request had not left yet when its upstream asked for rest or left. It
+ * Notes that a request had not left yet when its upstream asked for a back-off or left. It
  * has reached nobody, which is no try.
  *
  * @param call - The call.
--- a/src/gateway/refuse_for_later.ts
+++ b/src/gateway/refuse_for_later.ts
@@ -10,7 +10,7 @@
 /** How far the call has come, and when its caller may come again. */
 export interface RefuseForLaterOptions {
   readonly callEnd: CallEnd;
-  /** Whether upstreams rest or are at their rate limits. */
+  /** Whether upstreams are backed off or at their rate limits. */
   readonly reason: "resting" | "limited";
   readonly tries: number;
   readonly runs: number;
--- a/src/gateway/rescue_stream.ts
+++ b/src/gateway/rescue_stream.ts
@@ -94,9 +94,9 @@
   const { requestId } = call.request;
   // To move is to run on other engines: only what may run anywhere does.
   if (context.quarantine.judge(call.requestKey).type !== "free") return;
-  // An order to a first engine that wants rest would be one more thing that reaches
+  // An order to a first engine that has asked for a back-off would be one more thing that reaches
   // it: the stream goes on elsewhere, which frees its place there.
-  if (context.notices.getRestLeftMs(first.engineId) > 0) return;
+  if (context.notices.getBackOffLeftMs(first.engineId) > 0) return;
   const excluded = new Set([...options.excluded, engineId]);
   const path = engineId === first.engineId
     ? undefined
--- a/src/gateway/rescue_stream_test.ts
+++ b/src/gateway/rescue_stream_test.ts
@@ -12,14 +12,15 @@
 
 function makeContext(
   verdict: QuarantineVerdict,
-  { restLeftMs = 0 }: { readonly restLeftMs?: number } = {},
+  { backOffLeftMs = 0 }: { readonly backOffLeftMs?: number } = {},
 ) {
   const moves: string[] = [];
   const context = {
     quarantine: { judge: () => verdict },
     engines: { get: () => undefined, suspect: () => {} },
     notices: {
-      getRestLeftMs: (engineId: string) => engineId === "e1" ? restLeftMs : 0,
+      getBackOffLeftMs: (engineId: string) =>
+        engineId === "e1" ? backOffLeftMs : 0,
     },
     stallWatch: {
       ask: () => Promise.resolve([{ requestId: "r", address: "e2:80" }]),
@@ -55,7 +56,9 @@
 });
 
 test("a first engine that wants rest gets no order to move a run", async () => {
-  const { context, moves } = makeContext({ type: "free" }, { restLeftMs: 9 });
+  const { context, moves } = makeContext({ type: "free" }, {
+    backOffLeftMs: 9,
+  });
   const options = { path: PATH, excluded: new Set<string>() };
   const leaving = { ...options, engineId: "e2" };
   assert.is(await moveOffEngine(CALL, context, leaving), undefined);
--- a/src/gateway/serve_plain_call.ts
+++ b/src/gateway/serve_plain_call.ts
@@ -17,8 +17,8 @@
 } from "./create_run_permit.ts";
 import { createTryPayment } from "./create_try_payment.ts";
 import { findUpstreamEnd } from "./find_upstream_end.ts";
-import { getRestWaitMs } from "./get_rest_wait_ms.ts";
-import { noteRest } from "./note_rest.ts";
+import { getBackOffWaitMs } from "./get_back_off_wait_ms.ts";
+import { noteBackOff } from "./note_back_off.ts";
 import { noteWithheld } from "./note_withheld.ts";
 import type { UpstreamHead } from "./protocol.ts";
 import type { SendGrant } from "./create_rate_limits.ts";
@@ -112,7 +112,7 @@
       if (permitted.type === "wait") return waitForPermit();
       const { trialEngineId } = permitted;
       const retryAfterMs = isLetIn ? undefined : admitCall(call, context);
-      if (retryAfterMs !== undefined) return endForRest(retryAfterMs);
+      if (retryAfterMs !== undefined) return endForBackOff(retryAfterMs);
       isLetIn = true;
       const engine = tries < MAX_TRIES ? choose(trialEngineId) : undefined;
       if (!engine) return giveUp();
@@ -169,9 +169,9 @@
         return callEnd.refuse({ status: 502, reason: "outcome_unknown" });
       }
       const { notices } = context;
-      const restLeftMs = getRestWaitMs({ engines, notices, service });
-      if (restLeftMs !== undefined) {
-        return endForRest(spreadReturnMs(restLeftMs, context.random()));
+      const backOffLeftMs = getBackOffWaitMs({ engines, notices, service });
+      if (backOffLeftMs !== undefined) {
+        return endForBackOff(spreadReturnMs(backOffLeftMs, context.random()));
       }
       const leftMs = getLimitWaitMs(call, context);
       if (leftMs !== undefined) return endForLimit(leftMs);
@@ -182,7 +182,7 @@
       });
     }
 
-    function endForRest(retryAfterMs: number): void {
+    function endForBackOff(retryAfterMs: number): void {
       const reason = "resting";
       const options = { callEnd, reason, tries, runs, retryAfterMs } as const;
       refuseForLater(call, context, options);
@@ -202,12 +202,14 @@
       engine.inFlight += 1;
       permit.noteSent(engineId);
       const { requestKey } = call;
-      const restLeftMs = Math.round(context.notices.getRestLeftMs(engineId));
+      const backOffLeftMs = Math.round(
+        context.notices.getBackOffLeftMs(engineId),
+      );
       log("callSent", {
         requestId,
         requestKey,
         engineId,
-        restLeftMs,
+        backOffLeftMs,
         limitPerS: context.rateLimits.getLimitPerS(engineId),
         tries,
         runs,
@@ -243,17 +245,17 @@
       if (head?.load !== undefined) engine.toldLoad = head.load;
       if (how.type === "complete" && head?.saysNotRun) {
         metrics.countRetry("upstream_refused");
-        const { status, restMs } = head;
+        const { status, backOffMs } = head;
         const tookMs = Math.round(now() - sentMs);
         log("callNotRun", {
           requestId,
           faulty: engineId,
           status,
           tookMs,
-          restMs,
+          backOffMs,
         });
         if (status === 421) engines.suspect(engineId, "other upstream");
-        if (restMs !== undefined) noteRest(call, context);
+        if (backOffMs !== undefined) noteBackOff(call, context);
         return goOn();
       }
       runs += 1;
--- a/src/gateway/serve_stream_call.ts
+++ b/src/gateway/serve_stream_call.ts
@@ -160,7 +160,7 @@
       if (answer.type === "held") return endHeld(answer);
       if (answer.type === "wait") return void setTimeout(next, PERMIT_POLL_MS);
       const retryAfterMs = isLetIn ? undefined : admitCall(call, context);
-      if (retryAfterMs !== undefined) return endForRest(retryAfterMs);
+      if (retryAfterMs !== undefined) return endForBackOff(retryAfterMs);
       isLetIn = true;
       const isNew = runs === 0 && request.lastEventId === undefined;
       if (isNew && !roomWait.isFirst()) return waits.waitForRoom();
@@ -170,7 +170,7 @@
         need: { tokens, isNew },
       });
       if (choice.type === "full" && isNew) return waits.waitForRoom();
-      if (choice.type === "resting") return waitForRest(choice.leftMs);
+      if (choice.type === "resting") return waitForBackOff(choice.leftMs);
       if (choice.type === "limited") return waitForLimit(choice.leftMs);
       if (choice.type !== "path") return waitForPath();
       const { path } = choice;
@@ -191,11 +191,11 @@
       waits.waitForPath({ onWait: () => excluded.clear() });
     }
 
-    // Nobody can take it before the first has rested: a caller that has nothing of
+    // Nobody can take it before the first back-off ends: a caller that has nothing of
     // it yet is told so at once, in place of being kept for it.
-    function waitForRest(leftMs: number): void {
+    function waitForBackOff(leftMs: number): void {
       if (response.headersSent || runs > 0) return waitUntilUsable(leftMs);
-      endForRest(spreadReturnMs(leftMs, context.random()));
+      endForBackOff(spreadReturnMs(leftMs, context.random()));
     }
 
     function waitForLimit(leftMs: number): void {
@@ -211,7 +211,7 @@
       waits.waitForPath({ onWait, leftMs });
     }
 
-    function endForRest(retryAfterMs: number): void {
+    function endForBackOff(retryAfterMs: number): void {
       const reason = "resting";
       const options = { callEnd, reason, tries, runs, retryAfterMs } as const;
       refuseForLater(call, context, options);
@@ -247,7 +247,7 @@
         requestKey: call.requestKey,
         engineId: path[0].engineId,
         path: path.map((part) => `${part.engineId}:${part.toLayer}`).join(),
-        restLeftMs: getRestLeftMs(path),
+        backOffLeftMs: getBackOffLeftMs(path),
         limitPerS: context.rateLimits.getLimitPerS(path[0].engineId),
         tries,
         lastEventId,
@@ -275,12 +275,12 @@
       watch(run);
     }
 
-    // Of the engine of the path that still wants to rest for longest.
-    function getRestLeftMs(path: readonly AddressedPart[]): number {
-      const restsMs = path.map(({ engineId }) =>
-        context.notices.getRestLeftMs(engineId)
+    // Of the engine of the path that is backed off for longest.
+    function getBackOffLeftMs(path: readonly AddressedPart[]): number {
+      const backOffsMs = path.map(({ engineId }) =>
+        context.notices.getBackOffLeftMs(engineId)
       );
-      return Math.round(Math.max(...restsMs));
+      return Math.round(Math.max(...backOffsMs));
     }
 
     // It may have ended its engine already: the news is still on its way.
--- a/src/gateway/start_call_exchange.ts
+++ b/src/gateway/start_call_exchange.ts
@@ -44,9 +44,9 @@
   const { engine, path, grant, lastEventId, onData } = options;
   const { engineId, address } = engine;
   const takeAnswer = notices.beginSend(engineId);
-  // Its own send may be the one that fills what a rested upstream takes at first.
+  // Its own send may be the one that fills what an upstream takes at first after a back-off.
   const mayReach = (one: string) =>
-    notices.getRestLeftMs(one) === 0 && !notices.isLeaving(one);
+    notices.getBackOffLeftMs(one) === 0 && !notices.isLeaving(one);
   const sentMs = context.now();
   const leftMs = Math.floor(call.deadlineMs - sentMs);
   return context.exchanger.start({
--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -33,7 +33,7 @@
 import { createRateLimits } from "./create_rate_limits.ts";
 import { createRepeatBudget } from "./create_repeat_budget.ts";
 import { createRequestDesk } from "./create_request_desk.ts";
-import { createRestThrottle } from "./create_rest_throttle.ts";
+import { createBackOffThrottle } from "./create_back_off_throttle.ts";
 import { createReturnSchedule } from "./create_return_schedule.ts";
 import { createRoomQueues } from "./create_room_queue.ts";
 import { createRunWatch } from "./create_run_watch.ts";
@@ -213,7 +213,7 @@
     engines,
     notices,
     rateLimits,
-    throttle: createRestThrottle({ now: steadyNow }),
+    throttle: createBackOffThrottle({ now: steadyNow }),
     usualTimes: createUsualTimes(),
     exchanger,
     endCheck: createEndCheck({ now }),
@@ -354,7 +354,7 @@
     metrics.gauge("config.revision", config.getVersion());
     metrics.gauge("config.lease_ms", Math.max(0, lease.getLeftMs()));
     metrics.gauge("engines.known", engines.getSize());
-    metrics.gauge("engines.resting", notices.countResting());
+    metrics.gauge("engines.resting", notices.countBackedOff());
     const limited = rateLimits.listLimited().filter(engines.get);
     metrics.gauge("engines.limited", limited.length);
     const { suspects, held } = quarantine.count();
--- a/src/gateway/take_refusal.ts
+++ b/src/gateway/take_refusal.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { noteRest } from "./note_rest.ts";
+import { noteBackOff } from "./note_back_off.ts";
 import type { UpstreamHead } from "./protocol.ts";
 import type { StreamRun } from "./start_stream_run.ts";
 import type { Call, ServingContext } from "./types.ts";
@@ -23,7 +23,7 @@
 
 /**
  * Takes a refusal: the engine at fault is left out for a moment, as lost where it
- * seems to be. The rest that is asked for is of whoever answered: it is the one that
+ * seems to be. The back-off is of whoever answered: it is the one that
  * wants nothing. Where it names another engine, that one has no room either for as
  * long. One that has answered with a wish of its own is not lost, however late.
  *
@@ -41,30 +41,30 @@
   { sent, head }: TakeRefusalOptions,
 ): string {
   const { engines, notices, runWatch, now, log } = context;
-  const { status, restMs, faultAddress } = head;
+  const { status, backOffMs, faultAddress } = head;
   const [first] = sent.path;
   const faulty = sent.path.find(({ address }) => address === faultAddress) ??
     first;
   const { engineId } = faulty;
   const tookMs = Math.round(now() - sent.sentMs);
-  const namesOther = restMs !== undefined && faulty !== first;
-  if (namesOther) notices.take(engineId, { restMs, isLeaving: false });
-  const hasOwnWish = restMs !== undefined && !namesOther;
+  const namesOther = backOffMs !== undefined && faulty !== first;
+  if (namesOther) notices.take(engineId, { backOffMs, isLeaving: false });
+  const hasOwnWish = backOffMs !== undefined && !namesOther;
   const isDead = tookMs > DEAD_REFUSAL_MS && !hasOwnWish;
   if (status === MISDIRECTED || isDead) {
     engines.suspect(engineId, `refused with ${status}`);
   } else {
     engines.noteFull(engineId);
-    if (restMs === undefined) runWatch.checkEngine(faulty);
+    if (backOffMs === undefined) runWatch.checkEngine(faulty);
   }
-  if (restMs !== undefined) noteRest(call, context);
+  if (backOffMs !== undefined) noteBackOff(call, context);
   log("callNotRun", {
     requestId: call.request.requestId,
     answeredBy: first.engineId,
     faulty: engineId,
     status,
     tookMs,
-    restMs,
+    backOffMs,
   });
   return engineId;
 }
--- a/src/gateway/take_refusal_test.ts
+++ b/src/gateway/take_refusal_test.ts
@@ -23,14 +23,14 @@
       noteFull: (id: string) => void seen.full.push(id),
       suspect: (id: string) => void seen.suspected.push(id),
       listUsable: () => [],
-      listResting: () => [],
+      listBackedOff: () => [],
     },
     notices: { take: (id: string) => void seen.resting.push(id) },
     runWatch: {
       checkEngine: (one: { engineId: string }) =>
         void seen.asked.push(one.engineId),
     },
-    throttle: { noteRest: () => {} },
+    throttle: { noteBackOff: () => {} },
     getTable: () => undefined,
     now: () => tookMs,
     log: () => {},
@@ -49,20 +49,20 @@
 
 test("one that asks for rest is neither asked nor suspected, however late", () => {
   for (const tookMs of [2, 5_000]) {
-    const { full, suspected, asked } = refuse({ restMs: 300 }, { tookMs });
+    const { full, suspected, asked } = refuse({ backOffMs: 300 }, { tookMs });
     assert.equal([full, suspected, asked], [["e1"], [], []]);
   }
 });
 
 test("one that is named as at fault rests as long as the one that answered", () => {
-  const head = { restMs: 300, faultAddress: "e2:80" };
+  const head = { backOffMs: 300, faultAddress: "e2:80" };
   const { faulty, resting, suspected } = refuse(head);
   assert.is(faulty, "e2");
   assert.equal([resting, suspected], [["e2"], []]);
 });
 
 test("one that is named late is dead, whatever the other one wants", () => {
-  const head = { restMs: 300, faultAddress: "e2:80" };
+  const head = { backOffMs: 300, faultAddress: "e2:80" };
   const { suspected } = refuse(head, { tookMs: 2_100 });
   assert.equal(suspected, ["e2"]);
 });
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -20,7 +20,7 @@
 import type { Quarantine } from "./create_quarantine.ts";
 import type { RateLimits } from "./create_rate_limits.ts";
 import type { RepeatBudget } from "./create_repeat_budget.ts";
-import type { RestThrottle } from "./create_rest_throttle.ts";
+import type { BackOffThrottle } from "./create_back_off_throttle.ts";
 import type { ReturnSchedule } from "./create_return_schedule.ts";
 import type { RoomQueue } from "./create_room_queue.ts";
 import type { RunWatch } from "./create_run_watch.ts";
@@ -57,8 +57,8 @@
   readonly notices: EngineNotices;
   /** Rate limits that upstreams named. */
   readonly rateLimits: RateLimits;
-  /** Lets in what upstreams can bear while many rest. */
-  readonly throttle: RestThrottle;
+  /** Lets in what upstreams can bear while many are backed off. */
+  readonly throttle: BackOffThrottle;
   /** How long answers usually take. */
   readonly usualTimes: UsualTimes;
   readonly exchanger: Exchanger;
--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -9,6 +9,6 @@
 export * from "./limit_time.ts";
 export * from "./problem.ts";
 export * from "./read_rate_limit.ts";
-export * from "./read_rest_ms.ts";
+export * from "./read_back_off_ms.ts";
 export * from "./read_retry_after.ts";
 export * from "./secrets.ts";
--- a/src/http/read_rest_ms.ts
+++ b/src/http/read_back_off_ms.ts
@@ -6,7 +6,7 @@
 
 import { readRetryAfter } from "./read_retry_after.ts";
 
-/** Status with which an upstream turns requests away and may ask for rest. */
+/** Status with which an upstream turns requests away and may ask for a back-off. */
 const TURNED_AWAY = 503;
 
 /** The head of an answer; names of fields in lower case. */
@@ -19,12 +19,12 @@
  * Reads for how long an upstream that turned a request away wants no more.
  *
  * @param answer - The head of its answer.
- * @returns Ms; undefined where it asks for no rest.
+ * @returns Ms; undefined where it asks for no back-off.
  * @throws Nothing.
  * @example
- * readRestMs({ status: 503, headers: { "retry-after": "3" } }); // 3000
+ * readBackOffMs({ status: 503, headers: { "retry-after": "3" } }); // 3000
  */
-export function readRestMs(
+export function readBackOffMs(
   { status, headers }: AnswerHead,
 ): number | undefined {
   if (status !== TURNED_AWAY) return undefined;
--- a/src/logs/events.ts
+++ b/src/logs/events.ts
@@ -166,10 +166,10 @@
     "warn",
     "Upstream of a service that is not configured is left out",
   ),
-  engineAsksForRest: event(
+  engineAsksForBackOff: event(
     "CL1722",
     "warn",
-    "Upstream turned this gateway away and asks it for rest",
+    "Upstream turned this gateway away and asks it for a back-off",
   ),
   engineSaysLeaving: event(
     "CL1723",
@@ -195,7 +195,7 @@
   callWithheld: event(
     "CL1811",
     "info",
-    "Request had not left yet when its upstream asked for rest or left",
+    "Request had not left yet when its upstream asked for a back-off or left",
   ),
   requestHeldBack: event(
     "CL1810",
--- a/src/metrics/metric_catalogue.ts
+++ b/src/metrics/metric_catalogue.ts
@@ -30,7 +30,8 @@
   held_back: "Upstreams ended under the request; it is held back for a while",
   awaits_trial:
     "Upstreams ended under the request; it has no turn to be tried yet",
-  resting: "All upstreams that could take the request have asked for rest",
+  resting:
+    "All upstreams that could take the request have asked for a back-off",
   limited: "All upstreams that could take the request are at their rate limits",
   outcome_unknown: "The request was sent, and whether it ran is not known",
   answer_broken: "The upstream's answer broke off",
@@ -80,7 +81,7 @@
   "quarantine.held": "Requests that are held back for it",
   "entries.unreadable": "Heartbeats and configurations that could not be read",
   "engines.known": "Upstreams that registered",
-  "engines.rests_asked": "Answers in which upstreams asked for rest",
+  "engines.rests_asked": "Answers in which upstreams asked for a back-off",
   "engines.resting": "Upstreams that want nothing of this gateway for now",
   "engines.limits_named": "Answers in which upstreams named a new rate limit",
   "engines.limited": "Upstreams that are limited",
@@ -89,7 +90,7 @@
   "grants.denied": "Times that a limited upstream had no send left",
   "grants.unanswered": "Requests for sends that the leader did not answer",
   "requests.withheld":
-    "Requests that had not left yet when their upstream asked for rest or left",
+    "Requests that had not left yet when their upstream asked for a back-off or left",
   "engines.suspected": "Upstreams left out for a while by this gateway",
   "paths.changed": "Running requests moved to other parts of a path",
   "streams.resumed": "Streams that went on in another run",
--- a/src/retry/types.ts
+++ b/src/retry/types.ts
@@ -27,8 +27,8 @@
   readonly saidNotRun?: boolean;
   /** HTTP status, where there was one. */
   readonly status?: number;
-  /** Ms for which the upstream wants no new work, where it asked for rest. */
-  readonly restMs?: number;
+  /** Ms for which the upstream wants no new work, where it asked for a back-off. */
+  readonly backOffMs?: number;
 }
 
 /** What follows from a failed dispatch. */
--- a/src/routing/list_usable.ts
+++ b/src/routing/list_usable.ts
@@ -10,7 +10,7 @@
 /**
  * Lists the upstreams that may get a request.
  *
- * Those that are closed never do, nor those that asked for rest while it lasts: what
+ * Those that are closed never do, nor those that asked for a back-off while it lasts: what
  * they were sent they would turn away. Ejected ones are left out only while enough
  * others with the same layers remain: an ejection can't empty a service, nor
  * a stage. Those that were tried
@@ -55,7 +55,9 @@
   options: RoutingOptions,
 ): readonly UpstreamView[] {
   const { nowMs, exclude } = options;
-  const open = group.filter((view) => !view.closed && !isResting(view, nowMs));
+  const open = group.filter((view) =>
+    !view.closed && !isBackedOff(view, nowMs)
+  );
   const sound = open.filter((view) => isSound(view, nowMs));
   const usable = sound.length >= open.length * MIN_USABLE_PART ? sound : open;
   if (!exclude?.size) return usable;
@@ -65,9 +67,12 @@
 
 function isSound(view: UpstreamView, nowMs: number): boolean {
   return !view.closed && view.ejectedUntilMs <= nowMs &&
-    !isResting(view, nowMs);
+    !isBackedOff(view, nowMs);
 }
 
-function isResting({ restUntilMs = 0 }: UpstreamView, nowMs: number): boolean {
-  return restUntilMs > nowMs;
+function isBackedOff(
+  { backOffUntilMs = 0 }: UpstreamView,
+  nowMs: number,
+): boolean {
+  return backOffUntilMs > nowMs;
 }
--- a/src/routing/routing_test.ts
+++ b/src/routing/routing_test.ts
@@ -6,7 +6,7 @@
   chooseUpstream,
   computeEntryIntervals,
   computeIntervalShares,
-  findRestLeftMs,
+  findBackOffLeftMs,
   rankEntries,
   SOUND,
   updateHealth,
@@ -98,7 +98,7 @@
 });
 
 test("one that asked for rest gets nothing, even when it is alone", () => {
-  const resting = makeView("a", { restUntilMs: 1_000 });
+  const resting = makeView("a", { backOffUntilMs: 1_000 });
   assert.is(chooseUpstream([resting], options), undefined);
   assert.is(chooseUpstream([resting, makeView("b")], options)?.name, "b");
   const rested = { ...options, nowMs: 1_000 };
@@ -107,15 +107,15 @@
 
 test("a rest is waited for where a chain is whole once it has ended", () => {
   const views = [
-    makeView("a", { layers: { start: 0, end: 4 }, restUntilMs: 500 }),
-    makeView("b", { layers: { start: 4, end: 8 }, restUntilMs: 900 }),
-    makeView("c", { layers: { start: 4, end: 8 }, restUntilMs: 700 }),
+    makeView("a", { layers: { start: 0, end: 4 }, backOffUntilMs: 500 }),
+    makeView("b", { layers: { start: 4, end: 8 }, backOffUntilMs: 900 }),
+    makeView("c", { layers: { start: 4, end: 8 }, backOffUntilMs: 700 }),
   ];
   const canSend = (nowMs: number) =>
     chooseChain(views, 8, { nowMs, random: 0 }) !== undefined;
-  assert.is(findRestLeftMs(views, { nowMs: 0, canSend }), 700);
+  assert.is(findBackOffLeftMs(views, { nowMs: 0, canSend }), 700);
   const never = { nowMs: 0, canSend: () => false };
-  assert.is(findRestLeftMs(views, never), undefined);
+  assert.is(findBackOffLeftMs(views, never), undefined);
 });
 
 // Both copies of a stage were once left out, since enough upstreams of other
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -22,7 +22,7 @@
   /** Time, in ms, until which it is left out after failures. */
   readonly ejectedUntilMs: number;
   /** Time, in ms, until which it wants no new work; absent where it didn't say so. */
-  readonly restUntilMs?: number;
+  readonly backOffUntilMs?: number;
   /** Whether it is leaving, drained, or missing: it takes no new work. */
   readonly closed: boolean;
   /** Layers that it holds; absent for a plain service. */
--- a/src/upstreams/call_stage.ts
+++ b/src/upstreams/call_stage.ts
@@ -7,7 +7,7 @@
 
 import { type Static, Type } from "typebox";
 import { Compile } from "typebox/compile";
-import { readRestMs } from "../http/index.ts";
+import { readBackOffMs } from "../http/index.ts";
 import type { StepOrder, StepOutput } from "../pipeline/index.ts";
 import type { DispatchFailure } from "../retry/index.ts";
 import { saidNotRun, type UpstreamClient } from "./create_upstream_client.ts";
@@ -81,7 +81,7 @@
       fault: "upstream_said",
       status: answer.status,
       saidNotRun: saidNotRun(answer),
-      restMs: readRestMs(answer),
+      backOffMs: readBackOffMs(answer),
     });
   }
   return parseAnswer(text, address);
@@ -127,7 +127,7 @@
 
 /**
  * Tells a stage that a request's epoch is over, so that it frees its cache; one that
- * asked for rest is told too, for it gains room by it.
+ * asked for a back-off is told too, for it gains room by it.
  * A stage that does not hear it frees the cache by its own time limit.
  *
  * @param client - The client for upstreams.
--- a/test/resting_engine_test.ts
+++ b/test/resting_engine_test.ts
@@ -128,7 +128,7 @@
       call(address, { path: "/safe/1" }),
       call(address, { path: "/stream/1" }),
     ]);
-    return lines.filter((name) => name === "engineAsksForRest").length >= 2;
+    return lines.filter((name) => name === "engineAsksForBackOff").length >= 2;
   });
   assert.not.ok(lines.includes("engineSuspected"));
 });
--- a/test/support/run_rest_soak.ts
+++ b/test/support/run_rest_soak.ts
@@ -198,11 +198,11 @@
   const counts = engines.flatMap((engine) => {
     const requests = listRequests(engine);
     return requests.flatMap((asked) => {
-      const restMs = RESTS_MS.get(asked.askedForRest?.join() ?? "") ?? 0;
-      if (restMs === 0) return [];
+      const backOffMs = RESTS_MS.get(asked.askedForRest?.join() ?? "") ?? 0;
+      if (backOffMs === 0) return [];
       const fromMs = asked.atMs + ON_THE_WAY_MS;
       return requests.filter((one) =>
-        one.atMs > fromMs && one.atMs < asked.atMs + restMs &&
+        one.atMs > fromMs && one.atMs < asked.atMs + backOffMs &&
         one.bornMs === asked.bornMs && isOfSameGateway(one, asked)
       ).length;
     });
