--- a/src/gateway/serve_plain_call.ts
+++ b/src/gateway/serve_plain_call.ts
@@ -8,6 +8,7 @@
 import { admitCall } from "./admit_call.ts";
 import { chooseEngine, getKeptShare } from "./choose_engine.ts";
 import { createCallEnd } from "./create_call_end.ts";
+import { createLaterRefusals } from "./create_later_refusals.ts";
 import type { EngineView } from "./engine_view.ts";
 import type { Exchange, ExchangeEnd } from "./create_exchanger.ts";
 import {
@@ -22,10 +23,8 @@
 import { noteWithheld } from "./note_withheld.ts";
 import type { UpstreamHead } from "./protocol.ts";
 import type { SendGrant } from "./create_rate_limits.ts";
-import { getLimitReturnMs } from "./get_limit_return_ms.ts";
 import { getLimitWaitMs } from "./get_limit_wait_ms.ts";
 import { listSendable } from "./list_sendable.ts";
-import { refuseForLater } from "./refuse_for_later.ts";
 import { requestGrant } from "./request_grant.ts";
 import { spreadReturnMs } from "./spread_return_ms.ts";
 import { startCallExchange } from "./start_call_exchange.ts";
@@ -88,6 +87,11 @@
       onDeadline: finishTimedOut,
     });
 
+    const refusals = createLaterRefusals(call, context, {
+      callEnd,
+      getProgress: () => ({ tries, runs }),
+    });
+
     function finishTimedOut(): void {
       // Nothing is sent any more; a try that is under way counts as a run.
       tries = MAX_TRIES;
@@ -112,7 +116,9 @@
       if (permitted.type === "wait") return waitForPermit();
       const { trialEngineId } = permitted;
       const retryAfterMs = isLetIn ? undefined : admitCall(call, context);
-      if (retryAfterMs !== undefined) return endForBackOff(retryAfterMs);
+      if (retryAfterMs !== undefined) {
+        return refusals.refuseForBackOff(retryAfterMs);
+      }
       isLetIn = true;
       const engine = tries < MAX_TRIES ? choose(trialEngineId) : undefined;
       if (!engine) return giveUp();
@@ -171,10 +177,11 @@
       const { notices } = context;
       const backOffLeftMs = getBackOffWaitMs({ engines, notices, service });
       if (backOffLeftMs !== undefined) {
-        return endForBackOff(spreadReturnMs(backOffLeftMs, context.random()));
+        const waitMs = spreadReturnMs(backOffLeftMs, context.random());
+        return refusals.refuseForBackOff(waitMs);
       }
       const leftMs = getLimitWaitMs(call, context);
-      if (leftMs !== undefined) return endForLimit(leftMs);
+      if (leftMs !== undefined) return refusals.refuseForLimit(leftMs);
       callEnd.refuse({
         status: 503,
         reason: "no_upstream",
@@ -182,19 +189,6 @@
       });
     }
 
-    function endForBackOff(retryAfterMs: number): void {
-      const reason = "resting";
-      const options = { callEnd, reason, tries, runs, retryAfterMs } as const;
-      refuseForLater(call, context, options);
-    }
-
-    function endForLimit(leftMs: number): void {
-      const retryAfterMs = getLimitReturnMs(context, { service, leftMs });
-      const reason = "limited";
-      const options = { callEnd, reason, tries, runs, retryAfterMs } as const;
-      refuseForLater(call, context, options);
-    }
-
     function send(engine: EngineView, grant: SendGrant): void {
       const { engineId } = engine.record;
       const chunks: Buffer[] = [];
--- a/src/gateway/serve_stream_call.ts
+++ b/src/gateway/serve_stream_call.ts
@@ -8,6 +8,7 @@
 import { getCallModel } from "./choose_call_path.ts";
 import { chooseRunPath } from "./choose_run_path.ts";
 import { createCallEnd } from "./create_call_end.ts";
+import { createLaterRefusals } from "./create_later_refusals.ts";
 import { createRoomWait } from "./create_room_wait.ts";
 import {
   createRunPermit,
@@ -29,8 +30,6 @@
 import { noteWithheld } from "./note_withheld.ts";
 import type { AddressedPart, UpstreamHead } from "./protocol.ts";
 import type { SendGrant } from "./create_rate_limits.ts";
-import { getLimitReturnMs } from "./get_limit_return_ms.ts";
-import { refuseForLater } from "./refuse_for_later.ts";
 import { requestGrant } from "./request_grant.ts";
 import { spreadReturnMs } from "./spread_return_ms.ts";
 import {
@@ -121,6 +120,10 @@
       onDeadline: finishTimedOut,
     });
 
+    const refusals = createLaterRefusals(call, context, {
+      callEnd,
+      getProgress: () => ({ tries, runs }),
+    });
     const mover = createRunMover(call, context, {
       relay,
       excluded,
@@ -160,7 +163,9 @@
       if (answer.type === "held") return endHeld(answer);
       if (answer.type === "wait") return void setTimeout(next, PERMIT_POLL_MS);
       const retryAfterMs = isLetIn ? undefined : admitCall(call, context);
-      if (retryAfterMs !== undefined) return endForBackOff(retryAfterMs);
+      if (retryAfterMs !== undefined) {
+        return refusals.refuseForBackOff(retryAfterMs);
+      }
       isLetIn = true;
       const isNew = runs === 0 && request.lastEventId === undefined;
       if (isNew && !roomWait.isFirst()) return waits.waitForRoom();
@@ -195,15 +200,12 @@
     // it yet is told so at once, in place of being kept for it.
     function waitForBackOff(leftMs: number): void {
       if (response.headersSent || runs > 0) return waitUntilUsable(leftMs);
-      endForBackOff(spreadReturnMs(leftMs, context.random()));
+      refusals.refuseForBackOff(spreadReturnMs(leftMs, context.random()));
     }
 
     function waitForLimit(leftMs: number): void {
       if (response.headersSent || runs > 0) return waitUntilUsable(leftMs);
-      const retryAfterMs = getLimitReturnMs(context, { service, leftMs });
-      const reason = "limited";
-      const options = { callEnd, reason, tries, runs, retryAfterMs } as const;
-      refuseForLater(call, context, options);
+      refusals.refuseForLimit(leftMs);
     }
 
     function waitUntilUsable(leftMs: number): void {
@@ -211,12 +213,6 @@
       waits.waitForPath({ onWait, leftMs });
     }
 
-    function endForBackOff(retryAfterMs: number): void {
-      const reason = "resting";
-      const options = { callEnd, reason, tries, runs, retryAfterMs } as const;
-      refuseForLater(call, context, options);
-    }
-
     function goOn(): void {
       permit.noteRunEnd();
       next();
--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -41,6 +41,7 @@
 import { createUsualTimes } from "./create_usual_times.ts";
 import type { CallerCodec, EngineControl } from "./protocol.ts";
 import { getLastCallMs } from "./get_last_call_ms.ts";
+import { startGauges } from "./start_gauges.ts";
 import type { ServingContext } from "./types.ts";
 
 /** Settings of a gateway. */
@@ -90,9 +91,6 @@
 /** Ms by which idle callers are kept longer than the configuration says. */
 const IDLE_MARGIN_MS = 1_000;
 
-/** Ms between two looks at what gauges tell. */
-const GAUGE_INTERVAL_MS = 2_000;
-
 const MS_PER_S = 1_000;
 
 /** Gateways assumed for the budget of repeats while none are known. */
@@ -349,22 +347,20 @@
   await listenForCallers(server, { ...listen, earlyListener });
   log("started", { vm, address });
 
-  const gauges = setInterval(() => {
-    metrics.gauge("requests.in_flight", desk.getInFlight());
-    metrics.gauge("config.revision", config.getVersion());
-    metrics.gauge("config.lease_ms", Math.max(0, lease.getLeftMs()));
-    metrics.gauge("engines.known", engines.getSize());
-    metrics.gauge("engines.resting", notices.countBackedOff());
-    const limited = rateLimits.listLimited().filter(engines.get);
-    metrics.gauge("engines.limited", limited.length);
-    const { suspects, held } = quarantine.count();
-    metrics.gauge("quarantine.suspects", suspects);
-    metrics.gauge("quarantine.held", held);
-  }, GAUGE_INTERVAL_MS);
+  const gauges = startGauges({
+    metrics,
+    desk,
+    config,
+    lease,
+    engines,
+    notices,
+    rateLimits,
+    quarantine,
+  });
 
   async function stop(): Promise<void> {
     log("stopping", { inFlight: desk.getInFlight() });
-    clearInterval(gauges);
+    gauges[Symbol.dispose]();
     const startedMs = now();
     graceEndMs = startedMs + settings.graceMs - END_MARGIN_MS;
     const leftMs = context.getGraceLeftMs;
--- a/test/support/run_limit_soak.ts
+++ b/test/support/run_limit_soak.ts
@@ -8,13 +8,13 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { createRandomSource } from "../../proof/random_source.ts";
 import type { EngineArrival, LayerEngine } from "../../standins/index.ts";
+import { startServing, stopLeader, type TestFleet } from "./fleet.ts";
 import {
-  call,
-  expectStream,
-  startServing,
-  stopLeader,
-  type TestFleet,
-} from "./fleet.ts";
+  askUntil,
+  countRepeats,
+  freezeEngine,
+  listRequests,
+} from "./soak_callers.ts";
 
 /** What a soak plays. */
 export interface RunLimitSoakOptions {
@@ -54,9 +54,6 @@
 const ALLOWED_FACTOR = 1.5;
 const ALLOWED_BESIDES = 5;
 
-/** Ms between two requests of the callers. */
-const ASK_INTERVAL_MS = 12;
-
 /** Ms for which an engine names no limit at a time, at most. */
 const MOST_UNLIMITED_MS = 8_000;
 
@@ -108,30 +105,6 @@
   const isOver = () => performance.now() >= untilMs;
   const tally = { asked: 0, served: 0, refused: 0, spoilt: 0 };
 
-  async function ask(at: number, address: string): Promise<void> {
-    const path = ["/stream/1", "/safe/1", "/once/1"][at % 3];
-    tally.asked += 1;
-    const answer = await call(address, { path, deadlineMs: 2_000 })
-      .catch(() => undefined);
-    if (answer?.status === 503) tally.refused += 1;
-    if (answer?.status !== 200) return;
-    tally.served += 1;
-    const whole = path === "/stream/1"
-      ? expectStream()
-      : `answer to ${answer.requestId}`;
-    if (answer.text !== whole) tally.spoilt += 1;
-  }
-
-  async function askOn(): Promise<void> {
-    const random = drawFor(1);
-    const running: Promise<void>[] = [];
-    for (let at = 0; !isOver(); at++) {
-      running.push(ask(at, random.pick(fleet.gateways).address));
-      await sleep(ASK_INTERVAL_MS);
-    }
-    await Promise.all(running);
-  }
-
   function name(engine: LayerEngine, lines: readonly string[] | undefined) {
     engine.fault.namesLimit = lines;
     const limitPerS = LIMITS_PER_S.get(lines?.join() ?? "") ?? Infinity;
@@ -160,7 +133,7 @@
       const engine = random.pick(all);
       const frozenMs = random.integer(300, 800);
       if (random.chance(0.3)) await engine.fail();
-      else if (random.chance(0.5)) await freeze(engine, frozenMs);
+      else if (random.chance(0.5)) await freezeEngine(engine, frozenMs);
       else await replaceGateway(fleet);
     }
   }
@@ -171,7 +144,8 @@
     if (random.chance(0.7)) await stopLeader(fleet);
   }
 
-  await Promise.all([askOn(), disturb(), loseLeader(), ...all.map(limit)]);
+  const callers = askUntil({ fleet, random: drawFor(1), isOver, tally });
+  await Promise.all([callers, disturb(), loseLeader(), ...all.map(limit)]);
   const windows = all.flatMap((engine) =>
     judgeWindows(engine, history.get(engine) ?? [])
   );
@@ -186,24 +160,11 @@
   };
 }
 
-async function freeze(
-  { fault }: LayerEngine,
-  frozenMs: number,
-): Promise<void> {
-  fault.hangs = true;
-  await sleep(frozenMs);
-  fault.hangs = undefined;
-}
-
 async function replaceGateway(fleet: TestFleet): Promise<void> {
   const [oldest] = fleet.gateways.splice(0, 1);
   await Promise.all([fleet.addGateway(), oldest.gateway.stop()]);
 }
 
-function listRequests({ arrivals }: LayerEngine): EngineArrival[] {
-  return arrivals.filter(({ type }) => type === "request");
-}
-
 // Requests in each window that lies in one run of an engine and one time of being
 // limited, as a share of what may come.
 function judgeWindows(
@@ -255,10 +216,3 @@
   }
   return sum;
 }
-
-function countRepeats(engines: readonly LayerEngine[]): number {
-  const ids = engines.flatMap((engine) => engine.runs)
-    .filter((run) => run.target.startsWith("/once/"))
-    .map((run) => run.requestId);
-  return ids.length - new Set(ids).size;
-}
--- a/test/support/run_rest_soak.ts
+++ b/test/support/run_rest_soak.ts
@@ -8,7 +8,13 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { createRandomSource } from "../../proof/random_source.ts";
 import type { EngineArrival, LayerEngine } from "../../standins/index.ts";
-import { call, expectStream, startServing, stopLeader } from "./fleet.ts";
+import { startServing, stopLeader } from "./fleet.ts";
+import {
+  askUntil,
+  countRepeats,
+  freezeEngine,
+  listRequests,
+} from "./soak_callers.ts";
 
 /** What a soak plays. */
 export interface RunRestSoakOptions {
@@ -32,6 +38,7 @@
   readonly lateAnywhere: number;
   readonly asked: number;
   readonly served: number;
+  readonly refused: number;
   /** Answers that were given as whole and are not. */
   readonly spoilt: number;
   /** Requests that must not be repeated and ran more than once. */
@@ -50,9 +57,6 @@
 /** Ms that all gateways have from the first answer that told of it. */
 const NEWS_MS = 3_000;
 
-/** Ms between two requests of the callers. */
-const ASK_INTERVAL_MS = 12;
-
 /** Actors that draw by chance. */
 const ACTORS = 6;
 
@@ -97,33 +101,7 @@
   }
   const untilMs = performance.now() + lengthMs;
   const isOver = () => performance.now() >= untilMs;
-  const tally = { asked: 0, served: 0, spoilt: 0 };
-  async function ask(at: number, gatewayAt: number): Promise<void> {
-    const path = ["/stream/1", "/safe/1", "/once/1"][at % 3];
-    const { address } = fleet.gateways[gatewayAt];
-    tally.asked += 1;
-    const idPrefix = `g${gatewayAt}`;
-    const answer = await call(address, { path, deadlineMs: 2_000, idPrefix })
-      .catch(() => undefined);
-    if (answer?.status !== 200) return;
-    tally.served += 1;
-    const whole = path === "/stream/1"
-      ? expectStream()
-      : `answer to ${answer.requestId}`;
-    if (answer.text !== whole) tally.spoilt += 1;
-  }
-
-  async function askOn(): Promise<void> {
-    const random = drawFor(1);
-    const running: Promise<void>[] = [];
-    for (let at = 0; !isOver(); at++) {
-      const gatewayAt = random.integer(0, fleet.gateways.length - 1);
-      running.push(ask(at, gatewayAt));
-      await sleep(ASK_INTERVAL_MS);
-    }
-    await Promise.all(running);
-  }
-
+  const tally = { asked: 0, served: 0, refused: 0, spoilt: 0 };
   // A third of all engines at a time can't cope, for a moment or for longer.
   async function press(): Promise<void> {
     const random = drawFor(2);
@@ -154,26 +132,18 @@
       const engine = random.pick(all);
       const frozenMs = random.integer(300, 800);
       if (random.chance(0.5)) await engine.fail();
-      else await freeze(engine, frozenMs);
+      else await freezeEngine(engine, frozenMs);
     }
   }
 
-  async function freeze(
-    { fault }: LayerEngine,
-    frozenMs: number,
-  ): Promise<void> {
-    fault.hangs = true;
-    await sleep(frozenMs);
-    fault.hangs = undefined;
-  }
-
   async function loseLeader(): Promise<void> {
     const random = drawFor(5);
     await sleep(lengthMs * (0.3 + 0.4 * random.number()));
     if (random.chance(0.5)) await stopLeader(fleet);
   }
 
-  await Promise.all([askOn(), press(), leave(), disturb(), loseLeader()]);
+  const callers = askUntil({ fleet, random: drawFor(1), isOver, tally });
+  await Promise.all([callers, press(), leave(), disturb(), loseLeader()]);
   return {
     seed,
     ...tally,
@@ -183,10 +153,6 @@
   };
 }
 
-function listRequests({ arrivals }: LayerEngine): EngineArrival[] {
-  return arrivals.filter(({ type }) => type === "request");
-}
-
 function isOfSameGateway(a: EngineArrival, b: EngineArrival): boolean {
   return a.requestId.split("-", 1)[0] === b.requestId.split("-", 1)[0];
 }
@@ -231,10 +197,3 @@
   }
   return result;
 }
-
-function countRepeats(engines: readonly LayerEngine[]): number {
-  const ids = engines.flatMap((engine) => engine.runs)
-    .filter((run) => run.target.startsWith("/once/"))
-    .map((run) => run.requestId);
-  return ids.length - new Set(ids).size;
-}
