--- a/src/fleet/create_gateway_sessions_test.ts
+++ b/src/fleet/create_gateway_sessions_test.ts
@@ -50,7 +50,10 @@
   }
 }
 
-function makeSessions(engines = ENGINES) {
+function makeSessions(
+  engines = ENGINES,
+  given: Partial<Parameters<typeof createGatewaySessions>[0]> = {},
+) {
   return createGatewaySessions({
     isLeader: () => true,
     hasLease: () => true,
@@ -73,6 +76,7 @@
     onLeaving: () => {},
     now: () => 0,
     log: () => {},
+    ...given,
   });
 }
 
@@ -158,6 +162,44 @@
   assert.equal(list.engines.map(({ engineId }) => engineId), ["e0"]);
 });
 
+test("limits are told with the welcome, before the engines", async () => {
+  const told = { engineId: "e0", limitPerS: 4, version: 1 };
+  const limits = { take: () => {}, grant: () => [], list: () => [told] };
+  const sessions = makeSessions(ENGINES, { limits });
+  const { taken } = await join(sessions, "g1");
+  assert.ok(taken[0].type === "welcome");
+  assert.equal(taken[0].limits, [told]);
+});
+
+test("only a leader with its lease grants sends, and others say so at once", async () => {
+  const reported: unknown[] = [];
+  const grants = [{ engineId: "e0", count: 1, retryAfterMs: 0 }];
+  let hasLease = true;
+  const sessions = makeSessions(ENGINES, {
+    hasLease: () => hasLease,
+    limits: {
+      take: (report) => void reported.push(report),
+      grant: () => grants,
+      list: () => [],
+    },
+  });
+  const stream = await join(sessions, "g1");
+  const report = { engineId: "e0", limitPerS: 4 };
+  stream.say({ ...BEAT, isReady: true, limits: [report] });
+  assert.equal(reported, [report]);
+  const request = { type: "grantRequest", counts: { e0: 1 }, askedMs: 5 };
+  const ask = () => {
+    stream.say(request as GatewayMessage);
+    return stream.taken[stream.taken.length - 1];
+  };
+  assert.equal(ask(), { type: "grants", grants, askedMs: 5 });
+  hasLease = false;
+  const denied = ask();
+  assert.ok(denied.type === "grants");
+  assert.is(denied.grants[0].count, 0);
+  assert.ok(denied.grants[0].retryAfterMs > 0);
+});
+
 /** Bytes that a link of 100 Mbit/s carries in a fifth of a second. */
 const LINK_BYTES = 2_500_000;
 
