An engine that deregistered and still serves counts as one that runs a request

Cause: an engine that has ended doesn't count towards a request's engines, and gateways took every engine that is no longer registered for one that has ended. One that deregisters without draining first serves what it has for seconds.

Change: the leader tells which of the gone deregistered without draining; they count until they are forgotten.

--- a/src/fleet/create_engine_registry.ts
+++ b/src/fleet/create_engine_registry.ts
@@ -24,6 +24,11 @@
 export interface EngineChange {
   readonly engines: readonly EngineRecord[];
   readonly gone: readonly string[];
+  /**
+   * Those of them that deregistered without draining first: they still serve what they
+   * have. Absent where there are none.
+   */
+  readonly serving?: readonly string[];
 }
 
 /** What the registry needs of its program. */
@@ -98,14 +103,20 @@
   let suspicions = new Map<string, Map<string, number>>();
   let changed = new Map<string, EngineRecord>();
   let gone = new Set<string>();
+  let serving = new Set<string>();
   let gathering: ReturnType<typeof setTimeout> | undefined;
 
   function gather(): void {
     gathering ??= setTimeout(() => {
       gathering = undefined;
-      const change = { engines: [...changed.values()], gone: [...gone] };
+      const change = {
+        engines: [...changed.values()],
+        gone: [...gone],
+        ...(serving.size > 0 ? { serving: [...serving] } : {}),
+      };
       changed = new Map();
       gone = new Set();
+      serving = new Set();
       options.publish(change);
     }, GATHER_MS);
   }
@@ -166,8 +177,11 @@
   }
 
   function takeLeave(engineId: string, kind: LeaveKind): void {
-    if (kind === "gone") return drop([engineId], "left");
     const engine = state.engines.get(engineId);
+    if (kind === "gone") {
+      if (engine?.record.isLeaving === false) serving.add(engineId);
+      return drop([engineId], "left");
+    }
     if (!engine || engine.record.isLeaving) return;
     const record = { ...engine.record, isLeaving: true };
     const engines = new Map(state.engines);
@@ -207,6 +221,7 @@
       suspicions = new Map();
       changed = new Map();
       gone = new Set();
+      serving = new Set();
     },
     addRecorded(records, { newestRuns: recorded = new Map() } = {}) {
       const heardMs = now();
--- a/src/fleet/create_engine_registry_test.ts
+++ b/src/fleet/create_engine_registry_test.ts
@@ -1,5 +1,6 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import { until } from "../../demo/until.ts";
 import { makeBeat } from "../../test/support/make_beat.ts";
 import {
   createEngineRegistry,
@@ -57,6 +58,19 @@
   assert.equal(getIds(registry), []);
 });
 
+test("one that deregisters still serves, unless it had drained before", async () => {
+  const { registry, published } = makeRegistry();
+  registry.take(BEAT);
+  const address = "10.0.0.2:80";
+  registry.take({ ...BEAT, engineId: "e2", address, isLeaving: true });
+  registry.takeLeave("e1", "gone");
+  registry.takeLeave("e2", "gone");
+  await until("it is published", () => published.length > 0);
+  const [{ gone, serving }] = published;
+  assert.equal(gone, ["e1", "e2"]);
+  assert.equal(serving, ["e1"]);
+});
+
 test("what beats is kept, whoever suspects it", () => {
   const { registry, clock } = makeRegistry();
   registry.take(BEAT);
--- a/src/fleet/create_gateway_sessions.ts
+++ b/src/fleet/create_gateway_sessions.ts
@@ -13,6 +13,7 @@
 import type { wire } from "../wire/index.ts";
 import { createActivityTally } from "./create_activity_tally.ts";
 import { createLossReports } from "./create_loss_reports.ts";
+import type { EngineChange } from "./create_engine_registry.ts";
 import type { LimitDesk } from "./create_limit_desk.ts";
 import type { QuarantineDesk } from "./create_quarantine_desk.ts";
 import { createWrittenNews } from "./create_written_news.ts";
@@ -68,9 +69,7 @@
     wire.FleetMessage
   >;
   publishConfig(): void;
-  publishEngines(
-    change: { engines: readonly EngineRecord[]; gone: readonly string[] },
-  ): void;
+  publishEngines(change: EngineChange): void;
   /** Tells all engines at once, in place of what gateways knew before. */
   publishAllEngines(): void;
   /** Ends the sessions that fell silent; tells the others who is live. */
@@ -349,9 +348,9 @@
         for (const session of sessions.values()) sendConfig(session);
       }, CONFIG_GATHER_MS);
     },
-    publishEngines({ engines, gone }) {
+    publishEngines(change) {
       news.forgetEngines();
-      broadcast({ type: "engines", isWhole: false, engines, gone });
+      broadcast({ type: "engines", isWhole: false, ...change });
     },
     publish: broadcast,
     publishAllEngines() {
--- a/src/fleet/messages.ts
+++ b/src/fleet/messages.ts
@@ -186,6 +186,8 @@
     readonly isWhole: boolean;
     readonly engines: readonly EngineRecord[];
     readonly gone: readonly string[];
+    /** Those of the gone that still serve what they have; absent where none do. */
+    readonly serving?: readonly string[];
   }
   | {
     readonly type: "gateways";
--- a/src/gateway/create_engine_table.ts
+++ b/src/gateway/create_engine_table.ts
@@ -43,6 +43,11 @@
   /** Runs that said so to this gateway, and of which the leader doesn't know yet. */
   listUntoldLeaves(): readonly string[];
   get(engineId: string): EngineView | undefined;
+  /**
+   * Whether one has ended, as far as is known. One that deregistered and still serves
+   * what it has has not.
+   */
+  hasEnded(engineId: string): boolean;
   /** Counts a request in on the engines of its path. */
   addWork(path: readonly PathPart[], work: { tokens: number }): void;
   /** Counts a request out again. */
@@ -99,6 +104,9 @@
  */
 const LOADS_LAG_MS = 200;
 
+/** Gone upstreams that still serve which are remembered; the oldest go first. */
+const MAX_SERVING = 1_000;
+
 /** Weight of the newest answer in the smoothed share of failures. */
 const FAILURE_WEIGHT = 0.2;
 
@@ -122,6 +130,7 @@
 ): EngineTable {
   const { now, log, onGone, notices = NO_NOTICES } = options;
   const engines = new Map<string, EngineView>();
+  const serving = new Set<string>();
   let suspects = new Set<string>();
   let crossingPrompts = 0;
   // Part of what the leader tells of all gateways.
@@ -202,6 +211,13 @@
     log("engineSuspected", { engineId, reason, leftOutMs });
   }
 
+  function noteServing(engineId: string): void {
+    serving.add(engineId);
+    if (serving.size > MAX_SERVING) {
+      serving.delete(serving.values().next().value as string);
+    }
+  }
+
   // What an upstream said itself holds whatever the leader tells of that run.
   function isLeaving({ record }: EngineView): boolean {
     return record.isLeaving || notices.isLeaving(record.engineId);
@@ -219,7 +235,8 @@
     notices.isBackedOff(record.engineId);
 
   return {
-    take({ isWhole, engines: records, gone }) {
+    take({ isWhole, engines: records, gone, serving: stillServing = [] }) {
+      stillServing.forEach(noteServing);
       gone.forEach(remove);
       records.forEach(put);
       if (!isWhole) return;
@@ -255,6 +272,7 @@
         engines.get(engineId)?.record.isLeaving === false
       ),
     get: (engineId) => engines.get(engineId),
+    hasEnded: (engineId) => !engines.has(engineId) && !serving.has(engineId),
     addWork: (path, { tokens }) => count(path, { tokens, requests: 1 }),
     removeWork: (path, { tokens }) =>
       count(path, { tokens: -tokens, requests: -1 }),
--- a/src/gateway/create_engine_table_test.ts
+++ b/src/gateway/create_engine_table_test.ts
@@ -61,6 +61,17 @@
   assert.equal(gone, ["e2"]);
 });
 
+test("one that deregistered and still serves has not ended", () => {
+  const { table } = makeTable();
+  assert.not.ok(table.hasEnded("e1"));
+  const gone = ["e1", "e2"];
+  const serving = ["e2"];
+  table.take({ type: "engines", isWhole: false, engines: [], gone, serving });
+  assert.ok(table.hasEnded("e1"));
+  assert.not.ok(table.hasEnded("e2"));
+  assert.equal(table.listUsable("s"), []);
+});
+
 test("one that rests is left out and listed apart, whatever is told of it", () => {
   const resting = new Set(["e1"]);
   const { table, engines } = makeTable({
--- a/src/gateway/serve_stream_call.ts
+++ b/src/gateway/serve_stream_call.ts
@@ -373,10 +373,10 @@
       goOn();
     }
 
-    // An upstream that is gone no longer counts as one that runs it; one whose
-    // connection broke may be well.
+    // An upstream that has ended no longer counts as one that runs it. One whose
+    // connection broke may be well, and so may one that has only deregistered.
     function mayRunElsewhere(): boolean {
-      const counted = [...ranOn].filter((id) => engines.get(id) !== undefined);
+      const counted = [...ranOn].filter((id) => !engines.hasEnded(id));
       return counted.length < route.maxAttempts;
     }
 
