A refusal that names no limit doesn't end one

What refuses a request may stand before the engine and know no limit; then each refusal would have ended the limit until the next answer named it again. Only an answer to a request that ran ends a limit or lets it grow.

--- a/src/gateway/create_rate_limits.ts
+++ b/src/gateway/create_rate_limits.ts
@@ -163,6 +163,13 @@
     wake(limit);
   }
 
+  function takeTold(told: readonly ToldLimit[]): void {
+    for (const { engineId, limitPerS, version } of told) {
+      if (limitPerS === null) remove(engineId);
+      else put(engineId, { limitPerS, version });
+    }
+  }
+
   function report(news: LimitReport): void {
     reports.set(news.engineId, news);
     options.onNews();
@@ -244,12 +251,7 @@
         knownVersion: known.version,
       });
     },
-    takeTold(told) {
-      for (const { engineId, limitPerS, version } of told) {
-        if (limitPerS === null) remove(engineId);
-        else put(engineId, { limitPerS, version });
-      }
-    },
+    takeTold,
     takeWhole(told) {
       silentUntilMs = -Infinity;
       const toldIds = new Set(told.map(({ engineId }) => engineId));
@@ -260,7 +262,7 @@
         limit.version = undefined;
         report({ engineId, limitPerS: limit.limitPerS });
       }
-      this.takeTold(told);
+      takeTold(told);
     },
     takeGrants({ grants, askedMs }) {
       unanswered.delete(askedMs);
--- a/src/gateway/start_call_exchange.ts
+++ b/src/gateway/start_call_exchange.ts
@@ -68,7 +68,8 @@
       [engine, ...path].every((one) => mayReach(one.engineId)),
     onHead(head) {
       const { limitPerS } = head;
-      if (limitPerS !== undefined) {
+      // A refusal may come from what stands before the engine and knows no limit.
+      if (limitPerS !== undefined && !head.saysNotRun) {
         rateLimits.takeAnswer(engineId, { limitPerS, sentMs });
       }
       takeAnswer({ isTaken: !head.saysNotRun });
--- a/standins/start_layer_engine.ts
+++ b/standins/start_layer_engine.ts
@@ -37,6 +37,8 @@
   saysLeaving?: boolean;
   /** Names a rate limit in its answers to requests: its lines of the field. */
   namesLimit?: readonly string[];
+  /** Names no limit where it refuses as full. */
+  hidesLimitWhenFull?: boolean;
   /** Names its limit in answers to questions and orders too. */
   namesLimitToAll?: boolean;
   /** Address of an engine for which all streams here wait. */
@@ -251,6 +253,7 @@
       return;
     }
     if (fault.isFull) {
+      if (fault.hidesLimitWhenFull) response.removeHeader(HEADER.rateLimit);
       response.writeHead(503, { ...own, [HEADER.notRun]: "1" }).end();
       return;
     }
--- a/test/limited_engine_test.ts
+++ b/test/limited_engine_test.ts
@@ -115,6 +115,19 @@
   });
 });
 
+test("a refusal that names no limit doesn't end one", async () => {
+  await using fleet = await startServing({ controls: 1, gateways: 2 });
+  const path = "/safe/1";
+  const [engine] = fleet.plain;
+  engine.fault.namesLimit = ["5"];
+  await askAll(fleet, { path, spanMs: 1_000 });
+  Object.assign(engine.fault, { isFull: true, hidesLimitWhenFull: true });
+  const fromMs = performance.now();
+  await askAll(fleet, { path, spanMs: WINDOW_MS });
+  const most = getBusiestWindow(engine, fromMs);
+  assert.ok(most <= 5 * WINDOW_MS / 1_000 + 2, `${most} requests in 4 s`);
+});
+
 for (const path of ["/stream/1", "/safe/1"]) {
   test(`callers are told at once where all are at their limits at ${path}`, async () => {
     await using fleet = await startServing({ controls: 1, gateways: 3 });
