--- a/src/fleet/create_engine_registry.ts
+++ b/src/fleet/create_engine_registry.ts
@@ -25,7 +25,7 @@
   readonly engines: readonly EngineRecord[];
   readonly gone: readonly string[];
   /**
-   * Those of them that deregistered without draining first: they still serve what they
+   * Those of them that left without draining first: they still serve what they
    * have. Absent where there are none.
    */
   readonly serving?: readonly string[];
--- a/src/fleet/create_engine_registry_test.ts
+++ b/src/fleet/create_engine_registry_test.ts
@@ -58,7 +58,7 @@
   assert.equal(getIds(registry), []);
 });
 
-test("one that deregisters still serves, unless it had drained before", async () => {
+test("one that leaves still serves, unless it had drained before", async () => {
   const { registry, published } = makeRegistry();
   registry.take(BEAT);
   const address = "10.0.0.2:80";
--- a/src/gateway/create_engine_table.ts
+++ b/src/gateway/create_engine_table.ts
@@ -44,8 +44,8 @@
   listUntoldLeaves(): readonly string[];
   get(engineId: string): EngineView | undefined;
   /**
-   * Whether one has ended, as far as is known. One that deregistered and still serves
-   * what it has has not.
+   * Whether one has ended, as far as is known. One that left without draining still
+   * serves what it has.
    */
   hasEnded(engineId: string): boolean;
   /** Counts a request in on the engines of its path. */
--- a/src/gateway/create_engine_table_test.ts
+++ b/src/gateway/create_engine_table_test.ts
@@ -61,7 +61,7 @@
   assert.equal(gone, ["e2"]);
 });
 
-test("one that deregistered and still serves has not ended", () => {
+test("one that left and still serves has not ended", () => {
   const { table } = makeTable();
   assert.not.ok(table.hasEnded("e1"));
   const gone = ["e1", "e2"];
--- a/src/gateway/serve_stream_call.ts
+++ b/src/gateway/serve_stream_call.ts
@@ -374,7 +374,7 @@
     }
 
     // An upstream that has ended no longer counts as one that runs it. One whose
-    // connection broke may be well, and so may one that has only deregistered.
+    // connection broke may be well, and so may one that left without draining.
     function mayRunElsewhere(): boolean {
       const counted = [...ranOn].filter((id) => !engines.hasEnded(id));
       return counted.length < route.maxAttempts;
--- a/test/leaving_engine_runs_test.ts
+++ b/test/leaving_engine_runs_test.ts
@@ -1,9 +1,9 @@
 /**
- * A stream ran on three engines where its route allows two. The first one deregistered
- * while it was at work and went on serving, as engines that leave may. Gateways took
+ * A stream ran on three engines where its route allows two. The first one left
+ * while it was at work and went on serving, as engines that don't drain first do. Gateways took
  * every engine that is no longer registered for one that has ended, which doesn't count
  * as one that runs a request, and went on elsewhere once more. Evidence: of a recorded
- * request the second engine had deregistered at 25.8 s and worked on it until 30.3 s,
+ * request the second engine had left at 25.8 s and worked on it until 30.3 s,
  * when it went on at a third.
  */
 
@@ -23,13 +23,13 @@
   return runs.length > 0;
 }
 
-async function deregister(fleet: TestFleet, { engineId }: LayerEngine) {
+async function leave(fleet: TestFleet, { engineId }: LayerEngine) {
   const [{ control }] = fleet.controls;
   const reply = await control.call({ type: "leave", engineId });
   assert.is(reply.type, "done");
 }
 
-test("an engine that deregistered still counts as one that ran a request", async () => {
+test("an engine that left still counts as one that ran a request", async () => {
   const size = { controls: 1, gateways: 1, events: 200 };
   await using fleet = await startServing(size);
   for (const place of ["p1", "p1", "p2", "p2"]) await fleet.addEngine(place);
@@ -43,7 +43,7 @@
   for (const { fault } of engines) fault.resetAfterEvents = CUT_AFTER;
   const answer = call(fleet.gateways[0].address, { path: "/stream/1" });
   await until("one runs it", () => engines.some(isRunning));
-  await deregister(fleet, engines.find(isRunning) as LayerEngine);
+  await leave(fleet, engines.find(isRunning) as LayerEngine);
   await answer.catch(() => undefined);
   const ran = engines.filter(isRunning).length;
   assert.is(ran, MAX_ATTEMPTS, `${ran} engines`);
