--- /dev/null
+++ b/src/collections/forget_oldest_test.ts
@@ -0,0 +1,28 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { forgetOldest } from "./forget_oldest.ts";
+
+test("the oldest of a map and of a set are forgotten", () => {
+  const map = new Map([["a", 1], ["b", 2], ["c", 3]]);
+  const set = new Set(["a", "b", "c"]);
+  forgetOldest(map, 2);
+  forgetOldest(set, 1);
+  assert.equal([...map.keys()], ["b", "c"]);
+  assert.equal([...set], ["c"]);
+});
+
+test("what isn't full keeps all", () => {
+  const set = new Set(["a", "b"]);
+  forgetOldest(set, 2);
+  assert.is(set.size, 2);
+});
+
+test("what is put anew counts as newest", () => {
+  const map = new Map([["a", 1], ["b", 2]]);
+  map.delete("a");
+  map.set("a", 3);
+  forgetOldest(map, 1);
+  assert.equal([...map.keys()], ["a"]);
+});
+
+test.run();
--- /dev/null
+++ b/src/collections/index.ts
@@ -0,0 +1,7 @@
+/**
+ * Collections that are bounded.
+ *
+ * @module
+ */
+
+export * from "./forget_oldest.ts";
--- a/src/engines/newest_runs.ts
+++ b/src/engines/newest_runs.ts
@@ -5,6 +5,7 @@
  * @module
  */
 
+import { forgetOldest } from "../collections/index.ts";
 import type { EngineRecord, NewestRuns } from "./types.ts";
 
 /** A run as far as runs are ordered by it. */
@@ -71,6 +72,6 @@
   const next = new Map(newestRuns);
   next.delete(name);
   next.set(name, { engineId, startedMs });
-  if (next.size > MAX_RUNS) next.delete(next.keys().next().value as string);
+  forgetOldest(next, MAX_RUNS);
   return next;
 }
--- a/src/entry/create_request_log.ts
+++ b/src/entry/create_request_log.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { forgetOldest } from "../collections/index.ts";
 import type { Outcome } from "../model/index.ts";
 import type { TraceStep } from "./request_context.ts";
 
@@ -57,9 +58,7 @@
         outcome: "running" as RequestTrace["outcome"],
       };
       traces.set(of.requestId, trace);
-      if (traces.size > MAX_TRACES) {
-        traces.delete(traces.keys().next().value ?? "");
-      }
+      forgetOldest(traces, MAX_TRACES);
       return {
         note(what) {
           if (trace.steps.length >= MAX_STEPS) return;
--- a/src/entry/create_stream_store.ts
+++ b/src/entry/create_stream_store.ts
@@ -7,6 +7,8 @@
  * @module
  */
 
+import { forgetOldest } from "../collections/index.ts";
+
 /** An event of a stream: its number counts from 1. */
 export interface StreamEvent {
   readonly id: number;
@@ -135,9 +137,7 @@
       read,
     };
     streams.set(requestId, stream);
-    if (streams.size > MAX_STREAMS) {
-      streams.delete(streams.keys().next().value ?? "");
-    }
+    forgetOldest(streams, MAX_STREAMS);
     return stream;
   }
 
--- a/src/fleet/create_fleet_machine.ts
+++ b/src/fleet/create_fleet_machine.ts
@@ -5,6 +5,7 @@
  * @module
  */
 
+import { forgetOldest } from "../collections/index.ts";
 import {
   type EngineRecord,
   type LeaveKind,
@@ -131,9 +132,7 @@
     const known = leaves.get(engineId);
     if (known === kind || known === "gone") return false;
     leaves.set(engineId, kind);
-    while (leaves.size > maxLeaves) {
-      leaves.delete(leaves.keys().next().value as string);
-    }
+    forgetOldest(leaves, maxLeaves);
     return true;
   }
 
--- a/src/fleet/create_limit_desk.ts
+++ b/src/fleet/create_limit_desk.ts
@@ -9,6 +9,7 @@
  * @module
  */
 
+import { forgetOldest } from "../collections/index.ts";
 import { takeToken, type TokenBucket } from "../limits/index.ts";
 import type { Logger } from "../logs/index.ts";
 import type {
@@ -82,9 +83,7 @@
       { tokens: 0, updatedMs: now() };
     limits.delete(engineId);
     limits.set(engineId, { engineId, limitPerS, version, bucket });
-    if (limits.size > MAX_LIMITS) {
-      limits.delete(limits.keys().next().value as string);
-    }
+    forgetOldest(limits, MAX_LIMITS);
     return { engineId, limitPerS, version };
   }
 
--- a/src/gateway/create_engine_notices.ts
+++ b/src/gateway/create_engine_notices.ts
@@ -6,6 +6,7 @@
  * @module
  */
 
+import { forgetOldest } from "../collections/index.ts";
 import type { EngineNotice } from "../engines/index.ts";
 import type { Logger } from "../logs/index.ts";
 import type { Metrics } from "../metrics/index.ts";
@@ -137,9 +138,7 @@
   function takeLeave(engineId: string): void {
     if (leaving.has(engineId)) return;
     leaving.add(engineId);
-    if (leaving.size > MAX_LEAVING) {
-      leaving.delete(leaving.values().next().value as string);
-    }
+    forgetOldest(leaving, MAX_LEAVING);
     log("engineSaysLeaving", { engineId });
   }
 
--- a/src/gateway/create_engine_table.ts
+++ b/src/gateway/create_engine_table.ts
@@ -5,6 +5,7 @@
  * @module
  */
 
+import { forgetOldest } from "../collections/index.ts";
 import type { EngineRecord } from "../engines/index.ts";
 import {
   type EngineLoads,
@@ -211,13 +212,6 @@
     log("engineSuspected", { engineId, reason, leftOutMs });
   }
 
-  function noteServing(engineId: string): void {
-    serving.add(engineId);
-    if (serving.size > MAX_SERVING) {
-      serving.delete(serving.values().next().value as string);
-    }
-  }
-
   // What an upstream said itself holds whatever the leader tells of that run.
   function isLeaving({ record }: EngineView): boolean {
     return record.isLeaving || notices.isLeaving(record.engineId);
@@ -236,7 +230,8 @@
 
   return {
     take({ isWhole, engines: records, gone, serving: stillServing = [] }) {
-      stillServing.forEach(noteServing);
+      stillServing.forEach((engineId) => serving.add(engineId));
+      forgetOldest(serving, MAX_SERVING);
       gone.forEach(remove);
       records.forEach(put);
       if (!isWhole) return;
--- a/src/gateway/create_quarantine.ts
+++ b/src/gateway/create_quarantine.ts
@@ -5,6 +5,7 @@
  * @module
  */
 
+import { forgetOldest } from "../collections/index.ts";
 import type { LeaderMessage, ToldCase, TrialWish } from "../fleet/index.ts";
 import {
   type CrashReport,
@@ -229,9 +230,7 @@
     noteProved(requestKey) {
       proofs.delete(requestKey);
       proofs.set(requestKey, now());
-      if (proofs.size > MAX_PROOFS) {
-        proofs.delete(proofs.keys().next().value as string);
-      }
+      forgetOldest(proofs, MAX_PROOFS);
       reports = reports.filter((one) => one.requestKey !== requestKey);
       if (told.has(requestKey)) onNews();
     },
