Rate limits: one question whether a send is left, one count of sharers

Three places compared the wait for a grant with 0, two assumed the same number of gateways, and the time between sends of limited upstreams stood in the gateway's set-up. A limit that changes is put in one step.

--- a/src/gateway/choose_call_path.ts
+++ b/src/gateway/choose_call_path.ts
@@ -90,7 +90,7 @@
     expected: expectWork(usable, { call, context, model, begunRequests }),
     drawBlindly: begunRequests === Infinity ? context.random : undefined,
     excluded,
-    mayBegin: (engineId: string) => rateLimits.getWaitMs(engineId) === 0,
+    mayBegin: rateLimits.hasSendLeft,
     mayCross: engines.getCrossingPrompts() < MAX_CROSSING_PROMPTS,
     nowMs: now(),
   };
--- a/src/gateway/create_rate_limits.ts
+++ b/src/gateway/create_rate_limits.ts
@@ -38,8 +38,10 @@
   takeGrants(message: LeaderMessage & { type: "grants" }): void;
   /** Requests a second that one takes from all gateways; Infinity if unlimited. */
   getLimitPerS(engineId: string): number;
-  /** Ms until it is worth asking for a grant; 0 where a request may be sent or asked for. */
+  /** Ms until a grant may be had; 0 where one is in hand, or may be asked for now. */
   getWaitMs(engineId: string): number;
+  /** Whether a request may be sent, or a grant for one asked for. */
+  hasSendLeft(engineId: string): boolean;
   /** Takes leave to send a request; undefined where a grant has to be asked for. */
   take(engineId: string): SendGrant | undefined;
   /** Asks the leader for a grant; resolves once it has answered or is given up. */
@@ -94,11 +96,11 @@
 const MAX_LIMITS = 5_000;
 
 interface Limit {
-  limitPerS: number;
+  readonly limitPerS: number;
   /** The leader's version of it; absent until it has told one. */
   version?: number;
   /** Since when it is known here, in ms. */
-  knownMs: number;
+  readonly knownMs: number;
   /** Until when each grant in hand may be used, in ms. */
   grantsUntilMs: number[];
   /** Time, in ms, before which no grant is to be had. */
@@ -130,28 +132,29 @@
   const getLimitPerS = (engineId: string) =>
     limits.get(engineId)?.limitPerS ?? Infinity;
 
+  function getWaitMs(engineId: string): number {
+    const limit = limits.get(engineId);
+    if (!limit) return 0;
+    if (limit.grantsUntilMs.some((ms) => ms > now())) return 0;
+    return Math.max(0, Math.max(limit.noGrantUntilMs, silentUntilMs) - now());
+  }
+
   function put(
     engineId: string,
     { limitPerS, version }: Pick<Limit, "limitPerS" | "version">,
   ): void {
     const known = limits.get(engineId);
-    const limit = known ?? {
-      limitPerS,
-      knownMs: now(),
+    const hasChanged = known?.limitPerS !== limitPerS;
+    if (!hasChanged && known.version === version) return;
+    const initial = {
       grantsUntilMs: [],
       noGrantUntilMs: -Infinity,
       waiting: [],
     };
-    if (known?.limitPerS !== limitPerS || known.version !== version) {
-      limit.knownMs = now();
-    }
-    limit.limitPerS = limitPerS;
-    limit.version = version;
-    limits.set(engineId, limit);
+    const knownMs = now();
+    limits.set(engineId, { ...initial, ...known, limitPerS, version, knownMs });
     if (limits.size > MAX_LIMITS) remove(limits.keys().next().value as string);
-    if (known?.limitPerS !== limitPerS) {
-      log("engineLimited", { engineId, limitPerS, version });
-    }
+    if (hasChanged) log("engineLimited", { engineId, limitPerS, version });
   }
 
   function remove(engineId: string): void {
@@ -279,12 +282,8 @@
       }
     },
     getLimitPerS,
-    getWaitMs(engineId) {
-      const limit = limits.get(engineId);
-      if (!limit) return 0;
-      if (limit.grantsUntilMs.some((ms) => ms > now())) return 0;
-      return Math.max(0, Math.max(limit.noGrantUntilMs, silentUntilMs) - now());
-    },
+    getWaitMs,
+    hasSendLeft: (engineId) => getWaitMs(engineId) === 0,
     take(engineId) {
       const limit = limits.get(engineId);
       if (!limit) {
--- a/src/gateway/create_run_permit.ts
+++ b/src/gateway/create_run_permit.ts
@@ -73,7 +73,7 @@
   function askForTrial(excluded: ReadonlySet<string>): PermitAnswer {
     const engineIds = listBeginners(call, context)
       .map(({ record }) => record.engineId)
-      .filter((id) => !excluded.has(id) && rateLimits.getWaitMs(id) === 0);
+      .filter((id) => !excluded.has(id) && rateLimits.hasSendLeft(id));
     // Its upstream may be gone by the time that there is room or a repeat.
     if (trialEngineId !== undefined && !engineIds.includes(trialEngineId)) {
       endTrial();
--- a/src/gateway/list_sendable.ts
+++ b/src/gateway/list_sendable.ts
@@ -23,5 +23,5 @@
   { engines, rateLimits }: Pick<ServingContext, "engines" | "rateLimits">,
 ): EngineView[] {
   return engines.listUsable(service)
-    .filter(({ record }) => rateLimits.getWaitMs(record.engineId) === 0);
+    .filter(({ record }) => rateLimits.hasSendLeft(record.engineId));
 }
--- a/src/gateway/start_call_exchange.ts
+++ b/src/gateway/start_call_exchange.ts
@@ -43,7 +43,7 @@
   const { notices, rateLimits } = context;
   const { engine, path, grant, lastEventId, onData } = options;
   const { engineId, address } = engine;
-  const takeAnswer = notices.beginSend(engineId);
+  const endSend = notices.beginSend(engineId);
   // Its own send may be the one that fills what an upstream takes at first after a back-off.
   const mayReach = (one: string) =>
     notices.getBackOffLeftMs(one) === 0 && !notices.isLeaving(one);
@@ -72,12 +72,12 @@
       if (limitPerS !== undefined && !head.saysNotRun) {
         rateLimits.takeAnswer(engineId, { limitPerS, sentMs });
       }
-      takeAnswer({ isTaken: !head.saysNotRun });
+      endSend({ isTaken: !head.saysNotRun });
       options.onHead(head);
     },
     onData,
     onEnd(end) {
-      takeAnswer({ isTaken: false });
+      endSend({ isTaken: false });
       if (end.type === "notSent" || end.type === "withheld") grant.giveBack();
       options.onEnd(end);
     },
--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -40,6 +40,7 @@
 import { createStallWatch } from "./create_stall_watch.ts";
 import { createUsualTimes } from "./create_usual_times.ts";
 import type { CallerCodec, EngineControl } from "./protocol.ts";
+import { getLimitIntervalMs } from "./get_limit_interval_ms.ts";
 import { getLastCallMs } from "./get_last_call_ms.ts";
 import { startGauges } from "./start_gauges.ts";
 import type { ServingContext } from "./types.ts";
@@ -91,9 +92,7 @@
 /** Ms by which idle callers are kept longer than the configuration says. */
 const IDLE_MARGIN_MS = 1_000;
 
-const MS_PER_S = 1_000;
-
-/** Gateways assumed for the budget of repeats while none are known. */
+/** Gateways among which what all share is divided while none are known. */
 const UNKNOWN_GATEWAYS = 20;
 
 /** Ms between two beats that only ask for repeats. */
@@ -139,11 +138,14 @@
     log,
     metrics,
   });
+  const gateways = createGatewayList();
+  const { listReady } = gateways;
+  // A gateway that has just started knows none and takes a small share.
+  const getSharerCount = () => gateways.list().length || UNKNOWN_GATEWAYS;
   const rateLimits = createRateLimits({
     requestGrants: (counts, askedMs) => link.requestGrants(counts, askedMs),
     onNews: () => link.beatSoon(),
-    getGatewayCount: () =>
-      gateways.list().length === 0 ? UNKNOWN_GATEWAYS : gateways.list().length,
+    getGatewayCount: getSharerCount,
     now,
     log,
     metrics,
@@ -155,8 +157,6 @@
     onGone: exchanger.forget,
     notices,
   });
-  const gateways = createGatewayList();
-  const { listReady } = gateways;
   const config = createHeldConfig({
     decodeConfig: options.decodeConfig,
     onChange({ limits }) {
@@ -177,9 +177,7 @@
   });
   const budget = createRepeatBudget({
     ...settings.repeats,
-    // A gateway that has just started knows none and takes a small share.
-    getGatewayCount: () =>
-      gateways.list().length === 0 ? UNKNOWN_GATEWAYS : gateways.list().length,
+    getGatewayCount: getSharerCount,
     onShort: askForRepeats,
     now: steadyNow,
     elapsedNow: now,
@@ -227,7 +225,8 @@
       random: Math.random,
     }),
     limitReturns: createReturnSchedule({
-      getEndIntervalMs: getLimitIntervalMs,
+      getEndIntervalMs: (service) =>
+        getLimitIntervalMs({ engines, rateLimits }, service),
       leastWaitMs: 0,
       getGatewayCount,
       now,
@@ -248,15 +247,6 @@
     !isLeaving && config.getTable() !== undefined && knowsEngines &&
     lease.isValid();
 
-  // Mean time between two sends that the limits of a service's upstreams allow.
-  function getLimitIntervalMs(service: string): number {
-    const ratePerS = engines.listUsable(service)
-      .map(({ record }) => rateLimits.getLimitPerS(record.engineId))
-      .filter((limitPerS) => limitPerS < Infinity)
-      .reduce((sum, limitPerS) => sum + limitPerS, 0);
-    return MS_PER_S / ratePerS;
-  }
-
   function noteLost(engineId: string, reason: string): void {
     engines.suspect(engineId, reason);
     losses.note(engineId);
