An entry too takes no refusal for the end of a rate limit

Of 20 requests that came together after one, 3 reached a service whose next send was one; now 1 (test).

--- a/src/entry/create_upstream_table.ts
+++ b/src/entry/create_upstream_table.ts
@@ -69,8 +69,8 @@
 export interface NamedLimit {
   /** Requests a second from all entries together; Infinity where it names none. */
   readonly limitPerS: number;
-  /** When the request was sent, in ms. */
-  readonly sentMs: number;
+  /** When the request was sent, in ms; absent where the answer is a refusal. */
+  readonly sentMs?: number;
 }
 
 /** Options of {@link createUpstreamTable}. */
@@ -233,10 +233,11 @@
         now() + backOffMs,
       );
     },
-    takeLimit(name, { limitPerS, sentMs }) {
+    takeLimit(name, { limitPerS, sentMs = -Infinity }) {
       const record = records.get(name);
       if (!record || limitPerS === record.limitPerS) return;
-      // An answer to an earlier request may be older than the limit.
+      // An answer to an earlier request may be older than the limit, and a refusal may
+      // come from what stands before the upstream.
       const isLower = limitPerS < record.limitPerS;
       if (!isLower && sentMs <= record.limitKnownMs) return;
       record.limitPerS = limitPerS;
--- a/src/entry/run_plain_request.ts
+++ b/src/entry/run_plain_request.ts
@@ -164,15 +164,19 @@
         timeoutMs: Math.max(1, context.deadlineMs - now()),
         signal: context.signal,
       });
+      const notRun = saidNotRun(answer);
       const limitPerS = readRateLimit(answer.headers[HEADERS.rateLimit]);
-      if (limitPerS !== undefined) table.takeLimit(name, { limitPerS, sentMs });
+      if (limitPerS !== undefined) {
+        const named = notRun ? { limitPerS } : { limitPerS, sentMs };
+        table.takeLimit(name, named);
+      }
       const read = await readAnswer(answer, name);
       streaming = !Buffer.isBuffer(read.body);
       if (streaming) {
         (read.body as Readable).once("close", () => table.end(name));
       }
       const backOffMs = readBackOffMs(answer);
-      return takeAnswer(read, { notRun: saidNotRun(answer), backOffMs });
+      return takeAnswer(read, { notRun, backOffMs });
     } catch (error) {
       const failure = getFailure(error);
       if (!failure) throw error;
--- a/standins/start_plain_service.ts
+++ b/standins/start_plain_service.ts
@@ -19,6 +19,8 @@
   restS?: number;
   /** Requests a second that it says it takes from all entries together. */
   limitPerS?: number;
+  /** Names no limit where it says that it did not run the request. */
+  hidesLimitWhenNotRun?: boolean;
   /** Time, in ms, before each answer. */
   delayMs?: number;
   /** Answers nothing. */
@@ -52,7 +54,8 @@
   server.all("/*", async (request, reply) => {
     arrived += 1;
     if (fault.restS !== undefined) reply.header("retry-after", fault.restS);
-    if (fault.limitPerS !== undefined) {
+    const hidesLimit = fault.saysNotRun && fault.hidesLimitWhenNotRun;
+    if (fault.limitPerS !== undefined && !hidesLimit) {
       reply.header(HEADERS.rateLimit, fault.limitPerS);
     }
     if (fault.saysNotRun) {
--- a/test/limited_service_test.ts
+++ b/test/limited_service_test.ts
@@ -57,6 +57,32 @@
   });
 });
 
+test("a refusal that names no limit doesn't end one", async () => {
+  await using trial = await startTrial({ entries: 1 });
+  const [limited] = trial.plain;
+  limited.fault.limitPerS = LIMIT_PER_S;
+  await until("the entry was told", async () => {
+    await askAll(trial, 100);
+    return limited.countArrivals() > 0;
+  });
+  const told = limited.countArrivals();
+  Object.assign(limited.fault, {
+    saysNotRun: true,
+    hidesLimitWhenNotRun: true,
+  });
+  await until("it refused one", async () => {
+    await askAll(trial, 50);
+    return limited.countArrivals() > told;
+  });
+  limited.fault.saysNotRun = false;
+  const before = limited.countArrivals();
+  // By then it takes the next request, and no more of those that come together.
+  await sleep(2 * MS_PER_S / LIMIT_PER_S);
+  await Promise.all(Array.from({ length: 20 }, () => ask(trial, 0)));
+  const arrived = limited.countArrivals() - before;
+  assert.ok(arrived <= 1, `${arrived} arrived`);
+});
+
 test("where all services are at their limits callers are told at once", async () => {
   await using trial = await startTrial({ entries: 1 });
   for (const { fault } of trial.plain) fault.limitPerS = 0.2;
