--- a/measure/limits_model.ts
+++ b/measure/limits_model.ts
@@ -5,6 +5,7 @@
  * @module
  */
 
+import { countMostInWindow } from "../proof/count_most_in_window.ts";
 import { createRandomSource } from "../proof/random_source.ts";
 import { createLimitDesk } from "../src/fleet/create_limit_desk.ts";
 import { takeToken, type TokenBucket } from "../src/limits/index.ts";
@@ -83,20 +84,12 @@
     nowMs += -Math.log(1 - random()) * MS_PER_S / (limitPerS * demand);
   }
   return {
-    mostInWindow: countMost(sentMs),
+    mostInWindow: countMostInWindow(sentMs, WINDOW_MS),
     usedShare: sentMs.length / (limitPerS * SPAN_MS / MS_PER_S),
     messagesPerS: messages / (SPAN_MS / MS_PER_S),
   };
 }
 
-function countMost(timesMs: readonly number[]): number {
-  let first = 0;
-  return timesMs.reduce((most, endMs, at) => {
-    while (timesMs[first] < endMs - WINDOW_MS) first += 1;
-    return Math.max(most, at - first + 1);
-  }, 0);
-}
-
 /**
  * Each gateway has an equal share, in a bucket of one that is filled by chance at
  * first.
--- a/src/fleet/create_limit_desk_test.ts
+++ b/src/fleet/create_limit_desk_test.ts
@@ -1,5 +1,6 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import { countMostInWindow } from "../../proof/count_most_in_window.ts";
 import { createRandomSource } from "../../proof/random_source.ts";
 import { createLimitDesk, PROBE_RATE_PER_S } from "./create_limit_desk.ts";
 import type { ToldLimit } from "./messages.ts";
@@ -85,11 +86,9 @@
       const { count } = grant(random.integer(1, 3));
       for (let at = 0; at < count; at++) timesMs.push(clock.ms);
     }
-    const counts = timesMs.map((fromMs) =>
-      timesMs.filter((ms) => ms >= fromMs && ms < fromMs + 4_000).length
-    );
+    const most = countMostInWindow(timesMs, 4_000);
     const allowed = 4 * limitPerS + Math.max(1, 0.4 * limitPerS);
-    assert.ok(Math.max(...counts) <= allowed, `${limitPerS}: ${counts}`);
+    assert.ok(most <= allowed, `${limitPerS}: ${most}`);
     assert.ok(timesMs.length >= 0.9 * 60 * limitPerS - 1, `${limitPerS}`);
   }
 });
--- a/test/leaving_engine_test.ts
+++ b/test/leaving_engine_test.ts
@@ -15,12 +15,13 @@
   stopLeader,
   type TestFleet,
 } from "./support/fleet.ts";
+import { listRequests } from "./support/soak_callers.ts";
 
 /** Ms within which all gateways have to know: the bound on news on the platform. */
 const NEWS_MS = 3_000;
 
-function countRequests({ arrivals }: LayerEngine): number {
-  return arrivals.filter(({ type }) => type === "request").length;
+function countRequests(engine: LayerEngine): number {
+  return listRequests(engine).length;
 }
 
 /** Asks until one of the engines has been used, and gives it. */
--- a/test/limited_engine_test.ts
+++ b/test/limited_engine_test.ts
@@ -13,6 +13,7 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { until } from "../demo/until.ts";
+import { countMostInWindow } from "../proof/count_most_in_window.ts";
 import type { LayerEngine } from "../standins/index.ts";
 
 import {
@@ -21,6 +22,7 @@
   stopLeader,
   type TestFleet,
 } from "./support/fleet.ts";
+import { listRequests } from "./support/soak_callers.ts";
 
 /** Requests a second that the limited engine takes. */
 const LIMIT_PER_S = 4.6;
@@ -56,19 +58,14 @@
   return (await Promise.all(answers)).map(({ status }) => status);
 }
 
-function listRequestTimes({ arrivals }: LayerEngine): number[] {
-  return arrivals.filter(({ type }) => type === "request")
-    .map(({ atMs }) => atMs);
+function listRequestTimes(engine: LayerEngine): number[] {
+  return listRequests(engine).map(({ atMs }) => atMs);
 }
 
 /** The most requests that reached an engine in one window from a time on. */
 function getBusiestWindow(engine: LayerEngine, fromMs: number): number {
   const timesMs = listRequestTimes(engine).filter((atMs) => atMs >= fromMs);
-  const counts = timesMs.map((startMs) =>
-    timesMs.filter((atMs) => atMs >= startMs && atMs < startMs + WINDOW_MS)
-      .length
-  );
-  return Math.max(0, ...counts);
+  return countMostInWindow(timesMs, WINDOW_MS);
 }
 
 function getBusiest(engines: readonly LayerEngine[]): LayerEngine {
--- a/test/resting_engine_test.ts
+++ b/test/resting_engine_test.ts
@@ -16,6 +16,7 @@
 import { until } from "../demo/until.ts";
 import type { LayerEngine } from "../standins/index.ts";
 import { call, type CallAnswer, startServing } from "./support/fleet.ts";
+import { listRequests } from "./support/soak_callers.ts";
 
 const MS_PER_S = 1_000;
 
@@ -39,8 +40,8 @@
   return answers;
 }
 
-function countRequests({ arrivals }: LayerEngine): number {
-  return arrivals.filter(({ type }) => type === "request").length;
+function countRequests(engine: LayerEngine): number {
+  return listRequests(engine).length;
 }
 
 function holdsFirstLayers(engine: LayerEngine): boolean {
