Logs and metrics that tell where a configuration is late

The incident's hypotheses differ in who is busy: the leader, in one turn that grows with sessions and new routes; gateways, each for long; or nobody, while gateways look for a leader. None of it was logged.

- CL1727, config.publish_ms: when a version was written to the sessions and how long that took the leader; config.changes_made counts the differences it made for it
- CL1728, config.rollout_ms, config.lagging: from the acceptance until the last gateway has it in force.
Gateways tell their version with the next beat after it changed
- CL1406 has the routes and the time of applying, config.apply_ms too
- CL1404 has the time for which a gateway looked and the addresses that it tried

--- a/src/clocks/index.ts
+++ b/src/clocks/index.ts
@@ -5,3 +5,4 @@
  */
 
 export * from "./create_elapsed_clock.ts";
+export * from "./start_loop_watch.ts";
--- a/src/fleet/config_delta_test.ts
+++ b/src/fleet/config_delta_test.ts
@@ -27,6 +27,7 @@
   const news = createWrittenNews({
     getEngines: () => [],
     knowsAllEngines: () => true,
+    metrics: { count: () => {} },
   });
   const tell = (version: number, fromVersion: number) =>
     parseLeaderMessage(
--- a/src/fleet/create_gateway_sessions.ts
+++ b/src/fleet/create_gateway_sessions.ts
@@ -10,9 +10,11 @@
 } from "@grpc/grpc-js";
 import type { EngineRecord } from "../engines/index.ts";
 import type { Logger } from "../logs/index.ts";
+import type { Metrics } from "../metrics/index.ts";
 import type { wire } from "../wire/index.ts";
 import { createActivityTally } from "./create_activity_tally.ts";
 import { createLossReports } from "./create_loss_reports.ts";
+import { createRolloutWatch } from "./create_rollout_watch.ts";
 import type { EngineChange } from "./create_engine_registry.ts";
 import type { LimitDesk } from "./create_limit_desk.ts";
 import type { QuarantineDesk } from "./create_quarantine_desk.ts";
@@ -60,6 +62,7 @@
   /** Monotonic time, in ms. */
   readonly now: () => number;
   readonly log: Logger;
+  readonly metrics: Pick<Metrics, "count" | "gauge" | "timing">;
 }
 
 /** The leader's sessions with gateways. */
@@ -68,7 +71,8 @@
     wire.FleetMessage,
     wire.FleetMessage
   >;
-  publishConfig(): void;
+  /** Tells a version that was just accepted. */
+  publishConfig(version: number): void;
   publishEngines(change: EngineChange): void;
   /** Tells all engines at once, in place of what gateways knew before. */
   publishAllEngines(): void;
@@ -124,6 +128,7 @@
   const news = createWrittenNews(options);
   const tally = createActivityTally({ now });
   const losses = createLossReports({ now });
+  const rollout = createRolloutWatch(options);
 
   function send(session: Session, message: LeaderMessage): void {
     write(session, news.format(message));
@@ -163,6 +168,23 @@
     session.sentVersion = accepted.version;
   }
 
+  function sendConfigToAll(): void {
+    const accepted = options.getAccepted();
+    if (!accepted) return;
+    const startedMs = now();
+    const waitedMs = Math.round(rollout.getAgeMs());
+    for (const session of sessions.values()) sendConfig(session);
+    const tookMs = Math.round(now() - startedMs);
+    options.metrics.timing("config.publish_ms", tookMs);
+    const { version } = accepted;
+    log("configPublished", {
+      version,
+      waitedMs,
+      tookMs,
+      sessions: sessions.size,
+    });
+  }
+
   async function takeHello(
     session: Session,
     hello: GatewayMessage & { type: "hello" },
@@ -179,6 +201,7 @@
     session.sentVersion = version;
     session.heardMs = now();
     sessions.set(gateway.vm, session);
+    rollout.noteHeld(gateway.vm, version);
     const controlAddresses = options.getControlAddresses();
     // The suspects come before the engines: from then on it sends requests. They are
     // no message of their own: of what joins cost, nearly all is single messages.
@@ -204,6 +227,7 @@
     if (!gateway || sessions.get(gateway.vm) !== session) return;
     session.heardMs = now();
     if (beat.loads) session.loads = beat.loads;
+    if (beat.version !== undefined) rollout.noteHeld(gateway.vm, beat.version);
     tally.take(gateway.vm, beat.activity ?? {});
     if (beat.suspects.length > 0) {
       options.onSuspects(gateway.vm, beat.suspects);
@@ -311,6 +335,7 @@
     if (!gateway || sessions.get(gateway.vm) !== session) return;
     sessions.delete(gateway.vm);
     tally.forget(gateway.vm);
+    rollout.forget(gateway.vm);
     log("gatewayLost", { vm: gateway.vm });
   }
 
@@ -342,10 +367,11 @@
 
   return {
     handleSession,
-    publishConfig() {
+    publishConfig(version) {
+      rollout.noteAccepted(version);
       gathering ??= setTimeout(() => {
         gathering = undefined;
-        for (const session of sessions.values()) sendConfig(session);
+        sendConfigToAll();
       }, CONFIG_GATHER_MS);
     },
     publishEngines(change) {
@@ -380,7 +406,10 @@
     },
     closeAll() {
       for (const { stream } of sessions.values()) redirect(stream);
-      for (const vm of sessions.keys()) tally.forget(vm);
+      for (const vm of sessions.keys()) {
+        tally.forget(vm);
+        rollout.forget(vm);
+      }
       sessions.clear();
       // Should it lead again, engines that were there now may be gone.
       news.forgetEngines();
--- a/src/fleet/create_gateway_sessions_test.ts
+++ b/src/fleet/create_gateway_sessions_test.ts
@@ -2,6 +2,7 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import type { EngineRecord } from "../engines/index.ts";
+import { createMetrics } from "../metrics/index.ts";
 import { wire } from "../wire/index.ts";
 import { createEngineNumbers } from "./create_engine_numbers.ts";
 import { createGatewaySessions } from "./create_gateway_sessions.ts";
@@ -76,6 +77,7 @@
     onLeaving: () => {},
     now: () => 0,
     log: () => {},
+    metrics: createMetrics(),
     ...given,
   });
 }
--- /dev/null
+++ b/src/fleet/create_rollout_watch_test.ts
@@ -0,0 +1,39 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { createRolloutWatch } from "./create_rollout_watch.ts";
+
+function startRollout() {
+  let nowMs = 0;
+  const inForce: unknown[] = [];
+  const rollout = createRolloutWatch({
+    now: () => nowMs,
+    log: (_event, fields) => void inForce.push(fields),
+    metrics: { gauge: () => {}, timing: () => {} },
+  });
+  return { rollout, inForce, passMs: (ms: number) => void (nowMs += ms) };
+}
+
+test("a version is in force once the last gateway holds it", () => {
+  const { rollout, inForce, passMs } = startRollout();
+  for (const vm of ["a", "b"]) rollout.noteHeld(vm, 3);
+  rollout.noteAccepted(5);
+  passMs(120);
+  rollout.noteHeld("a", 5);
+  assert.equal(rollout.listLagging(), ["b"]);
+  passMs(80);
+  rollout.noteHeld("b", 5);
+  assert.equal(inForce, [
+    { version: 5, tookMs: 200, gateways: 2, lastVm: "b" },
+  ]);
+});
+
+test("a gateway that is gone holds up no version", () => {
+  const { rollout, inForce } = startRollout();
+  for (const vm of ["a", "b"]) rollout.noteHeld(vm, 3);
+  rollout.noteAccepted(5);
+  rollout.noteHeld("a", 5);
+  rollout.forget("b");
+  assert.is(inForce.length, 1);
+});
+
+test.run();
--- a/src/fleet/create_written_news.ts
+++ b/src/fleet/create_written_news.ts
@@ -6,6 +6,7 @@
  */
 
 import type { EngineRecord } from "../engines/index.ts";
+import type { Metrics } from "../metrics/index.ts";
 import type { wire } from "../wire/index.ts";
 import { createConfigDelta } from "./config_delta.ts";
 import { createEngineNumbers } from "./create_engine_numbers.ts";
@@ -22,6 +23,7 @@
   readonly getEngines: () => readonly EngineRecord[];
   /** Whether these are surely all engines. */
   readonly knowsAllEngines: () => boolean;
+  readonly metrics: Pick<Metrics, "count">;
 }
 
 /** Documents that are kept, so that who lags by some versions gets changes. */
@@ -96,6 +98,7 @@
     const known = changes.get(fromVersion);
     if (known) return known;
     const delta = createConfigDelta(from, to);
+    options.metrics.count("config.changes_made");
     if (delta.length > packed.length * MAX_CHANGE_SHARE) return undefined;
     const change = format({
       type: "configChange",
--- a/src/fleet/messages.ts
+++ b/src/fleet/messages.ts
@@ -99,6 +99,8 @@
     /** Gateway's monotonic time, in ms, when it sent this. */
     readonly sentMs: number;
     readonly isReady: boolean;
+    /** Version of the configuration in force there; absent where it was told. */
+    readonly version?: number;
     /** Engines that did not answer it. */
     readonly suspects: readonly string[];
     /** Engines that it found lost by its questions; absent where none. */
--- a/src/fleet/start_fleet_control.ts
+++ b/src/fleet/start_fleet_control.ts
@@ -236,6 +236,7 @@
     onLeaving: (engineIds) => void desk.noteLeaves(engineIds),
     now,
     log,
+    metrics,
   });
   // Orders and questions of the leader are no requests: a leave is news here, and a
   // limit that is named, but not that none is.
@@ -322,7 +323,7 @@
     }
     services = options.decodeConfig(unpackDocument(command.packed)).services;
     log("configAccepted", { version: command.version });
-    if (isLeader()) sessions.publishConfig();
+    if (isLeader()) sessions.publishConfig(command.version);
   }
 
   function onLead(): void {
--- a/src/gateway/create_fleet_link.ts
+++ b/src/gateway/create_fleet_link.ts
@@ -111,6 +111,8 @@
   isWelcome: boolean;
   /** Loads that the leader was told, as text. */
   toldLoads: string;
+  /** Version of the configuration that the leader was told. */
+  toldVersion: number;
 }
 
 /**
@@ -129,6 +131,9 @@
   let queue: string[] = [];
   let beatDueMs = 0;
   let searchDueMs = 0;
+  // Since when there is no leader, and how many addresses were tried since then.
+  let lostMs = now();
+  let triedCount = 0;
   let gathering: ReturnType<typeof setTimeout> | undefined;
 
   function open(address: string): void {
@@ -146,8 +151,10 @@
       heardMs: now(),
       isWelcome: false,
       toldLoads: "{}",
+      toldVersion: options.getVersion(),
     };
     session = opened;
+    triedCount += 1;
     stream.on("data", (received: wire.FleetMessage) => {
       if (session !== opened) return;
       take(opened, parseLeaderMessage(received, opened.numbers));
@@ -157,7 +164,7 @@
     send(opened, {
       type: "hello",
       gateway: options.getGateway(),
-      version: options.getVersion(),
+      version: opened.toldVersion,
       sentMs: now(),
     });
   }
@@ -172,6 +179,8 @@
     if (session !== closed) return;
     session = undefined;
     if (!closed.isWelcome) return;
+    lostMs = now();
+    triedCount = 0;
     const spreadMs = SEARCH_SPREAD_MS * options.getGatewayCount();
     searchDueMs = now() + spreadMs * options.random();
     log("controlLost", { address: closed.address, reason });
@@ -189,7 +198,11 @@
         options.onWelcome(message);
         controlAddresses = message.controlAddresses;
         beatDueMs = 0;
-        log("controlConnected", { address: from.address });
+        log("controlConnected", {
+          address: from.address,
+          searchedMs: Math.round(now() - lostMs),
+          tried: triedCount,
+        });
         return;
       case "beatAck":
         return options.onConfirmed(message.sentMs, message.version);
@@ -223,6 +236,9 @@
     const told = JSON.stringify(loads);
     const isNews = told !== session.toldLoads;
     session.toldLoads = told;
+    const version = options.getVersion();
+    const isNewVersion = version !== session.toldVersion;
+    session.toldVersion = version;
     const activity = options.takeActivity();
     const lost = options.takeLost();
     const slowEngines = options.takeSlow();
@@ -235,6 +251,7 @@
       isReady: options.getGateway().isReady,
       suspects: options.takeSuspects(),
       ...(isNews ? { loads } : {}),
+      ...(isNewVersion ? { version } : {}),
       ...(lost.length > 0 ? { lost } : {}),
       ...(slowEngines.length > 0 ? { slowEngines } : {}),
       ...(leaving.length > 0 ? { leaving } : {}),
--- a/src/gateway/create_held_config.ts
+++ b/src/gateway/create_held_config.ts
@@ -11,6 +11,7 @@
   unpackDocument,
 } from "../fleet/index.ts";
 import type { Logger } from "../logs/index.ts";
+import type { Metrics } from "../metrics/index.ts";
 import { createRouteTable, type RouteTable } from "../routes/index.ts";
 
 /** What the configuration needs of its gateway. */
@@ -20,7 +21,10 @@
   readonly onChange: (table: RouteTable) => void;
   /** Called when a change doesn't fit: the whole configuration is wanted. */
   readonly onUnfit: () => void;
+  /** Monotonic time, in ms. */
+  readonly now: () => number;
   readonly log: Logger;
+  readonly metrics: Pick<Metrics, "timing">;
 }
 
 /** The configuration that is in force. */
@@ -47,32 +51,40 @@
  * const config = createHeldConfig({ decodeConfig, onChange, onUnfit, log });
  */
 export function createHeldConfig(options: CreateHeldConfigOptions): HeldConfig {
-  const { log } = options;
+  const { now, log, metrics } = options;
   let table: RouteTable | undefined;
   // As the operator wrote it: changes are told of it.
   let document = "";
   let isWholeWanted = false;
   const getVersion = () => table?.version ?? -1;
 
-  function put(version: number, text: string): void {
+  function put(version: number, read: () => string): void {
     isWholeWanted = false;
     // Whatever a late leader says: within one life nothing goes back.
     if (version <= getVersion()) return;
+    const startedMs = now();
+    const text = read();
     const config = options.decodeConfig(text);
     document = text;
     table = createRouteTable(config);
     options.onChange(table);
-    log("configApplied", { version: config.version });
+    const tookMs = Math.round(now() - startedMs);
+    metrics.timing("config.apply_ms", tookMs);
+    log("configApplied", {
+      version: config.version,
+      routes: config.routes.length,
+      tookMs,
+    });
   }
 
   return {
-    take: ({ version, packed }) => put(version, unpackDocument(packed)),
+    take: ({ version, packed }) => put(version, () => unpackDocument(packed)),
     takeChange({ version, fromVersion, delta }) {
       const held = getVersion();
       if (version <= held) return;
       try {
         if (held !== fromVersion) throw new Error("From another version");
-        put(version, applyConfigDelta(document, delta));
+        put(version, () => applyConfigDelta(document, delta));
       } catch (error) {
         log("configChangeUnfit", { version, fromVersion, held, error });
         isWholeWanted = true;
--- a/src/gateway/create_held_config_test.ts
+++ b/src/gateway/create_held_config_test.ts
@@ -29,7 +29,9 @@
     onUnfit: () => {
       unfit += 1;
     },
+    now: () => 0,
     log: () => {},
+    metrics: { timing: () => {} },
   });
   return { config, versions, getUnfit: () => unfit };
 }
--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -164,7 +164,9 @@
     },
     // The next session says that it has none, and is told the whole one.
     onUnfit: () => link.renew(),
+    now,
     log,
+    metrics,
   });
   const losses = createLossNews({ vm, place, listReady });
   const pauses = createPauseWatch();
--- a/src/logs/events.ts
+++ b/src/logs/events.ts
@@ -208,6 +208,21 @@
     "Log lines were dropped: too many, or their reader is slow",
   ),
   settingsChanged: event("CL1011", "info", "Settings were read again"),
+  loopDelayed: event(
+    "CL1013",
+    "warn",
+    "Event loop stood still: nothing else could run meanwhile",
+  ),
+  configPublished: event(
+    "CL1727",
+    "info",
+    "Configuration was written to the gateways' sessions",
+  ),
+  configInForce: event(
+    "CL1728",
+    "info",
+    "Configuration is in force at all gateways with a session",
+  ),
 } as const;
 
 /** The short name of an event. */
--- a/src/metrics/metric_catalogue.ts
+++ b/src/metrics/metric_catalogue.ts
@@ -75,7 +75,16 @@
   "upstream.end_checks": "Looks whether an upstream ended under a request",
   "upstream.ended_under_request":
     "Runs that had just begun when their upstream ended",
+  "process.loop_delay_ms":
+    "Time for which the event loop stood still, in ms; long ones only",
   "config.revision": "Revision in force at this process",
+  "config.apply_ms": "Time for which a gateway applies a configuration, in ms",
+  "config.publish_ms":
+    "Time for which the leader writes a configuration to all sessions, in ms",
+  "config.rollout_ms":
+    "Time from the acceptance of a configuration until it is in force at all gateways, in ms",
+  "config.changes_made": "Differences of two configurations that were made",
+  "config.lagging": "Gateways where the newest configuration is not in force",
   "config.lease_ms": "Ms for which the configuration may still be trusted",
   "quarantine.suspects": "Requests under which upstreams ended",
   "quarantine.held": "Requests that are held back for it",
