--- a/src/fleet/create_gateway_sessions_test.ts
+++ b/src/fleet/create_gateway_sessions_test.ts
@@ -2,11 +2,14 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import type { EngineRecord } from "../engines/index.ts";
+import { until } from "../../demo/until.ts";
+import { makeWireConfig } from "../../standins/index.ts";
 import { createMetrics } from "../metrics/index.ts";
 import { wire } from "../wire/index.ts";
 import { createEngineNumbers } from "./create_engine_numbers.ts";
 import { createGatewaySessions } from "./create_gateway_sessions.ts";
 import type { GatewayMessage, LeaderMessage } from "./messages.ts";
+import { packDocument } from "./pack_document.ts";
 import {
   formatGatewayMessage,
   parseLeaderMessage,
@@ -85,15 +88,40 @@
 async function join(
   sessions: ReturnType<typeof makeSessions>,
   vm: string,
+  version = -1,
 ): Promise<FakeStream> {
   const stream = new FakeStream();
   sessions.handleSession(stream as unknown as SessionStream);
   const gateway = { vm, place: "a", address: `${vm}:1`, isReady: true };
-  stream.say({ type: "hello", gateway, version: -1, sentMs: 0 });
+  stream.say({ type: "hello", gateway, version, sentMs: 0 });
   await new Promise((resolve) => setImmediate(resolve));
   return stream;
 }
 
+/** An accepted configuration; its routes share no text with one another. */
+function makeAccepted(version: number, { routes }: { routes: number }) {
+  const config = makeWireConfig(version);
+  const [route] = (config as { routes: object[] }).routes;
+  const hash = (at: number) =>
+    (Math.imul(at + 1, 2_654_435_761) >>> 0).toString(36);
+  const grown = Array.from({ length: routes }, (_, at) => ({
+    ...route,
+    name: `r-${hash(at)}`,
+    host: `${hash(at * 31)}.example`,
+    pathPrefix: `/${hash(at * 17)}/`,
+  }));
+  const document = JSON.stringify({ ...config, routes: grown });
+  return { version, packed: packDocument(document) };
+}
+
+/** Version of the configuration that a gateway was told last. */
+function toldVersion(taken: readonly LeaderMessage[]): number | undefined {
+  const told = taken.findLast(({ type }) =>
+    type === "config" || type === "configChange"
+  );
+  return told && "version" in told ? told.version : undefined;
+}
+
 const BEAT = { type: "beat", sentMs: 0, suspects: [] } as const;
 
 test("gateways that change together are one piece of news to each", async () => {
@@ -202,6 +230,26 @@
   assert.ok(denied.grants[0].retryAfterMs > 0);
 });
 
+test("a grown configuration is compared once for all gateways, not once for each", async () => {
+  const metrics = createMetrics();
+  let accepted = makeAccepted(3, { routes: 245 });
+  const sessions = makeSessions(ENGINES, {
+    getAccepted: () => accepted,
+    metrics,
+  });
+  const streams: FakeStream[] = [];
+  for (let at = 0; at < 12; at++) {
+    streams.push(await join(sessions, `g${at}`, accepted.version));
+  }
+  accepted = makeAccepted(5, { routes: 1_645 });
+  sessions.publishConfig(accepted.version);
+  await until(
+    "all are told",
+    () => streams.every(({ taken }) => toldVersion(taken) === 5),
+  );
+  assert.is(metrics.getCounters()["config.changes_made"], 1);
+});
+
 /** Bytes that a link of 100 Mbit/s carries in a fifth of a second. */
 const LINK_BYTES = 2_500_000;
 
