A configuration that grew no longer holds up its leader

Callers saw an acknowledged configuration that was not in force in time: with 95 gateways and 1,680 new routes the leader said nothing for 1.5 s, another was elected, and gateways held the version 2.0 s (median) to 5.2 s after its acceptance.

Cause: a change is told only where it is short against the whole, and a change that was not worth telling was not remembered, so the leader made it anew for each session in one turn of its event loop. Class: work for each session that one could do for all. The difference of two texts has no bound of its own either.

Now a change goes by route, service and account. It is made once for all gateways that have the same version, whatever comes of it, in time proportional to the documents; digests of the documents say what it fits. All control processes remember the last versions, not only a leader with sessions, so a new leader tells changes too.

--- a/src/fleet/create_gateway_sessions.ts
+++ b/src/fleet/create_gateway_sessions.ts
@@ -19,6 +19,7 @@
 import type { LimitDesk } from "./create_limit_desk.ts";
 import type { QuarantineDesk } from "./create_quarantine_desk.ts";
 import { createWrittenNews } from "./create_written_news.ts";
+import type { ConfigHistory } from "./create_config_history.ts";
 import type { AcceptedConfig } from "./create_fleet_machine.ts";
 import type {
   EngineLoads,
@@ -42,6 +43,8 @@
   readonly getLeaderAddress: () => string;
   readonly getControlAddresses: () => readonly string[];
   readonly getAccepted: () => AcceptedConfig | undefined;
+  /** Configurations that gateways may have. */
+  readonly history: Pick<ConfigHistory, "get" | "read">;
   readonly getEngines: () => readonly EngineRecord[];
   /** Whether this leader has heard long enough to know all engines. */
   readonly knowsAllEngines: () => boolean;
@@ -162,7 +165,6 @@
   function sendConfig(session: Session): void {
     const accepted = options.getAccepted();
     if (!accepted) return;
-    news.noteConfig(accepted);
     if (accepted.version <= session.sentVersion) return;
     write(session, news.formatConfig(accepted, session.sentVersion));
     session.sentVersion = accepted.version;
--- a/src/fleet/create_gateway_sessions_test.ts
+++ b/src/fleet/create_gateway_sessions_test.ts
@@ -3,9 +3,11 @@
 import * as assert from "uvu/assert";
 import type { EngineRecord } from "../engines/index.ts";
 import { until } from "../../demo/until.ts";
+import { decodeConfig } from "../../platform/decode_config.ts";
 import { makeWireConfig } from "../../standins/index.ts";
 import { createMetrics } from "../metrics/index.ts";
 import { wire } from "../wire/index.ts";
+import { createConfigHistory } from "./create_config_history.ts";
 import { createEngineNumbers } from "./create_engine_numbers.ts";
 import { createGatewaySessions } from "./create_gateway_sessions.ts";
 import type { GatewayMessage, LeaderMessage } from "./messages.ts";
@@ -58,6 +60,7 @@
   engines = ENGINES,
   given: Partial<Parameters<typeof createGatewaySessions>[0]> = {},
 ) {
+  const history = createConfigHistory({ decodeConfig });
   return createGatewaySessions({
     isLeader: () => true,
     hasLease: () => true,
@@ -65,6 +68,7 @@
     getLeaderAddress: () => "",
     getControlAddresses: () => [],
     getAccepted: () => undefined,
+    history,
     getEngines: () => engines,
     knowsAllEngines: () => true,
     knowsAllGateways: () => true,
@@ -232,9 +236,12 @@
 
 test("a grown configuration is compared once for all gateways, not once for each", async () => {
   const metrics = createMetrics();
+  const history = createConfigHistory({ decodeConfig });
   let accepted = makeAccepted(3, { routes: 245 });
+  history.note(accepted);
   const sessions = makeSessions(ENGINES, {
     getAccepted: () => accepted,
+    history,
     metrics,
   });
   const streams: FakeStream[] = [];
@@ -242,6 +249,7 @@
     streams.push(await join(sessions, `g${at}`, accepted.version));
   }
   accepted = makeAccepted(5, { routes: 1_645 });
+  history.note(accepted);
   sessions.publishConfig(accepted.version);
   await until(
     "all are told",
--- a/src/fleet/create_leader_desk.ts
+++ b/src/fleet/create_leader_desk.ts
@@ -14,7 +14,8 @@
 import type { EngineRegistry } from "./create_engine_registry.ts";
 import type { FleetCommand, FleetMachine } from "./create_fleet_machine.ts";
 import type { QuarantineDesk } from "./create_quarantine_desk.ts";
-import type { DecodeConfig, FleetCall, FleetReply } from "./messages.ts";
+import type { ConfigHistory } from "./create_config_history.ts";
+import type { FleetCall, FleetReply } from "./messages.ts";
 import { unpackDocument } from "./pack_document.ts";
 
 /** What the desk needs of its program. */
@@ -29,7 +30,7 @@
   readonly hasLease: () => boolean;
   /** Whether what is accepted now outlives the losses that are to be borne. */
   readonly hasEnoughVoters: () => boolean;
-  readonly decodeConfig: DecodeConfig;
+  readonly history: Pick<ConfigHistory, "read">;
   readonly log: Logger;
 }
 
@@ -63,7 +64,7 @@
     call: FleetCall & { type: "putConfig" },
   ): Promise<FleetReply> {
     const { packed } = call;
-    const config = options.decodeConfig(unpackDocument(packed));
+    const config = options.history.read(packed);
     const problems = findConfigProblems(config);
     if (problems.length > 0) {
       log("configInvalid", { version: config.version, problems });
--- a/src/fleet/create_leader_desk_test.ts
+++ b/src/fleet/create_leader_desk_test.ts
@@ -30,8 +30,10 @@
     confirmRead: () => Promise.resolve(),
     hasLease,
     hasEnoughVoters: () => true,
-    decodeConfig: () => {
-      throw new Error("No configuration is sent here");
+    history: {
+      read: () => {
+        throw new Error("No configuration is sent here");
+      },
     },
     log: () => {},
   });
--- a/src/fleet/index.ts
+++ b/src/fleet/index.ts
@@ -5,13 +5,13 @@
  */
 
 export * from "./add_quarantine_routes.ts";
-export * from "./config_delta.ts";
 export * from "./create_engine_numbers.ts";
 export * from "./create_engine_registry.ts";
 export * from "./create_layer_keeper.ts";
 export * from "./create_fleet_machine.ts";
 export * from "./create_pace_watch.ts";
 export * from "./create_repeat_lender.ts";
+export * from "./get_config_digest.ts";
 export * from "./messages.ts";
 export type { FleetSeed } from "./open_fleet_storage.ts";
 export * from "./pack_document.ts";
--- a/src/fleet/messages.ts
+++ b/src/fleet/messages.ts
@@ -6,7 +6,7 @@
 
 import type { EngineBeat, EngineRecord } from "../engines/index.ts";
 import type { CrashReport } from "../quarantine/index.ts";
-import type { RouteConfig } from "../routes/index.ts";
+import type { ConfigChange, RouteConfig } from "../routes/index.ts";
 
 /** Decodes a configuration as an operator wrote it; throws where it can't. */
 export type DecodeConfig = (document: string) => RouteConfig;
@@ -177,10 +177,11 @@
   | {
     readonly type: "configChange";
     readonly version: number;
-    /** Version that the gateway has, as it or this leader said. */
-    readonly fromVersion: number;
-    /** What changed between the two documents. */
-    readonly delta: string;
+    /** Digest of the newer document. */
+    readonly digest: string;
+    /** Digest of the document that the gateway has. */
+    readonly fromDigest: string;
+    readonly change: ConfigChange;
   }
   | {
     readonly type: "engines";
--- a/src/fleet/start_fleet_control.ts
+++ b/src/fleet/start_fleet_control.ts
@@ -16,7 +16,7 @@
 import type { Logger } from "../logs/index.ts";
 import type { Metrics } from "../metrics/index.ts";
 import type { Member, QuorumState, QuorumTiming } from "../quorum/index.ts";
-import type { Service } from "../routes/index.ts";
+import { createConfigHistory } from "./create_config_history.ts";
 import { createEngineRecorder } from "./create_engine_recorder.ts";
 import { createEngineRegistry } from "./create_engine_registry.ts";
 import {
@@ -44,7 +44,6 @@
 } from "./create_repeat_lender.ts";
 import type { DecodeConfig, FleetCall, FleetReply } from "./messages.ts";
 import { type FleetSeed, openFleetStorage } from "./open_fleet_storage.ts";
-import { unpackDocument } from "./pack_document.ts";
 import { handOver } from "./hand_over.ts";
 import { startFleetServer } from "./start_fleet_server.ts";
 
@@ -157,8 +156,7 @@
   const leadsFor = (spanMs: number) => now() - leadingSinceMs >= spanMs;
   const silenceMs = settings.beatIntervalMs * BEATS_OF_SILENCE;
 
-  // Services of the accepted configuration; after a restart read on leading.
-  let services: readonly Service[] = [];
+  const history = createConfigHistory(options);
   const machine = createFleetMachine({ onChange: takeChange });
   // Where replicas say that they are reached: one that starts without state
   // knows no members, and answers and joins those who write to it.
@@ -180,14 +178,22 @@
     metrics,
     now,
   });
+  // Decoded only where it is asked for: who follows needs none.
+  const getServices = () => {
+    const accepted = machine.getAccepted();
+    return accepted ? history.read(accepted.packed).services : [];
+  };
   const isLeader = () => replica.getState().role === "leader";
   const registry = createEngineRegistry({
     silenceMs,
     now,
     getLeave: machine.getLeave,
     // Before the first configuration any may come to be.
-    isService: (service) =>
-      services.length === 0 || services.some(({ name }) => name === service),
+    isService(service) {
+      const services = getServices();
+      return services.length === 0 ||
+        services.some(({ name }) => name === service);
+    },
     publish: (change) => sessions.publishEngines(change),
     log,
   });
@@ -225,6 +231,7 @@
     getControlAddresses: () =>
       replica.getState().members.map((member) => member.address),
     getAccepted: machine.getAccepted,
+    history,
     getEngines: registry.getRecords,
     knowsAllEngines: () => leadsFor(silenceMs),
     knowsAllGateways: () => leadsFor(GATEWAYS_SETTLE_MS),
@@ -255,7 +262,7 @@
     now,
   });
   const keeper = createLayerKeeper({
-    getServices: () => services,
+    getServices,
     getEngines: registry.getRecords,
     sendOrder: options.sendLayerOrder,
     onNotice: takeNotice,
@@ -292,7 +299,7 @@
     quarantine,
     propose,
     confirmRead: () => replica.confirmRead(),
-    decodeConfig: options.decodeConfig,
+    history,
     log,
   });
   const rounds = createLeaderRounds({
@@ -321,7 +328,7 @@
       if (isLeader()) registry.takeLeave(command.engineId, command.kind);
       return;
     }
-    services = options.decodeConfig(unpackDocument(command.packed)).services;
+    history.note(command);
     log("configAccepted", { version: command.version });
     if (isLeader()) sessions.publishConfig(command.version);
   }
@@ -349,9 +356,7 @@
       return;
     }
     const accepted = machine.getAccepted();
-    if (accepted) {
-      services = options.decodeConfig(unpackDocument(accepted.packed)).services;
-    }
+    if (accepted) history.note(accepted);
     const recorded = [...machine.getEngines().values()];
     const staying = recorded.filter(({ engineId }) =>
       machine.getLeave(engineId) !== "gone"
--- a/src/gateway/create_held_config.ts
+++ b/src/gateway/create_held_config.ts
@@ -5,14 +5,19 @@
  */
 
 import {
-  applyConfigDelta,
   type DecodeConfig,
+  getConfigDigest,
   type LeaderMessage,
   unpackDocument,
 } from "../fleet/index.ts";
 import type { Logger } from "../logs/index.ts";
 import type { Metrics } from "../metrics/index.ts";
-import { createRouteTable, type RouteTable } from "../routes/index.ts";
+import {
+  applyConfigChange,
+  createRouteTable,
+  type RouteConfig,
+  type RouteTable,
+} from "../routes/index.ts";
 
 /** What the configuration needs of its gateway. */
 export interface CreateHeldConfigOptions {
@@ -52,46 +57,47 @@
  */
 export function createHeldConfig(options: CreateHeldConfigOptions): HeldConfig {
   const { now, log, metrics } = options;
-  let table: RouteTable | undefined;
-  // As the operator wrote it: changes are told of it.
-  let document = "";
+  let held:
+    | { config: RouteConfig; digest: string; table: RouteTable }
+    | undefined;
   let isWholeWanted = false;
-  const getVersion = () => table?.version ?? -1;
+  const getVersion = () => held?.table.version ?? -1;
 
-  function put(version: number, read: () => string): void {
+  function put(
+    version: number,
+    read: () => { config: RouteConfig; digest: string },
+  ): void {
     isWholeWanted = false;
     // Whatever a late leader says: within one life nothing goes back.
     if (version <= getVersion()) return;
     const startedMs = now();
-    const text = read();
-    const config = options.decodeConfig(text);
-    document = text;
-    table = createRouteTable(config);
+    const { config, digest } = read();
+    const table = createRouteTable(config);
+    held = { config, digest, table };
     options.onChange(table);
     const tookMs = Math.round(now() - startedMs);
     metrics.timing("config.apply_ms", tookMs);
-    log("configApplied", {
-      version: config.version,
-      routes: config.routes.length,
-      tookMs,
-    });
+    log("configApplied", { version, routes: config.routes.length, tookMs });
   }
 
   return {
-    take: ({ version, packed }) => put(version, () => unpackDocument(packed)),
-    takeChange({ version, fromVersion, delta }) {
-      const held = getVersion();
-      if (version <= held) return;
-      try {
-        if (held !== fromVersion) throw new Error("From another version");
-        put(version, () => applyConfigDelta(document, delta));
-      } catch (error) {
-        log("configChangeUnfit", { version, fromVersion, held, error });
+    take({ version, packed }) {
+      put(version, () => ({
+        config: options.decodeConfig(unpackDocument(packed)),
+        digest: getConfigDigest(packed),
+      }));
+    },
+    takeChange({ version, digest, fromDigest, change }) {
+      if (version <= getVersion()) return;
+      if (held?.digest !== fromDigest) {
+        log("configChangeUnfit", { version, held: getVersion() });
         isWholeWanted = true;
-        options.onUnfit();
+        return options.onUnfit();
       }
+      const from = held.config;
+      put(version, () => ({ config: applyConfigChange(from, change), digest }));
     },
-    getTable: () => table,
+    getTable: () => held?.table,
     getVersion,
     getToldVersion: () => isWholeWanted ? -1 : getVersion(),
   };
--- a/src/gateway/create_held_config_test.ts
+++ b/src/gateway/create_held_config_test.ts
@@ -2,7 +2,8 @@
 import * as assert from "uvu/assert";
 import { decodeConfig } from "../../platform/decode_config.ts";
 import { makeWireConfig } from "../../test/support/fleet.ts";
-import { createConfigDelta, packDocument } from "../fleet/index.ts";
+import { getConfigDigest, packDocument } from "../fleet/index.ts";
+import { diffConfigs } from "../routes/index.ts";
 import { createHeldConfig } from "./create_held_config.ts";
 
 const write = (version: number) => JSON.stringify(makeWireConfig(version));
@@ -16,8 +17,12 @@
 const makeChange = (fromVersion: number, version: number) => ({
   type: "configChange" as const,
   version,
-  fromVersion,
-  delta: createConfigDelta(write(fromVersion), write(version)),
+  digest: getConfigDigest(packDocument(write(version))),
+  fromDigest: getConfigDigest(packDocument(write(fromVersion))),
+  change: diffConfigs(
+    decodeConfig(write(fromVersion)),
+    decodeConfig(write(version)),
+  ),
 });
 
 function startHeldConfig() {
--- a/src/routes/create_route_table.ts
+++ b/src/routes/create_route_table.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { normalizeHost } from "./_lib/normalize_host.ts";
 import type { Account, Route, RouteConfig, Service } from "./schemas.ts";
 
 /** A configuration made ready for look-ups. */
@@ -55,10 +56,6 @@
   };
 }
 
-function normalizeHost(host: string): string {
-  return host.toLowerCase().replace(/:\d+$/, "");
-}
-
 // Prefixes end with a slash, so only the cuts after a slash can match.
 function findLongestPrefix(
   routes: ReadonlyMap<string, Route>,
--- a/test/config_change_test.ts
+++ b/test/config_change_test.ts
@@ -11,15 +11,16 @@
 import { decodeConfig } from "../platform/decode_config.ts";
 import { engineControl } from "../platform/engine_calls.ts";
 import {
-  createConfigDelta,
   createEngineNumbers,
   formatLeaderMessage,
+  getConfigDigest,
   type LeaderMessage,
   packDocument,
   parseGatewayMessage,
 } from "../src/fleet/index.ts";
 import { startGateway } from "../src/gateway/index.ts";
 import { createMetrics } from "../src/metrics/index.ts";
+import { diffConfigs } from "../src/routes/index.ts";
 import { bindGrpc, wire } from "../src/wire/index.ts";
 import { makeWireConfig } from "./support/fleet.ts";
 
@@ -101,22 +102,24 @@
   };
 }
 
-const CHANGES: Readonly<Record<string, LeaderMessage>> = {
-  "of another version": {
-    type: "configChange",
-    version: 7,
-    fromVersion: 5,
-    delta: createConfigDelta(makeDocument(5), makeDocument(7)),
-  },
-  "of another document under its version": {
+/** The change to a version, told to who has this document. */
+function makeChange(fromDocument: string, version: number): LeaderMessage {
+  const document = makeDocument(version);
+  return {
     type: "configChange",
-    version: 7,
-    fromVersion: 3,
-    delta: createConfigDelta(
-      `wholly other ${makeDocument(7)}`,
-      makeDocument(7),
-    ),
-  },
+    version,
+    digest: getConfigDigest(packDocument(document)),
+    fromDigest: getConfigDigest(packDocument(fromDocument)),
+    change: diffConfigs(decodeConfig(fromDocument), decodeConfig(document)),
+  };
+}
+
+const CHANGES: Readonly<Record<string, LeaderMessage>> = {
+  "of another version": makeChange(makeDocument(5), 7),
+  "of another document under its version": makeChange(
+    JSON.stringify(makeWireConfig(3, { timeoutMs: 4_000 })),
+    7,
+  ),
 };
 
 for (const [what, change] of Object.entries(CHANGES)) {
@@ -133,12 +136,7 @@
 }
 
 test("who is told a change of what it has takes it", async () => {
-  const change: LeaderMessage = {
-    type: "configChange",
-    version: 5,
-    fromVersion: 3,
-    delta: createConfigDelta(makeDocument(3), makeDocument(5)),
-  };
+  const change = makeChange(makeDocument(3), 5);
   await using leader = await startLeader(() => [makeWhole(3), change]);
   await using started = await startOneGateway(leader.address);
   await until("it has it", () => started.gateway.getVersion() === 5);
--- a/test/many_gateways_test.ts
+++ b/test/many_gateways_test.ts
@@ -11,7 +11,6 @@
 import { until } from "../demo/until.ts";
 import { decodeConfig } from "../platform/decode_config.ts";
 import {
-  applyConfigDelta,
   type FleetControl,
   type FleetSeed,
   type LeaderMessage,
@@ -24,6 +23,7 @@
   type FleetLink,
 } from "../src/gateway/create_fleet_link.ts";
 import { createMetrics } from "../src/metrics/index.ts";
+import { applyConfigChange, type RouteConfig } from "../src/routes/index.ts";
 import { findSeeds } from "./support/find_seeds.ts";
 import { makeWireConfig } from "./support/fleet.ts";
 import { makeBeat } from "./support/make_beat.ts";
@@ -41,7 +41,7 @@
   readonly engineIds: Set<string>;
   /** Fewest engines that it knew once it knew all. */
   fewestEngines: number;
-  document: string;
+  config: RouteConfig | undefined;
   confirmedVersion: number;
   /** Times that it was told all loads. */
   sums: number;
@@ -55,14 +55,13 @@
   const gateway: Omit<ToldGateway, "link"> = {
     engineIds: new Set(),
     fewestEngines: Infinity,
-    document: "",
+    config: undefined,
     confirmedVersion: -1,
     sums: 0,
     requestsOnFirst: 0,
     fewestRequests: Infinity,
   };
-  const getVersion = () =>
-    gateway.document === "" ? -1 : JSON.parse(gateway.document).version;
+  const getVersion = () => gateway.config?.version ?? -1;
 
   function takeEngines(message: LeaderMessage & { type: "engines" }): void {
     const { engineIds } = gateway;
@@ -104,10 +103,11 @@
     onMessage(message) {
       if (message.type === "engines") takeEngines(message);
       if (message.type === "config") {
-        gateway.document = unpackDocument(message.packed);
+        gateway.config = decodeConfig(unpackDocument(message.packed));
       }
       if (message.type === "configChange") {
-        gateway.document = applyConfigDelta(gateway.document, message.delta);
+        if (!gateway.config) throw new Error("A change before the whole");
+        gateway.config = applyConfigChange(gateway.config, message.change);
       }
       if (message.type === "loads") takeLoads(message);
     },
@@ -210,7 +210,7 @@
   );
   await fleet.put(3);
   await until("all have the change", all((one) => one.confirmedVersion === 3));
-  assert.ok(gateways.every((one) => JSON.parse(one.document).version === 3));
+  assert.ok(gateways.every((one) => one.config?.version === 3));
 
   for (const gateway of gateways) gateway.sums = 0;
   await fleet.stopLeader();
