Two routes that take the same requests are refused, however their hosts are written

Callers of one of two routes were served by the other: a configuration with `a.example` and `A.EXAMPLE`, or `a.example:80`, under one prefix was taken, and the later route silently replaced the earlier one. Cause: the check compared the hosts as they were written, the look-up without case and port. Now both ask getRouteKey.

--- a/src/routes/find_config_problems.ts
+++ b/src/routes/find_config_problems.ts
@@ -6,6 +6,7 @@
 
 import { Value } from "typebox/value";
 import { findSchemaProblems } from "../model/index.ts";
+import { getRouteKey } from "./get_route_key.ts";
 import { type RouteConfig, RouteConfigSchema } from "./schemas.ts";
 
 /**
@@ -25,7 +26,7 @@
   }
   return [
     ...findTargetProblems(config),
-    ...findSharedPlaces(config),
+    ...findSecondRoutes(config),
     ...findSharedKeys(config),
   ];
 }
@@ -43,12 +44,12 @@
   });
 }
 
-function findSharedPlaces(config: RouteConfig): string[] {
+function findSecondRoutes(config: RouteConfig): string[] {
   const seen = new Set<string>();
   return config.routes.flatMap((route, at) => {
-    const place = `${route.host} ${route.pathPrefix}`;
-    if (seen.has(place)) return [`routes.${at}: second route for ${place}`];
-    seen.add(place);
+    const key = getRouteKey(route);
+    if (seen.has(key)) return [`routes.${at}: second route for ${key}`];
+    seen.add(key);
     return [];
   });
 }
--- a/src/routes/routes_test.ts
+++ b/src/routes/routes_test.ts
@@ -67,6 +67,12 @@
     routes: [makeRoute({ targets: [{ service: "t", weight: 1 }] })],
   },
   "second route": { routes: [makeRoute(), makeRoute({ name: "again" })] },
+  "second route for a.example /x/": {
+    routes: [makeRoute(), makeRoute({ name: "again", host: "A.EXAMPLE" })],
+  },
+  "routes.1: second route": {
+    routes: [makeRoute(), makeRoute({ name: "again", host: "a.example:80" })],
+  },
   "weights sum": {
     routes: [makeRoute({ targets: [{ service: "s", weight: 0 }] })],
   },
