--- a/test/invalid_config_test.ts
+++ b/test/invalid_config_test.ts
@@ -24,6 +24,8 @@
   };
 }
 
+const OTHER_PLACE = { pathPrefix: "/other/" };
+
 const INVALID: Readonly<Record<string, object>> = {
   "two routes whose hosts differ by case": makeWithRoute(5, {
     host: "A.EXAMPLE",
@@ -31,6 +33,11 @@
   "two routes whose hosts differ by the port": makeWithRoute(5, {
     host: "a.example:80",
   }),
+  "an unknown service beside a split": makeWithRoute(5, {
+    ...OTHER_PLACE,
+    service: "unknown",
+    trafficSplit: [{ service: "plain", weight: 1 }],
+  }),
 };
 
 for (const [what, config] of Object.entries(INVALID)) {
