A version that is no whole number, and keys that are no list, are refused

Both were acknowledged: 9.5 is a number of at least 0, and a text in place of the list of keys was read as one key for each of its characters, which any caller could have guessed. Versions are whole numbers that can be compared exactly; a field that has to be a list and isn't can't be read.

--- a/src/routes/routes_test.ts
+++ b/src/routes/routes_test.ts
@@ -73,6 +73,7 @@
   "routes.1: second route": {
     routes: [makeRoute(), makeRoute({ name: "again", host: "a.example:80" })],
   },
+  "version": { version: 9.5 },
   "weights sum": {
     routes: [makeRoute({ targets: [{ service: "s", weight: 0 }] })],
   },
--- a/src/routes/schemas.ts
+++ b/src/routes/schemas.ts
@@ -127,7 +127,7 @@
 
 /** A whole configuration; it is replaced at a higher version. */
 export const RouteConfigSchema = Type.Object({
-  version: Type.Number({ minimum: 0 }),
+  version: Type.Integer({ minimum: 0, maximum: Number.MAX_SAFE_INTEGER }),
   routes: Type.Array(RouteSchema),
   services: Type.Array(ServiceSchema),
   /** Empty: no request needs a key. */
--- a/test/invalid_config_test.ts
+++ b/test/invalid_config_test.ts
@@ -38,6 +38,11 @@
     service: "unknown",
     trafficSplit: [{ service: "plain", weight: 1 }],
   }),
+  "a version that is no whole number": makeWithRoute(5.5, OTHER_PLACE),
+  "keys that are no list": {
+    ...makeWireConfig(5),
+    tenants: [{ name: "one", apiKeys: "key-1" }],
+  },
 };
 
 for (const [what, config] of Object.entries(INVALID)) {
