A gateway asks the next control process while another one says nothing

A gateway that lost its leader asked control processes one by one and gave each up after 0.6 s: with two dark ones of six it came to the next leader 1.2 s later than it could, while an accepted configuration had 2.5 s to be in force. And a leader that needs longer than 0.6 s to welcome, as one that many gateways ask at once does, was given up and asked again without end.

Class: waiting one after the other, with a time limit that makes the load it guards against. Now the next is asked after 0.2 s beside those that have not answered, three at most, each of which has 3 s. The first that welcomes the gateway is its leader.

Tests before: the silent process had been left when the leader was asked (0 open sessions in place of 1); a gateway whose leader takes 1.5 s never had a session in 30 s.

--- a/src/gateway/create_fleet_link.ts
+++ b/src/gateway/create_fleet_link.ts
@@ -93,14 +93,27 @@
  */
 const SEARCH_SPREAD_MS = 3;
 
-/** Ms for a control process to welcome or redirect. */
-const WELCOME_TIMEOUT_MS = 600;
+/**
+ * Ms after which the next control process is asked beside one that has not
+ * answered yet.
+ */
+const TRY_NEXT_MS = 200;
+
+/** Control processes that are asked at the same time. */
+const MAX_TRIES = 3;
+
+/**
+ * Ms for a control process to welcome or redirect. A leader that many gateways ask
+ * at once takes long: one that is given up is only asked again, and takes longer.
+ */
+const WELCOME_TIMEOUT_MS = 3_000;
 
 /** Ms between two looks at the session. */
 const CHECK_INTERVAL_MS = 100;
 
 type SessionStream = ClientDuplexStream<wire.FleetMessage, wire.FleetMessage>;
 
+/** A stream to a control process; a session once that has welcomed the gateway. */
 interface Session {
   readonly address: string;
   readonly client: wire.FleetClient;
@@ -108,7 +121,6 @@
   /** Numbers of engines; each leader gives its own. */
   readonly numbers: EngineNumbers;
   heardMs: number;
-  isWelcome: boolean;
   /** Loads that the leader was told, as text. */
   toldLoads: string;
   /** Version of the configuration that the leader was told. */
@@ -128,6 +140,9 @@
   const { now, log } = options;
   let controlAddresses: readonly string[] = [];
   let session: Session | undefined;
+  // Control processes that have not welcomed or redirected this gateway yet.
+  const tries = new Set<Session>();
+  let triedMs = -Infinity;
   let queue: string[] = [];
   let beatDueMs = 0;
   let searchDueMs = 0;
@@ -149,14 +164,14 @@
       stream,
       numbers: createEngineNumbers(),
       heardMs: now(),
-      isWelcome: false,
       toldLoads: "{}",
       toldVersion: options.getVersion(),
     };
-    session = opened;
+    tries.add(opened);
+    triedMs = now();
     triedCount += 1;
     stream.on("data", (received: wire.FleetMessage) => {
-      if (session !== opened) return;
+      if (session !== opened && !tries.has(opened)) return;
       take(opened, parseLeaderMessage(received, opened.numbers));
     });
     stream.on("error", () => close(opened, "broken"));
@@ -176,9 +191,9 @@
   function close(closed: Session, reason: string): void {
     closed.stream.cancel();
     closed.client.close();
+    tries.delete(closed);
     if (session !== closed) return;
     session = undefined;
-    if (!closed.isWelcome) return;
     lostMs = now();
     triedCount = 0;
     const spreadMs = SEARCH_SPREAD_MS * options.getGatewayCount();
@@ -186,18 +201,27 @@
     log("controlLost", { address: closed.address, reason });
   }
 
+  function begin(welcomed: Session): void {
+    tries.delete(welcomed);
+    for (const other of tries) close(other, "another leads");
+    session = welcomed;
+    beatDueMs = 0;
+  }
+
   function take(from: Session, message: LeaderMessage): void {
     from.heardMs = now();
     switch (message.type) {
       case "redirect":
         close(from, "redirected");
-        if (message.address !== "") queue.unshift(message.address);
+        if (message.address === "") return;
+        queue.unshift(message.address);
+        // The next look follows it, whoever else was asked just now.
+        triedMs = -Infinity;
         return;
       case "welcome":
-        from.isWelcome = true;
+        begin(from);
         options.onWelcome(message);
         controlAddresses = message.controlAddresses;
-        beatDueMs = 0;
         log("controlConnected", {
           address: from.address,
           searchedMs: Math.round(now() - lostMs),
@@ -212,24 +236,33 @@
   }
 
   function check(): void {
-    if (!session) return now() >= searchDueMs ? search() : undefined;
-    const limitMs = session.isWelcome ? SILENCE_MS : WELCOME_TIMEOUT_MS;
-    if (now() - session.heardMs > limitMs) return close(session, "silent");
-    if (session.isWelcome && now() >= beatDueMs) beat();
+    if (!session) return search();
+    if (now() - session.heardMs > SILENCE_MS) return close(session, "silent");
+    if (now() >= beatDueMs) beat();
   }
 
   function search(): void {
+    for (const tried of tries) {
+      if (now() - tried.heardMs > WELCOME_TIMEOUT_MS) close(tried, "silent");
+    }
+    if (now() < searchDueMs || tries.size >= MAX_TRIES) return;
+    if (tries.size > 0 && now() - triedMs < TRY_NEXT_MS) return;
+    tryNext();
+  }
+
+  function tryNext(): void {
     if (queue.length === 0) {
       queue = [
         ...new Set([...controlAddresses, ...options.getSeedAddresses()]),
       ];
     }
     const address = queue.shift();
-    if (address !== undefined) open(address);
+    const isTried = [...tries].some((tried) => tried.address === address);
+    if (address !== undefined && !isTried) open(address);
   }
 
   function beat(): void {
-    if (!session?.isWelcome) return;
+    if (!session) return;
     beatDueMs = now() + BEAT_INTERVAL_MS;
     // What the leader can't be told yet is news once it can.
     const loads = session.numbers.keepNumbered(options.getLoads());
@@ -278,7 +311,7 @@
     beat,
     beatSoon,
     requestGrants(counts, askedMs) {
-      if (!session?.isWelcome) return false;
+      if (!session) return false;
       // A limit of which the leader has not heard is none: the news goes first.
       if (gathering !== undefined) beatNow();
       send(session, { type: "grantRequest", counts, askedMs });
@@ -291,6 +324,7 @@
       await Promise.resolve();
       clearInterval(timer);
       clearTimeout(gathering);
+      for (const tried of tries) close(tried, "stopping");
       if (session) close(session, "stopping");
     },
   };
--- /dev/null
+++ b/test/leader_search_test.ts
@@ -0,0 +1,42 @@
+/**
+ * A gateway that looks for the leader among control processes that are slow or
+ * silent.
+ */
+
+import { setTimeout as sleep } from "node:timers/promises";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { until } from "../demo/until.ts";
+import { startOneGateway } from "./support/start_one_gateway.ts";
+import { startSessionServer, WELCOME } from "./support/start_session_server.ts";
+
+/** Ms for which a loaded leader lets gateways wait in the second test. */
+const SLOW_WELCOME_MS = 1_500;
+
+test("a control process that says nothing doesn't keep a gateway from asking the next", async () => {
+  await using silent = await startSessionServer(() => {});
+  let openWhenAsked = -1;
+  await using leader = await startSessionServer((message) => {
+    if (message.type === "hello") openWhenAsked = silent.getOpen();
+  });
+  await using _started = await startOneGateway([
+    silent.address,
+    leader.address,
+  ]);
+  await until("the leader is asked", () => leader.hellos.length > 0);
+  assert.is(openWhenAsked, 1);
+});
+
+test("a leader that takes long to welcome a gateway is asked once", async () => {
+  let welcomed = 0;
+  await using leader = await startSessionServer((message, tell) => {
+    if (message.type === "beat") welcomed += 1;
+    if (message.type !== "hello") return;
+    void sleep(SLOW_WELCOME_MS).then(() => tell(WELCOME));
+  });
+  await using _started = await startOneGateway([leader.address]);
+  await until("it has a session", () => welcomed > 0);
+  assert.is(leader.hellos.length, 1);
+});
+
+test.run();
