A session that was closed before it was welcomed takes no newer one's place

A gateway that went elsewhere, or asked again, while the leader confirmed its read was welcomed all the same: its newer session was ended in favour of the dead stream, and it had to look for its leader once more while configurations went on. Found by reading, when gateways began to ask several control processes at a time.

Test before: the newer session was lost (gatewayLost, then gatewayJoined). Now the closed one is left out.

--- a/src/fleet/create_gateway_sessions.ts
+++ b/src/fleet/create_gateway_sessions.ts
@@ -95,6 +95,7 @@
   heardMs: number;
   /** Its work in flight, as it told last. */
   loads: EngineLoads;
+  isClosed: boolean;
 }
 
 /** Ms of silence after which a gateway is no longer named to callers. */
@@ -197,6 +198,8 @@
     } catch {
       return redirect(session.stream);
     }
+    // It went elsewhere meanwhile, or asked again.
+    if (session.isClosed) return;
     const { gateway, version, sentMs } = hello;
     sessions.get(gateway.vm)?.stream.end();
     session.gateway = gateway;
@@ -320,6 +323,7 @@
       sentVersion: -1,
       heardMs: now(),
       loads: {},
+      isClosed: false,
     };
     stream.on("data", (received: wire.FleetMessage) => {
       const message = news.parse(received);
@@ -327,9 +331,14 @@
       else if (message.type === "grantRequest") grantSends(session, message);
       else void takeHello(session, message);
     });
-    stream.on("error", () => forget(session));
+    stream.on("error", () => noteClosed(session));
     stream.on("end", () => stream.end());
-    stream.on("close", () => forget(session));
+    stream.on("close", () => noteClosed(session));
+  }
+
+  function noteClosed(session: Session): void {
+    session.isClosed = true;
+    forget(session);
   }
 
   function forget(session: Session): void {
--- a/src/fleet/create_gateway_sessions_test.ts
+++ b/src/fleet/create_gateway_sessions_test.ts
@@ -150,6 +150,23 @@
   assert.equal(left.gateways, []);
 });
 
+test("a gateway that left before it was welcomed doesn't end its newer session", async () => {
+  const lost: unknown[] = [];
+  const confirmed: (() => void)[] = [];
+  const sessions = makeSessions(ENGINES, {
+    confirmRead: () => new Promise((resolve) => confirmed.push(resolve)),
+    log: (event) => void lost.push(event),
+  });
+  const left = await join(sessions, "g1");
+  const newer = await join(sessions, "g1");
+  left.end();
+  confirmed.reverse().forEach((confirm) => confirm());
+  await until("it is welcomed", () => newer.taken.length > 0);
+  newer.say({ ...BEAT, isReady: true });
+  assert.is(newer.taken.at(-1)?.type, "beatAck");
+  assert.equal(lost, ["gatewayJoined"]);
+});
+
 test("who joins is told all gateways, the others who joined", async () => {
   const sessions = makeSessions();
   const first = await join(sessions, "g1");
