The check of a large configuration no longer fills the leader's event loop

With 1,925 routes that took 66 to 100 ms of a whole core, an invalid one 80 to 130; versions 80 ms apart after a growth, as operators send them, then leave the leader no time for heartbeats.

Cause: the schema was interpreted for each route. It is compiled now, on the first use, and where a configuration is invalid, only its broken routes are looked at for what is wrong.

No test asserts a time; the fields that problems name are tested, two more of them.

--- a/src/routes/find_config_problems.ts
+++ b/src/routes/find_config_problems.ts
@@ -4,10 +4,16 @@
  * @module
  */
 
-import { Value } from "typebox/value";
+import type { TSchema } from "typebox";
+import { Compile } from "typebox/compile";
 import { findSchemaProblems } from "../model/index.ts";
 import { getRouteKey } from "./get_route_key.ts";
-import { type RouteConfig, RouteConfigSchema } from "./schemas.ts";
+import { type RouteConfig, RouteConfigSchema, RouteSchema } from "./schemas.ts";
+
+// Interpreting the schemas holds the event loop up on large configurations. They are
+// compiled on the first use: most processes check nothing.
+const getConfigValidator = once(() => Compile(RouteConfigSchema));
+const getRouteValidator = once(() => Compile(RouteSchema));
 
 /**
  * Finds what makes a configuration invalid.
@@ -19,11 +25,7 @@
  * const problems = findConfigProblems(config);
  */
 export function findConfigProblems(config: RouteConfig): string[] {
-  if (!Value.Check(RouteConfigSchema, config)) {
-    return findSchemaProblems(RouteConfigSchema, config).map((problem) =>
-      `${problem.field}: found ${problem.found}, allowed is ${problem.allowed}`
-    );
-  }
+  if (!getConfigValidator().Check(config)) return findShapeProblems(config);
   return [
     ...findTargetProblems(config),
     ...findSecondRoutes(config),
@@ -31,6 +33,33 @@
   ];
 }
 
+// Routes that are right are not looked at again: there are many of them.
+function findShapeProblems(config: RouteConfig): string[] {
+  const validator = getRouteValidator();
+  const ofRoutes = config.routes.flatMap((route, at) =>
+    validator.Check(route)
+      ? []
+      : describeProblems(RouteSchema, route, `routes.${at}.`)
+  );
+  const rest = { ...config, routes: [] };
+  return [...ofRoutes, ...describeProblems(RouteConfigSchema, rest, "")];
+}
+
+function describeProblems(
+  schema: TSchema,
+  value: unknown,
+  prefix: string,
+): string[] {
+  return findSchemaProblems(schema, value).map(({ field, found, allowed }) =>
+    `${prefix}${field}: found ${found}, allowed is ${allowed}`
+  );
+}
+
+function once<Value>(make: () => Value): () => Value {
+  let made: { value: Value } | undefined;
+  return () => (made ??= { value: make() }).value;
+}
+
 function findTargetProblems(config: RouteConfig): string[] {
   const services = new Set(config.services.map((service) => service.name));
   return config.routes.flatMap((route, at) => {
--- a/src/routes/routes_test.ts
+++ b/src/routes/routes_test.ts
@@ -77,6 +77,12 @@
   "weights sum": {
     routes: [makeRoute({ targets: [{ service: "s", weight: 0 }] })],
   },
+  "routes.1.timeoutMs": {
+    routes: [makeRoute(), makeRoute({ pathPrefix: "/y/", timeoutMs: 0 })],
+  },
+  "services.0.maxConnections": {
+    services: [{ name: "s", maxConnections: -1 }],
+  },
   "timeoutMs": { routes: [makeRoute({ timeoutMs: 0 })] },
   "share a key": {
     accounts: [{ name: "one", keys: ["k"] }, { name: "two", keys: ["k"] }],
