--- a/measure/main.ts
+++ b/measure/main.ts
@@ -16,6 +16,7 @@
 import { measurePlacement } from "./placement.ts";
 import { measureRecovery } from "./recovery.ts";
 import { measureRest } from "./rest.ts";
+import { measureRollout } from "./rollout.ts";
 import { measureRouting } from "./routing.ts";
 
 const MEASUREMENTS: Readonly<Record<string, () => Promise<void> | void>> = {
@@ -26,6 +27,7 @@
   recovery: measureRecovery,
   rest: measureRest,
   limits: measureLimits,
+  rollout: measureRollout,
   overload: measureOverload,
   choice: measureChoice,
   path: measurePath,
