A stream that may run on no further engine logs the engines that count

The listed stream that was closed in the middle had lost its first engine and was cut off by its second. Whether the first still counted as one that runs it, and whether it was known to have ended, is in no log. CL1813 says both for each engine. No decision changes.

--- a/src/gateway/serve_stream_call.ts
+++ b/src/gateway/serve_stream_call.ts
@@ -361,6 +361,7 @@
         metrics.count("streams.resumed");
         return void endKnown.then(goOn);
       }
+      if (isResumable) logRunsSpent();
       const isOwnFailure = how.type === "complete" && head !== undefined &&
         head.status >= 300 && !response.headersSent;
       if (isOwnFailure) return callEnd.passOn(head, body);
@@ -380,6 +381,18 @@
       return counted.length < route.maxAttempts;
     }
 
+    function logRunsSpent(): void {
+      log("runsSpent", {
+        requestId,
+        maxAttempts: route.maxAttempts,
+        ranOn: [...ranOn].map((engineId) => ({
+          engineId,
+          isRegistered: engines.get(engineId) !== undefined,
+          hasEnded: engines.hasEnded(engineId),
+        })),
+      });
+    }
+
     function takeBroken(sent: StreamRun, how: ExchangeEnd): void {
       const engineId = sent.lostEngineId ?? sent.path[0].engineId;
       const reason = how.type === "broken" ? how.reason : undefined;
--- a/src/logs/events.ts
+++ b/src/logs/events.ts
@@ -197,6 +197,11 @@
     "info",
     "Request had not left yet when its upstream asked for a back-off or left",
   ),
+  runsSpent: event(
+    "CL1813",
+    "warn",
+    "Request ran on as many upstreams as its route allows; it goes on nowhere",
+  ),
   requestHeldBack: event(
     "CL1810",
     "warn",
