An engine that ended under a stream doesn't keep it from a third one

Callers saw a stream closed in the middle: its first engine was gone without an answer, the second cut it off, and the route allows two. Engines that have ended don't count, but a gateway took an engine for ended only once the leader had given it up, 1.4 to 3.1 s later, and never one that deregistered before it ended.

Now, before a stream is given up for want of engines that it may run on, those that count are looked at: whose machine turns connections down has ended, and the table of engines remembers it. Engines that say nothing, or are there, count as before.

--- a/src/gateway/create_engine_table.ts
+++ b/src/gateway/create_engine_table.ts
@@ -49,6 +49,8 @@
    * serves what it has.
    */
   hasEnded(engineId: string): boolean;
+  /** Notes that one has surely ended, whatever the leader still tells of it. */
+  noteEnded(engineId: string): void;
   /** Counts a request in on the engines of its path. */
   addWork(path: readonly PathPart[], work: { tokens: number }): void;
   /** Counts a request out again. */
@@ -105,8 +107,11 @@
  */
 const LOADS_LAG_MS = 200;
 
-/** Gone upstreams that still serve which are remembered; the oldest go first. */
-const MAX_SERVING = 1_000;
+/**
+ * Gone upstreams that still serve, and ended ones, which are remembered; the oldest
+ * go first.
+ */
+const MAX_REMEMBERED = 1_000;
 
 /** Weight of the newest answer in the smoothed share of failures. */
 const FAILURE_WEIGHT = 0.2;
@@ -132,6 +137,7 @@
   const { now, log, onGone, notices = NO_NOTICES } = options;
   const engines = new Map<string, EngineView>();
   const serving = new Set<string>();
+  const ended = new Set<string>();
   let suspects = new Set<string>();
   let crossingPrompts = 0;
   // Part of what the leader tells of all gateways.
@@ -156,6 +162,8 @@
       known.record = record;
       return;
     }
+    // Where runs aren't told apart, it is there again.
+    ended.delete(record.engineId);
     engines.set(record.engineId, makeEngineView(record));
   }
 
@@ -231,7 +239,7 @@
   return {
     take({ isWhole, engines: records, gone, serving: stillServing = [] }) {
       stillServing.forEach((engineId) => serving.add(engineId));
-      forgetOldest(serving, MAX_SERVING);
+      forgetOldest(serving, MAX_REMEMBERED);
       gone.forEach(remove);
       records.forEach(put);
       if (!isWhole) return;
@@ -267,7 +275,12 @@
         engines.get(engineId)?.record.isLeaving === false
       ),
     get: (engineId) => engines.get(engineId),
-    hasEnded: (engineId) => !engines.has(engineId) && !serving.has(engineId),
+    hasEnded: (engineId) =>
+      ended.has(engineId) || !engines.has(engineId) && !serving.has(engineId),
+    noteEnded(engineId) {
+      ended.add(engineId);
+      forgetOldest(ended, MAX_REMEMBERED);
+    },
     addWork: (path, { tokens }) => count(path, { tokens, requests: 1 }),
     removeWork: (path, { tokens }) =>
       count(path, { tokens: -tokens, requests: -1 }),
--- a/src/gateway/serve_stream_call.ts
+++ b/src/gateway/serve_stream_call.ts
@@ -16,6 +16,7 @@
   holdBack,
   PERMIT_POLL_MS,
 } from "./create_run_permit.ts";
+import { createRunRecord } from "./create_run_record.ts";
 import { createRunMover } from "./create_run_mover.ts";
 import { REFUSES_CONNECTIONS } from "./create_run_watch.ts";
 import { createSendWaits } from "./create_send_waits.ts";
@@ -68,7 +69,11 @@
     const model = getCallModel(call, context);
     const isResumable = route.repeatability === "resumable";
     const excluded = new Set<string>();
-    const ranOn = new Set<string>();
+    const runRecord = createRunRecord({
+      maxAttempts: route.maxAttempts,
+      engines,
+      endCheck: context.endCheck,
+    });
     const payment = createTryPayment(() => context.budget.spend(service));
     let tries = 0;
     let runs = 0;
@@ -344,7 +349,7 @@
         return takeNotRun(sent, head);
       }
       runs += 1;
-      ranOn.add(engineId);
+      runRecord.note(sent.path[0]);
       const isWhole = how.type === "complete" && sent.isStream && !isCut;
       engines.noteAnswer(blamedId, { failed: !isWhole });
       if (isWhole) {
@@ -357,11 +362,32 @@
       }
       takeBroken(sent, how);
       endKnown = findEnd(sent, how);
-      if (isResumable && mayRunElsewhere()) {
+      if (isResumable) void goOnElsewhere(sent, { how, body });
+      else endBroken(sent, { how, body });
+    }
+
+    // An upstream that has ended doesn't count as one that ran it. One whose connection
+    // broke may be well, and so may one that left without draining.
+    async function goOnElsewhere(
+      sent: StreamRun,
+      end: Pick<StreamRunEnd, "how" | "body">,
+    ): Promise<void> {
+      await endKnown;
+      if (!runRecord.mayRunElsewhere()) await runRecord.checkEnds();
+      if (callEnd.hasEnded()) return;
+      if (runRecord.mayRunElsewhere()) {
         metrics.count("streams.resumed");
-        return void endKnown.then(goOn);
+        return goOn();
       }
-      if (isResumable) logRunsSpent();
+      const { maxAttempts } = route;
+      log("runsSpent", { requestId, maxAttempts, ranOn: runRecord.describe() });
+      endBroken(sent, end);
+    }
+
+    function endBroken(
+      { head }: StreamRun,
+      { how, body }: Pick<StreamRunEnd, "how" | "body">,
+    ): void {
       const isOwnFailure = how.type === "complete" && head !== undefined &&
         head.status >= 300 && !response.headersSent;
       if (isOwnFailure) return callEnd.passOn(head, body);
@@ -374,25 +400,6 @@
       goOn();
     }
 
-    // An upstream that has ended no longer counts as one that runs it. One whose
-    // connection broke may be well, and so may one that left without draining.
-    function mayRunElsewhere(): boolean {
-      const counted = [...ranOn].filter((id) => !engines.hasEnded(id));
-      return counted.length < route.maxAttempts;
-    }
-
-    function logRunsSpent(): void {
-      log("runsSpent", {
-        requestId,
-        maxAttempts: route.maxAttempts,
-        ranOn: [...ranOn].map((engineId) => ({
-          engineId,
-          isRegistered: engines.get(engineId) !== undefined,
-          hasEnded: engines.hasEnded(engineId),
-        })),
-      });
-    }
-
     function takeBroken(sent: StreamRun, how: ExchangeEnd): void {
       const engineId = sent.lostEngineId ?? sent.path[0].engineId;
       const reason = how.type === "broken" ? how.reason : undefined;
