A stream that is moved stays on the engines that have read it

Callers saw streams cut in the middle when engines left.

Cause: to leave one engine a gateway chose all parts but the first anew, without regard to which engines have read the stream and whether the new ones have memory for it. All gateways do so at once. An engine that runs out cuts the newest stream off, which is the one that has just come. Class: a choice that forgets what it has.

Now engines that have read the stream cost a tenth, so that it leaves the one that goes and little else, and others are taken only where they have room; where none has, it stays, and is tried again.

Tests before: the stream left a busier engine that had read it, and went to one whose memory was full. The cause is shown by the order of events, not by the engines' own words: they don't say why they reset.

--- a/src/gateway/choose_call_path.ts
+++ b/src/gateway/choose_call_path.ts
@@ -196,29 +196,51 @@
   return [{ engineId, address, fromLayer: 0, toLayer: 0 }];
 }
 
+/**
+ * Gets the tokens that a call will take on each engine of its path. Callers name the
+ * most that an answer may hold; most hold far less.
+ *
+ * @param call - The call.
+ * @param model - Its model; undefined where the service has none.
+ * @returns The tokens.
+ * @throws Nothing.
+ * @example
+ * const tokens = getCallTokens(call, getCallModel(call, context));
+ */
+export function getCallTokens(
+  { request }: Pick<Call, "request">,
+  model: Pick<LayeredModel, "usualAnswerTokens"> | undefined,
+): number {
+  const usualTokens = model?.usualAnswerTokens ?? request.answerTokens;
+  return request.promptTokens + Math.min(usualTokens, request.answerTokens);
+}
+
 /**
  * Finds another way for a running stream: the first part stays, the others may
- * change, all in the first one's data centre. Through another one every token
+ * change, all in the first one's data centre, to engines that have room. Those that
+ * have read the stream are preferred. Through another data centre every token
  * read so far would cross the pipe that all share; to read it anew in one place
  * takes far less.
  *
  * @param call - The call.
  * @param context - The engines and the time.
- * @param options - The first part, and who is left out.
+ * @param options - The way that it runs, and who is left out.
  * @returns The path, or undefined where there is none near by.
  * @throws Nothing.
  * @example
- * const path = findDetour(call, context, { first, excluded });
+ * const detour = findDetour(call, context, { path, excluded });
  */
 export function findDetour(
   call: Call,
   context: ServingContext,
   options: Pick<ChooseCallPathOptions, "excluded"> & {
-    readonly first: AddressedPart;
+    /** The way that it runs now. */
+    readonly path: readonly AddressedPart[];
   },
 ): AddressedPart[] | undefined {
   const { engines, now } = context;
-  const { first, excluded } = options;
+  const { path, excluded } = options;
+  const [first, ...others] = path;
   const model = getCallModel(call, context);
   const place = engines.get(first.engineId)?.record.place;
   if (!model || place === undefined) return undefined;
@@ -231,6 +253,9 @@
     excluded: new Set([...excluded, first.engineId]),
     nowMs: now(),
     fromLayer: first.toLayer,
+    holders: new Set(others.map(({ engineId }) => engineId)),
+    // An engine whose memory runs out cuts the newest stream off.
+    need: { tokens: getCallTokens(call, model), isNew: true },
   });
   return rest && [first, ...rest];
 }
--- a/src/gateway/choose_call_path_test.ts
+++ b/src/gateway/choose_call_path_test.ts
@@ -11,7 +11,10 @@
 
 const MODEL = makeLayeredModel();
 
-const CALL = { service: "s" } as Call;
+const CALL = {
+  service: "s",
+  request: { promptTokens: 20, answerTokens: 20 },
+} as Call;
 
 const LOWER: LayerRange = { fromLayer: 0, toLayer: 4 };
 const UPPER: LayerRange = { fromLayer: 4, toLayer: 8 };
@@ -122,12 +125,55 @@
 
 test("a running stream is not moved over one that rests", () => {
   const { context, rest } = makeFleet();
-  const first = { engineId: "a1", address: "a1:80", ...LOWER };
+  const path = [
+    { engineId: "a1", address: "a1:80", ...LOWER },
+    { engineId: "b1", address: "b1:80", ...UPPER },
+  ];
   const excluded = new Set(["b1"]);
-  const detour = findDetour(CALL, context, { first, excluded });
+  const detour = findDetour(CALL, context, { path, excluded });
   assert.equal(detour?.map(({ engineId }) => engineId), ["a1", "b2"]);
   rest("b2", 500);
-  assert.is(findDetour(CALL, context, { first, excluded }), undefined);
+  assert.is(findDetour(CALL, context, { path, excluded }), undefined);
+});
+
+/** One first engine, two for each of the other ranges. */
+function makeStreamPath() {
+  const ranges = {
+    f: { fromLayer: 0, toLayer: 2 },
+    m1: { fromLayer: 2, toLayer: 5 },
+    m2: { fromLayer: 2, toLayer: 5 },
+    z1: { fromLayer: 5, toLayer: 8 },
+    z2: { fromLayer: 5, toLayer: 8 },
+  };
+  const { context } = makeFleet();
+  const records = Object.entries(ranges).map(([engineId, layers]) =>
+    makeEngineRecord(engineId, { layers, card: "card", slots: 8 })
+  );
+  const { engines } = context;
+  engines.take({ type: "engines", isWhole: true, engines: records, gone: [] });
+  const path = (["f", "m1", "z1"] as const).map((engineId) => ({
+    engineId,
+    address: `${engineId}:80`,
+    ...ranges[engineId],
+  }));
+  const fill = (engineId: "m2" | "z1", tokens: number) =>
+    engines.addWork([{ engineId, ...ranges[engineId] }], { tokens });
+  const findIds = () =>
+    findDetour(CALL, context, { path, excluded: new Set(["m1"]) })
+      ?.map(({ engineId }) => engineId);
+  return { fill, findIds };
+}
+
+test("a stream that is moved stays on the engines that have read it", () => {
+  const { fill, findIds } = makeStreamPath();
+  fill("z1", 200);
+  assert.equal(findIds(), ["f", "m2", "z1"]);
+});
+
+test("a stream is not moved to an engine whose memory has no room for it", () => {
+  const { fill, findIds } = makeStreamPath();
+  fill("m2", 3_000_000);
+  assert.is(findIds(), undefined);
 });
 
 test.run();
--- a/src/gateway/choose_path.ts
+++ b/src/gateway/choose_path.ts
@@ -52,6 +52,8 @@
   readonly need?: PathNeed;
   /** Layer at which the path begins; 0 by default. */
   readonly fromLayer?: number;
+  /** Engines that have read the request already; none by default. */
+  readonly holders?: ReadonlySet<string>;
 }
 
 /** What a request needs on the engines of its path. */
@@ -156,6 +158,12 @@
  */
 const BLIND_COST_SHARE = 1;
 
+/**
+ * Factor on the cost of an engine that has read the request already: another one would
+ * read all its tokens anew, and needs memory for them.
+ */
+const HOLDER_FACTOR = 0.1;
+
 /** Factor on an engine's cost where all its answers failed. */
 const FAILURE_FACTOR = 10;
 
@@ -174,15 +182,17 @@
   options: ChoosePathOptions,
 ): AddressedPart[] | undefined {
   const { model, place, excluded, fromLayer, mayCross = true } = options;
-  const holders = engines.filter(({ record }) => record.layers !== undefined);
-  const getMostGrowth = createGrowthBound(holders, options);
-  const usable = holders
+  const layered = engines.filter(({ record }) => record.layers !== undefined);
+  const getMostGrowth = createGrowthBound(layered, options);
+  const usable = layered
     .filter(({ record }) => !excluded.has(record.engineId))
     .map((view) => ({
       view,
       usage: getUsage(view, options, getMostGrowth(view)),
     }))
-    .filter(({ usage }) => hasRoom(usage, options.need));
+    .filter(({ view, usage }) =>
+      isHolder(view, options) || hasRoom(usage, options.need)
+    );
   const views = new Map(usable.map(({ view }) => [view.record.engineId, view]));
   const path = findLayerPath(
     usable.map(({ view, usage }) => describeEngine(view, usage, options)),
@@ -222,13 +232,20 @@
   const blindCost = BLIND_COST_SHARE * (options.drawBlindly?.() ?? 0);
   const layerCost = stepMs / (1 - Math.min(usedMemory, MOST_USED_SHARE)) *
     (1 + failureShare * FAILURE_FACTOR) * (isFull ? REFUSED_FACTOR : 1) *
-    (1 + blindCost);
+    (1 + blindCost) * (isHolder(view, options) ? HOLDER_FACTOR : 1);
   const firstCost = range.fromLayer === 0
     ? getFirstCost(view, usage, options)
     : undefined;
   return { engineId, place, ...range, layerCost, firstCost };
 }
 
+function isHolder(
+  { record }: EngineView,
+  { holders }: ChoosePathOptions,
+): boolean {
+  return holders?.has(record.engineId) ?? false;
+}
+
 function getFirstCost(
   { unreadPrompts, record }: EngineView,
   { usedSlotsShare }: EngineUsage,
--- a/src/gateway/rescue_stream.ts
+++ b/src/gateway/rescue_stream.ts
@@ -100,7 +100,7 @@
   const excluded = new Set([...options.excluded, engineId]);
   const path = engineId === first.engineId
     ? undefined
-    : findDetour(call, context, { first, excluded });
+    : findDetour(call, context, { path: options.path, excluded });
   const moved = path !== undefined && await context.engineControl
     .changePath(first.address, {
       requestId,
--- a/src/gateway/serve_stream_call.ts
+++ b/src/gateway/serve_stream_call.ts
@@ -5,7 +5,7 @@
  */
 
 import { admitCall } from "./admit_call.ts";
-import { getCallModel } from "./choose_call_path.ts";
+import { getCallModel, getCallTokens } from "./choose_call_path.ts";
 import { chooseRunPath } from "./choose_run_path.ts";
 import { createCallEnd } from "./create_call_end.ts";
 import { createLaterRefusals } from "./create_later_refusals.ts";
@@ -83,10 +83,7 @@
     let endKnown = Promise.resolve();
     let run: StreamRun | undefined;
 
-    // Callers name the most that an answer may hold; most hold far less.
-    const usualTokens = model?.usualAnswerTokens ?? request.answerTokens;
-    const tokens = request.promptTokens +
-      Math.min(usualTokens, request.answerTokens);
+    const tokens = getCallTokens(call, model);
     const relay = createStreamRelay({
       response,
       lastEventId: request.lastEventId,
