--- a/measure/rollout.ts
+++ b/measure/rollout.ts
@@ -15,7 +15,7 @@
 import { createConfigMessages } from "../src/fleet/create_config_messages.ts";
 import { createHeldConfig } from "../src/gateway/create_held_config.ts";
 import { findConfigProblems } from "../src/routes/index.ts";
-import { makeWireConfig } from "../standins/index.ts";
+import { makeLargeWireConfig } from "../standins/index.ts";
 import { wire } from "../src/wire/index.ts";
 import { printTable, type TableRow } from "./print_table.ts";
 
@@ -103,19 +103,8 @@
   };
 }
 
-function makeAccepted(version: number, { routes }: { routes: number }) {
-  const config = makeWireConfig(version);
-  const [route] = (config as { routes: object[] }).routes;
-  const hash = (at: number) =>
-    (Math.imul(at + 1, 2_654_435_761) >>> 0).toString(36);
-  const made = Array.from({ length: routes }, (_, at) => ({
-    ...route,
-    name: `r-${hash(at)}`,
-    host: `${hash(at * 31)}.example`,
-    pathPrefix: `/${hash(at * 17)}/`,
-    timeoutMs: at === version * 7 ? 19_000 : 20_000,
-  }));
-  const document = JSON.stringify({ ...config, routes: made });
+function makeAccepted(version: number, options: { routes: number }) {
+  const document = JSON.stringify(makeLargeWireConfig(version, options));
   return { version, packed: packDocument(document) };
 }
 
--- a/src/fleet/create_config_messages_test.ts
+++ b/src/fleet/create_config_messages_test.ts
@@ -1,26 +1,18 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { decodeConfig } from "../../platform/decode_config.ts";
-import { makeWireConfig } from "../../standins/index.ts";
-import { applyConfigChange } from "../routes/index.ts";
+import { makeLargeWireConfig, makeWireConfig } from "../../standins/index.ts";
+import { applyConfigChange, type RouteConfig } from "../routes/index.ts";
 import { wire } from "../wire/index.ts";
 import { createConfigHistory } from "./create_config_history.ts";
 import { createConfigMessages } from "./create_config_messages.ts";
 import { createEngineNumbers } from "./create_engine_numbers.ts";
+import type { LeaderMessage } from "./messages.ts";
 import { packDocument } from "./pack_document.ts";
 import { formatLeaderMessage, parseLeaderMessage } from "./session_messages.ts";
 
 function makeDocument(version: number): string {
-  const config = makeWireConfig(version);
-  const [route] = (config as { routes: object[] }).routes;
-  const routes = Array.from({ length: 1_400 }, (_, at) => ({
-    ...route,
-    name: `r-${(Math.imul(at + 1, 2_654_435_761) >>> 0).toString(36)}`,
-    host: "é.example",
-    pathPrefix: `/${(Math.imul(at + 7, 2_654_435_761) >>> 0).toString(36)}/`,
-    timeoutMs: at === version * 7 ? 19_000 : 20_000,
-  }));
-  return JSON.stringify({ ...config, version, routes });
+  return JSON.stringify(makeLargeWireConfig(version, { routes: 1_400 }));
 }
 
 const makeConfig = (version: number) => ({
@@ -47,24 +39,31 @@
 }
 
 /** Routes by name, so that their order doesn't count. */
-function sortRoutes(version: number, from?: ReturnType<typeof decodeConfig>) {
-  const config = from ?? decodeConfig(makeDocument(version));
+function sortRoutes(config: RouteConfig): RouteConfig {
   const routes = [...config.routes].sort((a, b) => a.name < b.name ? -1 : 1);
   return { ...config, routes };
 }
 
+/** Checks that a message leads from one version to another. */
+function assertLeads(
+  told: LeaderMessage,
+  fromVersion: number,
+  version: number,
+) {
+  assert.ok(told.type === "configChange");
+  const from = decodeConfig(makeDocument(fromVersion));
+  assert.equal(
+    sortRoutes(applyConfigChange(from, told.change)),
+    sortRoutes(decodeConfig(makeDocument(version))),
+  );
+}
+
 test("a change of two of 1,400 routes takes a few bytes and gives the same configuration", () => {
   const { get, tell, note } = startMessages();
   note(3, 5);
   const bytes = wire.FleetMessage.encode(get(5, 3)).finish().length;
   assert.ok(bytes < 700, `${bytes} bytes`);
-  const told = tell(5, 3);
-  assert.ok(told.type === "configChange");
-  const applied = applyConfigChange(
-    decodeConfig(makeDocument(3)),
-    told.change,
-  );
-  assert.equal(sortRoutes(5, applied), sortRoutes(5));
+  assertLeads(tell(5, 3), 3, 5);
 });
 
 test("who has a version that is known is told the change, others the whole", () => {
@@ -79,13 +78,7 @@
 test("who lags by some versions is told one change, who lags by many the whole", () => {
   const { tell, note } = startMessages();
   note(...Array.from({ length: 20 }, (_, at) => at + 1));
-  const change = tell(20, 5);
-  assert.ok(change.type === "configChange");
-  const applied = applyConfigChange(
-    decodeConfig(makeDocument(5)),
-    change.change,
-  );
-  assert.equal(sortRoutes(20, applied), sortRoutes(20));
+  assertLeads(tell(20, 5), 5, 20);
   assert.is(tell(20, 1).type, "config");
 });
 
--- a/src/fleet/create_gateway_sessions_test.ts
+++ b/src/fleet/create_gateway_sessions_test.ts
@@ -4,7 +4,7 @@
 import type { EngineRecord } from "../engines/index.ts";
 import { until } from "../../demo/until.ts";
 import { decodeConfig } from "../../platform/decode_config.ts";
-import { makeWireConfig } from "../../standins/index.ts";
+import { makeLargeWireConfig } from "../../standins/index.ts";
 import { createMetrics } from "../metrics/index.ts";
 import { wire } from "../wire/index.ts";
 import { createConfigHistory } from "./create_config_history.ts";
@@ -102,19 +102,8 @@
   return stream;
 }
 
-/** An accepted configuration; its routes share no text with one another. */
-function makeAccepted(version: number, { routes }: { routes: number }) {
-  const config = makeWireConfig(version);
-  const [route] = (config as { routes: object[] }).routes;
-  const hash = (at: number) =>
-    (Math.imul(at + 1, 2_654_435_761) >>> 0).toString(36);
-  const grown = Array.from({ length: routes }, (_, at) => ({
-    ...route,
-    name: `r-${hash(at)}`,
-    host: `${hash(at * 31)}.example`,
-    pathPrefix: `/${hash(at * 17)}/`,
-  }));
-  const document = JSON.stringify({ ...config, routes: grown });
+function makeAccepted(version: number, options: { routes: number }) {
+  const document = JSON.stringify(makeLargeWireConfig(version, options));
   return { version, packed: packDocument(document) };
 }
 
--- a/standins/make_wire_config.ts
+++ b/standins/make_wire_config.ts
@@ -80,3 +80,37 @@
     tenants: [{ name: "one", apiKeys: keys, priority: 1 }],
   };
 }
+
+/** Numbers that spread the texts of routes, so that they share little. */
+const SPREAD = { name: 1, host: 31, prefix: 17 };
+
+/**
+ * Makes a configuration of many routes. Two versions differ in the timeouts of two
+ * routes, and where one has more of them, in those.
+ *
+ * @param version - Its version.
+ * @param options - How many routes it has.
+ * @returns The configuration as the operator writes it.
+ * @throws Nothing.
+ * @example
+ * const document = JSON.stringify(makeLargeWireConfig(3, { routes: 1_400 }));
+ */
+export function makeLargeWireConfig(
+  version: number,
+  options: { readonly routes: number },
+): object {
+  const config = makeWireConfig(version) as { routes: object[] };
+  const [route] = config.routes;
+  const routes = Array.from({ length: options.routes }, (_, at) => ({
+    ...route,
+    name: `é-${spread(at * SPREAD.name)}`,
+    host: `${spread(at * SPREAD.host)}.example`,
+    pathPrefix: `/${spread(at * SPREAD.prefix)}/`,
+    timeoutMs: at === version * 7 ? 19_000 : 20_000,
+  }));
+  return { ...config, routes };
+}
+
+function spread(at: number): string {
+  return (Math.imul(at + 1, 2_654_435_761) >>> 0).toString(36);
+}
--- a/test/ended_engine_runs_test.ts
+++ b/test/ended_engine_runs_test.ts
@@ -6,7 +6,12 @@
 import * as assert from "uvu/assert";
 import { until } from "../demo/until.ts";
 import type { LayerEngine } from "../standins/index.ts";
-import { call, expectStream, startServing } from "./support/fleet.ts";
+import {
+  addCopies,
+  call,
+  expectStream,
+  startServing,
+} from "./support/fleet.ts";
 
 /** Events of an answer. */
 const EVENTS = 200;
@@ -26,14 +31,8 @@
 test("an engine that ended under a stream doesn't keep it from a third one", async () => {
   const size = { controls: 1, gateways: 1, events: EVENTS };
   await using fleet = await startServing(size);
-  for (const place of ["p1", "p1", "p2", "p2"]) await fleet.addEngine(place);
+  await addCopies(fleet);
   const { engines } = fleet;
-  const holdFirst = () =>
-    engines.filter((engine) => {
-      const [from, to] = engine.getRange();
-      return from === 0 && to > 0;
-    });
-  await until("four engines can begin", () => holdFirst().length >= 4);
   const [{ address }] = fleet.gateways;
   const earlier = Array.from(
     { length: EARLIER },
--- a/test/leaving_engine_runs_test.ts
+++ b/test/leaving_engine_runs_test.ts
@@ -11,7 +11,12 @@
 import * as assert from "uvu/assert";
 import { until } from "../demo/until.ts";
 import type { LayerEngine } from "../standins/index.ts";
-import { call, startServing, type TestFleet } from "./support/fleet.ts";
+import {
+  addCopies,
+  call,
+  startServing,
+  type TestFleet,
+} from "./support/fleet.ts";
 
 /** Engines on which a request may run, by its route. */
 const MAX_ATTEMPTS = 2;
@@ -32,14 +37,8 @@
 test("an engine that left still counts as one that ran a request", async () => {
   const size = { controls: 1, gateways: 1, events: 200 };
   await using fleet = await startServing(size);
-  for (const place of ["p1", "p1", "p2", "p2"]) await fleet.addEngine(place);
+  await addCopies(fleet);
   const { engines } = fleet;
-  const holdFirst = () =>
-    engines.filter((engine) => {
-      const [from, to] = engine.getRange();
-      return from === 0 && to > 0;
-    });
-  await until("four engines can begin", () => holdFirst().length >= 4);
   for (const { fault } of engines) fault.resetAfterEvents = CUT_AFTER;
   const answer = call(fleet.gateways[0].address, { path: "/stream/1" });
   await until("one runs it", () => engines.some(isRunning));
--- a/test/support/fleet.ts
+++ b/test/support/fleet.ts
@@ -291,6 +291,17 @@
   await sleep(600);
 }
 
+/** Adds a copy to each data centre; four engines can begin a stream then. */
+export async function addCopies(fleet: TestFleet): Promise<void> {
+  for (const place of ["p1", "p1", "p2", "p2"]) await fleet.addEngine(place);
+  const holdFirst = () =>
+    fleet.engines.filter((engine) => {
+      const [from, to] = engine.getRange();
+      return from === 0 && to > 0;
+    });
+  await until("four engines can begin", () => holdFirst().length >= 4);
+}
+
 /** Starts a fleet and waits until it serves. */
 export async function startServing(
   options: Parameters<typeof startTestFleet>[0] = {},
