A planned stop of control doesn't wait for connections on which nothing was asked

Found by the new soak of configurations: a control process took 65 s to end, and with it the operators' next calls; the platform kills it after its grace. Cause: to close its server it waited for connections that had been opened without a request, which the runtime ends after a minute. Class: a wait without a limit of its own.

Test: with the limit taken out, the server had not ended when the test gave up, and the run didn't end by itself in ten minutes (it was ended by id). Now it passes.

--- /dev/null
+++ b/src/http/close_server_test.ts
@@ -0,0 +1,24 @@
+import { once } from "node:events";
+import type { AddressInfo } from "node:net";
+import { connect } from "node:net";
+import Fastify from "fastify";
+import { test } from "uvu";
+import { until } from "../../demo/until.ts";
+import { closeServer } from "./close_server.ts";
+
+test("a connection on which nothing was asked doesn't keep a server from ending", async () => {
+  const server = Fastify();
+  await server.listen({ host: "127.0.0.1", port: 0 });
+  const { port } = server.server.address() as AddressInfo;
+  const socket = connect({ host: "127.0.0.1", port });
+  socket.on("error", () => {});
+  await once(socket, "connect");
+  let hasEnded = false;
+  void closeServer(server).then(() => {
+    hasEnded = true;
+  });
+  await until("it has ended", () => hasEnded);
+  socket.destroy();
+});
+
+test.run();
--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+export * from "./close_server.ts";
 export * from "./connection_headers.ts";
 export * from "./create_server.ts";
 export * from "./limit_time.ts";
--- a/test/support/fleet.ts
+++ b/test/support/fleet.ts
@@ -22,6 +22,7 @@
 } from "../../platform/engine_calls.ts";
 import { type FleetControl, startFleetControl } from "../../src/fleet/index.ts";
 import { type Gateway, startGateway } from "../../src/gateway/index.ts";
+import { closeServer } from "../../src/http/index.ts";
 import type { Logger } from "../../src/logs/index.ts";
 import { createMetrics } from "../../src/metrics/index.ts";
 import {
@@ -163,7 +164,7 @@
       control,
       async stop() {
         await control.stop();
-        await api.close();
+        await closeServer(api);
       },
     };
   }
