--- /dev/null
+++ b/test/support/make_config.ts
@@ -0,0 +1,53 @@
+/**
+ * Configurations for soaks: routes to add, and invalid ones.
+ *
+ * @module
+ */
+
+import { makeWireConfig } from "../../standins/index.ts";
+
+interface WireRoute {
+  readonly name: string;
+  readonly host: string;
+  readonly pathPrefix: string;
+}
+
+/** Makes a route to the plain service under a prefix of its own. */
+export function makeAddedRoute(at: number): WireRoute {
+  return { ...getPlainRoute(), name: `r-${at}`, pathPrefix: `/added-${at}/` };
+}
+
+function getPlainRoute(): WireRoute {
+  const { routes } = makeWireConfig(1) as { routes: WireRoute[] };
+  return routes[2];
+}
+
+/** Lists texts of configurations of a version, each invalid in its own way. */
+export function listInvalidConfigs(version: number): string[] {
+  const config = makeWireConfig(version) as { routes: WireRoute[] };
+  const route = getPlainRoute();
+  const withRoute = (fields: object) => ({
+    ...config,
+    routes: [...config.routes, { ...makeAddedRoute(-1), ...fields }],
+  });
+  const noWeight = [{ service: "plain", weight: 0 }];
+  const goodSplit = [{ service: "plain", weight: 1 }];
+  const key = "shared";
+  const invalid = [
+    withRoute({ service: "unknown" }),
+    withRoute({ service: "unknown", trafficSplit: goodSplit }),
+    withRoute({ pathPrefix: route.pathPrefix }),
+    withRoute({ pathPrefix: route.pathPrefix, host: "A.EXAMPLE" }),
+    withRoute({ service: undefined, trafficSplit: noWeight }),
+    withRoute({ timeoutMs: 0 }),
+    { ...config, version: version + 0.5 },
+    {
+      ...config,
+      tenants: [
+        { name: "one", apiKeys: ["key-1", key] },
+        { name: "two", apiKeys: [key] },
+      ],
+    },
+  ].map((one) => JSON.stringify(one));
+  return [...invalid, JSON.stringify(config).slice(0, -20)];
+}
