The measure of a rollout tells how long a gateway looks for its leader

Written-out versions are measured for 11, 76 and 300 gateways. No code of the product changes but a constant that is no longer exported.

--- a/measure/rollout.ts
+++ b/measure/rollout.ts
@@ -16,6 +16,13 @@
 import { createHeldConfig } from "../src/gateway/create_held_config.ts";
 import { findConfigProblems } from "../src/routes/index.ts";
 import { makeLargeWireConfig } from "../standins/index.ts";
+import { until } from "../demo/until.ts";
+import { startOneGateway } from "../test/support/start_one_gateway.ts";
+import {
+  type SessionServer,
+  startSessionServer,
+  WELCOME,
+} from "../test/support/start_session_server.ts";
 import { wire } from "../src/wire/index.ts";
 import { printTable, type TableRow } from "./print_table.ts";
 
@@ -26,13 +33,16 @@
   { routes: 1_925, added: 0 },
 ];
 
-const GATEWAYS = [76, 330];
+const GATEWAYS = [11, 76, 300];
 
 /** Runs of each; the last one counts, once the code is warm. */
 const RUNS = 4;
 
-/** Prints what a version costs. */
-export function measureRollout(): void {
+/** Control processes that say nothing, asked before the leader. */
+const SILENT = [0, 1, 2, 4];
+
+/** Prints what a version costs, and how long a gateway looks for the leader. */
+export async function measureRollout(): Promise<void> {
   printTable(
     CHANGES.flatMap((change) =>
       GATEWAYS.map((gateways) => {
@@ -44,6 +54,29 @@
       })
     ),
   );
+  const searches: TableRow[] = [];
+  for (const silent of SILENT) searches.push(await measureSearch(silent));
+  printTable(searches);
+}
+
+async function measureSearch(silent: number): Promise<TableRow> {
+  const servers: SessionServer[] = [];
+  for (let at = 0; at < silent; at++) {
+    servers.push(await startSessionServer(() => {}));
+  }
+  let welcomedMs = 0;
+  await using leader = await startSessionServer((message, tell) => {
+    if (message.type === "hello") tell(WELCOME);
+    else welcomedMs ||= performance.now();
+  });
+  const addresses = [...servers, leader].map(({ address }) => address);
+  const startedMs = performance.now();
+  {
+    await using _gateway = await startOneGateway(addresses);
+    await until("it has a session", () => welcomedMs > 0);
+  }
+  await Promise.all(servers.map((one) => one[Symbol.asyncDispose]()));
+  return { silent, "found after, ms": Math.round(welcomedMs - startedMs) };
 }
 
 function measureVersion(
--- a/src/clocks/start_loop_watch.ts
+++ b/src/clocks/start_loop_watch.ts
@@ -12,14 +12,14 @@
 
 /** Whom to tell, and the clock to read. */
 export interface StartLoopWatchOptions {
-  /** Called after each delay of {@link LOOP_DELAY_MS} or more. */
+  /** Called after each delay that is long enough to be felt. */
   readonly onDelay: (delay: LoopDelay) => void;
   /** Monotonic time, in ms. */
   readonly now: () => number;
 }
 
 /** Shortest delay, in ms, that is told. */
-export const LOOP_DELAY_MS = 200;
+const LOOP_DELAY_MS = 200;
 
 /** Ms between two looks. */
 const INTERVAL_MS = 100;
--- a/test/support/run_config_soak.ts
+++ b/test/support/run_config_soak.ts
@@ -242,42 +242,47 @@
   return { seed, routes: routes.length, ...tally };
 }
 
+/** A control process's answer to an operator. */
+interface OperatorAnswer {
+  readonly status: number;
+  readonly text: string;
+}
+
 async function send(
   fleet: TestFleet,
   { text, random }: { readonly text: string; readonly random: RandomSource },
 ): Promise<number | undefined> {
-  const { callerAddress } = random.pick(fleet.controls);
-  try {
-    const answer = await request(
-      `http://${callerAddress}/api/config/put`,
-      {
-        method: "POST",
-        body: text,
-        signal: AbortSignal.timeout(OPERATOR_TIMEOUT_MS),
-      },
-    );
-    await answer.body.dump();
-    return answer.statusCode;
-  } catch {
-    // The control process stops, or its answer is late: nothing is known.
-    return undefined;
-  }
+  const path = "/api/config/put";
+  const answer = await ask(fleet, random, { path, method: "POST", body: text });
+  return answer?.status;
 }
 
 async function readFrom(
   fleet: TestFleet,
   random: RandomSource,
 ): Promise<string | undefined> {
+  const answer = await ask(fleet, random, { path: "/api/config/get" });
+  return answer?.status === 200 ? answer.text : undefined;
+}
+
+// Undefined where the control process stops or is late: nothing is known then.
+async function ask(
+  fleet: TestFleet,
+  random: RandomSource,
+  { path, ...options }: {
+    readonly path: string;
+    readonly method?: "POST";
+    readonly body?: string;
+  },
+): Promise<OperatorAnswer | undefined> {
   const { callerAddress } = random.pick(fleet.controls);
   try {
-    const answer = await request(
-      `http://${callerAddress}/api/config/get`,
-      { signal: AbortSignal.timeout(OPERATOR_TIMEOUT_MS) },
-    );
-    const text = await answer.body.text();
-    return answer.statusCode === 200 ? text : undefined;
+    const answer = await request(`http://${callerAddress}${path}`, {
+      ...options,
+      signal: AbortSignal.timeout(OPERATOR_TIMEOUT_MS),
+    });
+    return { status: answer.statusCode, text: await answer.body.text() };
   } catch {
-    // The same: another one is asked next time.
     return undefined;
   }
 }
