Silent control processes don't use up what a gateway may ask at a time

A gateway that looks for its leader asked three control processes at a time and gave each 3 s. With four silent ones before the leader it came there after 3.4 s, later than when it asked one by one.

The cap bought nothing: a process is asked once at a time, so there are never more tries than control processes. Test before: 2 of 5 silent ones were still open when the leader was asked, the others had been given up; now 5.

--- a/src/gateway/create_fleet_link.ts
+++ b/src/gateway/create_fleet_link.ts
@@ -99,9 +99,6 @@
  */
 const TRY_NEXT_MS = 200;
 
-/** Control processes that are asked at the same time. */
-const MAX_TRIES = 3;
-
 /**
  * Ms for a control process to welcome or redirect. A leader that many gateways ask
  * at once takes long: one that is given up is only asked again, and takes longer.
@@ -140,7 +137,8 @@
   const { now, log } = options;
   let controlAddresses: readonly string[] = [];
   let session: Session | undefined;
-  // Control processes that have not welcomed or redirected this gateway yet.
+  // Control processes that have not welcomed or redirected this gateway yet; each is
+  // asked once at a time.
   const tries = new Set<Session>();
   let triedMs = -Infinity;
   let queue: string[] = [];
@@ -245,7 +243,7 @@
     for (const tried of tries) {
       if (now() - tried.heardMs > WELCOME_TIMEOUT_MS) close(tried, "silent");
     }
-    if (now() < searchDueMs || tries.size >= MAX_TRIES) return;
+    if (now() < searchDueMs) return;
     if (tries.size > 0 && now() - triedMs < TRY_NEXT_MS) return;
     tryNext();
   }
--- a/test/leader_search_test.ts
+++ b/test/leader_search_test.ts
@@ -8,9 +8,16 @@
 import * as assert from "uvu/assert";
 import { until } from "../demo/until.ts";
 import { startOneGateway } from "./support/start_one_gateway.ts";
-import { startSessionServer, WELCOME } from "./support/start_session_server.ts";
+import {
+  type SessionServer,
+  startSessionServer,
+  WELCOME,
+} from "./support/start_session_server.ts";
 
-/** Ms for which a loaded leader lets gateways wait in the second test. */
+/** Control processes that say nothing. */
+const SILENT = 5;
+
+/** Ms for which a loaded leader lets gateways wait in the last test. */
 const SLOW_WELCOME_MS = 1_500;
 
 test("a control process that says nothing doesn't keep a gateway from asking the next", async () => {
@@ -27,6 +34,26 @@
   assert.is(openWhenAsked, 1);
 });
 
+test("a gateway asks the next control process however many say nothing", async () => {
+  const silent: SessionServer[] = [];
+  for (let at = 0; at < SILENT; at++) {
+    silent.push(await startSessionServer(() => {}));
+  }
+  const countOpen = () =>
+    silent.reduce((sum, server) => sum + server.getOpen(), 0);
+  let openWhenAsked = -1;
+  await using leader = await startSessionServer((message) => {
+    if (message.type === "hello") openWhenAsked = countOpen();
+  });
+  const addresses = [...silent, leader].map(({ address }) => address);
+  {
+    await using _started = await startOneGateway(addresses);
+    await until("the leader is asked", () => leader.hellos.length > 0);
+  }
+  await Promise.all(silent.map((server) => server[Symbol.asyncDispose]()));
+  assert.is(openWhenAsked, SILENT);
+});
+
 test("a leader that takes long to welcome a gateway is asked once", async () => {
   let welcomed = 0;
   await using leader = await startSessionServer((message, tell) => {
