A new leader tells no part of the gateways as all of them

Callers saw: after a change of leaders the directory named a part of the VMs, the same part everywhere, and gateways took engines for emptier than they were.

Cause: two seconds after its election a leader took the gateways that had come for all. It had no evidence of those that had not; a gateway's first beat could also come before its loads could be written, which then counted as none.

Change: gateways that the leader counts on are recorded in the log, as upstreams are. A leader records nothing before it knows what is recorded, upstreams included: one look too early would have recorded all of them as lost (read, not shown).

--- a/src/fleet/create_engine_recorder.ts
+++ b/src/fleet/create_engine_recorder.ts
@@ -8,6 +8,7 @@
 import { type EngineRecord, isSameRecord } from "../engines/index.ts";
 import type { Logger } from "../logs/index.ts";
 import type { FleetCommand } from "./create_fleet_machine.ts";
+import { createRecorder, type Recorder } from "./create_recorder.ts";
 
 /** What the recorder needs of its program. */
 export interface CreateEngineRecorderOptions {
@@ -18,12 +19,6 @@
   readonly log: Logger;
 }
 
-/** Records the upstreams that the leader knows. */
-export interface EngineRecorder {
-  /** Records what changed since the last time; for the leader only. */
-  run(): Promise<void>;
-}
-
 /**
  * Makes the recorder.
  *
@@ -35,21 +30,13 @@
  */
 export function createEngineRecorder(
   options: CreateEngineRecorderOptions,
-): EngineRecorder {
+): Recorder {
   const { getHeard, getRecorded, propose, log } = options;
-  let recording = false;
-  return {
-    async run() {
-      if (recording) return;
-      const command = findEngineNews(getHeard(), getRecorded());
-      if (!command) return;
-      recording = true;
-      // What is not recorded now is news at the next look again.
-      await propose(command)
-        .catch((error) => log("enginesNotRecorded", { error }));
-      recording = false;
-    },
-  };
+  return createRecorder({
+    findNews: () => findEngineNews(getHeard(), getRecorded()),
+    propose,
+    onFailed: (error) => log("enginesNotRecorded", { error }),
+  });
 }
 
 function findEngineNews(
--- a/src/fleet/create_fleet_machine.ts
+++ b/src/fleet/create_fleet_machine.ts
@@ -19,6 +19,7 @@
   type JudgedReport,
   takeCrashes,
 } from "../quarantine/index.ts";
+import type { GatewayRecord } from "./messages.ts";
 
 /** A command of the log. */
 export type FleetCommand =
@@ -43,6 +44,13 @@
     /** Upstreams that are no longer counted on. */
     readonly lost: readonly string[];
   }
+  | {
+    readonly type: "gateways";
+    /** Gateways that are new or changed. */
+    readonly changed: readonly GatewayRecord[];
+    /** VMs whose gateways are no longer counted on. */
+    readonly lost: readonly string[];
+  }
   | {
     /** Upstreams that ended when they had just begun a request. */
     readonly type: "crashes";
@@ -70,6 +78,8 @@
    * so that a restart of all processes needs no beat before it serves.
    */
   getEngines(): ReadonlyMap<string, EngineRecord>;
+  /** Gateways that the newest leader counted on. */
+  getGateways(): ReadonlyMap<string, GatewayRecord>;
   /** Requests that are suspected of ending upstreams. */
   getCases(): CrashCases;
   /** Newest runs of upstreams, also of those that are gone. */
@@ -97,6 +107,7 @@
   /** Absent in snapshots of earlier versions, as the cases are. */
   readonly newestRuns?: readonly (readonly [string, NewestRun])[];
   readonly cases?: readonly CrashCase[];
+  readonly gateways?: readonly GatewayRecord[];
 }
 
 /**
@@ -117,6 +128,7 @@
   let engines = new Map<string, EngineRecord>();
   let newestRuns: NewestRuns = new Map();
   let cases: CrashCases = new Map();
+  let gateways = new Map<string, GatewayRecord>();
 
   function takeConfig(command: FleetCommand & { type: "putConfig" }): boolean {
     const { version, packed } = command;
@@ -143,6 +155,12 @@
     return true;
   }
 
+  function takeGateways(command: FleetCommand & { type: "gateways" }): boolean {
+    for (const vm of command.lost) gateways.delete(vm);
+    for (const gateway of command.changed) gateways.set(gateway.vm, gateway);
+    return true;
+  }
+
   function putCases(next: CrashCases): boolean {
     const isNews = next !== cases;
     cases = next;
@@ -162,6 +180,8 @@
         return takeLeave(command);
       case "engines":
         return takeEngines(command);
+      case "gateways":
+        return takeGateways(command);
       case "crashes":
         return putCases(takeCrashes(cases, command.reports));
       case "casesCleared":
@@ -173,6 +193,7 @@
     getAccepted: () => accepted,
     getLeave: (engineId) => leaves.get(engineId),
     getEngines: () => engines,
+    getGateways: () => gateways,
     getCases: () => cases,
     getNewestRuns: () => newestRuns,
     apply(body) {
@@ -186,6 +207,7 @@
         engines: [...engines.values()],
         newestRuns: [...newestRuns],
         cases: [...cases.values()],
+        gateways: [...gateways.values()],
       };
       return JSON.stringify(saved);
     },
@@ -201,6 +223,9 @@
       cases = new Map(
         (saved.cases ?? []).map((one) => [one.requestKey, one]),
       );
+      gateways = new Map(
+        (saved.gateways ?? []).map((gateway) => [gateway.vm, gateway]),
+      );
     },
   };
 }
--- a/src/fleet/create_gateway_sessions.ts
+++ b/src/fleet/create_gateway_sessions.ts
@@ -13,6 +13,7 @@
 import type { Metrics } from "../metrics/index.ts";
 import type { wire } from "../wire/index.ts";
 import { createActivityTally } from "./create_activity_tally.ts";
+import { createAwaitedGateways } from "./create_awaited_gateways.ts";
 import { createLossReports } from "./create_loss_reports.ts";
 import { createRolloutWatch } from "./create_rollout_watch.ts";
 import type { EngineChange } from "./create_engine_registry.ts";
@@ -21,13 +22,14 @@
 import { createWrittenNews } from "./create_written_news.ts";
 import type { ConfigHistory } from "./create_config_history.ts";
 import type { AcceptedConfig } from "./create_fleet_machine.ts";
-import type {
-  EngineLoads,
-  GatewayMessage,
-  GatewayRecord,
-  GrantCounts,
-  LeaderMessage,
-  SendGrants,
+import {
+  type EngineLoads,
+  type GatewayMessage,
+  type GatewayRecord,
+  type GrantCounts,
+  isSameGateway,
+  type LeaderMessage,
+  type SendGrants,
 } from "./messages.ts";
 import { sumLoads } from "./sum_loads.ts";
 
@@ -76,6 +78,10 @@
   >;
   /** Tells a version that was just accepted. */
   publishConfig(version: number): void;
+  /** Waits for the gateways that earlier leaders recorded. */
+  expectGateways(recorded: Iterable<GatewayRecord>): void;
+  /** Gateways with a session, and those that are still waited for. */
+  getCountedGateways(): GatewayRecord[];
   publishEngines(change: EngineChange): void;
   /** Tells all engines at once, in place of what gateways knew before. */
   publishAllEngines(): void;
@@ -93,8 +99,10 @@
   gateway: GatewayRecord | undefined;
   sentVersion: number;
   heardMs: number;
-  /** Its work in flight, as it told last. */
-  loads: EngineLoads;
+  /** When it began, in ms. */
+  readonly openedMs: number;
+  /** Its work in flight, as it told last; undefined before. */
+  loads: EngineLoads | undefined;
   isClosed: boolean;
 }
 
@@ -107,6 +115,9 @@
 /** Bytes that may wait for a slow gateway; then its session ends. */
 const MAX_WAITING_BYTES = 8 * 1024 * 1024;
 
+/** Ms for a gateway that joined to tell its work, which then counts as none. */
+const FIRST_LOADS_MS = 1_500;
+
 /** Ms for which versions in quick succession are gathered into one message. */
 const CONFIG_GATHER_MS = 100;
 
@@ -125,14 +136,15 @@
   const { now, log } = options;
   const sessions = new Map<string, Session>();
   // What all sessions were told, by VM; undefined before the first time.
-  let toldGateways: ReadonlyMap<string, string> | undefined;
-  // What was told of loads and streams, as text.
+  let toldGateways: ReadonlyMap<string, GatewayRecord> | undefined;
+  // What was told of loads and streams, as text; empty before the first time.
   let toldLoads = "";
   let gathering: ReturnType<typeof setTimeout> | undefined;
   const news = createWrittenNews(options);
   const tally = createActivityTally({ now });
   const losses = createLossReports({ now });
   const rollout = createRolloutWatch(options);
+  const awaited = createAwaitedGateways(options);
 
   function send(session: Session, message: LeaderMessage): void {
     write(session, news.format(message));
@@ -206,6 +218,7 @@
     session.sentVersion = version;
     session.heardMs = now();
     sessions.set(gateway.vm, session);
+    awaited.noteBack(gateway.vm);
     rollout.noteHeld(gateway.vm, version);
     const controlAddresses = options.getControlAddresses();
     // The suspects come before the engines: from then on it sends requests. They are
@@ -217,13 +230,16 @@
     write(session, news.formatEngines());
     // The read was confirmed after the hello was sent, as with any beat.
     confirm(session, sentMs);
-    if (toldGateways) {
-      const gateways = getGateways();
-      send(session, { type: "gateways", isWhole: true, gateways, gone: [] });
-    }
+    // Who has just started knows nobody, and names itself alone to callers.
+    if (toldGateways || hello.knowsGateways === false) tellGateways(session);
     log("gatewayJoined", { vm: gateway.vm, version });
   }
 
+  function tellGateways(session: Session): void {
+    const gateways = getCountedGateways();
+    send(session, { type: "gateways", isWhole: true, gateways, gone: [] });
+  }
+
   function takeBeat(
     session: Session,
     beat: GatewayMessage & { type: "beat" },
@@ -322,7 +338,8 @@
       gateway: undefined,
       sentVersion: -1,
       heardMs: now(),
-      loads: {},
+      openedMs: now(),
+      loads: undefined,
       isClosed: false,
     };
     stream.on("data", (received: wire.FleetMessage) => {
@@ -350,26 +367,36 @@
     log("gatewayLost", { vm: gateway.vm });
   }
 
-  function getGateways(): GatewayRecord[] {
-    return [...sessions.values()]
-      .flatMap(({ gateway }) => gateway ? [gateway] : [])
+  function getCountedGateways(): GatewayRecord[] {
+    const present = [...sessions.values()]
+      .flatMap(({ gateway }) => gateway ? [gateway] : []);
+    return [...present, ...awaited.list()]
       .sort((a, b) => a.vm < b.vm ? -1 : 1);
   }
 
+  function knowsAllGateways(): boolean {
+    return options.knowsAllGateways() && awaited.list().length === 0;
+  }
+
+  function knowsAllLoads(): boolean {
+    return [...sessions.values()].every(({ loads, openedMs }) =>
+      loads !== undefined || now() - openedMs >= FIRST_LOADS_MS
+    );
+  }
+
   // Once a tick, and only what changed: when many gateways change together,
   // each piece of news goes to all of them. A new leader's first few would
   // empty the callers' choice.
   function publishGateways(): void {
-    if (!options.knowsAllGateways()) return;
-    const gateways = getGateways();
-    const current = new Map(
-      gateways.map((one) => [one.vm, JSON.stringify(one)]),
-    );
-    const told = toldGateways ?? new Map<string, string>();
+    if (!knowsAllGateways()) return;
+    const gateways = getCountedGateways();
+    const current = new Map(gateways.map((one) => [one.vm, one]));
+    const told = toldGateways ?? new Map<string, GatewayRecord>();
     const isWhole = toldGateways === undefined;
-    const changed = gateways.filter(({ vm }) =>
-      told.get(vm) !== current.get(vm)
-    );
+    const changed = gateways.filter((gateway) => {
+      const known = told.get(gateway.vm);
+      return !known || !isSameGateway(known, gateway);
+    });
     const gone = [...told.keys()].filter((vm) => !current.has(vm));
     toldGateways = current;
     if (!isWhole && changed.length + gone.length === 0) return;
@@ -385,6 +412,11 @@
         sendConfigToAll();
       }, CONFIG_GATHER_MS);
     },
+    expectGateways(recorded) {
+      const present = new Set(sessions.keys());
+      awaited.expect([...recorded].filter(({ vm }) => !present.has(vm)));
+    },
+    getCountedGateways,
     publishEngines(change) {
       news.forgetEngines();
       broadcast({ type: "engines", isWhole: false, ...change });
@@ -400,14 +432,16 @@
         forget(session);
         session.stream.end();
       }
+      awaited.tick();
       publishGateways();
     },
     publishLoads() {
       // A part of the gateways told as all would make engines look empty, and a
       // new leader has not counted streams for a whole window yet.
-      if (!options.knowsAllGateways()) return;
+      if (!knowsAllGateways()) return;
+      if (toldLoads === "" && !knowsAllLoads()) return;
       const loads = sumLoads(
-        [...sessions.values()].map((session) => session.loads),
+        [...sessions.values()].map((session) => session.loads ?? {}),
       );
       const activity = tally.get();
       const told = JSON.stringify([loads, activity]);
@@ -425,6 +459,8 @@
       // Should it lead again, engines that were there now may be gone.
       news.forgetEngines();
       toldGateways = undefined;
+      toldLoads = "";
+      awaited.reset();
     },
   };
 }
--- a/src/fleet/create_leader_rounds.ts
+++ b/src/fleet/create_leader_rounds.ts
@@ -6,13 +6,13 @@
  */
 
 import type { Logger } from "../logs/index.ts";
-import type { EngineRecorder } from "./create_engine_recorder.ts";
 import type { EngineRegistry } from "./create_engine_registry.ts";
 import type { GatewaySessions } from "./create_gateway_sessions.ts";
 import type { LayerKeeper } from "./create_layer_keeper.ts";
 import type { MemberKeeper } from "./create_member_keeper.ts";
 import type { PaceWatch } from "./create_pace_watch.ts";
 import type { QuarantineDesk } from "./create_quarantine_desk.ts";
+import type { Recorder } from "./create_recorder.ts";
 
 /** What the rounds look after. */
 export interface CreateLeaderRoundsOptions {
@@ -31,7 +31,7 @@
   readonly registry: Pick<EngineRegistry, "tick" | "getRecords">;
   readonly paces: Pick<PaceWatch, "tick">;
   readonly quarantine: Pick<QuarantineDesk, "tick">;
-  readonly recorder: Pick<EngineRecorder, "run">;
+  readonly recorders: readonly Recorder[];
   readonly members: Pick<MemberKeeper, "run">;
   readonly keeper: Pick<LayerKeeper, "run">;
   readonly log: Logger;
@@ -75,6 +75,10 @@
     isKeeping = false;
   }
 
+  function record(): void {
+    for (const recorder of options.recorders) void recorder.run();
+  }
+
   // Before anyone holds layers there is nothing that a late beat could tell.
   function keepLayersOfNewFleet(): void {
     const records = registry.getRecords();
@@ -92,11 +96,11 @@
       void options.paces.tick();
       options.quarantine.tick();
       if (!leadsFor(options.silenceMs)) {
-        void options.recorder.run();
+        record();
         return keepLayersOfNewFleet();
       }
       registry.tick();
-      void options.recorder.run();
+      record();
       if (!hasToldAllEngines) {
         hasToldAllEngines = true;
         sessions.publishAllEngines();
--- a/src/fleet/create_leader_rounds_test.ts
+++ b/src/fleet/create_leader_rounds_test.ts
@@ -26,7 +26,7 @@
     registry: { tick: note("engines"), getRecords: () => [] },
     paces: { tick: noteRun("paces") },
     quarantine: { tick: () => {} },
-    recorder: { run: noteRun("recorder") },
+    recorders: [{ run: noteRun("recorder") }],
     members: { run: noteRun("members") },
     keeper: { run: noteRun("layers") },
     log: () => {},
--- a/src/fleet/fleet_parts_test.ts
+++ b/src/fleet/fleet_parts_test.ts
@@ -62,6 +62,27 @@
   assert.is(machine.getLeave("e"), "gone");
 });
 
+test("gateways that were counted on are there after a restart", () => {
+  const [first, second] = ["g1", "g2"].map((vm) => ({
+    vm,
+    place: "a",
+    address: `${vm}:80`,
+    isReady: true,
+  }));
+  const machine = createFleetMachine();
+  const changed = [first, second];
+  apply(
+    machine,
+    { type: "gateways", changed, lost: [] },
+    { type: "gateways", changed: [{ ...first, isReady: false }], lost: ["g2"] },
+  );
+  const again = createFleetMachine();
+  again.restore(machine.save());
+  assert.equal([...again.getGateways().values()], [
+    { ...first, isReady: false },
+  ]);
+});
+
 test("what was applied is there after a restart, bounded", () => {
   const machine = createFleetMachine({ maxLeaves: 2 });
   apply(
--- a/src/fleet/messages.ts
+++ b/src/fleet/messages.ts
@@ -21,6 +21,12 @@
   readonly isReady: boolean;
 }
 
+/** Tells whether two records of a gateway say the same. */
+export function isSameGateway(a: GatewayRecord, b: GatewayRecord): boolean {
+  return a.vm === b.vm && a.place === b.place && a.address === b.address &&
+    a.isReady === b.isReady;
+}
+
 /**
  * Work in flight by upstream: tokens on it, and requests that begin there.
  * Upstreams without any are left out.
@@ -91,6 +97,8 @@
     readonly gateway: GatewayRecord;
     /** Version of the configuration that it has; -1 without any. */
     readonly version: number;
+    /** Whether it was told of the others; absent where it was. */
+    readonly knowsGateways?: boolean;
     /** Gateway's monotonic time, in ms, when it sent this. */
     readonly sentMs: number;
   }
@@ -105,7 +113,10 @@
     readonly suspects: readonly string[];
     /** Engines that it found lost by its questions; absent where none. */
     readonly lost?: readonly string[];
-    /** Its own work in flight; absent where it has not changed. */
+    /**
+     * Its own work in flight; absent where it has not changed, and before the
+     * gateway knows how this leader numbers upstreams.
+     */
     readonly loads?: EngineLoads;
     /** What its streams did; absent where they did nothing. */
     readonly activity?: GatewayActivity;
--- a/src/fleet/start_fleet_control.ts
+++ b/src/fleet/start_fleet_control.ts
@@ -23,6 +23,7 @@
   createFleetMachine,
   type FleetCommand,
 } from "./create_fleet_machine.ts";
+import { createGatewayRecorder } from "./create_gateway_recorder.ts";
 import { createGatewaySessions } from "./create_gateway_sessions.ts";
 import {
   createLayerKeeper,
@@ -121,7 +122,7 @@
 /** Beats that an upstream may miss before it counts as lost. */
 const BEATS_OF_SILENCE = 2.6;
 
-/** Ms in which gateways find a new leader. */
+/** Ms in which gateways find a new leader that knows of none yet. */
 const GATEWAYS_SETTLE_MS = 2_000;
 
 /**
@@ -151,8 +152,9 @@
   const storage = await openFleetStorage({ ...settings, seeds, log });
   const { replicaId } = storage.identity;
   let leadingSinceMs = Infinity;
-  // Resolves once the upstreams are known that earlier leaders recorded.
-  let addingEngines = Promise.resolve();
+  // Resolves once that is known which earlier leaders recorded.
+  let recordedTerm = -1;
+  let addingRecorded = Promise.resolve();
   const leadsFor = (spanMs: number) => now() - leadingSinceMs >= spanMs;
   const silenceMs = settings.beatIntervalMs * BEATS_OF_SILENCE;
 
@@ -184,6 +186,7 @@
     return accepted ? history.read(accepted.packed).services : [];
   };
   const isLeader = () => replica.getState().role === "leader";
+  const knowsRecorded = () => recordedTerm === replica.getState().term;
   const registry = createEngineRegistry({
     silenceMs,
     now,
@@ -225,7 +228,7 @@
     // came some ms after a new leader was told of none, and refused them.
     async confirmRead() {
       await replica.confirmRead();
-      await addingEngines;
+      await addingRecorded;
     },
     getLeaderAddress: () => getLeader()?.address ?? "",
     getControlAddresses: () =>
@@ -280,6 +283,12 @@
     propose,
     log,
   });
+  const gatewayRecorder = createGatewayRecorder({
+    getCounted: sessions.getCountedGateways,
+    getRecorded: machine.getGateways,
+    propose,
+    log,
+  });
   const members = createMemberKeeper({
     replica,
     voters: settings.voters,
@@ -303,7 +312,8 @@
     log,
   });
   const rounds = createLeaderRounds({
-    isLeading: () => isLeader() && replica.hasLease(),
+    // Before it knows what is recorded, it would record all of that as lost.
+    isLeading: () => isLeader() && replica.hasLease() && knowsRecorded(),
     leadsFor,
     silenceMs,
     isFirstStart: settings.isFirstStart,
@@ -311,7 +321,7 @@
     registry,
     paces,
     quarantine,
-    recorder,
+    recorders: [recorder, gatewayRecorder],
     members,
     keeper,
     log,
@@ -319,7 +329,7 @@
   const caller = createLeaderCaller();
 
   function takeChange(command: FleetCommand): void {
-    if (command.type === "engines") return;
+    if (command.type === "engines" || command.type === "gateways") return;
     if (command.type === "crashes" || command.type === "casesCleared") {
       return quarantine.noteChange({ isLeader: isLeader() });
     }
@@ -339,7 +349,7 @@
     registry.reset();
     keeper.reset();
     limits.reset();
-    addingEngines = addRecordedEngines();
+    addingRecorded = addRecorded();
   }
 
   function onLeadLost(): void {
@@ -348,7 +358,8 @@
   }
 
   // Only once its own term has committed has a leader applied all that counts.
-  async function addRecordedEngines(): Promise<void> {
+  async function addRecorded(): Promise<void> {
+    const { term } = replica.getState();
     try {
       await replica.confirmRead();
     } catch {
@@ -363,6 +374,8 @@
     );
     const newestRuns = machine.getNewestRuns();
     registry.addRecorded(staying, { newestRuns });
+    sessions.expectGateways(machine.getGateways().values());
+    recordedTerm = term;
   }
 
   function getLeader(): Member | undefined {
--- a/src/gateway/create_fleet_link.ts
+++ b/src/gateway/create_fleet_link.ts
@@ -31,7 +31,7 @@
   /** Control processes to begin with; read anew for each search. */
   readonly getSeedAddresses: () => readonly string[];
   readonly getGateway: () => GatewayRecord;
-  /** Gateways that lose a leader together with this one; 0 if not known. */
+  /** Gateways that lose a leader together with this one; 0 before it was told of any. */
   readonly getGatewayCount: () => number;
   /** Version of the configuration in force here; -1 without any. */
   readonly getVersion: () => number;
@@ -118,7 +118,9 @@
   /** Numbers of engines; each leader gives its own. */
   readonly numbers: EngineNumbers;
   heardMs: number;
-  /** Loads that the leader was told, as text. */
+  /** Whether the leader has told its engines, and so their numbers. */
+  knowsNumbers: boolean;
+  /** Loads that the leader was told, as text; empty before the first time. */
   toldLoads: string;
   /** Version of the configuration that the leader was told. */
   toldVersion: number;
@@ -162,7 +164,8 @@
       stream,
       numbers: createEngineNumbers(),
       heardMs: now(),
-      toldLoads: "{}",
+      knowsNumbers: false,
+      toldLoads: "",
       toldVersion: options.getVersion(),
     };
     tries.add(opened);
@@ -178,6 +181,7 @@
       type: "hello",
       gateway: options.getGateway(),
       version: opened.toldVersion,
+      knowsGateways: options.getGatewayCount() > 0,
       sentMs: now(),
     });
   }
@@ -228,6 +232,9 @@
         return;
       case "beatAck":
         return options.onConfirmed(message.sentMs, message.version);
+      case "engines":
+        from.knowsNumbers = true;
+        return options.onMessage(message);
       default:
         return options.onMessage(message);
     }
@@ -265,8 +272,8 @@
     // What the leader can't be told yet is news once it can.
     const loads = session.numbers.keepNumbered(options.getLoads());
     const told = JSON.stringify(loads);
-    const isNews = told !== session.toldLoads;
-    session.toldLoads = told;
+    const isNews = session.knowsNumbers && told !== session.toldLoads;
+    if (isNews) session.toldLoads = told;
     const version = options.getVersion();
     const isNewVersion = version !== session.toldVersion;
     session.toldVersion = version;
--- a/src/logs/events.ts
+++ b/src/logs/events.ts
@@ -117,6 +117,16 @@
     "warn",
     "Upstreams heard of could not be recorded",
   ),
+  gatewaysNotRecorded: event(
+    "CL1729",
+    "warn",
+    "Gateways counted on could not be recorded",
+  ),
+  gatewaysCounted: event(
+    "CL1730",
+    "info",
+    "New leader has heard of the recorded gateways, or waits for the rest no longer",
+  ),
   configChangeUnfit: event(
     "CL1715",
     "error",
