Silence counts the time for which this process could hear others

Callers saw: a leader that was starved declared all 60 engines lost in one moment, twice in 30 s, and gateways refused every request until it took them in again; gateways closed sessions whose answers lay unread in their own sockets.

Cause: silence was counted by the clock. What arrives while the event loop stands still waits unread, and the loop runs timers before it reads: whoever is late itself found the others late. A leader without a lease refuses beats, and counted that time as well.

Change: a clock that advances by one look and a half at most between two looks, and not while the leader takes no beats. By it go the silence of engines, of gateways at the leader and of the leader at a gateway, the wait for recorded gateways, the time after which a leader knows all engines, and the silence of voters, which is now seen from the answers that were read. Leases, deadlines and elections still go by the steady clock.

Ruled out: the questions by which gateways find engines lost already allow for a look that was late (OWN_STALL_MS, limitTime).

Why it works: an engine is lost once several looks in a row found nothing read from it.

--- a/src/clocks/index.ts
+++ b/src/clocks/index.ts
@@ -5,4 +5,5 @@
  */
 
 export * from "./create_elapsed_clock.ts";
+export * from "./create_listening_clock.ts";
 export * from "./start_loop_watch.ts";
--- a/src/fleet/create_awaited_gateways.ts
+++ b/src/fleet/create_awaited_gateways.ts
@@ -27,7 +27,7 @@
 
 /** Options of {@link createAwaitedGateways}. */
 export interface CreateAwaitedGatewaysOptions {
-  /** Monotonic time, in ms. */
+  /** Ms for which gateways could be heard. */
   readonly now: () => number;
   readonly log: Logger;
   /** Ms without a return after which those that are away are given up. */
--- a/src/fleet/create_engine_registry.ts
+++ b/src/fleet/create_engine_registry.ts
@@ -35,7 +35,7 @@
 export interface CreateEngineRegistryOptions {
   /** Silence, in ms, after which an upstream counts as lost. */
   readonly silenceMs: number;
-  /** Monotonic time, in ms. */
+  /** Ms for which upstreams could be heard. */
   readonly now: () => number;
   readonly getLeave: (engineId: string) => LeaveKind | undefined;
   /** Whether a service is configured; all are by default. */
--- a/src/fleet/create_gateway_sessions.ts
+++ b/src/fleet/create_gateway_sessions.ts
@@ -66,6 +66,8 @@
   readonly onSlow: (engineIds: readonly string[]) => void;
   /** Monotonic time, in ms. */
   readonly now: () => number;
+  /** Ms for which gateways could be heard; the time by default. */
+  readonly listeningNow?: () => number;
   readonly log: Logger;
   readonly metrics: Pick<Metrics, "count" | "gauge" | "timing">;
 }
@@ -133,7 +135,7 @@
 export function createGatewaySessions(
   options: CreateGatewaySessionsOptions,
 ): GatewaySessions {
-  const { now, log } = options;
+  const { now, log, listeningNow = now } = options;
   const sessions = new Map<string, Session>();
   // What all sessions were told, by VM; undefined before the first time.
   let toldGateways: ReadonlyMap<string, GatewayRecord> | undefined;
@@ -144,7 +146,7 @@
   const tally = createActivityTally({ now });
   const losses = createLossReports({ now });
   const rollout = createRolloutWatch(options);
-  const awaited = createAwaitedGateways(options);
+  const awaited = createAwaitedGateways({ now: listeningNow, log });
 
   function send(session: Session, message: LeaderMessage): void {
     write(session, news.format(message));
@@ -216,7 +218,7 @@
     sessions.get(gateway.vm)?.stream.end();
     session.gateway = gateway;
     session.sentVersion = version;
-    session.heardMs = now();
+    session.heardMs = listeningNow();
     sessions.set(gateway.vm, session);
     awaited.noteBack(gateway.vm);
     rollout.noteHeld(gateway.vm, version);
@@ -246,7 +248,7 @@
   ): void {
     const { gateway } = session;
     if (!gateway || sessions.get(gateway.vm) !== session) return;
-    session.heardMs = now();
+    session.heardMs = listeningNow();
     if (beat.loads) session.loads = beat.loads;
     if (beat.version !== undefined) rollout.noteHeld(gateway.vm, beat.version);
     tally.take(gateway.vm, beat.activity ?? {});
@@ -337,8 +339,8 @@
       stream,
       gateway: undefined,
       sentVersion: -1,
-      heardMs: now(),
-      openedMs: now(),
+      heardMs: listeningNow(),
+      openedMs: listeningNow(),
       loads: undefined,
       isClosed: false,
     };
@@ -380,7 +382,7 @@
 
   function knowsAllLoads(): boolean {
     return [...sessions.values()].every(({ loads, openedMs }) =>
-      loads !== undefined || now() - openedMs >= FIRST_LOADS_MS
+      loads !== undefined || listeningNow() - openedMs >= FIRST_LOADS_MS
     );
   }
 
@@ -428,7 +430,7 @@
     },
     tick() {
       for (const session of sessions.values()) {
-        if (now() - session.heardMs < SILENCE_MS) continue;
+        if (listeningNow() - session.heardMs < SILENCE_MS) continue;
         forget(session);
         session.stream.end();
       }
--- a/src/fleet/create_leader_rounds.ts
+++ b/src/fleet/create_leader_rounds.ts
@@ -5,6 +5,7 @@
  * @module
  */
 
+import type { ListeningClock } from "../clocks/index.ts";
 import type { Logger } from "../logs/index.ts";
 import type { EngineRegistry } from "./create_engine_registry.ts";
 import type { GatewaySessions } from "./create_gateway_sessions.ts";
@@ -18,8 +19,10 @@
 export interface CreateLeaderRoundsOptions {
   /** Whether this process surely leads at this moment. */
   readonly isLeading: () => boolean;
-  /** Whether it has led for so many ms. */
-  readonly leadsFor: (spanMs: number) => boolean;
+  /** Counts the time for which this leader takes what others send. */
+  readonly listening: Pick<ListeningClock, "look">;
+  /** Whether it has done so for so many ms since it leads. */
+  readonly listensFor: (spanMs: number) => boolean;
   /** Ms of silence after which an upstream is lost. */
   readonly silenceMs: number;
   /** Whether the fleet is new: nobody can hold anything yet. */
@@ -32,7 +35,7 @@
   readonly paces: Pick<PaceWatch, "tick">;
   readonly quarantine: Pick<QuarantineDesk, "tick">;
   readonly recorders: readonly Recorder[];
-  readonly members: Pick<MemberKeeper, "run">;
+  readonly members: Pick<MemberKeeper, "look" | "run">;
   readonly keeper: Pick<LayerKeeper, "run">;
   readonly log: Logger;
 }
@@ -63,7 +66,7 @@
 export function createLeaderRounds(
   options: CreateLeaderRoundsOptions,
 ): LeaderRounds {
-  const { leadsFor, sessions, registry, keeper, log } = options;
+  const { listensFor, sessions, registry, keeper, log } = options;
   let rounds = 0;
   let hasToldAllEngines = false;
   let isKeeping = false;
@@ -89,13 +92,16 @@
 
   return {
     tick() {
-      if (!options.isLeading()) return;
+      const isLeading = options.isLeading();
+      options.listening.look({ isListening: isLeading });
+      if (!isLeading) return;
+      options.members.look();
       sessions.tick();
       rounds += 1;
       if (rounds % LOADS_ROUNDS === 0) sessions.publishLoads();
       void options.paces.tick();
       options.quarantine.tick();
-      if (!leadsFor(options.silenceMs)) {
+      if (!listensFor(options.silenceMs)) {
         record();
         return keepLayersOfNewFleet();
       }
@@ -105,7 +111,7 @@
         hasToldAllEngines = true;
         sessions.publishAllEngines();
       }
-      if (leadsFor(VOTER_SILENCE_MS)) void options.members.run();
+      if (listensFor(VOTER_SILENCE_MS)) void options.members.run();
       void keepLayers();
     },
     reset() {
--- a/src/fleet/create_leader_rounds_test.ts
+++ b/src/fleet/create_leader_rounds_test.ts
@@ -1,11 +1,20 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import { createListeningClock, type ListeningClock } from "../clocks/index.ts";
 import { createLeaderRounds } from "./create_leader_rounds.ts";
 
 /** Ms of silence after which an upstream is lost. */
 const SILENCE_MS = 3_000;
 
-function startRounds(options: { readonly isFirstStart: boolean }) {
+/** Ms between two rounds. */
+const ROUND_MS = 250;
+
+function startRounds(
+  options: {
+    readonly isFirstStart: boolean;
+    readonly listening?: Pick<ListeningClock, "look">;
+  },
+) {
   const calls: string[] = [];
   const note = (name: string) => () => void calls.push(name);
   const noteRun = (name: string) => () => {
@@ -15,7 +24,8 @@
   const state = { isLeading: true, ledMs: 0 };
   const rounds = createLeaderRounds({
     isLeading: () => state.isLeading,
-    leadsFor: (spanMs) => state.ledMs >= spanMs,
+    listening: options.listening ?? { look: () => {} },
+    listensFor: (spanMs) => state.ledMs >= spanMs,
     silenceMs: SILENCE_MS,
     isFirstStart: options.isFirstStart,
     sessions: {
@@ -27,7 +37,7 @@
     paces: { tick: noteRun("paces") },
     quarantine: { tick: () => {} },
     recorders: [{ run: noteRun("recorder") }],
-    members: { run: noteRun("members") },
+    members: { look: () => {}, run: noteRun("members") },
     keeper: { run: noteRun("layers") },
     log: () => {},
   });
@@ -66,4 +76,27 @@
   assert.equal(calls, []);
 });
 
+// Beats are refused for want of a lease: all engines would be lost with its return.
+test("the time for which a leader has no lease is no silence of others", () => {
+  let nowMs = 0;
+  const listening = createListeningClock({
+    now: () => nowMs,
+    lookIntervalMs: ROUND_MS,
+  });
+  const { rounds, state } = startRounds({ isFirstStart: false, listening });
+  const makeRounds = (count: number) => {
+    for (let round = 0; round < count; round++) {
+      nowMs += ROUND_MS;
+      rounds.tick();
+    }
+  };
+  makeRounds(4);
+  state.isLeading = false;
+  makeRounds(20);
+  state.isLeading = true;
+  makeRounds(4);
+  // The first round after a change still counts as the state before it.
+  assert.is(listening.now(), 8 * ROUND_MS);
+});
+
 test.run();
--- a/src/fleet/create_member_keeper.ts
+++ b/src/fleet/create_member_keeper.ts
@@ -15,15 +15,25 @@
   readonly voters: number;
   /** Ms of silence after which a voter may be replaced. */
   readonly silenceMs: number;
-  /** Monotonic time, in ms. */
+  /** Ms for which this leader could hear the members. */
   readonly now: () => number;
   readonly log: Logger;
 }
 
 /** Keeps enough voters in the quorum. */
 export interface MemberKeeper {
+  /** Notes who has answered since the last look; for the leader only. */
+  look(): void;
   /** Makes the next single change, if one is due; for the leader only. */
   run(): Promise<void>;
+  /** Forgets who answered: this process leads anew. */
+  reset(): void;
+}
+
+interface HeardMember {
+  /** When the newest message was sent that it answered, by the quorum's clock. */
+  readonly ackedSentMs: number;
+  readonly heardMs: number;
 }
 
 /**
@@ -39,13 +49,27 @@
   options: CreateMemberKeeperOptions,
 ): MemberKeeper {
   const { replica, voters, silenceMs, now, log } = options;
+  const heard = new Map<string, HeardMember>();
   let changing = false;
+
+  // A member that never answered is silent from the first look on.
+  function isSilent(id: string): boolean {
+    return now() - (heard.get(id)?.heardMs ?? -Infinity) > silenceMs;
+  }
+
   return {
+    look() {
+      const { members, peers } = replica.getState();
+      for (const { id } of members) {
+        const ackedSentMs = peers[id]?.ackedSentMs ?? -1;
+        if (heard.get(id)?.ackedSentMs === ackedSentMs) continue;
+        heard.set(id, { ackedSentMs, heardMs: now() });
+      }
+    },
+    reset: () => heard.clear(),
     async run() {
       if (changing) return;
       const state = replica.getState();
-      const isSilent = (id: string) =>
-        now() - (state.peers[id]?.ackedSentMs ?? -Infinity) > silenceMs;
       const members = planVoterChange(state, { voters, isSilent });
       if (!members) return;
       changing = true;
--- a/src/fleet/start_fleet_control.ts
+++ b/src/fleet/start_fleet_control.ts
@@ -6,7 +6,7 @@
  * @module
  */
 
-import { createElapsedClock } from "../clocks/index.ts";
+import { createElapsedClock, createListeningClock } from "../clocks/index.ts";
 import type { EngineNotice } from "../engines/index.ts";
 import {
   createJoinHandler,
@@ -156,6 +156,15 @@
   let recordedTerm = -1;
   let addingRecorded = Promise.resolve();
   const leadsFor = (spanMs: number) => now() - leadingSinceMs >= spanMs;
+  // Without a lease no beat is taken, so silence says nothing then.
+  const listening = createListeningClock({
+    now,
+    lookIntervalMs: TICK_INTERVAL_MS,
+    isListening: false,
+  });
+  let listensSinceMs = 0;
+  const listensFor = (spanMs: number) =>
+    listening.now() - listensSinceMs >= spanMs;
   const silenceMs = settings.beatIntervalMs * BEATS_OF_SILENCE;
 
   const history = createConfigHistory(options);
@@ -189,7 +198,7 @@
   const knowsRecorded = () => recordedTerm === replica.getState().term;
   const registry = createEngineRegistry({
     silenceMs,
-    now,
+    now: listening.now,
     getLeave: machine.getLeave,
     // Before the first configuration any may come to be.
     isService(service) {
@@ -236,7 +245,7 @@
     getAccepted: machine.getAccepted,
     history,
     getEngines: registry.getRecords,
-    knowsAllEngines: () => leadsFor(silenceMs),
+    knowsAllEngines: () => listensFor(silenceMs),
     knowsAllGateways: () => leadsFor(GATEWAYS_SETTLE_MS),
     lendRepeats: lender.lend,
     quarantine,
@@ -245,6 +254,7 @@
     onSlow: (engineIds) => paces.noteSlow(engineIds),
     onLeaving: (engineIds) => void desk.noteLeaves(engineIds),
     now,
+    listeningNow: listening.now,
     log,
     metrics,
   });
@@ -293,7 +303,7 @@
     replica,
     voters: settings.voters,
     silenceMs: VOTER_SILENCE_MS,
-    now,
+    now: listening.now,
     log,
   });
   const countVoters = () =>
@@ -314,7 +324,8 @@
   const rounds = createLeaderRounds({
     // Before it knows what is recorded, it would record all of that as lost.
     isLeading: () => isLeader() && replica.hasLease() && knowsRecorded(),
-    leadsFor,
+    listening,
+    listensFor,
     silenceMs,
     isFirstStart: settings.isFirstStart,
     sessions,
@@ -345,6 +356,8 @@
 
   function onLead(): void {
     leadingSinceMs = now();
+    listensSinceMs = listening.now();
+    members.reset();
     rounds.reset();
     registry.reset();
     keeper.reset();
--- a/src/gateway/create_fleet_link.ts
+++ b/src/gateway/create_fleet_link.ts
@@ -5,6 +5,7 @@
  */
 
 import type { ClientDuplexStream } from "@grpc/grpc-js";
+import { createListeningClock } from "../clocks/index.ts";
 import {
   createEngineNumbers,
   type EngineLoads,
@@ -117,6 +118,7 @@
   readonly stream: SessionStream;
   /** Numbers of engines; each leader gives its own. */
   readonly numbers: EngineNumbers;
+  /** When it was heard last, in ms for which it could be. */
   heardMs: number;
   /** Whether the leader has told its engines, and so their numbers. */
   knowsNumbers: boolean;
@@ -137,6 +139,10 @@
  */
 export function createFleetLink(options: CreateFleetLinkOptions): FleetLink {
   const { now, log } = options;
+  const listening = createListeningClock({
+    now,
+    lookIntervalMs: CHECK_INTERVAL_MS,
+  });
   let controlAddresses: readonly string[] = [];
   let session: Session | undefined;
   // Control processes that have not welcomed or redirected this gateway yet; each is
@@ -163,7 +169,7 @@
       client,
       stream,
       numbers: createEngineNumbers(),
-      heardMs: now(),
+      heardMs: listening.now(),
       knowsNumbers: false,
       toldLoads: "",
       toldVersion: options.getVersion(),
@@ -211,7 +217,7 @@
   }
 
   function take(from: Session, message: LeaderMessage): void {
-    from.heardMs = now();
+    from.heardMs = listening.now();
     switch (message.type) {
       case "redirect":
         close(from, "redirected");
@@ -241,14 +247,19 @@
   }
 
   function check(): void {
+    listening.look();
     if (!session) return search();
-    if (now() - session.heardMs > SILENCE_MS) return close(session, "silent");
+    if (listening.now() - session.heardMs > SILENCE_MS) {
+      return close(session, "silent");
+    }
     if (now() >= beatDueMs) beat();
   }
 
   function search(): void {
     for (const tried of tries) {
-      if (now() - tried.heardMs > WELCOME_TIMEOUT_MS) close(tried, "silent");
+      if (listening.now() - tried.heardMs > WELCOME_TIMEOUT_MS) {
+        close(tried, "silent");
+      }
     }
     if (now() < searchDueMs) return;
     if (tries.size > 0 && now() - triedMs < TRY_NEXT_MS) return;
--- a/test/support/start_session_fleet.ts
+++ b/test/support/start_session_fleet.ts
@@ -4,9 +4,11 @@
  * @module
  */
 
+import { once } from "node:events";
 import { mkdtemp, rm } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import { Worker } from "node:worker_threads";
 import { until } from "../../demo/until.ts";
 import { decodeConfig } from "../../platform/decode_config.ts";
 import {
@@ -22,9 +24,9 @@
 import { createGatewayList } from "../../src/gateway/create_gateway_list.ts";
 import type { Logger } from "../../src/logs/index.ts";
 import { createMetrics } from "../../src/metrics/index.ts";
+import type { BeatEnginesData } from "./beat_engines.ts";
 import { findSeeds } from "./find_seeds.ts";
 import { makeWireConfig } from "./fleet.ts";
-import { makeBeat } from "./make_beat.ts";
 
 /** Ms between two beats of an engine. */
 const BEAT_MS = 500;
@@ -55,8 +57,6 @@
   open(vm: string, options?: OpenSessionOptions): TestSession;
   findLeader(): FleetControl | undefined;
   stopLeader(): Promise<void>;
-  /** Sends one beat of each engine to a control process. */
-  beat(): void;
 }
 
 /** Options of {@link startSessionFleet}. */
@@ -111,20 +111,13 @@
     return reply?.type === "done";
   });
 
-  let sequence = 0;
-  function beat(): void {
-    sequence += 1;
-    const [any] = running;
-    for (let at = 0; at < engines; at++) {
-      const engineId = `e${at}`;
-      const address = `10.1.0.${at}:80`;
-      const service = "model";
-      const one = makeBeat({ engineId, service, address, sequence });
-      void any?.call({ type: "beat", beat: one });
-    }
-  }
-  const beating = setInterval(beat, BEAT_MS);
-  beat();
+  const beating = new Worker(new URL("./beat_engines.js", import.meta.url), {
+    workerData: {
+      addresses: seeds.map((seed) => seed.peerAddress),
+      engines,
+      intervalMs: BEAT_MS,
+    } satisfies BeatEnginesData,
+  });
 
   function open(vm: string, { returnMs = 0 }: OpenSessionOptions = {}) {
     const gateways = createGatewayList();
@@ -178,7 +171,6 @@
   return {
     open,
     findLeader,
-    beat,
     async stopLeader() {
       const leader = findLeader();
       if (!leader) throw new Error("Nobody leads");
@@ -186,7 +178,8 @@
       await leader.stop();
     },
     async [Symbol.asyncDispose]() {
-      clearInterval(beating);
+      beating.postMessage("stop");
+      await once(beating, "exit");
       await Promise.all(
         [...sessions].map(({ link }) => link[Symbol.asyncDispose]()),
       );
