A search for the leader costs control less the longer it lasts

Cause: congestion collapse by retries. A control process that knew no leader, or one that had just ended, sent each gateway away at once, and it asked again 100 ms later over a new connection; a gateway gave up a control process after 3 s, however late it was, and threw away what it had waited for. The load did not fall while answers were late.

Change: a control process keeps a hello until it knows a leader that was heard within 1.5 heartbeats, leads itself, or 10 s have passed; it answers the call at once, so that the gateway sees that it lives. A leader takes in 8 gateways a turn of its loop. A gateway asks each control process again with full jitter, 100 ms doubled up to 2 s, gives one that does not take the call 3 s doubled up to 24 s, and asks the one that it lost last. CL1731 says who did not take a gateway in, why and after how long; counters of hellos and redirects.

Weighed: a channel for each control process that outlives tries: with hellos that wait there is hardly a second try that could use it; not built.

Why it works: a gateway that waits costs nothing, so the search costs each gateway one connection to each control process however late the answers are.

--- a/src/fleet/create_gateway_sessions.ts
+++ b/src/fleet/create_gateway_sessions.ts
@@ -4,9 +4,10 @@
  * @module
  */
 
-import type {
-  handleBidiStreamingCall,
-  ServerDuplexStream,
+import {
+  type handleBidiStreamingCall,
+  Metadata,
+  type ServerDuplexStream,
 } from "@grpc/grpc-js";
 import type { EngineRecord } from "../engines/index.ts";
 import type { Logger } from "../logs/index.ts";
@@ -14,6 +15,7 @@
 import type { wire } from "../wire/index.ts";
 import { createActivityTally } from "./create_activity_tally.ts";
 import { createAwaitedGateways } from "./create_awaited_gateways.ts";
+import { createHelloQueue } from "./create_hello_queue.ts";
 import { createLossReports } from "./create_loss_reports.ts";
 import { createRolloutWatch } from "./create_rollout_watch.ts";
 import type { EngineChange } from "./create_engine_registry.ts";
@@ -42,6 +44,7 @@
   readonly hasLease: () => boolean;
   /** Resolves once it surely leads and knows what earlier leaders recorded. */
   readonly confirmRead: () => Promise<void>;
+  /** Address of a leader that was heard of just now; empty if none was. */
   readonly getLeaderAddress: () => string;
   readonly getControlAddresses: () => readonly string[];
   readonly getAccepted: () => AcceptedConfig | undefined;
@@ -146,6 +149,7 @@
   const tally = createActivityTally({ now });
   const losses = createLossReports({ now });
   const rollout = createRolloutWatch(options);
+  const hellos = createHelloQueue(options);
   const awaited = createAwaitedGateways({ now: listeningNow, log });
 
   function send(session: Session, message: LeaderMessage): void {
@@ -168,12 +172,8 @@
     stream.write(message);
   }
 
-  function redirect(stream: SessionStream): void {
-    const message: LeaderMessage = {
-      type: "redirect",
-      address: options.getLeaderAddress(),
-    };
-    stream.write(news.format(message));
+  function redirect(stream: SessionStream, address: string): void {
+    stream.write(news.format({ type: "redirect", address }));
     stream.end();
   }
 
@@ -202,18 +202,24 @@
     });
   }
 
-  async function takeHello(
+  function takeHello(
     session: Session,
     hello: GatewayMessage & { type: "hello" },
-  ): Promise<void> {
-    if (!options.isLeader()) return redirect(session.stream);
-    try {
-      await options.confirmRead();
-    } catch {
-      return redirect(session.stream);
-    }
-    // It went elsewhere meanwhile, or asked again.
-    if (session.isClosed) return;
+  ): void {
+    const { stream } = session;
+    // A gateway that hears anything gives a busy process more time.
+    stream.sendMetadata(new Metadata());
+    hellos.take({
+      isClosed: () => session.isClosed,
+      welcome: () => welcome(session, hello),
+      redirect: (address) => redirect(stream, address),
+    });
+  }
+
+  function welcome(
+    session: Session,
+    hello: GatewayMessage & { type: "hello" },
+  ): void {
     const { gateway, version, sentMs } = hello;
     sessions.get(gateway.vm)?.stream.end();
     session.gateway = gateway;
@@ -348,7 +354,7 @@
       const message = news.parse(received);
       if (message.type === "beat") takeBeat(session, message);
       else if (message.type === "grantRequest") grantSends(session, message);
-      else void takeHello(session, message);
+      else takeHello(session, message);
     });
     stream.on("error", () => noteClosed(session));
     stream.on("end", () => stream.end());
@@ -452,7 +458,8 @@
       broadcast({ type: "loads", loads, activity });
     },
     closeAll() {
-      for (const { stream } of sessions.values()) redirect(stream);
+      const address = options.getLeaderAddress();
+      for (const { stream } of sessions.values()) redirect(stream, address);
       for (const vm of sessions.keys()) {
         tally.forget(vm);
         rollout.forget(vm);
--- a/src/fleet/create_gateway_sessions_test.ts
+++ b/src/fleet/create_gateway_sessions_test.ts
@@ -42,6 +42,8 @@
     this.taken.push(parseLeaderMessage(message, this.numbers));
   }
 
+  sendMetadata(): void {}
+
   end(): void {
     this.emit("close");
   }
--- a/src/fleet/start_fleet_control.ts
+++ b/src/fleet/start_fleet_control.ts
@@ -106,6 +106,9 @@
   leaseMs: 400,
 };
 
+/** Ms since the last word of a leader for which gateways are sent to it. */
+const LEADER_FRESH_MS = 1.5 * QUORUM_TIMING.heartbeatIntervalMs;
+
 /** Entries between two snapshots. */
 const SNAPSHOT_ENTRIES = 200;
 
@@ -239,7 +242,7 @@
       await replica.confirmRead();
       await addingRecorded;
     },
-    getLeaderAddress: () => getLeader()?.address ?? "",
+    getLeaderAddress: () => hasHeardLeader() ? getLeader()?.address ?? "" : "",
     getControlAddresses: () =>
       replica.getState().members.map((member) => member.address),
     getAccepted: machine.getAccepted,
@@ -396,6 +399,12 @@
     return members.find((member) => member.id === leaderId);
   }
 
+  // One that has just ended would only be asked in vain.
+  function hasHeardLeader(): boolean {
+    const { leaderContactMs } = replica.getState();
+    return now() - leaderContactMs < LEADER_FRESH_MS;
+  }
+
   function call(request: FleetCall): Promise<FleetReply> {
     if (isLeader()) return desk.take(request);
     const leader = getLeader();
--- a/src/gateway/create_fleet_link.ts
+++ b/src/gateway/create_fleet_link.ts
@@ -101,10 +101,25 @@
 const TRY_NEXT_MS = 200;
 
 /**
- * Ms for a control process to welcome or redirect. A leader that many gateways ask
- * at once takes long: one that is given up is only asked again, and takes longer.
+ * Ms for a control process to take a call at first. One that many gateways ask at
+ * once takes long, so each time that it is given up it gets twice as much.
  */
-const WELCOME_TIMEOUT_MS = 3_000;
+const ACCEPT_TIMEOUT_MS = 3_000;
+
+/** Longest time, in ms, for a control process to take a call. */
+const MAX_ACCEPT_TIMEOUT_MS = 24_000;
+
+/**
+ * Ms for a control process that took the call to welcome or redirect: longer than one
+ * keeps a gateway that waits for a leader.
+ */
+const WELCOME_TIMEOUT_MS = 15_000;
+
+/** Longest wait, in ms, before a control process is asked a second time. */
+const FIRST_RETRY_MS = 100;
+
+/** Longest wait, in ms, before a control process is asked again. */
+const MAX_RETRY_MS = 2_000;
 
 /** Ms between two looks at the session. */
 const CHECK_INTERVAL_MS = 100;
@@ -118,6 +133,10 @@
   readonly stream: SessionStream;
   /** Numbers of engines; each leader gives its own. */
   readonly numbers: EngineNumbers;
+  /** When it was asked, in ms. */
+  readonly askedMs: number;
+  /** Whether the control process has taken the call. */
+  isAccepted: boolean;
   /** When it was heard last, in ms for which it could be. */
   heardMs: number;
   /** Whether the leader has told its engines, and so their numbers. */
@@ -128,6 +147,13 @@
   toldVersion: number;
 }
 
+/** Tries of one control process that came to nothing, one after the other. */
+interface Failures {
+  readonly count: number;
+  /** Time, in ms, before which it is not asked again. */
+  readonly retryMs: number;
+}
+
 /**
  * Opens the link; it looks for the leader until it is disposed of.
  *
@@ -149,7 +175,10 @@
   // asked once at a time.
   const tries = new Set<Session>();
   let triedMs = -Infinity;
-  let queue: string[] = [];
+  // Who was named as the leader, and who didn't take this gateway in, since it was
+  // last taken in.
+  let namedAddress = "";
+  const failures = new Map<string, Failures>();
   let beatDueMs = 0;
   let searchDueMs = 0;
   // Since when there is no leader, and how many addresses were tried since then.
@@ -169,6 +198,8 @@
       client,
       stream,
       numbers: createEngineNumbers(),
+      askedMs: now(),
+      isAccepted: false,
       heardMs: listening.now(),
       knowsNumbers: false,
       toldLoads: "",
@@ -177,6 +208,10 @@
     tries.add(opened);
     triedMs = now();
     triedCount += 1;
+    stream.on("metadata", () => {
+      opened.isAccepted = true;
+      opened.heardMs = listening.now();
+    });
     stream.on("data", (received: wire.FleetMessage) => {
       if (session !== opened && !tries.has(opened)) return;
       take(opened, parseLeaderMessage(received, opened.numbers));
@@ -197,21 +232,45 @@
   }
 
   function close(closed: Session, reason: string): void {
-    closed.stream.cancel();
-    closed.client.close();
-    tries.delete(closed);
+    abandon(closed);
+    if (tries.delete(closed)) return noteFailure(closed, reason);
     if (session !== closed) return;
     session = undefined;
     lostMs = now();
     triedCount = 0;
+    // The one that was lost is asked last.
+    failures.set(closed.address, { count: 1, retryMs: 0 });
     const spreadMs = SEARCH_SPREAD_MS * options.getGatewayCount();
     searchDueMs = now() + spreadMs * options.random();
     log("controlLost", { address: closed.address, reason });
   }
 
+  function abandon({ stream, client }: Session): void {
+    stream.cancel();
+    client.close();
+  }
+
+  function abandonTries(): void {
+    const abandoned = [...tries];
+    tries.clear();
+    abandoned.forEach(abandon);
+  }
+
+  // Full jitter: those that were sent away together don't come back together.
+  function noteFailure({ address, askedMs }: Session, reason: string): void {
+    const count = 1 + (failures.get(address)?.count ?? 0);
+    const waitMs = Math.min(MAX_RETRY_MS, FIRST_RETRY_MS * 2 ** (count - 1));
+    const retryMs = now() + waitMs * options.random();
+    failures.set(address, { count, retryMs });
+    const waitedMs = Math.round(now() - askedMs);
+    log("controlNotReached", { address, reason, waitedMs });
+  }
+
   function begin(welcomed: Session): void {
     tries.delete(welcomed);
-    for (const other of tries) close(other, "another leads");
+    abandonTries();
+    failures.clear();
+    namedAddress = "";
     session = welcomed;
     beatDueMs = 0;
   }
@@ -222,7 +281,7 @@
       case "redirect":
         close(from, "redirected");
         if (message.address === "") return;
-        queue.unshift(message.address);
+        namedAddress = message.address;
         // The next look follows it, whoever else was asked just now.
         triedMs = -Infinity;
         return;
@@ -257,24 +316,35 @@
 
   function search(): void {
     for (const tried of tries) {
-      if (listening.now() - tried.heardMs > WELCOME_TIMEOUT_MS) {
-        close(tried, "silent");
-      }
+      const silentMs = listening.now() - tried.heardMs;
+      if (silentMs > getPatienceMs(tried)) close(tried, "silent");
     }
     if (now() < searchDueMs) return;
     if (tries.size > 0 && now() - triedMs < TRY_NEXT_MS) return;
-    tryNext();
+    const address = findNext();
+    if (address !== undefined) open(address);
   }
 
-  function tryNext(): void {
-    if (queue.length === 0) {
-      queue = [
-        ...new Set([...controlAddresses, ...options.getSeedAddresses()]),
-      ];
-    }
-    const address = queue.shift();
-    const isTried = [...tries].some((tried) => tried.address === address);
-    if (address !== undefined && !isTried) open(address);
+  function getPatienceMs({ address, isAccepted }: Session): number {
+    if (isAccepted) return WELCOME_TIMEOUT_MS;
+    const { count = 0 } = failures.get(address) ?? {};
+    return Math.min(MAX_ACCEPT_TIMEOUT_MS, ACCEPT_TIMEOUT_MS * 2 ** count);
+  }
+
+  // Who was asked least often comes first.
+  function findNext(): string | undefined {
+    const tried = new Set([...tries].map(({ address }) => address));
+    const known = [
+      ...(namedAddress === "" ? [] : [namedAddress]),
+      ...controlAddresses,
+      ...options.getSeedAddresses(),
+    ];
+    const due = [...new Set(known)].filter((address) =>
+      !tried.has(address) && now() >= (failures.get(address)?.retryMs ?? 0)
+    );
+    const countFailures = (address: string) =>
+      address === namedAddress ? 0 : failures.get(address)?.count ?? 0;
+    return due.sort((a, b) => countFailures(a) - countFailures(b))[0];
   }
 
   function beat(): void {
@@ -340,7 +410,7 @@
       await Promise.resolve();
       clearInterval(timer);
       clearTimeout(gathering);
-      for (const tried of tries) close(tried, "stopping");
+      abandonTries();
       if (session) close(session, "stopping");
     },
   };
--- a/src/logs/events.ts
+++ b/src/logs/events.ts
@@ -117,6 +117,11 @@
     "warn",
     "Upstreams heard of could not be recorded",
   ),
+  controlNotReached: event(
+    "CL1731",
+    "info",
+    "Control process did not take this gateway in; another one is asked",
+  ),
   gatewaysNotRecorded: event(
     "CL1729",
     "warn",
--- a/test/support/start_session_fleet.ts
+++ b/test/support/start_session_fleet.ts
@@ -17,16 +17,14 @@
   packDocument,
   startFleetControl,
 } from "../../src/fleet/index.ts";
-import {
-  createFleetLink,
-  type FleetLink,
-} from "../../src/gateway/create_fleet_link.ts";
+import type { FleetLink } from "../../src/gateway/create_fleet_link.ts";
 import { createGatewayList } from "../../src/gateway/create_gateway_list.ts";
 import type { Logger } from "../../src/logs/index.ts";
 import { createMetrics } from "../../src/metrics/index.ts";
 import type { BeatEnginesData } from "./beat_engines.ts";
 import { findSeeds } from "./find_seeds.ts";
 import { makeWireConfig } from "./fleet.ts";
+import { openLink } from "./open_link.ts";
 
 /** Ms between two beats of an engine. */
 const BEAT_MS = 500;
@@ -137,31 +135,13 @@
       gateways.take(message);
       session.toldGateways.push(gateways.list().map((one) => one.vm));
     }
-    const link = createFleetLink({
+    const link = openLink({
+      vm,
       getSeedAddresses: () => seeds.map((seed) => seed.peerAddress),
-      getGateway: () => ({
-        vm,
-        place: "p0",
-        address: `${vm}:80`,
-        isReady: true,
-      }),
       getGatewayCount: () => returnMs / SPREAD_MS_PER_GATEWAY,
-      getVersion: () => -1,
-      takeSuspects: () => [],
-      takeLost: () => [],
-      listLeaves: () => [],
-      takeLimitReports: () => [],
-      takeSlow: () => [],
       getLoads: () => ({ e0: { tokens: 100, requests: 1 } }),
-      getRepeatsWanted: () => ({}),
-      takeActivity: () => ({}),
-      getQuarantineNews: () => ({}),
       onWelcome: () => void (session.welcomes += 1),
       onMessage: take,
-      onConfirmed: () => {},
-      now: () => performance.now(),
-      random: () => 1,
-      log: () => {},
     });
     const opened = Object.assign(session, { link });
     sessions.add(opened);
