Reads that come together before a leader has its lease cost one round

Callers saw: gateways of a starved fleet found a leader that lost its lead within 0.8 s, again and again, and stayed without one.

Cause: each hello makes the leader confirm that it leads. Before it has a lease, each such read began a round of messages of its own: 200 gateways, 400 messages to two followers and as many answers. They filled the followers' queues for seconds; heartbeats stood in line behind them, and what was old by then still counted as a word of the leader, so followers neither elected another nor stopped naming it to gateways.

New test: 200 reads in one turn cost 400 messages before, now 4 at most.

Change: reads that are asked for before the replica's next batch share one read; hellos that are looked at together share one confirmation. A gateway whose call was taken asks the next control process after 500 ms in place of 200: the one that took it answers once it knows a leader.

--- a/src/control/create_replica.ts
+++ b/src/control/create_replica.ts
@@ -124,6 +124,8 @@
   let tickQueued = false;
   let diskFull = false;
   let closed = false;
+  // Reads that one look at the quorum answers: those asked for since the last batch.
+  let gatheredReads: Promise<unknown> | undefined;
   const pending = createPendingCalls({
     now,
     onCommit: (tookMs) => metrics.timing("quorum.commit_ms", tookMs),
@@ -159,6 +161,7 @@
   async function runBatch(): Promise<void> {
     const batch = queue;
     queue = [];
+    gatheredReads = undefined;
     tickQueued = false;
     const effects = batch.flatMap((event) => step(event));
     for (const effect of effects) {
@@ -320,7 +323,11 @@
     },
     async confirmRead() {
       if (closed) throw new UnavailableError("Stopped");
-      await pending.startRead((readId) => enqueue({ type: "read", readId }));
+      // Without a lease each read begins a round of messages to all members.
+      gatheredReads ??= pending.startRead((readId) =>
+        enqueue({ type: "read", readId })
+      );
+      await gatheredReads;
     },
     deliver: (message) => enqueue({ type: "message", message }),
     transferLeadership() {
--- a/src/control/create_replica_test.ts
+++ b/src/control/create_replica_test.ts
@@ -1,8 +1,13 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import { until } from "../../demo/until.ts";
 import { createLogger } from "../logs/index.ts";
 import { createMetrics } from "../metrics/index.ts";
-import { DEFAULT_QUORUM_TIMING, type Member } from "../quorum/index.ts";
+import {
+  DEFAULT_QUORUM_TIMING,
+  type Member,
+  type QuorumMessage,
+} from "../quorum/index.ts";
 import type { QuorumStorage } from "../storage/index.ts";
 import { createReplica, type Replica } from "./create_replica.ts";
 
@@ -46,7 +51,11 @@
   return disk;
 }
 
-function startReplica(disk: FakeDisk, applied: string[]): Replica {
+function startReplica(
+  disk: FakeDisk,
+  applied: string[],
+  send: (message: QuorumMessage) => void = () => {},
+): Replica {
   return createReplica({
     storage: disk,
     timing: {
@@ -58,7 +67,7 @@
     apply: (body) => applied.push(body),
     save: () => "",
     restore: () => {},
-    send: () => {},
+    send,
     sendSnapshot: () => {},
     onRoleChange: () => {},
     onFatal: (error) => assert.unreachable(String(error)),
@@ -119,4 +128,35 @@
   assert.equal(applied, ["before", "while", "after"]);
 });
 
+// Gateways that found a new leader filled the members' queues, and it lost its lead.
+test("reads that come together before there is a lease cost one round", async () => {
+  const others = ["vm-2.0", "vm-3.0"];
+  const members = [
+    self,
+    ...others.map((id): Member => ({ ...self, id, vm: id })),
+  ];
+  const disk = createFakeDisk();
+  const meta = { index: 0, term: 0, members };
+  const stored = { ...disk.stored, snapshot: { meta, data: "" } };
+  let appends = 0;
+  await using replica = startReplica({ ...disk, stored }, [], (message) => {
+    const { body, term } = message;
+    if (body.type === "appendRequest") appends += 1;
+    if (body.type !== "voteRequest") return;
+    replica.deliver({
+      from: message.to,
+      to: message.from,
+      term,
+      body: { type: "voteResponse", preVote: body.preVote, granted: true },
+    });
+  });
+  await until("it leads", () => replica.getState().role === "leader");
+  await replica.settle();
+  appends = 0;
+  const reads = Array.from({ length: 200 }, () => replica.confirmRead());
+  reads.forEach((read) => read.catch(() => {}));
+  await replica.settle();
+  assert.ok(appends <= 2 * others.length, `${appends} messages`);
+});
+
 test.run();
--- a/src/fleet/create_hello_queue.ts
+++ b/src/fleet/create_hello_queue.ts
@@ -63,6 +63,8 @@
   const { now, log, metrics } = options;
   // Those for which no leader is known, with the time at which they came.
   const waiting = new Map<WaitingHello, number>();
+  // Those for which this process has to make sure that it leads.
+  let arrived: WaitingHello[] = [];
   // Those that may be welcomed.
   const ready: WaitingHello[] = [];
   let welcomesLeft = WELCOMES_PER_TURN;
@@ -86,7 +88,8 @@
   function answer(hello: WaitingHello, sinceMs: number): boolean {
     if (hello.isClosed()) return true;
     if (options.isLeader()) {
-      void admit(hello, sinceMs);
+      if (arrived.length === 0) queueMicrotask(admitArrived);
+      arrived.push(hello);
       return true;
     }
     const address = options.getLeaderAddress();
@@ -96,19 +99,21 @@
     return true;
   }
 
-  async function admit(hello: WaitingHello, sinceMs: number): Promise<void> {
+  async function admitArrived(): Promise<void> {
+    const admitted = arrived;
+    arrived = [];
     try {
       await options.confirmRead();
     } catch (error) {
-      log("callFailed", { call: "hello", error });
-      return wait(hello, sinceMs);
+      log("callFailed", { call: "hello", count: admitted.length, error });
+      return admitted.forEach(wait);
     }
-    ready.push(hello);
+    ready.push(...admitted);
     welcomeReady();
   }
 
-  function wait(hello: WaitingHello, sinceMs: number): void {
-    waiting.set(hello, sinceMs);
+  function wait(hello: WaitingHello): void {
+    waiting.set(hello, now());
     timer ??= setTimeout(lookAgain, LOOK_INTERVAL_MS);
   }
 
@@ -128,7 +133,7 @@
   function welcome(hello: WaitingHello | undefined): void {
     if (!hello || hello.isClosed()) return;
     // It lost its lead while the hello was in line.
-    if (!options.isLeader()) return wait(hello, now());
+    if (!options.isLeader()) return wait(hello);
     welcomesLeft -= 1;
     hello.welcome();
   }
@@ -136,7 +141,7 @@
   return {
     take(hello) {
       metrics.count("control.hellos");
-      waiting.set(hello, now());
+      wait(hello);
       look();
     },
   };
--- a/src/gateway/create_fleet_link.ts
+++ b/src/gateway/create_fleet_link.ts
@@ -100,6 +100,9 @@
  */
 const TRY_NEXT_MS = 200;
 
+/** The same where one has taken the call, and answers once it knows a leader. */
+const TRY_NEXT_ACCEPTED_MS = 500;
+
 /**
  * Ms for a control process to take a call at first. One that many gateways ask at
  * once takes long, so each time that it is given up it gets twice as much.
@@ -320,11 +323,17 @@
       if (silentMs > getPatienceMs(tried)) close(tried, "silent");
     }
     if (now() < searchDueMs) return;
-    if (tries.size > 0 && now() - triedMs < TRY_NEXT_MS) return;
+    if (now() - triedMs < getNextTryMs()) return;
     const address = findNext();
     if (address !== undefined) open(address);
   }
 
+  function getNextTryMs(): number {
+    if (tries.size === 0) return 0;
+    const isAccepted = [...tries].some((tried) => tried.isAccepted);
+    return isAccepted ? TRY_NEXT_ACCEPTED_MS : TRY_NEXT_MS;
+  }
+
   function getPatienceMs({ address, isAccepted }: Session): number {
     if (isAccepted) return WELCOME_TIMEOUT_MS;
     const { count = 0 } = failures.get(address) ?? {};
