A gateway that was told who leads doesn't ask the others again at once

Change: a control process that named another is not asked again for 500 ms, and while the named one is asked, the others come after 500 ms in place of 200. Who was not named and says nothing still costs 200 ms.

Ruled out: channels without the library's own records (grpc.enable_channelz 0): the test did not end with it; not used.

--- a/src/gateway/create_fleet_link.ts
+++ b/src/gateway/create_fleet_link.ts
@@ -100,8 +100,11 @@
  */
 const TRY_NEXT_MS = 200;
 
-/** The same where one has taken the call, and answers once it knows a leader. */
-const TRY_NEXT_ACCEPTED_MS = 500;
+/**
+ * The same where one was named as the leader, or has taken the call and answers once
+ * it knows a leader.
+ */
+const TRY_NEXT_LIKELY_MS = 500;
 
 /**
  * Ms for a control process to take a call at first. One that many gateways ask at
@@ -124,6 +127,9 @@
 /** Longest wait, in ms, before a control process is asked again. */
 const MAX_RETRY_MS = 2_000;
 
+/** Ms before a control process that named another as the leader is asked again. */
+const NAMED_RETRY_MS = 500;
+
 /** Ms between two looks at the session. */
 const CHECK_INTERVAL_MS = 100;
 
@@ -269,6 +275,12 @@
     log("controlNotReached", { address, reason, waitedMs });
   }
 
+  function delayRetry(address: string): void {
+    const { count = 0, retryMs = 0 } = failures.get(address) ?? {};
+    const leastMs = now() + NAMED_RETRY_MS;
+    failures.set(address, { count, retryMs: Math.max(retryMs, leastMs) });
+  }
+
   function begin(welcomed: Session): void {
     tries.delete(welcomed);
     abandonTries();
@@ -285,6 +297,7 @@
         close(from, "redirected");
         if (message.address === "") return;
         namedAddress = message.address;
+        delayRetry(from.address);
         // The next look follows it, whoever else was asked just now.
         triedMs = -Infinity;
         return;
@@ -330,8 +343,10 @@
 
   function getNextTryMs(): number {
     if (tries.size === 0) return 0;
-    const isAccepted = [...tries].some((tried) => tried.isAccepted);
-    return isAccepted ? TRY_NEXT_ACCEPTED_MS : TRY_NEXT_MS;
+    const isLikely = [...tries].some(({ address, isAccepted }) =>
+      isAccepted || address === namedAddress
+    );
+    return isLikely ? TRY_NEXT_LIKELY_MS : TRY_NEXT_MS;
   }
 
   function getPatienceMs({ address, isAccepted }: Session): number {
