An entry that is sent away backs off, and follows redirects to an end

Callers saw: nothing yet; found by looking for the fault of the gateways' search elsewhere. In the system's own interface two control processes that name each other keep an entry and themselves busy, as after a leader has ended and its followers still name it.

Cause: an entry followed each redirect at once, however many came in a row, and asked again after a fixed 100 ms. It also counted control's silence by the clock.

Change: three redirects in a row are followed at once, then full jitter, 100 ms doubled up to 400; silence of control counts the time for which it could be heard. The wait is one function for gateways, entries and retries of requests.

Tried: up to 2 s between tries.

--- a/measure/capacity.ts
+++ b/measure/capacity.ts
@@ -71,6 +71,7 @@
       log,
       metrics,
       now: () => performance.now(),
+      random: Math.random,
     });
     agent.start(`http://127.0.0.1:${10_000 + at}`);
     return agent;
--- a/src/entry/create_agent.ts
+++ b/src/entry/create_agent.ts
@@ -17,6 +17,8 @@
   ResourceChange,
 } from "../model/index.ts";
 import { takeLiveChange } from "../membership/index.ts";
+import { createListeningClock } from "../clocks/index.ts";
+import { getRetryWaitMs } from "../retry/index.ts";
 import type { EntrySettings } from "../settings/index.ts";
 import {
   CHANNEL_OPTIONS,
@@ -40,6 +42,8 @@
   readonly metrics: Metrics;
   /** Monotonic time, in ms. */
   readonly now: () => number;
+  /** A number in [0, 1). */
+  readonly random: () => number;
 }
 
 /** What became of a claim. */
@@ -101,13 +105,26 @@
   readonly client: wire.AgentClient;
   readonly address: string;
   welcomed: boolean;
+  /** When control was heard last, in ms for which it could be. */
   heardMs: number;
 }
 
 const UNAVAILABLE: ClaimAnswer = { verdict: "unavailable" };
 
-/** Ms before the next control process is asked. */
-const RETRY_DELAY_MS = 100;
+/** Longest wait, in ms, before the next control process is asked at first. */
+const FIRST_RETRY_MS = 100;
+
+/**
+ * Longest wait, in ms, before the next control process is asked: claims are turned
+ * away until one is found that leads.
+ */
+const MAX_RETRY_MS = 400;
+
+/**
+ * Control processes in a row that may name another one at once: two that name each
+ * other must not be asked without a pause.
+ */
+const MAX_QUICK_REDIRECTS = 3;
 
 /** Ms for the answer to a claim; then it counts as unavailable. */
 const CLAIM_TIMEOUT_MS = 3_000;
@@ -133,7 +150,13 @@
   let session: Session | undefined;
   let nextAddress = Math.floor(Math.random() * addresses.length);
   let lastHeardMs = now();
+  // Control processes in a row that did not take this entry in.
+  let failures = 0;
   let nextCall = 1;
+  const listening = createListeningClock({
+    now,
+    lookIntervalMs: settings.heartbeatIntervalMs,
+  });
   let closed = false;
   let callerAddress = "";
   const calls = new Map<number, (answer: ClaimAnswer) => void>();
@@ -152,13 +175,13 @@
       client,
       address,
       welcomed: false,
-      heardMs: now(),
+      heardMs: listening.now(),
     };
     session = opened;
     let redirected: string | undefined;
     stream.on("data", (message: wire.ControlMessage) => {
       if (session !== opened) return;
-      opened.heardMs = now();
+      opened.heardMs = listening.now();
       if (message.body?.$case === "redirect") {
         redirected = message.body.value.leaderAddress;
         lose(opened, { reason: message.body.value.reason, redirected });
@@ -205,9 +228,19 @@
     }
     if (closed) return;
     const { redirected = "" } = cause;
-    const next = redirected !== "" ? redirected : takeNextAddress();
-    const delayMs = redirected !== "" ? 0 : RETRY_DELAY_MS;
-    setTimeout(() => open(next), delayMs);
+    failures += 1;
+    const isNamed = redirected !== "";
+    const next = isNamed ? redirected : takeNextAddress();
+    const isQuick = isNamed && failures <= MAX_QUICK_REDIRECTS;
+    setTimeout(() => open(next), isQuick ? 0 : getWaitMs());
+  }
+
+  function getWaitMs(): number {
+    return getRetryWaitMs(failures, {
+      firstMs: FIRST_RETRY_MS,
+      maxMs: MAX_RETRY_MS,
+      random: options.random,
+    });
   }
 
   function takeNextAddress(): string {
@@ -220,6 +253,7 @@
     switch (body?.$case) {
       case "welcome":
         from.welcomed = true;
+        failures = 0;
         log("controlConnected", { address: from.address });
         lastHeardMs = now();
         clusterId = body.value.clusterId;
@@ -302,7 +336,9 @@
   }
 
   function tick(): void {
-    if (session && now() - session.heardMs > settings.controlSilenceMs) {
+    listening.look();
+    const silentMs = listening.now() - (session?.heardMs ?? 0);
+    if (session && silentMs > settings.controlSilenceMs) {
       lose(session, { reason: "silent" });
     }
     heartbeat();
--- a/src/entry/start_entry.ts
+++ b/src/entry/start_entry.ts
@@ -114,6 +114,7 @@
     log,
     metrics,
     now,
+    random: Math.random,
   });
   const admission = createAdmission({
     getShares: () => agent.getGrant().accounts,
--- a/src/gateway/create_fleet_link.ts
+++ b/src/gateway/create_fleet_link.ts
@@ -20,6 +20,7 @@
   parseLeaderMessage,
 } from "../fleet/index.ts";
 import type { Logger } from "../logs/index.ts";
+import { getRetryWaitMs } from "../retry/index.ts";
 import {
   CHANNEL_OPTIONS,
   createClientCredentials,
@@ -265,12 +266,14 @@
     abandoned.forEach(abandon);
   }
 
-  // Full jitter: those that were sent away together don't come back together.
   function noteFailure({ address, askedMs }: Session, reason: string): void {
     const count = 1 + (failures.get(address)?.count ?? 0);
-    const waitMs = Math.min(MAX_RETRY_MS, FIRST_RETRY_MS * 2 ** (count - 1));
-    const retryMs = now() + waitMs * options.random();
-    failures.set(address, { count, retryMs });
+    const waitMs = getRetryWaitMs(count, {
+      firstMs: FIRST_RETRY_MS,
+      maxMs: MAX_RETRY_MS,
+      random: options.random,
+    });
+    failures.set(address, { count, retryMs: now() + waitMs });
     const waitedMs = Math.round(now() - askedMs);
     log("controlNotReached", { address, reason, waitedMs });
   }
--- a/src/retry/decide_retry.ts
+++ b/src/retry/decide_retry.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { getRetryWaitMs } from "./get_retry_wait_ms.ts";
 import type { FailureVerdict } from "./types.ts";
 
 /** What is known of the request. */
@@ -77,8 +78,11 @@
     return { retry: false, why: "may_have_run" };
   }
   if (request.tries >= maxTries) return { retry: false, why: "tries_used" };
-  const boundMs = baseBackoffMs * 2 ** (request.tries - 1);
-  const afterMs = random * Math.min(maxBackoffMs, boundMs);
+  const afterMs = getRetryWaitMs(request.tries, {
+    firstMs: baseBackoffMs,
+    maxMs: maxBackoffMs,
+    random: () => random,
+  });
   if (nowMs + afterMs >= request.deadlineMs) {
     return { retry: false, why: "deadline" };
   }
--- a/src/retry/index.ts
+++ b/src/retry/index.ts
@@ -6,5 +6,6 @@
 
 export * from "./classify_failure.ts";
 export * from "./decide_retry.ts";
+export * from "./get_retry_wait_ms.ts";
 export * from "./retry_budget.ts";
 export * from "./types.ts";
