Whom a gateway asks for the leader is a decision of its own

The link held connections, sessions and the choice of the next control process in one module. Behaviour kept but for one case: a gateway that renews its session (its configuration did not fit) asks its leader first again; since the search was changed it asked it last.

--- a/src/gateway/create_fleet_link.ts
+++ b/src/gateway/create_fleet_link.ts
@@ -20,12 +20,12 @@
   parseLeaderMessage,
 } from "../fleet/index.ts";
 import type { Logger } from "../logs/index.ts";
-import { getRetryWaitMs } from "../retry/index.ts";
 import {
   CHANNEL_OPTIONS,
   createClientCredentials,
   wire,
 } from "../wire/index.ts";
+import { createControlChoice } from "./create_control_choice.ts";
 import type { QuarantineTold } from "./create_quarantine.ts";
 
 /** What the link needs of its program. */
@@ -122,15 +122,6 @@
  */
 const WELCOME_TIMEOUT_MS = 15_000;
 
-/** Longest wait, in ms, before a control process is asked a second time. */
-const FIRST_RETRY_MS = 100;
-
-/** Longest wait, in ms, before a control process is asked again. */
-const MAX_RETRY_MS = 2_000;
-
-/** Ms before a control process that named another as the leader is asked again. */
-const NAMED_RETRY_MS = 500;
-
 /** Ms between two looks at the session. */
 const CHECK_INTERVAL_MS = 100;
 
@@ -157,13 +148,6 @@
   toldVersion: number;
 }
 
-/** Tries of one control process that came to nothing, one after the other. */
-interface Failures {
-  readonly count: number;
-  /** Time, in ms, before which it is not asked again. */
-  readonly retryMs: number;
-}
-
 /**
  * Opens the link; it looks for the leader until it is disposed of.
  *
@@ -185,10 +169,11 @@
   // asked once at a time.
   const tries = new Set<Session>();
   let triedMs = -Infinity;
-  // Who was named as the leader, and who didn't take this gateway in, since it was
-  // last taken in.
-  let namedAddress = "";
-  const failures = new Map<string, Failures>();
+  const choice = createControlChoice({
+    listAddresses: () => [...controlAddresses, ...options.getSeedAddresses()],
+    now,
+    random: options.random,
+  });
   let beatDueMs = 0;
   let searchDueMs = 0;
   // Since when there is no leader, and how many addresses were tried since then.
@@ -248,8 +233,7 @@
     session = undefined;
     lostMs = now();
     triedCount = 0;
-    // The one that was lost is asked last.
-    failures.set(closed.address, { count: 1, retryMs: 0 });
+    choice.noteLost(closed.address);
     const spreadMs = SEARCH_SPREAD_MS * options.getGatewayCount();
     searchDueMs = now() + spreadMs * options.random();
     log("controlLost", { address: closed.address, reason });
@@ -267,28 +251,15 @@
   }
 
   function noteFailure({ address, askedMs }: Session, reason: string): void {
-    const count = 1 + (failures.get(address)?.count ?? 0);
-    const waitMs = getRetryWaitMs(count, {
-      firstMs: FIRST_RETRY_MS,
-      maxMs: MAX_RETRY_MS,
-      random: options.random,
-    });
-    failures.set(address, { count, retryMs: now() + waitMs });
+    choice.noteFailure(address);
     const waitedMs = Math.round(now() - askedMs);
     log("controlNotReached", { address, reason, waitedMs });
   }
 
-  function delayRetry(address: string): void {
-    const { count = 0, retryMs = 0 } = failures.get(address) ?? {};
-    const leastMs = now() + NAMED_RETRY_MS;
-    failures.set(address, { count, retryMs: Math.max(retryMs, leastMs) });
-  }
-
   function begin(welcomed: Session): void {
     tries.delete(welcomed);
     abandonTries();
-    failures.clear();
-    namedAddress = "";
+    choice.reset();
     session = welcomed;
     beatDueMs = 0;
   }
@@ -299,8 +270,7 @@
       case "redirect":
         close(from, "redirected");
         if (message.address === "") return;
-        namedAddress = message.address;
-        delayRetry(from.address);
+        choice.noteNamed(message.address, { by: from.address });
         // The next look follows it, whoever else was asked just now.
         triedMs = -Infinity;
         return;
@@ -340,38 +310,26 @@
     }
     if (now() < searchDueMs) return;
     if (now() - triedMs < getNextTryMs()) return;
-    const address = findNext();
+    const address = choice.findNext(listTried());
     if (address !== undefined) open(address);
   }
 
   function getNextTryMs(): number {
     if (tries.size === 0) return 0;
     const isLikely = [...tries].some(({ address, isAccepted }) =>
-      isAccepted || address === namedAddress
+      isAccepted || choice.isNamed(address)
     );
     return isLikely ? TRY_NEXT_LIKELY_MS : TRY_NEXT_MS;
   }
 
   function getPatienceMs({ address, isAccepted }: Session): number {
     if (isAccepted) return WELCOME_TIMEOUT_MS;
-    const { count = 0 } = failures.get(address) ?? {};
-    return Math.min(MAX_ACCEPT_TIMEOUT_MS, ACCEPT_TIMEOUT_MS * 2 ** count);
+    const patienceMs = ACCEPT_TIMEOUT_MS * 2 ** choice.countFailures(address);
+    return Math.min(MAX_ACCEPT_TIMEOUT_MS, patienceMs);
   }
 
-  // Who was asked least often comes first.
-  function findNext(): string | undefined {
-    const tried = new Set([...tries].map(({ address }) => address));
-    const known = [
-      ...(namedAddress === "" ? [] : [namedAddress]),
-      ...controlAddresses,
-      ...options.getSeedAddresses(),
-    ];
-    const due = [...new Set(known)].filter((address) =>
-      !tried.has(address) && now() >= (failures.get(address)?.retryMs ?? 0)
-    );
-    const countFailures = (address: string) =>
-      address === namedAddress ? 0 : failures.get(address)?.count ?? 0;
-    return due.sort((a, b) => countFailures(a) - countFailures(b))[0];
+  function listTried(): ReadonlySet<string> {
+    return new Set([...tries].map(({ address }) => address));
   }
 
   function beat(): void {
@@ -431,7 +389,10 @@
       return true;
     },
     renew() {
-      if (session) close(session, "renewed");
+      if (!session) return;
+      const { address } = session;
+      close(session, "renewed");
+      choice.noteNamed(address);
     },
     async [Symbol.asyncDispose]() {
       await Promise.resolve();
