Only a list of gateways that all were told is recorded

Gateways divide the repeats and the limits of the fleet among as many as they are told, so the first ones of eleven would have taken a third, or all, each.

The record is now the list that all were told, never a part of one, and a gateway that starts is told early only where earlier leaders had recorded one. That a leader knows what is recorded is kept by lead, not by term: a process that lost and regained its lead within one batch would never have acted again.

Tests: a gateway that starts with the fleet is told nothing early, one that starts under a new leader is told the recorded ones with those that came.

--- a/src/fleet/create_awaited_gateways.ts
+++ b/src/fleet/create_awaited_gateways.ts
@@ -19,6 +19,8 @@
   noteBack(vm: string): void;
   /** Gives up those that stay away; called again and again. */
   tick(): void;
+  /** Whether earlier leaders recorded any. */
+  hasExpected(): boolean;
   /** Gateways that are still waited for. */
   list(): readonly GatewayRecord[];
   /** Waits for none any more: this process no longer leads. */
@@ -91,7 +93,11 @@
       const isSilent = now() - returnedMs >= silenceMs;
       if (isSilent || now() - startedMs >= maxWaitMs) end();
     },
+    hasExpected: () => expected > 0,
     list: () => [...awaited.values()],
-    reset: () => awaited.clear(),
+    reset() {
+      awaited.clear();
+      expected = 0;
+    },
   };
 }
--- a/src/fleet/create_gateway_recorder.ts
+++ b/src/fleet/create_gateway_recorder.ts
@@ -1,6 +1,7 @@
 /**
- * Records in the log which gateways the leader counts on, so that a new leader
- * knows whom it has not heard of yet.
+ * Records in the log the list of gateways that all were told, so that a new leader
+ * knows whom it has not heard of yet. A part of a list is never recorded: gateways
+ * divide bounds among as many as they are told.
  *
  * @module
  */
@@ -12,8 +13,8 @@
 
 /** What the recorder needs of its program. */
 export interface CreateGatewayRecorderOptions {
-  /** Gateways that the leader counts on. */
-  readonly getCounted: () => readonly GatewayRecord[];
+  /** The list that all were told, by VM; undefined before the first time. */
+  readonly getTold: () => ReadonlyMap<string, GatewayRecord> | undefined;
   readonly getRecorded: () => ReadonlyMap<string, GatewayRecord>;
   /** Resolves once the command is committed and applied. */
   readonly propose: (command: FleetCommand) => Promise<unknown>;
@@ -23,7 +24,7 @@
 /**
  * Makes the recorder.
  *
- * @param options - Who is counted on, who is recorded, how it gets there.
+ * @param options - What was told, what is recorded, how it gets there.
  * @returns The recorder.
  * @throws Nothing.
  * @example
@@ -32,21 +33,21 @@
 export function createGatewayRecorder(
   options: CreateGatewayRecorderOptions,
 ): Recorder {
-  const { getCounted, getRecorded, propose, log } = options;
+  const { getTold, getRecorded, propose, log } = options;
   return createRecorder({
-    findNews: () => findGatewayNews(getCounted(), getRecorded()),
+    findNews: () => findGatewayNews(getTold(), getRecorded()),
     propose,
     onFailed: (error) => log("gatewaysNotRecorded", { error }),
   });
 }
 
 function findGatewayNews(
-  counted: readonly GatewayRecord[],
+  told: ReadonlyMap<string, GatewayRecord> | undefined,
   recorded: ReadonlyMap<string, GatewayRecord>,
 ): FleetCommand | undefined {
-  const countedVms = new Set(counted.map(({ vm }) => vm));
-  const lost = [...recorded.keys()].filter((vm) => !countedVms.has(vm));
-  const changed = counted.filter((record) => {
+  if (!told) return undefined;
+  const lost = [...recorded.keys()].filter((vm) => !told.has(vm));
+  const changed = [...told.values()].filter((record) => {
     const known = recorded.get(record.vm);
     return !known || !isSameGateway(known, record);
   });
--- a/src/fleet/create_gateway_sessions.ts
+++ b/src/fleet/create_gateway_sessions.ts
@@ -85,8 +85,8 @@
   publishConfig(version: number): void;
   /** Waits for the gateways that earlier leaders recorded. */
   expectGateways(recorded: Iterable<GatewayRecord>): void;
-  /** Gateways with a session, and those that are still waited for. */
-  getCountedGateways(): GatewayRecord[];
+  /** The list of gateways that all were told; undefined before the first time. */
+  getToldGateways(): ReadonlyMap<string, GatewayRecord> | undefined;
   publishEngines(change: EngineChange): void;
   /** Tells all engines at once, in place of what gateways knew before. */
   publishAllEngines(): void;
@@ -239,7 +239,8 @@
     // The read was confirmed after the hello was sent, as with any beat.
     confirm(session, sentMs);
     // Who has just started knows nobody, and names itself alone to callers.
-    if (toldGateways || hello.knowsGateways === false) tellGateways(session);
+    const isAwaited = hello.knowsGateways === false && awaited.hasExpected();
+    if (toldGateways || isAwaited) tellGateways(session);
     log("gatewayJoined", { vm: gateway.vm, version });
   }
 
@@ -375,6 +376,7 @@
     log("gatewayLost", { vm: gateway.vm });
   }
 
+  // Those with a session, and those that are still waited for.
   function getCountedGateways(): GatewayRecord[] {
     const present = [...sessions.values()]
       .flatMap(({ gateway }) => gateway ? [gateway] : []);
@@ -424,7 +426,7 @@
       const present = new Set(sessions.keys());
       awaited.expect([...recorded].filter(({ vm }) => !present.has(vm)));
     },
-    getCountedGateways,
+    getToldGateways: () => toldGateways,
     publishEngines(change) {
       news.forgetEngines();
       broadcast({ type: "engines", isWhole: false, ...change });
--- a/src/fleet/create_gateway_sessions_test.ts
+++ b/src/fleet/create_gateway_sessions_test.ts
@@ -10,7 +10,11 @@
 import { createConfigHistory } from "./create_config_history.ts";
 import { createEngineNumbers } from "./create_engine_numbers.ts";
 import { createGatewaySessions } from "./create_gateway_sessions.ts";
-import type { GatewayMessage, LeaderMessage } from "./messages.ts";
+import type {
+  GatewayMessage,
+  GatewayRecord,
+  LeaderMessage,
+} from "./messages.ts";
 import { packDocument } from "./pack_document.ts";
 import {
   formatGatewayMessage,
@@ -91,15 +95,20 @@
   });
 }
 
+function makeGateway(vm: string): GatewayRecord {
+  return { vm, place: "a", address: `${vm}:1`, isReady: true };
+}
+
 async function join(
   sessions: ReturnType<typeof makeSessions>,
   vm: string,
   version = -1,
+  known: { readonly knowsGateways?: boolean } = {},
 ): Promise<FakeStream> {
   const stream = new FakeStream();
   sessions.handleSession(stream as unknown as SessionStream);
-  const gateway = { vm, place: "a", address: `${vm}:1`, isReady: true };
-  stream.say({ type: "hello", gateway, version, sentMs: 0 });
+  const gateway = makeGateway(vm);
+  stream.say({ type: "hello", gateway, version, sentMs: 0, ...known });
   await new Promise((resolve) => setImmediate(resolve));
   return stream;
 }
@@ -174,6 +183,27 @@
   assert.equal(joined.gateways.map(({ vm }) => vm), ["g2"]);
 });
 
+// Gateways divide bounds among as many as they are told.
+test("a gateway that starts with the fleet is told no part of the gateways", async () => {
+  const sessions = makeSessions(ENGINES, { knowsAllGateways: () => false });
+  const first = await join(sessions, "g1", -1, { knowsGateways: false });
+  sessions.tick();
+  assert.equal(first.takeNews(), []);
+  assert.is(sessions.getToldGateways(), undefined);
+});
+
+test("a gateway that starts under a new leader is told those that are recorded", async () => {
+  const sessions = makeSessions(ENGINES, { knowsAllGateways: () => false });
+  const recorded = ["g1", "g2"].map((vm) => makeGateway(vm));
+  sessions.expectGateways(recorded);
+  const back = await join(sessions, "g1", -1, { knowsGateways: true });
+  const started = await join(sessions, "g3", -1, { knowsGateways: false });
+  assert.equal(back.takeNews(), []);
+  const [whole] = started.takeNews();
+  assert.ok(whole.type === "gateways" && whole.isWhole);
+  assert.equal(whole.gateways.map(({ vm }) => vm), ["g1", "g2", "g3"]);
+});
+
 test("all gateways are told one sum of their work, when it has changed", async () => {
   const sessions = makeSessions();
   const streams = [await join(sessions, "g1"), await join(sessions, "g2")];
--- a/src/fleet/start_fleet_control.ts
+++ b/src/fleet/start_fleet_control.ts
@@ -155,8 +155,11 @@
   const storage = await openFleetStorage({ ...settings, seeds, log });
   const { replicaId } = storage.identity;
   let leadingSinceMs = Infinity;
-  // Resolves once that is known which earlier leaders recorded.
-  let recordedTerm = -1;
+  // Times that this process came to lead, and the last of them in which it knew what
+  // earlier leaders had recorded.
+  let leadCount = 0;
+  let informedLead = -1;
+  // Resolves once it knows that.
   let addingRecorded = Promise.resolve();
   const leadsFor = (spanMs: number) => now() - leadingSinceMs >= spanMs;
   // Without a lease no beat is taken, so silence says nothing then.
@@ -198,7 +201,7 @@
     return accepted ? history.read(accepted.packed).services : [];
   };
   const isLeader = () => replica.getState().role === "leader";
-  const knowsRecorded = () => recordedTerm === replica.getState().term;
+  const knowsRecorded = () => informedLead === leadCount;
   const registry = createEngineRegistry({
     silenceMs,
     now: listening.now,
@@ -297,7 +300,7 @@
     log,
   });
   const gatewayRecorder = createGatewayRecorder({
-    getCounted: sessions.getCountedGateways,
+    getTold: sessions.getToldGateways,
     getRecorded: machine.getGateways,
     propose,
     log,
@@ -358,6 +361,7 @@
   }
 
   function onLead(): void {
+    leadCount += 1;
     leadingSinceMs = now();
     listensSinceMs = listening.now();
     members.reset();
@@ -375,7 +379,7 @@
 
   // Only once its own term has committed has a leader applied all that counts.
   async function addRecorded(): Promise<void> {
-    const { term } = replica.getState();
+    const lead = leadCount;
     try {
       await replica.confirmRead();
     } catch {
@@ -391,7 +395,7 @@
     const newestRuns = machine.getNewestRuns();
     registry.addRecorded(staying, { newestRuns });
     sessions.expectGateways(machine.getGateways().values());
-    recordedTerm = term;
+    informedLead = lead;
   }
 
   function getLeader(): Member | undefined {
