Silence of all upstreams at once is not taken for the loss of each

Cause: beats come over few ways. In a starved fleet the connection over which a control process passes them to a new leader took longer than the 1.3 s of silence, so all upstreams were silent together, and dropped, or a new leader that had heard few took them for all.

New test: recorded upstreams, 8 s without a beat of any. Without the bound on quiet, as before, both are dropped.

Change: the silence of upstreams counts by a clock that stands still after one and a half intervals without a beat of any, for three silences at most: all may be gone. A leader knows all upstreams once that clock has gone for a silence.

Why it works: the first beat that comes gives all others the rest of their time, and one that is silent while others are heard is dropped as before.

--- /dev/null
+++ b/src/engines/create_beat_clock_test.ts
@@ -0,0 +1,42 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { createBeatClock } from "./create_beat_clock.ts";
+
+function startClock() {
+  let nowMs = 0;
+  const clock = createBeatClock({
+    now: () => nowMs,
+    quietMs: 100,
+    maxStandMs: 1_000,
+  });
+  return { clock, pass: (ms: number) => void (nowMs += ms) };
+}
+
+test("while some are heard it goes", () => {
+  const { clock, pass } = startClock();
+  for (let beat = 0; beat < 10; beat++) {
+    pass(90);
+    clock.noteBeat();
+  }
+  assert.is(clock.now(), 900);
+});
+
+test("while none is heard it stands still, and goes on from there", () => {
+  const { clock, pass } = startClock();
+  pass(600);
+  assert.is(clock.now(), 100);
+  clock.noteBeat();
+  assert.is(clock.now(), 100);
+  pass(50);
+  assert.is(clock.now(), 150);
+});
+
+test("upstreams that are all gone are silent in the end", () => {
+  const { clock, pass } = startClock();
+  pass(1_100);
+  assert.is(clock.now(), 100);
+  pass(300);
+  assert.is(clock.now(), 400);
+});
+
+test.run();
--- a/src/fleet/create_engine_registry.ts
+++ b/src/fleet/create_engine_registry.ts
@@ -6,6 +6,7 @@
  */
 
 import {
+  createBeatClock,
   type EngineBeat,
   type EngineRecord,
   getUpstreamName,
@@ -35,6 +36,11 @@
 export interface CreateEngineRegistryOptions {
   /** Silence, in ms, after which an upstream counts as lost. */
   readonly silenceMs: number;
+  /**
+   * Time, in ms, without a beat of any upstream, after which silence says nothing of a
+   * single one; never by default.
+   */
+  readonly quietMs?: number;
   /** Ms for which upstreams could be heard. */
   readonly now: () => number;
   readonly getLeave: (engineId: string) => LeaveKind | undefined;
@@ -69,6 +75,8 @@
   /** Takes how slow an upstream says it is; 1 where it is not. */
   takePace(engineId: string, pace: number): void;
   getRecords(): EngineRecord[];
+  /** Whether beats came for long enough since {@link reset} to know all upstreams. */
+  knowsAll(): boolean;
 }
 
 /** Ms for which changes are gathered into one message. */
@@ -83,6 +91,9 @@
 /** Pace, as a factor on the usual times, from which on it counts as slow. */
 const SLOW_PACE = 1.5;
 
+/** Silences after which upstreams of which none is heard count as lost all the same. */
+const SILENCES_OF_ALL = 3;
+
 /** Share of the usual silence that is too long for a suspected upstream. */
 const SUSPECT_SILENCE_SHARE = 0.45;
 
@@ -99,7 +110,13 @@
   options: CreateEngineRegistryOptions,
 ): EngineRegistry {
   const { now, log, silenceMs, isService = () => true } = options;
+  const beatClock = createBeatClock({
+    now,
+    quietMs: options.quietMs ?? Infinity,
+    maxStandMs: SILENCES_OF_ALL * silenceMs,
+  });
   let state: RegistryState = { engines: new Map() };
+  let hearsSinceMs = beatClock.now();
   let suspicions = new Map<string, Map<string, number>>();
   let changed = new Map<string, EngineRecord>();
   let gone = new Set<string>();
@@ -154,13 +171,14 @@
 
   function take(beat: EngineBeat): void {
     const { engineId, service } = beat;
+    beatClock.noteBeat();
     const isNew = !state.engines.has(engineId);
     // It would take an address from the upstream that really is there.
     if (isNew && !isService(service)) {
       return log("serviceUnknown", { engineId, service });
     }
     const leave = options.getLeave(engineId);
-    const taken = takeBeat(state, beat, { nowMs: now(), leave });
+    const taken = takeBeat(state, beat, { nowMs: beatClock.now(), leave });
     state = taken.state;
     drop(taken.displacedIds, "replaced by another run");
     if (!taken.changed) return;
@@ -206,7 +224,7 @@
   }
 
   function tick(): void {
-    const nowMs = now();
+    const nowMs = beatClock.now();
     const silent = removeSilent(state, { nowMs, silenceMs });
     drop(silent.lost, "silent");
     const shortMs = silenceMs * SUSPECT_SILENCE_SHARE;
@@ -222,9 +240,11 @@
       changed = new Map();
       gone = new Set();
       serving = new Set();
+      beatClock.noteBeat();
+      hearsSinceMs = beatClock.now();
     },
     addRecorded(records, { newestRuns: recorded = new Map() } = {}) {
-      const heardMs = now();
+      const heardMs = beatClock.now();
       const newestRuns = [...recorded].reduce(
         (runs, [name, run]) => noteRun(runs, { name, ...run }),
         state.newestRuns ?? new Map(),
@@ -259,6 +279,7 @@
       tell(record);
     },
     takeSuspects,
+    knowsAll: () => beatClock.now() - hearsSinceMs >= silenceMs,
     getRecords: () => [...state.engines.values()].map(({ record }) => record),
   };
 }
--- a/src/fleet/create_engine_registry_test.ts
+++ b/src/fleet/create_engine_registry_test.ts
@@ -9,13 +9,17 @@
 
 const BEAT = makeBeat();
 
-function makeRegistry(getLeave = () => undefined) {
+function makeRegistry(
+  getLeave = () => undefined,
+  options: { readonly quietMs?: number } = {},
+) {
   const clock = { nowMs: 0 };
   const published: EngineChange[] = [];
   const registry = createEngineRegistry({
     silenceMs: 3_000,
     now: () => clock.nowMs,
     getLeave,
+    ...options,
     publish: (change) => void published.push(change),
     log: () => {},
   });
@@ -38,6 +42,39 @@
   assert.equal(getIds(registry), ["e1"]);
 });
 
+// All beats came over one connection that was late: all engines were dropped.
+test("upstreams of which none is heard are kept for a while", () => {
+  const { registry, clock } = makeRegistry(undefined, { quietMs: 1_800 });
+  const { sequence: _sequence, ...recorded } = BEAT;
+  registry.addRecorded([recorded, { ...recorded, engineId: "e2" }]);
+  clock.nowMs = 8_000;
+  registry.tick();
+  assert.equal(getIds(registry), ["e1", "e2"]);
+  registry.take(BEAT);
+  clock.nowMs = 9_100;
+  registry.tick();
+  assert.equal(
+    getIds(registry),
+    ["e1", "e2"],
+    "the other has just got its turn",
+  );
+  registry.take({ ...BEAT, sequence: BEAT.sequence + 1 });
+  clock.nowMs = 9_300;
+  registry.tick();
+  assert.equal(getIds(registry), ["e1"]);
+});
+
+test("upstreams that are all gone are dropped in the end", () => {
+  const { registry, clock } = makeRegistry(undefined, { quietMs: 1_800 });
+  registry.take(BEAT);
+  clock.nowMs = 11_900;
+  registry.tick();
+  assert.equal(getIds(registry), ["e1"]);
+  clock.nowMs = 12_100;
+  registry.tick();
+  assert.equal(getIds(registry), []);
+});
+
 test("a record does not overwrite what was heard meanwhile", () => {
   const { registry } = makeRegistry();
   const { sequence: _sequence, ...recorded } = BEAT;
--- a/src/fleet/create_leader_rounds.ts
+++ b/src/fleet/create_leader_rounds.ts
@@ -23,15 +23,13 @@
   readonly listening: Pick<ListeningClock, "look">;
   /** Whether it has done so for so many ms since it leads. */
   readonly listensFor: (spanMs: number) => boolean;
-  /** Ms of silence after which an upstream is lost. */
-  readonly silenceMs: number;
   /** Whether the fleet is new: nobody can hold anything yet. */
   readonly isFirstStart: boolean;
   readonly sessions: Pick<
     GatewaySessions,
     "tick" | "publishLoads" | "publishAllEngines"
   >;
-  readonly registry: Pick<EngineRegistry, "tick" | "getRecords">;
+  readonly registry: Pick<EngineRegistry, "tick" | "getRecords" | "knowsAll">;
   readonly paces: Pick<PaceWatch, "tick">;
   readonly quarantine: Pick<QuarantineDesk, "tick">;
   readonly recorders: readonly Recorder[];
@@ -101,7 +99,7 @@
       if (rounds % LOADS_ROUNDS === 0) sessions.publishLoads();
       void options.paces.tick();
       options.quarantine.tick();
-      if (!listensFor(options.silenceMs)) {
+      if (!registry.knowsAll()) {
         record();
         return keepLayersOfNewFleet();
       }
--- a/src/fleet/start_fleet_control.ts
+++ b/src/fleet/start_fleet_control.ts
@@ -125,6 +125,12 @@
 /** Beats that an upstream may miss before it counts as lost. */
 const BEATS_OF_SILENCE = 2.6;
 
+/**
+ * Intervals between beats without a beat of any upstream: less than the silence of one
+ * by an interval, over which the last beats of all are spread.
+ */
+const BEATS_OF_QUIET = 1.5;
+
 /** Ms in which gateways find a new leader that knows of none yet. */
 const GATEWAYS_SETTLE_MS = 2_000;
 
@@ -204,6 +210,7 @@
   const knowsRecorded = () => informedLead === leadCount;
   const registry = createEngineRegistry({
     silenceMs,
+    quietMs: settings.beatIntervalMs * BEATS_OF_QUIET,
     now: listening.now,
     getLeave: machine.getLeave,
     // Before the first configuration any may come to be.
@@ -251,7 +258,7 @@
     getAccepted: machine.getAccepted,
     history,
     getEngines: registry.getRecords,
-    knowsAllEngines: () => listensFor(silenceMs),
+    knowsAllEngines: registry.knowsAll,
     knowsAllGateways: () => leadsFor(GATEWAYS_SETTLE_MS),
     lendRepeats: lender.lend,
     quarantine,
@@ -332,7 +339,6 @@
     isLeading: () => isLeader() && replica.hasLease() && knowsRecorded(),
     listening,
     listensFor,
-    silenceMs,
     isFirstStart: settings.isFirstStart,
     sessions,
     registry,
