--- a/src/fleet/create_gateway_recorder.ts
+++ b/src/fleet/create_gateway_recorder.ts
@@ -9,7 +9,8 @@
 import type { Logger } from "../logs/index.ts";
 import type { FleetCommand } from "./create_fleet_machine.ts";
 import { createRecorder, type Recorder } from "./create_recorder.ts";
-import { type GatewayRecord, isSameGateway } from "./messages.ts";
+import { isSameGateway } from "./is_same_gateway.ts";
+import type { GatewayRecord } from "./messages.ts";
 
 /** What the recorder needs of its program. */
 export interface CreateGatewayRecorderOptions {
--- a/src/fleet/create_gateway_sessions.ts
+++ b/src/fleet/create_gateway_sessions.ts
@@ -24,14 +24,14 @@
 import { createWrittenNews } from "./create_written_news.ts";
 import type { ConfigHistory } from "./create_config_history.ts";
 import type { AcceptedConfig } from "./create_fleet_machine.ts";
-import {
-  type EngineLoads,
-  type GatewayMessage,
-  type GatewayRecord,
-  type GrantCounts,
-  isSameGateway,
-  type LeaderMessage,
-  type SendGrants,
+import { isSameGateway } from "./is_same_gateway.ts";
+import type {
+  EngineLoads,
+  GatewayMessage,
+  GatewayRecord,
+  GrantCounts,
+  LeaderMessage,
+  SendGrants,
 } from "./messages.ts";
 import { sumLoads } from "./sum_loads.ts";
 
--- a/src/fleet/messages.ts
+++ b/src/fleet/messages.ts
@@ -21,12 +21,6 @@
   readonly isReady: boolean;
 }
 
-/** Tells whether two records of a gateway say the same. */
-export function isSameGateway(a: GatewayRecord, b: GatewayRecord): boolean {
-  return a.vm === b.vm && a.place === b.place && a.address === b.address &&
-    a.isReady === b.isReady;
-}
-
 /**
  * Work in flight by upstream: tokens on it, and requests that begin there.
  * Upstreams without any are left out.
