One comparison of maps, and a hello is looked at by itself

What changed between two lists was worked out in three places (upstreams recorded, gateways recorded, gateways told); it is one function now. Each hello that came made the queue look at all that waited, and set a timer also where it was answered at once; now only the one that came is looked at, and the timer serves those that wait. The counter of waiting gateways follows with the next look, within 50 ms.

--- a/src/fleet/create_engine_recorder.ts
+++ b/src/fleet/create_engine_recorder.ts
@@ -5,6 +5,7 @@
  * @module
  */
 
+import { findMapChanges } from "../collections/index.ts";
 import { type EngineRecord, isSameRecord } from "../engines/index.ts";
 import type { Logger } from "../logs/index.ts";
 import type { FleetCommand } from "./create_fleet_machine.ts";
@@ -43,12 +44,8 @@
   heard: readonly EngineRecord[],
   recorded: ReadonlyMap<string, EngineRecord>,
 ): FleetCommand | undefined {
-  const heardIds = new Set(heard.map(({ engineId }) => engineId));
-  const lost = [...recorded.keys()].filter((id) => !heardIds.has(id));
-  const changed = heard.filter((record) => {
-    const known = recorded.get(record.engineId);
-    return !known || !isSameRecord(known, record);
-  });
-  if (lost.length === 0 && changed.length === 0) return undefined;
-  return { type: "engines", changed, lost };
+  const byId = new Map(heard.map((record) => [record.engineId, record]));
+  const { changed, gone } = findMapChanges(recorded, byId, isSameRecord);
+  if (changed.length + gone.length === 0) return undefined;
+  return { type: "engines", changed, lost: gone };
 }
--- a/src/fleet/create_engine_registry.ts
+++ b/src/fleet/create_engine_registry.ts
@@ -91,7 +91,7 @@
 /** Pace, as a factor on the usual times, from which on it counts as slow. */
 const SLOW_PACE = 1.5;
 
-/** Silences after which upstreams of which none is heard count as lost all the same. */
+/** Longest silence of all upstreams together that is excused, in silences of one. */
 const SILENCES_OF_ALL = 3;
 
 /** Share of the usual silence that is too long for a suspected upstream. */
--- a/src/fleet/create_gateway_recorder.ts
+++ b/src/fleet/create_gateway_recorder.ts
@@ -6,6 +6,7 @@
  * @module
  */
 
+import { findMapChanges } from "../collections/index.ts";
 import type { Logger } from "../logs/index.ts";
 import type { FleetCommand } from "./create_fleet_machine.ts";
 import { createRecorder, type Recorder } from "./create_recorder.ts";
@@ -47,11 +48,7 @@
   recorded: ReadonlyMap<string, GatewayRecord>,
 ): FleetCommand | undefined {
   if (!told) return undefined;
-  const lost = [...recorded.keys()].filter((vm) => !told.has(vm));
-  const changed = [...told.values()].filter((record) => {
-    const known = recorded.get(record.vm);
-    return !known || !isSameGateway(known, record);
-  });
-  if (lost.length === 0 && changed.length === 0) return undefined;
-  return { type: "gateways", changed, lost };
+  const { changed, gone } = findMapChanges(recorded, told, isSameGateway);
+  if (changed.length + gone.length === 0) return undefined;
+  return { type: "gateways", changed, lost: gone };
 }
--- a/src/fleet/create_gateway_sessions.ts
+++ b/src/fleet/create_gateway_sessions.ts
@@ -9,6 +9,7 @@
   Metadata,
   type ServerDuplexStream,
 } from "@grpc/grpc-js";
+import { findMapChanges } from "../collections/index.ts";
 import type { EngineRecord } from "../engines/index.ts";
 import type { Logger } from "../logs/index.ts";
 import type { Metrics } from "../metrics/index.ts";
@@ -399,15 +400,10 @@
   // empty the callers' choice.
   function publishGateways(): void {
     if (!knowsAllGateways()) return;
-    const gateways = getCountedGateways();
-    const current = new Map(gateways.map((one) => [one.vm, one]));
+    const current = new Map(getCountedGateways().map((one) => [one.vm, one]));
     const told = toldGateways ?? new Map<string, GatewayRecord>();
     const isWhole = toldGateways === undefined;
-    const changed = gateways.filter((gateway) => {
-      const known = told.get(gateway.vm);
-      return !known || !isSameGateway(known, gateway);
-    });
-    const gone = [...told.keys()].filter((vm) => !current.has(vm));
+    const { changed, gone } = findMapChanges(told, current, isSameGateway);
     toldGateways = current;
     if (!isWhole && changed.length + gone.length === 0) return;
     broadcast({ type: "gateways", isWhole, gateways: changed, gone });
--- a/src/fleet/create_hello_queue.ts
+++ b/src/fleet/create_hello_queue.ts
@@ -72,17 +72,17 @@
   let timer: ReturnType<typeof setTimeout> | undefined;
 
   function look(): void {
+    timer = undefined;
     for (const [hello, sinceMs] of waiting) {
       if (!answer(hello, sinceMs)) continue;
       waiting.delete(hello);
     }
     metrics.gauge("control.hellos_waiting", waiting.size);
-    if (waiting.size > 0) timer ??= setTimeout(lookAgain, LOOK_INTERVAL_MS);
+    if (waiting.size > 0) armLook();
   }
 
-  function lookAgain(): void {
-    timer = undefined;
-    look();
+  function armLook(): void {
+    timer ??= setTimeout(look, LOOK_INTERVAL_MS);
   }
 
   function answer(hello: WaitingHello, sinceMs: number): boolean {
@@ -114,7 +114,7 @@
 
   function wait(hello: WaitingHello): void {
     waiting.set(hello, now());
-    timer ??= setTimeout(lookAgain, LOOK_INTERVAL_MS);
+    armLook();
   }
 
   function welcomeReady(): void {
@@ -141,8 +141,7 @@
   return {
     take(hello) {
       metrics.count("control.hellos");
-      wait(hello);
-      look();
+      if (!answer(hello, now())) wait(hello);
     },
   };
 }
