Log each failed connection to an upstream, and count upstreams left out

Cause: only the first failure within an exclusion was logged (CL1712), so the log did not tell whether a gateway could connect to anything at all, and a refusal as no_upstream did not say whether upstreams were missing or left out.

Change: CL1814 for each attempt without a connection, with reason and duration; CL1804 names how many upstreams of the service are registered and left out; the gauge engines.left_out. No decision changes. A gateway that is cut off shows as CL1814 for all upstreams of a service, and as leftOut equal to registered, while other gateways' CL1801 name the same upstreams; exclusions that outlast their cause show as leftOut without CL1814.

--- a/src/gateway/create_engine_table.ts
+++ b/src/gateway/create_engine_table.ts
@@ -80,6 +80,11 @@
   noteAnswer(engineId: string, outcome: { failed: boolean }): void;
   /** Upstreams suspected since the last call. */
   takeSuspects(): readonly string[];
+  /** Numbers of registered upstreams, and of those left out after failures. */
+  countLeftOut(service?: string): {
+    readonly registered: number;
+    readonly leftOut: number;
+  };
   getSize(): number;
 }
 
@@ -339,6 +344,15 @@
       suspects = new Set();
       return taken;
     },
+    countLeftOut(service) {
+      const registered = [...engines.values()].filter(({ record }) =>
+        service === undefined || record.service === service
+      );
+      const leftOut = registered.filter(({ suspectUntilMs }) =>
+        suspectUntilMs > now()
+      );
+      return { registered: registered.length, leftOut: leftOut.length };
+    },
     getSize: () => engines.size,
   };
 }
--- a/src/gateway/create_engine_table_test.ts
+++ b/src/gateway/create_engine_table_test.ts
@@ -36,6 +36,15 @@
   assert.is(choose(), "e1");
 });
 
+test("counts the upstreams that are left out, of one service or of all", () => {
+  const { table, clock } = makeTable();
+  table.suspect("e1", "test");
+  assert.equal(table.countLeftOut(), { registered: 2, leftOut: 1 });
+  assert.equal(table.countLeftOut("other"), { registered: 0, leftOut: 0 });
+  clock.nowMs = 1_600;
+  assert.equal(table.countLeftOut("s"), { registered: 2, leftOut: 0 });
+});
+
 test("a suspected upstream is excluded, for longer each time in a row", () => {
   const { table, clock } = makeTable();
   table.suspect("e1", "test");
--- a/src/gateway/serve_plain_call.ts
+++ b/src/gateway/serve_plain_call.ts
@@ -239,6 +239,12 @@
       if (how.type === "notSent") {
         metrics.countRetry("connect_failed");
         engines.suspect(engineId, how.reason);
+        log("connectionFailed", {
+          requestId,
+          engineId,
+          reason: how.reason,
+          tookMs: Math.round(now() - sentMs),
+        });
         return retry();
       }
       if (head?.load !== undefined) engine.reportedLoad = head.load;
--- a/src/gateway/serve_stream_call.ts
+++ b/src/gateway/serve_stream_call.ts
@@ -231,6 +231,7 @@
         reason,
         tries: sendCount,
         runs: runCount,
+        ...engines.countLeftOut(service),
       });
       if (response.headersSent || runCount > 0) {
         return callEnd.refuse({ status: 502, reason: "outcome_unknown" });
@@ -345,6 +346,12 @@
       if (how.type === "notSent") {
         metrics.countRetry("connect_failed");
         engines.suspect(faultyEngineId, how.reason);
+        log("connectionFailed", {
+          requestId,
+          engineId: faultyEngineId,
+          reason: how.reason,
+          tookMs: Math.round(now() - sent.sentMs),
+        });
         return retry();
       }
       if (how.type === "complete" && head?.reportsNotRun) {
--- a/src/gateway/start_gauges.ts
+++ b/src/gateway/start_gauges.ts
@@ -18,7 +18,7 @@
   readonly requestHandler: Pick<RequestHandler, "getInFlight">;
   readonly config: Pick<ActiveConfig, "getVersion">;
   readonly lease: Pick<ConfigLease, "getLeftMs">;
-  readonly engines: Pick<EngineTable, "get" | "getSize">;
+  readonly engines: Pick<EngineTable, "countLeftOut" | "get" | "getSize">;
 }
 
 /** Interval between updates. */
@@ -41,6 +41,7 @@
     metrics.gauge("config.revision", options.config.getVersion());
     metrics.gauge("config.lease_ms", Math.max(0, options.lease.getLeftMs()));
     metrics.gauge("engines.known", engines.getSize());
+    metrics.gauge("engines.left_out", engines.countLeftOut().leftOut);
     metrics.gauge("engines.resting", notices.countBackedOff());
     const limited = rateLimits.listLimited().filter(engines.get);
     metrics.gauge("engines.limited", limited.length);
--- a/src/logs/events.ts
+++ b/src/logs/events.ts
@@ -243,6 +243,11 @@
     "info",
     "Request was withheld: its upstream backed off or left before it was sent",
   ),
+  connectionFailed: event(
+    "CL1814",
+    "info",
+    "No connection to an upstream; nothing of the request was sent",
+  ),
   runsSpent: event(
     "CL1813",
     "warn",
--- a/src/metrics/metric_catalogue.ts
+++ b/src/metrics/metric_catalogue.ts
@@ -104,6 +104,8 @@
   "grants.unanswered": "Grant requests that the leader did not answer",
   "requests.withheld":
     "Requests withheld because their upstream backed off or left before they were sent",
+  "engines.left_out":
+    "Registered upstreams that this gateway leaves out after failures",
   "engines.suspected":
     "Upstreams suspected by this gateway and left out for a while",
   "paths.changed": "Running requests moved to another path",
