--- a/test/support/fleet.ts
+++ b/test/support/fleet.ts
@@ -38,6 +38,8 @@
 /** A control process under test. */
 export interface TestControl {
   readonly callerAddress: string;
+  /** Address for gateways and other control processes. */
+  readonly peerAddress: string;
   readonly control: FleetControl;
   stop(): Promise<void>;
 }
@@ -161,6 +163,7 @@
     await api.listen({ host, port: Number(port) });
     return {
       callerAddress,
+      peerAddress,
       control,
       async stop() {
         await control.stop();
