A gateway that reaches no upstream speaks for none

What callers saw: while two gateways of a data centre were cut off from all engines, the healthy ones there left engines out that worked, and moved runs off them.

Cause: a gateway takes its own silence for the engines'. Two reports from one data centre are believed (MIN_REPORTERS), since they are taken for independent; two gateways behind one broken switch are not. Class: what one process can't reach is taken for not there.

Change: after a failure a gateway opens connections to a few of a service's upstreams, half of them the ones heard last, then to twelve more. Where none accepts, it is cut off from the service: it drops its suspicions, reports no engine as lost, moves no run for it, and tries again each 250 ms; two successful rounds end it, and suspicions from the partition with it. CL1732 and CL1733 say since when and on which evidence (refused or unanswered). Ruled out: more reporters (a switch has more gateways behind it than any number that detects failures fast); a bound on how many engines one may report (nine may end at once).

--- a/src/gateway/create_engine_table.ts
+++ b/src/gateway/create_engine_table.ts
@@ -78,8 +78,24 @@
   noteSlowness(engineId: string, slowness: number): void;
   /** Records whether an answer succeeded. */
   noteAnswer(engineId: string, outcome: { failed: boolean }): void;
-  /** Upstreams suspected since the last call. */
-  takeSuspects(): readonly string[];
+  /**
+   * Upstreams suspected since the last call. Those for which `isReportable` returns
+   * false are kept for a later call; by default, none is.
+   */
+  takeSuspects(
+    isReportable?: (engine: EngineView) => boolean,
+  ): readonly string[];
+  /** Drops the suspicions against a service's upstreams that were not taken yet. */
+  dropSuspects(service: string): void;
+  /**
+   * Uses the upstreams of a service again that were suspected since a time: the cause
+   * was this gateway's own connectivity.
+   */
+  clearSuspicions(service: string, sinceMs: number): void;
+  /** All registered upstreams of a service, also those left out. */
+  list(service: string): readonly EngineView[];
+  /** Services with registered upstreams. */
+  listServices(): readonly string[];
   /** Numbers of registered upstreams, and of those left out after failures. */
   countLeftOut(service?: string): {
     readonly registered: number;
@@ -152,7 +168,7 @@
   const engines = new Map<string, EngineView>();
   const serving = new Set<string>();
   const ended = new Set<string>();
-  let suspects = new Set<string>();
+  const suspects = new Set<string>();
   let crossingPrompts = 0;
   // This gateway's part of the total that the leader reports.
   let reportedLoads: EngineLoads = {};
@@ -230,6 +246,7 @@
       MAX_SUSPECT_MS,
       MIN_SUSPECT_MS * 2 ** (engine.suspicions - 1),
     );
+    engine.suspectedMs = now();
     engine.suspectUntilMs = now() + leftOutMs;
     log("engineSuspected", { engineId, reason, leftOutMs });
   }
@@ -247,6 +264,11 @@
     );
   }
 
+  function listRegistered(service: string): EngineView[] {
+    return [...engines.values()]
+      .filter(({ record }) => record.service === service);
+  }
+
   const isBackedOff = ({ record }: EngineView) =>
     notices.isBackedOff(record.engineId);
 
@@ -339,15 +361,34 @@
         FAILURE_WEIGHT * ((failed ? 1 : 0) - share);
       engine.answeredMs = now();
     },
-    takeSuspects() {
-      const taken = [...suspects];
-      suspects = new Set();
+    takeSuspects(isReportable = () => true) {
+      const taken = [...suspects].filter((engineId) => {
+        const engine = engines.get(engineId);
+        return engine === undefined || isReportable(engine);
+      });
+      taken.forEach((engineId) => suspects.delete(engineId));
       return taken;
     },
+    dropSuspects(service) {
+      for (const { record } of listRegistered(service)) {
+        suspects.delete(record.engineId);
+      }
+    },
+    clearSuspicions(service, sinceMs) {
+      for (const engine of listRegistered(service)) {
+        if (engine.suspectedMs < sinceMs) continue;
+        engine.suspicions = 0;
+        engine.suspectUntilMs = 0;
+      }
+    },
+    list: listRegistered,
+    listServices: () => [
+      ...new Set([...engines.values()].map(({ record }) => record.service)),
+    ],
     countLeftOut(service) {
-      const registered = [...engines.values()].filter(({ record }) =>
-        service === undefined || record.service === service
-      );
+      const registered = service === undefined
+        ? [...engines.values()]
+        : listRegistered(service);
       const leftOut = registered.filter(({ suspectUntilMs }) =>
         suspectUntilMs > now()
       );
--- /dev/null
+++ b/src/gateway/create_reachability_test.ts
@@ -0,0 +1,100 @@
+import { setTimeout as sleep } from "node:timers/promises";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import type { UpstreamLiveness } from "./create_liveness_check.ts";
+import {
+  createReachability,
+  type ReachabilityChange,
+} from "./create_reachability.ts";
+
+const SERVICE = "s";
+
+/** Reachability of upstreams a1, a2, ... of which those in `up` accept connections. */
+function makeReachability(count: number, up: readonly string[]) {
+  const accepting = new Set(up);
+  const probed: string[] = [];
+  const changes: ReachabilityChange[] = [];
+  const upstreams = Array.from({ length: count }, (_, at) => ({
+    engineId: `e${at}`,
+    address: `a${at}`,
+  }));
+  const reachability = createReachability({
+    listUpstreams: (service) => service === SERVICE ? upstreams : [],
+    listServices: () => [SERVICE],
+    onChange: (change) => void changes.push(change),
+    probe(address): Promise<UpstreamLiveness> {
+      probed.push(address);
+      return Promise.resolve(accepting.has(address) ? "listening" : "ended");
+    },
+    now: () => performance.now(),
+    random: () => 0,
+    log: () => {},
+    metrics: { count: () => {}, gauge: () => {} },
+  });
+  return { reachability, accepting, probed, changes };
+}
+
+test("one upstream that accepts connections shows that the others are down", async () => {
+  const { reachability, probed } = makeReachability(10, ["a9"]);
+  assert.ok(await reachability.check(SERVICE));
+  assert.is(probed.length, 10);
+  assert.is(reachability.getSendMode(SERVICE), "any");
+});
+
+test("a few upstreams are probed where they accept connections", async () => {
+  const up = Array.from({ length: 10 }, (_, at) => `a${at}`);
+  const { reachability, probed } = makeReachability(10, up);
+  await Promise.all([reachability.check(SERVICE), reachability.check(SERVICE)]);
+  assert.ok(await reachability.check(SERVICE));
+  assert.is(probed.length, 4);
+});
+
+test("a gateway that reaches no upstream is cut off, and says so once", async () => {
+  const { reachability, changes } = makeReachability(5, []);
+  let calls = 0;
+  const stopListening = reachability.onCutOff(SERVICE, () => calls += 1);
+  assert.not(await reachability.check(SERVICE));
+  assert.not(await reachability.check(SERVICE));
+  stopListening();
+  assert.is(calls, 1);
+  assert.equal(changes.map(({ isCutOff }) => isCutOff), [true]);
+  assert.equal(reachability.listCutOff(), [SERVICE]);
+  assert.ok(reachability.isInDoubt(SERVICE));
+  reachability[Symbol.dispose]();
+});
+
+test("open connections are used only while data arrives over them", async () => {
+  const { reachability } = makeReachability(2, []);
+  reachability.noteReceived(SERVICE);
+  await sleep(2);
+  await reachability.check(SERVICE);
+  assert.is(reachability.getSendMode(SERVICE), "none");
+  await sleep(2);
+  reachability.noteReceived(SERVICE);
+  assert.is(reachability.getSendMode(SERVICE), "openConnections");
+  reachability[Symbol.dispose]();
+});
+
+test("a partition ends once an upstream accepts connections again", async () => {
+  const { reachability, accepting, changes } = makeReachability(3, []);
+  await reachability.check(SERVICE);
+  accepting.add("a1");
+  while (reachability.isCutOff(SERVICE)) await sleep(5);
+  assert.equal(changes.map(({ isCutOff }) => isCutOff), [true, false]);
+  assert.ok(await reachability.check(SERVICE));
+  reachability[Symbol.dispose]();
+});
+
+test("an upstream itself is no evidence that others are reached", async () => {
+  const { reachability } = makeReachability(2, ["a0"]);
+  assert.not(await reachability.reachesOthers("e0", SERVICE));
+  assert.ok(await reachability.reachesOthers("e1", SERVICE));
+});
+
+test("a service without upstreams is not cut off", async () => {
+  const { reachability, probed } = makeReachability(3, []);
+  assert.ok(await reachability.check("other"));
+  assert.equal(probed, []);
+});
+
+test.run();
--- a/src/gateway/create_run_monitor.ts
+++ b/src/gateway/create_run_monitor.ts
@@ -48,6 +48,11 @@
   readonly onNotice?: (engineId: string, notice: EngineNotice) => void;
   /** Whether an engine may be probed now; by default, any may. */
   readonly mayProbe?: (engineId: string) => boolean;
+  /**
+   * Whether an engine that does not answer has failed, rather than this gateway's path
+   * to all engines; by default, it has.
+   */
+  readonly confirmFailure?: (engineId: string) => Promise<boolean>;
   /** Called when an engine is found to have failed. */
   readonly onEngineFailed: (engineId: string, reason: string) => void;
   /**
@@ -136,6 +141,7 @@
 export function createRunMonitor(options: CreateRunMonitorOptions): RunMonitor {
   const { engineControl, now, getProbeRank: getRank = () => 0 } = options;
   const { onNotice = () => {}, mayProbe: canProbe = () => true } = options;
+  const { confirmFailure = () => Promise.resolve(true) } = options;
   const runs = new Set<MonitoredRun>();
   const probedAtMs = new Map<string, number>();
   const failedAtMs = new Map<string, number>();
@@ -281,10 +287,10 @@
   ): Promise<void> {
     const { engineId } = engine;
     const state = await probePresence(engine);
+    if (state !== "absent" && state !== "silent") return;
+    if (!await confirmFailure(engineId)) return;
     if (state === "absent") markFailed(engineId, REFUSES_CONNECTIONS);
-    if (state === "silent" && isStillSilent()) {
-      markFailed(engineId, "does not answer");
-    }
+    else if (isStillSilent()) markFailed(engineId, "does not answer");
   }
 
   // Returns undefined if the engine was probed a moment ago or may not be probed, or
@@ -313,8 +319,9 @@
   async function probeNamedEngine(engine: EngineAddress): Promise<void> {
     const { engineId } = engine;
     const state = await probePresence(engine);
-    if (state === "absent") markFailed(engineId, REFUSES_CONNECTIONS);
-    if (state !== "silent") return;
+    if (state !== "absent" && state !== "silent") return;
+    if (!await confirmFailure(engineId)) return;
+    if (state === "absent") return markFailed(engineId, REFUSES_CONNECTIONS);
     failedAtMs.set(engineId, now());
     options.onEngineFailed(
       engineId,
--- a/src/gateway/engine_view.ts
+++ b/src/gateway/engine_view.ts
@@ -26,6 +26,8 @@
   reportedLoad: number;
   /** Time, in ms, until which it is excluded as suspected. */
   suspectUntilMs: number;
+  /** Time, in ms, at which it was last excluded. */
+  suspectedMs: number;
   /** Time, in ms, until which it counts as full. */
   fullUntilMs: number;
   /** How often in a row it was suspected. */
@@ -110,6 +112,7 @@
     tokensAtReport: 0,
     reportedLoad: 0,
     suspectUntilMs: 0,
+    suspectedMs: -Infinity,
     fullUntilMs: 0,
     suspicions: 0,
     failureShare: 0,
--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -17,7 +17,11 @@
   listenForCallers,
 } from "./create_caller_server.ts";
 import { createConfigLease } from "./create_config_lease.ts";
-import { createLivenessCheck } from "./create_liveness_check.ts";
+import {
+  createLivenessCheck,
+  probeAddress,
+  type UpstreamAddress,
+} from "./create_liveness_check.ts";
 import { createEngineNotices } from "./create_engine_notices.ts";
 import { createEngineTable } from "./create_engine_table.ts";
 import { createStreamEndRate } from "./create_stream_end_rate.ts";
@@ -28,6 +32,10 @@
 import { createLeaderLink } from "./create_leader_link.ts";
 import { createAbandonedRuns } from "./create_abandoned_runs.ts";
 import { createLostEngineReports } from "./create_lost_engine_reports.ts";
+import {
+  createReachability,
+  type ReachabilityChange,
+} from "./create_reachability.ts";
 import { createPauseTracker } from "./create_pause_tracker.ts";
 import { createQuarantine } from "./create_quarantine.ts";
 import { createRateLimits } from "./create_rate_limits.ts";
@@ -101,6 +109,9 @@
 /** Time within which callers and other gateways learn that this one is leaving. */
 const LEAVE_PROPAGATION_MS = 2_500;
 
+/** Ms before a partition was found out in which it may have caused failures. */
+const SUSPICIONS_BEFORE_CUT_MS = 1_000;
+
 /** Part of the grace period reserved for the exit of the process. */
 const EXIT_MARGIN_MS = 400;
 
@@ -188,6 +199,16 @@
     now: steadyNow,
     elapsedNow: now,
   });
+  const reachability = createReachability({
+    listUpstreams: listProbedUpstreams,
+    listServices: engines.listServices,
+    onChange: handleReachabilityChange,
+    probe: probeAddress,
+    now,
+    random: Math.random,
+    log,
+    metrics,
+  });
   const quarantine = createQuarantine({
     onUpdateDue: () => link.scheduleHeartbeat(),
     now,
@@ -199,6 +220,7 @@
     pauseTracker,
     runMonitor: createRunMonitor({
       engineControl: options.engineControl,
+      confirmFailure: reachesServiceOf,
       onEngineFailed: reportFailedEngine,
       getProbeRank: lostEngineReports.getProbeRank,
       onPace: engines.noteSlowness,
@@ -259,6 +281,36 @@
     link.scheduleHeartbeat();
   }
 
+  // Other gateways leave an engine on the reports of a few, so a gateway that reaches
+  // no engine at all must not report any.
+  async function reachesServiceOf(engineId: string): Promise<boolean> {
+    const service = engines.get(engineId)?.record.service;
+    return service === undefined || await reachability.check(service);
+  }
+
+  // A request over several engines starts at one that holds the first layer.
+  function listProbedUpstreams(service: string): UpstreamAddress[] {
+    const isLayered =
+      config.getTable()?.getService(service)?.model !== undefined;
+    return engines.list(service)
+      .filter(({ record }) => !isLayered || record.layers?.fromLayer === 0)
+      .sort((a, b) => b.answeredMs - a.answeredMs)
+      .map(({ record: { engineId, address } }) => ({ engineId, address }));
+  }
+
+  function handleReachabilityChange(change: ReachabilityChange): void {
+    const { service, isCutOff, sinceMs } = change;
+    if (isCutOff) engines.dropSuspects(service);
+    else {
+      engines.clearSuspicions(service, sinceMs - SUSPICIONS_BEFORE_CUT_MS);
+      // Connections that were open during the partition may stay silent for good.
+      engines.list(service).forEach(({ record }) =>
+        upstreamTransport.removeUpstream(record.engineId)
+      );
+    }
+    link.scheduleHeartbeat();
+  }
+
   // A leave that the leader may not know is reported to it at once.
   function handleNotice(engineId: string, notice: EngineNotice): void {
     const isNewLeave = notice.isLeaving && !engines.isLeaving(engineId);
@@ -283,7 +335,8 @@
         return config.applyChange(message);
       case "engines":
         knowsEngines = true;
-        return engines.applyUpdate(message);
+        engines.applyUpdate(message);
+        return reachability.handleUpstreamsChanged();
       case "loads":
         rates.update(message.activity);
         return engines.updateLoads(message.loads);
@@ -310,7 +363,10 @@
     getGateway: () => ({ vm, place, address, isReady: isReady() }),
     getGatewayCount: () => gateways.list().length,
     getVersion: config.getBaseVersion,
-    takeSuspects: engines.takeSuspects,
+    takeSuspects: () =>
+      engines.takeSuspects(({ record }) =>
+        !reachability.isInDoubt(record.service)
+      ),
     takeLostEngines: lostEngineReports.take,
     takeSlowEngines: pauseTracker.takeSlowEngines,
     listUnreportedLeaving: engines.listUnreportedLeaving,
@@ -379,6 +435,7 @@
     await link[Symbol.asyncDispose]();
     server.server.closeAllConnections();
     await server.close();
+    reachability[Symbol.dispose]();
     await upstreamTransport[Symbol.asyncDispose]();
   }
 
--- a/src/logs/events.ts
+++ b/src/logs/events.ts
@@ -248,6 +248,16 @@
     "info",
     "No connection to an upstream; nothing of the request was sent",
   ),
+  serviceCutOff: event(
+    "CL1732",
+    "warn",
+    "No upstream of the service can be reached from here",
+  ),
+  serviceReached: event(
+    "CL1733",
+    "info",
+    "Upstreams of the service can be reached again",
+  ),
   runsSpent: event(
     "CL1813",
     "warn",
--- a/src/metrics/metric_catalogue.ts
+++ b/src/metrics/metric_catalogue.ts
@@ -104,6 +104,11 @@
   "grants.unanswered": "Grant requests that the leader did not answer",
   "requests.withheld":
     "Requests withheld because their upstream backed off or left before they were sent",
+  "services.cut_off": "Services whose upstreams this gateway can't reach",
+  "services.partitions":
+    "Times at which this gateway was cut off from a service's upstreams",
+  "upstream.reach_probes":
+    "Connections opened to find out whether upstreams can be reached",
   "engines.left_out":
     "Registered upstreams that this gateway leaves out after failures",
   "engines.suspected":
--- /dev/null
+++ b/test/cut_off_evidence_test.ts
@@ -0,0 +1,50 @@
+/**
+ * What a gateway that is cut off from upstreams makes others believe of them.
+ */
+
+import { setTimeout as sleep } from "node:timers/promises";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { call, startServingFleet } from "./support/fleet.ts";
+import {
+  type LoggedLine,
+  startPartitionedGateway,
+} from "./support/start_partitioned_gateway.ts";
+
+/** Events of a stream; it runs for some 2 s. */
+const EVENTS = 400;
+
+/** Streams that a gateway runs when it is cut off. */
+const STREAMS = 6;
+
+/** Starts streams a few ms apart, and doesn't wait for their ends. */
+async function startStreams(address: string): Promise<Promise<unknown>[]> {
+  const streams: Promise<unknown>[] = [];
+  for (let at = 0; at < STREAMS; at++) {
+    streams.push(call(address, { path: "/stream/1" }).catch(() => {}));
+    await sleep(20);
+  }
+  return streams;
+}
+
+for (const kind of ["hang", "reset"] as const) {
+  test(`two gateways that are cut off don't make others leave out healthy engines: ${kind}`, async () => {
+    const lines: LoggedLine[] = [];
+    await using fleet = await startServingFleet({
+      controls: 1,
+      events: EVENTS,
+      log: (event, fields = {}) => void lines.push({ event, fields }),
+    });
+    await using one = await startPartitionedGateway(fleet);
+    await using two = await startPartitionedGateway(fleet);
+    const [healthy] = fleet.gateways;
+    const addresses = [healthy.address, one.address, two.address];
+    const streams = await Promise.all(addresses.map(startStreams));
+    for (const gateway of [one, two]) gateway.cut(kind);
+    await Promise.all(streams.flat());
+    const suspected = lines.filter(({ event }) => event === "engineSuspected");
+    assert.equal(suspected, []);
+  });
+}
+
+test.run();
--- a/test/support/start_partitioned_gateway.ts
+++ b/test/support/start_partitioned_gateway.ts
@@ -33,6 +33,8 @@
   /** Cuts it off from upstreams; from all of the fleet by default. */
   cut(kind: PartitionKind, upstreams?: readonly LayerEngine[]): void;
   heal(): void;
+  /** Ends it abruptly. */
+  kill(): Promise<void>;
 }
 
 const WORKER = new URL("./partitioned_gateway_worker.js", import.meta.url);
@@ -63,6 +65,7 @@
     },
   });
   const lines: LoggedLine[] = [];
+  let isKilled = false;
   let state = { isReady: false, addresses: [] as readonly string[] };
   const stopped = new Promise<void>((resolve, reject) => {
     worker.on("error", reject);
@@ -86,7 +89,12 @@
         partition: { kind, ports: upstreams.map(getPort) },
       }),
     heal: () => send({ type: "heal" }),
+    async kill() {
+      isKilled = true;
+      await worker.terminate();
+    },
     async [Symbol.asyncDispose]() {
+      if (isKilled) return;
       send({ type: "stop" });
       await stopped;
       await worker.terminate();
