A refused connection is a crash only where other upstreams accept one

Cause: ECONNREFUSED was taken for the word of the engine's machine. A switch or a firewall in between refuses too. Class: what one process can't reach is taken for not there.

Change: a refusal proves an end only while this gateway reaches another upstream of the service (of any service where there is no other one).

Not covered: a partition from some engines of a service only. Their refusal still counts, as others accept; only the leader, which hears their heartbeats, could tell.

--- a/src/gateway/create_liveness_check.ts
+++ b/src/gateway/create_liveness_check.ts
@@ -57,9 +57,15 @@
     /** Monotonic time, in ms. */
     readonly now: () => number;
     readonly probe?: ProbeAddress;
+    /**
+     * Whether other upstreams can be reached now. A machine in between may refuse
+     * connections too, so without that a refusal proves nothing; by default they can.
+     */
+    readonly reachesOthers?: (engineId: string) => Promise<boolean>;
   },
 ): LivenessCheck {
   const { now, probe = probeAddress } = options;
+  const { reachesOthers = () => Promise.resolve(true) } = options;
   const recentChecks = new Map<
     string,
     { readonly atMs: number; readonly answer: Promise<UpstreamLiveness> }
@@ -71,12 +77,21 @@
     }
   }
 
+  async function checkNow(
+    { engineId, address }: UpstreamAddress,
+  ): Promise<UpstreamLiveness> {
+    const liveness = await probe(address, { timeoutMs: PROBE_TIMEOUT_MS });
+    if (liveness !== "ended") return liveness;
+    return await reachesOthers(engineId) ? "ended" : "unknown";
+  }
+
   return {
-    check({ engineId, address }) {
+    check(upstream) {
+      const { engineId } = upstream;
       evictExpired();
       const cached = recentChecks.get(engineId);
       if (cached) return cached.answer;
-      const answer = probe(address, { timeoutMs: PROBE_TIMEOUT_MS });
+      const answer = checkNow(upstream);
       recentChecks.set(engineId, { atMs: now(), answer });
       return answer;
     },
--- a/src/gateway/create_liveness_check_test.ts
+++ b/src/gateway/create_liveness_check_test.ts
@@ -37,4 +37,16 @@
   assert.is(probed.length, 2);
 });
 
+test("a refusal proves nothing where other upstreams can't be reached either", async () => {
+  const createCheck = (reaches: boolean) =>
+    createLivenessCheck({
+      now: () => 0,
+      probe: () => Promise.resolve("ended"),
+      reachesOthers: () => Promise.resolve(reaches),
+    });
+  const upstream = { engineId: "e1", address: "h:1" };
+  assert.is(await createCheck(false).check(upstream), "unknown");
+  assert.is(await createCheck(true).check(upstream), "ended");
+});
+
 test.run();
--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -240,7 +240,13 @@
     throttle: createBackOffThrottle({ now: steadyNow }),
     responseTimes: createResponseTimes(),
     upstreamTransport,
-    livenessCheck: createLivenessCheck({ now }),
+    livenessCheck: createLivenessCheck({
+      now,
+      reachesOthers: (engineId) => {
+        const service = engines.get(engineId)?.record.service ?? "";
+        return reachability.reachesOthers(engineId, service);
+      },
+    }),
     quarantine,
     abandonedRuns: createAbandonedRuns({ now }),
     budget,
--- a/test/cut_off_evidence_test.ts
+++ b/test/cut_off_evidence_test.ts
@@ -47,4 +47,15 @@
   });
 }
 
+test("a refused connection is no crash of an engine when all others refuse too", async () => {
+  await using fleet = await startServingFleet({ controls: 1, events: EVENTS });
+  await using gateway = await startPartitionedGateway(fleet);
+  const streams = await startStreams(gateway.address);
+  gateway.cut("reset");
+  await Promise.all(streams);
+  const events = gateway.lines.map(({ event }) => event);
+  assert.not(events.includes("upstreamEnded"));
+  assert.not(events.includes("requestHeldBack"));
+});
+
 test.run();
