Few upstreams may all be down: other services show whether paths are lost

Change: all registered upstreams of the service count as evidence, also engines that hold no first layer; where there are fewer than four others, those of other services do too. Four or more that all refuse are a partition sooner than a crash of each.

Left: a partition from a service of fewer than five upstreams, while other services are reached and new connections are refused, still counts as crashes.

--- a/src/gateway/create_reachability.ts
+++ b/src/gateway/create_reachability.ts
@@ -24,6 +24,8 @@
 export interface CreateReachabilityOptions {
   /** Upstreams of a service at which requests start, most recently heard first. */
   readonly listUpstreams: (service: string) => readonly UpstreamAddress[];
+  /** All registered upstreams of a service. */
+  readonly listRegistered: (service: string) => readonly UpstreamAddress[];
   /** Services with registered upstreams. */
   readonly listServices: () => readonly string[];
   /** Called when this gateway is cut off from a service, and when it no longer is. */
@@ -124,6 +126,12 @@
 /** Time, in ms, for which received data shows that open connections are alive. */
 const RECEIVED_TTL_MS = 300;
 
+/**
+ * Upstreams of a service that hardly are down all at once. Where there are fewer, those
+ * of other services show whether this gateway has lost its paths.
+ */
+const MIN_CONCLUSIVE_UPSTREAMS = 4;
+
 /**
  * Creates the reachability of services. It probes only after something has failed, and
  * while it is cut off.
@@ -296,12 +304,14 @@
     isInDoubt: (service) =>
       isCutOff(service) || services.get(service)?.check !== undefined,
     async reachesOthers(engineId, service) {
-      const isOther = (one: UpstreamAddress) => one.engineId !== engineId;
-      const others = options.listUpstreams(service).filter(isOther);
-      const anyOthers = others.length > 0
-        ? others
-        : options.listServices().flatMap(options.listUpstreams).filter(isOther);
-      return (await probeRound(anyOthers)).reached > 0;
+      const others = options.listRegistered(service)
+        .filter((one) => one.engineId !== engineId);
+      if ((await probeRound(others)).reached > 0) return true;
+      if (others.length >= MIN_CONCLUSIVE_UPSTREAMS) return false;
+      const elsewhere = options.listServices()
+        .filter((other) => other !== service)
+        .flatMap(options.listRegistered);
+      return (await probeRound(elsewhere)).reached > 0;
     },
     noteReceived(service) {
       getState(service).receivedMs = now();
--- a/src/gateway/create_reachability_test.ts
+++ b/src/gateway/create_reachability_test.ts
@@ -10,7 +10,11 @@
 const SERVICE = "s";
 
 /** Reachability of upstreams a1, a2, ... of which those in `up` accept connections. */
-function makeReachability(count: number, up: readonly string[]) {
+function makeReachability(
+  count: number,
+  up: readonly string[],
+  elsewhere: readonly string[] = [],
+) {
   const accepting = new Set(up);
   const probed: string[] = [];
   const changes: ReachabilityChange[] = [];
@@ -20,7 +24,11 @@
   }));
   const reachability = createReachability({
     listUpstreams: (service) => service === SERVICE ? upstreams : [],
-    listServices: () => [SERVICE],
+    listRegistered: (service) =>
+      service === SERVICE
+        ? upstreams
+        : elsewhere.map((address) => ({ engineId: address, address })),
+    listServices: () => [SERVICE, "elsewhere"],
     onChange: (change) => void changes.push(change),
     probe(address): Promise<UpstreamLiveness> {
       probed.push(address);
@@ -91,6 +99,13 @@
   assert.ok(await reachability.reachesOthers("e1", SERVICE));
 });
 
+test("a few upstreams may all be down, so those of other services count too", async () => {
+  const few = makeReachability(3, ["other"], ["other"]);
+  assert.ok(await few.reachability.reachesOthers("e0", SERVICE));
+  const many = makeReachability(5, ["other"], ["other"]);
+  assert.not(await many.reachability.reachesOthers("e0", SERVICE));
+});
+
 test("a service without upstreams is not cut off", async () => {
   const { reachability, probed } = makeReachability(3, []);
   assert.ok(await reachability.check("other"));
--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -24,6 +24,7 @@
 } from "./create_liveness_check.ts";
 import { createEngineNotices } from "./create_engine_notices.ts";
 import { createEngineTable } from "./create_engine_table.ts";
+import type { EngineView } from "./engine_view.ts";
 import { createStreamEndRate } from "./create_stream_end_rate.ts";
 import { createFleetRates } from "./create_fleet_rates.ts";
 import { createUpstreamTransport } from "./create_upstream_transport.ts";
@@ -201,6 +202,7 @@
   });
   const reachability = createReachability({
     listUpstreams: listProbedUpstreams,
+    listRegistered: (service) => engines.list(service).map(getAddress),
     listServices: engines.listServices,
     onChange: handleReachabilityChange,
     probe: probeAddress,
@@ -301,7 +303,12 @@
     return engines.list(service)
       .filter(({ record }) => !isLayered || record.layers?.fromLayer === 0)
       .sort((a, b) => b.answeredMs - a.answeredMs)
-      .map(({ record: { engineId, address } }) => ({ engineId, address }));
+      .map(getAddress);
+  }
+
+  function getAddress({ record }: EngineView): UpstreamAddress {
+    const { engineId, address } = record;
+    return { engineId, address };
   }
 
   function handleReachabilityChange(change: ReachabilityChange): void {
