A gateway that is cut off from a service passes its requests to peers

What callers saw: first tries at gateways that had lost their paths to all engines were refused as no_upstream after 1.0 to 1.9 s, or ended at their deadline, for as long as the cut lasted: 0 of 44, 5 of 40, 3 of 53 and 125 of 193 served, at the other gateways all but one.

Cause: a gateway keeps failures engine by engine and never concludes that it is its own path that is gone. Class: what one process can't reach is taken for not there.

Change: while cut off from a service a gateway passes each request to a peer's interface for callers, with a mark. The peer sends it to one engine at most and never passes it on, so the hop is one run of the gateway's own: attempts, the retry budget and the promise of a 503 hold over both. Peers in the same data centre come first, each for one gateway's load; one that is cut off itself, leaving or behind in its configuration doesn't answer for the gateway. The beat names the services that a gateway can't reach. Connections that are open and deliver data are used; a call that must not be repeated goes over a new connection where an engine has been silent for 0.7 s; one that waits for a connection for 0.1 s, or for an answer three times as long as usual, asks for a check. Where no peer can serve, the refusal comes at once (cut_off).

Weighed: the list of addresses alone (callers that hold an old list have failed their first try; measured below), a stream of its own between gateways (authorisation, admission, limits, quarantine, resumption and back-pressure would be needed a second time; not built).

Old builds take forwarded requests as callers' and ignore the field of the beat.

--- a/src/fleet/create_gateway_recorder.ts
+++ b/src/fleet/create_gateway_recorder.ts
@@ -49,7 +49,17 @@
   recorded: ReadonlyMap<string, GatewayRecord>,
 ): FleetCommand | undefined {
   if (!published) return undefined;
-  const { changed, gone } = findMapChanges(recorded, published, isSameGateway);
+  const lasting = new Map(
+    [...published].map(([vm, gateway]) => [vm, omitReachability(gateway)]),
+  );
+  const { changed, gone } = findMapChanges(recorded, lasting, isSameGateway);
   if (changed.length + gone.length === 0) return undefined;
   return { type: "gateways", changed, lost: gone };
 }
+
+// A new leader hears from each gateway itself which services it reaches.
+function omitReachability(
+  { vm, place, address, isReady }: GatewayRecord,
+): GatewayRecord {
+  return { vm, place, address, isReady };
+}
--- a/src/fleet/create_gateway_sessions.ts
+++ b/src/fleet/create_gateway_sessions.ts
@@ -281,9 +281,9 @@
     if (beat.leaving) options.onLeavingEngines(beat.leaving);
     beat.limits?.forEach(options.limits.take);
     options.quarantine.take(gateway.vm, beat);
-    if (gateway.isReady !== beat.isReady) {
-      session.gateway = { ...gateway, isReady: beat.isReady };
-    }
+    const { isReady, cutOffServices } = beat;
+    const current = { ...gateway, isReady, cutOffServices };
+    if (!isSameGateway(gateway, current)) session.gateway = current;
     if (beat.slowEngines) options.onSlowEngines(beat.slowEngines);
     if (!options.hasLease()) return;
     acknowledge(session, beat.sentMs);
--- a/src/fleet/is_same_gateway.ts
+++ b/src/fleet/is_same_gateway.ts
@@ -18,5 +18,10 @@
  */
 export function isSameGateway(a: GatewayRecord, b: GatewayRecord): boolean {
   return a.vm === b.vm && a.place === b.place && a.address === b.address &&
-    a.isReady === b.isReady;
+    a.isReady === b.isReady &&
+    formatServices(a) === formatServices(b);
+}
+
+function formatServices({ cutOffServices = [] }: GatewayRecord): string {
+  return JSON.stringify([...cutOffServices].sort());
 }
--- a/src/fleet/messages.ts
+++ b/src/fleet/messages.ts
@@ -19,6 +19,8 @@
   readonly address: string;
   /** Whether callers may be routed to it. */
   readonly isReady: boolean;
+  /** Services whose upstreams it can't reach; absent if none. */
+  readonly cutOffServices?: readonly string[];
 }
 
 /**
@@ -103,6 +105,8 @@
     readonly isReady: boolean;
     /** Version of the configuration in force there; absent if already reported. */
     readonly version?: number;
+    /** Services whose upstreams it can't reach; absent if none. */
+    readonly cutOffServices?: readonly string[];
     /** Engines that did not respond to it. */
     readonly suspects: readonly string[];
     /** Engines that it found failed by probing; absent if none. */
--- a/src/gateway/create_leader_link.ts
+++ b/src/gateway/create_leader_link.ts
@@ -356,10 +356,12 @@
     const leaving = options.listUnreportedLeaving();
     const repeatsWanted = options.getWantedLoans();
     const limits = options.takeLimitReports();
+    const { isReady, cutOffServices } = options.getGateway();
     send(session, {
       type: "beat",
       sentMs: now(),
-      isReady: options.getGateway().isReady,
+      isReady,
+      ...(cutOffServices ? { cutOffServices } : {}),
       suspects: options.takeSuspects(),
       ...(hasNewLoads ? { loads } : {}),
       ...(isNewVersion ? { version } : {}),
--- a/src/gateway/create_request_handler.ts
+++ b/src/gateway/create_request_handler.ts
@@ -56,6 +56,19 @@
   retryAfterMs: 20,
 };
 
+/** Requests of other gateways that are always served at the same time. */
+const MIN_FORWARDED_LIMIT = 64;
+
+/** Requests of other gateways that are served for each one of this gateway's callers. */
+const FORWARDED_PER_OWN = 4;
+
+/** Refusal of a request of another gateway, which tries a third one. */
+const PEER_LIMIT_REFUSAL: Refusal = {
+  status: 503,
+  reason: "peer_limit",
+  retryAfterMs: 500,
+};
+
 /** A request whose body was read completely. */
 type BufferedRequest = Pick<
   Call,
@@ -77,6 +90,7 @@
   const { context, lease } = options;
   const { codec, now, log, metrics, budget } = context;
   let inFlight = 0;
+  let forwardedInFlight = 0;
 
   async function handle(received: ReceivedRequest): Promise<void> {
     const startedMs = now();
@@ -125,8 +139,16 @@
     if (decision.type === "refuse") {
       return refuse(request, response, decision.refusal);
     }
-    const { route, service } = decision.call;
-    budget.noteRequest(service);
+    const isForwarded = request.forwardedBy !== undefined;
+    if (isForwarded && !mayTakeForwarded()) {
+      return refuse(request, response, PEER_LIMIT_REFUSAL);
+    }
+    const { service } = decision.call;
+    const route = isForwarded
+      ? { ...decision.call.route, maxAttempts: 1 }
+      : decision.call.route;
+    // The gateway that passed it on has counted it.
+    if (!isForwarded) budget.noteRequest(service);
     const limitMs = Math.min(request.deadlineMs ?? Infinity, route.timeoutMs);
     const deadlineMs = startedMs + limitMs;
     if (route.isStream && !canEndInGrace()) {
@@ -140,13 +162,27 @@
     const call: Call = {
       ...buffered,
       ...decision.call,
+      route,
       requestKey,
       deadlineMs,
     };
-    if (route.isStream) {
-      context.rates.noteRequest(service);
-      await serveStreamCall(call, context);
-    } else await servePlainCall(call, context);
+    if (route.isStream && !isForwarded) context.rates.noteRequest(service);
+    const serveCall = route.isStream ? serveStreamCall : servePlainCall;
+    if (!isForwarded) return await serveCall(call, context);
+    metrics.count("peers.taken");
+    forwardedInFlight += 1;
+    try {
+      await serveCall(call, context);
+    } finally {
+      forwardedInFlight -= 1;
+    }
+  }
+
+  // The work of other gateways must not crowd out this gateway's own callers.
+  function mayTakeForwarded(): boolean {
+    const ownInFlight = inFlight - forwardedInFlight;
+    return forwardedInFlight <
+      Math.max(MIN_FORWARDED_LIMIT, FORWARDED_PER_OWN * ownInFlight);
   }
 
   // A planned stop ends streams that still run, and callers that can't resume lose
--- a/src/gateway/create_run_record.ts
+++ b/src/gateway/create_run_record.ts
@@ -29,6 +29,8 @@
 export interface RunRecord {
   /** Records that the call ran on an upstream. */
   note(upstream: UpstreamAddress): void;
+  /** Records that the call ran on an upstream that only another gateway knows. */
+  noteElsewhere(): void;
   /**
    * Whether the call may run on another upstream. Upstreams known to have crashed
    * don't count.
@@ -51,6 +53,7 @@
 export function createRunRecord(options: CreateRunRecordOptions): RunRecord {
   const { maxAttempts, engines, livenessCheck: upstreamCheck } = options;
   const ranOn = new Map<string, UpstreamAddress>();
+  let runsElsewhere = 0;
 
   function listPossiblyAlive(): UpstreamAddress[] {
     return [...ranOn.values()]
@@ -66,7 +69,11 @@
     note(upstream) {
       ranOn.set(upstream.engineId, upstream);
     },
-    mayRunElsewhere: () => listPossiblyAlive().length < maxAttempts,
+    noteElsewhere() {
+      runsElsewhere += 1;
+    },
+    mayRunElsewhere: () =>
+      listPossiblyAlive().length + runsElsewhere < maxAttempts,
     async detectCrashes() {
       await Promise.all(listPossiblyAlive().map(checkLiveness));
     },
--- a/src/gateway/create_upstream_transport.ts
+++ b/src/gateway/create_upstream_transport.ts
@@ -56,6 +56,11 @@
   start(options: ExchangeOptions): Exchange;
   /** Whether there is an idle connection to an upstream. */
   hasIdleConnection(engineId: string): boolean;
+  /**
+   * Closes the idle connections to an upstream from which no answer has come for longer
+   * than `maxSilenceMs`.
+   */
+  closeSilent(engineId: string, maxSilenceMs: number): void;
   /** Closes the idle connections to an upstream that has departed. */
   removeUpstream(engineId: string): void;
 }
@@ -93,6 +98,7 @@
   { onNotice = () => {} }: CreateUpstreamTransportOptions = {},
 ): UpstreamTransport {
   const pools = new Map<string, Pool>();
+  const answeredMs = new Map<string, number>();
   let isClosed = false;
   // True while the end of a connection that was reset is being handled; the library
   // ends the answer in the same event loop turn.
@@ -170,6 +176,7 @@
       },
       onResponseStart(_controller, status, answerHeaders) {
         if (status < 200) return;
+        if (pools.has(engineId)) answeredMs.set(engineId, performance.now());
         const head = codec.readUpstreamHead(status, answerHeaders);
         onNotice(engineId, head);
         if (isEnded) return;
@@ -203,14 +210,27 @@
     };
   }
 
+  function hasIdleConnection(engineId: string): boolean {
+    return (pools.get(engineId)?.stats.free ?? 0) > 0;
+  }
+
+  function removeUpstream(engineId: string): void {
+    const pool = pools.get(engineId);
+    pools.delete(engineId);
+    answeredMs.delete(engineId);
+    void pool?.close().catch(() => {});
+  }
+
   return {
     start,
-    hasIdleConnection: (engineId) => (pools.get(engineId)?.stats.free ?? 0) > 0,
-    removeUpstream(engineId) {
-      const pool = pools.get(engineId);
-      pools.delete(engineId);
-      void pool?.close().catch(() => {});
+    hasIdleConnection,
+    closeSilent(engineId, maxSilenceMs) {
+      if (!hasIdleConnection(engineId)) return;
+      const silenceMs = performance.now() -
+        (answeredMs.get(engineId) ?? -Infinity);
+      if (silenceMs > maxSilenceMs) removeUpstream(engineId);
     },
+    removeUpstream,
     async [Symbol.asyncDispose]() {
       isClosed = true;
       await Promise.all([...pools.values()].map((pool) => pool.destroy()));
--- a/src/gateway/protocol.ts
+++ b/src/gateway/protocol.ts
@@ -30,6 +30,18 @@
   readonly maxAnswerTokens: number;
   /** Unaltered header fields, as alternating names and values. */
   readonly rawHeaders: readonly string[];
+  /**
+   * Gateway that passed the request on because it is cut off from the service; absent
+   * if a caller sent it. Never trusted for more than to limit the request.
+   */
+  readonly forwardedBy?: string;
+}
+
+/** What a gateway adds to a request that it passes on to another gateway. */
+export interface PeerEnvelope {
+  readonly forwardedBy: string;
+  readonly deadlineMs: number;
+  readonly lastEventId: string | undefined;
 }
 
 /** What a gateway adds to a caller's request before it sends it to an upstream. */
@@ -87,6 +99,7 @@
     request: CallerRequest,
     envelope: UpstreamEnvelope,
   ): string[];
+  formatPeerHeaders(request: CallerRequest, envelope: PeerEnvelope): string[];
   readUpstreamHead(
     status: number,
     headers: Readonly<Record<string, string | string[] | undefined>>,
--- a/src/gateway/serve_plain_call.ts
+++ b/src/gateway/serve_plain_call.ts
@@ -25,6 +25,12 @@
 import type { SendGrant } from "./create_rate_limits.ts";
 import { getLimitWaitMs } from "./get_limit_wait_ms.ts";
 import { listSendableEngines } from "./list_sendable_engines.ts";
+import { listUnconnected } from "./list_unconnected.ts";
+import { makeCutOffRefusal } from "./make_cut_off_refusal.ts";
+import {
+  type ForwardedEnd,
+  startForwardedExchange,
+} from "./start_forwarded_exchange.ts";
 import { requestGrant } from "./request_grant.ts";
 import { jitterRetryAfterMs } from "./jitter_retry_after_ms.ts";
 import { startCallExchange } from "./start_call_exchange.ts";
@@ -36,6 +42,18 @@
 /** Retry delay, in ms, given to a caller whose call no upstream accepted. */
 const RETRY_AFTER_MS = 300;
 
+/** Least silence, in ms, after which the reachability of the upstreams is checked. */
+const MIN_SILENCE_MS = 200;
+
+/** The same as a multiple of the service's mean response time. */
+const SILENCE_FACTOR = 3;
+
+/**
+ * Ms without an answer from an upstream after which a call that must not be repeated
+ * needs a new connection.
+ */
+const MAX_UNPROVEN_MS = 700;
+
 /** Lowest HTTP status that reports a failure of the upstream itself. */
 const FIRST_SERVER_ERROR = 500;
 
@@ -63,9 +81,10 @@
 ): Promise<void> {
   return new Promise((resolve) => {
     const { request, route, service } = call;
-    const { engines, now, log, metrics } = context;
+    const { engines, now, log, metrics, reachability } = context;
     const { requestId } = request;
     const excluded = new Set<string>();
+    const excludedPeers = new Set<string>();
     const payment = createAttemptCharge(() => context.budget.spend(service));
     const permit = createRunPermit(call, context);
     let sendCount = 0;
@@ -108,6 +127,7 @@
       if (callEnd.hasEnded()) return;
       // The deadline timer does not advance while the machine is suspended.
       if (now() >= call.deadlineMs) return endAtDeadline();
+      if (reachability.getSendMode(service) === "none") return forward();
       const answer = permit.request({ excluded });
       if (answer.type === "held") {
         const hasRun = runCount > 0;
@@ -123,6 +143,7 @@
       const engine = sendCount < MAX_SENDS
         ? chooseUpstream(trialEngineId)
         : undefined;
+      if (!engine && reachability.isCutOff(service)) return forward();
       if (!engine) return giveUp();
       const { engineId } = engine.record;
       const grant = context.rateLimits.takeGrant(engineId);
@@ -158,8 +179,13 @@
     function chooseAmong(
       isAllowed: (engineId: string) => boolean = () => true,
     ): EngineView | undefined {
+      const unconnected = reachability.isCutOff(service)
+        ? listUnconnected(call, context)
+        : [];
       const usable = listSendableEngines(call, context)
-        .filter(({ record }) => isAllowed(record.engineId));
+        .filter(({ record: { engineId } }) =>
+          isAllowed(engineId) && !unconnected.includes(engineId)
+        );
       return chooseEngine(usable, {
         place: context.place,
         excluded,
@@ -172,6 +198,63 @@
       });
     }
 
+    // The upstreams can't be reached from here, so another gateway has to send the call.
+    function forward(): void {
+      const peer = request.forwardedBy === undefined && sendCount < MAX_SENDS
+        ? context.peers.choose(service, { excluded: excludedPeers })
+        : undefined;
+      if (!peer || !payment.chargeNext()) return endCutOff();
+      sendCount += 1;
+      exchange = startForwardedExchange(call, context, {
+        peer,
+        lastEventId: request.lastEventId,
+        isRepeatable: route.repeatability !== "once",
+        onEnd(end) {
+          excludedPeers.add(peer.vm);
+          if (!callEnd.hasEnded()) handleForwardedEnd(end);
+        },
+      });
+    }
+
+    function endCutOff(): void {
+      if (runCount > 0) {
+        return callEnd.refuse({ status: 502, reason: "outcome_unknown" });
+      }
+      callEnd.refuse(makeCutOffRefusal(context.random()));
+    }
+
+    function handleForwardedEnd({ meaning, head, body }: ForwardedEnd): void {
+      const hasRun = meaning.type === "answered" || meaning.type === "unknown";
+      payment.noteEnd({ wasSent: hasRun });
+      if (meaning.type === "notTaken") return next();
+      if (meaning.type === "refused") {
+        if (runCount > 0) return endCutOff();
+        const { retryAfterMs = RETRY_AFTER_MS } = meaning;
+        const reason = "no_upstream";
+        return callEnd.refuse({ status: 503, reason, retryAfterMs });
+      }
+      runCount += 1;
+      const isAnswered = meaning.type === "answered" && head !== undefined;
+      const failed = !isAnswered || head.status >= FIRST_SERVER_ERROR;
+      if (failed && mayRunAgain()) return next();
+      if (isAnswered) return callEnd.forwardAnswer(head, body);
+      refuseBroken();
+    }
+
+    function mayRunAgain(): boolean {
+      return route.repeatability !== "once" && runCount < route.maxAttempts &&
+        now() < call.deadlineMs;
+    }
+
+    function refuseBroken(): void {
+      const isLate = now() >= call.deadlineMs;
+      callEnd.refuse(
+        isLate
+          ? { status: 504, reason: "deadline" }
+          : { status: 502, reason: "answer_broken" },
+      );
+    }
+
     function giveUp(): void {
       if (runCount > 0) {
         return callEnd.refuse({ status: 502, reason: "outcome_unknown" });
@@ -211,6 +294,13 @@
         runs: runCount,
       });
       sentMs = now();
+      // A connection that was silent for a while may be dead, and this call would be
+      // lost in it. A new one shows that the upstream can be reached.
+      if (
+        route.repeatability === "once" &&
+        reachability.getSendMode(service) === "any"
+      ) context.upstreamTransport.closeSilent(engineId, MAX_UNPROVEN_MS);
+      const stopWatching = watchSilence();
       exchange = startCallExchange(call, context, {
         engine: engine.record,
         path: [],
@@ -222,12 +312,39 @@
         onData: (chunk) => void chunks.push(chunk),
         onEnd: (how) => {
           engine.inFlight -= 1;
+          stopWatching();
           if (callEnd.hasEnded()) return;
           handleResult(engine, { how, head, body: Buffer.concat(chunks) });
         },
       });
     }
 
+    // A request in a connection that fell silent has no other sign of a partition.
+    function watchSilence(): () => void {
+      const usualMs = context.responseTimes.getMeanMs(service) ?? 0;
+      let waitMs = Math.max(MIN_SILENCE_MS, SILENCE_FACTOR * usualMs);
+      let isAnswered = false;
+      let timer = setTimeout(checkReachability, waitMs);
+
+      async function checkReachability(): Promise<void> {
+        waitMs *= 2;
+        timer = setTimeout(checkReachability, waitMs);
+        await reachability.check(service);
+        if (isAnswered || reachability.getSendMode(service) !== "none") return;
+        if (mayRunAgainAfterThis()) exchange?.abort("cut off");
+      }
+
+      return () => {
+        isAnswered = true;
+        clearTimeout(timer);
+      };
+    }
+
+    function mayRunAgainAfterThis(): boolean {
+      return route.repeatability !== "once" &&
+        runCount + 1 < route.maxAttempts;
+    }
+
     function handleResult(
       engine: EngineView,
       { how, head, body }: SendResult,
@@ -245,7 +362,7 @@
           reason: how.reason,
           tookMs: Math.round(now() - sentMs),
         });
-        return retry();
+        return void reachability.check(service).then(retry);
       }
       if (head?.load !== undefined) engine.reportedLoad = head.load;
       if (how.type === "complete" && head?.reportsNotRun) {
@@ -273,9 +390,7 @@
       if (how.type === "broken") engines.suspect(engineId, how.reason);
       else context.quarantine.noteProved(call.requestKey);
       endChecked = checkUpstreamEnd(engine, how);
-      const mayRetry = route.repeatability !== "once" &&
-        runCount < route.maxAttempts && now() < call.deadlineMs;
-      if (failed && mayRetry) {
+      if (failed && mayRunAgain()) {
         const wasBroken = how.type === "broken";
         metrics.countRetry(
           wasBroken ? "reset_before_answer" : "upstream_error",
@@ -286,12 +401,7 @@
         context.throttle.noteServed(service);
         return callEnd.forwardAnswer(head, body);
       }
-      const isLate = now() >= call.deadlineMs;
-      callEnd.refuse(
-        isLate
-          ? { status: 504, reason: "deadline" }
-          : { status: 502, reason: "answer_broken" },
-      );
+      refuseBroken();
     }
 
     function handleWithheld(engineId: string): void {
--- a/src/gateway/serve_stream_call.ts
+++ b/src/gateway/serve_stream_call.ts
@@ -21,7 +21,14 @@
 import { REFUSES_CONNECTIONS } from "./create_run_monitor.ts";
 import { createSendWaits } from "./create_send_waits.ts";
 import { createAttemptCharge } from "./create_attempt_charge.ts";
-import type { ExchangeEnd } from "./create_upstream_transport.ts";
+import type { Exchange, ExchangeEnd } from "./create_upstream_transport.ts";
+import { listUnconnected } from "./list_unconnected.ts";
+import { makeCutOffRefusal } from "./make_cut_off_refusal.ts";
+import {
+  type ForwardedStreamEnd,
+  isStream,
+  startForwardedStream,
+} from "./start_forwarded_stream.ts";
 import { createStreamRelay } from "./create_stream_relay.ts";
 import {
   detectUpstreamCrash,
@@ -41,6 +48,9 @@
 import { handleRefusal } from "./handle_refusal.ts";
 import type { Call, ServingContext } from "./types.ts";
 
+/** Silence, in ms, after which a run is taken for broken when a partition is found. */
+const CUT_OFF_SILENCE_MS = 150;
+
 /** Maximum number of sends of one call, including the ones that an upstream rejects. */
 const MAX_SENDS = 5;
 
@@ -82,6 +92,8 @@
     // Resolves once it is known whether the upstream of the last run crashed.
     let endChecked = Promise.resolve();
     let run: StreamRun | undefined;
+    let forwarded: Exchange | undefined;
+    const excludedPeers = new Set<string>();
 
     const tokens = getCallTokens(call, model);
     const relay = createStreamRelay({
@@ -116,6 +128,8 @@
         capacityWait.end();
         if (run) recordAbandonedRun(run);
         run?.abort(outcome);
+        forwarded?.abort(outcome);
+        stopListening();
         void endChecked.then(permit.noteRunEnd);
         resolve();
       },
@@ -132,6 +146,12 @@
       isCurrent: (sent) => run === sent && !callEnd.hasEnded(),
     });
 
+    // Runs that broke off are resumed elsewhere as soon as the cause is known.
+    const stopListening = context.reachability.onCutOff(service, () => {
+      if (!isResumable || relay.getSilenceMs() < CUT_OFF_SILENCE_MS) return;
+      run?.abort("cut off");
+    });
+
     function describe() {
       const { events, firstEventMs, longestPauseMs } = relay.getProgress();
       return {
@@ -161,6 +181,8 @@
       // The deadline timer does not advance while the machine is suspended.
       if (now() >= call.deadlineMs) return endAtDeadline();
       if (sendCount >= MAX_SENDS) return giveUp("too many tries");
+      const sendMode = context.reachability.getSendMode(service);
+      if (sendMode === "none") return forward();
       const answer = permit.request({ excluded });
       if (answer.type === "held") return endHeld(answer);
       if (answer.type === "wait") return void setTimeout(next, PERMIT_POLL_MS);
@@ -172,14 +194,19 @@
       const isNew = runCount === 0 && request.lastEventId === undefined;
       if (isNew && !capacityWait.isFirst()) return waits.waitForCapacity();
       const choice = chooseRunPath(call, context, {
-        excluded,
+        excluded: sendMode === "any"
+          ? excluded
+          : new Set([...excluded, ...listUnconnected(call, context)]),
         trialEngineId: answer.trialEngineId,
         need: { tokens, isNew },
       });
+      if (choice.type === "full" && sendMode !== "any") return forward();
       if (choice.type === "full" && isNew) return waits.waitForCapacity();
       if (choice.type === "resting") return waitForBackOff(choice.leftMs);
       if (choice.type === "limited") return waitForLimit(choice.leftMs);
-      if (choice.type !== "path") return waitForPath();
+      if (choice.type !== "path") {
+        return sendMode === "any" ? waitForPath() : forward();
+      }
       const { path } = choice;
       const [{ engineId }] = path;
       const grant = context.rateLimits.takeGrant(engineId);
@@ -193,6 +220,71 @@
       send(path, grant);
     }
 
+    // The upstreams can't be reached from here, so another gateway has to send the call.
+    function forward(): void {
+      capacityWait.end();
+      const peer = request.forwardedBy === undefined
+        ? context.peers.choose(service, { excluded: excludedPeers })
+        : undefined;
+      if (!peer) return endCutOff();
+      if (!payment.chargeNext()) return waits.waitForRetryBudget();
+      waits.noteSent();
+      sendCount += 1;
+      stopMonitoring();
+      relay.restartSilence();
+      forwarded = startForwardedStream(call, context, {
+        peer,
+        lastEventId: relay.getProgress().lastEventId,
+        isRepeatable: isResumable,
+        getSilenceMs: relay.getSilenceMs,
+        onHead: (head) => handleHead({ head, isStream: isStream(head) }),
+        onEvent(event) {
+          if (callEnd.hasEnded() || relay.forward(event)) return;
+          forwarded?.pause();
+          response.once("drain", () => forwarded?.resume());
+        },
+        onEnd(end) {
+          forwarded = undefined;
+          if (!callEnd.hasEnded()) handleForwardedEnd(peer.vm, end);
+        },
+      });
+    }
+
+    function endCutOff(): void {
+      if (response.headersSent || runCount > 0) {
+        return waits.waitForPath({ onWait: () => excludedPeers.clear() });
+      }
+      callEnd.refuse(makeCutOffRefusal(context.random()));
+    }
+
+    function handleForwardedEnd(vm: string, end: ForwardedStreamEnd): void {
+      const { meaning, head } = end;
+      const hasRun = meaning.type === "answered" || meaning.type === "unknown";
+      payment.noteEnd({ wasSent: hasRun });
+      excludedPeers.add(vm);
+      if (meaning.type === "notTaken") return next();
+      if (meaning.type === "refused") {
+        if (response.headersSent || runCount > 0) return endCutOff();
+        const { retryAfterMs } = meaning;
+        return callEnd.refuse({
+          status: 503,
+          reason: "no_upstream",
+          retryAfterMs: retryAfterMs ?? RETRY_AFTER_MS,
+        });
+      }
+      runCount += 1;
+      runRecord.noteElsewhere();
+      if (meaning.type === "answered" && isStream(head) && !end.isCut) {
+        response.end();
+        return callEnd.end("answered");
+      }
+      if (!isResumable || !runRecord.mayRunElsewhere()) {
+        return failBroken({ head }, end);
+      }
+      metrics.count("streams.resumed");
+      next();
+    }
+
     // Engines that were excluded for this call may be usable again after the wait.
     function waitForPath(): void {
       waits.waitForPath({ onWait: () => excluded.clear() });
@@ -324,7 +416,9 @@
       response.once("drain", sent.resume);
     }
 
-    function handleHead({ head, isStream }: StreamRun): void {
+    function handleHead(
+      { head, isStream }: Pick<StreamRun, "head" | "isStream">,
+    ): void {
       if (!head || !isStream || response.headersSent) return;
       if (callEnd.hasEnded()) return;
       response.writeHead(200, [
@@ -352,7 +446,7 @@
           reason: how.reason,
           tookMs: Math.round(now() - sent.sentMs),
         });
-        return retry();
+        return void context.reachability.check(service).then(retry);
       }
       if (how.type === "complete" && head?.reportsNotRun) {
         return handleNotRun(sent, head);
@@ -382,6 +476,8 @@
       end: Pick<StreamRunEnd, "how" | "body">,
     ): Promise<void> {
       await endChecked;
+      // A second run would break off for the same reason.
+      await context.reachability.check(service);
       if (!runRecord.mayRunElsewhere()) await runRecord.detectCrashes();
       if (callEnd.hasEnded()) return;
       if (runRecord.mayRunElsewhere()) {
@@ -394,7 +490,7 @@
     }
 
     function failBroken(
-      { head }: StreamRun,
+      { head }: Pick<StreamRun, "head">,
       { how, body }: Pick<StreamRunEnd, "how" | "body">,
     ): void {
       const isUpstreamError = how.type === "complete" && head !== undefined &&
--- a/src/gateway/start_call_exchange.ts
+++ b/src/gateway/start_call_exchange.ts
@@ -22,6 +22,9 @@
   readonly lastEventId: string | undefined;
 }
 
+/** Ms without a connection after which the reachability of the service is checked. */
+const SLOW_CONNECT_MS = 100;
+
 /**
  * Sends a call with the headers that the upstream needs. The deadline in them is the
  * time that the call has left.
@@ -40,7 +43,7 @@
   options: StartCallExchangeOptions,
 ): Exchange {
   const { request, body, account } = call;
-  const { notices, rateLimits } = context;
+  const { notices, rateLimits, reachability } = context;
   const { engine, path, grant, lastEventId, onData } = options;
   const { engineId, address } = engine;
   const reportSendEnd = notices.beginSend(engineId);
@@ -48,9 +51,14 @@
   // requests, and this send, which is already counted, may use up that number.
   const mayReceive = (one: string) =>
     notices.getBackOffLeftMs(one) === 0 && !notices.isLeaving(one);
+  const connecting = watchConnecting(
+    call,
+    context,
+    () => exchange.abort("cut off"),
+  );
   const sentMs = context.now();
   const remainingMs = Math.floor(call.deadlineMs - sentMs);
-  return context.upstreamTransport.start({
+  const exchange = context.upstreamTransport.start({
     engineId,
     address,
     method: request.method,
@@ -64,10 +72,13 @@
     }),
     body,
     requestId: request.requestId,
-    maySend: () =>
-      grant.isValid() &&
-      [engine, ...path].every((one) => mayReceive(one.engineId)),
+    maySend() {
+      connecting[Symbol.dispose]();
+      return grant.isValid() &&
+        [engine, ...path].every((one) => mayReceive(one.engineId));
+    },
     onHead(head) {
+      reachability.noteReceived(call.service);
       const { limitPerS } = head;
       // A rejection may come from a proxy in front of the engine, which knows no limit.
       if (limitPerS !== undefined && !head.reportsNotRun) {
@@ -76,11 +87,35 @@
       reportSendEnd({ isAccepted: !head.reportsNotRun });
       options.onHead(head);
     },
-    onData,
+    onData(chunk) {
+      reachability.noteReceived(call.service);
+      onData(chunk);
+    },
     onEnd(end) {
+      connecting[Symbol.dispose]();
       reportSendEnd({ isAccepted: false });
       if (end.type === "notSent" || end.type === "withheld") grant.release();
       options.onEnd(end);
     },
   });
+  return exchange;
+}
+
+// A connection that is slow to come up may be the first sign of a partition.
+function watchConnecting(
+  { service }: Call,
+  { reachability }: Pick<ServingContext, "reachability">,
+  onCutOff: () => void,
+): Disposable {
+  const timer = setTimeout(
+    () => void reachability.check(service),
+    SLOW_CONNECT_MS,
+  );
+  const stopListening = reachability.onCutOff(service, onCutOff);
+  return {
+    [Symbol.dispose]() {
+      clearTimeout(timer);
+      stopListening();
+    },
+  };
 }
--- /dev/null
+++ b/src/gateway/start_forwarded_exchange.ts
@@ -0,0 +1,136 @@
+/**
+ * Passes a call on to a peer, over the interface that callers use.
+ *
+ * @module
+ */
+
+import { Buffer } from "node:buffer";
+import type { Peer } from "../reachability/index.ts";
+import {
+  classifyPeerAnswer,
+  type PeerAnswerMeaning,
+} from "./classify_peer_answer.ts";
+import type { Exchange, ExchangeEnd } from "./create_upstream_transport.ts";
+import type { UpstreamHead } from "./protocol.ts";
+import type { Call, ServingContext } from "./types.ts";
+
+/** Options of {@link startForwardedExchange}. */
+export interface StartForwardedExchangeOptions {
+  readonly peer: Peer;
+  /** Id of the event after which the answer resumes. */
+  readonly lastEventId: string | undefined;
+  /** Whether the call may run again, so that a silent peer can be left. */
+  readonly isRepeatable: boolean;
+  /** Ms for which a stream has been silent; absent if the answer is not a stream. */
+  readonly getSilenceMs?: () => number;
+  readonly onHead?: (head: UpstreamHead) => void;
+  /** Called with the data of an upstream's success; by default it is collected. */
+  readonly onData?: (chunk: Buffer) => void;
+  readonly onEnd: (end: ForwardedEnd) => void;
+}
+
+/** How a forwarded call ended. */
+export interface ForwardedEnd {
+  readonly meaning: PeerAnswerMeaning;
+  readonly how: ExchangeEnd;
+  readonly head: UpstreamHead | undefined;
+  /** The data that was collected. */
+  readonly body: Buffer;
+}
+
+const SUCCESS_STATUS = 200;
+
+/** Ms between two checks of the peer. */
+const WATCH_INTERVAL_MS = 100;
+
+/**
+ * Ms of silence after which a stream leaves a peer. A peer that works moves streams off
+ * silent engines sooner.
+ */
+const MAX_SILENCE_MS = 1_500;
+
+/**
+ * Passes a call on. The peer sends it to one upstream at most and never passes it on
+ * again, so it counts as one run here.
+ *
+ * @param call - The call.
+ * @param context - The peers, the connections to them and the clock.
+ * @param options - The peer, and callbacks for the answer.
+ * @returns The exchange in progress.
+ * @throws Nothing.
+ * @example
+ * const exchange = startForwardedExchange(call, context, options);
+ */
+export function startForwardedExchange(
+  call: Call,
+  context: ServingContext,
+  options: StartForwardedExchangeOptions,
+): Exchange {
+  const { request, service } = call;
+  const { peers, log, metrics, now } = context;
+  const { peer, lastEventId, isRepeatable } = options;
+  const { requestId } = request;
+  const { vm } = peer;
+  const chunks: Buffer[] = [];
+  const sentMs = now();
+  let head: UpstreamHead | undefined;
+  const endRequest = peers.beginRequest(vm);
+  const watch = isRepeatable
+    ? setInterval(checkPeer, WATCH_INTERVAL_MS)
+    : undefined;
+
+  function checkPeer(): void {
+    const silenceMs = options.getSilenceMs?.() ?? 0;
+    if (!peers.isListed(vm)) exchange.abort("peer is no longer listed");
+    else if (silenceMs > MAX_SILENCE_MS) exchange.abort("peer is silent");
+  }
+
+  function handleEnd(how: ExchangeEnd): void {
+    clearInterval(watch);
+    endRequest();
+    const body = Buffer.concat(chunks);
+    const text = head?.isSigned ? "" : body.toString();
+    const meaning = classifyPeerAnswer({ how, head, text });
+    if (meaning.type !== "answered") {
+      metrics.count("peers.not_served");
+      log("forwardingFailed", {
+        requestId,
+        peer: vm,
+        ...meaning,
+        status: head?.status,
+        tookMs: Math.round(now() - sentMs),
+      });
+    }
+    if (meaning.type === "notTaken") {
+      peers.leaveOut(vm, how.type === "notSent" ? undefined : service);
+    }
+    options.onEnd({ meaning, how, head, body });
+  }
+
+  metrics.count("peers.forwarded");
+  log("callForwarded", { requestId, requestKey: call.requestKey, peer: vm });
+  const exchange = context.peerTransport.start({
+    engineId: vm,
+    address: peer.address,
+    method: request.method,
+    target: request.target,
+    headers: context.codec.formatPeerHeaders(request, {
+      forwardedBy: context.vm,
+      deadlineMs: Math.max(1, Math.floor(call.deadlineMs - sentMs)),
+      lastEventId,
+    }),
+    body: call.body,
+    requestId,
+    onHead(received) {
+      head = received;
+      if (received.isSigned) options.onHead?.(received);
+    },
+    onData(chunk) {
+      const isData = head?.isSigned && head.status === SUCCESS_STATUS;
+      if (isData && options.onData) options.onData(chunk);
+      else chunks.push(chunk);
+    },
+    onEnd: handleEnd,
+  });
+  return exchange;
+}
--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -33,6 +33,7 @@
 import { createLeaderLink } from "./create_leader_link.ts";
 import { createAbandonedRuns } from "./create_abandoned_runs.ts";
 import { createLostEngineReports } from "./create_lost_engine_reports.ts";
+import { createPeerList } from "./create_peer_list.ts";
 import {
   createReachability,
   type ReachabilityChange,
@@ -200,6 +201,13 @@
     now: steadyNow,
     elapsedNow: now,
   });
+  const peers = createPeerList({
+    self: { vm, place },
+    gateways,
+    now,
+    random: Math.random,
+  });
+  const peerTransport = createUpstreamTransport(codec);
   const reachability = createReachability({
     listUpstreams: listProbedUpstreams,
     listRegistered: (service) => engines.list(service).map(getAddress),
@@ -216,7 +224,11 @@
     now,
   });
   const context: ServingContext = {
+    vm,
     place,
+    peers,
+    peerTransport,
+    reachability,
     codec,
     engineControl: options.engineControl,
     pauseTracker,
@@ -373,7 +385,16 @@
 
   const link = createLeaderLink({
     getSeedAddresses: options.getSeedAddresses,
-    getGateway: () => ({ vm, place, address, isReady: isReady() }),
+    getGateway: () => {
+      const cutOffServices = reachability.listCutOff();
+      return {
+        vm,
+        place,
+        address,
+        isReady: isReady(),
+        ...(cutOffServices.length > 0 ? { cutOffServices } : {}),
+      };
+    },
     getGatewayCount: () => gateways.list().length,
     getVersion: config.getBaseVersion,
     takeSuspects: () =>
@@ -450,6 +471,7 @@
     await server.close();
     reachability[Symbol.dispose]();
     await upstreamTransport[Symbol.asyncDispose]();
+    await peerTransport[Symbol.asyncDispose]();
   }
 
   return {
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -16,6 +16,8 @@
 import type { LivenessCheck } from "./create_liveness_check.ts";
 import type { UpstreamTransport } from "./create_upstream_transport.ts";
 import type { AbandonedRuns } from "./create_abandoned_runs.ts";
+import type { PeerList } from "./create_peer_list.ts";
+import type { Reachability } from "./create_reachability.ts";
 import type { PauseTracker } from "./create_pause_tracker.ts";
 import type { Quarantine } from "./create_quarantine.ts";
 import type { RateLimits } from "./create_rate_limits.ts";
@@ -46,6 +48,7 @@
 
 /** Everything that is needed to serve a call. */
 export interface ServingContext {
+  readonly vm: string;
   readonly place: string;
   readonly codec: CallerCodec;
   readonly engineControl: EngineControl;
@@ -62,6 +65,11 @@
   /** Typical response times. */
   readonly responseTimes: ResponseTimes;
   readonly upstreamTransport: UpstreamTransport;
+  /** Connections to other gateways. */
+  readonly peerTransport: Pick<UpstreamTransport, "start">;
+  /** Gateways to which calls are passed on while this one is cut off from a service. */
+  readonly peers: PeerList;
+  readonly reachability: Reachability;
   readonly livenessCheck: LivenessCheck;
   readonly quarantine: Quarantine;
   readonly abandonedRuns: AbandonedRuns;
--- a/src/logs/events.ts
+++ b/src/logs/events.ts
@@ -248,10 +248,20 @@
     "info",
     "No connection to an upstream; nothing of the request was sent",
   ),
+  callForwarded: event(
+    "CL1815",
+    "info",
+    "Request was passed on to another gateway",
+  ),
+  forwardingFailed: event(
+    "CL1816",
+    "info",
+    "Another gateway did not serve a request that was passed on to it",
+  ),
   serviceCutOff: event(
     "CL1732",
     "warn",
-    "No upstream of the service can be reached from here",
+    "No upstream of the service can be reached from here; requests go to other gateways",
   ),
   serviceReached: event(
     "CL1733",
--- a/src/metrics/metric_catalogue.ts
+++ b/src/metrics/metric_catalogue.ts
@@ -23,6 +23,10 @@
   leaving: "This entry is stopping",
   no_config: "This entry has no configuration yet",
   stale_config: "This entry has not heard from control for too long",
+  cut_off:
+    "This entry reaches no upstream of the service, and no other entry can take the request",
+  peer_limit:
+    "This entry serves as many requests of other entries as it takes on",
   not_found: "No such address",
   not_resumable: "The answer is no longer kept here",
   not_taken: "No upstream took the request before its time ran out",
@@ -104,6 +108,10 @@
   "grants.unanswered": "Grant requests that the leader did not answer",
   "requests.withheld":
     "Requests withheld because their upstream backed off or left before they were sent",
+  "peers.forwarded": "Requests passed on to another gateway",
+  "peers.not_served":
+    "Requests passed on to another gateway that did not serve them",
+  "peers.taken": "Requests taken from other gateways",
   "services.cut_off": "Services whose upstreams this gateway can't reach",
   "services.partitions":
     "Times at which this gateway was cut off from a service's upstreams",
--- a/src/reachability/index.ts
+++ b/src/reachability/index.ts
@@ -1,8 +1,9 @@
 /**
- * Whether a gateway reaches a service.
+ * Whether a gateway reaches a service, and which gateway serves where it does not.
  *
  * @module
  */
 
+export { choosePeer, type Peer } from "./choose_peer.ts";
 export { REACHABLE, stepReachability } from "./step_reachability.ts";
 export type { ProbeRound, ReachabilityState } from "./types.ts";
