Direct callers to gateways that reach all services, while there are enough

What callers saw: gateways that were cut off from the engines stayed in the answers to 'which gateways', so new connections went there for as long as the cut lasted.

Cause: readiness asks for a configuration, a list and a lease, not for a path to the upstreams. It still does, since a cut-off gateway serves through its peers.

Change: the directory leaves out gateways that are cut off from a service if half of the data centre's gateways remain; else it names all that are whole, in any data centre, if those are half of all; else the list stays as it is. It is never empty.

--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -11,6 +11,7 @@
 import type { DecodeConfig, LeaderMessage } from "../fleet/index.ts";
 import type { Logger } from "../logs/index.ts";
 import type { Metrics } from "../metrics/index.ts";
+import { chooseListedGateways } from "../reachability/index.ts";
 import {
   createCallerServer,
   type EarlyListener,
@@ -477,9 +478,8 @@
   return {
     isReady,
     listAddresses(at) {
-      const ready = listReady();
-      const near = ready.filter((gateway) => gateway.place === at);
-      const named = (near.length > 0 ? near : ready).map((one) => one.address);
+      const listed = chooseListedGateways(listReady(), at);
+      const named = listed.map((one) => one.address);
       return named.length > 0 ? named : [address];
     },
     getVersion: config.getVersion,
--- a/test/cut_off_evidence_test.ts
+++ b/test/cut_off_evidence_test.ts
@@ -5,6 +5,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import { until } from "../demo/until.ts";
 import { call, startServingFleet } from "./support/fleet.ts";
 import {
   type LoggedLine,
@@ -58,4 +59,18 @@
   assert.not(events.includes("requestHeldBack"));
 });
 
+test("callers are directed to gateways that reach the upstreams, while there are enough", async () => {
+  await using fleet = await startServingFleet({ controls: 1 });
+  await using gateway = await startPartitionedGateway(fleet);
+  const [{ gateway: other }] = fleet.gateways;
+  const lists = () => other.listAddresses("p1").includes(gateway.address);
+  await until("the gateway is listed", lists);
+  gateway.cut("refuseNew");
+  await call(gateway.address, { path: "/once/1" });
+  await until("callers are directed to others", () => !lists());
+  assert.ok(gateway.isReady());
+  gateway.heal();
+  await until("the gateway is listed again", lists);
+});
+
 test.run();
