An accepted connection answers whether upstreams can be reached

Each failed send asked for a check of up to 16 connections, also where this gateway had just opened one to another upstream of the service. At 200 gateways a crashed engine would cost hundreds of connections that say nothing new.

Change: a connection that an upstream accepted within the last 250 ms answers a check.

--- a/src/gateway/create_reachability.ts
+++ b/src/gateway/create_reachability.ts
@@ -65,14 +65,23 @@
   isInDoubt(service: string): boolean;
   /**
    * Checks whether an upstream of the service accepts a connection; resolves to false
-   * if none does. Checks of one service share their result for a moment.
+   * if none does. A connection that was accepted within the last `maxAgeMs`, 250 by
+   * default, answers without a check.
    */
-  check(service: string): Promise<boolean>;
+  check(
+    service: string,
+    options?: { readonly maxAgeMs?: number },
+  ): Promise<boolean>;
   /**
    * Whether an upstream other than this one accepts a connection now. Only then does a
    * refused connection show that the upstream itself is down.
    */
   reachesOthers(engineId: string, service: string): Promise<boolean>;
+  /**
+   * Records that an upstream of the service accepted a connection, which makes a check
+   * unnecessary for a moment.
+   */
+  noteConnected(service: string): void;
   /** Records that something was received from an upstream of the service. */
   noteReceived(service: string): void;
   /**
@@ -172,11 +181,14 @@
     return [...services.keys()].filter(isCutOff);
   }
 
-  function check(service: string): Promise<boolean> {
+  function check(
+    service: string,
+    { maxAgeMs = RESULT_TTL_MS }: { readonly maxAgeMs?: number } = {},
+  ): Promise<boolean> {
     if (isCutOff(service)) return Promise.resolve(false);
     const state = getState(service);
     if (state.check) return state.check;
-    if (now() - state.checkedMs < RESULT_TTL_MS) return Promise.resolve(true);
+    if (now() - state.checkedMs < maxAgeMs) return Promise.resolve(true);
     state.check = runRound(service).finally(() => {
       state.check = undefined;
     });
@@ -313,6 +325,9 @@
         .flatMap(options.listRegistered);
       return (await probeRound(elsewhere)).reached > 0;
     },
+    noteConnected(service) {
+      getState(service).checkedMs = now();
+    },
     noteReceived(service) {
       getState(service).receivedMs = now();
     },
--- a/src/gateway/create_reachability_test.ts
+++ b/src/gateway/create_reachability_test.ts
@@ -57,6 +57,13 @@
   assert.is(probed.length, 4);
 });
 
+test("a connection that was just accepted makes a check unnecessary", async () => {
+  const { reachability, probed } = makeReachability(3, []);
+  reachability.noteConnected(SERVICE);
+  assert.ok(await reachability.check(SERVICE));
+  assert.equal(probed, []);
+});
+
 test("a gateway that reaches no upstream is cut off, and says so once", async () => {
   const { reachability, changes } = makeReachability(5, []);
   let calls = 0;
--- a/src/gateway/create_upstream_transport.ts
+++ b/src/gateway/create_upstream_transport.ts
@@ -69,6 +69,8 @@
 export interface CreateUpstreamTransportOptions {
   /** Called with the status notice in each answer of an upstream, even a late one. */
   readonly onNotice?: (engineId: string, notice: EngineNotice) => void;
+  /** Called when a new connection to an upstream was accepted. */
+  readonly onConnected?: (engineId: string) => void;
 }
 
 /** Time-out, in ms, of a connection attempt within a region; far above a round trip. */
@@ -95,8 +97,9 @@
  */
 export function createUpstreamTransport(
   codec: Pick<CallerCodec, "readUpstreamHead">,
-  { onNotice = () => {} }: CreateUpstreamTransportOptions = {},
+  options: CreateUpstreamTransportOptions = {},
 ): UpstreamTransport {
+  const { onNotice = () => {}, onConnected = () => {} } = options;
   const pools = new Map<string, Pool>();
   const answeredMs = new Map<string, number>();
   let isClosed = false;
@@ -115,7 +118,10 @@
     const known = pools.get(engineId);
     if (known) return known;
     const pool = new Pool(`http://${address}`, {
-      connect: createConnector(markEndedByReset),
+      connect: createConnector({
+        onResetEnd: markEndedByReset,
+        onConnected: () => onConnected(engineId),
+      }),
       pipelining: 1,
       keepAliveTimeout: KEEP_ALIVE_MS,
       keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
@@ -244,12 +250,16 @@
 // after the data. In the second case the socket has no remote address any more at its
 // end. It must not be read earlier, as the runtime caches the first value read.
 function createConnector(
-  onResetEnd: () => void,
+  { onResetEnd, onConnected }: {
+    readonly onResetEnd: () => void;
+    readonly onConnected: () => void;
+  },
 ): buildConnector.connector {
   const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS * 4 });
   return (options, done) => {
     connect(options, (...result) => {
       const socket = result[1];
+      if (socket) onConnected();
       socket?.prependListener("error", (error: NodeJS.ErrnoException) => {
         if (error.code === "ECONNRESET") error.code = RESET_CODE;
       });
--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -112,6 +112,12 @@
 /** Time within which callers and other gateways learn that this one is leaving. */
 const LEAVE_PROPAGATION_MS = 2_500;
 
+/**
+ * Age, in ms, up to which an accepted connection shows that an engine failed and not
+ * the path to it: about the time that a probe of the engine took.
+ */
+const CONFIRMATION_MAX_AGE_MS = 25;
+
 /** Ms before a partition was found out in which it may have caused failures. */
 const SUSPICIONS_BEFORE_CUT_MS = 1_000;
 
@@ -167,6 +173,10 @@
   });
   const upstreamTransport = createUpstreamTransport(codec, {
     onNotice: handleNotice,
+    onConnected(engineId) {
+      const service = engines.get(engineId)?.record.service;
+      if (service !== undefined) reachability.noteConnected(service);
+    },
   });
   const engines = createEngineTable({
     now,
@@ -306,7 +316,8 @@
   // no engine at all must not report any.
   async function reachesServiceOf(engineId: string): Promise<boolean> {
     const service = engines.get(engineId)?.record.service;
-    return service === undefined || await reachability.check(service);
+    return service === undefined ||
+      await reachability.check(service, { maxAgeMs: CONFIRMATION_MAX_AGE_MS });
   }
 
   // A request over several engines starts at one that holds the first layer.
