Frequent checks of reachable upstreams probe less often

A check costs up to 16 connections. Overloaded upstreams are slow to answer and to accept, so that each gateway would have asked four times a second; at 200 gateways that is thousands of connections a second to upstreams that have none to spare.

Change: a successful check is valid for 0.25 s, doubled with each one up to 1 s; a plain call that waits asks only where nothing came from any upstream of the service for 0.2 s. A partition is found as fast as before unless checks were frequent.

--- a/src/gateway/create_reachability.ts
+++ b/src/gateway/create_reachability.ts
@@ -66,7 +66,7 @@
   /**
    * Checks whether an upstream of the service accepts a connection; resolves to false
    * if none does. A connection that was accepted within the last `maxAgeMs`, 250 by
-   * default, answers without a check.
+   * default, answers without a check. So does a recent check by default.
    */
   check(
     service: string,
@@ -82,6 +82,8 @@
    * unnecessary for a moment.
    */
   noteConnected(service: string): void;
+  /** Ms for which nothing was received from any upstream of the service. */
+  getSilenceMs(service: string): number;
   /** Records that something was received from an upstream of the service. */
   noteReceived(service: string): void;
   /**
@@ -96,7 +98,12 @@
 interface ServiceState {
   reachability: ReachabilityState;
   check: Promise<boolean> | undefined;
+  /** When an upstream last accepted a connection, in ms. */
+  acceptedMs: number;
+  /** When a check was last successful, in ms. */
   checkedMs: number;
+  /** Time, in ms, for which that check is valid. */
+  resultTtlMs: number;
   receivedMs: number;
   timer: ReturnType<typeof setTimeout> | undefined;
 }
@@ -123,9 +130,18 @@
 /** Time, in ms, after which the further upstreams are probed. */
 const FURTHER_PROBES_DELAY_MS = 50;
 
-/** Time, in ms, for which a successful check is valid. */
+/** Time, in ms, for which a successful check is valid at first. */
 const RESULT_TTL_MS = 250;
 
+/**
+ * Longest such time. It doubles with each successful check: overloaded upstreams make
+ * many requests ask, and each check costs them connections.
+ */
+const MAX_RESULT_TTL_MS = 1_000;
+
+/** Time, in ms, without a check after which the shortest time applies again. */
+const RESULT_TTL_RESET_MS = 5_000;
+
 /** Interval, in ms, between rounds while cut off. */
 const RECOVERY_INTERVAL_MS = 250;
 
@@ -165,7 +181,9 @@
     const created: ServiceState = {
       reachability: REACHABLE,
       check: undefined,
+      acceptedMs: -Infinity,
       checkedMs: -Infinity,
+      resultTtlMs: RESULT_TTL_MS,
       receivedMs: -Infinity,
       timer: undefined,
     };
@@ -183,12 +201,15 @@
 
   function check(
     service: string,
-    { maxAgeMs = RESULT_TTL_MS }: { readonly maxAgeMs?: number } = {},
+    { maxAgeMs }: { readonly maxAgeMs?: number } = {},
   ): Promise<boolean> {
     if (isCutOff(service)) return Promise.resolve(false);
     const state = getState(service);
     if (state.check) return state.check;
-    if (now() - state.checkedMs < maxAgeMs) return Promise.resolve(true);
+    const hasAccepted = now() - state.acceptedMs < (maxAgeMs ?? RESULT_TTL_MS);
+    const isChecked = maxAgeMs === undefined &&
+      now() - state.checkedMs < state.resultTtlMs;
+    if (hasAccepted || isChecked) return Promise.resolve(true);
     state.check = runRound(service).finally(() => {
       state.check = undefined;
     });
@@ -201,7 +222,7 @@
     const state = getState(service);
     const before = state.reachability;
     const { reached, refused, unanswered } = result;
-    state.checkedMs = now();
+    if (reached > 0) noteSuccess(state);
     state.reachability = stepReachability(before, {
       reached,
       unreached: refused + unanswered,
@@ -214,6 +235,15 @@
     return !isCutOff(service);
   }
 
+  function noteSuccess(state: ServiceState): void {
+    const isFrequent = now() - state.checkedMs < RESULT_TTL_RESET_MS;
+    state.resultTtlMs = isFrequent
+      ? Math.min(MAX_RESULT_TTL_MS, 2 * state.resultTtlMs)
+      : RESULT_TTL_MS;
+    state.checkedMs = now();
+    state.acceptedMs = now();
+  }
+
   function scheduleRound(service: string, isConfirmation: boolean): void {
     const state = getState(service);
     clearTimeout(state.timer);
@@ -242,6 +272,7 @@
       options.listServices().forEach((other) => void check(other));
     } else if (before.type === "cutOff") {
       const { sinceMs } = before;
+      getState(service).resultTtlMs = RESULT_TTL_MS;
       log("serviceReached", { service, cutOffMs: Math.round(now() - sinceMs) });
       options.onChange({ service, isCutOff: false, sinceMs });
     }
@@ -326,8 +357,9 @@
       return (await probeRound(elsewhere)).reached > 0;
     },
     noteConnected(service) {
-      getState(service).checkedMs = now();
+      getState(service).acceptedMs = now();
     },
+    getSilenceMs: (service) => now() - getState(service).receivedMs,
     noteReceived(service) {
       getState(service).receivedMs = now();
     },
--- a/src/gateway/create_reachability_test.ts
+++ b/src/gateway/create_reachability_test.ts
@@ -16,6 +16,7 @@
   elsewhere: readonly string[] = [],
 ) {
   const accepting = new Set(up);
+  const clock = { aheadMs: 0 };
   const probed: string[] = [];
   const changes: ReachabilityChange[] = [];
   const upstreams = Array.from({ length: count }, (_, at) => ({
@@ -34,12 +35,12 @@
       probed.push(address);
       return Promise.resolve(accepting.has(address) ? "listening" : "ended");
     },
-    now: () => performance.now(),
+    now: () => performance.now() + clock.aheadMs,
     random: () => 0,
     log: () => {},
     metrics: { count: () => {}, gauge: () => {} },
   });
-  return { reachability, accepting, probed, changes };
+  return { reachability, accepting, probed, changes, clock };
 }
 
 test("one upstream that accepts connections shows that the others are down", async () => {
@@ -57,6 +58,16 @@
   assert.is(probed.length, 4);
 });
 
+test("frequent checks of upstreams that can be reached probe less often", async () => {
+  const { reachability, probed, clock } = makeReachability(4, ["a0"]);
+  for (let at = 0; at < 20; at++) {
+    await reachability.check(SERVICE);
+    clock.aheadMs += 260;
+  }
+  // Checks of 5.2 s: after 0.26 s, 0.52 s, and then each 1.04 s.
+  assert.is(probed.length, 4 * 7);
+});
+
 test("a connection that was just accepted makes a check unnecessary", async () => {
   const { reachability, probed } = makeReachability(3, []);
   reachability.noteConnected(SERVICE);
--- a/src/gateway/serve_plain_call.ts
+++ b/src/gateway/serve_plain_call.ts
@@ -329,6 +329,8 @@
       async function checkReachability(): Promise<void> {
         waitMs *= 2;
         timer = setTimeout(checkReachability, waitMs);
+        // Other answers show that the upstreams can be reached.
+        if (reachability.getSilenceMs(service) < MIN_SILENCE_MS) return;
         await reachability.check(service);
         if (isAnswered || reachability.getSendMode(service) !== "none") return;
         if (mayRunAgainAfterThis()) exchange?.abort("cut off");
