A gateway finds a partition out also when all upstreams were left out before it

What callers saw: refusals as no_upstream at once, for up to 1.5 s, from a gateway that was cut off and did not know it, and through it from others that passed requests on.

Cause: only sends asked for a check, and a service whose upstreams are all left out has none. Change: a request that finds all upstreams left out asks for a check, which a connection answers only if it was accepted within 0.25 s; where this gateway is cut off, the request is passed on. A stream whose peer fell silent has the usual time to find another.

The new test failed before (503 for 200) and passes.

--- a/src/gateway/serve_plain_call.ts
+++ b/src/gateway/serve_plain_call.ts
@@ -54,6 +54,12 @@
  */
 const MAX_UNPROVEN_MS = 700;
 
+/**
+ * Age, in ms, up to which an accepted connection shows that upstreams which are all
+ * left out could be reached.
+ */
+const LEFT_OUT_CHECK_MAX_AGE_MS = 250;
+
 /** Lowest HTTP status that reports a failure of the upstream itself. */
 const FIRST_SERVER_ERROR = 500;
 
@@ -144,7 +150,7 @@
         ? chooseUpstream(trialEngineId)
         : undefined;
       if (!engine && reachability.isCutOff(service)) return forward();
-      if (!engine) return giveUp();
+      if (!engine) return void giveUpUnlessCutOff();
       const { engineId } = engine.record;
       const grant = context.rateLimits.takeGrant(engineId);
       if (!grant) return void requestGrant(call, context, engineId).then(next);
@@ -255,6 +261,17 @@
       );
     }
 
+    // Upstreams that were left out before a partition was found give no further sign
+    // of it.
+    async function giveUpUnlessCutOff(): Promise<void> {
+      if (engines.countLeftOut(service).leftOut === 0) return giveUp();
+      const maxAgeMs = LEFT_OUT_CHECK_MAX_AGE_MS;
+      const isReachable = await reachability.check(service, { maxAgeMs });
+      if (callEnd.hasEnded()) return;
+      if (isReachable) giveUp();
+      else forward();
+    }
+
     function giveUp(): void {
       if (runCount > 0) {
         return callEnd.refuse({ status: 502, reason: "outcome_unknown" });
--- a/src/gateway/serve_stream_call.ts
+++ b/src/gateway/serve_stream_call.ts
@@ -51,6 +51,12 @@
 /** Silence, in ms, after which a run is taken for broken when a partition is found. */
 const CUT_OFF_SILENCE_MS = 150;
 
+/**
+ * Age, in ms, up to which an accepted connection shows that upstreams which are all
+ * left out could be reached.
+ */
+const LEFT_OUT_CHECK_MAX_AGE_MS = 250;
+
 /** Maximum number of sends of one call, including the ones that an upstream rejects. */
 const MAX_SENDS = 5;
 
@@ -274,6 +280,7 @@
       }
       runCount += 1;
       runRecord.noteElsewhere();
+      relay.restartSilence();
       if (meaning.type === "answered" && isStream(head) && !end.isCut) {
         response.end();
         return callEnd.end("answered");
@@ -287,6 +294,10 @@
 
     // Engines that were excluded for this call may be usable again after the wait.
     function waitForPath(): void {
+      // Upstreams that were left out before a partition was found give no further sign
+      // of it.
+      const maxAgeMs = LEFT_OUT_CHECK_MAX_AGE_MS;
+      void context.reachability.check(service, { maxAgeMs });
       waits.waitForPath({ onWait: () => excluded.clear() });
     }
 
--- a/test/cut_off_gateway_test.ts
+++ b/test/cut_off_gateway_test.ts
@@ -67,4 +67,17 @@
   });
 }
 
+test("a gateway that left out all upstreams of a service before it was cut off finds out", async () => {
+  await using fleet = await startServingFleet({ controls: 1 });
+  await using gateway = await startPartitionedGateway(fleet);
+  // Both upstreams are left out after broken answers, and a check found them reachable.
+  for (const { fault } of fleet.plain) fault.dropsAnswers = true;
+  await call(gateway.address, { path: "/safe/1" });
+  for (const { fault } of fleet.plain) fault.dropsAnswers = undefined;
+  gateway.cut("refuseNew");
+  await sleep(300);
+  const { status } = await call(gateway.address, { path: "/safe/1" });
+  assert.is(status, 200);
+});
+
 test.run();
