--- a/src/gateway/create_reachability.ts
+++ b/src/gateway/create_reachability.ts
@@ -115,6 +115,12 @@
   readonly unanswered: number;
 }
 
+/**
+ * Age, in ms, up to which an accepted connection shows that upstreams which are all
+ * left out could be reached.
+ */
+export const LEFT_OUT_CHECK_MAX_AGE_MS = 250;
+
 /**
  * Time, in ms, for a connection to be accepted. A round trip takes about 80 ms between
  * regions and 1 to 2 ms within one.
--- a/src/gateway/serve_plain_call.ts
+++ b/src/gateway/serve_plain_call.ts
@@ -25,6 +25,7 @@
 import type { SendGrant } from "./create_rate_limits.ts";
 import { getLimitWaitMs } from "./get_limit_wait_ms.ts";
 import { listSendableEngines } from "./list_sendable_engines.ts";
+import { LEFT_OUT_CHECK_MAX_AGE_MS } from "./create_reachability.ts";
 import { listUnconnected } from "./list_unconnected.ts";
 import { makeCutOffRefusal } from "./make_cut_off_refusal.ts";
 import {
@@ -54,12 +55,6 @@
  */
 const MAX_UNPROVEN_MS = 700;
 
-/**
- * Age, in ms, up to which an accepted connection shows that upstreams which are all
- * left out could be reached.
- */
-const LEFT_OUT_CHECK_MAX_AGE_MS = 250;
-
 /** Lowest HTTP status that reports a failure of the upstream itself. */
 const FIRST_SERVER_ERROR = 500;
 
--- a/src/gateway/serve_stream_call.ts
+++ b/src/gateway/serve_stream_call.ts
@@ -22,6 +22,7 @@
 import { createSendWaits } from "./create_send_waits.ts";
 import { createAttemptCharge } from "./create_attempt_charge.ts";
 import type { Exchange, ExchangeEnd } from "./create_upstream_transport.ts";
+import { LEFT_OUT_CHECK_MAX_AGE_MS } from "./create_reachability.ts";
 import { listUnconnected } from "./list_unconnected.ts";
 import { makeCutOffRefusal } from "./make_cut_off_refusal.ts";
 import {
@@ -51,12 +52,6 @@
 /** Silence, in ms, after which a run is taken for broken when a partition is found. */
 const CUT_OFF_SILENCE_MS = 150;
 
-/**
- * Age, in ms, up to which an accepted connection shows that upstreams which are all
- * left out could be reached.
- */
-const LEFT_OUT_CHECK_MAX_AGE_MS = 250;
-
 /** Maximum number of sends of one call, including the ones that an upstream rejects. */
 const MAX_SENDS = 5;
 
