A stall of the process is no silence of the upstreams that it probes

After a stall of 0.2 s the timers of all probes ran before the answers were read, so a gateway that had stood still took itself for cut off and passed its requests on for 0.35 s.

Change: a probe that ran out of time looks at the sockets once more. The new test failed before ('unknown' for 'listening') and passes.

--- a/src/gateway/create_liveness_check.ts
+++ b/src/gateway/create_liveness_check.ts
@@ -103,7 +103,11 @@
   new Promise((resolve) => {
     const [host, port] = address.split(":");
     const socket = connect({ host, port: Number(port) });
-    const timer = setTimeout(() => finish("unknown"), timeoutMs);
+    // After a stall of this process timers run first, and the answer is unread.
+    const timer = setTimeout(
+      () => setImmediate(() => finish("unknown")),
+      timeoutMs,
+    );
 
     function finish(liveness: UpstreamLiveness): void {
       clearTimeout(timer);
--- a/src/gateway/create_liveness_check_test.ts
+++ b/src/gateway/create_liveness_check_test.ts
@@ -16,6 +16,19 @@
   await new Promise((resolve) => server.close(resolve));
 });
 
+test("a probe's answer counts that came while this process was stalled", async () => {
+  const [port] = await findFreePorts(1);
+  const server = createServer();
+  await new Promise<void>((resolve) =>
+    server.listen(port, "127.0.0.1", resolve)
+  );
+  const answer = probeAddress(`127.0.0.1:${port}`, { timeoutMs: 50 });
+  const stallEndMs = performance.now() + 150;
+  while (performance.now() < stallEndMs);
+  assert.is(await answer, "listening");
+  await new Promise((resolve) => server.close(resolve));
+});
+
 test("streams that break together share one probe", async () => {
   let nowMs = 0;
   const probed: string[] = [];
