Changes of the upstreams don't put off the end of a partition

Each change of the list of upstreams put the next round off by 0.1 s, so in a fleet that tells changes more often than that a gateway would have stayed cut off for good. Found by reading. Change: a round that is due sooner stays. The new test failed before and passes.

--- a/src/gateway/create_reachability.ts
+++ b/src/gateway/create_reachability.ts
@@ -91,7 +91,7 @@
    * the returned function is called.
    */
   onCutOff(service: string, listener: () => void): () => void;
-  /** Checks services that are cut off at once, as their upstreams have changed. */
+  /** Checks services that are cut off soon, as their upstreams have changed. */
   handleUpstreamsChanged(): void;
 }
 
@@ -105,6 +105,8 @@
   /** Time, in ms, for which that check is valid. */
   resultTtlMs: number;
   receivedMs: number;
+  /** When the next round is due while cut off, in ms. */
+  roundDueMs: number;
   timer: ReturnType<typeof setTimeout> | undefined;
 }
 
@@ -191,6 +193,7 @@
       checkedMs: -Infinity,
       resultTtlMs: RESULT_TTL_MS,
       receivedMs: -Infinity,
+      roundDueMs: Infinity,
       timer: undefined,
     };
     services.set(service, created);
@@ -252,11 +255,12 @@
 
   function scheduleRound(service: string, isConfirmation: boolean): void {
     const state = getState(service);
+    const delayMs = isConfirmation
+      ? CONFIRMATION_DELAY_MS
+      : RECOVERY_INTERVAL_MS;
     clearTimeout(state.timer);
-    state.timer = setTimeout(
-      () => void runRound(service),
-      isConfirmation ? CONFIRMATION_DELAY_MS : RECOVERY_INTERVAL_MS,
-    );
+    state.roundDueMs = now() + delayMs;
+    state.timer = setTimeout(() => void runRound(service), delayMs);
   }
 
   function handleChange(
@@ -375,7 +379,12 @@
       return () => void set.delete(listener);
     },
     handleUpstreamsChanged() {
-      for (const service of listCutOff()) scheduleRound(service, true);
+      for (const service of listCutOff()) {
+        const { roundDueMs } = getState(service);
+        // A round that is due sooner must not be put off by each change.
+        const isDueLater = roundDueMs - now() > CONFIRMATION_DELAY_MS;
+        if (isDueLater) scheduleRound(service, true);
+      }
     },
     [Symbol.dispose]() {
       isDisposed = true;
--- a/src/gateway/create_reachability_test.ts
+++ b/src/gateway/create_reachability_test.ts
@@ -111,6 +111,20 @@
   reachability[Symbol.dispose]();
 });
 
+test("changes of the upstreams don't put off the end of a partition", async () => {
+  const { reachability, accepting } = makeReachability(3, []);
+  await reachability.check(SERVICE);
+  accepting.add("a1");
+  const timer = setInterval(reachability.handleUpstreamsChanged, 20);
+  const giveUpMs = performance.now() + 2_000;
+  while (reachability.isCutOff(SERVICE) && performance.now() < giveUpMs) {
+    await sleep(5);
+  }
+  clearInterval(timer);
+  assert.not(reachability.isCutOff(SERVICE));
+  reachability[Symbol.dispose]();
+});
+
 test("an upstream itself is no evidence that others are reached", async () => {
   const { reachability } = makeReachability(2, ["a0"]);
   assert.not(await reachability.reachesOthers("e0", SERVICE));
