Known red: a refusal by some engines of a service counts as their crash

Others accept, so nothing here tells the two apart; the leader, which hears the engine's heartbeats, could take the report back.

--- a/test/cut_off_evidence_test.ts
+++ b/test/cut_off_evidence_test.ts
@@ -6,7 +6,11 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { until } from "../demo/until.ts";
-import { call, startServingFleet } from "./support/fleet.ts";
+import {
+  addEnginesPerPlace,
+  call,
+  startServingFleet,
+} from "./support/fleet.ts";
 import {
   type LoggedLine,
   startPartitionedGateway,
@@ -59,6 +63,18 @@
   assert.not(events.includes("requestHeldBack"));
 });
 
+test("a refused connection is no crash of an engine whose heartbeats go on", async () => {
+  await using fleet = await startServingFleet({ controls: 1, events: EVENTS });
+  await addEnginesPerPlace(fleet);
+  await using gateway = await startPartitionedGateway(fleet);
+  const streams = await startStreams(gateway.address);
+  const busy = fleet.engines.filter(({ getPaths }) => getPaths().length > 0);
+  gateway.cut("reset", busy.slice(0, 1));
+  await Promise.all(streams);
+  const events = gateway.lines.map(({ event }) => event);
+  assert.not(events.includes("upstreamEnded"));
+});
+
 test("callers are directed to gateways that reach the upstreams, while there are enough", async () => {
   await using fleet = await startServingFleet({ controls: 1 });
   await using gateway = await startPartitionedGateway(fleet);
