--- a/src/reachability/step_reachability.ts
+++ b/src/reachability/step_reachability.ts
@@ -14,8 +14,8 @@
 export const REACHABLE: ReachabilityState = { type: "reachable" };
 
 /**
- * Applies a round of connection attempts. A round without any upstream, as when all
- * have deregistered, says nothing about the network and ends a partition.
+ * Applies a round of connection attempts. A round without any upstream, as when none
+ * is registered, says nothing about the network and ends a partition.
  *
  * @param state - The state before the round.
  * @param round - How many upstreams were reached.
