Take the import cycle of the gateway apart

choose_call_path, create_run_permit and get_limit_wait_ms imported each other, because two look-ups lived in modules that need much more. getCallModel and listFirstUpstreams are modules of their own now; nothing else changes.

--- a/src/gateway/admit_call.ts
+++ b/src/gateway/admit_call.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { listFirstUpstreams } from "./create_run_permit.ts";
+import { listFirstUpstreams } from "./list_first_upstreams.ts";
 import type { EngineView } from "./engine_view.ts";
 import { jitterRetryAfterMs } from "./jitter_retry_after_ms.ts";
 import type { Call, ServingContext } from "./types.ts";
--- a/src/gateway/choose_run_path.ts
+++ b/src/gateway/choose_run_path.ts
@@ -9,7 +9,7 @@
   chooseCallPath,
   type ChooseCallPathOptions,
 } from "./choose_call_path.ts";
-import { listFirstUpstreams } from "./create_run_permit.ts";
+import { listFirstUpstreams } from "./list_first_upstreams.ts";
 import type { Call, ServingContext } from "./types.ts";
 
 /** What the path has to avoid, and where a trial starts. */
--- a/src/gateway/create_run_permit.ts
+++ b/src/gateway/create_run_permit.ts
@@ -5,8 +5,7 @@
  */
 
 import type { CallEnd } from "./create_call_end.ts";
-import { getCallModel } from "./choose_call_path.ts";
-import type { EngineView } from "./engine_view.ts";
+import { listFirstUpstreams } from "./list_first_upstreams.ts";
 import type { Call, ServingContext } from "./types.ts";
 
 /** Whether a call may be sent now. */
@@ -112,27 +111,6 @@
   };
 }
 
-/**
- * Lists the upstreams at which a call may begin, least loaded first.
- *
- * @param call - The call.
- * @param context - The upstreams.
- * @returns The upstreams.
- * @throws Nothing.
- * @example
- * const [first] = listFirstUpstreams(call, context);
- */
-export function listFirstUpstreams(
-  call: Call,
-  context: Pick<ServingContext, "engines" | "getTable">,
-): EngineView[] {
-  const isLayered = getCallModel(call, context) !== undefined;
-  const getRequests = (one: EngineView) => one.inFlight + one.otherRequests;
-  return context.engines.listUsable(call.service)
-    .filter(({ record }) => !isLayered || record.layers?.fromLayer === 0)
-    .sort((a, b) => getRequests(a) - getRequests(b));
-}
-
 /**
  * Refuses a call that is held back: 503 if nothing of it was sent, otherwise 502.
  *
--- a/src/gateway/get_limit_wait_ms.ts
+++ b/src/gateway/get_limit_wait_ms.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { listFirstUpstreams } from "./create_run_permit.ts";
+import { listFirstUpstreams } from "./list_first_upstreams.ts";
 import type { Call, ServingContext } from "./types.ts";
 
 /**
--- a/src/gateway/note_back_off.ts
+++ b/src/gateway/note_back_off.ts
@@ -4,8 +4,8 @@
  * @module
  */
 
-import { getCallModel } from "./choose_call_path.ts";
-import { listFirstUpstreams } from "./create_run_permit.ts";
+import { getCallModel } from "./get_call_model.ts";
+import { listFirstUpstreams } from "./list_first_upstreams.ts";
 import type { Call, ServingContext } from "./types.ts";
 
 /**
--- a/src/gateway/serve_stream_call.ts
+++ b/src/gateway/serve_stream_call.ts
@@ -5,7 +5,8 @@
  */
 
 import { admitCall } from "./admit_call.ts";
-import { getCallModel, getCallTokens } from "./choose_call_path.ts";
+import { getCallTokens } from "./choose_call_path.ts";
+import { getCallModel } from "./get_call_model.ts";
 import { chooseRunPath } from "./choose_run_path.ts";
 import { createCallEnd } from "./create_call_end.ts";
 import { createRetryAfterRefusals } from "./create_retry_after_refusals.ts";
