Keep prompts to a part of the link between data centres

Cause: the bound on prompts that are read across data centres is one of two for each gateway. With 69 gateways that admits 138 at a time, 7.6 s of the shared link (55 ms a prompt of 800 tokens). Ruled out: the queue (first events at 90 to 150 ms in the median), the steps of the engines (the pace of streams that stay did not change), preemption (35). Change: a path that continues in another data centre is the last resort, and prompts together take at most half of the link's time. Each gateway has an even part; a part below one prompt admits it with that probability, so no message is needed. It acts only where the configuration declares the link.

--- a/src/gateway/choose_call_path.ts
+++ b/src/gateway/choose_call_path.ts
@@ -4,16 +4,22 @@
  * @module
  */
 
+import { getLinkTimeMs } from "../admission/index.ts";
 import { getMeanRequestTokens } from "../layers/index.ts";
 import type { LayeredModel } from "../routes/index.ts";
 import { chooseEngine } from "./choose_engine.ts";
-import { choosePath, type PathNeed } from "./choose_path.ts";
+import {
+  choosePath,
+  type ChoosePathOptions,
+  type PathNeed,
+} from "./choose_path.ts";
 import type { EngineView } from "./engine_view.ts";
 import { getLimitWaitMs } from "./get_limit_wait_ms.ts";
 import {
   type EstimatedWork,
   estimateOtherWork,
 } from "./estimate_other_work.ts";
+import { getCallModel } from "./get_call_model.ts";
 import { getBackOffWaitMs } from "./get_back_off_wait_ms.ts";
 import { listSendableEngines } from "./list_sendable_engines.ts";
 import type { AddressedPart } from "./protocol.ts";
@@ -94,10 +100,13 @@
     drawRandomCost: startedRequests === Infinity ? context.random : undefined,
     excluded,
     canStartAt: rateLimits.maySend,
-    mayCrossPlaces: engines.getCrossPlacePrompts() < MAX_CROSS_PLACE_PROMPTS,
     nowMs: now(),
   };
-  const path = choosePath(usable, { ...pathOptions, need });
+  const path = chooseAffordablePath(usable, {
+    call,
+    context,
+    pathOptions: { ...pathOptions, need },
+  });
   if (path && !path.some(hasJustRefused)) return { type: "path", path };
   const pathWithoutNeed = path ?? choosePath(usable, pathOptions);
   if (pathWithoutNeed) return { type: "full" };
@@ -114,6 +123,33 @@
   }
 }
 
+// A path that continues in another data centre is the last resort where the model
+// declares the link between them.
+function chooseAffordablePath(
+  usable: readonly EngineView[],
+  options: {
+    readonly call: Call;
+    readonly context: ServingContext;
+    readonly pathOptions: ChoosePathOptions;
+  },
+): AddressedPart[] | undefined {
+  const { call, context, pathOptions } = options;
+  const { promptTokens } = call.request;
+  const linkTimeMs = getLinkTimeMs(pathOptions.model, { promptTokens });
+  const mayCrossPlaces =
+    context.engines.getCrossPlacePrompts() < MAX_CROSS_PLACE_PROMPTS;
+  if (linkTimeMs === undefined) {
+    return choosePath(usable, { ...pathOptions, mayCrossPlaces });
+  }
+  const localPath = choosePath(usable, {
+    ...pathOptions,
+    mayCrossPlaces: false,
+  });
+  if (localPath || !mayCrossPlaces) return localPath;
+  if (!context.linkBudget.take(call.service, { linkTimeMs })) return undefined;
+  return choosePath(usable, { ...pathOptions, mayCrossPlaces });
+}
+
 function findLimitWait(
   call: Call,
   context: ServingContext,
@@ -184,6 +220,7 @@
         // What a rate limit lets through is small compared with what goes to other
         // engines.
         canStartAt: (id) => context.rateLimits.getLimitPerS(id) === Infinity,
+        mayCrossPlaces: model.placeLinkMbps === undefined,
         excluded: new Set(),
         nowMs: context.now(),
         need: { tokens: usualTokens, isNew: true },
@@ -272,20 +309,3 @@
   });
   return nextParts && [first, ...nextParts];
 }
-
-/**
- * Gets the layered model of a call's service.
- *
- * @param call - The call.
- * @param context - The current configuration.
- * @returns The model, or undefined where the service has none.
- * @throws Nothing.
- * @example
- * const model = getCallModel(call, context);
- */
-export function getCallModel(
-  call: Call,
-  context: Pick<ServingContext, "getTable">,
-): LayeredModel | undefined {
-  return context.getTable()?.getService(call.service)?.model;
-}
--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -6,6 +6,7 @@
  */
 
 import { setTimeout as sleep } from "node:timers/promises";
+import { createLinkBudget } from "../admission/index.ts";
 import { createElapsedClock } from "../clocks/index.ts";
 import type { EngineNotice } from "../engines/index.ts";
 import type { DecodeConfig, LeaderMessage } from "../fleet/index.ts";
@@ -273,6 +274,11 @@
       },
     }),
     quarantine,
+    linkBudget: createLinkBudget({
+      getGatewayCount,
+      now,
+      random: Math.random,
+    }),
     abandonedRuns: createAbandonedRuns({ now }),
     budget,
     endRate,
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -6,6 +6,7 @@
 
 import type { Buffer } from "node:buffer";
 import type { ServerResponse } from "node:http";
+import type { LinkBudget } from "../admission/index.ts";
 import type { Logger } from "../logs/index.ts";
 import type { Metrics } from "../metrics/index.ts";
 import type { Account, Route, RouteTable } from "../routes/index.ts";
@@ -56,6 +57,8 @@
   readonly runMonitor: RunMonitor;
   readonly stallReports: StallReports;
   readonly engines: EngineTable;
+  /** This gateway's part of the link between data centres. */
+  readonly linkBudget: LinkBudget;
   /** State that upstreams reported in responses to this gateway. */
   readonly notices: EngineNotices;
   /** Rate limits that upstreams reported. */
--- a/src/routes/schemas.ts
+++ b/src/routes/schemas.ts
@@ -89,6 +89,10 @@
   /** Mean length of a response, in tokens. */
   usualAnswerTokens: Type.Number({ minimum: 0 }),
   cards: Type.Array(CardKindSchema),
+  /** Bytes per token that an engine passes on to the next one of a path. */
+  activationBytes: Type.Optional(Type.Number({ minimum: 0 })),
+  /** Rate of the link between two data centres that all requests share. */
+  placeLinkMbps: Type.Optional(Type.Number({ minimum: 0 })),
 });
 
 /** A model whose layers are distributed over engines. */
