Spread the moves off a leaving engine over its drain time

Cause: when an engine announces its leave, every run over it moves within 0.1 s, though the engine goes on serving for drainMs. The engines that take over read all tokens of all runs first. Ruled out: a lost engine (all five engines had announced their leave) and engines without capacity (17 of 216 attempts found none). Where the settings name no drain time, runs move at once as before.

--- a/src/gateway/create_run_migrator.ts
+++ b/src/gateway/create_run_migrator.ts
@@ -6,6 +6,7 @@
 
 import type { StreamRelay } from "./create_stream_relay.ts";
 import type { AddressedPart } from "./protocol.ts";
+import { getMoveDelayMs } from "./get_move_delay_ms.ts";
 import { moveOffEngine, recoverStalledRun } from "./recover_stalled_run.ts";
 import type { StreamRun } from "./start_stream_run.ts";
 import type { Call, ServingContext } from "./types.ts";
@@ -53,8 +54,8 @@
 ): RunMigrator {
   const { relay, excluded, isCurrent } = options;
   const { engines, now, metrics } = context;
+  const nextMovesMs = new Map<string, number>();
   let isChecking = false;
-  let nextMoveMs = 0;
 
   async function runCheck(task: () => Promise<void>): Promise<void> {
     isChecking = true;
@@ -96,6 +97,11 @@
     if (newPath && isCurrent(run)) applyMove(run, newPath);
   }
 
+  function drawMoveDelayMs(): number {
+    const drainMs = context.upstreamDrainMs;
+    return getMoveDelayMs({ drainMs, random: context.random() });
+  }
+
   return {
     checkStall(run) {
       if (isChecking || !isCurrent(run)) return;
@@ -107,9 +113,13 @@
       if (isChecking || !run.hasBegun || !isCurrent(run)) return;
       const leavingPart = run.path.slice(1)
         .find(({ engineId }) => engines.isLeaving(engineId));
-      if (!leavingPart || now() < nextMoveMs) return;
-      nextMoveMs = now() + MOVE_RETRY_INTERVAL_MS;
-      void runCheck(() => moveOffLeaving(run, leavingPart.engineId));
+      if (!leavingPart) return;
+      const { engineId } = leavingPart;
+      const nextMoveMs = nextMovesMs.get(engineId) ?? now() + drawMoveDelayMs();
+      nextMovesMs.set(engineId, nextMoveMs);
+      if (now() < nextMoveMs) return;
+      nextMovesMs.set(engineId, now() + MOVE_RETRY_INTERVAL_MS);
+      void runCheck(() => moveOffLeaving(run, engineId));
     },
     // If a nearby engine takes over the failed engine's part, the other engines of the
     // path keep their state of the stream, and the prompt is not processed again there.
--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -73,6 +73,11 @@
   };
   /** Maximum ms from the signal to the end of a planned stop. */
   readonly graceMs: number;
+  /**
+   * Ms for which an upstream that has announced its leave goes on serving; 0, the
+   * default, if unknown.
+   */
+  readonly upstreamDrainMs?: number;
 }
 
 /** Options of {@link startGateway}. */
@@ -303,6 +308,7 @@
     listGatewayPlaces: () => listReady().map((one) => one.place),
     isLeaving: () => isLeaving,
     getGraceLeftMs: () => graceEndMs - now(),
+    upstreamDrainMs: settings.upstreamDrainMs ?? 0,
     now,
     random: Math.random,
     log,
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -92,6 +92,8 @@
   readonly isLeaving: () => boolean;
   /** Time, in ms, until a planned stop ends requests in flight. */
   readonly getGraceLeftMs: () => number;
+  /** Ms for which an upstream that has announced its leave goes on serving. */
+  readonly upstreamDrainMs: number;
   /** Monotonic time, in ms. */
   readonly now: () => number;
   /** A number in [0, 1). */
