Try another path where the first one of a move has a second lost engine

Cause: engines that fail together are found one after the other. A run moves off the first one that is found; the new path often contains another lost engine, its first engine rejects the path with 409 and names it, and the run was given up there: its prompt is read again from the start, which costs an attempt and a retry. Ruled out: moves off the first engine of a path, which were not counted as moves. Change: the engine that the rejection names is avoided, and the next path is tried, at most four in all. The log line tells whether there was a path, and the engine that was missing.

--- a/src/gateway/protocol.ts
+++ b/src/gateway/protocol.ts
@@ -118,6 +118,13 @@
   | { readonly state: "absent" }
   | { readonly state: "silent" };
 
+/** An engine's answer to the command to move a running request. */
+export interface PathChangeAnswer {
+  readonly isAccepted: boolean;
+  /** Address of the engine of the new path that does not hold its part, if named. */
+  readonly missingAddress?: string;
+}
+
 /** Queries and controls the engines of a layered model. */
 export interface EngineControl {
   checkLiveness(
@@ -136,7 +143,7 @@
       readonly requestId: string;
       readonly path: readonly AddressedPart[];
     },
-  ): Promise<boolean>;
+  ): Promise<PathChangeAnswer>;
 }
 
 /** A stalled request. */
--- a/src/gateway/recover_stalled_run.ts
+++ b/src/gateway/recover_stalled_run.ts
@@ -8,6 +8,12 @@
 import type { AddressedPart } from "./protocol.ts";
 import type { Call, ServingContext } from "./types.ts";
 
+/**
+ * Paths that are tried for one move. Engines that fail together are found one after the
+ * other, so a first new path often contains another one of them; its rejection names it.
+ */
+const MAX_PATH_ATTEMPTS = 4;
+
 /** A run that produces no events. */
 export interface RecoverStalledRunOptions {
   readonly path: readonly AddressedPart[];
@@ -103,19 +109,34 @@
   // The command would be one more request to a first engine that has asked for a
   // back-off. The stream resumes on other engines instead, which frees its slot there.
   if (context.notices.getBackOffLeftMs(first.engineId) > 0) return;
+  if (engineId === first.engineId) return;
   const excluded = new Set([...options.excluded, engineId]);
-  const path = engineId === first.engineId
-    ? undefined
-    : findAlternatePath(call, context, { path: options.path, excluded });
-  const isAccepted = path !== undefined && await context.engineControl
-    .changePath(first.address, {
+  for (let attempt = 1; attempt <= MAX_PATH_ATTEMPTS; attempt++) {
+    const path = findAlternatePath(call, context, {
+      path: options.path,
+      excluded,
+    });
+    const answer = path && await context.engineControl
+      .changePath(first.address, {
+        requestId,
+        path,
+        timeoutMs: COMMAND_TIMEOUT_MS,
+        onNotice: (notice) => context.notices.record(first.engineId, notice),
+      });
+    const { isAccepted = false, missingAddress } = answer ?? {};
+    context.log("pathChanged", {
       requestId,
-      path,
-      timeoutMs: COMMAND_TIMEOUT_MS,
-      onNotice: (notice) => context.notices.record(first.engineId, notice),
+      dead: engineId,
+      moved: isAccepted,
+      hasPath: path !== undefined,
+      missingAddress,
+      attempt,
     });
-  context.log("pathChanged", { requestId, dead: engineId, moved: isAccepted });
-  return isAccepted ? path : undefined;
+    if (isAccepted) return path;
+    const missingPart = path?.find(({ address }) => address === missingAddress);
+    if (!missingPart) return;
+    excluded.add(missingPart.engineId);
+  }
 }
 
 /**
