Give no link time for a start, a fall of the count or a clock that returns

Cause: review of the link budget. A gateway began with the whole burst and, as it counts only itself after a start, 69 gateways that start together had 6.9 s of link time at once. A fall of the count of gateways (69 to 1) gave each the burst of the fleet, 6.9 s again. Time that goes backwards and returns was counted twice. Change: the budget is empty at first; the time since the last update is divided among the larger of the two counts; the later time is kept. `giveBack` returns the time of a prompt that was granted and finds no path.

--- a/src/admission/create_link_budget.ts
+++ b/src/admission/create_link_budget.ts
@@ -22,6 +22,16 @@
    * @returns Whether the prompt may use the link.
    */
   take(service: string, options: { readonly linkTimeMs: number }): boolean;
+  /** Returns the time of a prompt that was granted and does not use the link. */
+  giveBack(service: string, options: { readonly linkTimeMs: number }): void;
+}
+
+/** The time that this gateway has in hand for one service. */
+interface Part {
+  readonly timeMs: number;
+  readonly updatedMs: number;
+  /** Number of gateways when it was updated. */
+  readonly gateways: number;
 }
 
 /**
@@ -45,6 +55,9 @@
  * grows with the number of gateways: with 69 of them and two prompts each, prompts
  * queued for seconds, and callers gave up.
  *
+ * The budget is empty at first: gateways that start together know of few others, and
+ * each of them would otherwise use the burst of the whole fleet.
+ *
  * @param options - The number of gateways, the clock and the source of randomness.
  * @returns The budget.
  * @throws Nothing.
@@ -55,24 +68,36 @@
   options: CreateLinkBudgetOptions,
 ): LinkBudget {
   const { getGatewayCount, now, random } = options;
-  const parts = new Map<string, { timeMs: number; updatedMs: number }>();
+  const empty: Part = { timeMs: 0, updatedMs: now(), gateways: 1 };
+  const parts = new Map<string, Part>();
 
-  function refill(service: string): number {
+  // When the number of gateways changed since the last update is not known, so the time
+  // since then is divided among the larger number. Otherwise, a fall from 69 to 1 would
+  // give each gateway the burst of the whole fleet.
+  function refill(service: string): Part {
+    const part = parts.get(service) ?? empty;
     const gateways = Math.max(1, getGatewayCount());
-    const maxMs = MAX_BURST_MS / gateways;
-    const part = parts.get(service);
-    if (!part) return maxMs;
-    const gainedMs = (now() - part.updatedMs) * PROMPT_SHARE / gateways;
-    return Math.min(maxMs, part.timeMs + gainedMs);
+    const sharers = Math.max(gateways, part.gateways);
+    // The later time is kept, so that no time is counted twice.
+    const updatedMs = Math.max(part.updatedMs, now());
+    const gainedMs = (updatedMs - part.updatedMs) * PROMPT_SHARE / sharers;
+    const timeMs = Math.min(MAX_BURST_MS / sharers, part.timeMs + gainedMs);
+    return { timeMs, updatedMs, gateways };
   }
 
   return {
     take(service, { linkTimeMs }) {
-      const timeMs = refill(service);
-      const isCovered = timeMs >= linkTimeMs;
-      const leftMs = isCovered ? timeMs - linkTimeMs : 0;
-      parts.set(service, { timeMs: leftMs, updatedMs: now() });
-      return isCovered || random() < timeMs / linkTimeMs;
+      const part = refill(service);
+      const isCovered = part.timeMs >= linkTimeMs;
+      const timeMs = isCovered ? part.timeMs - linkTimeMs : 0;
+      parts.set(service, { ...part, timeMs });
+      return isCovered || random() < part.timeMs / linkTimeMs;
+    },
+    // The next refill limits what is returned to this gateway's part of the burst: whole
+    // prompts in the hands of each of many gateways would be a burst of seconds.
+    giveBack(service, { linkTimeMs }) {
+      const part = refill(service);
+      parts.set(service, { ...part, timeMs: part.timeMs + linkTimeMs });
     },
   };
 }
