Count what the link budget decides; choose as before without a link

Cause: review of the order of paths. Without a declared link, a call that only the limit of prompts across data centres keeps back was `missing` before the budget and waited for a path; it became `full`, and waited for capacity or was refused. With one, a path within the data centre that cannot be used, as one of its engines has just refused, kept the call from asking the budget. A granted prompt that then found no path was paid for. Ruled out: a search of the crossing path before the budget is asked; it adds a path search to each denied poll. Change: the limit of prompts applies to all searches where no link is declared, as before. The budget is asked where no usable path within a data centre is left, and gets the time back where there is none across either. The new tests of choose_call_path fail on but two, which fail with the search within data centres or the limit of prompts taken out.

--- a/src/gateway/choose_call_path.ts
+++ b/src/gateway/choose_call_path.ts
@@ -90,6 +90,10 @@
   }
   const usable = engines.listUsable(call.service);
   const startedRequests = estimateStartedRequests(call, context);
+  const { promptTokens } = call.request;
+  const linkTimeMs = getLinkTimeMs(model, { promptTokens });
+  const isBelowPromptLimit =
+    engines.getCrossPlacePrompts() < MAX_CROSS_PLACE_PROMPTS;
   const pathOptions = {
     model,
     place,
@@ -100,14 +104,21 @@
     drawRandomCost: startedRequests === Infinity ? context.random : undefined,
     excluded,
     canStartAt: rateLimits.maySend,
+    // With a declared link, a path that only the link's budget denies counts as full.
+    mayCrossPlaces: linkTimeMs !== undefined || isBelowPromptLimit,
     nowMs: now(),
   };
-  const path = chooseAffordablePath(usable, {
-    call,
-    context,
-    pathOptions: { ...pathOptions, need },
-  });
-  if (path && !path.some(hasJustRefused)) return { type: "path", path };
+  const neededPathOptions = { ...pathOptions, need };
+  const path = linkTimeMs === undefined
+    ? choosePath(usable, neededPathOptions)
+    : chooseAffordablePath(usable, {
+      call,
+      context,
+      linkTimeMs,
+      mayCrossPlaces: isBelowPromptLimit,
+      pathOptions: neededPathOptions,
+    });
+  if (path && isUsablePath(path, context)) return { type: "path", path };
   const pathWithoutNeed = path ?? choosePath(usable, pathOptions);
   if (pathWithoutNeed) return { type: "full" };
   const limited = findLimitWait(call, context);
@@ -117,10 +128,15 @@
     return limited;
   }
   return findBackOffWait(call, context, model);
+}
 
-  function hasJustRefused({ engineId }: AddressedPart): boolean {
-    return (engines.get(engineId)?.fullUntilMs ?? 0) > now();
-  }
+function isUsablePath(
+  path: readonly AddressedPart[],
+  { engines, now }: ServingContext,
+): boolean {
+  return path.every(({ engineId }) =>
+    (engines.get(engineId)?.fullUntilMs ?? 0) <= now()
+  );
 }
 
 // A path that continues in another data centre is the last resort where the model
@@ -130,24 +146,34 @@
   options: {
     readonly call: Call;
     readonly context: ServingContext;
+    readonly linkTimeMs: number;
+    readonly mayCrossPlaces: boolean;
     readonly pathOptions: ChoosePathOptions;
   },
 ): AddressedPart[] | undefined {
-  const { call, context, pathOptions } = options;
-  const { promptTokens } = call.request;
-  const linkTimeMs = getLinkTimeMs(pathOptions.model, { promptTokens });
-  const mayCrossPlaces =
-    context.engines.getCrossPlacePrompts() < MAX_CROSS_PLACE_PROMPTS;
-  if (linkTimeMs === undefined) {
-    return choosePath(usable, { ...pathOptions, mayCrossPlaces });
-  }
+  const { call, context, linkTimeMs, mayCrossPlaces, pathOptions } = options;
+  const { linkBudget, metrics } = context;
+  const { service } = call;
   const localPath = choosePath(usable, {
     ...pathOptions,
     mayCrossPlaces: false,
   });
-  if (localPath || !mayCrossPlaces) return localPath;
-  if (!context.linkBudget.take(call.service, { linkTimeMs })) return undefined;
-  return choosePath(usable, { ...pathOptions, mayCrossPlaces });
+  if (localPath && isUsablePath(localPath, context)) return localPath;
+  if (!mayCrossPlaces) return localPath;
+  if (!linkBudget.take(service, { linkTimeMs })) {
+    metrics.count("linkBudget.denied");
+    return localPath;
+  }
+  const crossingPath = choosePath(usable, {
+    ...pathOptions,
+    mayCrossPlaces: true,
+  });
+  if (crossingPath && isUsablePath(crossingPath, context)) {
+    metrics.count("linkBudget.granted");
+    return crossingPath;
+  }
+  linkBudget.giveBack(service, { linkTimeMs });
+  return localPath;
 }
 
 function findLimitWait(
--- a/src/gateway/choose_call_path_test.ts
+++ b/src/gateway/choose_call_path_test.ts
@@ -4,6 +4,7 @@
 import { makeLayeredModel } from "../../test/support/make_layered_model.ts";
 import { makeRateLimits } from "../../test/support/make_rate_limits.ts";
 import type { LayerRange } from "../engines/index.ts";
+import type { LayeredModel } from "../routes/index.ts";
 import { chooseCallPath, findAlternatePath } from "./choose_call_path.ts";
 import { createEngineNotices } from "./create_engine_notices.ts";
 import { createEngineTable } from "./create_engine_table.ts";
@@ -186,4 +187,156 @@
   assert.is(findIds(), undefined);
 });
 
+/** A model whose requests share a declared link; a slow card costs far more than it. */
+const LINKED_MODEL = makeLayeredModel({
+  activationBytes: 1_000,
+  placeLinkMbps: 1,
+  cards: [
+    { name: "card", memoryMb: 1_000, stepFactor: 1, readFactor: 1 },
+    { name: "slow", memoryMb: 1_000, stepFactor: 100, readFactor: 1 },
+  ],
+});
+
+/** Ms on the link of the call's 20 prompt tokens. */
+const LINK_TIME_MS = 160;
+
+/**
+ * One engine with the lower layers; the upper ones are on a slow engine in its data
+ * centre and on a fast one in another.
+ */
+function makeTwoPlaces(
+  { isAllowed = true, model = LINKED_MODEL }: {
+    isAllowed?: boolean;
+    model?: LayeredModel;
+  } = {},
+) {
+  const { clock, context, choose } = makeFleet();
+  const { engines } = context;
+  const records = [
+    makeEngineRecord("lower", { layers: LOWER, card: "card", slots: 8 }),
+    makeEngineRecord("near", { layers: UPPER, card: "slow", slots: 8 }),
+    makeEngineRecord("far", {
+      layers: UPPER,
+      card: "card",
+      slots: 8,
+      place: "q",
+    }),
+  ];
+  engines.applyUpdate({
+    type: "engines",
+    isWhole: true,
+    engines: records,
+    gone: [],
+  });
+  const asked: number[] = [];
+  const givenBack: number[] = [];
+  const counted: string[] = [];
+  Object.assign(context, {
+    getTable: () => ({ getService: () => ({ model }) }),
+    linkBudget: {
+      take: (_service: string, { linkTimeMs }: { linkTimeMs: number }) => {
+        asked.push(linkTimeMs);
+        return isAllowed;
+      },
+      giveBack: (_service: string, { linkTimeMs }: { linkTimeMs: number }) => {
+        givenBack.push(linkTimeMs);
+      },
+    },
+    metrics: { count: (name: string) => counted.push(name) },
+  });
+  const fill = (engineId: string) =>
+    engines.addWork([{ engineId, ...UPPER }], { tokens: 3_000_000 });
+  return { asked, choose, clock, counted, engines, fill, givenBack };
+}
+
+test("a path within a data centre is taken although one across would be cheaper", () => {
+  const { asked, choose, counted } = makeTwoPlaces();
+  assert.equal(listIds(choose()), ["lower", "near"]);
+  assert.equal(asked, []);
+  assert.equal(counted, []);
+});
+
+test("where no path within a data centre is left, the link's budget allows one across", () => {
+  const { asked, choose, counted, fill, givenBack } = makeTwoPlaces();
+  fill("near");
+  assert.equal(listIds(choose()), ["lower", "far"]);
+  assert.equal(asked, [LINK_TIME_MS]);
+  assert.equal(givenBack, []);
+  assert.equal(counted, ["linkBudget.granted"]);
+});
+
+test("a path across that the link's budget denies counts as full, so that calls wait", () => {
+  const { choose, counted, fill } = makeTwoPlaces({ isAllowed: false });
+  fill("near");
+  assert.equal(choose(), { type: "full" });
+  assert.equal(counted, ["linkBudget.denied"]);
+});
+
+test("an engine that has just refused leaves no path within the data centre", () => {
+  const { choose, clock, engines } = makeTwoPlaces();
+  engines.noteFull("near");
+  assert.equal(listIds(choose()), ["lower", "far"]);
+  clock.ms = 1_000;
+  assert.equal(listIds(choose()), ["lower", "near"]);
+});
+
+test("time on the link is given back where no path across is left either", () => {
+  const { choose, counted, fill, givenBack } = makeTwoPlaces();
+  fill("near");
+  fill("far");
+  assert.equal(choose(), { type: "full" });
+  assert.equal(givenBack, [LINK_TIME_MS]);
+  assert.equal(counted, []);
+});
+
+test("time on the link is given back where the path across has just refused", () => {
+  const { choose, counted, engines, fill, givenBack } = makeTwoPlaces();
+  fill("near");
+  engines.noteFull("far");
+  assert.equal(choose(), { type: "full" });
+  assert.equal(givenBack, [LINK_TIME_MS]);
+  assert.equal(counted, []);
+});
+
+test("two prompts that are read across data centres deny a third without the budget", () => {
+  const { asked, choose, engines, fill } = makeTwoPlaces();
+  fill("near");
+  const path = [
+    { engineId: "lower", ...LOWER },
+    { engineId: "far", ...UPPER },
+  ];
+  engines.beginPrefill(path);
+  const end = engines.beginPrefill(path);
+  assert.equal(choose(), { type: "full" });
+  assert.equal(asked, []);
+  end();
+  assert.equal(listIds(choose()), ["lower", "far"]);
+});
+
+test("without a declared link, the cheaper path across is taken and no budget asked", () => {
+  const { activationBytes: _, placeLinkMbps: __, ...model } = LINKED_MODEL;
+  const { asked, choose, counted, engines } = makeTwoPlaces({
+    model,
+    isAllowed: false,
+  });
+  assert.equal(listIds(choose()), ["lower", "far"]);
+  const path = [
+    { engineId: "lower", ...LOWER },
+    { engineId: "far", ...UPPER },
+  ];
+  engines.beginPrefill(path);
+  engines.beginPrefill(path);
+  assert.equal(listIds(choose()), ["lower", "near"]);
+  // A call that only the limit of prompts keeps back waits for a path, not for capacity.
+  engines.applyUpdate({
+    type: "engines",
+    isWhole: false,
+    engines: [],
+    gone: ["near"],
+  });
+  assert.equal(choose(), { type: "missing" });
+  assert.equal(asked, []);
+  assert.equal(counted, []);
+});
+
 test.run();
--- a/src/metrics/metric_catalogue.ts
+++ b/src/metrics/metric_catalogue.ts
@@ -123,6 +123,10 @@
     "Upstreams suspected by this gateway and left out for a while",
   "paths.changed": "Running requests moved to another path",
   "streams.resumed": "Streams resumed by another run of the request",
+  "linkBudget.granted":
+    "Paths over the link between data centres that its budget allowed",
+  "linkBudget.denied":
+    "Times at which no path within a data centre was left and the link's budget denied one across",
   "logs.dropped":
     "Log lines dropped because of the rate limit or a slow reader",
   "config.stale": "Ignored configurations that were older than the current one",
