Move a run once for each path that has a lost engine

Cause: a run left each lost engine by a move of its own, and two sources that named the same engine caused two moves. Every move has the new engines read all tokens of the run. Change: the moves of a run follow each other, and one that starts off an engine that is no longer on the path does nothing.

--- a/src/gateway/create_run_migrator.ts
+++ b/src/gateway/create_run_migrator.ts
@@ -56,14 +56,14 @@
   const { engines, now, metrics } = context;
   const nextMovesMs = new Map<string, number>();
   let isChecking = false;
+  let lastMove = Promise.resolve();
 
-  async function runCheck(task: () => Promise<void>): Promise<void> {
+  // One move at a time: each begins with the path that the one before it left.
+  function runCheck(task: () => Promise<void>): void {
     isChecking = true;
-    try {
-      await task();
-    } finally {
+    lastMove = lastMove.then(task).finally(() => {
       isChecking = false;
-    }
+    });
   }
 
   async function recover(silentRun: StreamRun): Promise<void> {
@@ -92,6 +92,8 @@
     engineId: string,
   ): Promise<void> {
     const { path } = run;
+    const isOnPath = path.some((part) => part.engineId === engineId);
+    if (!isCurrent(run) || !isOnPath) return;
     const moveOptions = { path, excluded, engineId };
     const newPath = await moveOffEngine(call, context, moveOptions);
     if (newPath && isCurrent(run)) applyMove(run, newPath);
@@ -102,10 +104,26 @@
     return getMoveDelayMs({ drainMs, random: context.random() });
   }
 
+  // If a nearby engine takes over the failed engine's part, the other engines of the
+  // path keep their state of the stream, and the prompt is not processed again there.
+  async function leaveFailed(
+    run: StreamRun,
+    { engineId, reason }: { engineId: string; reason: string },
+  ): Promise<void> {
+    const { path } = run;
+    const isOnPath = path.some((part) => part.engineId === engineId);
+    if (!isCurrent(run) || !isOnPath) return;
+    const newPath = run.hasBegun &&
+      await moveOffEngine(call, context, { path, excluded, engineId });
+    if (!isCurrent(run)) return;
+    if (newPath) applyMove(run, newPath);
+    else run.leave(engineId, reason);
+  }
+
   return {
     checkStall(run) {
       if (isChecking || !isCurrent(run)) return;
-      void runCheck(() => recover(run));
+      runCheck(() => recover(run));
     },
     // Another engine holds the layers of a leaving one within a few seconds; the move is
     // retried until then.
@@ -119,18 +137,14 @@
       nextMovesMs.set(engineId, nextMoveMs);
       if (now() < nextMoveMs) return;
       nextMovesMs.set(engineId, now() + MOVE_RETRY_INTERVAL_MS);
-      void runCheck(() => moveOffLeaving(run, engineId));
+      runCheck(() => moveOffLeaving(run, engineId));
     },
-    // If a nearby engine takes over the failed engine's part, the other engines of the
-    // path keep their state of the stream, and the prompt is not processed again there.
-    async leaveFailedEngine(run, { engineId, reason }) {
-      const { path } = run;
-      const moveOptions = { path, excluded, engineId };
-      const newPath = run.hasBegun &&
-        await moveOffEngine(call, context, moveOptions);
-      if (!isCurrent(run)) return;
-      if (newPath) applyMove(run, newPath);
-      else run.leave(engineId, reason);
+    // Engines that fail together are reported one by one, and each by several sources.
+    // A move that begins while another one runs may not be needed any more, and every
+    // move has the new engines read all tokens of the run.
+    leaveFailedEngine(run, failure) {
+      lastMove = lastMove.then(() => leaveFailed(run, failure));
+      return lastMove;
     },
   };
 }
--- a/src/gateway/create_run_migrator_test.ts
+++ b/src/gateway/create_run_migrator_test.ts
@@ -1,11 +1,18 @@
 /**
- * Guards against runs that all leave a draining engine at the same moment: the engines
- * that take them over read the tokens of all of them first, so that all pause.
+ * Guards against moves that make runs pause for longer than needed. The engines that
+ * take a run over read all of its tokens first: runs paused for each other where all
+ * left a draining engine at the same moment, and where one run moved several times
+ * because engines that failed together were reported one by one.
  */
 
+import { setImmediate } from "node:timers/promises";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { createRandomSource } from "../../proof/random_source.ts";
+import {
+  makeHolderContext,
+  MOVED_CALL,
+} from "../../test/support/make_holder_context.ts";
 import { createRunMigrator } from "./create_run_migrator.ts";
 import type { StreamRelay } from "./create_stream_relay.ts";
 import type { StreamRun } from "./start_stream_run.ts";
@@ -19,7 +26,7 @@
 } as unknown as StreamRun;
 
 /** Plays 100 runs over a draining engine; returns the time of each first attempt. */
-function playLeave(upstreamDrainMs: number): number[] {
+async function playLeave(upstreamDrainMs: number): Promise<number[]> {
   const { integer } = createRandomSource(1);
   let nowMs = 0;
   const firstMovesMs: number[] = [];
@@ -50,12 +57,13 @@
   });
   for (; nowMs <= DRAIN_MS; nowMs += POLL_MS) {
     migrators.forEach((migrator) => migrator.checkLeaving(RUN));
+    await setImmediate();
   }
   return firstMovesMs;
 }
 
-test("runs leave a draining engine one after the other, before it ends", () => {
-  const firstMovesMs = playLeave(DRAIN_MS);
+test("runs leave a draining engine one after the other, before it ends", async () => {
+  const firstMovesMs = await playLeave(DRAIN_MS);
   assert.is(firstMovesMs.filter((ms) => ms <= DRAIN_MS - 900).length, 100);
   for (let fromMs = 0; fromMs < DRAIN_MS; fromMs += POLL_MS) {
     const moves = firstMovesMs
@@ -64,8 +72,60 @@
   }
 });
 
-test("runs leave at once where it is unknown how long the engine serves", () => {
-  assert.equal([...new Set(playLeave(0))], [0]);
+test("runs leave at once where it is unknown how long the engine serves", async () => {
+  assert.equal([...new Set(await playLeave(0))], [0]);
+});
+
+/** A run over e1 and e2, which are lost to it one after the other. */
+function startRun(holderIds: readonly string[]) {
+  const { context, triedEngineIds } = makeHolderContext(holderIds);
+  const left: string[] = [];
+  let path = ["e1", "e2"].map((engineId, at) => ({
+    engineId,
+    address: `${engineId}:80`,
+    fromLayer: 4 * at,
+    toLayer: 4 * at + 4,
+  }));
+  const run = {
+    hasBegun: true,
+    get path() {
+      return path;
+    },
+    switchPath: (next: typeof path) => void (path = next),
+    leave: (engineId: string) => void left.push(engineId),
+  } as unknown as StreamRun;
+  const excluded = new Set<string>();
+  const migrator = createRunMigrator(MOVED_CALL, context, {
+    relay: { restartSilence: () => {} } as StreamRelay,
+    excluded,
+    isCurrent: () => left.length === 0,
+  });
+  const fail = (engineId: string) => {
+    excluded.add(engineId);
+    return migrator.leaveFailedEngine(run, { engineId, reason: "lost" });
+  };
+  return { fail, left, triedEngineIds };
+}
+
+test("a run that two sources tell to leave an engine moves once", async () => {
+  const { fail, left, triedEngineIds } = startRun(["e2", "e3", "e4"]);
+  await Promise.all([fail("e2"), fail("e2")]);
+  assert.equal(triedEngineIds, ["e3"]);
+  assert.equal(left, []);
+});
+
+test("a run moves again only where its new path has a lost engine, too", async () => {
+  const { fail, left, triedEngineIds } = startRun(["e2", "e3", "e4"]);
+  await Promise.all([fail("e2"), fail("e4"), fail("e3")]);
+  // The search for the first path already knows of all three, and finds none.
+  assert.equal(triedEngineIds, []);
+  assert.equal(left, ["e2"]);
+  const other = startRun(["e2", "e3", "e4"]);
+  const first = other.fail("e2");
+  await first;
+  await Promise.all([other.fail("e4"), other.fail("e3")]);
+  assert.equal(other.triedEngineIds, ["e3"]);
+  assert.equal(other.left, ["e3"]);
 });
 
 test.run();
--- a/src/gateway/recover_stalled_run_test.ts
+++ b/src/gateway/recover_stalled_run_test.ts
@@ -1,10 +1,11 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import {
+  makeHolderContext,
+  MOVED_CALL,
+} from "../../test/support/make_holder_context.ts";
 import type { QuarantineVerdict } from "./create_quarantine.ts";
 import type { AddressedPart } from "./protocol.ts";
-import { makeEngineRecord } from "../../test/support/make_engine_record.ts";
-import { makeLayeredModel } from "../../test/support/make_layered_model.ts";
-import { createEngineTable } from "./create_engine_table.ts";
 import { moveOffEngine, recoverStalledRun } from "./recover_stalled_run.ts";
 import type { Call, ServingContext } from "./types.ts";
 
@@ -69,63 +70,13 @@
   assert.equal(pathSearches, []);
 });
 
-/** One first engine, and holders of the upper layers that reject paths by name. */
-function makeHolders(engineIds: readonly string[], missing: readonly string[]) {
-  const engines = createEngineTable({
-    now: () => 0,
-    log: () => {},
-    onRemoved: () => {},
-  });
-  engines.applyUpdate({
-    type: "engines",
-    isWhole: true,
-    engines: engineIds.map((engineId) =>
-      makeEngineRecord(engineId, {
-        layers: engineId === "e1"
-          ? { fromLayer: 0, toLayer: 4 }
-          : { fromLayer: 4, toLayer: 8 },
-        card: "card",
-        slots: 8,
-      })
-    ),
-    gone: [],
-  });
-  const triedEngineIds: string[] = [];
-  const context = {
-    ...makeContext({ type: "free" }).context,
-    engines,
-    getTable: () => ({ getService: () => ({ model: makeLayeredModel() }) }),
-    getGatewayCount: () => 1,
-    now: () => 0,
-    engineControl: {
-      changePath(
-        _address: string,
-        { path }: { readonly path: readonly AddressedPart[] },
-      ) {
-        const { engineId, address } = path[1];
-        triedEngineIds.push(engineId);
-        return Promise.resolve(
-          missing.includes(engineId)
-            ? { isAccepted: false, missingAddress: address }
-            : { isAccepted: true },
-        );
-      },
-    },
-  } as unknown as ServingContext;
-  return { context, triedEngineIds };
-}
-
-const MOVED_CALL = {
-  ...CALL,
-  service: "s",
-  request: { requestId: "r", promptTokens: 20, maxAnswerTokens: 20 },
-} as Call;
 const MOVE = { path: PATH, excluded: new Set<string>(), engineId: "e2" };
 
 test("a run takes a second path where the first one has another lost engine", async () => {
-  const { context, triedEngineIds } = makeHolders(["e1", "e2", "e3", "e4"], [
-    "e3",
-  ]);
+  const { context, triedEngineIds } = makeHolderContext(
+    ["e2", "e3", "e4"],
+    ["e3"],
+  );
   const path = await moveOffEngine(MOVED_CALL, context, MOVE);
   assert.equal(triedEngineIds, ["e3", "e4"]);
   assert.equal(path?.map(({ engineId }) => engineId), ["e1", "e4"]);
@@ -133,8 +84,8 @@
 
 test("a move ends after four rejected paths", async () => {
   const holders = ["e3", "e4", "e5", "e6", "e7", "e8"];
-  const { context, triedEngineIds } = makeHolders(
-    ["e1", "e2", ...holders],
+  const { context, triedEngineIds } = makeHolderContext(
+    ["e2", ...holders],
     holders,
   );
   assert.is(await moveOffEngine(MOVED_CALL, context, MOVE), undefined);
