Publish an engine found lost by its own data centre to all gateways

Cause: the leader told what two gateways of a data centre found lost to the gateways of that data centre only. Gateways elsewhere waited until their own streams fell silent, and probed over the link between the data centres. Ruled out: telling all on any two reports, as gateways on one side of a partition all report engines that run on the other; a new field in the message, since gateways would decide nothing by it. Change: reports of two gateways of the engine's own data centre hold for all, as no link between data centres can have caused them. Others, and those of engines without a record, hold for the reporters' data centre as before. The message is unchanged on the wire.

--- a/src/fleet/create_failure_report_collector.ts
+++ b/src/fleet/create_failure_report_collector.ts
@@ -1,27 +1,44 @@
 /**
- * Collects the engine failures that gateways found by probing, so that the other
- * gateways of the same data centre needn't probe.
+ * Collects the engine failures that gateways found by probing, so that other gateways
+ * needn't probe, and decides which data centres a failure holds for.
  *
  * @module
  */
 
+/** An engine that a gateway reports as failed. */
+export interface ReportedEngine {
+  readonly engineId: string;
+  /** Data centre of the engine; undefined if the leader doesn't know the engine. */
+  readonly place: string | undefined;
+}
+
 /** A gateway's report. */
 export interface FailureReport {
   readonly vm: string;
+  /** Data centre of the gateway. */
   readonly place: string;
   /** Engines that did not answer its probes while its streams over them were stalled. */
-  readonly engineIds: readonly string[];
+  readonly engines: readonly ReportedEngine[];
+}
+
+/** A failure that enough gateways have reported. */
+export interface ConfirmedFailure extends ReportedEngine {
+  /**
+   * Whether it holds for the gateways of all data centres; otherwise only for those of
+   * the reporting one.
+   */
+  readonly isForAllPlaces: boolean;
 }
 
 /** Collects failure reports. */
 export interface FailureReportCollector {
-  /** Adds a report; returns the failed engines to publish in that data centre now. */
-  add(report: FailureReport): readonly string[];
+  /** Adds a report; returns the failures to publish now. */
+  add(report: FailureReport): readonly ConfirmedFailure[];
 }
 
 /**
- * Gateways of one data centre that have to report an engine as failed before the
- * others there are notified: a single one may itself be partitioned.
+ * Gateways of one data centre that have to report an engine as failed before others
+ * are notified: a single one may itself be partitioned.
  */
 const MIN_REPORTERS = 2;
 
@@ -31,11 +48,14 @@
 /**
  * Creates the collector, without reports.
  *
+ * Reports are counted for each reporting data centre by itself. Those from the engine's
+ * own data centre hold for all, as no link between data centres can have caused them.
+ *
  * @param options - Monotonic time, in ms.
  * @returns The collector.
  * @throws Nothing.
  * @example
- * const failed = collector.add({ vm, place, engineIds });
+ * const failures = collector.add({ vm, place, engines });
  */
 export function createFailureReportCollector(
   options: { readonly now: () => number },
@@ -58,14 +78,17 @@
   }
 
   function confirmFailure(
-    engineId: string,
+    engine: ReportedEngine,
     { vm, place }: FailureReport,
   ): boolean {
-    const key = `${place} ${engineId}`;
+    const key = `${place} ${engine.engineId}`;
     const byVm = reporters.get(key) ?? new Map<string, number>();
     reporters.set(key, byVm.set(vm, now()));
     const count = [...byVm.values()].filter(isFresh).length;
-    if (count < MIN_REPORTERS || notifiedMs.has(key)) return false;
+    // A notification from the engine's own data centre went to all.
+    const ownKey = `${engine.place} ${engine.engineId}`;
+    const isNotified = notifiedMs.has(key) || notifiedMs.has(ownKey);
+    if (count < MIN_REPORTERS || isNotified) return false;
     notifiedMs.set(key, now());
     return true;
   }
@@ -73,9 +96,12 @@
   return {
     add(report) {
       removeExpired();
-      return report.engineIds.filter((engineId) =>
-        confirmFailure(engineId, report)
-      );
+      return report.engines
+        .filter((engine) => confirmFailure(engine, report))
+        .map((engine) => ({
+          ...engine,
+          isForAllPlaces: engine.place === report.place,
+        }));
     },
   };
 }
--- a/src/fleet/create_gateway_sessions.ts
+++ b/src/fleet/create_gateway_sessions.ts
@@ -18,7 +18,10 @@
 import { createActivityTally } from "./create_activity_tally.ts";
 import { createAwaitedGateways } from "./create_awaited_gateways.ts";
 import { createHelloQueue } from "./create_hello_queue.ts";
-import { createFailureReportCollector } from "./create_failure_report_collector.ts";
+import {
+  type ConfirmedFailure,
+  createFailureReportCollector,
+} from "./create_failure_report_collector.ts";
 import { createRolloutTracker } from "./create_rollout_tracker.ts";
 import type { EngineChange } from "./create_engine_registry.ts";
 import type { LimitCoordinator } from "./create_limit_coordinator.ts";
@@ -295,13 +298,44 @@
     { vm, place }: GatewayRecord,
     found: readonly string[],
   ): void {
-    const engineIds = lossReports.add({ vm, place, engineIds: found });
-    if (engineIds.length === 0) return;
-    for (const session of sessions.values()) {
-      if (session.gateway?.place !== place) continue;
-      send(session, { type: "lost", engineIds });
-    }
-    log("engineFoundLost", { engineIds, place });
+    const places = new Map(
+      options.getEngines().map((engine) => [engine.engineId, engine.place]),
+    );
+    const engines = found.map((engineId) => ({
+      engineId,
+      place: places.get(engineId),
+    }));
+    const failures = lossReports.add({ vm, place, engines });
+    publishFailures(
+      failures.filter(({ isForAllPlaces }) => isForAllPlaces),
+      { place, receivers: [...sessions.values()] },
+    );
+    publishFailures(
+      failures.filter(({ isForAllPlaces }) => !isForAllPlaces),
+      {
+        place,
+        receivers: [...sessions.values()]
+          .filter(({ gateway }) => gateway?.place === place),
+      },
+    );
+  }
+
+  function publishFailures(
+    failures: readonly ConfirmedFailure[],
+    { place, receivers }: { place: string; receivers: readonly Session[] },
+  ): void {
+    if (failures.length === 0) return;
+    const engineIds = failures.map(({ engineId }) => engineId);
+    const message = codec.format({ type: "lost", engineIds });
+    for (const session of receivers) write(session, message);
+    log("engineFoundLost", {
+      engineIds,
+      place,
+      toldPlaces: [
+        ...new Set(receivers.map(({ gateway }) => gateway?.place)),
+      ].sort(),
+      sessions: receivers.length,
+    });
   }
 
   // Only under the lease, so that no two leaders grant retries at the same time.
--- a/src/fleet/create_gateway_sessions_test.ts
+++ b/src/fleet/create_gateway_sessions_test.ts
@@ -95,20 +95,21 @@
   });
 }
 
-function makeGateway(vm: string): GatewayRecord {
-  return { vm, place: "a", address: `${vm}:1`, isReady: true };
+function makeGateway(vm: string, place = "a"): GatewayRecord {
+  return { vm, place, address: `${vm}:1`, isReady: true };
 }
 
 async function join(
   sessions: ReturnType<typeof makeSessions>,
   vm: string,
   version = -1,
-  options: { readonly knowsGateways?: boolean } = {},
+  options: { readonly knowsGateways?: boolean; readonly place?: string } = {},
 ): Promise<FakeStream> {
   const stream = new FakeStream();
   sessions.handleSession(stream as unknown as SessionStream);
-  const gateway = makeGateway(vm);
-  stream.send({ type: "hello", gateway, version, sentMs: 0, ...options });
+  const { place, ...knowledge } = options;
+  const gateway = makeGateway(vm, place);
+  stream.send({ type: "hello", gateway, version, sentMs: 0, ...knowledge });
   await new Promise((resolve) => setImmediate(resolve));
   return stream;
 }
@@ -299,6 +300,81 @@
   assert.is(metrics.getCounters()["config.changes_made"], 1);
 });
 
+/** Two gateways in each of two data centres; the engines are in data centre a. */
+async function joinTwoPlaces() {
+  const clock = { nowMs: 0 };
+  const lines: unknown[] = [];
+  const sessions = makeSessions(ENGINES, {
+    now: () => clock.nowMs,
+    log: (event, fields) => {
+      if (event === "engineFoundLost") lines.push(fields);
+    },
+  });
+  const streams = {
+    a1: await join(sessions, "a1", -1, { place: "a" }),
+    a2: await join(sessions, "a2", -1, { place: "a" }),
+    b1: await join(sessions, "b1", -1, { place: "b" }),
+    b2: await join(sessions, "b2", -1, { place: "b" }),
+  };
+  const report = (vm: keyof typeof streams, engineId = "e0") =>
+    streams[vm].send({ ...BEAT, isReady: true, lost: [engineId] });
+  const countTold = () =>
+    Object.fromEntries(
+      Object.entries(streams).map(([vm, { received }]) => [
+        vm,
+        received.filter(({ type }) => type === "lost").length,
+      ]),
+    );
+  return { clock, lines, streams, report, countTold };
+}
+
+// Gateways elsewhere would otherwise wait for their own streams to fall silent, and
+// then probe over the link between the data centres.
+test("an engine found lost by two gateways of its own data centre is published to all once", async () => {
+  const { clock, lines, streams, report, countTold } = await joinTwoPlaces();
+  report("a1");
+  report("a2");
+  assert.equal(countTold(), { a1: 1, a2: 1, b1: 1, b2: 1 });
+  const message = { type: "lost", engineIds: ["e0"] };
+  assert.equal(streams.b1.received.at(-1), message);
+  clock.nowMs = 1_900;
+  report("a1");
+  report("a2");
+  assert.equal(countTold(), { a1: 1, a2: 1, b1: 1, b2: 1 });
+  assert.equal(lines, [
+    { engineIds: ["e0"], place: "a", toldPlaces: ["a", "b"], sessions: 4 },
+  ]);
+});
+
+// In a partition between data centres, gateways of one report engines of the other,
+// which all gateways there still reach.
+test("an engine found lost by gateways of another data centre is published only there", async () => {
+  const { lines, report, countTold } = await joinTwoPlaces();
+  report("b1");
+  report("b2");
+  assert.equal(countTold(), { a1: 0, a2: 0, b1: 1, b2: 1 });
+  assert.equal(lines, [
+    { engineIds: ["e0"], place: "b", toldPlaces: ["b"], sessions: 2 },
+  ]);
+});
+
+test("a lost engine that the leader doesn't know is published to its reporters' data centre", async () => {
+  const { report, countTold } = await joinTwoPlaces();
+  report("a1", "unknown");
+  report("a2", "unknown");
+  assert.equal(countTold(), { a1: 1, a2: 1, b1: 0, b2: 0 });
+});
+
+// A single gateway may itself be partitioned from the engine.
+test("an engine that a single gateway found lost is not published", async () => {
+  const { lines, report, countTold } = await joinTwoPlaces();
+  report("a1");
+  report("a1");
+  report("b1");
+  assert.equal(countTold(), { a1: 0, a2: 0, b1: 0, b2: 0 });
+  assert.equal(lines, []);
+});
+
 /** Bytes that a 100 Mbit/s link carries in 200 ms. */
 const LINK_BYTES = 2_500_000;
 
--- a/src/fleet/messages.ts
+++ b/src/fleet/messages.ts
@@ -216,7 +216,10 @@
     readonly activity: FleetActivity;
   }
   | {
-    /** Engines that gateways of the same data centre found failed. */
+    /**
+     * Engines that gateways of the receiver's or of the engine's data centre found
+     * failed.
+     */
     readonly type: "lost";
     readonly engineIds: readonly string[];
   }
