Add the order of waiting requests, admission tally and return log

Cause: the queue for free capacity knows only the order of arrival, so less urgent requests and large client accounts take capacity from the others.

Ruled out: a weight per account in the configuration (no field for it); rounding decayed counts to whole requests, which changes the order of two accounts without an event and makes a cached head of the queue stale.

Change: compareWaiting orders by rank, return, recent admissions and arrival; createAdmissionTally and createReturnLog hold the bounded state behind it.

--- a/src/admission/index.ts
+++ b/src/admission/index.ts
@@ -4,5 +4,9 @@
  * @module
  */
 
+export * from "./compare_urgency.ts";
+export * from "./compare_waiting.ts";
+export * from "./create_admission_tally.ts";
 export * from "./create_link_budget.ts";
+export * from "./create_return_log.ts";
 export * from "./get_link_time_ms.ts";
