Order the capacity queue by rank, return and client account

Cause: under overload the queue admitted streams of all priorities and accounts in the order of arrival, and refused callers returned behind new ones.

Ruled out: sorting all tickets on each poll (every waiting stream polls each 20 ms); one more path search per refused request to tell overload from a full fleet, whose result is kept for 100 ms instead.

Change: streams wait in lines by rank, return and account; the head is found once per change and a position by one step per line. Wait estimates count what is ahead in that order. Retry-After is later by 1 s per rank, and slots of less urgent ranks don't delay more urgent ones.

The tests of the queue and of the fleet's rates pass the new arguments (clock, request); what they check is unchanged.

--- a/src/gateway/admission_test.ts
+++ b/src/gateway/admission_test.ts
@@ -27,6 +27,9 @@
   cards: [{ name: "card", memoryMb: 1_800, stepFactor: 1, readFactor: 1 }],
 };
 
+/** A request of a service with one priority and no client accounts. */
+const REQUEST = { rank: 0, isReturn: false, clientAccount: "" };
+
 /** Tokens that fit into the memory of an engine with all layers. */
 const CAPACITY_TOKENS = 1_000;
 
@@ -109,11 +112,12 @@
     getEndIntervalMs: () => 30,
     getOthersWaiting: () => 0,
     beginWait: () => () => {},
+    now: () => 0,
   });
-  assert.is(queue.estimateWaitMs(), 30);
-  const first = queue.join();
-  const second = queue.join();
-  assert.is(queue.estimateWaitMs(), 90);
+  assert.is(queue.estimateWaitMs(REQUEST), 30);
+  const first = queue.join(REQUEST);
+  const second = queue.join(REQUEST);
+  assert.is(queue.estimateWaitMs(REQUEST), 90);
   assert.ok(first.isFirst());
   assert.not(second.isFirst());
   first.leave();
@@ -127,8 +131,8 @@
     getEndIntervalMs: () => 30,
     getOthersWaiting: () => 0,
     beginWait: () => () => {},
-  });
-  getRoomQueue("one").join();
+  }, { now: () => 0 });
+  getRoomQueue("one").join(REQUEST);
   assert.not(getRoomQueue("one").isEmpty());
   assert.ok(getRoomQueue("two").isEmpty());
 });
--- a/src/gateway/create_capacity_queue.ts
+++ b/src/gateway/create_capacity_queue.ts
@@ -1,15 +1,29 @@
 /**
- * A queue of new streams that wait briefly for free capacity, first in, first out.
+ * A queue of new streams that wait briefly for free capacity.
  *
  * @module
  */
 
+import {
+  compareUrgency,
+  compareWaiting,
+  createAdmissionTally,
+  type UrgentRequest,
+} from "../admission/index.ts";
 import type { FleetRates } from "./create_fleet_rates.ts";
 
+/** What the position of a stream depends on, apart from its arrival. */
+export interface QueuedRequest extends UrgentRequest {
+  /** Name of the client account; empty for all requests without one. */
+  readonly clientAccount: string;
+}
+
 /** A position in the queue. */
 export interface QueueTicket {
   /** Whether it is at the head of the queue. */
   isFirst(): boolean;
+  /** Number of streams of this queue that are expected to be admitted before it. */
+  countAhead(): number;
   /** Expected remaining wait, in ms. */
   estimateWaitMs(): number;
   /** Leaves the queue. */
@@ -19,9 +33,15 @@
 /** Streams that wait for free capacity. */
 export interface CapacityQueue {
   isEmpty(): boolean;
+  /** Whether a stream that joins now is at the head of the queue. */
+  isFirst(request: QueuedRequest): boolean;
+  /** Number of streams that are ahead of one that joins now. */
+  countAhead(request: QueuedRequest): number;
   /** Expected wait, in ms, of a stream that joins now. */
-  estimateWaitMs(): number;
-  join(): QueueTicket;
+  estimateWaitMs(request: QueuedRequest): number;
+  join(request: QueuedRequest): QueueTicket;
+  /** Counts an admission of a client account, whether or not it had to wait. */
+  noteAdmitted(request: Pick<QueuedRequest, "clientAccount">): void;
 }
 
 /** What a queue needs to know about the fleet. */
@@ -32,6 +52,14 @@
   readonly getOthersWaiting: () => number;
   /** Counts a waiting stream until the returned function is called. */
   readonly beginWait: () => () => void;
+  /** Monotonic time, in ms. */
+  readonly now: () => number;
+}
+
+/** The waiting streams of one client account with the same urgency. */
+interface Line extends QueuedRequest {
+  /** Numbers of the streams, in the order of arrival; never empty. */
+  readonly arrivals: number[];
 }
 
 /**
@@ -39,16 +67,18 @@
  * don't delay those of another.
  *
  * @param rates - The stream rates of the fleet.
+ * @param options - The clock.
  * @returns Gets the queue of a service, which is created on first use.
  * @throws Nothing.
  * @example
- * const getCapacityQueue = createCapacityQueues(rates);
+ * const getCapacityQueue = createCapacityQueues(rates, { now });
  */
 export function createCapacityQueues(
   rates: Pick<
     FleetRates,
     "getEndIntervalMs" | "getOthersWaiting" | "beginWait"
   >,
+  options: Pick<CreateCapacityQueueOptions, "now">,
 ): (service: string) => CapacityQueue {
   const queues = new Map<string, CapacityQueue>();
   return (service) => {
@@ -58,6 +88,7 @@
       getEndIntervalMs: () => rates.getEndIntervalMs(service),
       getOthersWaiting: () => rates.getOthersWaiting(service),
       beginWait: () => rates.beginWait(service),
+      now: options.now,
     });
     queues.set(service, queue);
     return queue;
@@ -65,9 +96,16 @@
 }
 
 /**
- * Creates an empty queue. Capacity freed by a stream goes to whichever gateway asks
- * first, so wait estimates assume that the streams waiting at other gateways go
- * first.
+ * Creates an empty queue, which admits streams in the order of `compareWaiting`. Where
+ * all have the same urgency and client account, that is the order of arrival.
+ *
+ * A stream may be overtaken by any number of others, but its wait is bounded: each check
+ * of `createCapacityWait` ends it as soon as the time waited and the expected wait
+ * exceed 0.6 of the objective, and the expected wait grows with each stream that
+ * overtakes it.
+ *
+ * Each waiting stream checks its position every 20 ms. The head is therefore found once
+ * per change of the queue, and a position by one step per line.
  *
  * @param options - What the queue needs to know about the fleet.
  * @returns The queue.
@@ -78,25 +116,147 @@
 export function createCapacityQueue(
   options: CreateCapacityQueueOptions,
 ): CapacityQueue {
-  const tickets: QueueTicket[] = [];
-  const estimateWaitMs = (position: number) =>
-    (position + options.getOthersWaiting()) * options.getEndIntervalMs();
+  const { now } = options;
+  const admissions = createAdmissionTally({ now });
+  const joins = createAdmissionTally({ now });
+  const joinedRanks = new Set<number>();
+  const lines = new Map<string, Line>();
+  let lastArrival = 0;
+  // The line whose first stream is at the head; undefined until it is looked up.
+  let headLine: Line | undefined;
+
+  function describe(request: QueuedRequest, arrival: number) {
+    const { rank, isReturn, clientAccount } = request;
+    const admittedCount = admissions.get(clientAccount);
+    return { rank, isReturn, admittedCount, arrival };
+  }
+
+  function findHeadLine(): Line | undefined {
+    if (headLine) return headLine;
+    const [first, ...others] = lines.values();
+    if (!first) return undefined;
+    let head = first;
+    let headWaiting = describe(first, first.arrivals[0]);
+    for (const line of others) {
+      const waiting = describe(line, line.arrivals[0]);
+      if (compareWaiting(waiting, headWaiting) >= 0) continue;
+      head = line;
+      headWaiting = waiting;
+    }
+    headLine = head;
+    return head;
+  }
+
+  // Simulates the admissions until it is this stream's turn: each one counts for its
+  // client account.
+  function countAhead(
+    request: QueuedRequest,
+    { index, arrival }: { readonly index: number; readonly arrival: number },
+  ): number {
+    const own = lines.get(getLineKey(request));
+    const admittedBefore = admissions.get(request.clientAccount) + index;
+    let ahead = index;
+    for (const line of lines.values()) {
+      if (line === own) continue;
+      const order = compareUrgency(line, request);
+      if (order > 0) continue;
+      const { arrivals } = line;
+      if (order < 0) {
+        ahead += arrivals.length;
+        continue;
+      }
+      const lead = admittedBefore - admissions.get(line.clientAccount);
+      if (lead < 0) continue;
+      ahead += Math.min(Math.ceil(lead), arrivals.length);
+      // With equal counts, the earlier one goes first.
+      if (Number.isInteger(lead) && arrivals[lead] < arrival) ahead += 1;
+    }
+    return ahead;
+  }
+
+  // Capacity freed by a stream goes to whichever gateway asks first, so the streams of
+  // the same rank that wait at other gateways are assumed to go first. Reports don't
+  // say their ranks, which are taken to be distributed as those of this gateway are.
+  function estimateOthersAhead(rank: number): number {
+    let ahead = 1;
+    let all = 1;
+    for (const joinedRank of joinedRanks) {
+      const count = joins.get(String(joinedRank));
+      all += count;
+      if (joinedRank <= rank) ahead += count;
+    }
+    return options.getOthersWaiting() * (ahead / all);
+  }
+
+  function estimateWaitMs(ahead: number, rank: number): number {
+    return (ahead + 1 + estimateOthersAhead(rank)) * options.getEndIntervalMs();
+  }
+
+  function countAheadOfNew(request: QueuedRequest): number {
+    const index = lines.get(getLineKey(request))?.arrivals.length ?? 0;
+    return countAhead(request, { index, arrival: lastArrival + 1 });
+  }
+
+  function addToLine(request: QueuedRequest, arrival: number): Line {
+    const key = getLineKey(request);
+    const known = lines.get(key);
+    if (known) {
+      known.arrivals.push(arrival);
+      return known;
+    }
+    const { rank, isReturn, clientAccount } = request;
+    const line = { rank, isReturn, clientAccount, arrivals: [arrival] };
+    lines.set(key, line);
+    return line;
+  }
+
   return {
-    isEmpty: () => tickets.length === 0,
-    estimateWaitMs: () => estimateWaitMs(tickets.length + 1),
-    join() {
+    isEmpty: () => lines.size === 0,
+    isFirst(request) {
+      const head = findHeadLine();
+      if (!head) return true;
+      const arrival = lastArrival + 1;
+      const headWaiting = describe(head, head.arrivals[0]);
+      return compareWaiting(describe(request, arrival), headWaiting) < 0;
+    },
+    countAhead: countAheadOfNew,
+    estimateWaitMs: (request) =>
+      estimateWaitMs(countAheadOfNew(request), request.rank),
+    join(request) {
       const endWait = options.beginWait();
-      const ticket: QueueTicket = {
-        isFirst: () => tickets[0] === ticket,
-        estimateWaitMs: () => estimateWaitMs(tickets.indexOf(ticket) + 1),
+      const { rank } = request;
+      const arrival = ++lastArrival;
+      const line = addToLine(request, arrival);
+      const { arrivals } = line;
+      joins.note(String(rank));
+      joinedRanks.add(rank);
+      headLine = undefined;
+
+      function countAheadOfTicket(): number {
+        return countAhead(line, { index: arrivals.indexOf(arrival), arrival });
+      }
+
+      return {
+        isFirst: () => findHeadLine() === line && arrivals[0] === arrival,
+        countAhead: countAheadOfTicket,
+        estimateWaitMs: () => estimateWaitMs(countAheadOfTicket(), rank),
         leave() {
           endWait();
-          const index = tickets.indexOf(ticket);
-          if (index >= 0) tickets.splice(index, 1);
+          const index = arrivals.indexOf(arrival);
+          if (index < 0) return;
+          arrivals.splice(index, 1);
+          if (arrivals.length === 0) lines.delete(getLineKey(line));
+          headLine = undefined;
         },
       };
-      tickets.push(ticket);
-      return ticket;
+    },
+    noteAdmitted({ clientAccount }) {
+      admissions.note(clientAccount);
+      headLine = undefined;
     },
   };
 }
+
+function getLineKey({ rank, isReturn, clientAccount }: QueuedRequest): string {
+  return `${rank} ${isReturn} ${clientAccount}`;
+}
--- /dev/null
+++ b/src/gateway/create_capacity_refusal.ts
@@ -0,0 +1,60 @@
+/**
+ * The refusal of a stream that no upstream can take in time.
+ *
+ * @module
+ */
+
+import { chooseCallPath } from "./choose_call_path.ts";
+import type { Refusal } from "./protocol.ts";
+import type { Call, ServingContext } from "./types.ts";
+
+/** Why the stream is refused, and what it needs. */
+export interface CreateCapacityRefusalOptions {
+  /** Whether it waited for capacity, rather than for a path or for retry budget. */
+  readonly isFull: boolean;
+  /** Tokens that it takes on each engine of its path. */
+  readonly tokens: number;
+}
+
+/** The link between data centres is not used up by a search whose path isn't taken. */
+const NO_LINK_BUDGET: ServingContext["linkBudget"] = { take: () => false };
+
+/**
+ * Creates the refusal, assigns its caller a time to return, and records it, so that the
+ * request goes before new ones of its rank when it returns. The reason is `overload`
+ * where the most urgent requests of the service still find capacity.
+ *
+ * @param call - The call; it has not run.
+ * @param context - The engines, the schedule of retries and the refused requests.
+ * @param options - Why the stream is refused, and what it needs.
+ * @returns The refusal.
+ * @throws Nothing.
+ * @example
+ * callEnd.refuse(createCapacityRefusal(call, context, { isFull: true, tokens }));
+ */
+export function createCapacityRefusal(
+  call: Call,
+  context: ServingContext,
+  options: CreateCapacityRefusalOptions,
+): Refusal {
+  const { service, rank, requestKey } = call;
+  const retryAfterMs = context.retryAfterSchedule.getWaitMs(service, { rank });
+  context.returnLog.noteRefused(requestKey, { retryAfterMs });
+  const isOverload = options.isFull && rank > 0 &&
+    context.urgentCapacity.isLeft(service, hasUrgentPath);
+  const reason = isOverload ? "overload" : "no_upstream";
+  return { status: 503, reason, retryAfterMs };
+
+  // Without a share of its own, a request may fill what the most urgent ones may.
+  function hasUrgentPath(): boolean {
+    const { type } = chooseCallPath(
+      call,
+      { ...context, linkBudget: NO_LINK_BUDGET },
+      {
+        excluded: new Set(),
+        need: { tokens: options.tokens, isNew: true },
+      },
+    );
+    return type === "path";
+  }
+}
--- a/src/gateway/create_capacity_wait.ts
+++ b/src/gateway/create_capacity_wait.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { QueueTicket } from "./create_capacity_queue.ts";
+import type { QueuedRequest, QueueTicket } from "./create_capacity_queue.ts";
 import type { Call, ServingContext } from "./types.ts";
 
 /** The wait of a new stream for free capacity. */
@@ -13,8 +13,12 @@
   isFirst(): boolean;
   /** Whether it may wait on; if so, it has joined the queue. */
   mayWait(): boolean;
+  /** Leaves the queue because the stream is sent to an upstream. */
+  admit(): void;
   /** Leaves the queue. */
   end(): void;
+  /** Returns log fields: why it waits for as long as it does. */
+  describe(): Readonly<Record<string, unknown>>;
 }
 
 /**
@@ -25,10 +29,12 @@
 
 /**
  * Creates the wait of one call. It ends as soon as the first event is no longer
- * expected in time, so that calls that can't be served fail fast.
+ * expected in time, so that calls that can't be served fail fast. This also bounds the
+ * wait of a call that more urgent ones overtake: it ends after 0.6 of the objective at
+ * the latest.
  *
  * @param call - The call.
- * @param context - The queue and the clock.
+ * @param context - The queue, the refused requests, the configuration and the clock.
  * @returns The wait.
  * @throws Nothing.
  * @example
@@ -36,24 +42,67 @@
  */
 export function createCapacityWait(
   call: Call,
-  context: Pick<ServingContext, "getCapacityQueue" | "now">,
+  context: Pick<
+    ServingContext,
+    "getCapacityQueue" | "returnLog" | "getTable" | "now"
+  >,
 ): CapacityWait {
   const { now } = context;
   const queue = context.getCapacityQueue(call.service);
+  const request = describeRequest(call, context);
   const maxWaitMs = call.route.objectiveMs * MAX_WAIT_SHARE;
   let ticket: QueueTicket | undefined;
+  let isAdmitted = !isNewStream(call);
+
+  const estimateWaitMs = () =>
+    ticket ? ticket.estimateWaitMs() : queue.estimateWaitMs(request);
+
+  function end(): void {
+    ticket?.leave();
+    ticket = undefined;
+  }
+
   return {
-    isFirst: () => ticket ? ticket.isFirst() : queue.isEmpty(),
+    isFirst: () => ticket ? ticket.isFirst() : queue.isFirst(request),
     mayWait() {
       const waitedMs = now() - call.startedMs;
-      const expectedMs = (ticket ?? queue).estimateWaitMs();
-      if (waitedMs + expectedMs > maxWaitMs) return false;
-      ticket ??= queue.join();
+      if (waitedMs + estimateWaitMs() > maxWaitMs) return false;
+      ticket ??= queue.join(request);
       return true;
     },
-    end() {
-      ticket?.leave();
-      ticket = undefined;
+    // A call that is sent again still counts as one admission.
+    admit() {
+      end();
+      if (isAdmitted) return;
+      isAdmitted = true;
+      queue.noteAdmitted(request);
+      context.returnLog.noteAdmitted(call.requestKey);
     },
+    end,
+    describe: () => ({
+      rank: request.rank,
+      isReturn: request.isReturn,
+      ahead: ticket ? ticket.countAhead() : queue.countAhead(request),
+      waitedMs: Math.round(now() - call.startedMs),
+      expectedWaitMs: Math.round(estimateWaitMs()),
+    }),
   };
 }
+
+function isNewStream({ request }: Pick<Call, "request">): boolean {
+  return request.lastEventId === undefined;
+}
+
+// With one priority and no client accounts, streams are admitted in the order of
+// arrival, also those that return.
+function describeRequest(
+  call: Call,
+  context: Pick<ServingContext, "returnLog" | "getTable">,
+): QueuedRequest {
+  const { rank, account } = call;
+  const isOrdered = call.rankCount > 1 ||
+    context.getTable()?.needsKeys === true;
+  const isReturn = isOrdered && isNewStream(call) &&
+    context.returnLog.takeReturn(call.requestKey);
+  return { rank, isReturn, clientAccount: account?.name ?? "" };
+}
--- a/src/gateway/create_fleet_rates_test.ts
+++ b/src/gateway/create_fleet_rates_test.ts
@@ -5,6 +5,7 @@
 
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import { createReturnLog } from "../admission/index.ts";
 import { createActivityTally } from "../fleet/create_activity_tally.ts";
 import { createStreamEndRate } from "./create_stream_end_rate.ts";
 import { createFleetRates } from "./create_fleet_rates.ts";
@@ -28,6 +29,9 @@
 const CALL = {
   service: SERVICE,
   route: { objectiveMs: OBJECTIVE_MS },
+  request: { lastEventId: undefined },
+  rank: 0,
+  rankCount: 1,
   startedMs: 0,
 } as unknown as Call;
 
@@ -46,7 +50,7 @@
       vm: `g${at}`,
       endRate,
       rates,
-      queues: createCapacityQueues(rates),
+      queues: createCapacityQueues(rates, { now }),
     };
   });
 
@@ -77,7 +81,12 @@
   function wait(at: number) {
     const { queues } = gateways[at];
     const call = { ...CALL, startedMs: clock.nowMs };
-    return createCapacityWait(call, { getCapacityQueue: queues, now });
+    return createCapacityWait(call, {
+      getCapacityQueue: queues,
+      returnLog: createReturnLog({ now }),
+      getTable: () => undefined,
+      now,
+    });
   }
 
   return { clock, gateways, advance, wait };
--- a/src/gateway/create_request_handler.ts
+++ b/src/gateway/create_request_handler.ts
@@ -164,6 +164,8 @@
       ...decision.call,
       route,
       requestKey,
+      rank: 0,
+      rankCount: 1,
       deadlineMs,
     };
     if (route.isStream && !isForwarded) context.rates.noteRequest(service);
--- a/src/gateway/create_retry_after_schedule.ts
+++ b/src/gateway/create_retry_after_schedule.ts
@@ -20,8 +20,11 @@
 
 /** Schedules the retries of refused callers. */
 export interface RetryAfterSchedule {
-  /** Takes the next slot of a service; returns the time until then, in ms. */
-  getWaitMs(service: string): number;
+  /**
+   * Takes the next slot of a service; returns the time until then, in ms. `rank` is the
+   * number of more urgent priorities of the service; 0 by default.
+   */
+  getWaitMs(service: string, options?: { readonly rank?: number }): number;
 }
 
 /**
@@ -41,12 +44,17 @@
 /** Longest wait of a caller, in ms; the state of the fleet has changed by then. */
 const MAX_WAIT_MS = 6_000;
 
+/** Addition, in ms, to the wait of each less urgent rank, so that it retries later. */
+const RANK_STEP_MS = 1_000;
+
 /** Share of a wait by which it is randomly shortened or extended. */
 const JITTER_SHARE = 0.2;
 
 /**
  * Creates the schedule. Slots follow each other at a share of the rate at which
- * streams end, so that callers don't retry all at once.
+ * streams end, so that callers don't retry all at once. A slot given to one rank delays
+ * the next slots of the less urgent ranks too, but not those of more urgent ones:
+ * however many less urgent callers are refused, the others are not told to wait longer.
  *
  * @param options - The rate of ends, the clock and the source of randomness.
  * @returns The schedule.
@@ -58,7 +66,8 @@
   options: CreateRetryAfterScheduleOptions,
 ): RetryAfterSchedule {
   const { now, random, leastWaitMs = MIN_WAIT_MS } = options;
-  const slotsMs = new Map<string, number>();
+  // The last slot of each rank that was refused so far.
+  const slotsMs = new Map<string, number[]>();
 
   // Each gateway assigns 1/n of the fleet's slots, so its interval is n times the
   // fleet's.
@@ -67,15 +76,26 @@
     return fleetIntervalMs * options.getGatewayCount();
   }
 
+  function getSlots(service: string, rank: number): number[] {
+    const slots = slotsMs.get(service) ?? [0];
+    slotsMs.set(service, slots);
+    while (slots.length <= rank) slots.push(slots[slots.length - 1]);
+    return slots;
+  }
+
   return {
-    getWaitMs(service) {
-      const slotMs = (slotsMs.get(service) ?? 0) + getSlotIntervalMs(service);
+    getWaitMs(service, { rank = 0 } = {}) {
+      const slots = getSlots(service, rank);
+      const intervalMs = getSlotIntervalMs(service);
       const earliestMs = now() + leastWaitMs;
       const latestMs = now() + MAX_WAIT_MS;
-      const nextSlotMs = Math.min(latestMs, Math.max(earliestMs, slotMs));
-      slotsMs.set(service, nextSlotMs);
+      for (let at = rank; at < slots.length; at += 1) {
+        const nextMs = Math.max(earliestMs, slots[at] + intervalMs);
+        slots[at] = Math.min(latestMs, nextMs);
+      }
+      const slotWaitMs = slots[rank] - now() + rank * RANK_STEP_MS;
       const jitter = 1 + JITTER_SHARE * (2 * random() - 1);
-      return Math.round((nextSlotMs - now()) * jitter);
+      return Math.round(Math.min(MAX_WAIT_MS, slotWaitMs) * jitter);
     },
   };
 }
--- a/src/gateway/serve_stream_call.ts
+++ b/src/gateway/serve_stream_call.ts
@@ -10,6 +10,7 @@
 import { chooseRunPath } from "./choose_run_path.ts";
 import { createCallEnd } from "./create_call_end.ts";
 import { createRetryAfterRefusals } from "./create_retry_after_refusals.ts";
+import { createCapacityRefusal } from "./create_capacity_refusal.ts";
 import { createCapacityWait } from "./create_capacity_wait.ts";
 import {
   createRunPermit,
@@ -325,25 +326,28 @@
     }
 
     function giveUp(reason: string): void {
+      const hasRun = response.headersSent || runCount > 0;
+      const refusal = hasRun
+        ? { status: 502, reason: "outcome_unknown" } as const
+        : createCapacityRefusal(call, context, {
+          isFull: reason === "full",
+          tokens,
+        });
       log("callGivenUp", {
         requestId,
         reason,
+        refusal: refusal.reason,
+        retryAfterMs: refusal.retryAfterMs,
         tries: sendCount,
         runs: runCount,
+        ...capacityWait.describe(),
         ...engines.countLeftOut(service),
       });
-      if (response.headersSent || runCount > 0) {
-        return callEnd.refuse({ status: 502, reason: "outcome_unknown" });
-      }
-      callEnd.refuse({
-        status: 503,
-        reason: "no_upstream",
-        retryAfterMs: context.retryAfterSchedule.getWaitMs(service),
-      });
+      callEnd.refuse(refusal);
     }
 
     function send(path: readonly AddressedPart[], grant: SendGrant): void {
-      capacityWait.end();
+      capacityWait.admit();
       const { lastEventId } = relay.getProgress();
       log("callSent", {
         requestId,
--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -6,7 +6,7 @@
  */
 
 import { setTimeout as sleep } from "node:timers/promises";
-import { createLinkBudget } from "../admission/index.ts";
+import { createLinkBudget, createReturnLog } from "../admission/index.ts";
 import { createElapsedClock } from "../clocks/index.ts";
 import type { EngineNotice } from "../engines/index.ts";
 import type { DecodeConfig, LeaderMessage } from "../fleet/index.ts";
@@ -48,6 +48,7 @@
 import { createBackOffThrottle } from "./create_back_off_throttle.ts";
 import { createRetryAfterSchedule } from "./create_retry_after_schedule.ts";
 import { createCapacityQueues } from "./create_capacity_queue.ts";
+import { createUrgentCapacity } from "./create_urgent_capacity.ts";
 import { createRunMonitor } from "./create_run_monitor.ts";
 import { createStallReports } from "./create_stall_reports.ts";
 import { createResponseTimes } from "./create_response_times.ts";
@@ -297,7 +298,9 @@
       now,
       random: Math.random,
     }),
-    getCapacityQueue: createCapacityQueues(rates),
+    getCapacityQueue: createCapacityQueues(rates, { now }),
+    returnLog: createReturnLog({ now }),
+    urgentCapacity: createUrgentCapacity({ now }),
     getTable: config.getTable,
     getGatewayCount,
     listGatewayPlaces: () => listReady().map((one) => one.place),
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -6,7 +6,7 @@
 
 import type { Buffer } from "node:buffer";
 import type { ServerResponse } from "node:http";
-import type { LinkBudget } from "../admission/index.ts";
+import type { LinkBudget, ReturnLog } from "../admission/index.ts";
 import type { Logger } from "../logs/index.ts";
 import type { Metrics } from "../metrics/index.ts";
 import type { Account, Route, RouteTable } from "../routes/index.ts";
@@ -26,6 +26,7 @@
 import type { BackOffThrottle } from "./create_back_off_throttle.ts";
 import type { RetryAfterSchedule } from "./create_retry_after_schedule.ts";
 import type { CapacityQueue } from "./create_capacity_queue.ts";
+import type { UrgentCapacity } from "./create_urgent_capacity.ts";
 import type { RunMonitor } from "./create_run_monitor.ts";
 import type { StallReports } from "./create_stall_reports.ts";
 import type { ResponseTimes } from "./create_response_times.ts";
@@ -42,6 +43,10 @@
   readonly service: string;
   /** The same for all attempts of one request, see {@link getRequestKey}. */
   readonly requestKey: string;
+  /** Number of distinct priorities of the service that are more urgent. */
+  readonly rank: number;
+  /** Number of distinct priorities of the service. */
+  readonly rankCount: number;
   readonly startedMs: number;
   /** Time, in ms, by which it has to have ended. */
   readonly deadlineMs: number;
@@ -84,6 +89,10 @@
   readonly limitRetryAfterSchedule: RetryAfterSchedule;
   /** Queue of new streams of a service that wait for capacity. */
   readonly getCapacityQueue: (service: string) => CapacityQueue;
+  /** Requests that were refused recently for lack of capacity. */
+  readonly returnLog: ReturnLog;
+  /** Whether capacity is left for the most urgent requests. */
+  readonly urgentCapacity: UrgentCapacity;
   readonly getTable: () => RouteTable | undefined;
   /** Number of ready gateways, including this one. */
   readonly getGatewayCount: () => number;
--- a/src/metrics/metric_catalogue.ts
+++ b/src/metrics/metric_catalogue.ts
@@ -15,6 +15,8 @@
   queue_full: "The service's queue is full",
   deadline_too_near: "The request can't finish before its deadline",
   no_upstream: "No upstream can take the request now",
+  overload:
+    "The capacity that is left is reserved for more urgent requests of the service",
   no_chain: "No chain of upstreams covers the model's layers",
   no_quorum: "Control can't record the claim now",
   claim_running: "The same request is running",
