Read the counts of accounts once per change of the queue

Ruled out: one sorted list, which takes 0.05 to 0.28 ms per arrival, also with one rank and one account.

Change: lines keep their count until the queue changes, and are compared without a copy.

Tested: 67 of 67 tests of the queue, its parts and the overload; four parts taken out of the built queue were each found.

--- a/src/gateway/create_capacity_queue.ts
+++ b/src/gateway/create_capacity_queue.ts
@@ -9,6 +9,7 @@
   compareWaiting,
   createAdmissionTally,
   type UrgentRequest,
+  type WaitingRequest,
 } from "../admission/index.ts";
 import type { FleetRates } from "./create_fleet_rates.ts";
 
@@ -57,9 +58,13 @@
 }
 
 /** The waiting streams of one client account with the same urgency. */
-interface Line extends QueuedRequest {
+interface Line extends QueuedRequest, WaitingRequest {
   /** Numbers of the streams, in the order of arrival; never empty. */
   readonly arrivals: number[];
+  /** Number of its first stream. */
+  arrival: number;
+  /** Recent admissions of the client account at the last change of the queue. */
+  admittedCount: number;
 }
 
 /**
@@ -104,8 +109,10 @@
  * exceed 0.6 of the objective, and the expected wait grows with each stream that
  * overtakes it.
  *
- * Each waiting stream checks its position every 20 ms. The head is therefore found once
- * per change of the queue, and a position by one step per line.
+ * Each waiting stream checks its position every 20 ms. The head is therefore found, and
+ * the counts of accounts are read, once per change of the queue; a position takes one
+ * step per line. Sorting all streams after each change took 0.05 to 0.3 ms with 300 of
+ * them.
  *
  * @param options - What the queue needs to know about the fleet.
  * @returns The queue.
@@ -124,27 +131,29 @@
   let lastArrival = 0;
   // The line whose first stream is at the head; undefined until it is looked up.
   let headLine: Line | undefined;
+  let areCountsStale = false;
 
-  function describe(request: QueuedRequest, arrival: number) {
-    const { rank, isReturn, clientAccount } = request;
-    const admittedCount = admissions.get(clientAccount);
-    return { rank, isReturn, admittedCount, arrival };
+  function refreshCounts(): void {
+    if (!areCountsStale) return;
+    areCountsStale = false;
+    for (const line of lines.values()) {
+      line.admittedCount = admissions.get(line.clientAccount);
+    }
+  }
+
+  function getAdmittedCount(request: QueuedRequest): number {
+    refreshCounts();
+    return lines.get(getLineKey(request))?.admittedCount ??
+      admissions.get(request.clientAccount);
   }
 
   function findHeadLine(): Line | undefined {
     if (headLine) return headLine;
-    const [first, ...others] = lines.values();
-    if (!first) return undefined;
-    let head = first;
-    let headWaiting = describe(first, first.arrivals[0]);
-    for (const line of others) {
-      const waiting = describe(line, line.arrivals[0]);
-      if (compareWaiting(waiting, headWaiting) >= 0) continue;
-      head = line;
-      headWaiting = waiting;
+    refreshCounts();
+    for (const line of lines.values()) {
+      if (!headLine || compareWaiting(line, headLine) < 0) headLine = line;
     }
-    headLine = head;
-    return head;
+    return headLine;
   }
 
   // Simulates the admissions until it is this stream's turn: each one counts for its
@@ -154,7 +163,7 @@
     { index, arrival }: { readonly index: number; readonly arrival: number },
   ): number {
     const own = lines.get(getLineKey(request));
-    const admittedBefore = admissions.get(request.clientAccount) + index;
+    const admittedBefore = getAdmittedCount(request) + index;
     let ahead = index;
     for (const line of lines.values()) {
       if (line === own) continue;
@@ -165,7 +174,7 @@
         ahead += arrivals.length;
         continue;
       }
-      const lead = admittedBefore - admissions.get(line.clientAccount);
+      const lead = admittedBefore - line.admittedCount;
       if (lead < 0) continue;
       ahead += Math.min(Math.ceil(lead), arrivals.length);
       // With equal counts, the earlier one goes first.
@@ -178,6 +187,8 @@
   // the same rank that wait at other gateways are assumed to go first. Reports don't
   // say their ranks, which are taken to be distributed as those of this gateway are.
   function estimateOthersAhead(rank: number): number {
+    const others = options.getOthersWaiting();
+    if (others === 0) return 0;
     let ahead = 1;
     let all = 1;
     for (const joinedRank of joinedRanks) {
@@ -185,7 +196,7 @@
       all += count;
       if (joinedRank <= rank) ahead += count;
     }
-    return options.getOthersWaiting() * (ahead / all);
+    return others * (ahead / all);
   }
 
   function estimateWaitMs(ahead: number, rank: number): number {
@@ -205,8 +216,16 @@
       return known;
     }
     const { rank, isReturn, clientAccount } = request;
-    const line = { rank, isReturn, clientAccount, arrivals: [arrival] };
+    const line = {
+      rank,
+      isReturn,
+      clientAccount,
+      arrivals: [arrival],
+      arrival,
+      admittedCount: 0,
+    };
     lines.set(key, line);
+    areCountsStale = true;
     return line;
   }
 
@@ -215,9 +234,11 @@
     isFirst(request) {
       const head = findHeadLine();
       if (!head) return true;
+      const { rank, isReturn } = request;
+      const admittedCount = getAdmittedCount(request);
       const arrival = lastArrival + 1;
-      const headWaiting = describe(head, head.arrivals[0]);
-      return compareWaiting(describe(request, arrival), headWaiting) < 0;
+      const waiting = { rank, isReturn, admittedCount, arrival };
+      return compareWaiting(waiting, head) < 0;
     },
     countAhead: countAheadOfNew,
     estimateWaitMs: (request) =>
@@ -246,12 +267,14 @@
           if (index < 0) return;
           arrivals.splice(index, 1);
           if (arrivals.length === 0) lines.delete(getLineKey(line));
+          else line.arrival = arrivals[0];
           headLine = undefined;
         },
       };
     },
     noteAdmitted({ clientAccount }) {
       admissions.note(clientAccount);
+      areCountsStale = true;
       headLine = undefined;
     },
   };
--- a/src/gateway/serve_stream_call.ts
+++ b/src/gateway/serve_stream_call.ts
@@ -97,6 +97,8 @@
     let run: StreamRun | undefined;
     let forwarded: Exchange | undefined;
     const excludedPeers = new Set<string>();
+    // Why no upstream was found; CL1804 is dropped where there are many log lines.
+    let givenUp: Readonly<Record<string, unknown>> = {};
 
     const tokens = getCallTokens(call, model);
     const relay = createStreamRelay({
@@ -163,6 +165,7 @@
         events,
         firstEventMs: firstEventMs && Math.round(firstEventMs - call.startedMs),
         longestGapMs: Math.round(longestPauseMs),
+        ...givenUp,
       };
     }
 
@@ -333,14 +336,18 @@
           isFull: reason === "full",
           tokens,
         });
+      givenUp = {
+        cause: reason,
+        retryAfterMs: refusal.retryAfterMs,
+        ...capacityWait.describe(),
+      };
       log("callGivenUp", {
         requestId,
         reason,
         refusal: refusal.reason,
-        retryAfterMs: refusal.retryAfterMs,
         tries: sendCount,
         runs: runCount,
-        ...capacityWait.describe(),
+        ...givenUp,
         ...engines.countLeftOut(service),
       });
       callEnd.refuse(refusal);
