--- a/src/gateway/serve_stream_call.ts
+++ b/src/gateway/serve_stream_call.ts
@@ -10,6 +10,7 @@
 import { chooseRunPath } from "./choose_run_path.ts";
 import { createCallEnd } from "./create_call_end.ts";
 import { createRetryAfterRefusals } from "./create_retry_after_refusals.ts";
+import { createCapacityRefusal } from "./create_capacity_refusal.ts";
 import { createCapacityWait } from "./create_capacity_wait.ts";
 import {
   createRunPermit,
@@ -96,6 +97,8 @@
     let run: StreamRun | undefined;
     let forwarded: Exchange | undefined;
     const excludedPeers = new Set<string>();
+    // Why no upstream was found; CL1804 is dropped where there are many log lines.
+    let givenUp: Readonly<Record<string, unknown>> = {};
 
     const tokens = getCallTokens(call, model);
     const relay = createStreamRelay({
@@ -162,6 +165,7 @@
         events,
         firstEventMs: firstEventMs && Math.round(firstEventMs - call.startedMs),
         longestGapMs: Math.round(longestPauseMs),
+        ...givenUp,
       };
     }
 
@@ -325,25 +329,32 @@
     }
 
     function giveUp(reason: string): void {
+      const hasRun = response.headersSent || runCount > 0;
+      const refusal = hasRun
+        ? { status: 502, reason: "outcome_unknown" } as const
+        : createCapacityRefusal(call, context, {
+          isFull: reason === "full",
+          tokens,
+        });
+      givenUp = {
+        cause: reason,
+        retryAfterMs: refusal.retryAfterMs,
+        ...capacityWait.describe(),
+      };
       log("callGivenUp", {
         requestId,
         reason,
+        refusal: refusal.reason,
         tries: sendCount,
         runs: runCount,
+        ...givenUp,
         ...engines.countLeftOut(service),
       });
-      if (response.headersSent || runCount > 0) {
-        return callEnd.refuse({ status: 502, reason: "outcome_unknown" });
-      }
-      callEnd.refuse({
-        status: 503,
-        reason: "no_upstream",
-        retryAfterMs: context.retryAfterSchedule.getWaitMs(service),
-      });
+      callEnd.refuse(refusal);
     }
 
     function send(path: readonly AddressedPart[], grant: SendGrant): void {
-      capacityWait.end();
+      capacityWait.admit();
       const { lastEventId } = relay.getProgress();
       log("callSent", {
         requestId,
