Admit new streams by rank, and tell engines the rank

Cause: the functions that rank requests are not used yet. Change: the request handler ranks a call once, by the configuration that it begins under. A new stream may fill engines up to the share of its rank; one in ten of the less urgent ones competes as rank 0 does, drawn once per call. A resumed stream keeps its bound. Engines get the rank, at most 9, where a service has two or more priorities, and no header otherwise. No random number is drawn for rank 0, so a service with one priority is served as before. Metrics: admission.held counts less urgent streams that found no path within their share; admission.ranked_services shows where ranks apply.

--- /dev/null
+++ b/src/gateway/create_rank_admission.ts
@@ -0,0 +1,52 @@
+/**
+ * How far a new stream may fill engines, by the rank of its call.
+ *
+ * @module
+ */
+
+import { getAdmissionShare } from "../admission/index.ts";
+import type { Call, ServingContext } from "./types.ts";
+
+/** The admission of one call by its rank. */
+export interface RankAdmission {
+  /** Whether the call competes as one of rank 0 although it is less urgent. */
+  readonly isExempt: boolean;
+  /** Share of an engine's memory and slots up to which the call may fill it. */
+  readonly maxShare: number;
+  /** Records that no engine had free capacity within the share. */
+  noteFull(): void;
+}
+
+/**
+ * Part of the less urgent calls that are exempt from the limit of their rank, so that
+ * each rank is served also while more urgent ones take all capacity.
+ */
+const EXEMPT_SHARE = 0.1;
+
+/**
+ * Decides, once for all attempts to place a call, how far it may fill engines. A call
+ * of a service without ranks has rank 0.
+ *
+ * @param call - The rank of the call.
+ * @param context - The source of randomness and the metrics.
+ * @returns The admission.
+ * @throws Nothing.
+ * @example
+ * const { maxShare } = createRankAdmission(call, context);
+ */
+export function createRankAdmission(
+  { rank, rankCount }: Pick<Call, "rank" | "rankCount">,
+  { random, metrics }: Pick<ServingContext, "random" | "metrics">,
+): RankAdmission {
+  const isExempt = rank > 0 && random() < EXEMPT_SHARE;
+  let wasHeld = false;
+  return {
+    isExempt,
+    maxShare: getAdmissionShare({ rank, rankCount, isExempt }),
+    noteFull() {
+      if (wasHeld || rank === 0 || isExempt) return;
+      wasHeld = true;
+      metrics.count("admission.held");
+    },
+  };
+}
--- /dev/null
+++ b/src/gateway/create_rank_admission_test.ts
@@ -0,0 +1,55 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { createRandomSource } from "../../proof/random_source.ts";
+import { createRankAdmission } from "./create_rank_admission.ts";
+import type { ServingContext } from "./types.ts";
+
+function makeContext(random: () => number) {
+  const counted: string[] = [];
+  const metrics = { count: (name: string) => void counted.push(name) };
+  const context = { random, metrics } as unknown as ServingContext;
+  return { context, counted };
+}
+
+test("a call of the most urgent rank draws nothing and may use 0.95", () => {
+  const { context } = makeContext(() => {
+    throw new Error("a random number was drawn");
+  });
+  for (const rankCount of [0, 1, 3]) {
+    const { maxShare, isExempt } = createRankAdmission(
+      { rank: 0, rankCount },
+      context,
+    );
+    assert.is(maxShare, 0.95);
+    assert.not(isExempt);
+  }
+});
+
+test("one in ten of the less urgent calls competes as the most urgent do", () => {
+  const { context } = makeContext(createRandomSource(1).number);
+  const admissions = Array.from(
+    { length: 10_000 },
+    () => createRankAdmission({ rank: 2, rankCount: 3 }, context),
+  );
+  const exempt = admissions.filter(({ isExempt }) => isExempt);
+  assert.ok(Math.abs(exempt.length - 1_000) < 100, String(exempt.length));
+  assert.ok(
+    admissions.every(({ isExempt, maxShare }) =>
+      Math.abs(maxShare - (isExempt ? 0.95 : 0.85)) < 1e-9
+    ),
+  );
+});
+
+test("a call that its rank keeps waiting is counted once, other calls aren't", () => {
+  const { context, counted } = makeContext(() => 0.5);
+  const held = createRankAdmission({ rank: 1, rankCount: 2 }, context);
+  held.noteFull();
+  held.noteFull();
+  assert.equal(counted, ["admission.held"]);
+  createRankAdmission({ rank: 0, rankCount: 2 }, context).noteFull();
+  const exempting = { ...context, random: () => 0.05 };
+  createRankAdmission({ rank: 1, rankCount: 2 }, exempting).noteFull();
+  assert.is(counted.length, 1);
+});
+
+test.run();
--- a/src/gateway/create_request_handler.ts
+++ b/src/gateway/create_request_handler.ts
@@ -10,6 +10,7 @@
 import type { ReceivedRequest } from "./create_caller_server.ts";
 import type { ConfigLease } from "./create_config_lease.ts";
 import { decideCall } from "./decide_call.ts";
+import { getCallRank } from "./get_call_rank.ts";
 import { getRequestKey } from "./get_request_key.ts";
 import type { CallerRequest, Refusal } from "./protocol.ts";
 import { readBody } from "./read_body.ts";
@@ -129,8 +130,9 @@
   async function serve(buffered: BufferedRequest): Promise<void> {
     const { request, response, startedMs } = buffered;
     await waitUntilStarted(buffered);
+    const table = context.getTable();
     const decision = decideCall(request, {
-      table: context.getTable(),
+      table,
       knowsEngines: options.knowsEngines(),
       isTrusted: lease.isValid(),
       isDraining: options.isDraining(),
@@ -162,6 +164,7 @@
     const call: Call = {
       ...buffered,
       ...decision.call,
+      ...getCallRank(decision.call, table),
       route,
       requestKey,
       deadlineMs,
--- a/src/gateway/protocol.ts
+++ b/src/gateway/protocol.ts
@@ -50,6 +50,8 @@
   /** The only incarnation of the upstream that may run the request. */
   readonly engineId: string;
   readonly account: string | undefined;
+  /** Priority among the requests of the upstream; 0 is the most urgent. */
+  readonly priority?: number;
   readonly lastEventId: string | undefined;
   /** Layer ranges with addresses; empty if one engine has all layers. */
   readonly path: readonly AddressedPart[];
--- a/src/gateway/serve_stream_call.ts
+++ b/src/gateway/serve_stream_call.ts
@@ -5,6 +5,7 @@
  */
 
 import { admitCall } from "./admit_call.ts";
+import { createRankAdmission } from "./create_rank_admission.ts";
 import { getCallTokens } from "./choose_call_path.ts";
 import { getCallModel } from "./get_call_model.ts";
 import { chooseRunPath } from "./choose_run_path.ts";
@@ -98,6 +99,7 @@
     const excludedPeers = new Set<string>();
 
     const tokens = getCallTokens(call, model);
+    const admission = createRankAdmission(call, context);
     const relay = createStreamRelay({
       response,
       lastEventId: request.lastEventId,
@@ -200,8 +202,9 @@
           ? excluded
           : new Set([...excluded, ...listUnconnected(call, context)]),
         trialEngineId: answer.trialEngineId,
-        need: { tokens, isNew },
+        need: { tokens, isNew, maxShare: admission.maxShare },
       });
+      if (choice.type === "full" && isNew) admission.noteFull();
       if (choice.type === "full" && sendMode !== "any") return forward();
       if (choice.type === "full" && isNew) return waits.waitForCapacity();
       if (choice.type === "resting") return waitForBackOff(choice.leftMs);
--- a/src/gateway/start_call_exchange.ts
+++ b/src/gateway/start_call_exchange.ts
@@ -22,6 +22,9 @@
   readonly lastEventId: string | undefined;
 }
 
+/** Least urgent priority that upstreams tell apart. */
+const MAX_SENT_PRIORITY = 9;
+
 /** Ms without a connection after which the reachability of the service is checked. */
 const SLOW_CONNECT_MS = 100;
 
@@ -67,6 +70,7 @@
       deadlineMs: Math.max(1, remainingMs),
       engineId,
       account: account?.name,
+      priority: getSentPriority(call),
       lastEventId,
       path,
     }),
@@ -101,6 +105,11 @@
   return exchange;
 }
 
+// Upstreams treat all requests without a priority alike.
+function getSentPriority({ rank, rankCount }: Call): number | undefined {
+  return rankCount > 1 ? Math.min(MAX_SENT_PRIORITY, rank) : undefined;
+}
+
 // A connection that is slow to come up may be the first sign of a partition.
 function watchConnecting(
   { service }: Call,
--- a/src/gateway/start_gauges.ts
+++ b/src/gateway/start_gauges.ts
@@ -16,9 +16,12 @@
   extends Pick<ServingContext, "notices" | "rateLimits" | "quarantine"> {
   readonly metrics: Pick<Metrics, "gauge">;
   readonly requestHandler: Pick<RequestHandler, "getInFlight">;
-  readonly config: Pick<ActiveConfig, "getVersion">;
+  readonly config: Pick<ActiveConfig, "getTable" | "getVersion">;
   readonly lease: Pick<ConfigLease, "getLeftMs">;
-  readonly engines: Pick<EngineTable, "countLeftOut" | "get" | "getSize">;
+  readonly engines: Pick<
+    EngineTable,
+    "countLeftOut" | "get" | "getSize" | "listServices"
+  >;
 }
 
 /** Interval between updates. */
@@ -36,9 +39,17 @@
 export function startGauges(options: StartGaugesOptions): Disposable {
   const { metrics, engines, notices, rateLimits, quarantine } = options;
 
+  function countRankedServices(): number {
+    const table = options.config.getTable();
+    return engines.listServices().filter((service) =>
+      (table?.listPriorities(service).length ?? 0) > 1
+    ).length;
+  }
+
   function setGauges(): void {
     metrics.gauge("requests.in_flight", options.requestHandler.getInFlight());
     metrics.gauge("config.revision", options.config.getVersion());
+    metrics.gauge("admission.ranked_services", countRankedServices());
     metrics.gauge("config.lease_ms", Math.max(0, options.lease.getLeftMs()));
     metrics.gauge("engines.known", engines.getSize());
     metrics.gauge("engines.left_out", engines.countLeftOut().leftOut);
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -40,6 +40,10 @@
   readonly account: Account | undefined;
   /** Service chosen by the route's weights. */
   readonly service: string;
+  /** Number of the service's distinct priorities that are more urgent. */
+  readonly rank: number;
+  /** Number of the service's distinct priorities; ranks apply from two on. */
+  readonly rankCount: number;
   /** The same for all attempts of one request, see {@link getRequestKey}. */
   readonly requestKey: string;
   readonly startedMs: number;
--- a/src/metrics/metric_catalogue.ts
+++ b/src/metrics/metric_catalogue.ts
@@ -70,6 +70,10 @@
   "requests.duration_ms": "Time from a request's headers to its end, in ms",
   "requests.first_token_ms": "Time to the first token, in ms",
   "requests.queue_ms": "Time that a request waited in a queue, in ms",
+  "admission.held":
+    "Less urgent streams that waited or were refused because no path was free within the share of their rank",
+  "admission.ranked_services":
+    "Services with upstreams whose requests have two or more distinct priorities",
   "requests.caller_gone": "Requests whose caller disconnected before the end",
   "retry.budget_spent": "Retries denied by the retry budget",
   "pipeline.late_frames": "Answers of an older epoch, dropped",
