Leave capacity freed since the last report to the most urgent requests

A waiting call looks for capacity every 20 ms and draws anew each time how much of the others' work has begun, so less urgent ones soon draw little and pass a limit that is 0.05 lower. Change: a less urgent call counts all requests that may have begun since the last report, and none as ended; two choices of other gateways are simulated for it, as many as on average before. Calls of rank 0, and services with one priority, are estimated as before.

--- a/src/gateway/choose_call_path.ts
+++ b/src/gateway/choose_call_path.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { getLinkTimeMs } from "../admission/index.ts";
+import { getLinkTimeMs, NEW_WORK_SHARE } from "../admission/index.ts";
 import { getMeanRequestTokens } from "../layers/index.ts";
 import type { LayeredModel } from "../routes/index.ts";
 import { chooseEngine } from "./choose_engine.ts";
@@ -96,7 +96,13 @@
     gatewayCount: context.getGatewayCount(),
     maxUnreportedRequests: startedRequests,
     hasIdleConnection: context.upstreamTransport.hasIdleConnection,
-    expected: estimateWork(usable, { call, context, model, startedRequests }),
+    expected: estimateWork(usable, {
+      call,
+      context,
+      model,
+      startedRequests,
+      isHeldBack: isHeldBack(need),
+    }),
     drawRandomCost: startedRequests === Infinity ? context.random : undefined,
     excluded,
     canStartAt: rateLimits.maySend,
@@ -187,6 +193,14 @@
   return asked + context.engines.getDisplacedRequests();
 }
 
+// What became free since the last report is left to more urgent requests: a less urgent
+// one counts all that may have begun and nothing as ended. With the estimate of the most
+// urgent ones, whose random part is drawn again each time that a request looks for
+// capacity, less urgent ones soon draw a low one and fill engines beyond their share.
+function isHeldBack({ isNew, maxShare = NEW_WORK_SHARE }: PathNeed): boolean {
+  return isNew && maxShare < NEW_WORK_SHARE;
+}
+
 function estimateWork(
   usable: readonly EngineView[],
   options: {
@@ -194,9 +208,10 @@
     readonly context: ServingContext;
     readonly model: LayeredModel;
     readonly startedRequests: number;
+    readonly isHeldBack: boolean;
   },
 ): EstimatedWork | undefined {
-  const { call, context, model, startedRequests } = options;
+  const { call, context, model, startedRequests, isHeldBack } = options;
   const { rates, random } = context;
   if (startedRequests === Infinity || startedRequests < 1) return undefined;
   const reportedRequests = usable.reduce(
@@ -209,7 +224,10 @@
   const places = context.listGatewayPlaces();
   return estimateOtherWork({
     startedRequests,
-    endedShare: Math.min(1, ended / Math.max(1, reportedRequests)),
+    endedShare: isHeldBack
+      ? 0
+      : Math.min(1, ended / Math.max(1, reportedRequests)),
+    countsAll: isHeldBack,
     usualTokens,
     choose: (expected) =>
       choosePath(usable, {
--- a/src/gateway/choose_call_path_test.ts
+++ b/src/gateway/choose_call_path_test.ts
@@ -6,6 +6,7 @@
 import type { LayerRange } from "../engines/index.ts";
 import { chooseCallPath, findAlternatePath } from "./choose_call_path.ts";
 import { createEngineNotices } from "./create_engine_notices.ts";
+import type { FleetRates } from "./create_fleet_rates.ts";
 import { createEngineTable } from "./create_engine_table.ts";
 import type { Call, ServingContext } from "./types.ts";
 
@@ -99,6 +100,24 @@
   assert.equal(listIds(choose()), ["a2", "b1"]);
 });
 
+test("capacity that is only expected to be free is left to more urgent requests", () => {
+  const { context } = makeFleet();
+  const rates = { getRequestsPerS: () => 10, getEndIntervalMs: () => 1 };
+  const choose = (maxShare: number) =>
+    chooseCallPath(CALL, {
+      ...context,
+      rates: rates as unknown as FleetRates,
+    }, {
+      excluded: new Set(),
+      need: { tokens: 20, isNew: true, maxShare },
+    }).type;
+  const load = { tokens: 0, requests: 8 };
+  context.engines.updateLoads({ a1: load, a2: load });
+  // All reported requests are expected to have ended since.
+  assert.is(choose(0.95), "path");
+  assert.is(choose(0.9), "full");
+});
+
 test("no engine of a path is backed off", () => {
   const { backOff, choose } = makeFleet();
   backOff("a1", 500);
--- a/src/gateway/estimate_other_work.ts
+++ b/src/gateway/estimate_other_work.ts
@@ -33,6 +33,11 @@
   readonly endedShare: number;
   /** Tokens that a request usually takes. */
   readonly usualTokens: number;
+  /**
+   * Whether all of these requests count as sent before this one; by default a random
+   * part of them does.
+   */
+  readonly countsAll?: boolean;
   /** Chooses the path of another gateway's request, given the work estimated so far. */
   readonly choose: (expected: EstimatedWork) => readonly PathPart[] | undefined;
   /** A number in [0, 1). */
@@ -63,15 +68,17 @@
     startedRequests,
     endedShare,
     usualTokens,
+    countsAll = false,
     choose,
     random,
   } = options;
-  const earlierRequests = random() * startedRequests;
-  const share = earlierRequests / startedRequests;
-  const choices = Math.min(
-    Math.ceil(earlierRequests),
-    Math.max(1, Math.round(MAX_SIMULATED_CHOICES * share)),
-  );
+  const share = countsAll ? 1 : random();
+  const earlierRequests = share * startedRequests;
+  // As many as are simulated on average where the part is drawn.
+  const maxChoices = countsAll
+    ? MAX_SIMULATED_CHOICES / 2
+    : Math.max(1, Math.round(MAX_SIMULATED_CHOICES * share));
+  const choices = Math.min(Math.ceil(earlierRequests), maxChoices);
   const begun: Record<string, { tokens: number; requests: number }> = {};
   for (let choice = 0; choice < choices; choice++) {
     const path = choose({ endedShare, begun });
--- a/src/gateway/estimate_other_work_test.ts
+++ b/src/gateway/estimate_other_work_test.ts
@@ -42,6 +42,23 @@
   assert.ok(begun > 0.98 * asked, `${begun} of ${asked}`);
 });
 
+test("all requests are counted on demand, whatever is drawn, and two of them simulated", () => {
+  let choices = 0;
+  const { begun } = estimateOtherWork({
+    startedRequests: 40,
+    endedShare: 0,
+    usualTokens: 100,
+    countsAll: true,
+    choose() {
+      choices += 1;
+      return [{ engineId: "a", fromLayer: 0, toLayer: 8 }];
+    },
+    random: () => 0,
+  });
+  assert.equal(begun, { a: { tokens: 4_000, requests: 40 } });
+  assert.is(choices, 2);
+});
+
 test("other gateways' requests are simulated one after another by the same rule", () => {
   const expected = estimateOtherWork({
     startedRequests: 40,
