--- a/standins/start_layer_engine.ts
+++ b/standins/start_layer_engine.ts
@@ -117,6 +117,7 @@
 export interface EngineRun {
   readonly requestId: string;
   readonly account: string | undefined;
+  readonly priority: string | undefined;
   readonly lastEventId: string | undefined;
   /** Path and query. */
   readonly target: string;
@@ -260,6 +261,7 @@
     const run: EngineRun = {
       requestId,
       account: get(HEADER.account),
+      priority: get(HEADER.requestPriority),
       lastEventId: get(HEADER.lastEventId),
       target: options.target,
       body,
