Test that the least urgent streams leave the last slots to urgent ones

Guards against a gateway that ranks streams and places all of them alike. The draw of exempt calls is kept out, so that the outcome does not depend on it.

--- a/test/priorities_test.ts
+++ b/test/priorities_test.ts
@@ -1,10 +1,12 @@
 /**
  * Guards against requests that reach upstreams with the wrong priority, or with one
- * where a service has no priorities.
+ * where a service has no priorities, and against gateways that ignore the rank of a
+ * stream when they place it.
  */
 
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import { until } from "../demo/until.ts";
 import type { EngineRun } from "../standins/index.ts";
 import {
   call,
@@ -50,4 +52,44 @@
   assert.equal(await listReceived(fleet, "key-1"), [undefined, undefined]);
 });
 
+/** Prevents exempt calls, one in ten, until it is disposed of. */
+function preventExemptions(): Disposable {
+  const { random } = Math;
+  Math.random = () => 0.1 + 0.9 * random();
+  return {
+    [Symbol.dispose]() {
+      Math.random = random;
+    },
+  };
+}
+
+test("the least urgent streams are refused while the last slots take urgent ones", async () => {
+  using _ = preventExemptions();
+  await using fleet = await startServingFleet({
+    controls: 1,
+    gateways: 1,
+    events: 400,
+  });
+  const tenants = [0, 1, 2, 3].map((priority) => ({
+    name: `account-${priority}`,
+    apiKeys: [`key-${priority}`],
+    priority,
+  }));
+  assert.is(await fleet.put({ ...makeWireConfig(2), tenants }), 200);
+  await fleet.waitForVersion(2);
+  const [{ address }] = fleet.gateways;
+  const send = (key: string) => call(address, { path: "/stream/1", key });
+  // Two copies of the model have eight slots each; one is left.
+  const running = Array.from({ length: 15 }, () => send("key-0"));
+  await until("the streams run", () => {
+    const runs = fleet.engines.flatMap((engine) => engine.runs);
+    return runs.length === running.length;
+  });
+  const [least, most] = await Promise.all([send("key-3"), send("key-0")]);
+  const statuses = (await Promise.all(running)).map(({ status }) => status);
+  assert.ok(statuses.every((status) => status === 200));
+  assert.is(least.status, 503);
+  assert.is(most.status, 200);
+});
+
 test.run();
