--- a/src/gateway/serve_stream_call.ts
+++ b/src/gateway/serve_stream_call.ts
@@ -5,6 +5,7 @@
  */
 
 import { admitCall } from "./admit_call.ts";
+import { createRankAdmission } from "./create_rank_admission.ts";
 import { getCallTokens } from "./choose_call_path.ts";
 import { getCallModel } from "./get_call_model.ts";
 import { chooseRunPath } from "./choose_run_path.ts";
@@ -101,6 +102,7 @@
     let givenUp: Readonly<Record<string, unknown>> = {};
 
     const tokens = getCallTokens(call, model);
+    const admission = createRankAdmission(call, context);
     const relay = createStreamRelay({
       response,
       lastEventId: request.lastEventId,
@@ -115,7 +117,9 @@
       now,
     });
     let stopMonitoring = () => {};
-    const capacityWait = createCapacityWait(call, context);
+    const capacityWait = createCapacityWait(call, context, {
+      isExempt: admission.isExempt,
+    });
     const permit = createRunPermit(call, context);
     const waits = createSendWaits({
       capacityWait,
@@ -204,8 +208,9 @@
           ? excluded
           : new Set([...excluded, ...listUnconnected(call, context)]),
         trialEngineId: answer.trialEngineId,
-        need: { tokens, isNew },
+        need: { tokens, isNew, maxShare: admission.maxShare },
       });
+      if (choice.type === "full" && isNew) admission.noteFull();
       if (choice.type === "full" && sendMode !== "any") return forward();
       if (choice.type === "full" && isNew) return waits.waitForCapacity();
       if (choice.type === "resting") return waitForBackOff(choice.leftMs);
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -41,12 +41,12 @@
   readonly account: Account | undefined;
   /** Service chosen by the route's weights. */
   readonly service: string;
-  /** The same for all attempts of one request, see {@link getRequestKey}. */
-  readonly requestKey: string;
-  /** Number of distinct priorities of the service that are more urgent. */
+  /** Number of the service's distinct priorities that are more urgent. */
   readonly rank: number;
-  /** Number of distinct priorities of the service. */
+  /** Number of the service's distinct priorities; ranks apply from two on. */
   readonly rankCount: number;
+  /** The same for all attempts of one request, see {@link getRequestKey}. */
+  readonly requestKey: string;
   readonly startedMs: number;
   /** Time, in ms, by which it has to have ended. */
   readonly deadlineMs: number;
