Reserve capacity by the share of more urgent requests

Cause: the reserve for more urgent ranks was a fixed step for each rank. Accounts have priorities, too: where 3 of 24 are more urgent, the other accounts would keep 0.05 of every engine free for them, and leave free what ended since the last report. Ruled out: ranks by the route alone (the account's priority comes first). Change: the reserve is 0.15 times the share of recent requests that are more urgent, counted by each gateway; a request leaves what became free to more urgent ones where these are a fifth or more. One in eight less urgent requests is exempt in place of one in ten, since some of them find no room.

--- a/src/admission/get_admission_share.ts
+++ b/src/admission/get_admission_share.ts
@@ -1,15 +1,13 @@
 /**
- * Limits how far new requests of a rank may fill an engine.
+ * Limits how far new requests may fill an engine, by their urgency.
  *
  * @module
  */
 
 /** What the share depends on. */
 export interface GetAdmissionShareOptions {
-  /** Number of more urgent priorities of the service; 0 is the most urgent. */
-  readonly rank: number;
-  /** Number of priorities of the service. */
-  readonly rankCount: number;
+  /** Share of the service's recent requests that are more urgent, from 0 to 1. */
+  readonly urgentShare: number;
   /** Whether the request may use what the most urgent ones may use. */
   readonly isExempt: boolean;
 }
@@ -25,29 +23,26 @@
 export const NEW_WORK_SHARE = 0.95;
 
 /**
- * Most that is kept free for each more urgent rank. Loads are half a second old; an
- * engine with 97 requests gets about 10 new ones in that time, and half of them are
- * more urgent.
+ * Share that is kept free where all other requests are more urgent. Loads are half a
+ * second old; an engine with 97 requests gets about 10 new ones in that time, and up to
+ * 15 by random variation.
  */
-const MAX_STEP = 0.05;
-
-/** Most that is kept free for all more urgent ranks together. */
 const MAX_RESERVED_SHARE = 0.15;
 
 /**
- * Gets the share of an engine's request memory, and of its slots, up to which new
- * requests of a rank may fill it. What is left above the share of a rank is taken by
- * the more urgent ranks until the next report of the loads.
+ * Gets the share of an engine's request memory, and of its slots, up to which a new
+ * request may fill it. What is left above it is for the more urgent requests that
+ * arrive until the next report of the loads, so it grows with their share: where few
+ * requests are more urgent, a fixed reserve would leave capacity unused.
  *
- * @param options - The rank of the request and the number of ranks of its service.
- * @returns The share: `NEW_WORK_SHARE` for rank 0, less by the same step for each rank.
+ * @param options - The share of more urgent requests, and whether the limit applies.
+ * @returns The share, `NEW_WORK_SHARE` for the most urgent requests.
  * @throws Nothing.
  * @example
- * getAdmissionShare({ rank: 1, rankCount: 3, isExempt: false }); // 0.9
+ * getAdmissionShare({ urgentShare: 0.5, isExempt: false }); // 0.875
  */
 export function getAdmissionShare(options: GetAdmissionShareOptions): number {
-  const { rank, rankCount, isExempt } = options;
-  if (rank === 0 || isExempt) return NEW_WORK_SHARE;
-  const step = Math.min(MAX_STEP, MAX_RESERVED_SHARE / (rankCount - 1));
-  return NEW_WORK_SHARE - step * rank;
+  const { urgentShare, isExempt } = options;
+  if (isExempt) return NEW_WORK_SHARE;
+  return NEW_WORK_SHARE - MAX_RESERVED_SHARE * urgentShare;
 }
--- a/src/admission/index.ts
+++ b/src/admission/index.ts
@@ -13,4 +13,5 @@
 export * from "./get_admission_share.ts";
 export * from "./get_call_priority.ts";
 export * from "./get_link_time_ms.ts";
+export * from "./get_urgent_share.ts";
 export * from "./rank_priority.ts";
--- a/src/gateway/choose_call_path.ts
+++ b/src/gateway/choose_call_path.ts
@@ -33,6 +33,13 @@
  */
 const MAX_CROSS_PLACE_PROMPTS = 2;
 
+/**
+ * Admission share up to which a request leaves what became free to more urgent ones: a
+ * fifth of the service's requests or more are more urgent then. Where hardly any are,
+ * what became free would stay unused.
+ */
+const HELD_BACK_SHARE = 0.92;
+
 const MS_PER_S = 1_000;
 
 /** What the path has to avoid and to provide. */
@@ -224,7 +231,7 @@
 // urgent ones, whose random part is drawn again each time that a request looks for
 // capacity, less urgent ones soon draw a low one and fill engines beyond their share.
 function isHeldBack({ isNew, maxShare = NEW_WORK_SHARE }: PathNeed): boolean {
-  return isNew && maxShare < NEW_WORK_SHARE;
+  return isNew && maxShare <= HELD_BACK_SHARE;
 }
 
 function estimateWork(
--- a/src/gateway/create_capacity_refusal.ts
+++ b/src/gateway/create_capacity_refusal.ts
@@ -53,7 +53,12 @@
   function hasUrgentPath(): boolean {
     const { type } = chooseCallPath(
       call,
-      { ...context, linkBudget: NO_LINK_BUDGET },
+      {
+        ...context,
+        linkBudget: NO_LINK_BUDGET,
+        // Only the searches of calls count in the metrics.
+        metrics: { ...context.metrics, count: () => {} },
+      },
       {
         excluded: new Set(),
         need: { tokens: options.tokens, isNew: true },
--- a/src/gateway/create_rank_admission.ts
+++ b/src/gateway/create_rank_admission.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { getAdmissionShare } from "../admission/index.ts";
+import { getAdmissionShare, getUrgentShare } from "../admission/index.ts";
 import type { Call, ServingContext } from "./types.ts";
 
 /** The admission of one call by its rank. */
@@ -19,30 +19,41 @@
 
 /**
  * Part of the less urgent calls that are exempt from the limit of their rank, so that
- * each rank is served also while more urgent ones take all capacity.
+ * a tenth of each rank is served also while more urgent ones take all capacity; some of
+ * the exempt calls find none either.
  */
-const EXEMPT_SHARE = 0.1;
+const EXEMPT_SHARE = 0.125;
 
 /**
- * Decides, once for all attempts to place a call, how far it may fill engines. A call
+ * Counts a new stream, and decides, once for all attempts to place a call, how far it may fill engines. A call
  * of a service without ranks has rank 0.
  *
- * @param call - The rank of the call.
- * @param context - The source of randomness and the metrics.
+ * @param call - The service and the rank of the call.
+ * @param context - The recent ranks, the source of randomness and the metrics.
  * @returns The admission.
  * @throws Nothing.
  * @example
  * const { maxShare } = createRankAdmission(call, context);
  */
 export function createRankAdmission(
-  { rank, rankCount }: Pick<Call, "rank" | "rankCount">,
-  { random, metrics }: Pick<ServingContext, "random" | "metrics">,
+  { service, rank, rankCount }: Pick<Call, "service" | "rank" | "rankCount">,
+  { rankTally, random, metrics }: Pick<
+    ServingContext,
+    "rankTally" | "random" | "metrics"
+  >,
 ): RankAdmission {
+  const getName = (one: number) => `${service} ${one}`;
+  if (rankCount > 1) rankTally.note(getName(rank));
+  const urgentShare = getUrgentShare({
+    rank,
+    rankCount,
+    getRecent: (one) => rankTally.get(getName(one)),
+  });
   const isExempt = rank > 0 && random() < EXEMPT_SHARE;
   let wasHeld = false;
   return {
     isExempt,
-    maxShare: getAdmissionShare({ rank, rankCount, isExempt }),
+    maxShare: getAdmissionShare({ urgentShare, isExempt }),
     noteFull() {
       if (wasHeld || rank === 0 || isExempt) return;
       wasHeld = true;
--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -6,7 +6,11 @@
  */
 
 import { setTimeout as sleep } from "node:timers/promises";
-import { createLinkBudget, createReturnLog } from "../admission/index.ts";
+import {
+  createAdmissionTally,
+  createLinkBudget,
+  createReturnLog,
+} from "../admission/index.ts";
 import { createElapsedClock } from "../clocks/index.ts";
 import type { EngineNotice } from "../engines/index.ts";
 import type { DecodeConfig, LeaderMessage } from "../fleet/index.ts";
@@ -280,6 +284,7 @@
       },
     }),
     quarantine,
+    rankTally: createAdmissionTally({ now }),
     linkBudget: createLinkBudget({
       getGatewayCount,
       now,
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -6,7 +6,11 @@
 
 import type { Buffer } from "node:buffer";
 import type { ServerResponse } from "node:http";
-import type { LinkBudget, ReturnLog } from "../admission/index.ts";
+import type {
+  AdmissionTally,
+  LinkBudget,
+  ReturnLog,
+} from "../admission/index.ts";
 import type { Logger } from "../logs/index.ts";
 import type { Metrics } from "../metrics/index.ts";
 import type { Account, Route, RouteTable } from "../routes/index.ts";
@@ -62,6 +66,8 @@
   readonly runMonitor: RunMonitor;
   readonly stallReports: StallReports;
   readonly engines: EngineTable;
+  /** Recent new streams of each rank of a service. */
+  readonly rankTally: AdmissionTally;
   /** This gateway's part of the link between data centres. */
   readonly linkBudget: LinkBudget;
   /** State that upstreams reported in responses to this gateway. */
