Withdraw the crash of an engine whose heartbeats go on

Cause: a refused connection counts as a crash where another upstream accepts one. Where a path is lost to some engines of a service only, others accept, so each refusal put its request under suspicion and was logged as upstreamEnded. Only the leader, which gets the engine's heartbeats, can tell. Ruled out: waiting for heartbeats before a crash counts, as the request would end more upstreams meanwhile; asking another gateway or the leader to connect, which needs new messages or connections and takes a restarted engine for one that never ended. Change: a crash counts at once, as before. The second heartbeat of the same incarnation after the crash was recorded withdraws it for all gateways (refuteCrashes, command crashesRefuted, CL1734), with a conviction that it caused. The gateway logs CL1817 at once, and CL1809 only when the engine is no longer registered; the counter upstream.ended_under_request counts the latter, upstream.end_suspicions the former. An engine that is still registered 5 s after it refused counts against the attempts of a call again. No message changes. Control processes of earlier builds ignore the command. The added tests fail without the heartbeats' wiring and without the confirmation.

--- a/src/fleet/create_engine_registry.ts
+++ b/src/fleet/create_engine_registry.ts
@@ -48,6 +48,11 @@
   /** Whether a service is configured; by default all are. */
   readonly isService?: (service: string) => boolean;
   readonly publish: (change: EngineChange) => void;
+  /**
+   * Called for each heartbeat, after the first, of an incarnation that is told apart
+   * from others by its start time.
+   */
+  readonly onNextHeartbeat?: (engineId: string) => void;
   readonly log: Logger;
 }
 
@@ -186,11 +191,18 @@
       return log("serviceUnknown", { engineId, service });
     }
     const leave = options.getLeave(engineId);
+    const previous = state;
     const taken = applyHeartbeat(state, beat, {
       nowMs: beatClock.now(),
       leave,
     });
     state = taken.state;
+    const isAccepted =
+      state.engines.get(engineId)?.sequence === beat.sequence &&
+      taken.state !== previous;
+    if (isAccepted && !isNew && beat.startedMs !== undefined) {
+      options.onNextHeartbeat?.(engineId);
+    }
     remove(taken.displacedIds, "replaced by another incarnation");
     if (!taken.changed) return;
     const { address, isLeaving, layers } = taken.changed;
--- a/src/fleet/create_engine_registry_test.ts
+++ b/src/fleet/create_engine_registry_test.ts
@@ -14,6 +14,7 @@
   options: { readonly quietMs?: number } = {},
 ) {
   const clock = { nowMs: 0 };
+  const continued: string[] = [];
   const published: EngineChange[] = [];
   const registry = createEngineRegistry({
     silenceMs: 3_000,
@@ -21,9 +22,10 @@
     getLeave,
     ...options,
     publish: (change) => void published.push(change),
+    onNextHeartbeat: (engineId) => void continued.push(engineId),
     log: () => {},
   });
-  return { registry, clock, published };
+  return { registry, clock, published, continued };
 }
 
 function getIds(registry: ReturnType<typeof makeRegistry>["registry"]) {
@@ -124,4 +126,21 @@
   assert.equal(getIds(registry), ["e1"]);
 });
 
+// They withdraw reports of a crash, so neither a repeated heartbeat nor one of an
+// incarnation that can't be told apart may count.
+test("only next heartbeats of one incarnation are announced", () => {
+  const { registry, continued } = makeRegistry();
+  const beat = { ...HEARTBEAT, startedMs: 100 };
+  registry.handleHeartbeat({ ...beat, sequence: 1 });
+  assert.equal(continued, []);
+  registry.handleHeartbeat({ ...beat, sequence: 2 });
+  registry.handleHeartbeat({ ...beat, sequence: 2 });
+  registry.handleHeartbeat({ ...beat, sequence: 1 });
+  assert.equal(continued, [beat.engineId]);
+  const other = makeRegistry();
+  other.registry.handleHeartbeat({ ...HEARTBEAT, sequence: 1 });
+  other.registry.handleHeartbeat({ ...HEARTBEAT, sequence: 2 });
+  assert.equal(other.continued, []);
+});
+
 test.run();
--- a/src/fleet/create_fleet_state_machine.ts
+++ b/src/fleet/create_fleet_state_machine.ts
@@ -17,8 +17,10 @@
 import {
   type CrashCase,
   type CrashCases,
+  type CrashReport,
   type JudgedReport,
   recordCrashes,
+  refuteCrashes,
 } from "../quarantine/index.ts";
 import type { GatewayRecord } from "./messages.ts";
 
@@ -57,6 +59,14 @@
     readonly type: "crashes";
     readonly reports: readonly JudgedReport[];
   }
+  | {
+    /**
+     * Recorded crashes of upstreams that are running. Replicas of earlier builds keep
+     * the crashes until they expire.
+     */
+    readonly type: "crashesRefuted";
+    readonly reports: readonly CrashReport[];
+  }
   | {
     /** Requests that are no longer suspected. */
     readonly type: "casesCleared";
@@ -190,6 +200,8 @@
         return applyGateways(command);
       case "crashes":
         return replaceCases(recordCrashes(cases, command.reports));
+      case "crashesRefuted":
+        return replaceCases(refuteCrashes(cases, command.reports));
       case "casesCleared":
         return clearCases(command.requestKeys);
     }
--- a/src/fleet/create_quarantine_coordinator.ts
+++ b/src/fleet/create_quarantine_coordinator.ts
@@ -12,6 +12,7 @@
   type CrashCases,
   type CrashReport,
   getHoldMs,
+  HEARTBEATS_TO_REFUTE,
   isCrashAttributed,
   type JudgedReport,
   MAX_TRIAL_MS,
@@ -46,6 +47,11 @@
 export interface QuarantineCoordinator {
   /** Handles a gateway's reports. */
   take(vm: string, reports: QuarantineReports): void;
+  /**
+   * Handles a heartbeat of an incarnation that was registered before: crashes of it that
+   * were recorded before the last few heartbeats are withdrawn.
+   */
+  handleHeartbeat(engineId: string): void;
   /** Grants a trial run: returns the upstream where the request may start, if any. */
   grantTrial(vm: string, request: TrialRequest): string | undefined;
   /** All cases, for operators and for gateways that join. */
@@ -87,6 +93,8 @@
     string,
     { readonly crashCase: CrashCase; readonly changedMs: number }
   >();
+  // Heartbeats since a crash was recorded, by upstream and by request.
+  let heartbeatCounts = new Map<string, Map<string, number>>();
   let published: CrashCases = new Map();
   let pendingReports: JudgedReport[] = [];
   let pendingClears = new Set<string>();
@@ -105,7 +113,7 @@
   }
 
   // A failed proposal needs no retry: gateways repeat reports that the published
-  // cases don't reflect.
+  // cases don't reflect, and each further heartbeat withdraws a crash again.
   function submit(command: FleetCommand): void {
     propose(command).catch((error) => log("casesNotRecorded", { error }));
   }
@@ -148,6 +156,18 @@
     }
   }
 
+  function trackHeartbeats(): void {
+    const counts: typeof heartbeatCounts = new Map();
+    for (const { requestKey, engineIds } of getCases().values()) {
+      for (const engineId of engineIds) {
+        const known = heartbeatCounts.get(engineId)?.get(requestKey) ?? 0;
+        const byKey = counts.get(engineId) ?? new Map<string, number>();
+        counts.set(engineId, byKey.set(requestKey, known));
+      }
+    }
+    heartbeatCounts = counts;
+  }
+
   function getAgeMs(requestKey: string): number {
     return now() - (trackedCases.get(requestKey)?.changedMs ?? now());
   }
@@ -228,6 +248,20 @@
       log("trialGranted", { requestKey, vm, engineId });
       return engineId;
     },
+    handleHeartbeat(engineId) {
+      const byKey = heartbeatCounts.get(engineId);
+      if (!byKey) return;
+      for (const [key, count] of byKey) byKey.set(key, count + 1);
+      const requestKeys = [...byKey]
+        .filter(([, count]) => count >= HEARTBEATS_TO_REFUTE)
+        .map(([key]) => key);
+      if (requestKeys.length === 0) return;
+      log("crashesRefuted", { engineId, requestKeys });
+      submit({
+        type: "crashesRefuted",
+        reports: requestKeys.map((requestKey) => ({ requestKey, engineId })),
+      });
+    },
     list,
     async lift(requestKey) {
       await propose({ type: "casesCleared", requestKeys: [requestKey] });
@@ -235,6 +269,7 @@
     },
     handleChange({ isLeader }) {
       trackChanges();
+      trackHeartbeats();
       if (isLeader) publishChanges();
     },
     tick() {
--- a/src/fleet/create_quarantine_coordinator_test.ts
+++ b/src/fleet/create_quarantine_coordinator_test.ts
@@ -153,4 +153,33 @@
   assert.equal(coordinator.list(), []);
 });
 
+// A gateway that can't reach some upstreams reports their crashes, which would hold
+// back requests that crash nothing.
+test("crashes of an upstream whose heartbeats go on are withdrawn at all gateways", async () => {
+  const { coordinator, published, reportCrash } = startCoordinator();
+  await reportCrash("g1", "r", "e1");
+  await reportCrash("g1", "r", "e2");
+  await reportCrash("g1", "other", "e1");
+  coordinator.handleHeartbeat("e1");
+  coordinator.handleHeartbeat("e9");
+  assert.is(coordinator.list().length, 2);
+  coordinator.handleHeartbeat("e1");
+  const [{ requestKey, engineIds }, ...rest] = coordinator.list();
+  assert.equal([requestKey, engineIds, rest], ["r", ["e2"], []]);
+  const last = published.at(-1);
+  assert.equal(last?.cases.map((one) => one.engineIds), [["e2"]]);
+  assert.equal(last?.cleared, ["other"]);
+});
+
+// An upstream may really crash under a request after a false report for another.
+test("heartbeats before a crash was recorded don't withdraw it", async () => {
+  const { coordinator, reportCrash } = startCoordinator();
+  await reportCrash("g1", "false", "e1");
+  coordinator.handleHeartbeat("e1");
+  await reportCrash("g2", "real", "e1");
+  coordinator.handleHeartbeat("e1");
+  const keys = coordinator.list().map(({ requestKey }) => requestKey);
+  assert.equal(keys, ["real"]);
+});
+
 test.run();
--- a/src/fleet/start_fleet_control.ts
+++ b/src/fleet/start_fleet_control.ts
@@ -219,6 +219,7 @@
         services.some(({ name }) => name === service);
     },
     publish: (change) => sessions.publishEngines(change),
+    onNextHeartbeat: (engineId) => quarantine.handleHeartbeat(engineId),
     log,
   });
   const retryLender = createRetryLender({
@@ -354,7 +355,10 @@
 
   function handleCommand(command: FleetCommand): void {
     if (command.type === "engines" || command.type === "gateways") return;
-    if (command.type === "crashes" || command.type === "casesCleared") {
+    if (
+      command.type === "crashes" || command.type === "crashesRefuted" ||
+      command.type === "casesCleared"
+    ) {
       return quarantine.handleChange({ isLeader: isLeader() });
     }
     if (command.type === "leave") {
--- a/src/gateway/create_engine_table.ts
+++ b/src/gateway/create_engine_table.ts
@@ -54,7 +54,8 @@
    */
   hasEnded(engineId: string): boolean;
   /**
-   * Records that an upstream has certainly ended, whatever the leader still reports.
+   * Records that an upstream refuses connections while others accept them. It counts as
+   * ended, but no longer than for some seconds while it stays registered.
    */
   noteEnded(engineId: string): void;
   /** Adds a request to the load of the engines of its path. */
@@ -143,6 +144,13 @@
  */
 const MAX_REMEMBERED = 1_000;
 
+/**
+ * Ms after which an upstream that refused connections but is still registered doesn't
+ * count as ended: the leader receives its heartbeats. At the usual heartbeat interval of
+ * 1.2 s, the leader removes a silent upstream within 3.1 s.
+ */
+const ENDED_CONFIRMATION_MS = 5_000;
+
 /** Weight of the newest answer in the smoothed failure rate. */
 const FAILURE_WEIGHT = 0.2;
 
@@ -167,7 +175,8 @@
   const { now, log, onRemoved: onRemoved, notices = NO_NOTICES } = options;
   const engines = new Map<string, EngineView>();
   const serving = new Set<string>();
-  const ended = new Set<string>();
+  // When upstreams were found to refuse connections, in ms.
+  const ended = new Map<string, number>();
   const suspects = new Set<string>();
   let crossingPrompts = 0;
   // This gateway's part of the total that the leader reports.
@@ -210,6 +219,15 @@
     }
   }
 
+  function hasEnded(engineId: string): boolean {
+    const isRegistered = engines.has(engineId);
+    const endedMs = ended.get(engineId);
+    if (endedMs !== undefined) {
+      return !isRegistered || now() - endedMs < ENDED_CONFIRMATION_MS;
+    }
+    return !isRegistered && !serving.has(engineId);
+  }
+
   function crossesPlaces(path: readonly PathPart[]): boolean {
     const places = path.map(({ engineId }) =>
       engines.get(engineId)?.record.place
@@ -313,10 +331,10 @@
         engines.get(engineId)?.record.isLeaving === false
       ),
     get: (engineId) => engines.get(engineId),
-    hasEnded: (engineId) =>
-      ended.has(engineId) || !engines.has(engineId) && !serving.has(engineId),
+    hasEnded,
     noteEnded(engineId) {
-      ended.add(engineId);
+      ended.delete(engineId);
+      ended.set(engineId, now());
       evictOldest(ended, MAX_REMEMBERED);
     },
     addWork: (path, { tokens }) => addLoad(path, { tokens, requests: 1 }),
--- a/src/gateway/create_engine_table_test.ts
+++ b/src/gateway/create_engine_table_test.ts
@@ -97,6 +97,24 @@
   assert.equal(table.listUsable("s"), []);
 });
 
+// A refusal may come from a machine in between: an upstream whose heartbeats go on
+// would otherwise never count against the attempts of a call again.
+test("an upstream that refused connections doesn't count as ended while it stays registered", () => {
+  const { table, clock } = makeTable();
+  table.noteEnded("e1");
+  table.noteEnded("e2");
+  assert.ok(table.hasEnded("e1"));
+  clock.nowMs = 4_900;
+  assert.ok(table.hasEnded("e1"));
+  const gone = ["e2"];
+  table.applyUpdate({ type: "engines", isWhole: false, engines: [], gone });
+  clock.nowMs = 5_000;
+  assert.not.ok(table.hasEnded("e1"));
+  assert.ok(table.hasEnded("e2"));
+  table.noteEnded("e1");
+  assert.ok(table.hasEnded("e1"));
+});
+
 test("a backed-off upstream is listed separately, whatever the leader reports", () => {
   const backedOff = new Set(["e1"]);
   const { table, engines } = makeTable({
--- a/src/gateway/detect_upstream_crash.ts
+++ b/src/gateway/detect_upstream_crash.ts
@@ -65,13 +65,15 @@
 }
 
 /**
- * Checks whether the upstream of a broken run has crashed. If so, reports it to the
- * quarantine, and resolves only once all gateways know or a short timeout has passed.
+ * Checks whether the upstream of a broken run seems to have crashed: it refuses
+ * connections while others accept them. If so, reports it to the quarantine, and resolves
+ * only once all gateways know or a short timeout has passed. The leader withdraws the
+ * report if the upstream's heartbeats go on.
  *
  * @param call - The call.
- * @param context - The liveness check, the quarantine, logs and metrics.
+ * @param context - The liveness check, the quarantine, suspected ends and metrics.
  * @param run - The run.
- * @returns Whether the upstream has certainly crashed just after the run began.
+ * @returns Whether the upstream seems to have crashed just after the run began.
  * @throws Nothing.
  * @example
  * const isSuspect = await detectUpstreamCrash(call, context, run);
@@ -80,7 +82,12 @@
   call: Call,
   context: Pick<
     ServingContext,
-    "livenessCheck" | "abandonedRuns" | "quarantine" | "log" | "metrics" | "now"
+    | "livenessCheck"
+    | "abandonedRuns"
+    | "quarantine"
+    | "suspectedEnds"
+    | "metrics"
+    | "now"
   >,
   run: BrokenRun,
 ): Promise<boolean> {
@@ -96,13 +103,14 @@
     context.quarantine.noteCrash({ requestKey, engineId });
   }
   if (!isSuspect) return false;
-  context.metrics.count("upstream.ended_under_request");
-  context.log("upstreamEnded", {
-    requestId: call.request.requestId,
-    requestKey: call.requestKey,
+  context.suspectedEnds.note({
     engineId,
-    sinceSentMs: Math.round(brokeMs - sentMs),
-    sinceFirstEventMs: firstEventMs && Math.round(brokeMs - firstEventMs),
+    fields: {
+      requestId: call.request.requestId,
+      requestKey: call.requestKey,
+      sinceSentMs: Math.round(brokeMs - sentMs),
+      sinceFirstEventMs: firstEventMs && Math.round(brokeMs - firstEventMs),
+    },
   });
   const { requestKey } = call;
   context.quarantine.noteCrash({ requestKey, engineId });
--- a/src/gateway/detect_upstream_crash_test.ts
+++ b/src/gateway/detect_upstream_crash_test.ts
@@ -10,7 +10,7 @@
 const CALL = { request: { requestId: "1" }, requestKey: "r" } as Call;
 
 function makeContext(liveness: UpstreamLiveness) {
-  const state = { nowMs: 1_000, checks: 0 };
+  const state = { nowMs: 1_000, checks: 0, suspicions: 0 };
   const reports: CrashReport[] = [];
   const now = () => state.nowMs;
   const abandonedRuns = createAbandonedRuns({ now });
@@ -27,7 +27,7 @@
       noteCrash: (report: CrashReport) => void reports.push(report),
       waitUntilReported: () => Promise.resolve(),
     },
-    log: () => {},
+    suspectedEnds: { note: () => void (state.suspicions += 1) },
     metrics: { count: () => {} },
   } as unknown as ServingContext;
   const detect = (firstEventMs?: number) =>
@@ -45,11 +45,13 @@
   assert.ok(await ended.detect(900));
   assert.not.ok(await ended.detect(700));
   assert.equal(ended.reports.length, 2);
+  assert.is(ended.state.suspicions, 2);
   assert.is(ended.state.checks, 2, "the third run needs no check");
   for (const liveness of ["listening", "unknown"] as const) {
     const other = makeContext(liveness);
     assert.not.ok(await other.detect());
     assert.equal(other.reports, []);
+    assert.is(other.state.suspicions, 0);
   }
 });
 
--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -49,6 +49,7 @@
 import { createRetryAfterSchedule } from "./create_retry_after_schedule.ts";
 import { createCapacityQueues } from "./create_capacity_queue.ts";
 import { createRunMonitor } from "./create_run_monitor.ts";
+import { createSuspectedEnds } from "./create_suspected_ends.ts";
 import { createStallReports } from "./create_stall_reports.ts";
 import { createResponseTimes } from "./create_response_times.ts";
 import type { CallerCodec, EngineControl } from "./protocol.ts";
@@ -182,9 +183,18 @@
   const engines = createEngineTable({
     now,
     log,
-    onRemoved: upstreamTransport.removeUpstream,
+    onRemoved(engineId) {
+      upstreamTransport.removeUpstream(engineId);
+      suspectedEnds.handleRemoved(engineId);
+    },
     notices,
   });
+  const suspectedEnds = createSuspectedEnds({
+    hasEnded: engines.hasEnded,
+    now,
+    log,
+    metrics,
+  });
   const config = createActiveConfig({
     decodeConfig: options.decodeConfig,
     onChange({ limits }) {
@@ -279,6 +289,7 @@
       now,
       random: Math.random,
     }),
+    suspectedEnds,
     abandonedRuns: createAbandonedRuns({ now }),
     budget,
     endRate,
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -27,6 +27,7 @@
 import type { RetryAfterSchedule } from "./create_retry_after_schedule.ts";
 import type { CapacityQueue } from "./create_capacity_queue.ts";
 import type { RunMonitor } from "./create_run_monitor.ts";
+import type { SuspectedEnds } from "./create_suspected_ends.ts";
 import type { StallReports } from "./create_stall_reports.ts";
 import type { ResponseTimes } from "./create_response_times.ts";
 import type { CallerCodec, CallerRequest, EngineControl } from "./protocol.ts";
@@ -75,6 +76,7 @@
   readonly reachability: Reachability;
   readonly livenessCheck: LivenessCheck;
   readonly quarantine: Quarantine;
+  readonly suspectedEnds: SuspectedEnds;
   readonly abandonedRuns: AbandonedRuns;
   readonly budget: GatewayRetryBudget;
   readonly endRate: StreamEndRate;
--- a/src/logs/events.ts
+++ b/src/logs/events.ts
@@ -181,6 +181,11 @@
     "info",
     "Requests are no longer suspected of crashing upstreams",
   ),
+  crashesRefuted: event(
+    "CL1734",
+    "info",
+    "Upstream whose crash was reported still sends heartbeats; the reports are withdrawn",
+  ),
   callSent: event("CL1801", "info", "Request was sent to an upstream"),
   callNotRun: event("CL1802", "info", "Upstream did not run the request"),
   callBroken: event("CL1803", "info", "Answer broke off or failed"),
@@ -193,6 +198,11 @@
   callEndedBadly: event("CL1808", "warn", "Request ended with a failure"),
   engineAsked: event("CL1806", "info", "Engine gave no report"),
   pathChanged: event("CL1807", "info", "Running request moved to another path"),
+  upstreamEndSuspected: event(
+    "CL1817",
+    "warn",
+    "Upstream refuses connections just after it began a request; counted as a crash until its heartbeats show otherwise",
+  ),
   upstreamEnded: event(
     "CL1809",
     "warn",
--- a/src/metrics/metric_catalogue.ts
+++ b/src/metrics/metric_catalogue.ts
@@ -78,6 +78,8 @@
   "upstream.ejected": "Upstreams ejected for a while",
   "upstream.end_checks":
     "Checks whether an upstream crashed while it ran a request",
+  "upstream.end_suspicions":
+    "Runs that had just begun when their upstream refused connections",
   "upstream.ended_under_request":
     "Runs that had just begun when their upstream crashed",
   "process.loop_delay_ms":
--- a/src/quarantine/constants.ts
+++ b/src/quarantine/constants.ts
@@ -28,6 +28,12 @@
 /** Upper bound of a hold, however often the request was convicted. */
 export const MAX_HOLD_MS = 3_600_000;
 
+/**
+ * Heartbeats of an upstream, after its crash was recorded, that show that it runs. The
+ * first one may have been sent before the crash.
+ */
+export const HEARTBEATS_TO_REFUTE = 2;
+
 /** Retention of a suspicion that has not been confirmed. */
 export const SUSPICION_RETENTION_MS = 600_000;
 
--- a/src/quarantine/index.ts
+++ b/src/quarantine/index.ts
@@ -7,4 +7,5 @@
 export * from "./constants.ts";
 export * from "./get_hold_ms.ts";
 export * from "./record_crashes.ts";
+export * from "./refute_crashes.ts";
 export * from "./types.ts";
--- a/test/cut_off_evidence_test.ts
+++ b/test/cut_off_evidence_test.ts
@@ -75,6 +75,49 @@
   assert.not(events.includes("upstreamEnded"));
 });
 
+// Without that, requests that only met a lost path are suspected for ten minutes, and
+// the next such report puts them on trial.
+test("a crash of an upstream whose heartbeats go on is withdrawn from its request", async () => {
+  await using fleet = await startServingFleet({ controls: 1 });
+  await using gateway = await startPartitionedGateway(fleet);
+  const [{ control }] = fleet.controls;
+  async function countCases(): Promise<number> {
+    const reply = await control.call({ type: "listCases" });
+    return reply.type === "cases" ? reply.cases.length : -1;
+  }
+  for (const { fault } of fleet.plain) fault.hangs = true;
+  const answer = call(gateway.address, { path: "/once/1" }).catch(() => {});
+  const findRunning = () => fleet.plain.find(({ runs }) => runs.length > 0);
+  await until("an upstream runs it", () => findRunning() !== undefined);
+  gateway.cut("reset", fleet.plain.filter((one) => one === findRunning()));
+  await until("its crash is recorded", async () => await countCases() === 1);
+  await until("it is withdrawn", async () => await countCases() === 0);
+  await answer;
+  const events = gateway.lines.map(({ event }) => event);
+  assert.ok(events.includes("upstreamEndSuspected"));
+  assert.not(events.includes("upstreamEnded"));
+});
+
+// Operators rely on the log line to find requests that crash upstreams.
+test("a refused connection is logged as a crash once the heartbeats have stopped", async () => {
+  const events: string[] = [];
+  await using fleet = await startServingFleet({
+    controls: 1,
+    gateways: 1,
+    log: (event) => void events.push(event),
+  });
+  for (const { fault } of fleet.plain) fault.hangs = true;
+  const [{ address }] = fleet.gateways;
+  const answer = call(address, { path: "/once/1" }).catch(() => {});
+  const findRunning = () => fleet.plain.find(({ runs }) => runs.length > 0);
+  await until("an upstream runs it", () => findRunning() !== undefined);
+  await findRunning()?.crash();
+  const includes = (sought: string) => events.includes(sought);
+  await until("it is suspected", () => includes("upstreamEndSuspected"));
+  await until("the crash is confirmed", () => includes("upstreamEnded"));
+  await answer;
+});
+
 test("callers are directed to gateways that reach the upstreams, while there are enough", async () => {
   await using fleet = await startServingFleet({ controls: 1 });
   await using gateway = await startPartitionedGateway(fleet);
