--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -54,6 +54,7 @@
 import { createCapacityQueues } from "./create_capacity_queue.ts";
 import { createUrgentCapacity } from "./create_urgent_capacity.ts";
 import { createRunMonitor } from "./create_run_monitor.ts";
+import { createSuspectedEnds } from "./create_suspected_ends.ts";
 import { createStallReports } from "./create_stall_reports.ts";
 import { createResponseTimes } from "./create_response_times.ts";
 import type { CallerCodec, EngineControl } from "./protocol.ts";
@@ -192,9 +193,18 @@
   const engines = createEngineTable({
     now,
     log,
-    onRemoved: upstreamTransport.removeUpstream,
+    onRemoved(engineId) {
+      upstreamTransport.removeUpstream(engineId);
+      suspectedEnds.handleRemoved(engineId);
+    },
     notices,
   });
+  const suspectedEnds = createSuspectedEnds({
+    hasEnded: engines.hasEnded,
+    now,
+    log,
+    metrics,
+  });
   const config = createActiveConfig({
     decodeConfig: options.decodeConfig,
     onChange({ limits }) {
@@ -290,6 +300,7 @@
       now,
       random: Math.random,
     }),
+    suspectedEnds,
     abandonedRuns: createAbandonedRuns({ now }),
     budget,
     endRate,
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -32,6 +32,7 @@
 import type { CapacityQueue } from "./create_capacity_queue.ts";
 import type { UrgentCapacity } from "./create_urgent_capacity.ts";
 import type { RunMonitor } from "./create_run_monitor.ts";
+import type { SuspectedEnds } from "./create_suspected_ends.ts";
 import type { StallReports } from "./create_stall_reports.ts";
 import type { ResponseTimes } from "./create_response_times.ts";
 import type { CallerCodec, CallerRequest, EngineControl } from "./protocol.ts";
@@ -86,6 +87,7 @@
   readonly reachability: Reachability;
   readonly livenessCheck: LivenessCheck;
   readonly quarantine: Quarantine;
+  readonly suspectedEnds: SuspectedEnds;
   readonly abandonedRuns: AbandonedRuns;
   readonly budget: GatewayRetryBudget;
   readonly endRate: StreamEndRate;
