Judge a run only on the path that it has, and leave a lost first engine at once

A stall check that waited for a move judged the moved run by a report from before the move, and gave it up; the loss of the first engine waited for commands to that engine, up to 400 ms; a rejected path was tried again without regard to a back-off or losses that became known meanwhile; a suspected end of an upstream was confirmed by the gateway's own evidence, not by the leader. Change: each is checked where it counts. Tests: on the code before, the test of the first engine does not end; the one of the stall check was not run by itself there.

--- a/src/gateway/create_run_migrator.ts
+++ b/src/gateway/create_run_migrator.ts
@@ -66,9 +66,13 @@
     });
   }
 
-  async function recover(silentRun: StreamRun): Promise<void> {
+  async function recover(
+    silentRun: StreamRun,
+    path: readonly AddressedPart[],
+  ): Promise<void> {
+    // A move that ended before this check has restarted the wait for events.
+    if (!isCurrent(silentRun) || silentRun.path !== path) return;
     const { events } = relay.getProgress();
-    const { path } = silentRun;
     const recovery = await recoverStalledRun(call, context, { path, excluded });
     if (!isCurrent(silentRun)) return;
     if (recovery.type === "moved") return applyMove(silentRun, recovery.path);
@@ -123,7 +127,8 @@
   return {
     checkStall(run) {
       if (isChecking || !isCurrent(run)) return;
-      runCheck(() => recover(run));
+      const { path } = run;
+      runCheck(() => recover(run, path));
     },
     // Another engine holds the layers of a leaving one within a few seconds; the move is
     // retried until then.
@@ -143,6 +148,13 @@
     // A move that begins while another one runs may not be needed any more, and every
     // move has the new engines read all tokens of the run.
     leaveFailedEngine(run, failure) {
+      const { engineId, reason } = failure;
+      // Commands of earlier moves go to the first engine, so they may take until their
+      // time-out where it is the one that failed.
+      if (isCurrent(run) && run.path[0].engineId === engineId) {
+        run.leave(engineId, reason);
+        return Promise.resolve();
+      }
       lastMove = lastMove.then(() => leaveFailed(run, failure));
       return lastMove;
     },
--- a/src/gateway/create_run_migrator_test.ts
+++ b/src/gateway/create_run_migrator_test.ts
@@ -104,7 +104,8 @@
     excluded.add(engineId);
     return migrator.leaveFailedEngine(run, { engineId, reason: "lost" });
   };
-  return { fail, left, triedEngineIds };
+  const checkStall = () => migrator.checkStall(run);
+  return { context, checkStall, fail, left, triedEngineIds };
 }
 
 test("a run that two sources tell to leave an engine moves once", async () => {
@@ -128,4 +129,34 @@
   assert.equal(other.left, ["e3"]);
 });
 
+test("the loss of the first engine ends a run at once, whatever it waits for", async () => {
+  const { context, fail, left } = startRun(["e2", "e3"]);
+  Object.assign(context.engineControl, {
+    changePath: () => new Promise(() => {}),
+  });
+  void fail("e2");
+  await setImmediate();
+  await fail("e1");
+  assert.equal(left, ["e1"]);
+});
+
+test("a stall check that waited for a move doesn't judge the moved run", async () => {
+  const { context, checkStall, fail, left } = startRun(["e2", "e3"]);
+  let reportsRead = 0;
+  Object.assign(context, {
+    stallReports: {
+      read() {
+        reportsRead += 1;
+        return Promise.resolve([{ requestId: "r", address: "e2:80" }]);
+      },
+    },
+  });
+  const move = fail("e2");
+  checkStall();
+  await move;
+  await setImmediate();
+  assert.is(reportsRead, 0);
+  assert.equal(left, []);
+});
+
 test.run();
--- a/src/gateway/recover_stalled_run.ts
+++ b/src/gateway/recover_stalled_run.ts
@@ -79,9 +79,9 @@
   },
 ): Promise<StallRecovery> {
   const { call, context, run } = options;
-  const [first] = run.path;
-  const stalledPart = run.path.find((part) => part.address === address) ??
-    first;
+  const stalledPart = run.path.find((part) => part.address === address);
+  // Reports are shared for a moment, so this one may be older than the run's last move.
+  if (!stalledPart) return { type: "wait" };
   const { engineId } = stalledPart;
   const path = await reroute(call, context, { ...run, engineId });
   if (!path) return { type: "lost", engineId, reason: "stands still" };
@@ -106,12 +106,13 @@
   const { requestId } = call.request;
   // A moved run starts on other engines, which a request in quarantine may not do.
   if (context.quarantine.judge(call.requestKey).type !== "free") return;
-  // The command would be one more request to a first engine that has asked for a
-  // back-off. The stream resumes on other engines instead, which frees its slot there.
-  if (context.notices.getBackOffLeftMs(first.engineId) > 0) return;
   if (engineId === first.engineId) return;
-  const excluded = new Set([...options.excluded, engineId]);
+  const missing: string[] = [];
   for (let attempt = 1; attempt <= MAX_PATH_ATTEMPTS; attempt++) {
+    // The command would be one more request to a first engine that has asked for a
+    // back-off. The stream resumes on other engines instead, which frees its slot there.
+    if (context.notices.getBackOffLeftMs(first.engineId) > 0) return;
+    const excluded = new Set([...options.excluded, engineId, ...missing]);
     const path = findAlternatePath(call, context, {
       path: options.path,
       excluded,
@@ -135,7 +136,7 @@
     if (isAccepted) return path;
     const missingPart = path?.find(({ address }) => address === missingAddress);
     if (!missingPart) return;
-    excluded.add(missingPart.engineId);
+    missing.push(missingPart.engineId);
   }
 }
 
--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -200,7 +200,8 @@
     notices,
   });
   const suspectedEnds = createSuspectedEnds({
-    hasEnded: engines.hasEnded,
+    hasEnded: (engineId) =>
+      engines.get(engineId) === undefined && engines.hasEnded(engineId),
     now,
     log,
     metrics,
