Reserve capacity only while more urgent requests find none

Cause: the reserve held also where more urgent requests had room. Change: the reserve and the careful estimate apply for 5 s after a more urgent request found no capacity at this gateway; else all may fill engines alike. The test takes the share at each attempt, as calls do; its bounds are unchanged.

--- a/src/admission/admission_load_test.ts
+++ b/src/admission/admission_load_test.ts
@@ -19,6 +19,7 @@
 import { createRankAdmission } from "../gateway/create_rank_admission.ts";
 import type { Call, ServingContext } from "../gateway/types.ts";
 import { createAdmissionTally } from "./create_admission_tally.ts";
+import { createUrgentShortage } from "./create_urgent_shortage.ts";
 
 const GATEWAYS = 20;
 const ENGINES = 10;
@@ -109,6 +110,7 @@
     random: random.number,
     metrics: { count: () => {} },
     rankTally: createAdmissionTally({ now }),
+    urgentShortage: createUrgentShortage({ now }),
     notices: createEngineNotices({
       steadyNow: now,
       random: random.number,
@@ -138,11 +140,11 @@
     const request: SimulatedRequest = { rank, atMs: now(), isInTime: false };
     requests.push(request);
     const { table, waiting } = random.pick(gateways);
-    const { maxShare, isExempt } = createRankAdmission(
+    const admission = createRankAdmission(
       { service: "s", rank, rankCount: RANKS.length },
       context,
     );
-    const ticket = { rank: isExempt ? 0 : rank };
+    const ticket = { rank: admission.isExempt ? 0 : rank };
     const excluded = new Set<string>();
 
     function isFirst(): boolean {
@@ -168,8 +170,9 @@
       if (!isFirst()) return wait();
       const choice = chooseCallPath(CALL, { ...context, engines: table }, {
         excluded,
-        need: { tokens: TOKENS, isNew: true, maxShare },
+        need: { tokens: TOKENS, isNew: true, maxShare: admission.maxShare },
       });
+      if (choice.type === "full") admission.noteFull();
       if (choice.type !== "path") return wait();
       leave();
       const { path } = choice;
--- a/src/gateway/create_rank_admission.ts
+++ b/src/gateway/create_rank_admission.ts
@@ -11,7 +11,10 @@
 export interface RankAdmission {
   /** Whether the call competes as one of rank 0 although it is less urgent. */
   readonly isExempt: boolean;
-  /** Share of an engine's memory and slots up to which the call may fill it. */
+  /**
+   * Share of an engine's memory and slots up to which the call may fill it now. It is
+   * reduced only while more urgent calls find no capacity.
+   */
   readonly maxShare: number;
   /** Records that no engine had free capacity within the share. */
   noteFull(): void;
@@ -37,9 +40,9 @@
  */
 export function createRankAdmission(
   { service, rank, rankCount }: Pick<Call, "service" | "rank" | "rankCount">,
-  { rankTally, random, metrics }: Pick<
+  { rankTally, urgentShortage, random, metrics }: Pick<
     ServingContext,
-    "rankTally" | "random" | "metrics"
+    "rankTally" | "urgentShortage" | "random" | "metrics"
   >,
 ): RankAdmission {
   const getName = (one: number) => `${service} ${one}`;
@@ -53,8 +56,12 @@
   let wasHeld = false;
   return {
     isExempt,
-    maxShare: getAdmissionShare({ urgentShare, isExempt }),
+    get maxShare() {
+      const isReserved = !isExempt && urgentShortage.isShort(service, rank);
+      return getAdmissionShare({ urgentShare, isExempt: !isReserved });
+    },
     noteFull() {
+      if (rankCount > 1) urgentShortage.note(service, isExempt ? 0 : rank);
       if (wasHeld || rank === 0 || isExempt) return;
       wasHeld = true;
       metrics.count("admission.held");
--- a/src/gateway/create_rank_admission_test.ts
+++ b/src/gateway/create_rank_admission_test.ts
@@ -4,7 +4,10 @@
 import { createRankAdmission } from "./create_rank_admission.ts";
 import type { ServingContext } from "./types.ts";
 
-function makeContext(random: () => number) {
+function makeContext(
+  random: () => number,
+  options: { readonly isShort?: boolean } = {},
+) {
   const counted: string[] = [];
   const metrics = { count: (name: string) => void counted.push(name) };
   // One in four requests is of rank 0, and as many are of rank 1.
@@ -14,8 +17,19 @@
     note: (name: string) => void noted.push(name),
     get: (name: string) => recent.get(name) ?? 0,
   };
-  const context = { random, metrics, rankTally } as unknown as ServingContext;
-  return { context, counted, noted };
+  const short: string[] = [];
+  const urgentShortage = {
+    note: (service: string, rank: number) =>
+      void short.push(`${service} ${rank}`),
+    isShort: () => options.isShort ?? true,
+  };
+  const context = {
+    random,
+    metrics,
+    rankTally,
+    urgentShortage,
+  } as unknown as ServingContext;
+  return { context, counted, noted, short };
 }
 
 test("a call of the most urgent rank draws nothing and may use 0.95", () => {
@@ -60,6 +74,21 @@
   assert.is(counted.length, 1);
 });
 
+test("nothing is reserved while more urgent calls find capacity", () => {
+  const { context } = makeContext(() => 0.5, { isShort: false });
+  const call = { service: "s", rank: 2, rankCount: 3 };
+  assert.is(createRankAdmission(call, context).maxShare, 0.95);
+});
+
+test("a call that finds no capacity is recorded by its rank, an exempt one by rank 0", () => {
+  const { context, short } = makeContext(() => 0.5);
+  const call = { service: "s", rank: 1, rankCount: 3 };
+  createRankAdmission(call, context).noteFull();
+  createRankAdmission(call, { ...context, random: () => 0.05 }).noteFull();
+  createRankAdmission({ ...call, rankCount: 1 }, context).noteFull();
+  assert.equal(short, ["s 1", "s 0"]);
+});
+
 test("new streams are counted by rank, unless the service has only one", () => {
   const { context, noted } = makeContext(() => 0.5);
   createRankAdmission({ service: "s", rank: 1, rankCount: 2 }, context);
--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -10,6 +10,7 @@
   createAdmissionTally,
   createLinkBudget,
   createReturnLog,
+  createUrgentShortage,
 } from "../admission/index.ts";
 import { createElapsedClock } from "../clocks/index.ts";
 import type { EngineNotice } from "../engines/index.ts";
@@ -296,6 +297,7 @@
     }),
     quarantine,
     rankTally: createAdmissionTally({ now }),
+    urgentShortage: createUrgentShortage({ now }),
     linkBudget: createLinkBudget({
       getGatewayCount,
       now,
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -10,6 +10,7 @@
   AdmissionTally,
   LinkBudget,
   ReturnLog,
+  UrgentShortage,
 } from "../admission/index.ts";
 import type { Logger } from "../logs/index.ts";
 import type { Metrics } from "../metrics/index.ts";
@@ -69,6 +70,8 @@
   readonly engines: EngineTable;
   /** Recent new streams of each rank of a service. */
   readonly rankTally: AdmissionTally;
+  /** Ranks that recently found no capacity. */
+  readonly urgentShortage: UrgentShortage;
   /** This gateway's part of the link between data centres. */
   readonly linkBudget: LinkBudget;
   /** State that upstreams reported in responses to this gateway. */
