--- a/test/support/fleet.ts
+++ b/test/support/fleet.ts
@@ -90,6 +90,8 @@
     body?: string;
     /** Prefix of the request's id. */
     idPrefix?: string;
+    /** Called with the status before the body is read. */
+    onStatus?: (status: number) => void;
   },
 ): Promise<CallAnswer & { requestId: string }> {
   const { path, key = "key-1", deadlineMs = 5_000, signal } = options;
@@ -107,6 +109,7 @@
     body: options.body ?? "hello",
     signal,
   });
+  options.onStatus?.(answer.statusCode);
   const text = await answer.body.text();
   const { statusCode: status, headers } = answer;
   return { status, text, headers, requestId };
