Ask the link's budget only where a data centre holds all layers

Ruled out: the ranks (hardly any refusal is an overload), and the repair, whose orders begin within 0.2 s. Test: seen failing before the change (full in place of the path).

--- a/src/gateway/choose_call_path.ts
+++ b/src/gateway/choose_call_path.ts
@@ -5,7 +5,7 @@
  */
 
 import { getLinkTimeMs, NEW_WORK_SHARE } from "../admission/index.ts";
-import { getMeanRequestTokens } from "../layers/index.ts";
+import { getMeanRequestTokens, hasCompleteCopy } from "../layers/index.ts";
 import type { LayeredModel } from "../routes/index.ts";
 import { chooseEngine } from "./choose_engine.ts";
 import {
@@ -173,6 +173,11 @@
   });
   if (localPath && isUsablePath(localPath, context)) return localPath;
   if (!mayCrossPlaces) return localPath;
+  // Without a complete copy in any data centre all requests depend on the link. Its
+  // budget would refuse most of them, and a late answer is better than none.
+  if (!holdsCompleteCopy(usable, pathOptions.model)) {
+    return choosePath(usable, { ...pathOptions, mayCrossPlaces: true });
+  }
   if (!linkBudget.take(service, { linkTimeMs })) {
     metrics.count("linkBudget.denied");
     return localPath;
@@ -189,6 +194,16 @@
   return localPath;
 }
 
+function holdsCompleteCopy(
+  engines: readonly EngineView[],
+  model: LayeredModel,
+): boolean {
+  const ranges = engines.flatMap(({ record: { place, layers } }) =>
+    layers ? [{ place, ...layers }] : []
+  );
+  return hasCompleteCopy(ranges, model);
+}
+
 function findLimitWait(
   call: Call,
   context: ServingContext,
--- a/src/gateway/choose_call_path_test.ts
+++ b/src/gateway/choose_call_path_test.ts
@@ -291,6 +291,18 @@
   assert.equal(counted, ["linkBudget.denied"]);
 });
 
+test("without a complete copy in any data centre no budget is asked for the link", () => {
+  const { asked, choose, engines } = makeTwoPlaces({ isAllowed: false });
+  engines.applyUpdate({
+    type: "engines",
+    isWhole: false,
+    engines: [],
+    gone: ["near"],
+  });
+  assert.equal(listIds(choose()), ["lower", "far"]);
+  assert.equal(asked, []);
+});
+
 test("an engine that has just refused leaves no path within the data centre", () => {
   const { choose, clock, engines } = makeTwoPlaces();
   engines.noteFull("near");
