Name no deployment in the example of openQuorumStorage

Cause: the example of a doc comment named a user's deployment. Ruled out: code that depends on the name; it stood in this comment alone. Change: a neutral id.

--- a/src/storage/open_quorum_storage.ts
+++ b/src/storage/open_quorum_storage.ts
@@ -67,7 +67,7 @@
  * @example
  * await using storage = await openQuorumStorage({
  *   folder: "data",
- *   fleetId: "coldwatch",
+ *   fleetId: "fleet-1",
  *   vm: "vm-1",
  * });
  */
