Log why a stream found no path, and probes that got no answer in time

Streams that had run were ended with CL1804 "no path" although 11 s of their time were left. The line did not tell whether layers had no holder, engines were full or the link between data centres was in use; CL1803 did not tell an engine that broke a stream from a gateway that aborted it; and nothing showed whether a probe without an answer was answered a moment later.

CL1804 counts the results of the searches for a path, CL1803 says who ended the run, and the new CL1818 tells how late the answer to a probe came, if it did, and by how much this process was late itself. The time-out of a probe and what follows from it are unchanged.

Ruled out: that the engine of the recorded case cut the stream by itself is not shown by its record, since an aborted request looks the same to it.

--- a/src/gateway/create_run_monitor.ts
+++ b/src/gateway/create_run_monitor.ts
@@ -7,6 +7,8 @@
  */
 
 import type { EngineNotice } from "../engines/index.ts";
+import { TimeLimitError, withTimeout } from "../http/index.ts";
+import type { Logger } from "../logs/index.ts";
 import { groupRuns, type RunGroup, SHARED_SILENCE_MS } from "./group_runs.ts";
 import type {
   AddressedPart,
@@ -62,6 +64,8 @@
   readonly getProbeRank?: (firstEngineId: string) => number;
   /** Monotonic time, in ms. */
   readonly now: () => number;
+  /** Receives the probes that got no answer in time; discarded by default. */
+  readonly log?: Logger;
 }
 
 /** Monitors running streams for failed engines. */
@@ -95,6 +99,9 @@
  */
 const PROBE_TIMEOUT_MS = 25;
 
+/** Time, in ms, for which a late answer to a probe is awaited for the log. */
+const LATE_ANSWER_MS = 250;
+
 /**
  * Upper bound of the factor on the silence that triggers a probe. Each probe doubles
  * the factor: when engines are busy, silence is a weak sign and probes add load.
@@ -141,7 +148,8 @@
 export function createRunMonitor(options: CreateRunMonitorOptions): RunMonitor {
   const { engineControl, now, getProbeRank: getRank = () => 0 } = options;
   const { onNotice = () => {}, mayProbe: canProbe = () => true } = options;
-  const { confirmFailure = () => Promise.resolve(true) } = options;
+  const { confirmFailure = () => Promise.resolve(true), log = () => {} } =
+    options;
   const runs = new Set<MonitoredRun>();
   const probedAtMs = new Map<string, number>();
   const failedAtMs = new Map<string, number>();
@@ -301,17 +309,46 @@
     if (now() - (probedAtMs.get(engineId) ?? -Infinity) < PROBE_TTL_MS) return;
     if (!canProbe(engineId)) return;
     probedAtMs.set(engineId, now());
-    const answerDueMs = now() + PROBE_TIMEOUT_MS;
-    const presence = await engineControl
-      .checkLiveness(address, {
-        timeoutMs: PROBE_TIMEOUT_MS,
-        onNotice: (notice) => onNotice(engineId, notice),
-      });
+    const sentMs = now();
+    const answer = engineControl.checkLiveness(address, {
+      timeoutMs: LATE_ANSWER_MS,
+      onNotice: (notice) => onNotice(engineId, notice),
+    });
+    const presence = await waitForAnswer(answer);
     if (presence.state === "present") options.onPace(engineId, presence.pace);
-    const processStalled = now() - answerDueMs > PROCESS_STALL_MS;
-    return presence.state === "silent" && processStalled
-      ? undefined
-      : presence.state;
+    if (presence.state !== "silent") return presence.state;
+    const stalledMs = now() - sentMs - PROBE_TIMEOUT_MS;
+    void logUnanswered(engineId, { answer, sentMs, stalledMs });
+    return stalledMs > PROCESS_STALL_MS ? undefined : "silent";
+  }
+
+  async function waitForAnswer(
+    answer: Promise<EngineLiveness>,
+  ): Promise<EngineLiveness> {
+    try {
+      return await withTimeout(answer, { timeoutMs: PROBE_TIMEOUT_MS });
+    } catch (error) {
+      if (!(error instanceof TimeLimitError)) throw error;
+      return { state: "silent" };
+    }
+  }
+
+  // A late answer shows that the engine was only slow, or this process was.
+  async function logUnanswered(
+    engineId: string,
+    probe: {
+      readonly answer: Promise<EngineLiveness>;
+      readonly sentMs: number;
+      readonly stalledMs: number;
+    },
+  ): Promise<void> {
+    const { state } = await probe.answer;
+    log("probeUnanswered", {
+      engineId,
+      lateState: state,
+      tookMs: Math.round(now() - probe.sentMs),
+      stalledMs: Math.round(probe.stalledMs),
+    });
   }
 
   // The engine may be well and only its answer lost, so streams that still receive
--- a/src/gateway/serve_stream_call.ts
+++ b/src/gateway/serve_stream_call.ts
@@ -98,6 +98,7 @@
     let run: StreamRun | undefined;
     let forwarded: Exchange | undefined;
     const excludedPeers = new Set<string>();
+    const searchResults: Record<string, number> = {};
     // Why no upstream was found; CL1804 is dropped where there are many log lines.
     let givenUp: Readonly<Record<string, unknown>> = {};
 
@@ -210,6 +211,7 @@
         trialEngineId: answer.trialEngineId,
         need: { tokens, isNew, maxShare: admission.maxShare },
       });
+      searchResults[choice.type] = (searchResults[choice.type] ?? 0) + 1;
       if (choice.type === "full" && isNew) admission.noteFull();
       if (choice.type === "full" && sendMode !== "any") return forward();
       if (choice.type === "full" && isNew) return waits.waitForCapacity();
@@ -352,6 +354,7 @@
         refusal: refusal.reason,
         tries: sendCount,
         runs: runCount,
+        searchResults,
         ...givenUp,
         ...engines.countLeftOut(service),
       });
@@ -543,6 +546,7 @@
         engineId,
         how: how.type,
         reason,
+        wasAborted: sent.wasAborted,
         status: sent.head?.status,
         lastEventId: relay.getProgress().lastEventId,
         runs: runCount,
--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -275,6 +275,7 @@
       onNotice: handleNotice,
       mayProbe: notices.acquireProbe,
       now,
+      log,
     }),
     stallReports: createStallReports({
       engineControl: options.engineControl,
--- a/src/logs/events.ts
+++ b/src/logs/events.ts
@@ -208,6 +208,11 @@
     "warn",
     "Upstream crashed just after it began a request",
   ),
+  probeUnanswered: event(
+    "CL1818",
+    "info",
+    "Engine did not answer a probe in time",
+  ),
   entryUnreadable: event(
     "CL1720",
     "warn",
--- a/standins/start_layer_engine.ts
+++ b/standins/start_layer_engine.ts
@@ -45,6 +45,10 @@
   stalledFor?: string;
   /** Omits stalled streams from its reports. */
   hidesStalled?: boolean;
+  /** Delays, in ms, of its next status reports, one each. */
+  reportDelaysMs?: number[];
+  /** Delay, in ms, of its answers to orders. */
+  orderDelayMs?: number;
   /** Crashes when it starts to run a request with one of these bodies. */
   crashesOnBodies?: readonly string[];
   /** Ms after which it restarts under the same id; if absent, it stays down. */
@@ -64,6 +68,8 @@
   readonly eventIntervalMs?: number;
   /** Events of an answer. */
   readonly events?: number;
+  /** Ms until the first event, as for reading the prompt; 0 by default. */
+  readonly prefillMs?: number;
 }
 
 /** A running stand-in. */
@@ -147,6 +153,7 @@
     heartbeatPeriodMs = 200,
     eventIntervalMs = 5,
     events = 20,
+    prefillMs = 0,
   } = options;
   nextEngine += 1;
   const engineId = `i-${nextEngine}`;
@@ -175,8 +182,14 @@
       if (arrival.announcedLeaving) response.setHeader(HEADER.leaving, "1");
       const { announcedLimit } = arrival;
       if (announcedLimit) response.setHeader(HEADER.rateLimit, announcedLimit);
-      if (url === ENGINE_CALL.report) return sendReport(response);
-      if (url === ENGINE_CALL.order) return handleOrder(response, body);
+      if (url === ENGINE_CALL.report) {
+        const delayMs = fault.reportDelaysMs?.shift() ?? 0;
+        return void setTimeout(() => sendReport(response), delayMs);
+      }
+      if (url === ENGINE_CALL.order) {
+        const delayMs = fault.orderDelayMs ?? 0;
+        return void setTimeout(() => handleOrder(response, body), delayMs);
+      }
       const get = (name: string) => headers[name] as string | undefined;
       void handleRequest(response, { get, body, target: url, arrival }).catch(
         () => response.destroy(),
@@ -343,6 +356,10 @@
       [HEADER.signature]: "s",
       "content-type": "text/event-stream",
     });
+    if (prefillMs > 0) {
+      response.flushHeaders();
+      await sleep(prefillMs);
+    }
     let sentCount = 0;
     for (let id = Number(lastEventId ?? 0) + 1; id <= events; id++) {
       await sleep(eventIntervalMs);
