Keep a stream that has run until its deadline

Callers saw streams closed in the middle with up to 13 s of their time left: a stream whose engine was lost and that found no path was ended 1.5 s after its last event, or 1 s after it was sent. That is just before an engine left out on suspicion (1.5 s) may be used again. The same held for a retry that the budget denied for 120 ms, for five sends that engines had rejected, and for a trial that was not granted within 1 s.

Cause: the limits of a new request, whose refusal is true and lets its caller return, applied to requests that had run. For those there is nothing true to say but that the outcome is unknown, and the caller loses what it has.

A stream that has run now waits until its deadline, until its caller leaves or until the grace period of its gateway ends; it is told at once where no path can come in time. The waiting streams of a service form one queue: in the order in which they broke off, at most four searches in vain each 50 ms, whatever their number. Requests to the leader for retries become rarer while retries stay missing. A new request is refused as before. A convicted request, a route's number of engines and a stream that may not be resumed still end a call.

Ruled out: longer limits. The wait of a stream is bounded by its deadline already, and any shorter limit loses streams without need.

--- a/src/gateway/create_run_permit.ts
+++ b/src/gateway/create_run_permit.ts
@@ -33,6 +33,8 @@
   request(options: {
     /** Upstreams that failed the call. */
     readonly excluded: ReadonlySet<string>;
+    /** Longest wait, in ms, for a trial; `MAX_TRIAL_WAIT_MS` by default. */
+    readonly maxTrialWaitMs?: number;
   }): PermitDecision;
   /** Records that the call was sent to an upstream. */
   noteSent(engineId: string): void;
@@ -69,7 +71,10 @@
   let isOnTrial = false;
   let waitingSinceMs: number | undefined;
 
-  function requestTrial(excluded: ReadonlySet<string>): PermitDecision {
+  function requestTrial(
+    excluded: ReadonlySet<string>,
+    maxWaitMs: number,
+  ): PermitDecision {
     const engineIds = listFirstUpstreams(call, context)
       .map(({ record }) => record.engineId)
       .filter((id) => !excluded.has(id) && rateLimits.maySend(id));
@@ -83,7 +88,7 @@
       return { type: "go", trialEngineId };
     }
     waitingSinceMs ??= now();
-    return now() - waitingSinceMs < MAX_TRIAL_WAIT_MS
+    return now() - waitingSinceMs < maxWaitMs
       ? { type: "wait" }
       : { type: "held", leftMs: MAX_TRIAL_WAIT_MS, reason: "awaits_trial" };
   }
@@ -95,10 +100,12 @@
   }
 
   return {
-    request({ excluded }) {
+    request({ excluded, maxTrialWaitMs = MAX_TRIAL_WAIT_MS }) {
       const verdict = quarantine.judge(requestKey);
       if (verdict.type === "held") return { ...verdict, reason: "held_back" };
-      return verdict.type === "trial" ? requestTrial(excluded) : { type: "go" };
+      return verdict.type === "trial"
+        ? requestTrial(excluded, maxTrialWaitMs)
+        : { type: "go" };
     },
     noteSent(engineId) {
       trialEngineId = undefined;
--- a/src/gateway/create_run_permit_test.ts
+++ b/src/gateway/create_run_permit_test.ts
@@ -31,6 +31,23 @@
   return { permit: createRunPermit(CALL, context), requested, ended };
 }
 
+/** A permit whose trial is never granted. */
+function makeWaitingPermit() {
+  const clock = { ms: 0 };
+  const context = {
+    quarantine: {
+      judge: () => ({ type: "trial" }),
+      takeTrial: () => undefined,
+      endTrial: () => {},
+    },
+    engines: { listUsable: () => [] },
+    rateLimits: makeRateLimits(),
+    getTable: () => undefined,
+    now: () => clock.ms,
+  } as unknown as ServingContext;
+  return { permit: createRunPermit(CALL, context), clock };
+}
+
 test("a trial on an upstream that is now backed off ends, and is requested elsewhere", () => {
   // The engine table does not list backed-off upstreams.
   const usable = ["a", "b"];
@@ -57,4 +74,15 @@
   assert.is(requested.length, 1);
 });
 
+test("a request that has run waits for its trial as long as it may", () => {
+  const { permit, clock } = makeWaitingPermit();
+  const excluded = new Set<string>();
+  const request = (maxTrialWaitMs?: number) =>
+    permit.request({ excluded, maxTrialWaitMs }).type;
+  assert.is(request(), "wait");
+  clock.ms = 1_500;
+  assert.is(request(), "held");
+  assert.is(request(Infinity), "wait");
+});
+
 test.run();
--- a/src/gateway/serve_stream_call.ts
+++ b/src/gateway/serve_stream_call.ts
@@ -55,7 +55,10 @@
 /** Silence, in ms, after which a run is taken for broken when a partition is found. */
 const CUT_OFF_SILENCE_MS = 150;
 
-/** Maximum number of sends of one call, including the ones that an upstream rejects. */
+/**
+ * Number of sends of one call, including the ones that an upstream rejects, from which
+ * on a new request is refused, and one that has run is sent only after a delay.
+ */
 const MAX_SENDS = 5;
 
 /** Retry delay, in ms, given to a caller whose call no upstream accepted. */
@@ -90,6 +93,7 @@
     });
     const payment = createAttemptCharge(() => context.budget.spend(service));
     let sendCount = 0;
+    let sendLimit = MAX_SENDS;
     let runCount = 0;
     let isAdmitted = request.lastEventId !== undefined;
     let isRunProved = false;
@@ -125,7 +129,10 @@
     const waits = createSendWaits({
       capacityWait,
       relay,
-      hasBegun: () => response.headersSent,
+      resumeQueue: context.getResumeQueue(service),
+      hasRun,
+      deadlineMs: call.deadlineMs,
+      now,
       onCheck: next,
       onGiveUp: giveUp,
     });
@@ -136,6 +143,7 @@
       onEnd(outcome) {
         stopMonitoring();
         capacityWait.end();
+        waits.end();
         if (run) recordAbandonedRun(run);
         run?.abort(outcome);
         forwarded?.abort(outcome);
@@ -162,6 +170,10 @@
       run?.abort("cut off");
     });
 
+    function hasRun(): boolean {
+      return response.headersSent || runCount > 0;
+    }
+
     function describe() {
       const { events, firstEventMs, longestPauseMs } = relay.getProgress();
       return {
@@ -191,10 +203,12 @@
       if (callEnd.hasEnded()) return;
       // The deadline timer does not advance while the machine is suspended.
       if (now() >= call.deadlineMs) return endAtDeadline();
-      if (sendCount >= MAX_SENDS) return giveUp("too many tries");
+      if (sendCount >= sendLimit) return waitForExtraSend();
       const sendMode = context.reachability.getSendMode(service);
       if (sendMode === "none") return forward();
-      const answer = permit.request({ excluded });
+      // A trial is decided soon; until then nothing is known against a stream that ran.
+      const maxTrialWaitMs = hasRun() ? Infinity : undefined;
+      const answer = permit.request({ excluded, maxTrialWaitMs });
       if (answer.type === "held") return endHeld(answer);
       if (answer.type === "wait") return void setTimeout(next, PERMIT_POLL_MS);
       const retryAfterMs = isAdmitted ? undefined : admitCall(call, context);
@@ -233,6 +247,11 @@
       send(path, grant);
     }
 
+    function waitForExtraSend(): void {
+      sendLimit += 1;
+      waits.waitForExtraSend();
+    }
+
     // The upstreams can't be reached from here, so another gateway has to send the call.
     function forward(): void {
       capacityWait.end();
@@ -264,7 +283,7 @@
     }
 
     function endCutOff(): void {
-      if (response.headersSent || runCount > 0) {
+      if (hasRun()) {
         return waits.waitForPath({ onWait: () => excludedPeers.clear() });
       }
       callEnd.refuse(makeCutOffRefusal(context.random()));
@@ -272,12 +291,13 @@
 
     function handleForwardedEnd(vm: string, end: ForwardedStreamEnd): void {
       const { meaning, head } = end;
-      const hasRun = meaning.type === "answered" || meaning.type === "unknown";
-      payment.noteEnd({ wasSent: hasRun });
+      const peerHasRun = meaning.type === "answered" ||
+        meaning.type === "unknown";
+      payment.noteEnd({ wasSent: peerHasRun });
       excludedPeers.add(vm);
       if (meaning.type === "notTaken") return next();
       if (meaning.type === "refused") {
-        if (response.headersSent || runCount > 0) return endCutOff();
+        if (hasRun()) return endCutOff();
         const { retryAfterMs } = meaning;
         return callEnd.refuse({
           status: 503,
@@ -311,12 +331,12 @@
     // No engine can accept the call before the first back-off ends. A caller that has
     // received nothing yet is rejected at once instead of being kept waiting.
     function waitForBackOff(leftMs: number): void {
-      if (response.headersSent || runCount > 0) return waitUntilUsable(leftMs);
+      if (hasRun()) return waitUntilUsable(leftMs);
       refusals.refuseForBackOff(jitterRetryAfterMs(leftMs, context.random()));
     }
 
     function waitForLimit(leftMs: number): void {
-      if (response.headersSent || runCount > 0) return waitUntilUsable(leftMs);
+      if (hasRun()) return waitUntilUsable(leftMs);
       refusals.refuseForLimit(leftMs);
     }
 
@@ -331,13 +351,11 @@
     }
 
     function endHeld(held: HeldDecision): void {
-      const hasRun = response.headersSent || runCount > 0;
-      refuseHeldCall(call, context, { callEnd, held, hasRun });
+      refuseHeldCall(call, context, { callEnd, held, hasRun: hasRun() });
     }
 
     function giveUp(reason: string): void {
-      const hasRun = response.headersSent || runCount > 0;
-      const refusal = hasRun
+      const refusal = hasRun()
         ? { status: 502, reason: "outcome_unknown" } as const
         : createCapacityRefusal(call, context, {
           isFull: reason === "full",
--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -39,6 +39,7 @@
 import { createActiveConfig } from "./create_active_config.ts";
 import { createLeaderLink } from "./create_leader_link.ts";
 import { createAbandonedRuns } from "./create_abandoned_runs.ts";
+import { createLoanRequests } from "./create_loan_requests.ts";
 import { createLostEngineReports } from "./create_lost_engine_reports.ts";
 import { createPeerList } from "./create_peer_list.ts";
 import {
@@ -53,6 +54,7 @@
 import { createBackOffThrottle } from "./create_back_off_throttle.ts";
 import { createRetryAfterSchedule } from "./create_retry_after_schedule.ts";
 import { createCapacityQueues } from "./create_capacity_queue.ts";
+import { createResumeQueues } from "./create_resume_queue.ts";
 import { createUrgentCapacity } from "./create_urgent_capacity.ts";
 import { createRunMonitor } from "./create_run_monitor.ts";
 import { createSuspectedEnds } from "./create_suspected_ends.ts";
@@ -119,9 +121,6 @@
 /** Number of gateways assumed to share limits and budgets while none are known. */
 const DEFAULT_GATEWAY_COUNT = 20;
 
-/** Minimum interval between heartbeats sent only to request retries. */
-const LOAN_REQUEST_INTERVAL_MS = 60;
-
 /** Time within which callers and other gateways learn that this one is leaving. */
 const LEAVE_PROPAGATION_MS = 2_500;
 
@@ -162,7 +161,7 @@
   let graceEndMs = Infinity;
   let isDraining = false;
   let knowsEngines = false;
-  let lastLoanRequestMs = -Infinity;
+  const loanRequests = createLoanRequests({ now });
 
   const lease = createConfigLease({ revokeMs: settings.revokeMs, now });
   const notices = createEngineNotices({
@@ -324,6 +323,7 @@
       random: Math.random,
     }),
     getCapacityQueue: createCapacityQueues(rates, { now }),
+    getResumeQueue: createResumeQueues(),
     returnLog: createReturnLog({ now }),
     urgentCapacity: createUrgentCapacity({ now }),
     getTable: config.getTable,
@@ -394,9 +394,7 @@
 
   // A broken stream waits for lent retries; the next regular heartbeat is too late.
   function requestRetryLoan(): void {
-    if (now() - lastLoanRequestMs < LOAN_REQUEST_INTERVAL_MS) return;
-    lastLoanRequestMs = now();
-    link.beat();
+    if (loanRequests.noteMissing()) link.beat();
   }
 
   function handleMessage(message: LeaderMessage): void {
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -31,6 +31,7 @@
 import type { BackOffThrottle } from "./create_back_off_throttle.ts";
 import type { RetryAfterSchedule } from "./create_retry_after_schedule.ts";
 import type { CapacityQueue } from "./create_capacity_queue.ts";
+import type { ResumeQueue } from "./create_resume_queue.ts";
 import type { UrgentCapacity } from "./create_urgent_capacity.ts";
 import type { RunMonitor } from "./create_run_monitor.ts";
 import type { SuspectedEnds } from "./create_suspected_ends.ts";
@@ -100,6 +101,8 @@
   readonly limitRetryAfterSchedule: RetryAfterSchedule;
   /** Queue of new streams of a service that wait for capacity. */
   readonly getCapacityQueue: (service: string) => CapacityQueue;
+  /** Streams of a service that have run and look for a new path. */
+  readonly getResumeQueue: (service: string) => ResumeQueue;
   /** Requests that were refused recently for lack of capacity. */
   readonly returnLog: ReturnLog;
   /** Whether capacity is left for the most urgent requests. */
