Resume streams that have run before new requests cross data centres

Of streams that one lost engine had broken together, callers of the last ones got no event for 0.6 to 1.0 s while their gateway sent up to five new requests; with more of them, the later half was ended.

Cause: where no data centre holds all layers, a gateway lets two prompts at a time be read across data centres, and new requests and resumed streams drew from the same two places. A new one that finds none waits in the queue for capacity; a resumed one was looked at on its own timer, so whichever asked first went first.

Resumed streams now have up to four places, and while one of them waits for the link alone, new requests get none, neither a place nor time of the link's budget. The choice tells what only the link denies. New requests wait for capacity or are refused with a time to return, as when engines are full.

Ruled out: no limit for resumed streams.

--- a/src/gateway/choose_call_path.ts
+++ b/src/gateway/choose_call_path.ts
@@ -33,6 +33,13 @@
  */
 const MAX_CROSS_PLACE_PROMPTS = 2;
 
+/**
+ * The same with the prompts of streams that are resumed. These have been admitted once,
+ * and there are no more of them than ran on the engines that were lost; their callers
+ * leave after some 2 s without an event.
+ */
+const MAX_CROSS_PLACE_PROMPTS_RESUMED = 4;
+
 /**
  * Admission share up to which a request leaves what became free to more urgent ones: a
  * fifth of the service's requests or more are more urgent then. Where hardly any are,
@@ -50,11 +57,17 @@
   readonly need: PathNeed;
 }
 
+/** What a stream that is resumed needs to know of a search without a path. */
+interface SearchFailure {
+  /** Whether only the link between data centres denies a path; absent if not. */
+  readonly isLinkDenied?: true;
+}
+
 /** The path of a run, or why there is none. */
 export type CallPathChoice =
   | { readonly type: "path"; readonly path: AddressedPart[] }
   /** Engines hold all layers, but have no free capacity. */
-  | { readonly type: "full" }
+  | { readonly type: "full" } & SearchFailure
   /** Engines that hold some of the layers have asked gateways to back off. */
   | {
     readonly type: "resting";
@@ -68,7 +81,7 @@
     readonly leftMs: number;
   }
   /** Some layers are held by no engine. */
-  | { readonly type: "missing" };
+  | { readonly type: "missing" } & SearchFailure;
 
 /**
  * Chooses the path of a run: over several engines where the service's model is layered,
@@ -99,8 +112,8 @@
   const startedRequests = estimateStartedRequests(call, context);
   const { promptTokens } = call.request;
   const linkTimeMs = getLinkTimeMs(model, { promptTokens });
-  const isBelowPromptLimit =
-    engines.getCrossPlacePrompts() < MAX_CROSS_PLACE_PROMPTS;
+  const isBelowPromptLimit = engines.getCrossPlacePrompts() <
+    getMaxCrossPlacePrompts(call, context, need);
   const pathOptions = {
     model,
     place,
@@ -132,15 +145,45 @@
       pathOptions: neededPathOptions,
     });
   if (path && isUsablePath(path, context)) return { type: "path", path };
+  const failure = need.isNew
+    ? {}
+    : describeFailure(usable, { context, pathOptions: neededPathOptions });
   const pathWithoutNeed = path ?? choosePath(usable, pathOptions);
-  if (pathWithoutNeed) return { type: "full" };
+  if (pathWithoutNeed) return { type: "full", ...failure };
   const limited = findLimitWait(call, context);
   if (
     limited && choosePath(usable, { ...pathOptions, canStartAt: undefined })
   ) {
     return limited;
   }
-  return findBackOffWait(call, context, model);
+  const backOffWait = findBackOffWait(call, context, model);
+  return backOffWait.type === "missing"
+    ? { ...backOffWait, ...failure }
+    : backOffWait;
+}
+
+// New requests leave the link to streams that have run and wait for it.
+function getMaxCrossPlacePrompts(
+  { service }: Call,
+  { getResumeQueue }: ServingContext,
+  { isNew }: PathNeed,
+): number {
+  if (!isNew) return MAX_CROSS_PLACE_PROMPTS_RESUMED;
+  return getResumeQueue(service).isWaitingForLink()
+    ? 0
+    : MAX_CROSS_PLACE_PROMPTS;
+}
+
+function describeFailure(
+  usable: readonly EngineView[],
+  options: {
+    readonly context: ServingContext;
+    readonly pathOptions: ChoosePathOptions;
+  },
+): SearchFailure {
+  const { context, pathOptions } = options;
+  const path = choosePath(usable, { ...pathOptions, mayCrossPlaces: true });
+  return path && isUsablePath(path, context) ? { isLinkDenied: true } : {};
 }
 
 function isUsablePath(
--- a/src/gateway/choose_call_path_test.ts
+++ b/src/gateway/choose_call_path_test.ts
@@ -58,13 +58,14 @@
     listGatewayPlaces: () => ["p"],
     rates: { getRequestsPerS: () => undefined },
     upstreamTransport: { hasIdleConnection: () => true },
+    getResumeQueue: () => ({ isWaitingForLink: () => false }),
   } as unknown as ServingContext;
   const backOff = (engineId: string, backOffMs: number) =>
     notices.record(engineId, { backOffMs, isLeaving: false });
-  const choose = (excluded: readonly string[] = []) =>
+  const choose = (excluded: readonly string[] = [], isNew = true) =>
     chooseCallPath(CALL, context, {
       excluded: new Set(excluded),
-      need: { tokens: 20, isNew: true },
+      need: { tokens: 20, isNew },
     });
   return { clock, context, notices, backOff, choose };
 }
@@ -265,7 +266,7 @@
   });
   const fill = (engineId: string) =>
     engines.addWork([{ engineId, ...UPPER }], { tokens: 3_000_000 });
-  return { asked, choose, clock, counted, engines, fill, givenBack };
+  return { asked, choose, clock, context, counted, engines, fill, givenBack };
 }
 
 test("a path within a data centre is taken although one across would be cheaper", () => {
@@ -344,6 +345,54 @@
   assert.equal(listIds(choose()), ["lower", "far"]);
 });
 
+for (
+  const [link, model] of [
+    ["declared", LINKED_MODEL],
+    [
+      "undeclared",
+      { ...LINKED_MODEL, activationBytes: undefined, placeLinkMbps: undefined },
+    ],
+  ] as const
+) {
+  test(`streams that have run have places of their own on the ${link} link between data centres`, () => {
+    const { choose, engines } = makeTwoPlaces({ model });
+    engines.applyUpdate({
+      type: "engines",
+      isWhole: false,
+      engines: [],
+      gone: ["near"],
+    });
+    const path = [
+      { engineId: "lower", ...LOWER },
+      { engineId: "far", ...UPPER },
+    ];
+    for (let prompts = 0; prompts < 4; prompts++) {
+      assert.equal(listIds(choose([], false)), ["lower", "far"]);
+      engines.beginPrefill(path);
+    }
+    assert.is.not(choose().type, "path");
+    const denied = choose([], false);
+    assert.is.not(denied.type, "path");
+    assert.is("isLinkDenied" in denied && denied.isLinkDenied, true);
+  });
+
+  test(`new requests leave the ${link} link to a stream that has run and waits for it`, () => {
+    const { choose, context, engines } = makeTwoPlaces({ model });
+    engines.applyUpdate({
+      type: "engines",
+      isWhole: false,
+      engines: [],
+      gone: ["near"],
+    });
+    assert.equal(listIds(choose()), ["lower", "far"]);
+    Object.assign(context, {
+      getResumeQueue: () => ({ isWaitingForLink: () => true }),
+    });
+    assert.is.not(choose().type, "path");
+    assert.equal(listIds(choose([], false)), ["lower", "far"]);
+  });
+}
+
 test("without a declared link, the cheaper path across is taken and no budget asked", () => {
   const { activationBytes: _, placeLinkMbps: __, ...model } = LINKED_MODEL;
   const { asked, choose, counted, engines } = makeTwoPlaces({
--- a/src/gateway/create_capacity_refusal_test.ts
+++ b/src/gateway/create_capacity_refusal_test.ts
@@ -64,6 +64,7 @@
     }),
     returnLog: createReturnLog({ now }),
     urgentCapacity: createUrgentCapacity({ now }),
+    getResumeQueue: () => ({ isWaitingForLink: () => false }),
   } as unknown as ServingContext;
   const refuse = (rank: number, isFull = true) => {
     const call = {
--- a/src/gateway/serve_stream_call.ts
+++ b/src/gateway/serve_stream_call.ts
@@ -232,7 +232,7 @@
       if (choice.type === "resting") return waitForBackOff(choice.leftMs);
       if (choice.type === "limited") return waitForLimit(choice.leftMs);
       if (choice.type !== "path") {
-        return sendMode === "any" ? waitForPath() : forward();
+        return sendMode === "any" ? waitForPath(choice) : forward();
       }
       const { path } = choice;
       const [{ engineId }] = path;
@@ -320,12 +320,14 @@
     }
 
     // Engines that were excluded for this call may be usable again after the wait.
-    function waitForPath(): void {
+    function waitForPath(
+      { isLinkDenied }: { readonly isLinkDenied?: boolean },
+    ): void {
       // Upstreams that were left out before a partition was found give no further sign
       // of it.
       const maxAgeMs = LEFT_OUT_CHECK_MAX_AGE_MS;
       void context.reachability.check(service, { maxAgeMs });
-      waits.waitForPath({ onWait: () => excluded.clear() });
+      waits.waitForPath({ onWait: () => excluded.clear(), isLinkDenied });
     }
 
     // No engine can accept the call before the first back-off ends. A caller that has
--- a/standins/make_wire_config.ts
+++ b/standins/make_wire_config.ts
@@ -21,11 +21,15 @@
   kinds: [{ name: "card", mb: 500, pace: 1, readX: 1 }],
 };
 
+/** A link between data centres on which a prompt takes a few ms, as it is declared. */
+export const WIRE_LINK = { actBytes: 16_000, pipeMbps: 1_000 };
+
 /**
  * Makes a configuration with one route of each type: `/stream/`, `/once/`, `/safe/`.
  *
  * @param version - Version of the configuration.
- * @param fields - The client account's keys and the routes' timeout.
+ * @param fields - The client account's keys, the routes' timeout and the link between
+ * data centres, which is not declared by default.
  * @returns The configuration document of an operator.
  * @throws Nothing.
  * @example
@@ -33,9 +37,13 @@
  */
 export function makeWireConfig(
   version: number,
-  fields: { keys?: readonly string[]; timeoutMs?: number } = {},
+  fields: {
+    keys?: readonly string[];
+    timeoutMs?: number;
+    link?: typeof WIRE_LINK;
+  } = {},
 ): object {
-  const { keys = ["key-1"], timeoutMs = 5_000 } = fields;
+  const { keys = ["key-1"], timeoutMs = 5_000, link } = fields;
   const common = {
     host: "a.example",
     timeoutMs,
@@ -73,7 +81,7 @@
       },
     ],
     services: [
-      { name: "model", maxConns: 100, engine: ENGINE },
+      { name: "model", maxConns: 100, engine: { ...ENGINE, ...link } },
       { name: "plain", maxConns: 100 },
     ],
     limits: { maxHeaderBytes: 16_384, maxBodyBytes: 65_536 },
--- a/test/support/start_scripted_fleet.ts
+++ b/test/support/start_scripted_fleet.ts
@@ -20,6 +20,7 @@
   makeWireConfig,
   startLayerEngine,
   type StartLayerEngineOptions,
+  type WIRE_LINK,
 } from "../../standins/index.ts";
 import {
   type SendMessage,
@@ -51,6 +52,8 @@
   /** Number of upstreams of the plain service; 0 by default. */
   readonly plainCount?: number;
   readonly timeoutMs?: number;
+  /** Declared link between data centres; none by default. */
+  readonly link?: typeof WIRE_LINK;
   /** Retries that the gateway may send in a window; 1,000 by default. */
   readonly extraRetries?: number;
   /** Length of that window, in ms; 10 s by default. */
@@ -144,7 +147,9 @@
     type: "config",
     version,
     packed: packDocument(
-      JSON.stringify(makeWireConfig(version, { timeoutMs })),
+      JSON.stringify(
+        makeWireConfig(version, { timeoutMs, link: options.link }),
+      ),
     ),
   });
 
