Let a plain call that has run and may be repeated wait for an upstream

Callers got 502 with nearly all of their time left: a call whose upstream had broken off, and that found no other one for the moment, was ended at once. New calls were refused for up to 1.5 s after the upstreams accepted connections again.

The end of a search counted as the end of the call, and an exclusion for lack of a connection lasted however soon the upstream was back.

A call that has run and may run again waits in the queue of the service, until its deadline, for an upstream, a retry of the budget or a gateway that reaches one; sends beyond the usual number come after a delay. Where no upstream is left, those that could not be reached are checked again, as engines are. A call that must not be repeated, one that has run as often as its route allows and one that has not run end as before.

--- a/src/gateway/serve_plain_call.ts
+++ b/src/gateway/serve_plain_call.ts
@@ -58,6 +58,9 @@
 /** Lowest HTTP status that reports a failure of the upstream itself. */
 const FIRST_SERVER_ERROR = 500;
 
+/** Ms before each send beyond the usual number, of a call that has run. */
+const EXTRA_SEND_DELAY_MS = 500;
+
 /** Result of one send. */
 interface SendResult {
   readonly how: ExchangeEnd;
@@ -88,7 +91,9 @@
     const excludedPeers = new Set<string>();
     const payment = createAttemptCharge(() => context.budget.spend(service));
     const permit = createRunPermit(call, context);
+    const resumeTicket = context.getResumeQueue(service).join();
     let sendCount = 0;
+    let sendLimit = MAX_SENDS;
     let runCount = 0;
     let isAdmitted = false;
     let exchange: Exchange | undefined;
@@ -100,6 +105,7 @@
       context,
       describe: () => ({ tries: sendCount, runs: runCount }),
       onEnd(outcome) {
+        resumeTicket.leave();
         exchange?.abort(outcome);
         void endChecked.then(permit.noteRunEnd);
         resolve();
@@ -114,7 +120,7 @@
 
     function endAtDeadline(): void {
       // Prevents further sends; aborting the one in progress counts it as a run.
-      sendCount = MAX_SENDS;
+      sendLimit = 0;
       exchange?.abort("deadline");
       if (runCount > 0) callEnd.refuse({ status: 504, reason: "deadline" });
       callEnd.refuse({
@@ -129,7 +135,8 @@
       // The deadline timer does not advance while the machine is suspended.
       if (now() >= call.deadlineMs) return endAtDeadline();
       if (reachability.getSendMode(service) === "none") return forward();
-      const answer = permit.request({ excluded });
+      const maxTrialWaitMs = runCount > 0 ? Infinity : undefined;
+      const answer = permit.request({ excluded, maxTrialWaitMs });
       if (answer.type === "held") {
         const hasRun = runCount > 0;
         return refuseHeldCall(call, context, { callEnd, held: answer, hasRun });
@@ -141,7 +148,7 @@
         return refusals.refuseForBackOff(retryAfterMs);
       }
       isAdmitted = true;
-      const engine = sendCount < MAX_SENDS
+      const engine = sendCount < sendLimit
         ? chooseUpstream(trialEngineId)
         : undefined;
       if (!engine && reachability.isCutOff(service)) return forward();
@@ -151,7 +158,7 @@
       if (!grant) return void requestGrant(call, context, engineId).then(next);
       if (!payment.chargeNext()) {
         grant.release();
-        return giveUp();
+        return waitOrGiveUp();
       }
       sendCount += 1;
       send(engine, grant);
@@ -201,7 +208,7 @@
 
     // The upstreams can't be reached from here, so another gateway has to send the call.
     function forward(): void {
-      const peer = request.forwardedBy === undefined && sendCount < MAX_SENDS
+      const peer = request.forwardedBy === undefined && sendCount < sendLimit
         ? context.peers.choose(service, { excluded: excludedPeers })
         : undefined;
       if (!peer || !payment.chargeNext()) return endCutOff();
@@ -218,9 +225,7 @@
     }
 
     function endCutOff(): void {
-      if (runCount > 0) {
-        return callEnd.refuse({ status: 502, reason: "outcome_unknown" });
-      }
+      if (runCount > 0) return waitOrGiveUp();
       callEnd.refuse(makeCutOffRefusal(context.random()));
     }
 
@@ -242,9 +247,9 @@
       refuseBroken();
     }
 
-    function mayRunAgain(): boolean {
+    function mayRunAgain(afterMs = 0): boolean {
       return route.repeatability !== "once" && runCount < route.maxAttempts &&
-        now() < call.deadlineMs;
+        now() + afterMs < call.deadlineMs;
     }
 
     function refuseBroken(): void {
@@ -259,20 +264,40 @@
     // Upstreams that were left out before a partition was found give no further sign
     // of it.
     async function giveUpUnlessCutOff(): Promise<void> {
-      if (engines.countLeftOut(service).leftOut === 0) return giveUp();
+      if (engines.countLeftOut(service).leftOut === 0) return waitOrGiveUp();
       const maxAgeMs = LEFT_OUT_CHECK_MAX_AGE_MS;
       const isReachable = await reachability.check(service, { maxAgeMs });
       if (callEnd.hasEnded()) return;
-      if (isReachable) giveUp();
-      else forward();
+      if (!isReachable) return forward();
+      const isReadmitted = await context.leftOutChecks.check(service);
+      if (callEnd.hasEnded()) return;
+      if (!isReadmitted) return waitOrGiveUp();
+      excluded.clear();
+      next();
+    }
+
+    // A call that has run and may run again loses nothing by waiting; ending it would
+    // only say that its outcome is unknown.
+    function waitOrGiveUp(): void {
+      const backOffLeftMs = getBackOffLeftMs() ?? 0;
+      if (runCount === 0 || !mayRunAgain(backOffLeftMs)) return giveUp();
+      excluded.clear();
+      excludedPeers.clear();
+      if (sendCount < sendLimit) return resumeTicket.wait({ onTurn: next });
+      sendLimit += 1;
+      setTimeout(next, EXTRA_SEND_DELAY_MS);
+    }
+
+    function getBackOffLeftMs(): number | undefined {
+      const { notices } = context;
+      return getBackOffWaitMs({ engines, notices, service });
     }
 
     function giveUp(): void {
       if (runCount > 0) {
         return callEnd.refuse({ status: 502, reason: "outcome_unknown" });
       }
-      const { notices } = context;
-      const backOffLeftMs = getBackOffWaitMs({ engines, notices, service });
+      const backOffLeftMs = getBackOffLeftMs();
       if (backOffLeftMs !== undefined) {
         const waitMs = jitterRetryAfterMs(backOffLeftMs, context.random());
         return refusals.refuseForBackOff(waitMs);
@@ -369,7 +394,7 @@
       excluded.add(engineId);
       if (how.type === "notSent") {
         metrics.countRetry("connect_failed");
-        engines.suspect(engineId, how.reason);
+        engines.suspect(engineId, how.reason, { isUnanswered: true });
         log("connectionFailed", {
           requestId,
           engineId,
