Let requests of the product's own interface wait until their deadlines

A completion that had run and found no chain was ended after 10 s, or after eight chains, and a plain request that may be repeated at once, with time left.

Cause: as in the gateways, a limit on waiting applied to requests that had run.

Both wait for an upstream until their deadline now, unless all of them ask for a longer back-off than is left; chains beyond the eighth come half a second apart. What has not run is refused at once as before. The plain service's limits of three attempts and of the retry budget still end a request.

The fake context of admission_load_test.ts gets the queue that searches for a path ask.

--- a/src/admission/admission_load_test.ts
+++ b/src/admission/admission_load_test.ts
@@ -128,6 +128,7 @@
       getEndIntervalMs: () => ends.intervalMs,
     },
     upstreamTransport: { hasIdleConnection: () => true },
+    getResumeQueue: () => ({ isWaitingForLink: () => false }),
   } as unknown as ServingContext;
 
   function after(delayMs: number, run: () => void): void {
--- a/src/entry/run_model_request.ts
+++ b/src/entry/run_model_request.ts
@@ -79,11 +79,11 @@
 /** Time, in ms, for a prefill step, which runs the whole prompt. */
 export const PREFILL_TIMEOUT_MS = 5_000;
 
-/** Number of chains that a request may use. */
+/** Number of chains after which a request that has run uses another only after a delay. */
 export const MAX_EPOCHS = 8;
 
-/** Longest time, in ms, that a request which has started waits for a new chain. */
-export const CHAIN_WAIT_MS = 10_000;
+/** Ms before each further chain: it has to run the whole prompt again. */
+const EXTRA_EPOCH_DELAY_MS = 500;
 
 /** Polling interval, in ms, while waiting for a chain. */
 const CHAIN_POLL_MS = 50;
@@ -109,7 +109,8 @@
     let state = createPipeline(call.layerCount, call);
     const tried = new Set<string>();
     let sent = false;
-    while (state.epoch < MAX_EPOCHS) {
+    while (sent || state.epoch < MAX_EPOCHS) {
+      if (state.epoch >= MAX_EPOCHS) await sleep(EXTRA_EPOCH_DELAY_MS);
       const chain = await findChain(context, { call, tried, sent });
       if (!chain) {
         const backOffLeftMs = getBackOffLeftMs(context, call);
@@ -160,9 +161,7 @@
     request: { call: ModelCall; tried: Set<string>; sent: boolean },
   ): Promise<readonly KnownUpstream[] | undefined> {
     const { call, tried, sent } = request;
-    const waitUntilMs = sent
-      ? Math.min(context.deadlineMs, now() + CHAIN_WAIT_MS)
-      : now();
+    const waitUntilMs = sent ? context.deadlineMs : now();
     while (true) {
       const views = table.list(context.service.spec.pool);
       const chain = chooseChain(views, call.layerCount, {
@@ -170,8 +169,10 @@
         random: random(),
         exclude: tried,
       });
-      // A request that has started waits for a stage to recover.
-      if (chain || now() >= waitUntilMs || context.signal.aborted) {
+      // A request that has run waits for a stage to recover: ending it before its
+      // deadline would only say that its outcome is unknown.
+      const isInTime = now() + getBackOffLeftMs(context, call) < waitUntilMs;
+      if (chain || !isInTime || context.signal.aborted) {
         return chain as readonly KnownUpstream[] | undefined;
       }
       tried.clear();
--- a/src/entry/run_plain_request.ts
+++ b/src/entry/run_plain_request.ts
@@ -81,6 +81,9 @@
 /** Shortest request timeout, in ms, whose expiry counts against the upstream. */
 export const MIN_CONCLUSIVE_TIMEOUT_MS = 1_000;
 
+/** Polling interval, in ms, while waiting for an upstream. */
+const UPSTREAM_POLL_MS = 50;
+
 /** Statuses sent by a proxy before the service, or on overload. */
 const RETRYABLE_STATUSES = new Set([502, 503, 504]);
 
@@ -116,11 +119,7 @@
     const tried = new Set<string>();
     let mayHaveRun = false;
     for (let tries = 1;; tries++) {
-      const upstream = chooseUpstream(table.list(service.spec.pool), {
-        nowMs: now(),
-        random: random(),
-        exclude: tried,
-      }) as KnownUpstream | undefined;
+      const upstream = await findUpstream(context, { tried, mayHaveRun });
       if (!upstream) {
         const backOffLeftMs = getBackOffLeftMs(service.spec.pool);
         throw createNoUpstreamError({ mayHaveRun, backOffLeftMs });
@@ -140,6 +139,30 @@
     }
   }
 
+  // A request that may have run is here only if it may be repeated. It waits until its
+  // deadline: ending it sooner would only say that its outcome is unknown.
+  async function findUpstream(
+    context: RequestContext,
+    request: { readonly tried: Set<string>; readonly mayHaveRun: boolean },
+  ): Promise<KnownUpstream | undefined> {
+    const { tried, mayHaveRun } = request;
+    const { pool } = context.service.spec;
+    const waitUntilMs = mayHaveRun ? context.deadlineMs : now();
+    while (true) {
+      const upstream = chooseUpstream(table.list(pool), {
+        nowMs: now(),
+        random: random(),
+        exclude: tried,
+      });
+      const isInTime = now() + getBackOffLeftMs(pool) < waitUntilMs;
+      if (upstream || !isInTime || context.signal.aborted) {
+        return upstream as KnownUpstream | undefined;
+      }
+      tried.clear();
+      await sleep(UPSTREAM_POLL_MS);
+    }
+  }
+
   function getBackOffLeftMs(pool: string): number {
     const views = table.list(pool);
     const nowMs = now();
