Search less often for streams that wait for long

A search for a path that fails tries several kinds of paths, some 4 ms at 216 engines. Four of them each 50 ms would take a third of a core for as long as streams wait, which is until their deadlines now.

The interval between rounds doubles up to 200 ms while no stream is resumed, and is 50 ms again once one is or a further stream begins to wait.

Worked out from the time of one search in find_layer_path.ts, not measured.

--- a/src/gateway/create_resume_queue.ts
+++ b/src/gateway/create_resume_queue.ts
@@ -35,9 +35,13 @@
 /** Interval, in ms, between two rounds of searches. */
 const ROUND_INTERVAL_MS = 50;
 
+/** Longest such interval: it doubles with each round that resumes no stream. */
+const MAX_ROUND_INTERVAL_MS = 200;
+
 /**
- * Searches without a path in one round. A search over 216 engines takes about 1 ms, so
- * waiting streams take less than a tenth of a core, however many there are.
+ * Searches without a path in one round. A search over 216 engines that fails takes some
+ * 4 ms, so streams that wait for seconds take less than a tenth of a core, however many
+ * there are.
  */
 const MAX_FAILED_SEARCHES = 4;
 
@@ -83,15 +87,15 @@
   let lastArrival = 0;
   let lastSearched = 0;
   let isScheduled = false;
+  let intervalMs = ROUND_INTERVAL_MS;
 
   function scheduleRound(): void {
     if (isScheduled || waiting.size === 0) return;
     isScheduled = true;
-    schedule(runRound, ROUND_INTERVAL_MS);
+    schedule(runRound, intervalMs);
   }
 
   function runRound(): void {
-    isScheduled = false;
     const searched = new Set<number>();
     let failed = 0;
     while (failed < MAX_FAILED_SEARCHES) {
@@ -103,6 +107,11 @@
       onTurn();
       if (waiting.has(arrival)) failed += 1;
     }
+    const hasResumed = searched.size > failed;
+    intervalMs = hasResumed
+      ? ROUND_INTERVAL_MS
+      : Math.min(MAX_ROUND_INTERVAL_MS, 2 * intervalMs);
+    isScheduled = false;
     scheduleRound();
   }
 
@@ -128,8 +137,11 @@
       [...waiting.values()].some(({ isLinkDenied }) => isLinkDenied),
     join() {
       const arrival = ++lastArrival;
+      let hasWaited = false;
       return {
         wait({ onTurn, isLinkDenied = false }) {
+          if (!hasWaited) intervalMs = ROUND_INTERVAL_MS;
+          hasWaited = true;
           waiting.set(arrival, { arrival, isLinkDenied, onTurn });
           scheduleRound();
         },
--- a/src/gateway/create_resume_queue_test.ts
+++ b/src/gateway/create_resume_queue_test.ts
@@ -5,7 +5,13 @@
 /** A queue whose rounds the test runs, and streams that note their turns. */
 function makeQueue() {
   const rounds: (() => void)[] = [];
-  const queue = createResumeQueue({ schedule: (run) => void rounds.push(run) });
+  const delaysMs: number[] = [];
+  const queue = createResumeQueue({
+    schedule(run, delayMs) {
+      rounds.push(run);
+      delaysMs.push(delayMs);
+    },
+  });
   const turns: string[] = [];
   const resumable = new Set<string>();
 
@@ -29,7 +35,7 @@
     return turns.join("");
   }
 
-  return { queue, rounds, resumable, addStream, runRound };
+  return { queue, rounds, delaysMs, resumable, addStream, runRound };
 }
 
 test("streams are resumed in the order in which they broke off", () => {
@@ -63,6 +69,17 @@
   assert.is(rounds.length, 0);
 });
 
+test("rounds become rarer while no stream is resumed", () => {
+  const { delaysMs, resumable, addStream, runRound } = makeQueue();
+  addStream("a");
+  for (let round = 0; round < 4; round++) runRound();
+  assert.equal(delaysMs, [50, 100, 200, 200, 200]);
+  addStream("b");
+  resumable.add("b");
+  runRound();
+  assert.is(delaysMs.at(-1), 50);
+});
+
 test("the queue tells whether a stream waits for the link alone", () => {
   const { queue, addStream } = makeQueue();
   addStream("a");
