Make the doubt about an engine certain in its test

In 1 of 18 runs at a load of 22 the engine was not doubted: its late answer fell into a stall of the process, which proves nothing, as it should. The set-up of test/doubted_engine_test.ts now repeats the late answer until the engine is doubted, and the streams pause until then. The checks are as before: no run is aborted, all streams are whole, the new request is served.

--- a/test/doubted_engine_test.ts
+++ b/test/doubted_engine_test.ts
@@ -27,8 +27,8 @@
 /** Delay of one answer to a probe, which is awaited for 25 ms. */
 const LATE_ANSWER_MS = 60;
 
-/** Pause in which the engine is probed, and after which all streams go on. */
-const PAUSE_MS = 400;
+/** Pause after the doubt in which the silence is confirmed or refuted. */
+const PAUSE_MS = 300;
 
 const MIDDLE = 1;
 
@@ -52,13 +52,6 @@
   return answers;
 }
 
-/** Makes all streams pause, without a report that says what they wait for. */
-async function pauseStreams({ engines: [first] }: ScriptedFleet) {
-  Object.assign(first.fault, { stalledFor: "none", hidesStalled: true });
-  await sleep(PAUSE_MS);
-  first.fault.stalledFor = undefined;
-}
-
 function countLines({ lines }: ScriptedFleet, event: string): number {
   return lines.filter((line) => line.event === event).length;
 }
@@ -71,6 +64,30 @@
   ).length;
 }
 
+/**
+ * Makes all streams pause, without a report that says what they wait for, until one
+ * late answer of the only holder has made the gateway doubt it. An answer that comes
+ * late while this process itself stalls is no reason to doubt.
+ */
+async function pauseUntilDoubted(fleet: ScriptedFleet) {
+  const [first, holder] = fleet.engines;
+  Object.assign(first.fault, { stalledFor: "none", hidesStalled: true });
+  await until("the holder is doubted", () => {
+    const isDoubted = countHolderLines(fleet, "engineSuspected") > 0;
+    const delaysMs = holder.fault.reportDelaysMs ?? [];
+    if (!isDoubted && delaysMs.length === 0) {
+      holder.fault.reportDelaysMs = [LATE_ANSWER_MS];
+    }
+    return isDoubted;
+  });
+  holder.fault.reportDelaysMs = undefined;
+}
+
+async function endPause({ engines: [first] }: ScriptedFleet) {
+  await sleep(PAUSE_MS);
+  first.fault.stalledFor = undefined;
+}
+
 async function assertWhole(answers: readonly ReturnType<typeof startStream>[]) {
   for (const { status, text } of await Promise.all(answers)) {
     assert.is(status, 200);
@@ -81,9 +98,8 @@
 test("one late answer of the only holder of a layer range aborts no stream", async () => {
   await using fleet = await startFleet();
   const answers = await startStreams(fleet);
-  fleet.engines[MIDDLE].fault.reportDelaysMs = [LATE_ANSWER_MS];
-  await pauseStreams(fleet);
-  assert.is(countHolderLines(fleet, "engineSuspected"), 1);
+  await pauseUntilDoubted(fleet);
+  await endPause(fleet);
   await assertWhole(answers);
   assert.is(countLines(fleet, "callBroken"), 0);
   assert.is(fleet.engines[0].runs.length, STREAMS);
@@ -92,14 +108,9 @@
 test("a new request is served while the only holder of a layer range is doubted", async () => {
   await using fleet = await startFleet();
   const answers = await startStreams(fleet);
-  fleet.engines[MIDDLE].fault.reportDelaysMs = [LATE_ANSWER_MS];
-  const pause = pauseStreams(fleet);
-  await until(
-    "the holder is doubted",
-    () => countHolderLines(fleet, "engineSuspected") > 0,
-  );
+  await pauseUntilDoubted(fleet);
   answers.push(startStream(fleet.address));
-  await pause;
+  await endPause(fleet);
   await assertWhole(answers);
   assert.is(countHolderLines(fleet, "engineReadmitted"), 1);
 });
