Log the keys of a prompt's parts with sends and crashes

Lines named the key of a request only, so a part of a prompt that ends engines could not be told from engines that fall under load. No decision uses them yet.

--- a/src/gateway/create_request_handler.ts
+++ b/src/gateway/create_request_handler.ts
@@ -12,6 +12,7 @@
 import { decideCall } from "./decide_call.ts";
 import { getCallRank } from "./get_call_rank.ts";
 import { getRequestKey } from "./get_request_key.ts";
+import { getPartKeys } from "../quarantine/index.ts";
 import type { CallerRequest, Refusal } from "./protocol.ts";
 import { readBody } from "./read_body.ts";
 import { servePlainCall } from "./serve_plain_call.ts";
@@ -167,6 +168,7 @@
       ...getCallRank(decision.call, table),
       route,
       requestKey,
+      partKeys: getPartKeys(request.promptPartIds),
       deadlineMs,
     };
     if (route.isStream && !isForwarded) context.rates.noteRequest(service);
--- a/src/gateway/detect_upstream_crash.ts
+++ b/src/gateway/detect_upstream_crash.ts
@@ -108,6 +108,7 @@
     fields: {
       requestId: call.request.requestId,
       requestKey: call.requestKey,
+      partKeys: call.partKeys,
       sinceSentMs: Math.round(brokeMs - sentMs),
       sinceFirstEventMs: firstEventMs && Math.round(brokeMs - firstEventMs),
     },
--- a/src/gateway/protocol.ts
+++ b/src/gateway/protocol.ts
@@ -28,6 +28,8 @@
   readonly promptTokens: number;
   /** Maximum number of tokens in the answer. */
   readonly maxAnswerTokens: number;
+  /** Ids of the parts of the prompt, in order; empty if the caller named none. */
+  readonly promptPartIds: readonly string[];
   /** Unaltered header fields, as alternating names and values. */
   readonly rawHeaders: readonly string[];
   /**
--- a/src/gateway/serve_plain_call.ts
+++ b/src/gateway/serve_plain_call.ts
@@ -324,6 +324,7 @@
       log("callSent", {
         requestId,
         requestKey,
+        partKeys: call.partKeys,
         engineId,
         backOffLeftMs,
         limitPerS: context.rateLimits.getLimitPerS(engineId),
--- a/src/gateway/serve_stream_call.ts
+++ b/src/gateway/serve_stream_call.ts
@@ -388,6 +388,7 @@
       log("callSent", {
         requestId,
         requestKey: call.requestKey,
+        partKeys: call.partKeys,
         engineId: path[0].engineId,
         path: path.map((part) => `${part.engineId}:${part.toLayer}`).join(),
         backOffLeftMs: getBackOffLeftMs(path),
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -55,6 +55,8 @@
   readonly rankCount: number;
   /** The same for all attempts of one request, see {@link getRequestKey}. */
   readonly requestKey: string;
+  /** Keys of the parts of its prompt that other requests may share. */
+  readonly partKeys: readonly string[];
   readonly startedMs: number;
   /** Time, in ms, by which it has to have ended. */
   readonly deadlineMs: number;
--- a/src/quarantine/index.ts
+++ b/src/quarantine/index.ts
@@ -6,6 +6,7 @@
 
 export * from "./constants.ts";
 export * from "./get_hold_ms.ts";
+export * from "./get_part_keys.ts";
 export * from "./record_crashes.ts";
 export * from "./refute_crashes.ts";
 export * from "./types.ts";
