--- a/standins/start_layer_engine.ts
+++ b/standins/start_layer_engine.ts
@@ -51,8 +51,15 @@
   orderDelayMs?: number;
   /** Crashes when it starts to run a request with one of these bodies. */
   crashesOnBodies?: readonly string[];
-  /** Ms after which it restarts under the same id; if absent, it stays down. */
+  /**
+   * Crashes when it starts to run a request whose prompt has one of these parts, the
+   * last one excepted.
+   */
+  crashesOnParts?: readonly string[];
+  /** Ms after which it restarts; if absent, it stays down. */
   restartsAfterMs?: number;
+  /** Restarts under a new id instead of the same one. */
+  changesIdOnRestart?: boolean;
 }
 
 /** Options of {@link startLayerEngine}. */
@@ -115,6 +122,8 @@
 export interface EngineCrash {
   /** The request's body. */
   readonly body: string;
+  /** Part of the prompt that caused it, if one did. */
+  readonly part?: string;
   /** Time of the crash, in ms of the monotonic clock. */
   readonly atMs: number;
 }
@@ -156,7 +165,7 @@
     prefillMs = 0,
   } = options;
   nextEngine += 1;
-  const engineId = `i-${nextEngine}`;
+  let engineId = `i-${nextEngine}`;
   const fault: LayerEngineFault = {};
   const runs: EngineRun[] = [];
   const arrivals: EngineArrival[] = [];
@@ -286,8 +295,9 @@
     });
     // A crash under way covers requests that arrive before the connections close.
     if (isDown) return;
-    if (fault.crashesOnBodies?.includes(body)) {
-      crashes.push({ body, atMs: performance.now() });
+    const part = findCrashingPart(get(HEADER.promptParts));
+    if (part !== undefined || fault.crashesOnBodies?.includes(body)) {
+      crashes.push({ body, part, atMs: performance.now() });
       return await crashDuringAnswer(response, requestId);
     }
     if (fault.hangs) return;
@@ -305,6 +315,11 @@
     }).end(text);
   }
 
+  function findCrashingPart(header = ""): string | undefined {
+    const ids = header.split(",").map((one) => one.split(":")[0]);
+    return ids.slice(0, -1).find((id) => fault.crashesOnParts?.includes(id));
+  }
+
   async function crashDuringAnswer(
     response: ServerResponse,
     requestId: string,
@@ -334,6 +349,10 @@
     sequence = 0;
     paths.clear();
     incarnationStartMs = Date.now();
+    if (fault.changesIdOnRestart) {
+      nextEngine += 1;
+      engineId = `i-${nextEngine}`;
+    }
     await new Promise<void>((resolve) =>
       server.listen(port, "127.0.0.1", resolve)
     );
@@ -424,7 +443,9 @@
   }
 
   return {
-    engineId,
+    get engineId() {
+      return engineId;
+    },
     address,
     fault,
     arrivals,
--- a/test/support/fleet.ts
+++ b/test/support/fleet.ts
@@ -88,6 +88,8 @@
     deadlineMs?: number;
     signal?: AbortSignal;
     body?: string;
+    /** Ids of the parts of the prompt; none are named by default. */
+    parts?: readonly string[];
     /** Prefix of the request's id. */
     idPrefix?: string;
     /** Called with the status before the body is read. */
@@ -105,6 +107,9 @@
       "x-deadline-ms": String(deadlineMs),
       "x-token-usage": "20,20",
       "x-api-key": key,
+      ...(options.parts
+        ? { "x-prompt-prefix": formatParts(options.parts) }
+        : {}),
     },
     body: options.body ?? "hello",
     signal,
@@ -115,6 +120,10 @@
   return { status, text, headers, requestId };
 }
 
+function formatParts(parts: readonly string[]): string {
+  return parts.map((id) => `${id}:10`).join();
+}
+
 /** Starts a fleet without a configuration. */
 export async function startTestFleet(
   options: {
