--- a/src/fleet/create_quarantine_coordinator.ts
+++ b/src/fleet/create_quarantine_coordinator.ts
@@ -13,7 +13,9 @@
   type CrashReport,
   getHoldMs,
   HEARTBEATS_TO_REFUTE,
-  isCrashAttributed,
+  isNewEvidence,
+  isPartKey,
+  JOINT_TRIAL_DELAY_MS,
   type JudgedReport,
   MAX_TRIAL_MS,
   needsTrial,
@@ -40,6 +42,7 @@
 export interface QuarantineReports {
   readonly crashes?: readonly CrashReport[];
   readonly proved?: readonly string[];
+  readonly provedParts?: readonly CrashReport[];
   readonly trialsEnded?: readonly string[];
 }
 
@@ -66,6 +69,8 @@
 
 /** A trial run: a request that runs as the only suspect on its upstream. */
 interface Trial {
+  /** Its suspects: the request if it is one, then parts of its prompt. */
+  readonly requestKeys: readonly string[];
   readonly vm: string;
   readonly engineId: string;
   readonly expiresMs: number;
@@ -96,18 +101,22 @@
   // Heartbeats since a crash was recorded, by upstream and by request.
   let heartbeatCounts = new Map<string, Map<string, number>>();
   let published: CrashCases = new Map();
-  let pendingReports: JudgedReport[] = [];
+  let pendingReports = new Map<string, JudgedReport>();
   let pendingClears = new Set<string>();
+  let pendingProofs = new Map<string, CrashReport>();
   let batchTimer: ReturnType<typeof setTimeout> | undefined;
 
   function scheduleBatch(): void {
     batchTimer ??= setTimeout(() => {
       batchTimer = undefined;
       const requestKeys = [...pendingClears];
-      const taken = pendingReports;
-      pendingReports = [];
+      const reports = [...pendingReports.values()];
+      const proofs = [...pendingProofs.values()];
+      pendingReports = new Map();
       pendingClears = new Set();
-      if (taken.length > 0) submit({ type: "crashes", reports: taken });
+      pendingProofs = new Map();
+      if (reports.length > 0) submit({ type: "crashes", reports });
+      if (proofs.length > 0) submitProofs(proofs);
       if (requestKeys.length > 0) submit({ type: "casesCleared", requestKeys });
     }, BATCH_MS);
   }
@@ -118,8 +127,14 @@
     propose(command).catch((error) => log("casesNotRecorded", { error }));
   }
 
-  function findTrial(engineId: string): [string, Trial] | undefined {
-    return [...trials].find(([, trial]) => trial.engineId === engineId);
+  function submitProofs(reports: readonly CrashReport[]): void {
+    const requestKeys = [...new Set(reports.map((one) => one.requestKey))];
+    log("partsProved", { requestKeys });
+    submit({ type: "crashesRefuted", reports });
+  }
+
+  function findTrial(engineId: string): Trial | undefined {
+    return [...trials.values()].find((trial) => trial.engineId === engineId);
   }
 
   function removeEndedTrials(): void {
@@ -129,19 +144,37 @@
   }
 
   // A crash during a trial run counts against that request only, not against the
-  // requests that ran on the upstream at the same time.
+  // requests that ran on the upstream at the same time, nor against parts of their
+  // prompts that need no trial themselves.
   function handleCrashReport(vm: string, report: CrashReport): void {
     const { requestKey, engineId } = report;
     const cases = getCases();
-    if (cases.get(requestKey)?.engineIds.includes(engineId)) return;
-    if (isCrashAttributed(cases, engineId)) return;
-    const [key, trial] = findTrial(engineId) ?? [];
-    if (key !== undefined && key !== requestKey) return;
-    const isTrial = trial?.vm === vm;
-    const isKnown = pendingReports.some((one) =>
-      one.requestKey === requestKey && one.engineId === engineId
-    );
-    if (!isKnown) pendingReports.push({ ...report, isTrial });
+    if (!isNewEvidence(cases, report)) return;
+    if (pendingReports.has(formatReportKey(report))) return;
+    const trial = findTrial(engineId);
+    const isOfTrial = trial?.requestKeys.includes(requestKey) ?? false;
+    const crashCase = cases.get(requestKey);
+    const isRepeatedPart = isPartKey(requestKey) && crashCase !== undefined &&
+      needsTrial(crashCase);
+    if (trial && !isOfTrial && !isRepeatedPart) return;
+    const ownTrial = isOfTrial && trial?.vm === vm ? trial : undefined;
+    pendingReports.set(formatReportKey(report), {
+      ...report,
+      ...judge(requestKey, ownTrial),
+    });
+  }
+
+  // Where the request itself is a suspect, its crash says nothing of the parts.
+  function judge(
+    requestKey: string,
+    trial: Trial | undefined,
+  ): Pick<JudgedReport, "isTrial" | "alsoOnTrial"> {
+    const [first, ...others] = trial?.requestKeys ?? [];
+    if (first === undefined) return { isTrial: false };
+    if (requestKey !== first && !isPartKey(first)) return { isTrial: false };
+    if (others.length === 0) return { isTrial: true };
+    const alsoOnTrial = [first, ...others].filter((key) => key !== requestKey);
+    return { isTrial: true, alsoOnTrial };
   }
 
   function trackChanges(): void {
@@ -172,14 +205,18 @@
     return now() - (trackedCases.get(requestKey)?.changedMs ?? now());
   }
 
-  function getHeldMs({ requestKey, convictions }: CrashCase): number {
-    return Math.max(0, getHoldMs(convictions) - getAgeMs(requestKey));
+  function getHoldOf({ requestKey, convictions }: CrashCase): number {
+    return getHoldMs(convictions, { isPart: isPartKey(requestKey) });
+  }
+
+  function getHeldMs(crashCase: CrashCase): number {
+    return Math.max(0, getHoldOf(crashCase) - getAgeMs(crashCase.requestKey));
   }
 
   function describe(crashCase: CrashCase): PublishedCase {
-    const { requestKey, engineIds } = crashCase;
+    const { requestKey, engineIds, heldWith } = crashCase;
     const heldMs = Math.round(getHeldMs(crashCase));
-    return { requestKey, engineIds, heldMs };
+    return { requestKey, engineIds, heldMs, ...(heldWith && { heldWith }) };
   }
 
   function list(): PublishedCase[] {
@@ -212,15 +249,46 @@
     log("requestConvicted", { ...crashCase, heldMs });
   }
 
-  function isOld({ requestKey, convictions }: CrashCase): boolean {
-    const ageMs = getAgeMs(requestKey);
-    return convictions === 0
+  function isOld(crashCase: CrashCase): boolean {
+    const ageMs = getAgeMs(crashCase.requestKey);
+    return crashCase.convictions === 0
       ? ageMs > SUSPICION_RETENTION_MS
-      : ageMs > getHoldMs(convictions) + CONVICTION_RETENTION_MS;
+      : ageMs > getHoldOf(crashCase) + CONVICTION_RETENTION_MS;
+  }
+
+  function mayBeTried(keys: readonly string[]): boolean {
+    const cases = keys.map((key) => getCases().get(key));
+    const isReady = cases.every((one) =>
+      one && needsTrial(one) && !isHeld(one, keys)
+    );
+    if (!isReady) return false;
+    if (keys.length > 1) return !keys.some(hasChangedRecently);
+    return isPartKey(keys[0]) || !isPartTrialDue();
+  }
+
+  function isHeld(crashCase: CrashCase, keys: readonly string[]): boolean {
+    const { heldWith = [] } = crashCase;
+    return getHeldMs(crashCase) > 0 &&
+      heldWith.every((key) => keys.includes(key));
+  }
+
+  function hasChangedRecently(key: string): boolean {
+    return getAgeMs(key) < JOINT_TRIAL_DELAY_MS;
+  }
+
+  // The conviction of a part clears the requests that ran beside it, so they leave the
+  // upstreams to its trial for a while.
+  function isPartTrialDue(): boolean {
+    return [...getCases().values()].some((one) =>
+      isPartKey(one.requestKey) && needsTrial(one) && getHeldMs(one) === 0 &&
+      hasChangedRecently(one.requestKey)
+    );
   }
 
   return {
-    take(vm, { crashes = [], proved = [], trialsEnded = [] }) {
+    take(vm, reports) {
+      const { crashes = [], proved = [], provedParts = [] } = reports;
+      const { trialsEnded = [] } = reports;
       removeEndedTrials();
       // Crash reports first: a crash must still be matched with its trial run before
       // the end of the trial is handled.
@@ -229,23 +297,35 @@
         if (trials.get(key)?.vm === vm) trials.delete(key);
       }
       for (const key of proved) if (getCases().has(key)) pendingClears.add(key);
-      if (pendingReports.length + pendingClears.size > 0) scheduleBatch();
+      for (const report of provedParts) {
+        const { requestKey, engineId } = report;
+        const crashCase = getCases().get(requestKey);
+        if (!crashCase?.engineIds.includes(engineId)) continue;
+        pendingProofs.set(formatReportKey(report), report);
+      }
+      const pendingCount = pendingReports.size + pendingClears.size +
+        pendingProofs.size;
+      if (pendingCount > 0) scheduleBatch();
     },
-    grantTrial(vm, { requestKey, engineIds }) {
+    grantTrial(vm, { requestKey, engineIds, alsoSuspect = [] }) {
       removeEndedTrials();
-      const crashCase = getCases().get(requestKey);
-      if (!crashCase || !needsTrial(crashCase)) return undefined;
-      if (getHeldMs(crashCase) > 0) return undefined;
+      const requestKeys = [requestKey, ...alsoSuspect];
       const running = trials.get(requestKey);
       if (running && running.vm !== vm) return undefined;
+      const isTriedElsewhere = [...trials.values()].some((trial) =>
+        trial !== running &&
+        trial.requestKeys.some((key) => requestKeys.includes(key))
+      );
+      if (isTriedElsewhere || !mayBeTried(requestKeys)) return undefined;
       // A repeated request gets the same upstream, or another one if that has departed.
       const isSame = running && engineIds.includes(running.engineId);
       if (isSame) return running.engineId;
       trials.delete(requestKey);
       const engineId = engineIds.find((id) => !findTrial(id));
       if (engineId === undefined) return undefined;
-      trials.set(requestKey, { vm, engineId, expiresMs: now() + MAX_TRIAL_MS });
-      log("trialGranted", { requestKey, vm, engineId });
+      const expiresMs = now() + MAX_TRIAL_MS;
+      trials.set(requestKey, { requestKeys, vm, engineId, expiresMs });
+      log("trialGranted", { requestKey, alsoSuspect, vm, engineId });
       return engineId;
     },
     handleHeartbeat(engineId) {
@@ -282,3 +362,7 @@
     },
   };
 }
+
+function formatReportKey({ requestKey, engineId }: CrashReport): string {
+  return `${requestKey} ${engineId}`;
+}
--- a/src/fleet/create_quarantine_coordinator_test.ts
+++ b/src/fleet/create_quarantine_coordinator_test.ts
@@ -1,6 +1,11 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { FIRST_HOLD_MS, SUSPICION_RETENTION_MS } from "../quarantine/index.ts";
+import {
+  FIRST_HOLD_MS,
+  FIRST_PART_HOLD_MS,
+  JOINT_TRIAL_DELAY_MS,
+  SUSPICION_RETENTION_MS,
+} from "../quarantine/index.ts";
 import { createFleetStateMachine } from "./create_fleet_state_machine.ts";
 import { createQuarantineCoordinator } from "./create_quarantine_coordinator.ts";
 import type { LeaderMessage } from "./messages.ts";
@@ -8,6 +13,8 @@
 /** Ms after which reports have been batched and proposed. */
 const BATCH_MS = 30;
 
+const PART = "part:a1";
+
 function startCoordinator(machine = createFleetStateMachine()) {
   const state = { nowMs: 0, isLeader: true };
   const published: (LeaderMessage & { type: "cases" })[] = [];
@@ -26,7 +33,17 @@
     coordinator.take(vm, { crashes: [{ requestKey, engineId }] });
     await new Promise((resolve) => setTimeout(resolve, BATCH_MS));
   }
-  return { coordinator, machine, state, published, reportCrash };
+  /** Reports a crash of a part, from a run that was sent with this many known. */
+  async function reportPart(
+    vm: string,
+    engineId: string,
+    knownCrashes: number,
+  ) {
+    const crashes = [{ requestKey: PART, engineId, knownCrashes }];
+    coordinator.take(vm, { crashes });
+    await new Promise((resolve) => setTimeout(resolve, BATCH_MS));
+  }
+  return { coordinator, machine, state, published, reportCrash, reportPart };
 }
 
 test("the third crash, in a trial run, convicts the request; this is published", async () => {
@@ -182,4 +199,60 @@
   assert.equal(keys, ["real"]);
 });
 
+test("a part is convicted by its own trial, and a proof clears a part", async () => {
+  const { coordinator, machine, state, reportPart } = startCoordinator();
+  await reportPart("g1", "e1", 0);
+  await reportPart("g2", "e9", 0);
+  await reportPart("g2", "e2", 1);
+  assert.equal(machine.getCases().get(PART)?.engineIds, ["e1", "e2"]);
+  const request = { requestKey: PART, engineIds: ["e3"] };
+  assert.is(coordinator.grantTrial("g1", request), "e3");
+  await reportPart("g1", "e3", 2);
+  assert.is(coordinator.list()[0].heldMs, FIRST_PART_HOLD_MS);
+  const provedParts = ["e1", "e2", "e3"]
+    .map((engineId) => ({ requestKey: PART, engineId }));
+  coordinator.take("g2", { provedParts });
+  state.nowMs = 1;
+  await new Promise((resolve) => setTimeout(resolve, BATCH_MS));
+  assert.equal(coordinator.list(), []);
+});
+
+test("a trial of a request with a suspect part convicts the request alone, and comes late", async () => {
+  const { coordinator, machine, state, reportCrash, reportPart } =
+    startCoordinator();
+  for (const [at, engineId] of ["e1", "e2"].entries()) {
+    await reportCrash("g1", "r", engineId);
+    await reportPart("g1", engineId, at);
+  }
+  const request = {
+    requestKey: "r",
+    alsoSuspect: [PART],
+    engineIds: ["e3"],
+  };
+  assert.is(coordinator.grantTrial("g1", request), undefined);
+  state.nowMs = JOINT_TRIAL_DELAY_MS;
+  assert.is(coordinator.grantTrial("g1", request), "e3");
+  const partAlone = { requestKey: PART, engineIds: ["e4"] };
+  assert.is(coordinator.grantTrial("g2", partAlone), undefined);
+  await reportCrash("g1", "r", "e3");
+  await reportPart("g1", "e3", 2);
+  assert.is(machine.getCases().get("r")?.convictions, 1);
+  assert.is(machine.getCases().get(PART)?.convictions, 0);
+  assert.is(machine.getCases().get(PART)?.engineIds.length, 3);
+  coordinator.take("g1", { trialsEnded: ["r"] });
+  assert.is(coordinator.grantTrial("g2", partAlone), "e4");
+});
+
+test("requests that ran beside a suspect part leave the upstreams to its trial", async () => {
+  const { coordinator, state, reportCrash, reportPart } = startCoordinator();
+  for (const [at, engineId] of ["e1", "e2"].entries()) {
+    await reportCrash("g1", "r", engineId);
+    await reportPart("g1", engineId, at);
+  }
+  const request = { requestKey: "r", engineIds: ["e3"] };
+  assert.is(coordinator.grantTrial("g1", request), undefined);
+  state.nowMs = JOINT_TRIAL_DELAY_MS;
+  assert.is(coordinator.grantTrial("g1", request), "e3");
+});
+
 test.run();
--- a/src/fleet/messages.ts
+++ b/src/fleet/messages.ts
@@ -134,6 +134,11 @@
     readonly crashes?: readonly CrashReport[];
     /** Suspected requests that upstreams have completed; absent if none. */
     readonly proved?: readonly string[];
+    /**
+     * Crashes recorded for parts of prompts with which upstreams have run requests
+     * since; absent if none.
+     */
+    readonly provedParts?: readonly CrashReport[];
     /** Requests whose trial run on this gateway has ended; absent if none. */
     readonly trialsEnded?: readonly string[];
     /** Suspected requests for which it requests a trial run; absent if none. */
@@ -151,14 +156,19 @@
 
 /** A request of a gateway to run a suspected request on trial. */
 export interface TrialRequest {
+  /** Key of the suspected request, or of a part of its prompt. */
   readonly requestKey: string;
+  /** Other suspected parts of its prompt; absent if there are none. */
+  readonly alsoSuspect?: readonly string[];
   /** Upstreams where it may start, in order of preference. */
   readonly engineIds: readonly string[];
 }
 
-/** A suspected request as the leader publishes it to gateways. */
+/** A suspected request or part as the leader publishes it to gateways. */
 export interface PublishedCase {
   readonly requestKey: string;
+  /** Parts without which it is not held back; absent if there are none. */
+  readonly heldWith?: readonly string[];
   /** Incarnations of upstreams that crashed under it. */
   readonly engineIds: readonly string[];
   /** Ms for which it is held back from now on; 0 if it may have a trial run. */
--- a/src/gateway/choose_run_path.ts
+++ b/src/gateway/choose_run_path.ts
@@ -39,7 +39,6 @@
   options: ChooseRunPathOptions,
 ): CallPathChoice {
   const { excluded, need, trialEngineId } = options;
-  const { requestKey } = call;
   if (trialEngineId !== undefined) {
     const others = listFirstUpstreams(call, context)
       .map(({ record }) => record.engineId)
@@ -47,8 +46,8 @@
     const avoided = new Set([...excluded, ...others]);
     return chooseCallPath(call, context, { need, excluded: avoided });
   }
-  if (context.quarantine.isSuspect(requestKey)) {
-    const usedEngineIds = context.quarantine.listWithRecentSuspects(requestKey);
+  if (context.quarantine.isSuspect(call)) {
+    const usedEngineIds = context.quarantine.listWithRecentSuspects(call);
     const avoided = new Set([...excluded, ...usedEngineIds]);
     const separateChoice = chooseCallPath(call, context, {
       need,
--- a/src/gateway/create_abandoned_runs.ts
+++ b/src/gateway/create_abandoned_runs.ts
@@ -10,8 +10,8 @@
 /** Runs that were abandoned recently. */
 export interface AbandonedRuns {
   note(run: CrashReport): void;
-  /** Removes and returns the requests that were abandoned recently on an upstream. */
-  take(engineId: string): readonly string[];
+  /** Removes and returns the runs that were abandoned recently on an upstream. */
+  take(engineId: string): readonly CrashReport[];
   has(engineId: string): boolean;
 }
 
@@ -36,10 +36,10 @@
   const { now } = options;
   let runs: (CrashReport & { readonly atMs: number })[] = [];
 
-  function listRequestKeys(engineId: string): string[] {
+  function listRuns(engineId: string): CrashReport[] {
     runs = runs.filter(({ atMs }) => now() - atMs < ABANDONED_TTL_MS);
     return runs.filter((one) => one.engineId === engineId)
-      .map(({ requestKey }) => requestKey);
+      .map(({ atMs: _, ...run }) => run);
   }
 
   return {
@@ -47,10 +47,10 @@
       runs = [...runs, { ...run, atMs: now() }];
     },
     take(engineId) {
-      const requestKeys = listRequestKeys(engineId);
+      const taken = listRuns(engineId);
       runs = runs.filter((one) => one.engineId !== engineId);
-      return requestKeys;
+      return taken;
     },
-    has: (engineId) => listRequestKeys(engineId).length > 0,
+    has: (engineId) => listRuns(engineId).length > 0,
   };
 }
--- a/src/gateway/create_quarantine.ts
+++ b/src/gateway/create_quarantine.ts
@@ -1,6 +1,7 @@
 /**
- * The gateway's side of the quarantine: tracks which requests crashed upstreams, at
- * this gateway and at others, and decides whether a request may run.
+ * The gateway's side of the quarantine: tracks which requests, and which parts of their
+ * prompts, crashed upstreams, at this gateway and at others, and decides whether a
+ * request may run.
  *
  * @module
  */
@@ -13,38 +14,64 @@
 } from "../fleet/index.ts";
 import {
   type CrashReport,
+  isPartKey,
   MAX_TRIAL_MS,
   needsTrial,
   TRIAL_START_MS,
 } from "../quarantine/index.ts";
 
+/** The keys of a call by which the quarantine knows it. */
+export interface QuarantineSubject {
+  readonly requestKey: string;
+  /** Keys of the parts of its prompt that other requests may share. */
+  readonly partKeys: readonly string[];
+}
+
 /** Whether a request may run. */
 export type QuarantineVerdict =
   | { readonly type: "free" }
-  /** It may run once the leader has granted a trial. */
-  | { readonly type: "trial" }
-  /** It is held back, and may be retried after this many ms. */
-  | { readonly type: "held"; readonly leftMs: number };
+  /** It may run once the leader has granted a trial of these suspects. */
+  | (
+    & { readonly type: "trial" }
+    & Pick<
+      TrialRequest,
+      "requestKey" | "alsoSuspect"
+    >
+  )
+  /** It is held back because of this key, and may be retried after this many ms. */
+  | {
+    readonly type: "held";
+    readonly leftMs: number;
+    readonly suspectKey: string;
+  };
 
 /** What the next heartbeat reports to the leader; empty fields are absent. */
 export interface QuarantineUpdate {
   readonly crashes?: readonly CrashReport[];
   readonly proved?: readonly string[];
+  readonly provedParts?: readonly CrashReport[];
   readonly trialsEnded?: readonly string[];
   readonly trialsWanted?: readonly TrialRequest[];
 }
 
 /** The gateway's side of the quarantine. */
 export interface Quarantine {
-  judge(requestKey: string): QuarantineVerdict;
+  judge(subject: QuarantineSubject): QuarantineVerdict;
+  /** Calls the listener once the subject is held back; returns a function to stop. */
+  onHeld(subject: QuarantineSubject, listener: () => void): () => void;
   /** Whether an upstream crashed while it ran a request that is not proved harmless. */
-  isSuspect(requestKey: string): boolean;
+  isSuspect(subject: QuarantineSubject): boolean;
   /** Records that an upstream crashed just after it had begun a request. */
   noteCrash(report: CrashReport): void;
   /** Resolves once all gateways know of the crashes, or after a short timeout. */
-  waitUntilReported(requestKey: string): Promise<void>;
+  waitUntilReported(subject: QuarantineSubject): Promise<void>;
   /** Records that an upstream ran a request without a crash. */
   noteProved(requestKey: string): void;
+  /**
+   * Records that an upstream that began to answer a prompt with these parts at the
+   * given time did not crash. Only crashes known before that time are refuted.
+   */
+  notePartsProved(partKeys: readonly string[], begunMs: number): void;
   /**
    * Returns the upstream where a request may begin its trial, once one is granted.
    * Until then the leader is asked for a trial on one of the given upstreams.
@@ -52,10 +79,19 @@
   takeTrial(request: TrialRequest): string | undefined;
   /** Ends a trial: another attempt of the request may get the next one. */
   endTrial(requestKey: string): void;
-  /** Records where a suspected request was sent. */
-  noteSent(send: CrashReport): void;
-  /** Upstreams where another suspected request of this gateway began recently. */
-  listWithRecentSuspects(requestKey: string): readonly string[];
+  /**
+   * Records where a request was sent; returns what to report if the upstream crashes
+   * just after it has begun the request.
+   */
+  noteSent(
+    subject: QuarantineSubject,
+    engineId: string,
+  ): readonly CrashReport[];
+  /**
+   * Upstreams where requests with other suspects than this one began recently at this
+   * gateway.
+   */
+  listWithRecentSuspects(subject: QuarantineSubject): readonly string[];
   /** Replaces all cases by those of a newly connected leader. */
   replaceCases(cases: readonly PublishedCase[]): void;
   /** Applies changes of cases. */
@@ -106,8 +142,10 @@
 const SUSPECT_SPACING_MS = 500;
 
 interface KnownCase {
-  readonly engineIds: ReadonlySet<string>;
+  /** When this gateway learnt of each crash, in ms, by upstream. */
+  readonly knownMs: ReadonlyMap<string, number>;
   readonly heldUntilMs: number;
+  readonly heldWith: readonly string[];
 }
 
 /**
@@ -126,6 +164,9 @@
   let knownCases = new Map<string, KnownCase>();
   let reports: (CrashReport & { readonly atMs: number })[] = [];
   const proofs = new Map<string, number>();
+  // Latest time at which an upstream began to answer a suspected part and didn't crash.
+  const partProofs = new Map<string, number>();
+  const heldListeners = new Map<() => void, QuarantineSubject>();
   const trialRequests = new Map<
     string,
     TrialRequest & { readonly atMs: number }
@@ -134,20 +175,71 @@
   // Concurrent attempts of one request each ask for a trial; only one gets it.
   const onTrialUntilMs = new Map<string, number>();
   let trialsEnded = new Set<string>();
-  let recentSends: (CrashReport & { readonly atMs: number })[] = [];
+  let recentSends: {
+    readonly suspectKeys: readonly string[];
+    readonly engineId: string;
+    readonly atMs: number;
+  }[] = [];
 
-  function readCase({ engineIds, heldMs }: PublishedCase): KnownCase {
+  function readCase(published: PublishedCase, known?: KnownCase): KnownCase {
+    const { engineIds, heldMs, heldWith = [] } = published;
     return {
-      engineIds: new Set(engineIds),
+      knownMs: new Map(
+        engineIds.map((id) => [id, known?.knownMs.get(id) ?? now()]),
+      ),
       heldUntilMs: heldMs === 0 ? -Infinity : now() + heldMs,
+      heldWith,
     };
   }
 
-  function listCrashedUpstreams(requestKey: string): string[] {
-    const own = reports.filter((one) => one.requestKey === requestKey)
+  function listCrashedUpstreams(key: string): string[] {
+    const provedMs = partProofs.get(key) ?? -Infinity;
+    const known = [...knownCases.get(key)?.knownMs ?? []]
+      .filter(([, knownMs]) => knownMs > provedMs)
+      .map(([engineId]) => engineId);
+    const own = reports.filter((one) => one.requestKey === key)
       .map(({ engineId }) => engineId);
-    const all = [...knownCases.get(requestKey)?.engineIds ?? [], ...own];
-    return [...new Set(all)];
+    return [...new Set([...known, ...own])];
+  }
+
+  function listKeys({ requestKey, partKeys }: QuarantineSubject): string[] {
+    return [requestKey, ...partKeys];
+  }
+
+  function listSuspectKeys(subject: QuarantineSubject): string[] {
+    if (knownCases.size + reports.length === 0) return [];
+    return listKeys(subject).filter((key) =>
+      !isProved(key) && listCrashedUpstreams(key).length > 0
+    );
+  }
+
+  function getHeldLeftMs(key: string, subject: QuarantineSubject): number {
+    const known = knownCases.get(key);
+    if (!known || isProved(key)) return 0;
+    const isHeld = known.heldWith.every((other) =>
+      subject.partKeys.includes(other)
+    );
+    return isHeld ? Math.max(0, known.heldUntilMs - now()) : 0;
+  }
+
+  function judge(subject: QuarantineSubject): QuarantineVerdict {
+    const suspectKeys = listSuspectKeys(subject);
+    const [held] = suspectKeys
+      .map((key) => ({
+        suspectKey: key,
+        leftMs: getHeldLeftMs(key, subject),
+      }))
+      .sort((a, b) => b.leftMs - a.leftMs);
+    if (held && held.leftMs > 0) return { type: "held", ...held };
+    const [requestKey, ...alsoSuspect] = suspectKeys.filter((key) =>
+      needsTrial({ engineIds: listCrashedUpstreams(key) })
+    );
+    if (requestKey === undefined) return { type: "free" };
+    return {
+      type: "trial",
+      requestKey,
+      ...(alsoSuspect.length > 0 ? { alsoSuspect } : {}),
+    };
   }
 
   function isProved(requestKey: string): boolean {
@@ -155,19 +247,28 @@
   }
 
   function isListed({ requestKey, engineId }: CrashReport): boolean {
-    return knownCases.get(requestKey)?.engineIds.has(engineId) ?? false;
+    return knownCases.get(requestKey)?.knownMs.has(engineId) ?? false;
+  }
+
+  // The leader ignores runs of a part that were sent before its last crash was known.
+  function isOutdated({ requestKey, knownCrashes }: CrashReport): boolean {
+    const crashCount = knownCases.get(requestKey)?.knownMs.size ?? 0;
+    return knownCrashes !== undefined && knownCrashes < crashCount;
   }
 
   // A crash for which a request was convicted does not count against other requests.
-  function isExplained({ engineId }: CrashReport): boolean {
-    return [...knownCases.values()].some((one) =>
-      one.heldUntilMs > now() && one.engineIds.has(engineId)
-    );
+  function listExplainedUpstreams(): Set<string> {
+    const held = [...knownCases.values()]
+      .filter(({ heldUntilMs }) => heldUntilMs > now());
+    return new Set(held.flatMap(({ knownMs }) => [...knownMs.keys()]));
   }
 
   function listUnlisted(): typeof reports {
+    if (reports.length === 0) return reports;
+    const explained = listExplainedUpstreams();
     reports = reports.filter((one) =>
-      now() - one.atMs < REPORT_TTL_MS && !isListed(one) && !isExplained(one)
+      now() - one.atMs < REPORT_TTL_MS && !isListed(one) &&
+      !isOutdated(one) && !explained.has(one.engineId)
     );
     return reports;
   }
@@ -194,7 +295,7 @@
   function listTrialRequests(): TrialRequest[] {
     dropExpiredRequests();
     return [...trialRequests.values()]
-      .map(({ requestKey, engineIds }) => ({ requestKey, engineIds }));
+      .map(({ atMs: _, ...request }) => request);
   }
 
   function applyChange(
@@ -203,35 +304,56 @@
       "cases" | "cleared"
     >,
   ): void {
-    for (const one of cases) knownCases.set(one.requestKey, readCase(one));
-    for (const key of cleared) knownCases.delete(key);
+    for (const one of cases) {
+      const known = knownCases.get(one.requestKey);
+      knownCases.set(one.requestKey, readCase(one, known));
+    }
+    for (const key of cleared) {
+      knownCases.delete(key);
+      partProofs.delete(key);
+      if (isPartKey(key)) onTrialUntilMs.delete(key);
+    }
     reports = reports.filter((one) => !cleared.includes(one.requestKey));
+    if (cases.some(({ heldMs }) => heldMs > 0)) notifyHeld();
     // The leader learns at once that a request suspected elsewhere is harmless.
     if (cases.some((one) => isProved(one.requestKey))) notifyLeader();
   }
 
+  function notifyHeld(): void {
+    for (const [listener, subject] of [...heldListeners]) {
+      if (judge(subject).type === "held") listener();
+    }
+  }
+
+  function listRefutedReports(): CrashReport[] {
+    return [...partProofs].flatMap(([requestKey, begunMs]) =>
+      [...knownCases.get(requestKey)?.knownMs ?? []]
+        .filter(([, knownMs]) => knownMs <= begunMs)
+        .map(([engineId]) => ({ requestKey, engineId }))
+    );
+  }
+
   return {
-    judge(requestKey) {
-      if (isProved(requestKey)) return { type: "free" };
-      const leftMs = (knownCases.get(requestKey)?.heldUntilMs ?? 0) - now();
-      if (leftMs > 0) return { type: "held", leftMs };
-      const engineIds = listCrashedUpstreams(requestKey);
-      return { type: needsTrial({ engineIds }) ? "trial" : "free" };
+    judge,
+    onHeld(subject, listener) {
+      heldListeners.set(listener, subject);
+      return () => heldListeners.delete(listener);
     },
-    isSuspect: (requestKey) =>
-      !isProved(requestKey) && listCrashedUpstreams(requestKey).length > 0,
-    noteCrash({ requestKey, engineId }) {
+    isSuspect: (subject) => listSuspectKeys(subject).length > 0,
+    noteCrash(report) {
+      const { requestKey, engineId, knownCrashes = Infinity } = report;
       if (isProved(requestKey)) return;
-      const isKnown = listCrashedUpstreams(requestKey).includes(engineId);
-      if (isKnown) return;
-      reports = [...listUnlisted(), { requestKey, engineId, atMs: now() }]
+      const crashed = listCrashedUpstreams(requestKey);
+      if (crashed.includes(engineId) || knownCrashes < crashed.length) return;
+      reports = [...listUnlisted(), { ...report, atMs: now() }]
         .slice(-MAX_REPORTS);
       notifyLeader();
     },
-    async waitUntilReported(requestKey) {
+    async waitUntilReported(subject) {
       const untilMs = now() + MAX_REPORT_WAIT_MS;
+      const keys = listKeys(subject);
       const isPending = () =>
-        listUnlisted().some((one) => one.requestKey === requestKey);
+        listUnlisted().some((one) => keys.includes(one.requestKey));
       while (isPending() && now() < untilMs) {
         await new Promise((resolve) => setTimeout(resolve, REPORT_POLL_MS));
       }
@@ -243,6 +365,21 @@
       reports = reports.filter((one) => one.requestKey !== requestKey);
       if (knownCases.has(requestKey)) notifyLeader();
     },
+    notePartsProved(partKeys, begunMs) {
+      const isSuspected = (key: string) =>
+        knownCases.has(key) || reports.some((one) => one.requestKey === key);
+      for (const key of partKeys.filter(isSuspected)) {
+        const provedMs = Math.max(partProofs.get(key) ?? 0, begunMs);
+        partProofs.set(key, provedMs);
+        evictOldest(partProofs, MAX_PROOFS);
+        reports = reports.filter((one) =>
+          one.requestKey !== key || one.atMs > provedMs
+        );
+      }
+      const isNews = ({ requestKey }: CrashReport) =>
+        partKeys.includes(requestKey);
+      if (listRefutedReports().some(isNews)) notifyLeader();
+    },
     takeTrial(request) {
       const { requestKey } = request;
       if (isOnTrial(requestKey)) return undefined;
@@ -263,20 +400,38 @@
       trialsEnded.add(requestKey);
       notifyLeader();
     },
-    noteSent({ requestKey, engineId }) {
-      const fresh = recentSends.filter(({ atMs }) =>
-        now() - atMs < SUSPECT_SPACING_MS
-      );
-      recentSends = [...fresh, { requestKey, engineId, atMs: now() }];
+    noteSent(subject, engineId) {
+      const suspectKeys = listSuspectKeys(subject);
+      if (suspectKeys.length > 0) {
+        const fresh = recentSends.filter(({ atMs }) =>
+          now() - atMs < SUSPECT_SPACING_MS
+        );
+        recentSends = [...fresh, { suspectKeys, engineId, atMs: now() }];
+      }
+      const { requestKey, partKeys } = subject;
+      const partReports = partKeys.map((key) => ({
+        requestKey: key,
+        engineId,
+        knownCrashes: listCrashedUpstreams(key).length,
+      }));
+      return [{ requestKey, engineId }, ...partReports];
     },
-    listWithRecentSuspects: (requestKey) =>
-      recentSends
-        .filter((one) =>
-          one.requestKey !== requestKey && now() - one.atMs < SUSPECT_SPACING_MS
+    listWithRecentSuspects(subject) {
+      const own = listSuspectKeys(subject);
+      // Suspects that are all on an upstream already don't blur what a crash shows.
+      const areApart = (others: readonly string[]) =>
+        own.some((key) => !others.includes(key)) &&
+        others.some((key) => !own.includes(key));
+      return recentSends
+        .filter(({ suspectKeys, atMs }) =>
+          now() - atMs < SUSPECT_SPACING_MS && areApart(suspectKeys)
         )
-        .map(({ engineId }) => engineId),
+        .map(({ engineId }) => engineId);
+    },
     replaceCases(cases) {
-      knownCases = new Map();
+      const keys = new Set(cases.map(({ requestKey }) => requestKey));
+      // Crashes that are listed still were known before.
+      knownCases = new Map([...knownCases].filter(([key]) => keys.has(key)));
       applyChange({ cases, cleared: [] });
     },
     applyCases: applyChange,
@@ -288,8 +443,8 @@
       if (trialsEnded.has(requestKey)) notifyLeader();
     },
     collectUpdate() {
-      const crashes = listUnlisted()
-        .map(({ requestKey, engineId }) => ({ requestKey, engineId }));
+      const crashes = listUnlisted().map(({ atMs: _, ...report }) => report);
+      const provedParts = listRefutedReports();
       const proved = [...knownCases.keys()].filter(isProved);
       const trialsWanted = listTrialRequests();
       const ended = [...trialsEnded];
@@ -297,6 +452,7 @@
       return {
         ...(crashes.length > 0 ? { crashes } : {}),
         ...(proved.length > 0 ? { proved } : {}),
+        ...(provedParts.length > 0 ? { provedParts } : {}),
         ...(ended.length > 0 ? { trialsEnded: ended } : {}),
         ...(trialsWanted.length > 0 ? { trialsWanted } : {}),
       };
--- a/src/gateway/create_run_permit.ts
+++ b/src/gateway/create_run_permit.ts
@@ -4,7 +4,9 @@
  * @module
  */
 
+import type { CrashReport } from "../quarantine/index.ts";
 import type { CallEnd } from "./create_call_end.ts";
+import type { QuarantineVerdict } from "./create_quarantine.ts";
 import { listFirstUpstreams } from "./list_first_upstreams.ts";
 import type { Call, ServingContext } from "./types.ts";
 
@@ -26,6 +28,8 @@
   readonly leftMs: number;
   /** Whether its request was convicted, or got no trial in time. */
   readonly reason: "held_back" | "awaits_trial";
+  /** Key of the request, or of the part of its prompt, that is suspected. */
+  readonly suspectKey: string;
 }
 
 /** Decides on each send of one call. */
@@ -36,8 +40,11 @@
     /** Longest wait, in ms, for a trial; `MAX_TRIAL_WAIT_MS` by default. */
     readonly maxTrialWaitMs?: number;
   }): PermitDecision;
-  /** Records that the call was sent to an upstream. */
-  noteSent(engineId: string): void;
+  /**
+   * Records that the call was sent to an upstream; returns what to report if the
+   * upstream crashes just after it has begun the call.
+   */
+  noteSent(engineId: string): readonly CrashReport[];
   /** Records that a run has ended and its result was reported. */
   noteRunEnd(): void;
 }
@@ -66,12 +73,13 @@
   context: ServingContext,
 ): RunPermit {
   const { quarantine, now, rateLimits } = context;
-  const { requestKey } = call;
   let trialEngineId: string | undefined;
-  let isOnTrial = false;
+  // The first suspect of the trial that runs or was granted.
+  let trialKey: string | undefined;
   let waitingSinceMs: number | undefined;
 
   function requestTrial(
+    { requestKey, alsoSuspect }: QuarantineVerdict & { type: "trial" },
     excluded: ReadonlySet<string>,
     maxWaitMs: number,
   ): PermitDecision {
@@ -82,37 +90,42 @@
     if (trialEngineId !== undefined && !engineIds.includes(trialEngineId)) {
       endTrial();
     }
-    trialEngineId ??= quarantine.takeTrial({ requestKey, engineIds });
-    if (trialEngineId !== undefined) {
-      isOnTrial = true;
-      return { type: "go", trialEngineId };
+    if (trialEngineId === undefined) {
+      trialEngineId = quarantine.takeTrial({
+        requestKey,
+        engineIds,
+        ...(alsoSuspect ? { alsoSuspect } : {}),
+      });
+      if (trialEngineId !== undefined) trialKey = requestKey;
     }
+    if (trialEngineId !== undefined) return { type: "go", trialEngineId };
     waitingSinceMs ??= now();
-    return now() - waitingSinceMs < maxWaitMs
-      ? { type: "wait" }
-      : { type: "held", leftMs: MAX_TRIAL_WAIT_MS, reason: "awaits_trial" };
+    return now() - waitingSinceMs < maxWaitMs ? { type: "wait" } : {
+      type: "held",
+      leftMs: MAX_TRIAL_WAIT_MS,
+      reason: "awaits_trial",
+      suspectKey: requestKey,
+    };
   }
 
   function endTrial(): void {
-    if (isOnTrial) quarantine.endTrial(requestKey);
-    isOnTrial = false;
+    if (trialKey !== undefined) quarantine.endTrial(trialKey);
+    trialKey = undefined;
     trialEngineId = undefined;
   }
 
   return {
     request({ excluded, maxTrialWaitMs = MAX_TRIAL_WAIT_MS }) {
-      const verdict = quarantine.judge(requestKey);
+      const verdict = quarantine.judge(call);
       if (verdict.type === "held") return { ...verdict, reason: "held_back" };
       return verdict.type === "trial"
-        ? requestTrial(excluded, maxTrialWaitMs)
+        ? requestTrial(verdict, excluded, maxTrialWaitMs)
         : { type: "go" };
     },
     noteSent(engineId) {
       trialEngineId = undefined;
       waitingSinceMs = undefined;
-      if (quarantine.isSuspect(requestKey)) {
-        quarantine.noteSent({ requestKey, engineId });
-      }
+      return quarantine.noteSent(call, engineId);
     },
     noteRunEnd: endTrial,
   };
@@ -140,7 +153,7 @@
   },
 ): void {
   const { callEnd, hasRun } = options;
-  const { leftMs, reason } = options.held;
+  const { leftMs, reason, suspectKey } = options.held;
   const { requestId } = call.request;
   const { requestKey } = call;
   const jitter = 1 + JITTER_SHARE * context.random();
@@ -148,6 +161,7 @@
   context.log("requestHeldBack", {
     requestId,
     requestKey,
+    suspectKey,
     reason,
     retryAfterMs,
     hasRun,
--- a/src/gateway/create_run_permit_test.ts
+++ b/src/gateway/create_run_permit_test.ts
@@ -13,7 +13,7 @@
   const ended: string[] = [];
   const context = {
     quarantine: {
-      judge: () => ({ type: "trial" }),
+      judge: () => ({ type: "trial", requestKey: "k" }),
       takeTrial({ engineIds }: { engineIds: readonly string[] }) {
         requested.push(engineIds);
         return engineIds[0];
@@ -36,7 +36,7 @@
   const clock = { ms: 0 };
   const context = {
     quarantine: {
-      judge: () => ({ type: "trial" }),
+      judge: () => ({ type: "trial", requestKey: "k" }),
       takeTrial: () => undefined,
       endTrial: () => {},
     },
--- a/src/gateway/detect_upstream_crash.ts
+++ b/src/gateway/detect_upstream_crash.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import type { CrashReport } from "../quarantine/index.ts";
 import type { UpstreamAddress } from "./create_liveness_check.ts";
 import type { Call, ServingContext } from "./types.ts";
 
@@ -15,6 +16,8 @@
   readonly sentMs: number;
   /** When its first event arrived, in ms; undefined if none did. */
   readonly firstEventMs: number | undefined;
+  /** What to report if it crashed its upstream, see {@link RunPermit.noteSent}. */
+  readonly crashReports: readonly CrashReport[];
 }
 
 /**
@@ -27,6 +30,12 @@
 /** Time, in ms, after its first event when a run has proved that it crashes nothing. */
 const PROVED_MS = 500;
 
+/**
+ * The same for the parts of its prompt. All requests with a suspected part wait for a
+ * proof, so it comes as soon as a crash would no longer count against the run.
+ */
+const PARTS_PROVED_MS = JUST_BEGUN_MS;
+
 /**
  * Checks whether a run had only just begun: a run that has produced events for longer
  * did not crash its upstream.
@@ -64,6 +73,24 @@
     nowMs - run.firstEventMs >= PROVED_MS;
 }
 
+/**
+ * Checks whether a run has lasted long enough to prove the parts of its prompt harmless.
+ *
+ * @param run - When its first event arrived.
+ * @param nowMs - Monotonic time, in ms.
+ * @returns Whether it has lasted long enough.
+ * @throws Nothing.
+ * @example
+ * if (arePartsProved(run, now())) quarantine.notePartsProved(partKeys, firstEventMs);
+ */
+export function arePartsProved(
+  run: Pick<BrokenRun, "firstEventMs">,
+  nowMs: number,
+): boolean {
+  return run.firstEventMs !== undefined &&
+    nowMs - run.firstEventMs >= PARTS_PROVED_MS;
+}
+
 /**
  * Checks whether the upstream of a broken run seems to have crashed: it refuses
  * connections while others accept them. If so, reports it to the quarantine, and resolves
@@ -99,9 +126,7 @@
   const liveness = await context.livenessCheck.check(upstream);
   context.metrics.count("upstream.end_checks");
   if (liveness !== "ended") return false;
-  for (const requestKey of context.abandonedRuns.take(engineId)) {
-    context.quarantine.noteCrash({ requestKey, engineId });
-  }
+  context.abandonedRuns.take(engineId).forEach(context.quarantine.noteCrash);
   if (!isSuspect) return false;
   context.suspectedEnds.note({
     engineId,
@@ -113,8 +138,9 @@
       sinceFirstEventMs: firstEventMs && Math.round(brokeMs - firstEventMs),
     },
   });
-  const { requestKey } = call;
-  context.quarantine.noteCrash({ requestKey, engineId });
-  await context.quarantine.waitUntilReported(requestKey);
+  for (const report of run.crashReports) {
+    context.quarantine.noteCrash({ ...report, engineId });
+  }
+  await context.quarantine.waitUntilReported(call);
   return true;
 }
--- a/src/gateway/recover_stalled_run.ts
+++ b/src/gateway/recover_stalled_run.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { isPartKey } from "../quarantine/index.ts";
 import { findAlternatePath } from "./choose_call_path.ts";
 import type { AddressedPart } from "./protocol.ts";
 import type { Call, ServingContext } from "./types.ts";
@@ -100,6 +101,14 @@
   readonly engineId: string;
 }
 
+// A moved run starts on other engines, which a request in quarantine may not do. The
+// first engine stays, so a part that awaits its trial does not keep the run from moving.
+function mayMove(call: Call, { quarantine }: ServingContext): boolean {
+  const verdict = quarantine.judge(call);
+  return verdict.type === "free" ||
+    (verdict.type === "trial" && isPartKey(verdict.requestKey));
+}
+
 // Returns the new path of the run, or undefined if there is none or if its first
 // engine rejected it.
 async function reroute(
@@ -110,8 +119,7 @@
   const [first] = options.path;
   const { engineId } = options;
   const { requestId } = call.request;
-  // A moved run starts on other engines, which a request in quarantine may not do.
-  if (context.quarantine.judge(call.requestKey).type !== "free") return;
+  if (!mayMove(call, context)) return;
   if (engineId === first.engineId) return;
   const missing: string[] = [];
   for (let attempt = 1; attempt <= MAX_PATH_ATTEMPTS; attempt++) {
--- a/src/gateway/recover_stalled_run_test.ts
+++ b/src/gateway/recover_stalled_run_test.ts
@@ -42,7 +42,12 @@
 
 for (const type of ["trial", "held"] as const) {
   test(`a run whose request is on ${type} is not moved to other engines`, async () => {
-    const { context, pathSearches } = makeContext({ type, leftMs: 1_000 });
+    const { context, pathSearches } = makeContext({
+      type,
+      leftMs: 1_000,
+      requestKey: "k",
+      suspectKey: "k",
+    });
     const options = { path: PATH, excluded: new Set<string>() };
     const moveOptions = { ...options, engineId: "e2" };
     assert.is(await moveOffEngine(CALL, context, moveOptions), undefined);
@@ -52,6 +57,17 @@
   });
 }
 
+test("a run moves while a part of its prompt awaits its trial", async () => {
+  const requestKey = "part:a1";
+  const { context, pathSearches } = makeContext({ type: "trial", requestKey });
+  await moveOffEngine(CALL, context, {
+    path: PATH,
+    excluded: new Set<string>(),
+    engineId: "e2",
+  });
+  assert.is(pathSearches.length, 1);
+});
+
 test("a run whose request is free looks for another path", async () => {
   const { context, pathSearches } = makeContext({ type: "free" });
   const options = { path: PATH, excluded: new Set<string>(), engineId: "e2" };
--- a/src/gateway/serve_plain_call.ts
+++ b/src/gateway/serve_plain_call.ts
@@ -35,6 +35,7 @@
 import { requestGrant } from "./request_grant.ts";
 import { jitterRetryAfterMs } from "./jitter_retry_after_ms.ts";
 import { startCallExchange } from "./start_call_exchange.ts";
+import type { CrashReport } from "../quarantine/index.ts";
 import type { Call, ServingContext } from "./types.ts";
 
 /** Maximum number of sends of one call, including the ones that an upstream rejects. */
@@ -98,6 +99,7 @@
     let isAdmitted = false;
     let exchange: Exchange | undefined;
     let sentMs = 0;
+    let crashReports: readonly CrashReport[] = [];
     // Resolves once it is known whether the upstream of the last run crashed.
     let endChecked = Promise.resolve();
     const callEnd = createCallEnd({
@@ -178,8 +180,8 @@
       if (trialEngineId !== undefined) {
         return chooseAmong((id) => id === trialEngineId);
       }
-      const taken = context.quarantine.isSuspect(call.requestKey)
-        ? context.quarantine.listWithRecentSuspects(call.requestKey)
+      const taken = context.quarantine.isSuspect(call)
+        ? context.quarantine.listWithRecentSuspects(call)
         : [];
       return chooseAmong((id) => !taken.includes(id)) ?? chooseAmong();
     }
@@ -316,7 +318,7 @@
       const chunks: Buffer[] = [];
       let head: UpstreamHead | undefined;
       engine.inFlight += 1;
-      permit.noteSent(engineId);
+      crashReports = permit.noteSent(engineId);
       const { requestKey } = call;
       const backOffLeftMs = Math.round(
         context.notices.getBackOffLeftMs(engineId),
@@ -428,7 +430,7 @@
       const failed = !isComplete || head.status >= FIRST_SERVER_ERROR;
       engines.noteAnswer(engineId, { failed });
       if (how.type === "broken") engines.suspect(engineId, how.reason);
-      else context.quarantine.noteProved(call.requestKey);
+      else noteProved();
       endChecked = checkUpstreamEnd(engine, how);
       if (failed && mayRunAgain()) {
         const wasBroken = how.type === "broken";
@@ -450,12 +452,17 @@
       retry();
     }
 
+    function noteProved(): void {
+      context.quarantine.noteProved(call.requestKey);
+      context.quarantine.notePartsProved(call.partKeys, sentMs);
+    }
+
     async function checkUpstreamEnd(
       { record: upstream }: EngineView,
       how: ExchangeEnd,
     ): Promise<void> {
       if (how.type !== "broken") return;
-      const run = { upstream, sentMs, firstEventMs: undefined };
+      const run = { upstream, sentMs, firstEventMs: undefined, crashReports };
       await detectUpstreamCrash(call, context, run);
     }
 
--- a/src/gateway/serve_stream_call.ts
+++ b/src/gateway/serve_stream_call.ts
@@ -34,7 +34,9 @@
   startForwardedStream,
 } from "./start_forwarded_stream.ts";
 import { createStreamRelay } from "./create_stream_relay.ts";
+import type { CrashReport } from "../quarantine/index.ts";
 import {
+  arePartsProved,
   detectUpstreamCrash,
   hasJustBegun,
   isProved,
@@ -97,6 +99,9 @@
     let runCount = 0;
     let isAdmitted = request.lastEventId !== undefined;
     let isRunProved = false;
+    let crashReports: readonly CrashReport[] = [];
+    // The run that last proved the parts of the prompt harmless.
+    let partsProof: StreamRun | undefined;
     // Resolves once it is known whether the upstream of the last run crashed.
     let endChecked = Promise.resolve();
     let run: StreamRun | undefined;
@@ -148,6 +153,7 @@
         run?.abort(outcome);
         forwarded?.abort(outcome);
         stopListening();
+        stopHeldListening();
         void endChecked.then(permit.noteRunEnd);
         resolve();
       },
@@ -170,6 +176,14 @@
       run?.abort("cut off");
     });
 
+    // An upstream that has not begun the run yet is spared by closing its connection.
+    const stopHeldListening = context.quarantine.onHeld(call, () => {
+      if (!run || run.hasBegun) return;
+      const held = permit.request({ excluded });
+      if (held.type !== "held") return;
+      refuseHeldCall(call, context, { callEnd, held, hasRun: true });
+    });
+
     function hasRun(): boolean {
       return response.headersSent || runCount > 0;
     }
@@ -397,7 +411,7 @@
         lastEventId,
       });
       relay.restartSilence();
-      permit.noteSent(path[0].engineId);
+      crashReports = permit.noteSent(path[0].engineId);
       run = startStreamRun(call, context, {
         path,
         isLayered: model !== undefined,
@@ -430,16 +444,27 @@
     // The request may already have crashed its engine without this gateway knowing yet.
     function recordAbandonedRun({ path, firstEventMs }: StreamRun): void {
       if (!hasJustBegun({ firstEventMs }, now())) return;
-      const { requestKey } = call;
-      context.abandonedRuns.note({ requestKey, engineId: path[0].engineId });
+      const { engineId } = path[0];
+      crashReports.forEach((report) =>
+        context.abandonedRuns.note({ ...report, engineId })
+      );
     }
 
     function recordProof(sent: StreamRun): void {
+      if (partsProof !== sent && arePartsProved(sent, now())) {
+        partsProof = sent;
+        notePartsProved(sent);
+      }
       if (isRunProved || !isProved(sent, now())) return;
       isRunProved = true;
       context.quarantine.noteProved(call.requestKey);
     }
 
+    function notePartsProved({ firstEventMs }: StreamRun): void {
+      if (firstEventMs === undefined) return;
+      context.quarantine.notePartsProved(call.partKeys, firstEventMs);
+    }
+
     function monitor(sent: StreamRun): void {
       stopMonitoring();
       // Only a resumable stream can be moved off an engine.
@@ -510,6 +535,7 @@
         context.rates.noteEnded(service);
         context.throttle.noteServed(service);
         context.quarantine.noteProved(call.requestKey);
+        notePartsProved(sent);
         response.end();
         return callEnd.end("answered");
       }
@@ -593,6 +619,7 @@
         upstream,
         sentMs,
         firstEventMs,
+        crashReports,
       });
     }
 
--- a/src/gateway/start_call_exchange.ts
+++ b/src/gateway/start_call_exchange.ts
@@ -79,6 +79,7 @@
     maySend() {
       connecting[Symbol.dispose]();
       return grant.isValid() &&
+        context.quarantine.judge(call).type !== "held" &&
         [engine, ...path].every((one) => mayReceive(one.engineId));
     },
     onHead(head) {
--- a/src/logs/events.ts
+++ b/src/logs/events.ts
@@ -174,7 +174,7 @@
   requestConvicted: event(
     "CL1717",
     "error",
-    "Request crashes the upstreams that run it; it is held back",
+    "Request, or part of prompts, crashes the upstreams that run it; it is held back",
   ),
   trialGranted: event(
     "CL1718",
@@ -184,13 +184,18 @@
   casesCleared: event(
     "CL1719",
     "info",
-    "Requests are no longer suspected of crashing upstreams",
+    "Requests or parts of prompts are no longer suspected of crashing upstreams",
   ),
   crashesRefuted: event(
     "CL1734",
     "info",
     "Upstream whose crash was reported still sends heartbeats; the reports are withdrawn",
   ),
+  partsProved: event(
+    "CL1736",
+    "info",
+    "Upstreams ran requests with suspected parts of prompts; the crash reports are withdrawn",
+  ),
   callSent: event("CL1801", "info", "Request was sent to an upstream"),
   callNotRun: event("CL1802", "info", "Upstream did not run the request"),
   callBroken: event("CL1803", "info", "Answer broke off or failed"),
--- a/src/quarantine/constants.ts
+++ b/src/quarantine/constants.ts
@@ -17,10 +17,11 @@
 
 /**
  * Maximum number of cases. One crash under load adds about 40 cases of innocent
- * requests, most of which are cleared within a second. Cases without a conviction and
+ * requests and those of the parts of their prompts, most of which are cleared within a
+ * second. Cases without a conviction and
  * with the fewest crashes are evicted first, and the oldest among equals.
  */
-export const MAX_CASES = 1_000;
+export const MAX_CASES = 2_000;
 
 /** Hold after the first conviction; longer than callers keep retrying. */
 export const FIRST_HOLD_MS = 300_000;
@@ -28,6 +29,18 @@
 /** Upper bound of a hold, however often the request was convicted. */
 export const MAX_HOLD_MS = 3_600_000;
 
+/** Hold after the first conviction of a part of prompts. */
+export const FIRST_PART_HOLD_MS = 600_000;
+
+/**
+ * Factor by which the hold of a part grows with each conviction. The trial after each
+ * hold crashes one more upstream if the part still does: three a day with this factor.
+ */
+export const PART_HOLD_FACTOR = 8;
+
+/** Upper bound of the hold of a part. */
+export const MAX_PART_HOLD_MS = 86_400_000;
+
 /**
  * Heartbeats of an upstream, after its crash was recorded, that show that it runs. The
  * first one may have been sent before the crash.
@@ -40,6 +53,13 @@
 /** Retention of a conviction after the end of its hold. */
 export const CONVICTION_RETENTION_MS = 3_600_000;
 
+/**
+ * Time, in ms, since the last change of its cases after which a request with several
+ * suspects gets its trial. Requests that have only one of them are tried first, as
+ * their result tells the suspects apart.
+ */
+export const JOINT_TRIAL_DELAY_MS = 2_000;
+
 /** Time, from the gateway's request, within which a trial must start. */
 export const TRIAL_START_MS = 5_000;
 
--- a/src/quarantine/record_crashes.ts
+++ b/src/quarantine/record_crashes.ts
@@ -1,5 +1,5 @@
 /**
- * Records reported crashes of upstreams in the cases of requests.
+ * Records reported crashes of upstreams in the cases of requests and parts of prompts.
  *
  * @module
  */
@@ -9,7 +9,13 @@
   MAX_CASE_ENGINES,
   MAX_CASES,
 } from "./constants.ts";
-import type { CrashCase, CrashCases, JudgedReport } from "./types.ts";
+import { isPartKey } from "./get_part_keys.ts";
+import type {
+  CrashCase,
+  CrashCases,
+  CrashReport,
+  JudgedReport,
+} from "./types.ts";
 
 /**
  * Records crash reports in the cases. A crash that a convicted request has caused
@@ -30,8 +36,14 @@
   options: { readonly maxCases?: number } = {},
 ): CrashCases {
   const { maxCases = MAX_CASES } = options;
-  const next = reports.reduce(recordCrash, cases);
-  return next === cases ? cases : evictLeastSuspect(next, maxCases);
+  const draft = new Map(cases);
+  let hasChanged = false;
+  for (const report of reports) {
+    if (!isNewEvidence(draft, report)) continue;
+    recordCrash(draft, report);
+    hasChanged = true;
+  }
+  return hasChanged ? evictLeastSuspect(draft, maxCases) : cases;
 }
 
 /**
@@ -48,15 +60,40 @@
   cases: CrashCases,
   engineId: string,
 ): boolean {
-  return [...cases.values()].some((one) =>
-    one.convictions > 0 && one.engineIds.includes(engineId)
-  );
+  for (const one of cases.values()) {
+    if (one.convictions > 0 && one.engineIds.includes(engineId)) return true;
+  }
+  return false;
+}
+
+/**
+ * Whether a crash report adds to the cases. A run that was sent before earlier crashes
+ * of a part were known is no further evidence against it: upstreams that fail together
+ * all run what many requests share. A part that needs a trial also collects crashes for
+ * which another one was convicted, so that a wrong conviction can be withdrawn.
+ *
+ * @param cases - The cases.
+ * @param report - The report.
+ * @returns Whether it adds to them.
+ * @throws Nothing.
+ * @example
+ * if (isNewEvidence(cases, report)) pendingReports.push(report);
+ */
+export function isNewEvidence(
+  cases: CrashCases,
+  { requestKey, engineId, knownCrashes = Infinity }: CrashReport,
+): boolean {
+  const known = cases.get(requestKey);
+  if (known?.engineIds.includes(engineId)) return false;
+  if (known && knownCrashes < known.engineIds.length) return false;
+  const isRepeated = known && isPartKey(requestKey) && needsTrial(known);
+  return isRepeated || !isCrashAttributed(cases, engineId);
 }
 
 /**
  * Whether a request may run on trial only.
  *
- * @param crashCase - The request's case.
+ * @param crashCase - The case of the request or of a part of its prompt.
  * @returns Whether it may run on trial only.
  * @throws Nothing.
  * @example
@@ -66,36 +103,47 @@
   return crashCase.engineIds.length >= CRASHES_BEFORE_TRIAL;
 }
 
-function recordCrash(cases: CrashCases, report: JudgedReport): CrashCases {
-  const { requestKey, engineId, isTrial } = report;
-  const known = cases.get(requestKey) ??
-    { requestKey, engineIds: [], convictions: 0 };
-  if (known.engineIds.includes(engineId)) return cases;
-  if (isCrashAttributed(cases, engineId)) return cases;
-  const convictions = known.convictions + (isTrial ? 1 : 0);
-  const engineIds = [...known.engineIds, engineId].slice(-MAX_CASE_ENGINES);
-  const next = new Map(cases).set(requestKey, {
+function recordCrash(
+  draft: Map<string, CrashCase>,
+  report: JudgedReport,
+): void {
+  const { requestKey, engineId, isTrial, alsoOnTrial = [] } = report;
+  const known = draft.get(requestKey);
+  const engineIds = [...known?.engineIds ?? [], engineId]
+    .slice(-MAX_CASE_ENGINES);
+  const convictions = (known?.convictions ?? 0) + (isTrial ? 1 : 0);
+  const heldWith = isTrial ? alsoOnTrial.filter(isPartKey) : known?.heldWith;
+  const isJoint = isPartKey(requestKey) && heldWith && heldWith.length > 0;
+  draft.set(requestKey, {
     requestKey,
     engineIds,
     convictions,
+    ...(isJoint ? { heldWith } : {}),
   });
-  return isTrial ? clearOtherCases(next, { requestKey, engineIds }) : next;
+  if (isTrial) {
+    clearOtherCases(draft, { requestKey, engineIds }, alsoOnTrial);
+  }
 }
 
+// A conviction that rests on a crash which is now explained otherwise is withdrawn.
 function clearOtherCases(
-  cases: CrashCases,
+  draft: Map<string, CrashCase>,
   convicted: Pick<CrashCase, "requestKey" | "engineIds">,
-): CrashCases {
-  const next = new Map<string, CrashCase>();
-  for (const [key, one] of cases) {
-    const isOther = key !== convicted.requestKey && one.convictions === 0;
-    const engineIds = isOther
-      ? one.engineIds.filter((id) => !convicted.engineIds.includes(id))
-      : one.engineIds;
-    if (engineIds.length === one.engineIds.length) next.set(key, one);
-    else if (engineIds.length > 0) next.set(key, { ...one, engineIds });
+  alsoOnTrial: readonly string[],
+): void {
+  for (const [key, one] of draft) {
+    if (key === convicted.requestKey || alsoOnTrial.includes(key)) continue;
+    const engineIds = one.engineIds
+      .filter((id) => !convicted.engineIds.includes(id));
+    if (engineIds.length === one.engineIds.length) continue;
+    if (engineIds.length === 0) {
+      draft.delete(key);
+      continue;
+    }
+    const isNewestKept = engineIds.at(-1) === one.engineIds.at(-1);
+    const convictions = Math.max(0, one.convictions - (isNewestKept ? 0 : 1));
+    draft.set(key, { ...one, engineIds, convictions });
   }
-  return next;
 }
 
 // The sort is stable, so that the oldest of equal cases come first.
--- a/src/quarantine/refute_crashes.ts
+++ b/src/quarantine/refute_crashes.ts
@@ -37,5 +37,17 @@
   const next = new Map<string, CrashCase>(cases);
   if (engineIds.length === 0) next.delete(requestKey);
   else next.set(requestKey, { ...known, engineIds, convictions });
+  if (convictions === 0) removeFromJointConvictions(next, requestKey);
   return next;
 }
+
+function removeFromJointConvictions(
+  cases: Map<string, CrashCase>,
+  cleared: string,
+): void {
+  for (const [key, one] of cases) {
+    if (!one.heldWith?.includes(cleared)) continue;
+    const heldWith = one.heldWith.filter((other) => other !== cleared);
+    cases.set(key, { ...one, heldWith });
+  }
+}
