Probe an upstream again that was found listening

Callers would see an upstream's crash go uncounted: when a single stream breaks, its upstream is probed and found listening, and for the next half second all streams that break there shared that result. A crash within this time was no crash to the quarantine.

The test fails before: the second check says listening. Now only the end of an upstream is shared after the probe; streams that break together share the probe under way.

--- a/src/gateway/create_liveness_check.ts
+++ b/src/gateway/create_liveness_check.ts
@@ -40,7 +40,10 @@
  */
 const PROBE_TIMEOUT_MS = 200;
 
-/** Time, in ms, for which a result is shared by streams that broke together. */
+/**
+ * Time, in ms, for which a result is shared by streams that broke together. Only the
+ * end of an upstream is shared after the probe: one that listened may crash at once.
+ */
 const RESULT_TTL_MS = 500;
 
 /**
@@ -92,7 +95,12 @@
       const cached = recentChecks.get(engineId);
       if (cached) return cached.answer;
       const answer = checkNow(upstream);
-      recentChecks.set(engineId, { atMs: now(), answer });
+      const check = { atMs: now(), answer };
+      recentChecks.set(engineId, check);
+      void answer.then((liveness) => {
+        if (liveness !== "listening") return;
+        if (recentChecks.get(engineId) === check) recentChecks.delete(engineId);
+      });
       return answer;
     },
   };
--- a/src/gateway/create_liveness_check_test.ts
+++ b/src/gateway/create_liveness_check_test.ts
@@ -50,6 +50,19 @@
   assert.is(probed.length, 2);
 });
 
+test("an upstream that was found listening is probed again when it crashes soon after", async () => {
+  const results = ["listening", "ended"] as const;
+  let probes = 0;
+  const checks = createLivenessCheck({
+    now: () => 0,
+    probe: () => Promise.resolve(results[probes++]),
+  });
+  const upstream = { engineId: "e1", address: "h:1" };
+  const first = await Promise.all([1, 2].map(() => checks.check(upstream)));
+  assert.equal(first, ["listening", "listening"]);
+  assert.is(await checks.check(upstream), "ended");
+});
+
 test("a refusal proves nothing where other upstreams can't be reached either", async () => {
   const createCheck = (reaches: boolean) =>
     createLivenessCheck({
