Tell an unframed answer that ended from one cut off by a crash

Callers could get a part of an answer as a whole one: an answer with neither a length nor chunks ends with its connection, and so does one whose upstream crashes between two events. The stream was closed as complete, and its request counted as proved harmless for 30 s.

Cause: the end of the connection was taken for the end of the answer.

Change: where such an answer ends, its upstream is probed; if it refuses connections, the run broke off, and is resumed, retried or failed as any other. It costs one connection for each such answer, whose own connection is used once anyway.

Not covered: an upstream that crashes and is back, or goes silent, before the probe.

--- a/src/gateway/classify_peer_answer_test.ts
+++ b/src/gateway/classify_peer_answer_test.ts
@@ -12,6 +12,7 @@
     headers: [],
     requestId: "r",
     isSigned: false,
+    endsWithConnection: false,
     reportsNotRun: false,
     faultAddress: undefined,
     load: undefined,
--- a/src/gateway/create_upstream_transport_test.ts
+++ b/src/gateway/create_upstream_transport_test.ts
@@ -17,6 +17,7 @@
     headers: [],
     requestId: String(headers["x-id"] ?? ""),
     isSigned: true,
+    endsWithConnection: false,
     reportsNotRun: false,
     isLeaving: headers["x-leaving"] !== undefined,
     faultAddress: undefined,
--- a/src/gateway/protocol.ts
+++ b/src/gateway/protocol.ts
@@ -73,6 +73,8 @@
   readonly requestId: string;
   /** Whether the upstream signed the answer as its own. */
   readonly isSigned: boolean;
+  /** Whether the body ends with the connection, as it has neither length nor chunks. */
+  readonly endsWithConnection: boolean;
   /** Whether the upstream reports that it did not run the request. */
   readonly reportsNotRun: boolean;
   /** Address of the upstream at fault, if that is another one. */
--- a/src/gateway/start_call_exchange.ts
+++ b/src/gateway/start_call_exchange.ts
@@ -4,7 +4,11 @@
  * @module
  */
 
-import type { Exchange, ExchangeOptions } from "./create_upstream_transport.ts";
+import type {
+  Exchange,
+  ExchangeEnd,
+  ExchangeOptions,
+} from "./create_upstream_transport.ts";
 import type { SendGrant } from "./create_rate_limits.ts";
 import type { AddressedPart } from "./protocol.ts";
 import type { Call, ServingContext } from "./types.ts";
@@ -59,6 +63,7 @@
     context,
     () => exchange.abort("cut off"),
   );
+  let endsWithConnection = false;
   const sentMs = context.now();
   const remainingMs = Math.floor(call.deadlineMs - sentMs);
   const exchange = context.upstreamTransport.start({
@@ -85,6 +90,7 @@
     onHead(head) {
       reachability.noteReceived(call.service);
       const { limitPerS } = head;
+      endsWithConnection = head.endsWithConnection;
       // A rejection may come from a proxy in front of the engine, which knows no limit.
       if (limitPerS !== undefined && !head.reportsNotRun) {
         rateLimits.noteAnswer(engineId, { limitPerS, sentMs });
@@ -100,12 +106,25 @@
       connecting[Symbol.dispose]();
       reportSendEnd({ isAccepted: false });
       if (end.type === "notSent" || end.type === "withheld") grant.release();
-      options.onEnd(end);
+      if (end.type !== "complete" || !endsWithConnection) {
+        return options.onEnd(end);
+      }
+      void checkEnd(context, engine).then(options.onEnd);
     },
   });
   return exchange;
 }
 
+// A crash closes the connection just as the end of such an answer does.
+async function checkEnd(
+  { livenessCheck }: Pick<ServingContext, "livenessCheck">,
+  engine: Pick<AddressedPart, "engineId" | "address">,
+): Promise<ExchangeEnd> {
+  return await livenessCheck.check(engine) === "ended"
+    ? { type: "broken", reason: "upstream ended with its answer" }
+    : { type: "complete" };
+}
+
 // Upstreams treat all requests without a priority alike.
 function getSentPriority({ rank, rankCount }: Call): number | undefined {
   return rankCount > 1 ? Math.min(MAX_SENT_PRIORITY, rank) : undefined;
--- a/standins/start_layer_engine.ts
+++ b/standins/start_layer_engine.ts
@@ -25,6 +25,10 @@
   dropsAnswers?: boolean;
   /** Answers plain requests with the id of another one. */
   swapsIds?: boolean;
+  /** Sends answers with neither a length nor chunks; they end with the connection. */
+  omitsFraming?: boolean;
+  /** Closes its connections in order when it crashes, as if its answers had ended. */
+  closesOnCrash?: boolean;
   /** Accepts requests and never answers. */
   hangs?: boolean;
   /** Rejects all requests as full. */
@@ -290,6 +294,10 @@
       wasCut: false,
     };
     runs.push(run);
+    if (fault.omitsFraming) {
+      response.useChunkedEncodingByDefault = false;
+      response.shouldKeepAlive = false;
+    }
     response.on("close", () => {
       run.wasCut = !response.writableFinished;
     });
@@ -311,7 +319,7 @@
     response.writeHead(200, {
       [HEADER.requestId]: id,
       [HEADER.signature]: "s",
-      "content-length": text.length,
+      ...(fault.omitsFraming ? {} : { "content-length": text.length }),
     }).end(text);
   }
 
@@ -360,7 +368,10 @@
   }
 
   function endConnections(): void {
-    for (const socket of sockets) socket.resetAndDestroy();
+    for (const socket of sockets) {
+      if (fault.closesOnCrash) socket.destroySoon();
+      else socket.resetAndDestroy();
+    }
   }
 
   async function stream(
