Convict a part that upstreams ran before by its second trial

Cause: one crash on trial was taken as proof, whatever was known of the part. Change: gateways name suspect parts with which upstreams ran requests before; such a part is convicted by a second trial that crashes another upstream. A part that never ran anywhere, as one that is deadly from its first request, still needs one.

--- a/proof/crash_soak.ts
+++ b/proof/crash_soak.ts
@@ -8,6 +8,7 @@
 import {
   MAX_CRASHES,
   MAX_LATE_CRASHES,
+  MAX_PART_CRASHES,
 } from "../test/support/crash_soak_limits.ts";
 import { runCrashSoak } from "../test/support/run_crash_soak.ts";
 import { runSeeds } from "./play_seeds.ts";
@@ -19,5 +20,6 @@
   isBad: (report) =>
     report.wronglyHeld + report.spoilt + report.ranTwice > 0 ||
     report.lateEnds > MAX_LATE_CRASHES ||
+    report.endsByPart > MAX_PART_CRASHES ||
     Object.values(report.endsByBody).some((ends) => ends > MAX_CRASHES),
 });
--- a/src/fleet/create_quarantine_coordinator.ts
+++ b/src/fleet/create_quarantine_coordinator.ts
@@ -43,6 +43,7 @@
   readonly crashes?: readonly CrashReport[];
   readonly proved?: readonly string[];
   readonly provedParts?: readonly CrashReport[];
+  readonly partsRunBefore?: readonly string[];
   readonly trialsEnded?: readonly string[];
 }
 
@@ -98,6 +99,10 @@
     string,
     { readonly crashCase: CrashCase; readonly changedMs: number }
   >();
+  // Suspected parts that upstreams ran without a crash before they were suspected.
+  const partsRunBefore = new Set<string>();
+  // The upstream that crashed in the first trial of such a part.
+  const firstTrialEngineIds = new Map<string, string>();
   // Heartbeats since a crash was recorded, by upstream and by request.
   let heartbeatCounts = new Map<string, Map<string, number>>();
   let published: CrashCases = new Map();
@@ -160,27 +165,44 @@
     const ownTrial = isOfTrial && trial?.vm === vm ? trial : undefined;
     pendingReports.set(formatReportKey(report), {
       ...report,
-      ...judge(requestKey, ownTrial),
+      ...judge(report, ownTrial),
     });
   }
 
   // Where the request itself is a suspect, its crash says nothing of the parts.
   function judge(
-    requestKey: string,
+    { requestKey, engineId }: CrashReport,
     trial: Trial | undefined,
   ): Pick<JudgedReport, "isTrial" | "alsoOnTrial"> {
     const [first, ...others] = trial?.requestKeys ?? [];
     if (first === undefined) return { isTrial: false };
     if (requestKey !== first && !isPartKey(first)) return { isTrial: false };
+    if (needsSecondTrial(requestKey, engineId)) return { isTrial: false };
     if (others.length === 0) return { isTrial: true };
     const alsoOnTrial = [first, ...others].filter((key) => key !== requestKey);
     return { isTrial: true, alsoOnTrial };
   }
 
+  // The upstream of a trial may also crash for another reason. A part that upstreams ran
+  // before is shared by many requests, which a wrong conviction would hold back.
+  function needsSecondTrial(requestKey: string, engineId: string): boolean {
+    if (!partsRunBefore.has(requestKey)) return false;
+    const firstEngineId = firstTrialEngineIds.get(requestKey) ?? engineId;
+    firstTrialEngineIds.set(requestKey, firstEngineId);
+    return firstEngineId === engineId;
+  }
+
+  function dropTrialRecords(requestKey: string): void {
+    partsRunBefore.delete(requestKey);
+    firstTrialEngineIds.delete(requestKey);
+  }
+
   function trackChanges(): void {
     const cases = getCases();
     for (const key of trackedCases.keys()) {
-      if (!cases.has(key)) trackedCases.delete(key);
+      if (cases.has(key)) continue;
+      trackedCases.delete(key);
+      dropTrialRecords(key);
     }
     for (const [key, crashCase] of cases) {
       if (trackedCases.get(key)?.crashCase !== crashCase) {
@@ -288,7 +310,10 @@
   return {
     take(vm, reports) {
       const { crashes = [], proved = [], provedParts = [] } = reports;
-      const { trialsEnded = [] } = reports;
+      const { trialsEnded = [], partsRunBefore: ranBefore = [] } = reports;
+      for (const key of ranBefore) {
+        if (getCases().has(key)) partsRunBefore.add(key);
+      }
       removeEndedTrials();
       // Crash reports first: a crash must still be matched with its trial run before
       // the end of the trial is handled.
--- a/src/fleet/create_quarantine_coordinator_test.ts
+++ b/src/fleet/create_quarantine_coordinator_test.ts
@@ -255,4 +255,20 @@
   assert.is(coordinator.grantTrial("g1", request), "e3");
 });
 
+test("a part that upstreams ran before is convicted by its second trial only", async () => {
+  const { coordinator, machine, reportPart } = startCoordinator();
+  await reportPart("g1", "e1", 0);
+  coordinator.take("g2", { partsRunBefore: [PART] });
+  await reportPart("g1", "e2", 1);
+  const tryOn = (engineId: string) =>
+    coordinator.grantTrial("g1", { requestKey: PART, engineIds: [engineId] });
+  assert.is(tryOn("e3"), "e3");
+  await reportPart("g1", "e3", 2);
+  assert.is(machine.getCases().get(PART)?.convictions, 0);
+  coordinator.take("g1", { trialsEnded: [PART] });
+  assert.is(tryOn("e4"), "e4");
+  await reportPart("g1", "e4", 3);
+  assert.is(machine.getCases().get(PART)?.convictions, 1);
+});
+
 test.run();
--- a/src/fleet/messages.ts
+++ b/src/fleet/messages.ts
@@ -139,6 +139,8 @@
      * since; absent if none.
      */
     readonly provedParts?: readonly CrashReport[];
+    /** Suspected parts that upstreams ran earlier without a crash; absent if none. */
+    readonly partsRunBefore?: readonly string[];
     /** Requests whose trial run on this gateway has ended; absent if none. */
     readonly trialsEnded?: readonly string[];
     /** Suspected requests for which it requests a trial run; absent if none. */
--- a/src/gateway/create_quarantine.ts
+++ b/src/gateway/create_quarantine.ts
@@ -50,6 +50,7 @@
   readonly crashes?: readonly CrashReport[];
   readonly proved?: readonly string[];
   readonly provedParts?: readonly CrashReport[];
+  readonly partsRunBefore?: readonly string[];
   readonly trialsEnded?: readonly string[];
   readonly trialsWanted?: readonly TrialRequest[];
 }
@@ -135,6 +136,9 @@
 /** Most cleared requests kept; the oldest are dropped first. */
 const MAX_PROOFS = 2_000;
 
+/** Most parts of prompts kept that upstreams have run; the oldest are dropped first. */
+const MAX_PARTS_RUN = 2_000;
+
 /** Time, in ms, for which a trial request is sent to the leader. */
 const TRIAL_REQUEST_TTL_MS = 300;
 
@@ -166,6 +170,8 @@
   const proofs = new Map<string, number>();
   // Latest time at which an upstream began to answer a suspected part and didn't crash.
   const partProofs = new Map<string, number>();
+  const partsRun = new Map<string, true>();
+  let partsRunBefore = new Set<string>();
   const heldListeners = new Map<() => void, QuarantineSubject>();
   const trialRequests = new Map<
     string,
@@ -314,6 +320,9 @@
       if (isPartKey(key)) onTrialUntilMs.delete(key);
     }
     reports = reports.filter((one) => !cleared.includes(one.requestKey));
+    for (const { requestKey } of cases) {
+      if (partsRun.has(requestKey)) partsRunBefore.add(requestKey);
+    }
     if (cases.some(({ heldMs }) => heldMs > 0)) notifyHeld();
     // The leader learns at once that a request suspected elsewhere is harmless.
     if (cases.some((one) => isProved(one.requestKey))) notifyLeader();
@@ -366,6 +375,11 @@
       if (knownCases.has(requestKey)) notifyLeader();
     },
     notePartsProved(partKeys, begunMs) {
+      for (const key of partKeys) {
+        partsRun.delete(key);
+        partsRun.set(key, true);
+      }
+      evictOldest(partsRun, MAX_PARTS_RUN);
       const isSuspected = (key: string) =>
         knownCases.has(key) || reports.some((one) => one.requestKey === key);
       for (const key of partKeys.filter(isSuspected)) {
@@ -449,10 +463,13 @@
       const trialsWanted = listTrialRequests();
       const ended = [...trialsEnded];
       trialsEnded = new Set();
+      const ranBefore = [...partsRunBefore];
+      partsRunBefore = new Set();
       return {
         ...(crashes.length > 0 ? { crashes } : {}),
         ...(proved.length > 0 ? { proved } : {}),
         ...(provedParts.length > 0 ? { provedParts } : {}),
+        ...(ranBefore.length > 0 ? { partsRunBefore: ranBefore } : {}),
         ...(ended.length > 0 ? { trialsEnded: ended } : {}),
         ...(trialsWanted.length > 0 ? { trialsWanted } : {}),
       };
--- a/src/gateway/create_quarantine_test.ts
+++ b/src/gateway/create_quarantine_test.ts
@@ -207,7 +207,7 @@
   publish([makeCase({ requestKey: PART, engineIds: ["e2", "e3", "e4"] })]);
   assert.is(quarantine.judge(asked("r", [PART])).type, "trial");
   publish([], [PART]);
-  assert.equal(quarantine.collectUpdate(), {});
+  assert.is(quarantine.collectUpdate().provedParts, undefined);
 });
 
 test("a new leader's list does not make known crashes newer", () => {
@@ -262,4 +262,18 @@
   assert.equal(list(["part:c3"]), []);
 });
 
+test("a suspect part that upstreams ran here before is named to each leader once", () => {
+  const { quarantine, publish } = start();
+  quarantine.notePartsProved([PART], 0);
+  assert.equal(quarantine.collectUpdate(), {});
+  publish([
+    makeCase({ requestKey: PART }),
+    makeCase({ requestKey: OTHER_PART }),
+  ]);
+  assert.equal(quarantine.collectUpdate().partsRunBefore, [PART]);
+  assert.is(quarantine.collectUpdate().partsRunBefore, undefined);
+  quarantine.replaceCases([makeCase({ requestKey: PART })]);
+  assert.equal(quarantine.collectUpdate().partsRunBefore, [PART]);
+});
+
 test.run();
--- a/test/crash_soak_test.ts
+++ b/test/crash_soak_test.ts
@@ -5,7 +5,11 @@
 
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { MAX_CRASHES, MAX_LATE_CRASHES } from "./support/crash_soak_limits.ts";
+import {
+  MAX_CRASHES,
+  MAX_LATE_CRASHES,
+  MAX_PART_CRASHES,
+} from "./support/crash_soak_limits.ts";
 import { runCrashSoak } from "./support/run_crash_soak.ts";
 
 for (const seed of [29, 30]) {
@@ -16,6 +20,7 @@
       assert.ok(ends <= MAX_CRASHES, details);
     }
     assert.ok(report.lateEnds <= MAX_LATE_CRASHES, details);
+    assert.ok(report.endsByPart <= MAX_PART_CRASHES, details);
     assert.is(report.wronglyHeld, 0, details);
     assert.is(report.spoilt, 0, details);
     assert.is(report.ranTwice, 0, details);
--- a/test/support/crash_soak_limits.ts
+++ b/test/support/crash_soak_limits.ts
@@ -10,5 +10,8 @@
  */
 export const MAX_CRASHES = 7;
 
+/** Engines that requests with one part may crash: the target of five. */
+export const MAX_PART_CRASHES = 5;
+
 /** Engines that may crash after three crashes are known to all: that of the trial. */
 export const MAX_LATE_CRASHES = 1;
--- a/test/support/run_crash_soak.ts
+++ b/test/support/run_crash_soak.ts
@@ -1,6 +1,6 @@
 /**
- * Soak test of the quarantine: some requests crash every engine that runs them, under
- * random faults. Checks which requests are held back, how many engines crash, and
+ * Soak test of the quarantine: some requests crash every engine that runs them, and so
+ * do all that have a certain part in their prompts, under random faults. Checks which requests are held back, how many engines crash, and
  * that other requests are answered correctly.
  *
  * @module
@@ -8,7 +8,7 @@
 
 import { setTimeout as sleep } from "node:timers/promises";
 import { createRandomSource } from "../../proof/random_source.ts";
-import type { LayerEngine } from "../../standins/index.ts";
+import type { EngineCrash, LayerEngine } from "../../standins/index.ts";
 import {
   call,
   type CallAnswer,
@@ -31,6 +31,10 @@
   readonly endsByBody: Readonly<Record<string, number>>;
   /** Crashes after three crashes had to be known to all; the highest of all bodies. */
   readonly lateEnds: number;
+  /** Number of engine crashes by requests with the crashing part. */
+  readonly endsByPart: number;
+  /** Those of them after five crashes had to be known to all. */
+  readonly lateEndsByPart: number;
   readonly asked: number;
   readonly served: number;
   /** Harmless requests that were convicted. */
@@ -46,9 +50,22 @@
 /** Ms between two harmless requests. */
 const REQUEST_INTERVAL_MS = 15;
 
-/** Ms after the third crash until all know of it; covers a leader change. */
+/** Ms after the third crash, the fifth one of a part, until all know of it; covers a leader change. */
 const PROPAGATION_MS = 2_000;
 
+/** Part of prompts that crashes every engine that begins to answer it. */
+const CRASHING_PART = "dead0001";
+
+/** Parts of harmless prompts: one of all requests, and one of some. */
+const FIRST_PART = "0f";
+const SHARED_PARTS = 12;
+
+/** Offset of the seed from which what concerns parts of prompts is drawn. */
+const PART_SEED_OFFSET = 1_000_000;
+
+/** Crashes of a part after which no request with it should reach an engine. */
+const KNOWN_PART_CRASHES = 5;
+
 /** Requests that crash every engine that runs them. */
 const CRASHING_REQUESTS = [
   { path: "/stream/1", body: "bad stream" },
@@ -68,12 +85,16 @@
   { seed, lengthMs }: RunCrashSoakOptions,
 ): Promise<CrashSoakReport> {
   const { number: random } = createRandomSource(seed);
+  // Draws of its own, so that all others stay as they are for a seed.
+  const { number: partRandom } = createRandomSource(seed + PART_SEED_OFFSET);
   await using fleet = await startServingFleet();
   for (const place of ["p1", "p1", "p2", "p2"]) await fleet.addEngine(place);
   for (let at = 0; at < 3; at++) await fleet.addPlainEngine();
   const all = [...fleet.engines, ...fleet.plain];
   for (const { fault } of all) {
     fault.crashesOnBodies = CRASHING_REQUESTS.map(({ body }) => body);
+    fault.crashesOnParts = [CRASHING_PART];
+    fault.changesIdOnRestart = partRandom() < 0.5;
     fault.restartsAfterMs = 400 + Math.floor(random() * 800);
   }
   const endMs = performance.now() + lengthMs;
@@ -95,7 +116,8 @@
     const path = ["/stream/1", "/stream/2", "/safe/1", "/once/1"][at % 4];
     const body = at % 3 === 0 ? "asked by many" : `asked once: ${seed} ${at}`;
     tally.asked += 1;
-    const answer = await sendRequest(chooseGateway(), { path, body });
+    const parts = makeParts(at, partRandom);
+    const answer = await sendRequest(chooseGateway(), { path, body, parts });
     if (answer === undefined) return;
     if (answer.text.includes("held_back")) tally.wronglyHeld += 1;
     if (answer.text.includes("awaits_trial")) tally.awaitedTrial += 1;
@@ -119,6 +141,19 @@
     }
   }
 
+  async function sendCrashingParts(): Promise<void> {
+    await sleep(lengthMs * 0.2 * partRandom());
+    for (let at = 0; !isOver(); at++) {
+      const path = partRandom() < 0.8 ? "/stream/1" : "/safe/1";
+      const parts = makeParts(at, partRandom);
+      const place = Math.floor(partRandom() * parts.length);
+      parts.splice(place, 0, CRASHING_PART);
+      const body = `bad part: ${seed} ${at}`;
+      void sendRequest(chooseGateway(), { path, body, parts });
+      await sleep(100 + partRandom() * 500);
+    }
+  }
+
   async function restartEngines(): Promise<void> {
     while (!isOver()) {
       await sleep(300 + random() * 1_200);
@@ -145,6 +180,7 @@
     sendHarmlessRequests(),
     restartEngines(),
     maybeStopLeader(),
+    sendCrashingParts(),
     ...CRASHING_REQUESTS.map(sendCrashing),
   ]);
   return {
@@ -155,9 +191,15 @@
   };
 }
 
+/** Makes the parts of a harmless prompt, the last of which no other one has. */
+function makeParts(at: number, random: () => number): string[] {
+  const shared = Math.floor(random() * SHARED_PARTS).toString(16);
+  return [FIRST_PART, `b${shared}`, `c${at.toString(16)}`];
+}
+
 async function sendRequest(
   address: string,
-  options: { path: string; body: string },
+  options: { path: string; body: string; parts?: readonly string[] },
 ): Promise<(CallAnswer & { requestId: string }) | undefined> {
   // A connection that breaks is a visible failure: it isn't counted as an answer.
   return await call(address, { ...options, deadlineMs: 2_000 })
@@ -166,16 +208,20 @@
 
 function countCrashes(
   engines: readonly LayerEngine[],
-): Pick<CrashSoakReport, "endsByBody" | "lateEnds"> {
+): Pick<
+  CrashSoakReport,
+  "endsByBody" | "lateEnds" | "endsByPart" | "lateEndsByPart"
+> {
   const crashes = engines.flatMap((engine) => engine.crashes);
   const perBody = CRASHING_REQUESTS.map(({ body }) => {
-    const timesMs = crashes.filter((one) => one.body === body)
-      .map(({ atMs }) => atMs).sort((a, b) => a - b);
-    const propagatedMs = (timesMs[2] ?? Infinity) + PROPAGATION_MS;
-    const late = timesMs.filter((atMs) => atMs > propagatedMs).length;
-    return { body, count: timesMs.length, late };
+    const matching = crashes.filter((one) => one.body === body);
+    return { body, ...countLate(matching, 3) };
   });
+  const ofPart = crashes.filter((one) => one.part === CRASHING_PART);
+  const byPart = countLate(ofPart, KNOWN_PART_CRASHES);
   return {
+    endsByPart: byPart.count,
+    lateEndsByPart: byPart.late,
     endsByBody: Object.fromEntries(
       perBody.map(({ body, count }) => [body, count]),
     ),
@@ -183,6 +229,17 @@
   };
 }
 
+/** Counts crashes, and those after the first few had to be known to all. */
+function countLate(
+  crashes: readonly EngineCrash[],
+  knownCount: number,
+): { count: number; late: number } {
+  const timesMs = crashes.map(({ atMs }) => atMs).sort((a, b) => a - b);
+  const propagatedMs = (timesMs[knownCount - 1] ?? Infinity) + PROPAGATION_MS;
+  const late = timesMs.filter((atMs) => atMs > propagatedMs).length;
+  return { count: timesMs.length, late };
+}
+
 function countRepeatedRuns(engines: readonly LayerEngine[]): number {
   const ids = engines.flatMap((engine) => engine.runs)
     .filter((run) => run.target.startsWith("/once/"))
