Refuse convicted requests before they are forwarded, and count every trial

Callers whose requests a cut-off gateway passes on waited for another gateway to refuse what was already held back. And the crash of a trial counted for nothing where another crash of the same part became known between the grant and the end of the trial, which would cost one more upstream.

Both found by reading the change. The trial's test fails before; the forwarding has no test of its own.

--- a/src/gateway/create_quarantine.ts
+++ b/src/gateway/create_quarantine.ts
@@ -423,10 +423,12 @@
         recentSends = [...fresh, { suspectKeys, engineId, atMs: now() }];
       }
       const { requestKey, partKeys } = subject;
+      // A trial is evidence of its own, whatever becomes known while it runs.
+      const isTrial = listKeys(subject).some(isOnTrial);
       const partReports = partKeys.map((key) => ({
         requestKey: key,
         engineId,
-        knownCrashes: listCrashedUpstreams(key).length,
+        ...(isTrial ? {} : { knownCrashes: listCrashedUpstreams(key).length }),
       }));
       return [{ requestKey, engineId }, ...partReports];
     },
--- a/src/gateway/create_quarantine_test.ts
+++ b/src/gateway/create_quarantine_test.ts
@@ -276,4 +276,23 @@
   assert.equal(quarantine.collectUpdate().partsRunBefore, [PART]);
 });
 
+test("the crash of a trial counts, whatever became known after it was sent", () => {
+  const { quarantine, publish } = start();
+  publish([makeCase({ requestKey: PART })]);
+  const request = { requestKey: PART, engineIds: ["e4"] };
+  quarantine.takeTrial(request);
+  quarantine.addTrialGrant({
+    type: "trial",
+    requestKey: PART,
+    engineId: "e4",
+    askedMs: 0,
+  });
+  assert.is(quarantine.takeTrial(request), "e4");
+  const sent = quarantine.noteSent(asked("r", [PART]), "e4");
+  publish([makeCase({ requestKey: PART, engineIds: ["e1", "e2", "e3"] })]);
+  sent.forEach(quarantine.noteCrash);
+  const reported = quarantine.collectUpdate().crashes ?? [];
+  assert.ok(reported.some((one) => one.requestKey === PART));
+});
+
 test.run();
--- a/src/gateway/create_run_permit.ts
+++ b/src/gateway/create_run_permit.ts
@@ -40,6 +40,8 @@
     /** Longest wait, in ms, for a trial; `MAX_TRIAL_WAIT_MS` by default. */
     readonly maxTrialWaitMs?: number;
   }): PermitDecision;
+  /** Why the call may not be sent, if it is held back. */
+  getHold(): HeldDecision | undefined;
   /**
    * Records that the call was sent to an upstream; returns what to report if the
    * upstream crashes just after it has begun the call.
@@ -114,7 +116,15 @@
     trialEngineId = undefined;
   }
 
+  function getHold(): HeldDecision | undefined {
+    const verdict = quarantine.judge(call);
+    return verdict.type === "held"
+      ? { ...verdict, reason: "held_back" }
+      : undefined;
+  }
+
   return {
+    getHold,
     request({ excluded, maxTrialWaitMs = MAX_TRIAL_WAIT_MS }) {
       const verdict = quarantine.judge(call);
       if (verdict.type === "held") return { ...verdict, reason: "held_back" };
--- a/src/gateway/serve_plain_call.ts
+++ b/src/gateway/serve_plain_call.ts
@@ -13,6 +13,7 @@
 import type { Exchange, ExchangeEnd } from "./create_upstream_transport.ts";
 import {
   createRunPermit,
+  type HeldDecision,
   PERMIT_POLL_MS,
   refuseHeldCall,
 } from "./create_run_permit.ts";
@@ -139,10 +140,7 @@
       if (reachability.getSendMode(service) === "none") return forward();
       const maxTrialWaitMs = runCount > 0 ? Infinity : undefined;
       const answer = permit.request({ excluded, maxTrialWaitMs });
-      if (answer.type === "held") {
-        const hasRun = runCount > 0;
-        return refuseHeldCall(call, context, { callEnd, held: answer, hasRun });
-      }
+      if (answer.type === "held") return endHeld(answer);
       if (answer.type === "wait") return waitForPermit();
       const { trialEngineId } = answer;
       const retryAfterMs = isAdmitted ? undefined : admitCall(call, context);
@@ -166,6 +164,11 @@
       send(engine, grant);
     }
 
+    function endHeld(held: HeldDecision): void {
+      const hasRun = runCount > 0;
+      refuseHeldCall(call, context, { callEnd, held, hasRun });
+    }
+
     function retry(): void {
       permit.noteRunEnd();
       next();
@@ -210,6 +213,8 @@
 
     // The upstreams can't be reached from here, so another gateway has to send the call.
     function forward(): void {
+      const held = permit.getHold();
+      if (held) return endHeld(held);
       const peer = request.forwardedBy === undefined && sendCount < sendLimit
         ? context.peers.choose(service, { excluded: excludedPeers })
         : undefined;
--- a/src/gateway/serve_stream_call.ts
+++ b/src/gateway/serve_stream_call.ts
@@ -179,9 +179,8 @@
     // An upstream that has not begun the run yet is spared by closing its connection.
     const stopHeldListening = context.quarantine.onHeld(call, () => {
       if (!run || run.hasBegun) return;
-      const held = permit.request({ excluded });
-      if (held.type !== "held") return;
-      refuseHeldCall(call, context, { callEnd, held, hasRun: true });
+      const held = permit.getHold();
+      if (held) refuseHeldCall(call, context, { callEnd, held, hasRun: true });
     });
 
     function hasRun(): boolean {
@@ -269,6 +268,8 @@
 
     // The upstreams can't be reached from here, so another gateway has to send the call.
     function forward(): void {
+      const held = permit.getHold();
+      if (held) return endHeld(held);
       capacityWait.end();
       const peer = request.forwardedBy === undefined
         ? context.peers.choose(service, { excluded: excludedPeers })
