--- a/src/gateway/create_quarantine.ts
+++ b/src/gateway/create_quarantine.ts
@@ -159,7 +159,7 @@
  * @returns The quarantine.
  * @throws Nothing.
  * @example
- * const verdict = quarantine.judge(call.requestKey);
+ * const verdict = quarantine.judge(call);
  */
 export function createQuarantine(
   options: CreateQuarantineOptions,
--- a/test/crashing_part_test.ts
+++ b/test/crashing_part_test.ts
@@ -17,6 +17,7 @@
   stopLeader,
   type TestFleet,
 } from "./support/fleet.ts";
+import { repeatCalls } from "./support/repeat_calls.ts";
 
 /** Most engines that requests with one part may crash, whichever gateways get them. */
 const MAX_CRASHES = 5;
@@ -79,27 +80,17 @@
 
 /** Sends harmless requests that share the other parts, until stopped. */
 function startHarmlessCalls(fleet: TestFleet, path: string) {
-  const state = { asked: 0, served: 0, heldBack: 0, isOver: false };
-  async function callOnce(at: number): Promise<void> {
+  const state = { served: 0, heldBack: 0 };
+  const calls = repeatCalls(async (at) => {
     const parts = [FIRST_PART, `b${at % 4}`, `c${at % 12}`];
     const answer = await tryCall(fleet, { path, parts });
     if (answer?.text === expectStream()) state.served += 1;
     if (answer?.text.includes("held_back")) state.heldBack += 1;
-  }
-  async function callUntilOver(): Promise<void> {
-    const running: Promise<void>[] = [];
-    while (!state.isOver) {
-      running.push(callOnce(state.asked++));
-      await sleep(25);
-    }
-    await Promise.all(running);
-  }
-  const calling = callUntilOver();
+  });
   return {
     async stop() {
-      state.isOver = true;
-      await calling;
-      return state;
+      const asked = await calls.stop();
+      return { asked, ...state };
     },
   };
 }
--- a/test/crashing_request_test.ts
+++ b/test/crashing_request_test.ts
@@ -22,6 +22,7 @@
   stopLeader,
   type TestFleet,
 } from "./support/fleet.ts";
+import { repeatCalls } from "./support/repeat_calls.ts";
 
 /** Most engines that one request may crash, whichever gateway receives it. */
 const MAX_CRASHES = 3;
@@ -89,27 +90,17 @@
   fleet: TestFleet,
   options: { readonly path: string; readonly getBody: (at: number) => string },
 ): { stop(): Promise<{ asked: number; completed: number }> } {
-  const state = { asked: 0, completed: 0, isOver: false };
-  async function callOnce(at: number): Promise<void> {
+  let completed = 0;
+  const calls = repeatCalls(async (at) => {
     const { address } = fleet.gateways[at % fleet.gateways.length];
     const body = options.getBody(at);
     const answer = await tryCall(address, { path: options.path, body });
-    if (answer?.text === expectStream()) state.completed += 1;
-  }
-  async function callUntilOver(): Promise<void> {
-    const running: Promise<void>[] = [];
-    while (!state.isOver) {
-      running.push(callOnce(state.asked++));
-      await sleep(25);
-    }
-    await Promise.all(running);
-  }
-  const calling = callUntilOver();
+    if (answer?.text === expectStream()) completed += 1;
+  });
   return {
     async stop() {
-      state.isOver = true;
-      await calling;
-      return state;
+      const asked = await calls.stop();
+      return { asked, completed };
     },
   };
 }
