Convict no part for a crash that another suspect may have caused

As all crashing requests have that part too, nothing would have shown the mistake before the hold ended.

Cause: the trial of the shared part ran on an upstream where a crashing request, sent before it was restricted, had begun as well. Its report was dropped at the gateway as outdated, and the leader took the trial for the only suspect there.

Change: outdated reports are sent once; they count for nothing but tell what had begun at the upstream. Where other parts are under as much suspicion, the crash of a trial is decided 80 ms later, and convicts nothing if one of them was there. A part that shares crashes with another suspect needs a second trial, like one that ran before.

--- a/src/fleet/create_quarantine_coordinator.ts
+++ b/src/fleet/create_quarantine_coordinator.ts
@@ -5,6 +5,7 @@
  * @module
  */
 
+import { evictOldest } from "../collections/index.ts";
 import type { Logger } from "../logs/index.ts";
 import {
   CONVICTION_RETENTION_MS,
@@ -20,6 +21,7 @@
   MAX_TRIAL_MS,
   needsTrial,
   SUSPICION_RETENTION_MS,
+  TRIAL_SETTLE_MS,
 } from "../quarantine/index.ts";
 import type { FleetCommand } from "./create_fleet_state_machine.ts";
 import type { LeaderMessage, PublishedCase, TrialRequest } from "./messages.ts";
@@ -77,6 +79,9 @@
   readonly expiresMs: number;
 }
 
+/** Most crashed upstreams of which the leader remembers what had just begun there. */
+const MAX_CRASHED_UPSTREAMS = 100;
+
 /** Ms for which reports are batched into one log entry. */
 const BATCH_MS = 3;
 
@@ -101,8 +106,12 @@
   >();
   // Suspected parts that upstreams ran without a crash before they were suspected.
   const partsRunBefore = new Set<string>();
-  // The upstream that crashed in the first trial of such a part.
+  // The upstream that crashed in the first trial of a request or part.
   const firstTrialEngineIds = new Map<string, string>();
+  // Parts that had just begun at an upstream when it crashed, whether that counts or not.
+  const partsAtCrash = new Map<string, Set<string>>();
+  // Crashes of trials that are not decided yet.
+  const undecidedReports = new Map<string, CrashReport>();
   // Heartbeats since a crash was recorded, by upstream and by request.
   let heartbeatCounts = new Map<string, Map<string, number>>();
   let published: CrashCases = new Map();
@@ -154,8 +163,11 @@
   function handleCrashReport(vm: string, report: CrashReport): void {
     const { requestKey, engineId } = report;
     const cases = getCases();
+    if (isPartKey(requestKey)) notePartAtCrash(requestKey, engineId);
     if (!isNewEvidence(cases, report)) return;
-    if (pendingReports.has(formatReportKey(report))) return;
+    const reportKey = formatReportKey(report);
+    if (pendingReports.has(reportKey)) return;
+    if (undecidedReports.has(reportKey)) return;
     const trial = findTrial(engineId);
     const isOfTrial = trial?.requestKeys.includes(requestKey) ?? false;
     const crashCase = cases.get(requestKey);
@@ -163,10 +175,34 @@
       needsTrial(crashCase);
     if (trial && !isOfTrial && !isRepeatedPart) return;
     const ownTrial = isOfTrial && trial?.vm === vm ? trial : undefined;
-    pendingReports.set(formatReportKey(report), {
-      ...report,
-      ...judge(report, ownTrial),
-    });
+    if (ownTrial && listOtherSuspects(ownTrial).length > 0) {
+      return decideLater(report, ownTrial);
+    }
+    pendingReports.set(reportKey, { ...report, ...judge(report, ownTrial) });
+  }
+
+  function decideLater(report: CrashReport, trial: Trial): void {
+    const reportKey = formatReportKey(report);
+    undecidedReports.set(reportKey, report);
+    setTimeout(() => {
+      undecidedReports.delete(reportKey);
+      pendingReports.set(reportKey, { ...report, ...judge(report, trial) });
+      scheduleBatch();
+    }, TRIAL_SETTLE_MS);
+  }
+
+  function notePartAtCrash(requestKey: string, engineId: string): void {
+    const parts = partsAtCrash.get(engineId) ?? new Set<string>();
+    partsAtCrash.set(engineId, parts.add(requestKey));
+    evictOldest(partsAtCrash, MAX_CRASHED_UPSTREAMS);
+  }
+
+  // Parts that are as much under suspicion as those on trial.
+  function listOtherSuspects(trial: Trial): CrashCase[] {
+    return [...getCases().values()].filter((one) =>
+      isPartKey(one.requestKey) && needsTrial(one) && getHeldMs(one) === 0 &&
+      !trial.requestKeys.includes(one.requestKey)
+    );
   }
 
   // Where the request itself is a suspect, its crash says nothing of the parts.
@@ -177,21 +213,34 @@
     const [first, ...others] = trial?.requestKeys ?? [];
     if (first === undefined) return { isTrial: false };
     if (requestKey !== first && !isPartKey(first)) return { isTrial: false };
-    if (needsSecondTrial(requestKey, engineId)) return { isTrial: false };
+    const suspects = trial ? listOtherSuspects(trial) : [];
+    const wasAlone = !suspects.some((one) =>
+      partsAtCrash.get(engineId)?.has(one.requestKey)
+    );
+    if (!wasAlone) return { isTrial: false };
+    const isFirst = isFirstTrial(requestKey, engineId);
+    const isDoubtful = partsRunBefore.has(requestKey) ||
+      (isPartKey(requestKey) && suspects.some(sharesCrashes(requestKey)));
+    if (isFirst && isDoubtful) return { isTrial: false };
     if (others.length === 0) return { isTrial: true };
     const alsoOnTrial = [first, ...others].filter((key) => key !== requestKey);
     return { isTrial: true, alsoOnTrial };
   }
 
-  // The upstream of a trial may also crash for another reason. A part that upstreams ran
-  // before is shared by many requests, which a wrong conviction would hold back.
-  function needsSecondTrial(requestKey: string, engineId: string): boolean {
-    if (!partsRunBefore.has(requestKey)) return false;
+  // The upstream of a trial may also crash for another reason, and a wrong conviction
+  // holds back all requests with the part. A part is convicted by its second trial if
+  // upstreams ran it before, or if another suspect was in the same crashes.
+  function isFirstTrial(requestKey: string, engineId: string): boolean {
     const firstEngineId = firstTrialEngineIds.get(requestKey) ?? engineId;
     firstTrialEngineIds.set(requestKey, firstEngineId);
     return firstEngineId === engineId;
   }
 
+  function sharesCrashes(requestKey: string): (other: CrashCase) => boolean {
+    const engineIds = getCases().get(requestKey)?.engineIds ?? [];
+    return (other) => other.engineIds.some((id) => engineIds.includes(id));
+  }
+
   function dropTrialRecords(requestKey: string): void {
     partsRunBefore.delete(requestKey);
     firstTrialEngineIds.delete(requestKey);
@@ -341,7 +390,11 @@
         trial !== running &&
         trial.requestKeys.some((key) => requestKeys.includes(key))
       );
-      if (isTriedElsewhere || !mayBeTried(requestKeys)) return undefined;
+      const isUndecided = [...undecidedReports.values()].some((report) =>
+        requestKeys.includes(report.requestKey)
+      );
+      if (isTriedElsewhere || isUndecided) return undefined;
+      if (!mayBeTried(requestKeys)) return undefined;
       // A repeated request gets the same upstream, or another one if that has departed.
       const isSame = running && engineIds.includes(running.engineId);
       if (isSame) return running.engineId;
--- a/src/fleet/create_quarantine_coordinator_test.ts
+++ b/src/fleet/create_quarantine_coordinator_test.ts
@@ -5,6 +5,7 @@
   FIRST_PART_HOLD_MS,
   JOINT_TRIAL_DELAY_MS,
   SUSPICION_RETENTION_MS,
+  TRIAL_SETTLE_MS,
 } from "../quarantine/index.ts";
 import { createFleetStateMachine } from "./create_fleet_state_machine.ts";
 import { createQuarantineCoordinator } from "./create_quarantine_coordinator.ts";
@@ -271,4 +272,33 @@
   assert.is(machine.getCases().get(PART)?.convictions, 1);
 });
 
+test("a trial whose upstream also ran another suspect convicts nothing, and another trial may", async () => {
+  const { coordinator, machine, reportPart } = startCoordinator();
+  const OTHER = "part:b2";
+  const reportOther = (engineId: string, knownCrashes: number) =>
+    coordinator.take("g2", {
+      crashes: [{ requestKey: OTHER, engineId, knownCrashes }],
+    });
+  const settle = () =>
+    new Promise((resolve) => setTimeout(resolve, TRIAL_SETTLE_MS + BATCH_MS));
+  for (const [at, engineId] of ["e1", "e2"].entries()) {
+    reportOther(engineId, at);
+    await reportPart("g1", engineId, at);
+  }
+  const tryOn = (engineId: string) =>
+    coordinator.grantTrial("g1", { requestKey: PART, engineIds: [engineId] });
+  const getConvictions = () => machine.getCases().get(PART)?.convictions;
+  for (const [at, engineId] of ["e3", "e4", "e5"].entries()) {
+    assert.is(tryOn(engineId), engineId);
+    const isShared = engineId === "e3";
+    await reportPart("g1", engineId, at + 2);
+    // Sent before the earlier crashes were known: no evidence, but it was there.
+    if (isShared) reportOther(engineId, 0);
+    assert.is(tryOn("e9"), undefined, "nothing is decided yet");
+    await settle();
+    assert.is(getConvictions(), engineId === "e5" ? 1 : 0);
+    coordinator.take("g1", { trialsEnded: [PART] });
+  }
+});
+
 test.run();
--- a/src/gateway/create_quarantine.ts
+++ b/src/gateway/create_quarantine.ts
@@ -167,6 +167,8 @@
   const { onUpdateDue: notifyLeader, now } = options;
   let knownCases = new Map<string, KnownCase>();
   let reports: (CrashReport & { readonly atMs: number })[] = [];
+  // Runs that were sent before the last crash of their part was known; sent once.
+  let lateReports: CrashReport[] = [];
   const proofs = new Map<string, number>();
   // Latest time at which an upstream began to answer a suspected part and didn't crash.
   const partProofs = new Map<string, number>();
@@ -353,10 +355,14 @@
       const { requestKey, engineId, knownCrashes = Infinity } = report;
       if (isProved(requestKey)) return;
       const crashed = listCrashedUpstreams(requestKey);
-      if (crashed.includes(engineId) || knownCrashes < crashed.length) return;
+      if (crashed.includes(engineId)) return;
+      notifyLeader();
+      if (knownCrashes < crashed.length) {
+        lateReports = [...lateReports, report].slice(-MAX_REPORTS);
+        return;
+      }
       reports = [...listUnlisted(), { ...report, atMs: now() }]
         .slice(-MAX_REPORTS);
-      notifyLeader();
     },
     async waitUntilReported(subject) {
       const untilMs = now() + MAX_REPORT_WAIT_MS;
@@ -459,7 +465,9 @@
       if (trialsEnded.has(requestKey)) notifyLeader();
     },
     collectUpdate() {
-      const crashes = listUnlisted().map(({ atMs: _, ...report }) => report);
+      const unlisted = listUnlisted().map(({ atMs: _, ...report }) => report);
+      const crashes = [...unlisted, ...lateReports];
+      lateReports = [];
       const provedParts = listRefutedReports();
       const proved = [...knownCases.keys()].filter(isProved);
       const trialsWanted = listTrialRequests();
--- a/src/gateway/create_quarantine_test.ts
+++ b/src/gateway/create_quarantine_test.ts
@@ -187,8 +187,14 @@
   const late = quarantine.noteSent(asked("late", [PART]), "e8");
   publish([makeCase({ requestKey: PART, engineIds: ["e0", "e9"] })]);
   late.forEach(quarantine.noteCrash);
-  const reported = quarantine.collectUpdate().crashes ?? [];
-  assert.not.ok(reported.some((one) => one.requestKey === PART));
+  const listReported = () =>
+    quarantine.collectUpdate().crashes?.map((one) => one.requestKey) ?? [];
+  // The leader learns once that the part was there, and does not count it.
+  assert.ok(listReported().includes(PART));
+  assert.not.ok(listReported().includes(PART));
+  assert.is(quarantine.judge(asked("new", [PART])).type, "trial");
+  publish([], [PART]);
+  assert.is(quarantine.judge(asked("new", [PART])).type, "free");
 });
 
 test("a proof of a part counts against crashes known before the run began, not later ones", () => {
--- a/src/quarantine/constants.ts
+++ b/src/quarantine/constants.ts
@@ -60,6 +60,12 @@
  */
 export const JOINT_TRIAL_DELAY_MS = 2_000;
 
+/**
+ * Time, in ms, after the crash of a trial in which other gateways report which suspect
+ * parts had just begun at the same upstream.
+ */
+export const TRIAL_SETTLE_MS = 80;
+
 /** Time, from the gateway's request, within which a trial must start. */
 export const TRIAL_START_MS = 5_000;
 
