--- a/src/fleet/create_quarantine_coordinator.ts
+++ b/src/fleet/create_quarantine_coordinator.ts
@@ -5,7 +5,6 @@
  * @module
  */
 
-import { evictOldest } from "../collections/index.ts";
 import type { Logger } from "../logs/index.ts";
 import {
   CONVICTION_RETENTION_MS,
@@ -23,6 +22,7 @@
   SUSPICION_RETENTION_MS,
   TRIAL_SETTLE_MS,
 } from "../quarantine/index.ts";
+import { createTrialJudge } from "./create_trial_judge.ts";
 import type { FleetCommand } from "./create_fleet_state_machine.ts";
 import type { LeaderMessage, PublishedCase, TrialRequest } from "./messages.ts";
 
@@ -79,9 +79,6 @@
   readonly expiresMs: number;
 }
 
-/** Most crashed upstreams of which the leader remembers what had just begun there. */
-const MAX_CRASHED_UPSTREAMS = 100;
-
 /** Ms for which reports are batched into one log entry. */
 const BATCH_MS = 3;
 
@@ -104,12 +101,7 @@
     string,
     { readonly crashCase: CrashCase; readonly changedMs: number }
   >();
-  // Suspected parts that upstreams ran without a crash before they were suspected.
-  const partsRunBefore = new Set<string>();
-  // The upstream that crashed in the first trial of a request or part.
-  const firstTrialEngineIds = new Map<string, string>();
-  // Parts that had just begun at an upstream when it crashed, whether that counts or not.
-  const partsAtCrash = new Map<string, Set<string>>();
+  const trialJudge = createTrialJudge();
   // Crashes of trials that are not decided yet.
   const undecidedReports = new Map<string, CrashReport>();
   // Heartbeats since a crash was recorded, by upstream and by request.
@@ -163,7 +155,7 @@
   function handleCrashReport(vm: string, report: CrashReport): void {
     const { requestKey, engineId } = report;
     const cases = getCases();
-    if (isPartKey(requestKey)) notePartAtCrash(requestKey, engineId);
+    if (isPartKey(requestKey)) trialJudge.notePartAtCrash(report);
     if (!isNewEvidence(cases, report)) return;
     const reportKey = formatReportKey(report);
     if (pendingReports.has(reportKey)) return;
@@ -191,12 +183,6 @@
     }, TRIAL_SETTLE_MS);
   }
 
-  function notePartAtCrash(requestKey: string, engineId: string): void {
-    const parts = partsAtCrash.get(engineId) ?? new Set<string>();
-    partsAtCrash.set(engineId, parts.add(requestKey));
-    evictOldest(partsAtCrash, MAX_CRASHED_UPSTREAMS);
-  }
-
   // Parts that are as much under suspicion as those on trial.
   function listOtherSuspects(trial: Trial): CrashCase[] {
     return [...getCases().values()].filter((one) =>
@@ -205,45 +191,16 @@
     );
   }
 
-  // Where the request itself is a suspect, its crash says nothing of the parts.
   function judge(
-    { requestKey, engineId }: CrashReport,
+    report: CrashReport,
     trial: Trial | undefined,
   ): Pick<JudgedReport, "isTrial" | "alsoOnTrial"> {
-    const [first, ...others] = trial?.requestKeys ?? [];
-    if (first === undefined) return { isTrial: false };
-    if (requestKey !== first && !isPartKey(first)) return { isTrial: false };
-    const suspects = trial ? listOtherSuspects(trial) : [];
-    const wasAlone = !suspects.some((one) =>
-      partsAtCrash.get(engineId)?.has(one.requestKey)
-    );
-    if (!wasAlone) return { isTrial: false };
-    const isFirst = isFirstTrial(requestKey, engineId);
-    const isDoubtful = partsRunBefore.has(requestKey) ||
-      (isPartKey(requestKey) && suspects.some(sharesCrashes(requestKey)));
-    if (isFirst && isDoubtful) return { isTrial: false };
-    if (others.length === 0) return { isTrial: true };
-    const alsoOnTrial = [first, ...others].filter((key) => key !== requestKey);
-    return { isTrial: true, alsoOnTrial };
-  }
-
-  // The upstream of a trial may also crash for another reason, and a wrong conviction
-  // holds back all requests with the part. A part is convicted by its second trial if
-  // upstreams ran it before, or if another suspect was in the same crashes.
-  function isFirstTrial(requestKey: string, engineId: string): boolean {
-    const firstEngineId = firstTrialEngineIds.get(requestKey) ?? engineId;
-    firstTrialEngineIds.set(requestKey, firstEngineId);
-    return firstEngineId === engineId;
-  }
-
-  function sharesCrashes(requestKey: string): (other: CrashCase) => boolean {
-    const engineIds = getCases().get(requestKey)?.engineIds ?? [];
-    return (other) => other.engineIds.some((id) => engineIds.includes(id));
-  }
-
-  function dropTrialRecords(requestKey: string): void {
-    partsRunBefore.delete(requestKey);
-    firstTrialEngineIds.delete(requestKey);
+    if (!trial) return { isTrial: false };
+    return trialJudge.judge(report, {
+      requestKeys: trial.requestKeys,
+      otherSuspects: listOtherSuspects(trial),
+      engineIds: getCases().get(report.requestKey)?.engineIds ?? [],
+    });
   }
 
   function trackChanges(): void {
@@ -251,7 +208,7 @@
     for (const key of trackedCases.keys()) {
       if (cases.has(key)) continue;
       trackedCases.delete(key);
-      dropTrialRecords(key);
+      trialJudge.forget(key);
     }
     for (const [key, crashCase] of cases) {
       if (trackedCases.get(key)?.crashCase !== crashCase) {
@@ -361,7 +318,7 @@
       const { crashes = [], proved = [], provedParts = [] } = reports;
       const { trialsEnded = [], partsRunBefore: ranBefore = [] } = reports;
       for (const key of ranBefore) {
-        if (getCases().has(key)) partsRunBefore.add(key);
+        if (getCases().has(key)) trialJudge.noteRunBefore(key);
       }
       removeEndedTrials();
       // Crash reports first: a crash must still be matched with its trial run before
