Log what pays for each send, and what the leader lends

CL1801 told when a request was sent, not what paid for it, so that the sum of retries over all gateways couldn't be split into own requests, shares and loans, which the three hypotheses of the incident differ in. CL1801 now has the payer (first, kept, own, loan), the number of gateways that the share was computed for and what is left; CL1737 on the leader tells each loan. A test covers the payer. No decision changes.

--- a/src/fleet/create_gateway_sessions.ts
+++ b/src/fleet/create_gateway_sessions.ts
@@ -345,6 +345,7 @@
   ): void {
     for (const [service, wanted] of Object.entries(repeatsWanted)) {
       const count = options.grantRetries(service, wanted);
+      log("retriesLent", { vm: session.gateway?.vm, service, wanted, count });
       if (count === 0) continue;
       send(session, { type: "repeatsLent", service, count, askedMs: sentMs });
     }
--- a/src/gateway/create_attempt_charge.ts
+++ b/src/gateway/create_attempt_charge.ts
@@ -4,10 +4,17 @@
  * @module
  */
 
+import type { RetryPayer } from "./create_gateway_retry_budget.ts";
+
+/** What paid for an attempt: the first is free, and an unused charge is kept. */
+export type AttemptPayer = "first" | "kept" | RetryPayer;
+
 /** Charges the attempts of one call. */
 export interface AttemptCharge {
   /** Charges the next attempt if needed; false if the budget is exhausted. */
   chargeNext(): boolean;
+  /** What paid for the attempt charged last. */
+  getPayer(): AttemptPayer;
   /** Records how the last charged attempt ended. */
   noteEnd(end: {
     /** Whether any of its bytes were sent to the upstream. */
@@ -22,22 +29,24 @@
  * saw 37 refused connections in four seconds, and 70 streams failed for lack of
  * retries, some of which had been spent on those connections.
  *
- * @param spend - Spends a retry; false if none is left.
+ * @param spend - Spends a retry; undefined if none is left.
  * @returns The charge.
  * @throws Nothing.
  * @example
  * const charge = createAttemptCharge(() => budget.spend(service));
  */
-export function createAttemptCharge(spend: () => boolean): AttemptCharge {
-  // The first attempt is free.
-  let isCharged = true;
+export function createAttemptCharge(
+  spend: () => RetryPayer | undefined,
+): AttemptCharge {
+  let payer: AttemptPayer | undefined = "first";
   return {
     chargeNext() {
-      isCharged ||= spend();
-      return isCharged;
+      payer ??= spend();
+      return payer !== undefined;
     },
+    getPayer: () => payer ?? "kept",
     noteEnd({ wasSent }) {
-      if (wasSent) isCharged = false;
+      payer = wasSent ? undefined : "kept";
     },
   };
 }
--- a/src/gateway/create_attempt_charge_test.ts
+++ b/src/gateway/create_attempt_charge_test.ts
@@ -5,9 +5,9 @@
 function startCharge(retries: number) {
   let left = retries;
   const charge = createAttemptCharge(() => {
-    if (left === 0) return false;
+    if (left === 0) return undefined;
     left -= 1;
-    return true;
+    return "loan";
   });
   return { charge, getLeft: () => left };
 }
@@ -40,7 +40,7 @@
 
 test("a call that waits for retries is charged once one is available", () => {
   let isAvailable = false;
-  const charge = createAttemptCharge(() => isAvailable);
+  const charge = createAttemptCharge(() => isAvailable ? "own" : undefined);
   charge.chargeNext();
   charge.noteEnd({ wasSent: true });
   assert.not(charge.chargeNext());
@@ -48,4 +48,16 @@
   assert.ok(charge.chargeNext());
 });
 
+test("what paid for an attempt is told", () => {
+  const { charge } = startCharge(1);
+  assert.ok(charge.chargeNext());
+  assert.is(charge.getPayer(), "first");
+  charge.noteEnd({ wasSent: true });
+  assert.ok(charge.chargeNext());
+  assert.is(charge.getPayer(), "loan");
+  charge.noteEnd({ wasSent: false });
+  assert.ok(charge.chargeNext());
+  assert.is(charge.getPayer(), "kept");
+});
+
 test.run();
--- a/src/gateway/create_gateway_retry_budget.ts
+++ b/src/gateway/create_gateway_retry_budget.ts
@@ -39,11 +39,23 @@
   readonly askedMs: number;
 }
 
+/** What paid for a retry. */
+export type RetryPayer = "own" | "loan";
+
+/** What a gateway knows of its part of the budget of a service, for the log. */
+export interface RetryBudgetState {
+  /** Number of gateways that the share was computed for. */
+  readonly gatewayCount: number;
+  readonly ownLeft: number;
+  readonly lentLeft: number;
+}
+
 /** A retry budget for each service. */
 export interface GatewayRetryBudget {
   noteRequest(service: string): void;
-  /** Spends one retry; false if none is left. */
-  spend(service: string): boolean;
+  /** Spends one retry, and tells what paid for it; undefined if none is left. */
+  spend(service: string): RetryPayer | undefined;
+  describe(service: string): RetryBudgetState;
   /** Retries to borrow from the leader, by service. */
   getWantedLoans(): Readonly<Record<string, number>>;
   addLoan(loan: RetryLoan): void;
@@ -116,30 +128,41 @@
     return Math.max(0, Math.floor(allowed) - retriesMs.length);
   }
 
+  function getLent({ loans }: ServiceCounts): number {
+    return loans.reduce((sum, { left }) => sum + left, 0);
+  }
+
   function getRemaining(counts: ServiceCounts): number {
-    const lent = counts.loans.reduce((sum, { left }) => sum + left, 0);
-    return getOwnRemaining(counts) + lent;
+    return getOwnRemaining(counts) + getLent(counts);
   }
 
-  function spend(service: string): boolean {
+  function spend(service: string): RetryPayer | undefined {
     const counts = getCounts(service);
     counts.lastNeededMs = now();
     const [loan] = counts.loans;
     if (loan) {
       loan.left -= 1;
-      return true;
+      return "loan";
     }
-    if (getOwnRemaining(counts) < 1) return false;
+    if (getOwnRemaining(counts) < 1) return undefined;
     counts.retriesMs.push(now());
-    return true;
+    return "own";
   }
 
   return {
     noteRequest: (service) => void getCounts(service).requestsMs.push(now()),
     spend(service) {
-      const isSpent = spend(service);
-      if (!isSpent) options.onExhausted?.();
-      return isSpent;
+      const payer = spend(service);
+      if (!payer) options.onExhausted?.();
+      return payer;
+    },
+    describe(service) {
+      const counts = getCounts(service);
+      return {
+        gatewayCount: options.getGatewayCount(),
+        ownLeft: getOwnRemaining(counts),
+        lentLeft: getLent(counts),
+      };
     },
     getWantedLoans() {
       const wanted = [...services.keys()].flatMap((service) => {
--- a/src/gateway/serve_plain_call.ts
+++ b/src/gateway/serve_plain_call.ts
@@ -337,6 +337,8 @@
         limitPerS: context.rateLimits.getLimitPerS(engineId),
         tries: sendCount,
         runs: runCount,
+        paidBy: payment.getPayer(),
+        budget: context.budget.describe(service),
       });
       sentMs = now();
       // A connection that was silent for a while may be dead, and this call would be
--- a/src/gateway/serve_stream_call.ts
+++ b/src/gateway/serve_stream_call.ts
@@ -409,6 +409,8 @@
         backOffLeftMs: getBackOffLeftMs(path),
         limitPerS: context.rateLimits.getLimitPerS(path[0].engineId),
         tries: sendCount,
+        paidBy: payment.getPayer(),
+        budget: context.budget.describe(service),
         lastEventId,
       });
       relay.restartSilence();
--- a/src/logs/events.ts
+++ b/src/logs/events.ts
@@ -196,6 +196,11 @@
     "info",
     "Upstreams ran requests with suspected parts of prompts; the crash reports are withdrawn",
   ),
+  retriesLent: event(
+    "CL1737",
+    "info",
+    "Leader lent a gateway retries of a service's budget",
+  ),
   callSent: event("CL1801", "info", "Request was sent to an upstream"),
   callNotRun: event("CL1802", "info", "Upstream did not run the request"),
   callBroken: event("CL1803", "info", "Answer broke off or failed"),
