Charge the next attempt after a peer's upstream rejected the request

What callers saw: nothing; upstreams of a service received more requests beyond the first of each than were charged, where gateways were cut off.

Cause: a call that was passed on to another gateway, and rejected by an upstream there, came back as not taken, and was charged as if nothing had been sent; its next attempt was free. The limit counts arrivals that are rejected. The same held where the peer gave up after its own attempts.

Change: a rejection by a peer's upstream counts as sent, and a gateway that refuses a call of a peer tells whether any attempt of it was sent ("sent" in the body, to peers only). The receiving gateway pays for its own attempts beyond the first, which the origin has paid for or which is the first of the call.

Ruled out: charges for every refusal of a peer. Many peers may be cut off at once, and a call that tries three of them would pay for three sends that nobody made.

The test of the classification failed before (no such field); two tests that compare whole results name the new field.

--- a/src/gateway/classify_peer_answer.ts
+++ b/src/gateway/classify_peer_answer.ts
@@ -15,14 +15,25 @@
   readonly text: string;
 }
 
-/** What it means for the request. */
+/**
+ * What it means for the request; `wasSent` tells whether the peer sent it to an
+ * upstream that rejected it.
+ */
 export type PeerAnswerMeaning =
   /** An upstream's whole answer. */
   | { readonly type: "answered" }
   /** It has not run, and another peer may take it. */
-  | { readonly type: "notTaken"; readonly reason: string }
+  | {
+    readonly type: "notTaken";
+    readonly reason: string;
+    readonly wasSent: boolean;
+  }
   /** It has not run, and other peers would refuse it as well. */
-  | { readonly type: "refused"; readonly retryAfterMs: number | undefined }
+  | {
+    readonly type: "refused";
+    readonly retryAfterMs: number | undefined;
+    readonly wasSent: boolean;
+  }
   /** It may have run. */
   | { readonly type: "unknown"; readonly reason: string };
 
@@ -55,29 +66,37 @@
  */
 export function classifyPeerAnswer(answer: PeerAnswer): PeerAnswerMeaning {
   const { how, head, text } = answer;
-  if (how.type === "notSent") return { type: "notTaken", reason: how.reason };
-  if (how.type === "withheld") return { type: "notTaken", reason: how.type };
+  if (how.type === "notSent" || how.type === "withheld") {
+    const reason = how.type === "notSent" ? how.reason : how.type;
+    return { type: "notTaken", reason, wasSent: false };
+  }
   if (how.type === "broken") return { type: "unknown", reason: how.reason };
   if (!head) return { type: "unknown", reason: "no answer" };
   if (head.isSigned) {
     return head.reportsNotRun
-      ? { type: "notTaken", reason: "upstream did not run it" }
+      ? { type: "notTaken", reason: "upstream did not run it", wasSent: true }
       : { type: "answered" };
   }
-  const reason = readReason(text);
+  const { reason, wasSent } = readRefusal(text);
   if (NOT_ADMITTED_STATUSES.has(head.status)) {
-    return { type: "notTaken", reason };
+    return { type: "notTaken", reason, wasSent };
   }
   if (!NOT_RUN_STATUSES.has(head.status)) return { type: "unknown", reason };
-  if (REASONS_OF_PEER.has(reason)) return { type: "notTaken", reason };
-  return { type: "refused", retryAfterMs: head.backOffMs };
+  if (REASONS_OF_PEER.has(reason)) {
+    return { type: "notTaken", reason, wasSent };
+  }
+  return { type: "refused", retryAfterMs: head.backOffMs, wasSent };
 }
 
-function readReason(text: string): string {
+function readRefusal(text: string): { reason: string; wasSent: boolean } {
   try {
-    const { error } = JSON.parse(text) as { error?: unknown };
-    return typeof error === "string" ? error : "";
+    const { error, sent } = JSON.parse(text) as {
+      error?: unknown;
+      sent?: unknown;
+    };
+    const reason = typeof error === "string" ? error : "";
+    return { reason, wasSent: sent === true };
   } catch {
-    return "";
+    return { reason: "", wasSent: false };
   }
 }
--- a/src/gateway/classify_peer_answer_test.ts
+++ b/src/gateway/classify_peer_answer_test.ts
@@ -1,6 +1,7 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { classifyPeerAnswer } from "./classify_peer_answer.ts";
+import { mayHaveBeenSent } from "./may_have_been_sent.ts";
 import type { ExchangeEnd } from "./create_upstream_transport.ts";
 import type { UpstreamHead } from "./protocol.ts";
 
@@ -43,13 +44,18 @@
     assert.equal(classify({ status: 503 }, reason), {
       type: "notTaken",
       reason,
+      wasSent: false,
     });
   }
 });
 
 test("a refusal that concerns the service is passed on with its time", () => {
   const meaning = classify({ status: 503, backOffMs: 700 }, "no_upstream");
-  assert.equal(meaning, { type: "refused", retryAfterMs: 700 });
+  assert.equal(meaning, {
+    type: "refused",
+    retryAfterMs: 700,
+    wasSent: false,
+  });
 });
 
 test("a peer's own failure, or a broken exchange, leaves open whether it ran", () => {
@@ -68,4 +74,21 @@
   assert.is(meaning.type, "notTaken");
 });
 
+test("a request that a peer's upstream rejected was sent, so that the next attempt is charged", () => {
+  const rejected = classify({
+    isSigned: true,
+    status: 503,
+    reportsNotRun: true,
+  });
+  assert.is(rejected.type, "notTaken");
+  assert.ok(mayHaveBeenSent(rejected));
+  for (const error of ["cut_off", "no_upstream"]) {
+    const text = JSON.stringify({ error, sent: true });
+    const head = makeHead({ status: 503 });
+    const meaning = classifyPeerAnswer({ how: COMPLETE, head, text });
+    assert.ok(mayHaveBeenSent(meaning), error);
+    assert.not(mayHaveBeenSent(classify({ status: 503 }, error)), error);
+  }
+});
+
 test.run();
--- a/src/gateway/create_attempt_charge.ts
+++ b/src/gateway/create_attempt_charge.ts
@@ -15,6 +15,8 @@
   chargeNext(): boolean;
   /** What paid for the attempt charged last. */
   getPayer(): AttemptPayer;
+  /** Whether an upstream may have received one of the attempts. */
+  wasAnySent(): boolean;
   /** Records how the last charged attempt ended. */
   noteEnd(end: {
     /** Whether any of its bytes were sent to the upstream. */
@@ -39,13 +41,16 @@
   spend: () => RetryPayer | undefined,
 ): AttemptCharge {
   let payer: AttemptPayer | undefined = "first";
+  let wasAnySent = false;
   return {
     chargeNext() {
       payer ??= spend();
       return payer !== undefined;
     },
     getPayer: () => payer ?? "kept",
+    wasAnySent: () => wasAnySent,
     noteEnd({ wasSent }) {
+      wasAnySent ||= wasSent;
       payer = wasSent ? undefined : "kept";
     },
   };
--- a/src/gateway/create_call_end.ts
+++ b/src/gateway/create_call_end.ts
@@ -14,6 +14,8 @@
   readonly context: ServingContext;
   /** Returns additional log fields of the call. */
   readonly describe: () => Readonly<Record<string, unknown>>;
+  /** Whether an upstream may have received the request. */
+  readonly wasSent: () => boolean;
   /** Called once when the call ends, for whatever reason. */
   readonly onEnd: (outcome: string) => void;
   /** Called when the deadline of the call has passed. */
@@ -77,7 +79,9 @@
       if (ended) return;
       metrics.countRefusal(refusal.reason);
       const closes = context.isLeaving();
-      sendRefusal(response, { codec, request, refusal, closes });
+      // The gateway that passed the call on charges its next attempt for this.
+      const wasSent = request.forwardedBy !== undefined && options.wasSent();
+      sendRefusal(response, { codec, request, refusal, wasSent, closes });
       end(refusal.reason);
     },
     forwardAnswer(head, body) {
--- a/src/gateway/send_refusal.ts
+++ b/src/gateway/send_refusal.ts
@@ -12,6 +12,8 @@
   readonly codec: CallerCodec;
   readonly request: CallerRequest | undefined;
   readonly refusal: Refusal;
+  /** Whether the request was sent to an upstream; only told to other gateways. */
+  readonly wasSent?: boolean;
   /** Whether the connection is closed after this response. */
   readonly closes?: boolean;
 }
@@ -36,7 +38,11 @@
     response.destroy();
     return;
   }
-  const text = `${JSON.stringify({ error: refusal.reason })}\n`;
+  const body = {
+    error: refusal.reason,
+    ...(options.wasSent ? { sent: true } : {}),
+  };
+  const text = `${JSON.stringify(body)}\n`;
   response.writeHead(refusal.status, {
     ...codec.formatRefusalHeaders(refusal, request),
     "content-type": "application/json",
--- a/src/gateway/serve_plain_call.ts
+++ b/src/gateway/serve_plain_call.ts
@@ -18,6 +18,7 @@
   refuseHeldCall,
 } from "./create_run_permit.ts";
 import { createAttemptCharge } from "./create_attempt_charge.ts";
+import { mayHaveBeenSent } from "./may_have_been_sent.ts";
 import { detectUpstreamCrash } from "./detect_upstream_crash.ts";
 import { getBackOffWaitMs } from "./get_back_off_wait_ms.ts";
 import { noteBackOff } from "./note_back_off.ts";
@@ -108,6 +109,7 @@
       call,
       context,
       describe: () => ({ tries: sendCount, runs: runCount }),
+      wasSent: payment.wasAnySent,
       onEnd(outcome) {
         resumeTicket.leave();
         exchange?.abort(outcome);
@@ -253,8 +255,7 @@
     }
 
     function handleForwardedEnd({ meaning, head, body }: ForwardedEnd): void {
-      const hasRun = meaning.type === "answered" || meaning.type === "unknown";
-      payment.noteEnd({ wasSent: hasRun });
+      payment.noteEnd({ wasSent: mayHaveBeenSent(meaning) });
       if (meaning.type === "notTaken") return next();
       if (meaning.type === "refused") {
         if (runCount > 0) return endCutOff();
--- a/src/gateway/serve_stream_call.ts
+++ b/src/gateway/serve_stream_call.ts
@@ -24,6 +24,7 @@
 import { REFUSES_CONNECTIONS } from "./create_run_monitor.ts";
 import { createSendWaits } from "./create_send_waits.ts";
 import { createAttemptCharge } from "./create_attempt_charge.ts";
+import { mayHaveBeenSent } from "./may_have_been_sent.ts";
 import type { Exchange, ExchangeEnd } from "./create_upstream_transport.ts";
 import { LEFT_OUT_CHECK_MAX_AGE_MS } from "./create_reachability.ts";
 import { listUnconnected } from "./list_unconnected.ts";
@@ -146,6 +147,7 @@
       call,
       context,
       describe,
+      wasSent: payment.wasAnySent,
       onEnd(outcome) {
         stopMonitoring();
         capacityWait.end();
@@ -308,9 +310,7 @@
 
     function handleForwardedEnd(vm: string, end: ForwardedStreamEnd): void {
       const { meaning, head } = end;
-      const peerHasRun = meaning.type === "answered" ||
-        meaning.type === "unknown";
-      payment.noteEnd({ wasSent: peerHasRun });
+      payment.noteEnd({ wasSent: mayHaveBeenSent(meaning) });
       excludedPeers.add(vm);
       if (meaning.type === "notTaken") return next();
       if (meaning.type === "refused") {
