Take no share of a rate limit while the number of gateways is unknown

Change: an unknown number counts as infinite, so nothing is granted until the leader has sent the list once. A gateway has to be welcomed before it serves at all, so callers wait for seconds at most, and only for limited upstreams.

The new test states what the limits do with an unknown number; it passes before, too, as the fault was the default in start_gateway.ts, which has no test without a leader. That a cut-off gateway's share adds to what the leader grants in full is as before (docs/design/rate_limits.md).

--- a/src/gateway/create_rate_limits.ts
+++ b/src/gateway/create_rate_limits.ts
@@ -70,7 +70,10 @@
   readonly requestGrants: (counts: GrantCounts, askedMs: number) => boolean;
   /** Called when a limit has to be reported to the leader. */
   readonly onReportDue: () => void;
-  /** Number of gateways that share a limit while the leader can't be reached. */
+  /**
+   * Number of gateways that share a limit while the leader can't be reached; Infinity
+   * while it is unknown.
+   */
   readonly getGatewayCount: () => number;
   /** Monotonic time, in ms, that includes system suspends. */
   readonly now: () => number;
--- a/src/gateway/create_rate_limits_test.ts
+++ b/src/gateway/create_rate_limits_test.ts
@@ -4,8 +4,13 @@
 import { makeRateLimits } from "../../test/support/make_rate_limits.ts";
 import type { GrantCounts } from "../fleet/index.ts";
 
-function makeLimits(options: { readonly hasLeader?: boolean } = {}) {
-  const { hasLeader = true } = options;
+function makeLimits(
+  options: {
+    readonly hasLeader?: boolean;
+    readonly gatewayCount?: number;
+  } = {},
+) {
+  const { hasLeader = true, gatewayCount = 10 } = options;
   const clock = { ms: 1_000 };
   const leader = { hasLeader };
   const asked: { counts: GrantCounts; askedMs: number }[] = [];
@@ -14,7 +19,7 @@
       if (leader.hasLeader) asked.push({ counts, askedMs });
       return leader.hasLeader;
     },
-    getGatewayCount: () => 10,
+    getGatewayCount: () => gatewayCount,
     now: () => clock.ms,
   });
   const publish = (limitPerS: number | null, version = 1) =>
@@ -152,4 +157,18 @@
   assert.is(limits.getLimitPerS("a"), 4);
 });
 
+test("a gateway that knows neither the leader nor the other gateways takes no share of a limit", async () => {
+  const { clock, limits, publish } = makeLimits({
+    hasLeader: false,
+    gatewayCount: Infinity,
+  });
+  publish(100);
+  for (let at = 0; at < 20; at++) {
+    void limits.requestGrant("a");
+    await untilSent();
+    clock.ms += 500;
+    assert.is(limits.takeGrant("a"), undefined);
+  }
+});
+
 test.run();
--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -120,9 +120,6 @@
 /** Ms by which idle connections outlive the configured timeout. */
 const IDLE_MARGIN_MS = 1_000;
 
-/** Number of gateways assumed to share limits and budgets while none are known. */
-const DEFAULT_GATEWAY_COUNT = 20;
-
 /** Time within which callers and other gateways learn that this one is leaving. */
 const LEAVE_PROPAGATION_MS = 2_500;
 
@@ -176,13 +173,11 @@
   });
   const gateways = createGatewayList();
   const { listReady } = gateways;
-  // A gateway that has just started knows no others and uses a small share.
-  const getSharingGatewayCount = () =>
-    gateways.list().length || DEFAULT_GATEWAY_COUNT;
   const rateLimits = createRateLimits({
     requestGrants: (counts, askedMs) => link.requestGrants(counts, askedMs),
     onReportDue: () => link.scheduleHeartbeat(),
-    getGatewayCount: getSharingGatewayCount,
+    // A gateway that has just started doesn't know how many share a limit.
+    getGatewayCount: () => gateways.list().length || Infinity,
     now,
     log,
     metrics,
