Give an entry that has just started few retries instead of a full budget

The class of the retry budget's fault, elsewhere: each start of an entry of the product's own interface began with 50 retries of each service, whatever the process before it had spent. Ten restarts in a row allowed 500 retries without a request.

Change: it starts with 5 and earns the rest, a tenth of a retry a request, up to 50 as before. Weighed: none at the start, which would fail the first requests of a new entry for one lost upstream.

The new test failed before (500 of 60 allowed).

--- a/src/retry/decide_retry_test.ts
+++ b/src/retry/decide_retry_test.ts
@@ -1,7 +1,12 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { classifyFailure, decideRetry, type RetryContext } from "./index.ts";
-import { createRetryBudget, earnRetry, spendRetry } from "./retry_budget.ts";
+import {
+  createRetryBudget,
+  earnRetry,
+  type RetryBudget,
+  spendRetry,
+} from "./retry_budget.ts";
 
 const unknown = classifyFailure({ phase: "sent", fault: "timeout" });
 const notRun = classifyFailure({ phase: "connecting", fault: "refused" });
@@ -54,4 +59,13 @@
   assert.ok(retries >= 95 && retries <= 100);
 });
 
+test("an entry that restarts again and again does not get a full budget each time", () => {
+  let retries = 0;
+  for (let starts = 0; starts < 10; starts++) {
+    let budget: RetryBudget | undefined = createRetryBudget();
+    for (; budget; budget = spendRetry(budget)) retries += 1;
+  }
+  assert.ok(retries <= 60, `${retries} retries without a request`);
+});
+
 test.run();
--- a/src/retry/retry_budget.ts
+++ b/src/retry/retry_budget.ts
@@ -25,7 +25,13 @@
 export const MAX_RETRY_TOKENS = 50;
 
 /**
- * Creates a full budget.
+ * Tokens of a process that has just started: it doesn't know what the one before it
+ * has spent.
+ */
+export const INITIAL_RETRY_TOKENS = 5;
+
+/**
+ * Creates the budget of a process that has just started.
  *
  * @param options - The maximum number of tokens.
  * @returns The budget.
@@ -36,7 +42,8 @@
 export function createRetryBudget(
   options: RetryBudgetOptions = {},
 ): RetryBudget {
-  return { tokens: options.maxTokens ?? MAX_RETRY_TOKENS };
+  const { maxTokens = MAX_RETRY_TOKENS } = options;
+  return { tokens: Math.min(maxTokens, INITIAL_RETRY_TOKENS) };
 }
 
 /**
