Count a denied retry once for each call

The metric of denied retries counted each check of a stream that waits for one; it counts the answers now.

--- a/src/gateway/create_gateway_retry_budget.ts
+++ b/src/gateway/create_gateway_retry_budget.ts
@@ -15,8 +15,8 @@
   readonly windowMs: number;
   /** Called when retries are needed and the leader has to be asked at once. */
   readonly onNeeded?: () => void;
-  /** Called when a retry is needed and none is left. */
-  readonly onExhausted?: () => void;
+  /** Called for each call that is denied a retry. */
+  readonly onDenied?: () => void;
   /** Monotonic time, in ms, that includes system suspends. */
   readonly now: () => number;
   readonly setTimer?: (run: () => void, delayMs: number) => void;
@@ -210,15 +210,21 @@
     for (const waiter of state.waiters) {
       const isLent = left > 0;
       if (isLent) left -= 1;
-      if (isLent || waiter.sinceMs <= askedMs) waiter.resolve(isLent);
+      if (isLent || waiter.sinceMs <= askedMs) answer(waiter, isLent);
       else later.push(waiter);
     }
     state.waiters = later;
   }
 
   function timeOut(state: ServiceState, waiter: Waiter): void {
+    if (!state.waiters.includes(waiter)) return;
     state.waiters = state.waiters.filter((one) => one !== waiter);
-    waiter.resolve(false);
+    answer(waiter, false);
+  }
+
+  function answer({ resolve }: Waiter, isLent: boolean): void {
+    if (!isLent) options.onDenied?.();
+    resolve(isLent);
   }
 
   return {
@@ -228,7 +234,6 @@
       const payer = spend(state);
       if (payer) return payer;
       state.needed += 1;
-      options.onExhausted?.();
       options.onNeeded?.();
       return undefined;
     },
--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -229,7 +229,7 @@
   const budget = createGatewayRetryBudget({
     windowMs: settings.retryBudget.windowMs,
     onNeeded: requestRetryLoan,
-    onExhausted: () => metrics.count("retry.budget_spent"),
+    onDenied: () => metrics.count("retry.budget_spent"),
     now,
   });
   const peers = createPeerList({
