Let gateways tell a new leader what earlier ones have lent them

Cause: a new leader counted the whole ceiling as used for 14 s, whatever of it had been sent long before.

Change: a gateway tells a new leader what it has sent within the window, by age, and what it still holds; both are taken off the ceiling that is counted as used, and counted like retries of this leader. What processes that vanished held stays.

The model dropped no replies of earlier sessions, as the link does; it does now. Its tests pass, and the ledger has a test for inherited retries.

--- a/src/fleet/create_retry_lender.ts
+++ b/src/fleet/create_retry_lender.ts
@@ -12,6 +12,7 @@
 import type { Logger } from "../logs/index.ts";
 import {
   createRetryLedger,
+  REPORT_STEP_MS,
   type RetryLedger,
   type RetryLimits,
 } from "../retry/index.ts";
@@ -58,9 +59,6 @@
 /** Attempts to raise a ceiling for one request of a gateway. */
 const MAX_RAISES = 2;
 
-/** Ms of age that a report's first count stands for; the next ones are a second each. */
-const AGE_STEP_MS = 1_000;
-
 interface Wanted {
   readonly service: string;
   readonly needed: number;
@@ -121,12 +119,18 @@
       readonly report: RetryReport;
     },
   ): void {
-    const { requests = [], sent = 0, returned = 0 } = report;
+    const { requests = [], earlier, sent = 0, returned = 0 } = report;
     requests.forEach((count, at) => {
-      // Older counts are taken to be as old as they can be.
-      const ageMs = at === 0 ? 0 : (at + 1) * AGE_STEP_MS;
+      // Counts but the newest are taken to be as old as they can be.
+      const ageMs = at === 0 ? 0 : (at + 1) * REPORT_STEP_MS;
       account.noteRequests(service, count, ageMs);
     });
+    earlier?.sent.forEach((count, at) =>
+      account.noteInheritedSent(service, count, at * REPORT_STEP_MS)
+    );
+    if (earlier && earlier.held > 0) {
+      account.noteInheritedHeld({ service, holder, count: earlier.held });
+    }
     if (sent > 0) account.noteSent({ service, holder, count: sent });
     if (returned > 0) {
       account.noteReturned({ service, holder, count: returned });
--- a/src/fleet/messages.ts
+++ b/src/fleet/messages.ts
@@ -160,10 +160,20 @@
     readonly askedMs: number;
   };
 
+/** What a gateway did with the retries that earlier leaders have lent it. */
+export interface EarlierRetries {
+  /** Retries sent within the window, by age in steps of 250 ms. */
+  readonly sent: readonly number[];
+  /** Retries that may still be sent; from now on they belong to this session. */
+  readonly held: number;
+}
+
 /** A gateway's report on its retries of one service; absent fields are 0. */
 export interface RetryReport {
-  /** Requests of callers that were not reported before, by age in whole seconds. */
+  /** Requests of callers that were not reported before, by age in steps of 250 ms. */
   readonly requests?: readonly number[];
+  /** Retries lent by earlier leaders; once for each new leader. */
+  readonly earlier?: EarlierRetries;
   /** Retries of this session that were sent since the last report. */
   readonly sent?: number;
   /** Retries of this session that it gives back unused. */
--- a/src/gateway/create_gateway_retry_budget.ts
+++ b/src/gateway/create_gateway_retry_budget.ts
@@ -6,8 +6,8 @@
  * @module
  */
 
-import type { RetryReport } from "../fleet/index.ts";
-import { RETRY_LIFETIME_MS } from "../retry/index.ts";
+import type { EarlierRetries, RetryReport } from "../fleet/index.ts";
+import { REPORT_STEP_MS, RETRY_LIFETIME_MS } from "../retry/index.ts";
 
 /** Options of {@link createGatewayRetryBudget}. */
 export interface CreateGatewayRetryBudgetOptions {
@@ -51,7 +51,7 @@
   /** Returns and clears what is to be reported to the leader. */
   takeReports(): Readonly<Record<string, RetryReport>>;
   addLoan(loan: RetryLoan): void;
-  /** Starts a session with a leader, to which no loan of an earlier one is reported. */
+  /** Starts a session: what was lent before is reported to a new leader only. */
   beginSession(options: { readonly isNewLeader: boolean }): void;
 }
 
@@ -64,15 +64,10 @@
 /** Ms that a call waits for the leader's answer: a few round trips. */
 const ANSWER_TIMEOUT_MS = 120;
 
-/** Ms of age after which requests are no longer reported to the leader of before. */
-const MAX_REPORT_AGE_MS = 2_000;
-
-/** Ms of age for each of the counts of requests that are reported. */
-const AGE_STEP_MS = 1_000;
-
 interface Loan {
   readonly untilMs: number;
-  readonly session: number;
+  /** The session in which it is reported. */
+  session: number;
   left: number;
 }
 
@@ -87,6 +82,10 @@
   /** Requests up to this time are reported. */
   reportedUntilMs: number;
   loans: Loan[];
+  /** Times of the retries sent in the window. */
+  sentMs: number[];
+  /** Whether the leader is to be told of what earlier ones have lent. */
+  reportsEarlier: boolean;
   waiters: Waiter[];
   sent: number;
   returned: number;
@@ -117,6 +116,8 @@
       requestsMs: [],
       reportedUntilMs: -Infinity,
       loans: [],
+      sentMs: [],
+      reportsEarlier: false,
       waiters: [],
       sent: 0,
       returned: 0,
@@ -136,11 +137,8 @@
   }
 
   function removeExpired(state: ServiceState): void {
-    const sinceMs = now() - windowMs;
-    const firstAt = state.requestsMs.findIndex((ms) => ms > sinceMs);
-    if (firstAt !== 0) {
-      state.requestsMs = firstAt < 0 ? [] : state.requestsMs.slice(firstAt);
-    }
+    state.requestsMs = dropBefore(state.requestsMs, now() - windowMs);
+    state.sentMs = dropBefore(state.sentMs, now() - windowMs);
     for (const loan of state.loans) {
       if (loan.untilMs <= now()) giveBack(state, loan, loan.left);
     }
@@ -168,18 +166,25 @@
   }
 
   function takeRequestCounts(state: ServiceState): number[] {
-    const counts: number[] = [];
-    for (const ms of state.requestsMs) {
-      if (ms <= state.reportedUntilMs) continue;
-      const at = Math.floor((now() - ms) / AGE_STEP_MS);
-      counts[at] = (counts[at] ?? 0) + 1;
-    }
+    const unreported = dropBefore(state.requestsMs, state.reportedUntilMs);
     state.reportedUntilMs = now();
-    return Array.from(counts, (count = 0) => count);
+    return countByAge(unreported, now());
+  }
+
+  // The loans are reported like those of this session from now on.
+  function takeEarlier(state: ServiceState): EarlierRetries | undefined {
+    if (!state.reportsEarlier) return undefined;
+    state.reportsEarlier = false;
+    const earlier = state.loans.filter((loan) => loan.session !== session);
+    const held = earlier.reduce((sum, { left }) => sum + left, 0);
+    for (const loan of earlier) loan.session = session;
+    const sent = countByAge(state.sentMs, now());
+    return sent.length > 0 || held > 0 ? { sent, held } : undefined;
   }
 
   function takeReport(state: ServiceState): RetryReport {
     removeExpired(state);
+    const earlier = takeEarlier(state);
     returnSurplus(state);
     const requests = takeRequestCounts(state);
     const { sent, returned, needed } = state;
@@ -187,6 +192,7 @@
     Object.assign(state, { sent: 0, returned: 0, needed: 0 });
     return {
       ...(requests.length > 0 ? { requests } : {}),
+      ...(earlier ? { earlier } : {}),
       ...(sent > 0 ? { sent } : {}),
       ...(returned > 0 ? { returned } : {}),
       ...(needed > 0 ? { needed } : {}),
@@ -199,6 +205,7 @@
     const [loan] = state.loans;
     if (!loan) return undefined;
     loan.left -= 1;
+    state.sentMs.push(now());
     if (loan.session === session) state.sent += 1;
     return "loan";
   }
@@ -272,11 +279,28 @@
       for (const state of services.values()) {
         state.sent = 0;
         state.returned = 0;
-        // A new leader has not been told of any request.
-        state.reportedUntilMs = isNewLeader
-          ? -Infinity
-          : Math.max(state.reportedUntilMs, now() - MAX_REPORT_AGE_MS);
+        if (!isNewLeader) continue;
+        // A new leader has not been told of anything.
+        state.reportedUntilMs = -Infinity;
+        state.reportsEarlier = true;
       }
     },
   };
 }
+
+/** The sorted times after `sinceMs`. */
+function dropBefore(timesMs: number[], sinceMs: number): number[] {
+  const firstAt = timesMs.findIndex((ms) => ms > sinceMs);
+  if (firstAt === 0) return timesMs;
+  return firstAt < 0 ? [] : timesMs.slice(firstAt);
+}
+
+/** Counts times by their age, in steps of a report. */
+function countByAge(timesMs: readonly number[], nowMs: number): number[] {
+  const counts: number[] = [];
+  for (const ms of timesMs) {
+    const at = Math.floor((nowMs - ms) / REPORT_STEP_MS);
+    counts[at] = (counts[at] ?? 0) + 1;
+  }
+  return Array.from(counts, (count = 0) => count);
+}
--- a/src/gateway/create_gateway_retry_budget_test.ts
+++ b/src/gateway/create_gateway_retry_budget_test.ts
@@ -88,30 +88,36 @@
   assert.is(await answer, false);
 });
 
-test("another leader is told of the whole window, and not of loans of the one before", () => {
+test("another leader is told of the whole window, and of what the one before has lent", () => {
   const { clock, budget, lend, takeReport } = makeBudget();
   budget.noteRequest(SERVICE);
-  clock.ms += 3_000;
+  clock.ms += 750;
   budget.noteRequest(SERVICE);
   assert.equal(takeReport().requests, [1, 0, 0, 1]);
-  lend(2);
+  lend(3);
   budget.spend(SERVICE);
+  clock.ms += 250;
   budget.beginSession({ isNewLeader: true });
+  const { requests, earlier, sent } = takeReport();
+  assert.equal(requests, [0, 1, 0, 0, 1]);
+  assert.equal(earlier, { sent: [0, 1], held: 2 });
+  assert.is(sent, undefined);
   assert.ok(budget.spend(SERVICE));
-  const { requests, sent, returned } = takeReport();
-  assert.equal(requests, [1, 0, 0, 1]);
-  assert.equal([sent, returned], [undefined, undefined]);
+  const next = takeReport();
+  assert.equal([next.earlier, next.sent], [undefined, 1]);
 });
 
-test("requests are reported once to the same leader, and old ones not after a gap", () => {
-  const { clock, budget, takeReport } = makeBudget();
+test("the same leader is told of requests once, and of no loan of an earlier session", () => {
+  const { clock, budget, lend, takeReport } = makeBudget();
   budget.noteRequest(SERVICE);
   takeReport();
-  budget.noteRequest(SERVICE);
-  clock.ms += 5_000;
+  lend(2);
+  clock.ms += 2_000;
   budget.noteRequest(SERVICE);
   budget.beginSession({ isNewLeader: false });
-  assert.equal(takeReport().requests, [1]);
+  budget.spend(SERVICE);
+  const { requests, earlier, sent } = takeReport();
+  assert.equal([requests, earlier, sent], [[1], undefined, undefined]);
 });
 
 test.run();
--- a/src/retry/create_retry_ledger.ts
+++ b/src/retry/create_retry_ledger.ts
@@ -50,6 +50,12 @@
   noteReturned(returned: RetryAmount): void;
   /** Counts retries that an earlier ledger may have lent. */
   inherit(service: string, count: number): void;
+  /**
+   * Accounts for inherited retries: `count` of them were sent `ageMs` ago.
+   */
+  noteInheritedSent(service: string, count: number, ageMs: number): void;
+  /** Accounts for inherited retries that a process still holds. */
+  noteInheritedHeld(held: RetryAmount): void;
   /** Retries allowed in the window that ends now. */
   getAllowed(service: string): number;
   /** Retries that were sent in that window, or may still be sent. */
@@ -62,6 +68,9 @@
 /** Ms for which a retry may be used, counted from when it was requested. */
 export const RETRY_LIFETIME_MS = 4_000;
 
+/** Ms of age for each of the counts in a report, the newest first. */
+export const REPORT_STEP_MS = 250;
+
 /** Used share of the limit; the rest is for retries that reach upstreams late. */
 const USED_SHARE = 0.95;
 
@@ -134,18 +143,25 @@
       .reduce((sum, { count }) => sum + count, 0);
   }
 
+  function noteLent({ service, holder, count }: RetryAmount): void {
+    const account = getAccount(service);
+    const loans = account.loans.get(holder) ?? [];
+    const countsUntilMs = now() + RETRY_LIFETIME_MS + windowMs;
+    loans.push({ count, countsUntilMs });
+    account.loans.set(holder, loans);
+    account.lent += count;
+  }
+
+  function takeInherited(service: string, count: number): void {
+    const account = getAccount(service);
+    account.inherited = Math.max(0, account.inherited - count);
+  }
+
   return {
     noteRequests(service, count, ageMs = 0) {
       getAccount(service).requests.add(count, now() - ageMs);
     },
-    noteLent({ service, holder, count }) {
-      const account = getAccount(service);
-      const loans = account.loans.get(holder) ?? [];
-      const countsUntilMs = now() + RETRY_LIFETIME_MS + windowMs;
-      loans.push({ count, countsUntilMs });
-      account.loans.set(holder, loans);
-      account.lent += count;
-    },
+    noteLent,
     noteSent(sent) {
       settle(sent);
       getAccount(sent.service).sent.add(sent.count);
@@ -156,6 +172,14 @@
       account.inherited = count;
       account.inheritedUntilMs = now() + RETRY_LIFETIME_MS + windowMs;
     },
+    noteInheritedSent(service, count, ageMs) {
+      takeInherited(service, count);
+      getAccount(service).sent.add(count, now() - ageMs);
+    },
+    noteInheritedHeld(held) {
+      takeInherited(held.service, held.count);
+      noteLent(held);
+    },
     getAllowed: (service) =>
       USED_SHARE * (ratio * getAccount(service).requests.get() + extra),
     getUsed(service) {
--- a/src/retry/create_retry_ledger_test.ts
+++ b/src/retry/create_retry_ledger_test.ts
@@ -78,4 +78,16 @@
   assert.is(getUsed(), 0);
 });
 
+test("what processes tell of inherited retries counts from when they were sent", () => {
+  const { clock, ledger, amount, getUsed } = makeLedger();
+  ledger.inherit("model", 40);
+  ledger.noteInheritedSent("model", 30, 6_000);
+  ledger.noteInheritedHeld(amount(4));
+  assert.is(getUsed(), 40);
+  clock.ms += 4_300;
+  assert.is(getUsed(), 10);
+  ledger.noteReturned(amount(4));
+  assert.is(getUsed(), 6);
+});
+
 test.run();
--- a/test/support/model_retry_fleet.ts
+++ b/test/support/model_retry_fleet.ts
@@ -199,6 +199,8 @@
       void receiver.handleBeat(process.name, report).then((reply) => {
         if (!reply) return;
         send(() => {
+          // Messages of an earlier session are dropped.
+          if (receiver !== leader || !vm.isMember) return;
           if (vm.process !== process || !isConnected(vm)) return;
           process.handleReply(reply);
         });
