Ask for the retries of calls that began to wait after the last question

Cause: a call that needed a retry between a question to the leader and its answer was neither asked for then, since a question was pending, nor with the answer, so it waited for the next regular heartbeat, up to 350 ms, and was refused after 120 ms though retries were left.

Change: an answer that leaves calls waiting asks again. The new test failed before (no question).

--- a/src/gateway/create_gateway_retry_budget.ts
+++ b/src/gateway/create_gateway_retry_budget.ts
@@ -13,7 +13,7 @@
 export interface CreateGatewayRetryBudgetOptions {
   /** Length of the window of the limit, in ms. */
   readonly windowMs: number;
-  /** Called when retries are needed and the leader has to be asked at once. */
+  /** Called when retries are needed that the leader has not been asked for. */
   readonly onNeeded?: () => void;
   /** Called for each call that is denied a retry. */
   readonly onDenied?: () => void;
@@ -272,6 +272,7 @@
         removeExpired(state);
         if (count > 0) state.loans.push({ untilMs, session, left: count });
         wakeWaiters(state, askedMs);
+        if (state.waiters.length > 0) options.onNeeded?.();
       }
     },
     beginSession({ isNewLeader }) {
--- a/src/gateway/create_gateway_retry_budget_test.ts
+++ b/src/gateway/create_gateway_retry_budget_test.ts
@@ -8,8 +8,10 @@
 function makeBudget() {
   const clock = { ms: 0 };
   const timers: (() => void)[] = [];
+  const questions = { count: 0 };
   const budget = createGatewayRetryBudget({
     windowMs: 10_000,
+    onNeeded: () => void (questions.count += 1),
     now: () => clock.ms,
     setTimer: (run) => void timers.push(run),
   });
@@ -17,7 +19,7 @@
   const lend = (count: number) =>
     budget.addLoan({ counts: { [SERVICE]: count }, askedMs: clock.ms });
   const takeReport = () => budget.takeReports()[SERVICE] ?? {};
-  return { clock, timers, budget, lend, takeReport };
+  return { clock, timers, questions, budget, lend, takeReport };
 }
 
 test("a process that has just started may send no retry that was not lent to it", () => {
@@ -88,6 +90,24 @@
   assert.is(await answer, false);
 });
 
+test("a call that began to wait after the question is asked for when it is answered", async () => {
+  const { clock, budget, questions, lend, takeReport } = makeBudget();
+  budget.spend(SERVICE);
+  const first = budget.waitForRetry(SERVICE);
+  assert.is(takeReport().needed, 1);
+  const askedMs = clock.ms;
+  clock.ms += 5;
+  budget.spend(SERVICE);
+  const second = budget.waitForRetry(SERVICE);
+  questions.count = 0;
+  budget.addLoan({ counts: { [SERVICE]: 1 }, askedMs });
+  assert.is(await first, true);
+  assert.is(questions.count, 1);
+  assert.is(takeReport().needed, 1);
+  lend(2);
+  assert.is(await second, true);
+});
+
 test("another leader is told of the whole window, and of what the one before has lent", () => {
   const { clock, budget, lend, takeReport } = makeBudget();
   budget.noteRequest(SERVICE);
