--- a/src/gateway/serve_stream_call.ts
+++ b/src/gateway/serve_stream_call.ts
@@ -564,8 +564,13 @@
         metrics.count("streams.resumed");
         return retry();
       }
-      const { maxAttempts } = route;
-      log("runsSpent", { requestId, maxAttempts, ranOn: runRecord.describe() });
+      log("runsSpent", {
+        requestId,
+        maxAttempts: route.maxAttempts,
+        ranOn: runRecord.describe(),
+        leftMs: Math.round(call.deadlineMs - now()),
+        ...engines.countLeftOut(service),
+      });
       failBroken(sent, end);
     }
 
@@ -601,9 +606,11 @@
         how: how.type,
         reason,
         wasAborted: sent.wasAborted,
+        silenceMs: Math.round(relay.getSilenceMs()),
         status: sent.head?.status,
         lastEventId: relay.getProgress().lastEventId,
         runs: runCount,
+        ...engines.countLeftOut(service),
       });
     }
 
