--- a/scripts/spawn_program.ts
+++ b/scripts/spawn_program.ts
@@ -27,6 +27,8 @@
   readonly args?: readonly string[];
   /** Environment variables in addition to our own; none by default. */
   readonly variables?: Readonly<Record<string, string>>;
+  /** Whether the log can be read from the process; it is discarded by default. */
+  readonly isLogPiped?: boolean;
 }
 
 /** Line of deploy/system.toml that starts a role; captures its flags and name. */
@@ -48,6 +50,7 @@
   options: SpawnProgramOptions,
 ): Promise<ChildProcess> {
   const { file, settings, folder, flags = [], args = [] } = options;
+  const { isLogPiped = false } = options;
   const settingsFile = join(folder, `${settings.nodeId}.jsonc`);
   await writeFile(settingsFile, JSON.stringify(settings));
   return spawn(
@@ -59,7 +62,7 @@
         ...options.variables,
         CROWLEVER_SETTINGS: settingsFile,
       },
-      stdio: ["ignore", "ignore", "inherit"],
+      stdio: ["ignore", isLogPiped ? "pipe" : "ignore", "inherit"],
     },
   );
 }
--- a/standins/start_layer_engine.ts
+++ b/standins/start_layer_engine.ts
@@ -31,6 +31,11 @@
   closesOnCrash?: boolean;
   /** Accepts requests and never answers. */
   hangs?: boolean;
+  /**
+   * Stands still as a suspended process does: accepts connections, reads and sends
+   * nothing, and goes on with all of it once this is unset.
+   */
+  isPaused?: boolean;
   /** Rejects all requests as full. */
   isFull?: boolean;
   /** Rejects all requests with these lines of `Retry-After`. */
@@ -81,6 +86,8 @@
   readonly events?: number;
   /** Ms until the first event, as for reading the prompt; 0 by default. */
   readonly prefillMs?: number;
+  /** Id of the engine; by default one that is unique in this process. */
+  readonly engineId?: string;
 }
 
 /** A running stand-in. */
@@ -169,7 +176,7 @@
     prefillMs = 0,
   } = options;
   nextEngine += 1;
-  let engineId = `i-${nextEngine}`;
+  let engineId = options.engineId ?? `i-${nextEngine}`;
   const fault: LayerEngineFault = {};
   const runs: EngineRun[] = [];
   const arrivals: EngineArrival[] = [];
@@ -188,7 +195,8 @@
   const server = createServer((message, response) => {
     const chunks: Uint8Array[] = [];
     message.on("data", (chunk: Uint8Array) => chunks.push(chunk));
-    message.on("end", () => {
+    message.on("end", async () => {
+      await waitWhilePaused();
       const body = new TextDecoder().decode(joinBytes(chunks));
       const { url = "", headers } = message;
       const arrival = noteArrival(url, headers[HEADER.requestId] ?? "");
@@ -218,6 +226,10 @@
   const { port } = server.address() as AddressInfo;
   const address = `127.0.0.1:${port}`;
 
+  async function waitWhilePaused(): Promise<void> {
+    while (fault.isPaused && !closed) await sleep(5);
+  }
+
   function noteArrival(url: string, requestId: string | string[]) {
     const type = getArrivalType(url);
     const arrival: EngineArrival = {
@@ -394,6 +406,7 @@
     for (let id = Number(lastEventId ?? 0) + 1; id <= events; id++) {
       await sleep(eventIntervalMs);
       while (fault.stalledFor !== undefined && !closed) await sleep(5);
+      await waitWhilePaused();
       if (response.destroyed) break;
       if (sentCount === fault.resetAfterEvents) {
         fault.resetAfterEvents = undefined;
@@ -440,6 +453,7 @@
 
   async function sendHeartbeats(): Promise<void> {
     while (!closed) {
+      await waitWhilePaused();
       if (!isDown) await sendNextHeartbeat();
       await sleep(heartbeatPeriodMs);
     }
--- /dev/null
+++ b/test/support/start_process_fleet.ts
@@ -0,0 +1,335 @@
+/**
+ * A fleet of real processes: the programs of the platform, and stand-ins for engines
+ * that a signal can suspend.
+ *
+ * @module
+ */
+
+import { type ChildProcess, execFileSync, fork } from "node:child_process";
+import { once } from "node:events";
+import { mkdir, mkdtemp, rm } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import process from "node:process";
+import { createInterface } from "node:readline";
+import { setTimeout as sleep } from "node:timers/promises";
+import { fileURLToPath } from "node:url";
+import { request } from "undici";
+import { until } from "../../demo/until.ts";
+import { CALL } from "../../platform/names.ts";
+import { spawnProgram } from "../../scripts/spawn_program.ts";
+import { makeWireConfig } from "../../standins/index.ts";
+import type { EngineProcessReport } from "./engine_process.ts";
+
+/** Options of {@link startProcessFleet}. */
+export interface StartProcessFleetOptions {
+  readonly controls?: number;
+  readonly gateways?: number;
+  /** Engines of the layered model; four in each data centre by default. */
+  readonly engines?: number;
+  /** Events of an answer. */
+  readonly events: number;
+  readonly eventIntervalMs: number;
+  /** Time limit of the routes. */
+  readonly timeoutMs: number;
+  readonly graceS: number;
+}
+
+/** A program of the fleet. */
+export interface FleetProgram {
+  readonly address: string;
+  /** Its log lines, in order. */
+  readonly lines: readonly ProgramLine[];
+  kill(signal: NodeJS.Signals): void;
+  /** Resolves once the process has exited. */
+  ended(): Promise<void>;
+  /** Starts it again after it has exited, and resolves once it is ready. */
+  restart(): Promise<void>;
+}
+
+/** A line of a program's log. */
+export interface ProgramLine {
+  readonly id: string;
+  readonly [field: string]: unknown;
+}
+
+/** An engine in a process of its own. */
+export interface EngineProcess {
+  pause(): void;
+  resume(): void;
+  /** Lists the requests that it ran; not to be called while it is paused. */
+  listRuns(): Promise<readonly string[]>;
+}
+
+/** A fleet of real processes. */
+export interface ProcessFleet extends AsyncDisposable {
+  readonly controls: readonly FleetProgram[];
+  readonly gateways: readonly FleetProgram[];
+  readonly engines: readonly EngineProcess[];
+  /** Announces a configuration with another version and other time limits. */
+  changeConfig(): Promise<void>;
+  /** Finds the control process that leads. */
+  findLeader(): FleetProgram | undefined;
+}
+
+const ENGINE_PROGRAM = fileURLToPath(
+  new URL("engine_process.js", import.meta.url),
+);
+
+const PORT = {
+  front: 7_400,
+  control: 7_401,
+  ready: 7_402,
+  directory: 7_403,
+  peer: 7_404,
+};
+
+const ROLE_CHANGED = "CL1203";
+
+const PLACES = ["p1", "p2"];
+
+const HEARTBEAT_PERIOD_MS = 1_200;
+
+const PROPAGATION_MS = 2_000;
+
+/** Processes of tests that run at the same time have networks of their own. */
+const NETWORK = `127.${1 + (process.pid >> 8) % 250}.${process.pid % 250}`;
+
+let lastHost = 0;
+
+async function isReady(address: string, path: string): Promise<boolean> {
+  const answer = await request(`http://${address}${path}`)
+    .catch(() => undefined);
+  await answer?.body.dump();
+  return answer?.statusCode === 200;
+}
+
+/** Bundles the program as for the platform. */
+function bundleProgram(folder: string): string {
+  const file = join(folder, "program.cjs");
+  execFileSync(process.execPath, [
+    "scripts/build_target.mjs",
+    "--readable",
+    file,
+  ]);
+  return file;
+}
+
+/** Starts the fleet, and waits until it serves. */
+export async function startProcessFleet(
+  options: StartProcessFleetOptions,
+): Promise<ProcessFleet> {
+  const children: AsyncDisposable[] = [];
+  const dispose = async () => {
+    await Promise.all(children.map((one) => one[Symbol.asyncDispose]()));
+  };
+  try {
+    const fleet = await startAll(options, children);
+    return { ...fleet, [Symbol.asyncDispose]: dispose };
+  } catch (error) {
+    await dispose();
+    throw error;
+  }
+}
+
+async function startAll(
+  options: StartProcessFleetOptions,
+  children: AsyncDisposable[],
+): Promise<Omit<ProcessFleet, typeof Symbol.asyncDispose>> {
+  const { controls: controlCount = 3, gateways: gatewayCount = 2 } = options;
+  const { engines: engineCount = 8, timeoutMs, graceS } = options;
+  const folder = await mkdtemp(join(tmpdir(), "processes-"));
+  children.push({
+    [Symbol.asyncDispose]: () => rm(folder, { recursive: true, force: true }),
+  });
+  const file = bundleProgram(folder);
+  const makeHost = () => `${NETWORK}.${1 + lastHost++ % 250}`;
+  const controlHosts = Array.from({ length: controlCount }, makeHost);
+  const gatewayHosts = Array.from({ length: gatewayCount }, makeHost);
+  const controlAddresses = controlHosts.map((ip) => `${ip}:${PORT.control}`);
+  let version = 0;
+
+  async function startProgram(
+    role: string,
+    program: {
+      readonly ip: string;
+      readonly at: number;
+      readonly listen: Readonly<Record<string, string>>;
+      readonly address: string;
+      readonly waitUntilReady: () => Promise<void>;
+    },
+  ): Promise<FleetProgram> {
+    const { ip, at } = program;
+    const nodeId = `${role}-${at}`;
+    const dataDir = role === "control" ? join(folder, nodeId) : "";
+    if (dataDir !== "") await mkdir(dataDir);
+    const lines: ProgramLine[] = [];
+    let child: ChildProcess;
+    let isFirstStart = true;
+
+    async function spawn(): Promise<void> {
+      child = await spawnProgram(role, {
+        file,
+        folder,
+        settings: {
+          nodeId,
+          zone: PLACES[at % PLACES.length],
+          ip,
+          listen: program.listen,
+          internalPorts: [PORT.peer],
+          seeds: controlAddresses,
+          bootstrap: isFirstStart,
+          dataDir,
+          heartbeatMs: HEARTBEAT_PERIOD_MS,
+          faultTolerance: { machines: (controlCount - 1) / 2 },
+          bounds: { graceS, budgetExtra: 1_000 },
+        },
+        isLogPiped: true,
+      });
+      isFirstStart = false;
+      if (!child.stdout) throw new Error("the program's log can't be read");
+      createInterface({ input: child.stdout }).on(
+        "line",
+        (line) => void lines.push(JSON.parse(line)),
+      );
+    }
+
+    async function waitForEnd(): Promise<void> {
+      if (child.exitCode !== null || child.signalCode !== null) return;
+      await once(child, "exit");
+    }
+
+    await spawn();
+    children.push({
+      async [Symbol.asyncDispose]() {
+        child.kill("SIGKILL");
+        await waitForEnd();
+      },
+    });
+    return {
+      address: program.address,
+      lines,
+      kill: (signal) => void child.kill(signal),
+      ended: waitForEnd,
+      async restart() {
+        await spawn();
+        await program.waitUntilReady();
+      },
+    };
+  }
+
+  const controls = await Promise.all(
+    controlHosts.map((ip, at) =>
+      startProgram("control", {
+        ip,
+        at,
+        listen: { control: controlAddresses[at] },
+        address: controlAddresses[at],
+        waitUntilReady: () =>
+          until(
+            "the control process is ready",
+            () => isReady(controlAddresses[at], CALL.readConfig),
+          ),
+      })
+    ),
+  );
+  const isGatewayReady = (ip: string) =>
+    isReady(`${ip}:${PORT.ready}`, CALL.readiness);
+  const gateways = await Promise.all(
+    gatewayHosts.map((ip, at) =>
+      startProgram("entry", {
+        ip,
+        at,
+        listen: {
+          front: `${ip}:${PORT.front}`,
+          ready: `${ip}:${PORT.ready}`,
+          directory: `${ip}:${PORT.directory}`,
+        },
+        address: `${ip}:${PORT.front}`,
+        waitUntilReady: () =>
+          until("the gateway is ready", () => isGatewayReady(ip)),
+      })
+    ),
+  );
+  const engines = await Promise.all(
+    Array.from({ length: engineCount }, (_, at) =>
+      startEngineProcess({
+        service: "model",
+        place: PLACES[at % PLACES.length],
+        controlAddresses,
+        card: "card",
+        heartbeatPeriodMs: HEARTBEAT_PERIOD_MS,
+        events: options.events,
+        eventIntervalMs: options.eventIntervalMs,
+        engineId: `i-${at + 1}`,
+      }, children)),
+  );
+
+  async function putConfig(): Promise<boolean> {
+    const document = JSON.stringify(makeWireConfig(version + 1, {
+      timeoutMs: timeoutMs + 100 * (version % 2),
+    }));
+    for (const address of controlAddresses) {
+      const answer = await request(`http://${address}${CALL.putConfig}`, {
+        method: "POST",
+        headers: { "content-type": "application/json" },
+        body: document,
+      }).catch(() => undefined);
+      await answer?.body.dump();
+      if (answer?.statusCode !== 200) continue;
+      version += 1;
+      return true;
+    }
+    return false;
+  }
+
+  await until("a configuration is accepted", putConfig);
+  await until(
+    "the gateways are ready",
+    async () =>
+      (await Promise.all(gatewayHosts.map(isGatewayReady))).every(Boolean),
+  );
+  await sleep(PROPAGATION_MS);
+
+  return {
+    controls,
+    gateways,
+    engines,
+    async changeConfig() {
+      await putConfig();
+    },
+    findLeader: () =>
+      controls.find(({ lines }) =>
+        lines.findLast(({ id }) => id === ROLE_CHANGED)?.role === "leader"
+      ),
+  };
+}
+
+async function startEngineProcess(
+  options: object,
+  children: AsyncDisposable[],
+): Promise<EngineProcess> {
+  const child = fork(ENGINE_PROGRAM, [JSON.stringify(options)]);
+  children.push({
+    async [Symbol.asyncDispose]() {
+      const ended = once(child, "exit");
+      child.kill("SIGKILL");
+      await ended;
+    },
+  });
+  const receive = async (): Promise<EngineProcessReport> => {
+    const [message] = await once(child, "message");
+    return message;
+  };
+  await receive();
+  return {
+    pause: () => void child.kill("SIGSTOP"),
+    resume: () => void child.kill("SIGCONT"),
+    async listRuns() {
+      const answer = receive();
+      child.send("runs");
+      const message = await answer;
+      return message.type === "runs" ? message.requestIds : [];
+    },
+  };
+}
