--- a/proof/pause_soak.ts
+++ b/proof/pause_soak.ts
@@ -5,6 +5,7 @@
  * @module
  */
 
+import process from "node:process";
 import { isBadRun, runPauseSoak } from "../test/support/run_pause_soak.ts";
 import { runSeeds } from "./play_seeds.ts";
 
@@ -19,6 +20,10 @@
     runPauseSoak({
       seed,
       lengthMs: LENGTH_MS,
+      onBadStream: (lines) =>
+        lines.forEach((line) =>
+          process.stdout.write(`${JSON.stringify(line)}\n`)
+        ),
       ...(seed % LARGE_INTERVAL === 0 ? LARGE : {}),
     }),
   isBad: isBadRun,
--- a/test/support/run_pause_soak.ts
+++ b/test/support/run_pause_soak.ts
@@ -15,6 +15,7 @@
 import {
   type EngineProcess,
   type ProcessFleet,
+  type ProgramLine,
   startProcessFleet,
   type StartProcessFleetOptions,
 } from "./start_process_fleet.ts";
@@ -40,6 +41,8 @@
   readonly shares?: readonly number[];
   /** Shortest and longest pause of an engine, in ms. */
   readonly pauseMs?: readonly [number, number];
+  /** Receives the log lines of each stream that broke what must hold. */
+  readonly onBadStream?: (lines: readonly ProgramLine[]) => void;
 }
 
 /** Counts of one run. */
@@ -239,19 +242,29 @@
     ends.filter(isCounted).length;
   const isLate = ({ tookMs }: StreamEnd) =>
     tookMs >= DEADLINE_MS - DEADLINE_MARGIN_MS;
+  const isCut = (end: StreamEnd) => !end.isWhole && hasRun(end) && !isLate(end);
+  const isRunTooOften = ({ name }: StreamEnd) =>
+    (engineCounts.get(name) ?? 0) > MAX_ATTEMPTS;
+  const lines = fleet.gateways.flatMap((gateway) => gateway.lines);
+  for (
+    const { name } of ends.filter((end) => isCut(end) || isRunTooOften(end))
+  ) {
+    options.onBadStream?.(
+      lines.filter(({ requestId }) => getName(String(requestId)) === name),
+    );
+  }
   return {
     seed,
     asked: ends.length,
     whole: count(({ isWhole }) => isWhole),
     refused: count((end) => end.status === REFUSED_STATUS && !hasRun(end)),
     late: count((end) => !end.isWhole && hasRun(end) && isLate(end)),
-    cut: count((end) => !end.isWhole && hasRun(end) && !isLate(end)),
+    cut: count(isCut),
     spoilt: count(({ isSpoilt }) => isSpoilt),
     falselyRefused: count((end) =>
       end.status === REFUSED_STATUS && hasRun(end)
     ),
-    ranTooOften: [...engineCounts.values()]
-      .filter((engines) => engines > MAX_ATTEMPTS).length,
+    ranTooOften: count(isRunTooOften),
     pauses: pauses.getCount(),
   };
 }
