Keep a run open while its engine is in doubt, until another run goes on

Callers saw streams closed with nearly all of their time left while their engines were silent for a second. A gateway ended a run on a doubt (a probe that was not answered, the word of other gateways, a stall report) without asking whether the route allows another upstream; the second silent engine ended the stream (CL1813). The class: something limited is spent before it is known that it helps.

One place decides now what happens to a stranded run (create_stranded_runs.ts). It stays open; where the route allows another upstream, it is set aside while another run is looked for and paid for. The first run to go on ends the others. A run is ended only where its engine refuses connections, or was removed and nobody is at its address. A peer that is silent is left only where one more upstream is allowed.

--- a/src/gateway/create_engine_table.ts
+++ b/src/gateway/create_engine_table.ts
@@ -15,6 +15,7 @@
 import type { PathPart } from "../layers/index.ts";
 import type { Logger } from "../logs/index.ts";
 import type { EngineNotices } from "./create_engine_notices.ts";
+import type { UpstreamAddress } from "./create_liveness_check.ts";
 import {
   type EngineView,
   getFailureShare,
@@ -53,6 +54,13 @@
    * still serves its requests.
    */
   hasEnded(engineId: string): boolean;
+  /**
+   * Whether an upstream was found to refuse connections. One that is only no longer
+   * registered may have been suspended, and go on.
+   */
+  isKnownEnded(engineId: string): boolean;
+  /** Whether another registered upstream has the address of this one. */
+  isAddressTaken(upstream: UpstreamAddress): boolean;
   /**
    * Records that an upstream refuses connections while others accept them. It counts as
    * ended, but no longer than for some seconds while it stays registered.
@@ -84,6 +92,8 @@
   listUnanswered(service: string): readonly EngineView[];
   /** Ends the exclusion of an upstream that answers again. */
   readmit(engineId: string): void;
+  /** Ends the exclusion of an upstream that did not answer, and works after all. */
+  noteWorking(engineId: string): void;
   /** Excludes an upstream that others found lost: the leader already knows. */
   excludeLost(engineId: string): void;
   /** Excludes an upstream for a moment: it had no free capacity. */
@@ -232,13 +242,15 @@
     }
   }
 
-  function hasEnded(engineId: string): boolean {
-    const isRegistered = engines.has(engineId);
+  function isKnownEnded(engineId: string): boolean {
     const endedMs = ended.get(engineId);
-    if (endedMs !== undefined) {
-      return !isRegistered || now() - endedMs < ENDED_CONFIRMATION_MS;
-    }
-    return !isRegistered && !serving.has(engineId);
+    if (endedMs === undefined) return false;
+    return !engines.has(engineId) || now() - endedMs < ENDED_CONFIRMATION_MS;
+  }
+
+  function hasEnded(engineId: string): boolean {
+    if (ended.has(engineId)) return isKnownEnded(engineId);
+    return !engines.has(engineId) && !serving.has(engineId);
   }
 
   function crossesPlaces(path: readonly PathPart[]): boolean {
@@ -287,6 +299,14 @@
     log("engineSuspected", { engineId, reason, leftOutMs });
   }
 
+  function readmit(engineId: string): void {
+    const engine = engines.get(engineId);
+    if (!engine || engine.suspectUntilMs <= now()) return;
+    const leftOutMs = Math.round(now() - engine.suspectedMs);
+    engine.suspectUntilMs = 0;
+    log("engineReadmitted", { engineId, leftOutMs });
+  }
+
   // An upstream's own notice holds whatever the leader reports of that incarnation.
   function isLeaving({ record }: EngineView): boolean {
     return record.isLeaving || notices.isLeaving(record.engineId);
@@ -350,6 +370,11 @@
       ),
     get: (engineId) => engines.get(engineId),
     hasEnded,
+    isKnownEnded,
+    isAddressTaken: ({ engineId, address }) =>
+      [...engines.values()].some(({ record }) =>
+        record.address === address && record.engineId !== engineId
+      ),
     noteEnded(engineId) {
       ended.delete(engineId);
       ended.set(engineId, now());
@@ -388,12 +413,9 @@
         engine.isUnanswered && engine.suspectUntilMs > now() &&
         !isLeaving(engine)
       ),
-    readmit(engineId) {
-      const engine = engines.get(engineId);
-      if (!engine || engine.suspectUntilMs <= now()) return;
-      const leftOutMs = Math.round(now() - engine.suspectedMs);
-      engine.suspectUntilMs = 0;
-      log("engineReadmitted", { engineId, leftOutMs });
+    readmit,
+    noteWorking(engineId) {
+      if (engines.get(engineId)?.isUnanswered) readmit(engineId);
     },
     noteFull(engineId) {
       const engine = engines.get(engineId);
--- a/src/gateway/create_run_migrator.ts
+++ b/src/gateway/create_run_migrator.ts
@@ -21,15 +21,17 @@
   readonly excluded: Set<string>;
   /** Whether a run is still the one serving the call. */
   readonly isCurrent: (run: StreamRun) => boolean;
+  /** Called when a run is stalled or has lost an engine, and could not be moved. */
+  readonly onStranded: (run: StreamRun, failure: EngineFailure) => void;
 }
 
 /** Moves the runs of one call between engines. */
 export interface RunMigrator {
-  /** Checks a run that has been silent for long; moves or aborts it if it is stalled. */
+  /** Checks a run that has been silent for long, and moves it if it is stalled. */
   checkStall(run: StreamRun): void;
   /** Moves a run off an engine that is leaving, once another engine holds its layers. */
   checkLeaving(run: StreamRun): void;
-  /** Moves a run off an engine that has failed, or aborts the run. */
+  /** Moves a run off an engine that has failed. */
   leaveFailedEngine(run: StreamRun, failure: EngineFailure): Promise<void>;
 }
 
@@ -42,6 +44,11 @@
    * no other path: the engine may be well.
    */
   readonly isConfirmed?: boolean;
+  /**
+   * Whether the engine has ended, and not only failed to answer; false by default. A
+   * silent engine may go on.
+   */
+  readonly hasEnded?: boolean;
 }
 
 /** Interval, in ms, between attempts to move a run off an engine that is leaving. */
@@ -63,7 +70,7 @@
   context: ServingContext,
   options: CreateRunMigratorOptions,
 ): RunMigrator {
-  const { relay, excluded, isCurrent } = options;
+  const { relay, excluded, isCurrent, onStranded } = options;
   const { engines, now, metrics } = context;
   const nextMovesMs = new Map<string, number>();
   let isChecking = false;
@@ -91,10 +98,10 @@
     const hasFailed = recovery.type === "lost" &&
       relay.getProgress().events === events;
     if (!hasFailed) return;
-    const { isUnanswered } = recovery;
-    engines.suspect(recovery.engineId, recovery.reason, { isUnanswered });
-    excluded.add(recovery.engineId).add(path[0].engineId);
-    silentRun.abort(recovery.reason);
+    const { isUnanswered, engineId, reason } = recovery;
+    engines.suspect(engineId, reason, { isUnanswered });
+    excluded.add(engineId).add(path[0].engineId);
+    onStranded(silentRun, { engineId, reason });
   }
 
   function applyMove(run: StreamRun, path: readonly AddressedPart[]): void {
@@ -137,17 +144,15 @@
       excluded.add(engineId);
       return applyMove(run, newPath);
     }
-    abortUnlessAlone(run, failure);
+    reportUnlessAlone(run, failure);
   }
 
-  // Aborting a run for which there is no other path loses it for a mere suspicion.
-  function abortUnlessAlone(
-    run: StreamRun,
-    { engineId, reason, isConfirmed = true }: EngineFailure,
-  ): void {
+  // A first doubt is no reason to look for another path where there is none.
+  function reportUnlessAlone(run: StreamRun, failure: EngineFailure): void {
+    const { engineId, isConfirmed = true } = failure;
     if (!isConfirmed && !hasPathWithout(engineId)) return;
     excluded.add(engineId);
-    run.leave(engineId, reason);
+    onStranded(run, failure);
   }
 
   function hasPathWithout(engineId: string): boolean {
@@ -186,7 +191,7 @@
       // Commands of earlier moves go to the first engine, so they may take until their
       // time-out where it is the one that failed.
       if (isCurrent(run) && run.path[0].engineId === engineId) {
-        abortUnlessAlone(run, failure);
+        reportUnlessAlone(run, failure);
         return Promise.resolve();
       }
       lastMove = lastMove.then(() => leaveFailed(run, failure));
--- a/src/gateway/create_run_record.ts
+++ b/src/gateway/create_run_record.ts
@@ -14,7 +14,10 @@
 export interface CreateRunRecordOptions {
   /** Number of upstreams on which the call may run. */
   readonly maxAttempts: number;
-  readonly engines: Pick<EngineTable, "get" | "hasEnded" | "noteEnded">;
+  readonly engines: Pick<
+    EngineTable,
+    "get" | "hasEnded" | "isKnownEnded" | "isAddressTaken" | "noteEnded"
+  >;
   readonly livenessCheck: LivenessCheck;
 }
 
@@ -27,15 +30,24 @@
 
 /** The upstreams on which one call has run. */
 export interface RunRecord {
-  /** Records that the call ran on an upstream. */
+  /** Records that the call may be running on an upstream. */
   note(upstream: UpstreamAddress): void;
+  /** Records that an upstream has ended the run. */
+  noteBroken(upstream: UpstreamAddress): void;
+  /** Records that an upstream rejected the call, which has not run there. */
+  drop(upstream: UpstreamAddress): void;
   /** Records that the call ran on an upstream that only another gateway knows. */
   noteElsewhere(): void;
   /**
-   * Whether the call may run on another upstream. Upstreams known to have crashed
-   * don't count.
+   * Whether the call may run on another upstream, or on several more. Upstreams known
+   * to have ended don't count.
    */
-  mayRunElsewhere(): boolean;
+  mayRunElsewhere(moreUpstreams?: number): boolean;
+  /**
+   * Upstreams on which the call may run again, as this gateway ended their runs itself.
+   * That takes none of the further upstreams that are allowed.
+   */
+  listReusable(): readonly string[];
   /** Checks which of the upstreams have crashed; never rejects. */
   detectCrashes(): Promise<void>;
   describe(): readonly DescribedRun[];
@@ -53,35 +65,57 @@
 export function createRunRecord(options: CreateRunRecordOptions): RunRecord {
   const { maxAttempts, engines, livenessCheck: upstreamCheck } = options;
   const ranOn = new Map<string, UpstreamAddress>();
+  const brokenIds = new Set<string>();
+  const unreachableIds = new Set<string>();
   let runsElsewhere = 0;
 
+  // The leader also removes upstreams that are only suspended, and these go on. One
+  // whose run is still open has to be checked.
+  function hasEnded({ engineId }: UpstreamAddress): boolean {
+    return engines.isKnownEnded(engineId) || unreachableIds.has(engineId) ||
+      (brokenIds.has(engineId) && engines.hasEnded(engineId));
+  }
+
   function listPossiblyAlive(): UpstreamAddress[] {
-    return [...ranOn.values()]
-      .filter(({ engineId }) => !engines.hasEnded(engineId));
+    return [...ranOn.values()].filter((upstream) => !hasEnded(upstream));
   }
 
   async function checkLiveness(upstream: UpstreamAddress): Promise<void> {
+    const { engineId } = upstream;
     const liveness = await upstreamCheck.check(upstream);
-    if (liveness === "ended") engines.noteEnded(upstream.engineId);
+    const isRemoved = engines.hasEnded(engineId);
+    const isReplaced = isRemoved && engines.isAddressTaken(upstream);
+    if (liveness === "ended" || isReplaced) engines.noteEnded(engineId);
+    // A machine without power answers nothing; that of a suspended process accepts
+    // connections.
+    else if (liveness === "unknown" && isRemoved) unreachableIds.add(engineId);
   }
 
   return {
     note(upstream) {
       ranOn.set(upstream.engineId, upstream);
     },
+    noteBroken(upstream) {
+      ranOn.set(upstream.engineId, upstream);
+      brokenIds.add(upstream.engineId);
+    },
+    drop: ({ engineId }) => void ranOn.delete(engineId),
     noteElsewhere() {
       runsElsewhere += 1;
     },
-    mayRunElsewhere: () =>
-      listPossiblyAlive().length + runsElsewhere < maxAttempts,
+    mayRunElsewhere: (moreUpstreams = 1) =>
+      listPossiblyAlive().length + runsElsewhere + moreUpstreams <=
+        maxAttempts,
+    listReusable: () =>
+      [...ranOn.keys()].filter((engineId) => !brokenIds.has(engineId)),
     async detectCrashes() {
       await Promise.all(listPossiblyAlive().map(checkLiveness));
     },
     describe: () =>
-      [...ranOn.keys()].map((engineId) => ({
-        engineId,
-        isRegistered: engines.get(engineId) !== undefined,
-        hasEnded: engines.hasEnded(engineId),
+      [...ranOn.values()].map((upstream) => ({
+        engineId: upstream.engineId,
+        isRegistered: engines.get(upstream.engineId) !== undefined,
+        hasEnded: hasEnded(upstream),
       })),
   };
 }
--- a/src/gateway/create_stream_relay.ts
+++ b/src/gateway/create_stream_relay.ts
@@ -34,6 +34,8 @@
 export interface StreamRelay {
   /** Forwards an event. Returns false if the caller's buffer is full (backpressure). */
   forward(event: StreamEvent): boolean;
+  /** Whether the caller does not have an event yet. */
+  isNew(event: Pick<StreamEvent, "id">): boolean;
   getProgress(): StreamProgress;
   /** Ms since the newest event, or since the last call of `restartSilence`. */
   getSilenceMs(): number;
@@ -83,16 +85,21 @@
     silentSinceMs = atMs;
   }
 
+  function isNew({ id }: Pick<StreamEvent, "id">): boolean {
+    return id === undefined || isAfter(id, lastEventId);
+  }
+
   function write(bytes: Buffer): boolean {
     events += 1;
     return response.write(bytes);
   }
 
   return {
+    isNew,
     forward({ id, bytes }) {
       recordEvent(now());
       // A resumed run may start with events that the caller already has.
-      if (id !== undefined && !isAfter(id, lastEventId)) return true;
+      if (!isNew({ id })) return true;
       if (id !== undefined) lastEventId = id;
       return write(bytes);
     },
--- a/src/gateway/create_upstream_transport.ts
+++ b/src/gateway/create_upstream_transport.ts
@@ -45,6 +45,8 @@
 
 /** An exchange in progress. */
 export interface Exchange {
+  /** Whether bytes of the request may have reached the upstream. */
+  readonly isSent: boolean;
   /** Aborts the exchange and closes its connection. */
   abort(reason: string): void;
   pause(): void;
@@ -140,7 +142,8 @@
   // Streams that break because this process is stopping try to resume.
   function rejectWhenClosed({ onEnd }: ExchangeOptions): Exchange {
     queueMicrotask(() => onEnd({ type: "notSent", reason: "stopping" }));
-    return { abort: () => {}, pause: () => {}, resume: () => {} };
+    const isSent = false;
+    return { isSent, abort: () => {}, pause: () => {}, resume: () => {} };
   }
 
   function send(options: ExchangeOptions): Exchange {
@@ -210,6 +213,9 @@
       handler,
     );
     return {
+      get isSent() {
+        return isSent;
+      },
       abort,
       pause: () => controller?.pause(),
       resume: () => controller?.resume(),
--- a/src/gateway/serve_plain_call.ts
+++ b/src/gateway/serve_plain_call.ts
@@ -241,7 +241,7 @@
       exchange = startForwardedExchange(call, context, {
         peer,
         lastEventId: request.lastEventId,
-        isRepeatable: route.repeatability !== "once",
+        mayLeave: mayRunAgainAfterThis,
         onEnd(end) {
           excludedPeers.add(peer.vm);
           if (!callEnd.hasEnded()) handleForwardedEnd(end);
--- a/src/gateway/serve_stream_call.ts
+++ b/src/gateway/serve_stream_call.ts
@@ -19,14 +19,17 @@
   PERMIT_POLL_MS,
   refuseHeldCall,
 } from "./create_run_permit.ts";
+import { createOpenRuns } from "./create_open_runs.ts";
 import { createRunRecord } from "./create_run_record.ts";
 import { createRunMigrator } from "./create_run_migrator.ts";
 import { REFUSES_CONNECTIONS } from "./create_run_monitor.ts";
+import { createStrandedRuns } from "./create_stranded_runs.ts";
 import { createSendWaits } from "./create_send_waits.ts";
 import { createAttemptCharge } from "./create_attempt_charge.ts";
 import { mayHaveBeenSent } from "./may_have_been_sent.ts";
 import type { Exchange, ExchangeEnd } from "./create_upstream_transport.ts";
 import { LEFT_OUT_CHECK_MAX_AGE_MS } from "./create_reachability.ts";
+import { listFirstUpstreams } from "./list_first_upstreams.ts";
 import { listUnconnected } from "./list_unconnected.ts";
 import { makeCutOffRefusal } from "./make_cut_off_refusal.ts";
 import {
@@ -64,6 +67,9 @@
  */
 const MAX_SENDS = 5;
 
+/** Reason for which a run is ended once another one of its call goes on. */
+const ANOTHER_RUN_GOES_ON = "another run goes on";
+
 /** Retry delay, in ms, given to a caller whose call no upstream accepted. */
 const RETRY_AFTER_MS = 500;
 
@@ -97,15 +103,16 @@
     const payment = createAttemptCharge(() => context.budget.spend(service));
     let sendCount = 0;
     let sendLimit = MAX_SENDS;
-    let runCount = 0;
+    const countedRuns = new Set<StreamRun>();
+    let forwardedRuns = 0;
     let isAdmitted = request.lastEventId !== undefined;
     let isRunProved = false;
-    let crashReports: readonly CrashReport[] = [];
+    const crashReports = new Map<StreamRun, readonly CrashReport[]>();
     // The run that last proved the parts of the prompt harmless.
     let partsProof: StreamRun | undefined;
     // Resolves once it is known whether the upstream of the last run crashed.
     let endChecked = Promise.resolve();
-    let run: StreamRun | undefined;
+    const runs = createOpenRuns<StreamRun>();
     let forwarded: Exchange | undefined;
     const excludedPeers = new Set<string>();
     const searchResults: Record<string, number> = {};
@@ -121,7 +128,7 @@
         context.pauseTracker.recordPause({
           pauseMs,
           toleratedMs: route.gapObjectiveMs,
-          path: run?.path ?? [],
+          path: runs.getCurrent()?.path ?? [],
         }),
       onFirstEvent: () =>
         metrics.timing("requests.first_token_ms", now() - call.startedMs),
@@ -152,8 +159,7 @@
         stopMonitoring();
         capacityWait.end();
         waits.end();
-        if (run) recordAbandonedRun(run);
-        run?.abort(outcome);
+        endRuns(listOpenRuns(), outcome);
         forwarded?.abort(outcome);
         stopListening();
         stopHeldListening();
@@ -165,36 +171,70 @@
 
     const refusals = createRetryAfterRefusals(call, context, {
       callEnd,
-      getProgress: () => ({ tries: sendCount, runs: runCount }),
+      getProgress: () => ({ tries: sendCount, runs: countRuns() }),
     });
     const migrator = createRunMigrator(call, context, {
       relay,
       excluded,
-      isCurrent: (sent) => run === sent && !callEnd.hasEnded(),
+      isCurrent: (sent) => runs.getCurrent() === sent && !callEnd.hasEnded(),
+      onStranded: (sent, failure) => stranded.handle(sent, failure),
+    });
+    const stranded = createStrandedRuns(call, context, {
+      runs,
+      runRecord,
+      hasCallEnded: callEnd.hasEnded,
+      getSilenceMs: relay.getSilenceMs,
+      mayRunAgain,
+      onRun: noteRun,
+      onSetAside: lookElsewhere,
+      onEngineEnded: migrator.leaveFailedEngine,
     });
 
     // Runs that broke off are resumed elsewhere as soon as the cause is known.
     const stopListening = context.reachability.onCutOff(service, () => {
       if (!isResumable || relay.getSilenceMs() < CUT_OFF_SILENCE_MS) return;
-      run?.abort("cut off");
+      const run = runs.getCurrent();
+      if (!run) return;
+      const [{ engineId }] = run.path;
+      stranded.handle(run, { engineId, reason: "cut off" });
     });
 
     // An upstream that has not begun the run yet is spared by closing its connection.
     const stopHeldListening = context.quarantine.onHeld(call, () => {
-      if (!run || run.hasBegun) return;
+      if (!runs.getCurrent() || runs.getCurrent()?.hasBegun) return;
       const held = permit.getHold();
       if (held) refuseHeldCall(call, context, { callEnd, held, hasRun: true });
     });
 
     function hasRun(): boolean {
-      return response.headersSent || runCount > 0;
+      return response.headersSent || countRuns() > 0;
+    }
+
+    function countRuns(): number {
+      return countedRuns.size + forwardedRuns;
+    }
+
+    function listOpenRuns(): StreamRun[] {
+      const run = runs.getCurrent();
+      return [...runs.listSetAside(), ...(run ? [run] : [])];
+    }
+
+    function endRuns(ended: readonly StreamRun[], reason: string): void {
+      ended.filter(({ isSent }) => isSent).forEach(noteRun);
+      ended.forEach(recordAbandonedRun);
+      ended.forEach((run) => run.abort(reason));
+    }
+
+    function noteRun(run: StreamRun): void {
+      countedRuns.add(run);
+      runRecord.note(run.path[0]);
     }
 
     function describe() {
       const { events, firstEventMs, longestPauseMs } = relay.getProgress();
       return {
         tries: sendCount,
-        runs: runCount,
+        runs: countRuns(),
         events,
         firstEventMs: firstEventMs && Math.round(firstEventMs - call.startedMs),
         longestGapMs: Math.round(longestPauseMs),
@@ -204,7 +244,7 @@
 
     function endAtDeadline(): void {
       // A request that was sent may be running even if no answer has started.
-      const mayHaveRun = runCount > 0 || run !== undefined;
+      const mayHaveRun = countRuns() > 0 || runs.getCurrent() !== undefined;
       if (mayHaveRun) {
         return callEnd.refuse({ status: 504, reason: "deadline" });
       }
@@ -217,6 +257,8 @@
 
     function next(): void {
       if (callEnd.hasEnded()) return;
+      // A run that was set aside has gone on in the meantime.
+      if (runs.getCurrent() || forwarded) return;
       // The deadline timer does not advance while the machine is suspended.
       if (now() >= call.deadlineMs) return endAtDeadline();
       if (sendCount >= sendLimit) return waitForExtraSend();
@@ -232,18 +274,23 @@
         return refusals.refuseForBackOff(retryAfterMs);
       }
       isAdmitted = true;
-      const isNew = runCount === 0 && request.lastEventId === undefined;
+      const isNew = countRuns() === 0 && request.lastEventId === undefined;
       if (isNew && !capacityWait.isFirst()) return waits.waitForCapacity();
       const choice = chooseRunPath(call, context, {
-        excluded: sendMode === "any"
-          ? excluded
-          : new Set([...excluded, ...listUnconnected(call, context)]),
+        excluded: new Set([
+          ...excluded,
+          ...listSpentEngines(),
+          ...(sendMode === "any" ? [] : listUnconnected(call, context)),
+        ]),
         trialEngineId: answer.trialEngineId,
         need: { tokens, isNew, maxShare: admission.maxShare },
       });
       searchResults[choice.type] = (searchResults[choice.type] ?? 0) + 1;
       if (choice.type === "full" && isNew) admission.noteFull();
-      if (choice.type !== "path") void context.leftOutChecks.check(service);
+      if (choice.type !== "path") {
+        void context.leftOutChecks.check(service);
+        void stranded.check();
+      }
       if (choice.type === "full" && sendMode !== "any") return forward();
       if (choice.type === "full" && isNew) return waits.waitForCapacity();
       if (choice.type === "resting") return waitForBackOff(choice.leftMs);
@@ -264,6 +311,28 @@
       send(path, grant);
     }
 
+    function mayRunAgain(): boolean {
+      return runRecord.mayRunElsewhere() || listReusable().length > 0;
+    }
+
+    // An engine has one run of a request at a time.
+    function listReusable(): string[] {
+      const openIds = listOpenRuns().map(({ path: [first] }) => first.engineId);
+      return runRecord.listReusable().filter((id) => !openIds.includes(id));
+    }
+
+    // Engines at which no run may start because others run the request or ran it.
+    function listSpentEngines(): string[] {
+      const openIds = runs.listSetAside().map(({ path: [one] }) =>
+        one.engineId
+      );
+      if (runRecord.mayRunElsewhere()) return openIds;
+      const reusable = listReusable();
+      return listFirstUpstreams(call, context)
+        .map(({ record }) => record.engineId)
+        .filter((engineId) => !reusable.includes(engineId));
+    }
+
     function waitForExtraSend(): void {
       sendLimit += 1;
       waits.waitForExtraSend();
@@ -274,7 +343,8 @@
       const held = permit.getHold();
       if (held) return endHeld(held);
       capacityWait.end();
-      const peer = request.forwardedBy === undefined
+      const isAllowed = runRecord.mayRunElsewhere();
+      const peer = request.forwardedBy === undefined && isAllowed
         ? context.peers.choose(service, { excluded: excludedPeers })
         : undefined;
       if (!peer) return endCutOff();
@@ -283,22 +353,32 @@
       sendCount += 1;
       stopMonitoring();
       relay.restartSilence();
-      forwarded = startForwardedStream(call, context, {
+      const exchange = startForwardedStream(call, context, {
         peer,
         lastEventId: relay.getProgress().lastEventId,
-        isRepeatable: isResumable,
+        mayLeave: () => isResumable && runRecord.mayRunElsewhere(2),
         getSilenceMs: relay.getSilenceMs,
         onHead: (head) => handleHead({ head, isStream: isStream(head) }),
         onEvent(event) {
-          if (callEnd.hasEnded() || relay.forward(event)) return;
-          forwarded?.pause();
-          response.once("drain", () => forwarded?.resume());
+          if (callEnd.hasEnded() || forwarded !== exchange) return;
+          if (relay.isNew(event)) leaveSetAsideRuns();
+          if (relay.forward(event)) return;
+          exchange.pause();
+          response.once("drain", exchange.resume);
         },
         onEnd(end) {
+          if (forwarded !== exchange) return;
           forwarded = undefined;
           if (!callEnd.hasEnded()) handleForwardedEnd(peer.vm, end);
         },
       });
+      forwarded = exchange;
+    }
+
+    function leaveSetAsideRuns(): void {
+      const left = runs.listSetAside();
+      left.forEach(runs.remove);
+      endRuns(left, ANOTHER_RUN_GOES_ON);
     }
 
     function endCutOff(): void {
@@ -322,20 +402,53 @@
           retryAfterMs: retryAfterMs ?? RETRY_AFTER_MS,
         });
       }
-      runCount += 1;
+      forwardedRuns += 1;
       runRecord.noteElsewhere();
       relay.restartSilence();
       if (meaning.type === "answered" && isStream(head) && !end.isCut) {
         response.end();
         return callEnd.end("answered");
       }
-      if (!isResumable || !runRecord.mayRunElsewhere()) {
-        return failBroken({ head }, end);
+      if (!isResumable || !mayRunAgain()) {
+        if (!returnToSetAside()) failBroken({ head }, end);
+        return;
       }
       metrics.count("streams.resumed");
       next();
     }
 
+    // What has run elsewhere in vain leaves the runs that are still open.
+    function returnToSetAside(): boolean {
+      const run = runs.listSetAside().at(-1);
+      if (!run) return false;
+      runs.remove(run);
+      runs.add(run);
+      waits.noteSent();
+      monitor(run);
+      return true;
+    }
+
+    function lookElsewhere(): void {
+      stopMonitoring();
+      payment.noteEnd({ wasSent: true });
+      metrics.count("streams.resumed");
+      void context.reachability.check(service).then(retry);
+    }
+
+    // The first run to go on serves the call from then on.
+    function noteProgress(sent: StreamRun): void {
+      stranded.noteProgress(sent);
+      if (runs.isAlone(sent)) return;
+      const wasCurrent = runs.getCurrent() === sent;
+      endRuns(runs.resume(sent), ANOTHER_RUN_GOES_ON);
+      if (wasCurrent) return;
+      const abandoned = forwarded;
+      forwarded = undefined;
+      abandoned?.abort(ANOTHER_RUN_GOES_ON);
+      waits.noteSent();
+      monitor(sent);
+    }
+
     // Engines that were excluded for this call may be usable again after the wait.
     function waitForPath(
       { isLinkDenied }: { readonly isLinkDenied?: boolean },
@@ -374,6 +487,7 @@
     }
 
     function giveUp(reason: string): void {
+      if (returnToSetAside()) return;
       const refusal = hasRun()
         ? { status: 502, reason: "outcome_unknown" } as const
         : createCapacityRefusal(call, context, {
@@ -390,7 +504,7 @@
         reason,
         refusal: refusal.reason,
         tries: sendCount,
-        runs: runCount,
+        runs: countRuns(),
         searchResults,
         ...givenUp,
         ...engines.countLeftOut(service),
@@ -415,8 +529,8 @@
         lastEventId,
       });
       relay.restartSilence();
-      crashReports = permit.noteSent(path[0].engineId);
-      run = startStreamRun(call, context, {
+      const reports = permit.noteSent(path[0].engineId);
+      const run = startStreamRun(call, context, {
         path,
         isLayered: model !== undefined,
         grant,
@@ -425,15 +539,19 @@
         onHead: handleHead,
         onEvent(sent, event) {
           recordProof(sent);
-          if (!callEnd.hasEnded() && !relay.forward(event)) awaitDrain(sent);
+          if (callEnd.hasEnded() || !runs.isOpen(sent)) return;
+          if (relay.isNew(event)) noteProgress(sent);
+          if (!relay.forward(event)) awaitDrain(sent);
         },
         onEnd(sent, end) {
-          if (run === sent) stopMonitoring();
-          if (callEnd.hasEnded() || run !== sent) return;
-          run = undefined;
-          handleRunEnd(sent, end);
+          if (runs.getCurrent() === sent) stopMonitoring();
+          if (callEnd.hasEnded() || !runs.isOpen(sent)) return;
+          const wasCurrent = runs.remove(sent);
+          handleRunEnd(sent, { ...end, wasCurrent });
         },
       });
+      crashReports.set(run, reports);
+      runs.add(run);
       monitor(run);
     }
 
@@ -446,12 +564,12 @@
     }
 
     // The request may already have crashed its engine without this gateway knowing yet.
-    function recordAbandonedRun({ path, firstEventMs }: StreamRun): void {
-      if (!hasJustBegun({ firstEventMs }, now())) return;
-      const { engineId } = path[0];
-      crashReports.forEach((report) =>
-        context.abandonedRuns.note({ ...report, engineId })
-      );
+    function recordAbandonedRun(run: StreamRun): void {
+      if (!hasJustBegun(run, now())) return;
+      const { engineId } = run.path[0];
+      for (const report of crashReports.get(run) ?? []) {
+        context.abandonedRuns.note({ ...report, engineId });
+      }
     }
 
     function recordProof(sent: StreamRun): void {
@@ -479,13 +597,17 @@
         hasBegun: () => sent.hasBegun,
         getSilenceMs: relay.getSilenceMs,
         getUsualPauseMs: relay.getUsualPauseMs,
-        checkStall: () => migrator.checkStall(sent),
+        checkStall() {
+          migrator.checkStall(sent);
+          void stranded.check();
+        },
         checkLeaving: () => migrator.checkLeaving(sent),
         leave: (engineId, reason, { isConfirmed } = {}) =>
           void migrator.leaveFailedEngine(sent, {
             engineId,
             reason,
             isConfirmed,
+            hasEnded: reason === REFUSES_CONNECTIONS,
           }),
       });
     }
@@ -509,13 +631,16 @@
 
     function handleRunEnd(
       sent: StreamRun,
-      { how, isCut, body }: StreamRunEnd,
+      { how, isCut, body, wasCurrent }: StreamRunEnd & {
+        /** Whether it served the call, rather than having been set aside. */
+        readonly wasCurrent: boolean;
+      },
     ): void {
       const [{ engineId }] = sent.path;
       const { head } = sent;
       const faultyEngineId = sent.failedEngineId ?? engineId;
       if (how.type === "withheld") return handleWithheld(engineId);
-      payment.noteEnd({ wasSent: how.type !== "notSent" });
+      if (wasCurrent) payment.noteEnd({ wasSent: how.type !== "notSent" });
       if (how.type === "notSent") {
         metrics.countRetry("connect_failed");
         engines.suspect(faultyEngineId, how.reason, { isUnanswered: true });
@@ -528,10 +653,9 @@
         return void context.reachability.check(service).then(retry);
       }
       if (how.type === "complete" && head?.reportsNotRun) {
-        return handleNotRun(sent, head);
+        return handleNotRun(sent, { head, wasCurrent });
       }
-      runCount += 1;
-      runRecord.note(sent.path[0]);
+      countedRuns.add(sent);
       const isComplete = how.type === "complete" && sent.isStream && !isCut;
       engines.noteAnswer(faultyEngineId, { failed: !isComplete });
       if (isComplete) {
@@ -543,8 +667,12 @@
         response.end();
         return callEnd.end("answered");
       }
+      if (sent.wasAborted) runRecord.note(sent.path[0]);
+      else runRecord.noteBroken(sent.path[0]);
       handleBroken(sent, how);
-      endChecked = checkUpstreamEnd(sent, how);
+      const checked = checkUpstreamEnd(sent, how);
+      endChecked = Promise.all([endChecked, checked]).then(() => {});
+      if (!wasCurrent) return;
       if (isResumable) void resumeElsewhere(sent, { how, body });
       else failBroken(sent, { how, body });
     }
@@ -559,11 +687,12 @@
       // A second run would break off for the same reason.
       await context.reachability.check(service);
       if (!runRecord.mayRunElsewhere()) await runRecord.detectCrashes();
-      if (callEnd.hasEnded()) return;
-      if (runRecord.mayRunElsewhere()) {
+      if (callEnd.hasEnded() || runs.getCurrent()) return;
+      if (mayRunAgain()) {
         metrics.count("streams.resumed");
         return retry();
       }
+      if (returnToSetAside()) return;
       log("runsSpent", {
         requestId,
         maxAttempts: route.maxAttempts,
@@ -609,7 +738,7 @@
         silenceMs: Math.round(relay.getSilenceMs()),
         status: sent.head?.status,
         lastEventId: relay.getProgress().lastEventId,
-        runs: runCount,
+        runs: countRuns(),
         ...engines.countLeftOut(service),
       });
     }
@@ -630,14 +759,22 @@
         upstream,
         sentMs,
         firstEventMs,
-        crashReports,
+        crashReports: crashReports.get(sent) ?? [],
       });
     }
 
-    function handleNotRun(sent: StreamRun, head: UpstreamHead): void {
+    function handleNotRun(
+      sent: StreamRun,
+      { head, wasCurrent }: {
+        readonly head: UpstreamHead;
+        readonly wasCurrent: boolean;
+      },
+    ): void {
+      countedRuns.delete(sent);
+      runRecord.drop(sent.path[0]);
       excluded.add(handleRefusal(call, context, { sent, head }));
       metrics.countRetry("upstream_refused");
-      retry();
+      if (wasCurrent) retry();
     }
 
     next();
--- a/src/gateway/start_forwarded_exchange.ts
+++ b/src/gateway/start_forwarded_exchange.ts
@@ -19,8 +19,8 @@
   readonly peer: Peer;
   /** Id of the event after which the answer resumes. */
   readonly lastEventId: string | undefined;
-  /** Whether the call may run again, so that a silent peer can be left. */
-  readonly isRepeatable: boolean;
+  /** Whether the call may run once more, so that a silent peer can be left. */
+  readonly mayLeave: () => boolean;
   /** Ms for which a stream has been silent; absent if the answer is not a stream. */
   readonly getSilenceMs?: () => number;
   readonly onHead?: (head: UpstreamHead) => void;
@@ -68,18 +68,17 @@
 ): Exchange {
   const { request, service } = call;
   const { peers, log, metrics, now } = context;
-  const { peer, lastEventId, isRepeatable } = options;
+  const { peer, lastEventId, mayLeave } = options;
   const { requestId } = request;
   const { vm } = peer;
   const chunks: Buffer[] = [];
   const sentMs = now();
   let head: UpstreamHead | undefined;
   const endRequest = peers.beginRequest(vm);
-  const watch = isRepeatable
-    ? setInterval(checkPeer, WATCH_INTERVAL_MS)
-    : undefined;
+  const watch = setInterval(checkPeer, WATCH_INTERVAL_MS);
 
   function checkPeer(): void {
+    if (!mayLeave()) return;
     const silenceMs = options.getSilenceMs?.() ?? 0;
     if (!peers.isListed(vm)) exchange.abort("peer is no longer listed");
     else if (silenceMs > MAX_SILENCE_MS) exchange.abort("peer is silent");
--- a/src/gateway/start_forwarded_stream.ts
+++ b/src/gateway/start_forwarded_stream.ts
@@ -18,7 +18,7 @@
 export interface StartForwardedStreamOptions extends
   Pick<
     StartForwardedExchangeOptions,
-    "peer" | "lastEventId" | "isRepeatable" | "getSilenceMs" | "onHead"
+    "peer" | "lastEventId" | "mayLeave" | "getSilenceMs" | "onHead"
   > {
   readonly onEvent: (event: StreamEvent) => void;
   readonly onEnd: (end: ForwardedStreamEnd) => void;
--- a/src/gateway/start_stream_run.ts
+++ b/src/gateway/start_stream_run.ts
@@ -16,6 +16,8 @@
 export interface StreamRun {
   readonly path: readonly AddressedPart[];
   readonly sentMs: number;
+  /** Whether bytes of the request may have reached the first engine. */
+  readonly isSent: boolean;
   /** Engine of the path that was found to have failed. */
   readonly failedEngineId: string | undefined;
   /** Whether this gateway aborted the run. */
@@ -130,6 +132,9 @@
       return path;
     },
     sentMs: now(),
+    get isSent() {
+      return exchange.isSent;
+    },
     get failedEngineId() {
       return failedEngineId;
     },
--- a/src/logs/events.ts
+++ b/src/logs/events.ts
@@ -308,6 +308,16 @@
     "warn",
     "Request ran on as many upstreams as its route allows; not retried",
   ),
+  runStranded: event(
+    "CL1819",
+    "info",
+    "Running request has an engine that fails or does not answer, and can't be moved",
+  ),
+  runWentOn: event(
+    "CL1820",
+    "info",
+    "Running request goes on after an engine of it did not answer",
+  ),
   requestHeldBack: event(
     "CL1810",
     "warn",
