--- a/src/gateway/start_forwarded_exchange_test.ts
+++ b/src/gateway/start_forwarded_exchange_test.ts
@@ -44,7 +44,7 @@
     now: () => 0,
   } as unknown as ServingContext;
   startForwardedExchange(CALL, context, {
-    peer: { vm: "g2", address: "g2:80" },
+    peer: { vm: "g2", place: "p1", address: "g2:80", isReady: true },
     lastEventId: undefined,
     mayLeave: () => mayLeave,
     getSilenceMs: () => 60_000,
