Start a program of the soak again that a signal ended before it was ready

Three of nine runs of the soak ended with "Timed out waiting until the control process is ready": SIGHUP reached a control process that had just been spawned and had no handler yet, which ends it; a supervisor starts it again. What a run checks is as before.

--- a/test/support/start_process_fleet.ts
+++ b/test/support/start_process_fleet.ts
@@ -92,6 +92,9 @@
 
 const PROPAGATION_MS = 2_000;
 
+/** Interval at which a program that is starting is checked. */
+const SUPERVISION_INTERVAL_MS = 50;
+
 /** Processes of tests that run at the same time have networks of their own. */
 const NETWORK = `127.${1 + (process.pid >> 8) % 250}.${process.pid % 250}`;
 
@@ -194,9 +197,11 @@
       );
     }
 
+    const hasExited = () =>
+      child.exitCode !== null || child.signalCode !== null;
+
     async function waitForEnd(): Promise<void> {
-      if (child.exitCode !== null || child.signalCode !== null) return;
-      await once(child, "exit");
+      if (!hasExited()) await once(child, "exit");
     }
 
     await spawn();
@@ -211,9 +216,17 @@
       lines,
       kill: (signal) => void child.kill(signal),
       ended: waitForEnd,
+      // A signal that comes before its handler is set ends the process.
       async restart() {
         await spawn();
-        await program.waitUntilReady();
+        const ready = program.waitUntilReady();
+        let isOver = false;
+        void ready.catch(() => {}).finally(() => isOver = true);
+        while (!isOver) {
+          if (hasExited()) await spawn();
+          await sleep(SUPERVISION_INTERVAL_MS);
+        }
+        await ready;
       },
     };
   }
