Ask the engines of a stranded run once a second what it waits for

The run's next event tells sooner that the engine goes on; the report is needed only to find a move.

--- a/src/gateway/create_stranded_runs.ts
+++ b/src/gateway/create_stranded_runs.ts
@@ -37,6 +37,11 @@
    * may run again, it is set aside.
    */
   handle(run: StreamRun, failure: EngineFailure): void;
+  /**
+   * Whether a silent run may ask its engines now what it waits for. A stranded one does
+   * so less often: its next event shows sooner that it goes on.
+   */
+  mayCheckStall(run: StreamRun): boolean;
   /**
    * Checks whether engines of stranded runs have ended; runs that lost one are ended or
    * moved. To be called while a stranded run is silent or no path is found.
@@ -49,6 +54,9 @@
 /** Ms between two checks of whether the engines of stranded runs have ended. */
 const CHECK_INTERVAL_MS = 500;
 
+/** Ms between two stall checks of a stranded run. */
+const STALL_CHECK_INTERVAL_MS = 1_000;
+
 /** Reason for which a run leaves an engine that the leader has removed. */
 const REMOVED = "no longer registered";
 
@@ -75,6 +83,7 @@
   const { request: { requestId }, service } = call;
   const sinceMs = new Map<StreamRun, number>();
   let nextCheckMs = 0;
+  let nextStallCheckMs = 0;
 
   // A request that is suspected of crashing engines starts on no other one.
   function mayLookElsewhere(): boolean {
@@ -99,7 +108,10 @@
         ...engines.countLeftOut(service),
       });
     }
-    if (!sinceMs.has(run)) sinceMs.set(run, now());
+    if (!sinceMs.has(run)) {
+      sinceMs.set(run, now());
+      nextStallCheckMs = now() + STALL_CHECK_INTERVAL_MS;
+    }
     if (!isAllowed) return;
     if (hasEnded) return run.leave(engineId, reason);
     runs.setAside(run);
@@ -125,6 +137,12 @@
 
   return {
     handle,
+    mayCheckStall(run) {
+      if (!sinceMs.has(run)) return true;
+      if (now() < nextStallCheckMs) return false;
+      nextStallCheckMs = now() + STALL_CHECK_INTERVAL_MS;
+      return true;
+    },
     async check() {
       if (sinceMs.size === 0 || now() < nextCheckMs) return;
       nextCheckMs = now() + CHECK_INTERVAL_MS;
--- a/src/gateway/create_stranded_runs_test.ts
+++ b/src/gateway/create_stranded_runs_test.ts
@@ -171,6 +171,17 @@
   assert.equal(happened, ["set aside"]);
 });
 
+test("a stranded run asks its engines what it waits for once a second", () => {
+  const { run, stranded, advance } = setUp({ mayRunAgain: false });
+  assert.ok(stranded.mayCheckStall(run));
+  assert.ok(stranded.mayCheckStall(run));
+  stranded.handle(run, SILENT);
+  assert.not(stranded.mayCheckStall(run));
+  advance(1_000);
+  assert.ok(stranded.mayCheckStall(run));
+  assert.not(stranded.mayCheckStall(run));
+});
+
 test("the engines of a run that goes on are used again", () => {
   const { run, stranded, happened, logged } = setUp();
   stranded.handle(run, SILENT);
--- a/src/gateway/serve_stream_call.ts
+++ b/src/gateway/serve_stream_call.ts
@@ -598,7 +598,7 @@
         getSilenceMs: relay.getSilenceMs,
         getUsualPauseMs: relay.getUsualPauseMs,
         checkStall() {
-          migrator.checkStall(sent);
+          if (stranded.mayCheckStall(sent)) migrator.checkStall(sent);
           void stranded.check();
         },
         checkLeaving: () => migrator.checkLeaving(sent),
