Let a run that lost an engine behind its first one start there again

A last run whose later engine had ended stayed until a move was found or its deadline came, as its route allowed no further upstream; its first engine is none. And an upstream that rejected a stranded run keeps counting against the route's limit: the request may have run there before, and forgetting it would have allowed one too many. Both found by reading the diff; unit tests for the first and for which upstreams may run a request again.

--- a/src/gateway/create_run_record.ts
+++ b/src/gateway/create_run_record.ts
@@ -34,8 +34,6 @@
   note(upstream: UpstreamAddress): void;
   /** Records that an upstream has ended the run. */
   noteBroken(upstream: UpstreamAddress): void;
-  /** Records that an upstream rejected the call, which has not run there. */
-  drop(upstream: UpstreamAddress): void;
   /** Records that the call ran on an upstream that only another gateway knows. */
   noteElsewhere(): void;
   /**
@@ -99,7 +97,6 @@
       ranOn.set(upstream.engineId, upstream);
       brokenIds.add(upstream.engineId);
     },
-    drop: ({ engineId }) => void ranOn.delete(engineId),
     noteElsewhere() {
       runsElsewhere += 1;
     },
--- a/src/gateway/create_run_record_test.ts
+++ b/src/gateway/create_run_record_test.ts
@@ -75,10 +75,10 @@
   assert.ok(record.mayRunElsewhere());
 });
 
-test("an upstream that rejected the call doesn't count", () => {
+test("a call may run again on upstreams that have not ended its run themselves", () => {
   const record = makeRecord({ e1: "listening", e2: "listening" });
-  record.drop({ engineId: "e1", address: "e1:80" });
-  assert.ok(record.mayRunElsewhere());
+  record.noteBroken({ engineId: "e1", address: "e1:80" });
+  assert.equal(record.listReusable(), ["e2"]);
 });
 
 test.run();
--- a/src/gateway/create_stranded_runs.ts
+++ b/src/gateway/create_stranded_runs.ts
@@ -85,9 +85,13 @@
   let nextCheckMs = 0;
   let nextStallCheckMs = 0;
 
-  // A request that is suspected of crashing engines starts on no other one.
-  function mayLookElsewhere(): boolean {
-    return mayRunAgain() && context.quarantine.judge(call).type === "free";
+  // A request that is suspected of crashing engines starts on no other one. A run that
+  // has lost an engine behind its first one may start at the first one again.
+  function mayLookElsewhere(run: StreamRun, failure: EngineFailure): boolean {
+    const { engineId, hasEnded = false } = failure;
+    const mayStartAgain = hasEnded && engineId !== run.path[0].engineId;
+    return (mayStartAgain || mayRunAgain()) &&
+      context.quarantine.judge(call).type === "free";
   }
 
   function handle(run: StreamRun, failure: EngineFailure): void {
@@ -96,7 +100,7 @@
     if (!run.isSent) return run.leave(engineId, reason);
     options.onRun(run);
     if (reason === REFUSES_CONNECTIONS) engines.noteEnded(engineId);
-    const isAllowed = mayLookElsewhere();
+    const isAllowed = mayLookElsewhere(run, failure);
     if (!sinceMs.has(run) || isAllowed) {
       log("runStranded", {
         requestId,
--- a/src/gateway/create_stranded_runs_test.ts
+++ b/src/gateway/create_stranded_runs_test.ts
@@ -124,6 +124,12 @@
   assert.equal(denied.happened, ["ended e1"]);
 });
 
+test("a run that lost an engine behind its first one may start there again", () => {
+  const { run, stranded, happened } = setUp({ mayRunAgain: false });
+  stranded.handle(run, { ...SILENT, hasEnded: true });
+  assert.equal(happened, ["left e2"]);
+});
+
 test("a run stays on an engine that the leader removed and that accepts connections", async () => {
   const { run, stranded, happened, remove } = setUp({ mayRunAgain: false });
   stranded.handle(run, SILENT);
--- a/src/gateway/serve_stream_call.ts
+++ b/src/gateway/serve_stream_call.ts
@@ -771,7 +771,6 @@
       },
     ): void {
       countedRuns.delete(sent);
-      runRecord.drop(sent.path[0]);
       excluded.add(handleRefusal(call, context, { sent, head }));
       metrics.countRetry("upstream_refused");
       if (wasCurrent) retry();
