--- a/test/support/run_pause_soak.ts
+++ b/test/support/run_pause_soak.ts
@@ -88,7 +88,7 @@
 
 const REFUSED_STATUS = 503;
 
-const CALLER_ANSWERED_STATUS = 200;
+const ANSWERED_STATUS = 200;
 
 const PAUSE_MS = [300, 3_000] as const;
 
@@ -295,7 +295,7 @@
     deadlineMs: DEADLINE_MS,
     idPrefix: name,
   }).catch(() => undefined);
-  const isAnswered = answer?.status === CALLER_ANSWERED_STATUS;
+  const isAnswered = answer?.status === ANSWERED_STATUS;
   const isWhole = isAnswered && answer.text === expectStream(EVENTS);
   return {
     name,
