Keep a stream open at a silent peer until another run goes on

Callers of a gateway that reaches no upstream saw their streams stand still until the deadline: a stream that had been passed on was left after 1.5 s without an event, and where no retry was lent it went nowhere else, while the peer went on 2.5 s later.

--- a/src/gateway/create_run_record.ts
+++ b/src/gateway/create_run_record.ts
@@ -37,10 +37,10 @@
   /** Records that the call ran on an upstream that only another gateway knows. */
   noteElsewhere(): void;
   /**
-   * Whether the call may run on another upstream, or on several more. Upstreams known
-   * to have ended don't count.
+   * Whether the call may run on another upstream. Upstreams known to have ended don't
+   * count.
    */
-  mayRunElsewhere(moreUpstreams?: number): boolean;
+  mayRunElsewhere(): boolean;
   /**
    * Upstreams on which the call may run again, as this gateway ended their runs itself.
    * That takes none of the further upstreams that are allowed.
@@ -100,9 +100,8 @@
     noteElsewhere() {
       runsElsewhere += 1;
     },
-    mayRunElsewhere: (moreUpstreams = 1) =>
-      listPossiblyAlive().length + runsElsewhere + moreUpstreams <=
-        maxAttempts,
+    mayRunElsewhere: () =>
+      listPossiblyAlive().length + runsElsewhere < maxAttempts,
     listReusable: () =>
       [...ranOn.keys()].filter((engineId) => !brokenIds.has(engineId)),
     async detectCrashes() {
--- a/src/gateway/create_stranded_runs.ts
+++ b/src/gateway/create_stranded_runs.ts
@@ -9,12 +9,22 @@
 import type { EngineFailure } from "./create_run_migrator.ts";
 import { REFUSES_CONNECTIONS } from "./create_run_monitor.ts";
 import type { RunRecord } from "./create_run_record.ts";
-import type { StreamRun } from "./start_stream_run.ts";
+import type { AddressedPart } from "./protocol.ts";
 import type { Call, ServingContext } from "./types.ts";
 
+/** A run at engines, or at another gateway, as far as it can be stranded. */
+export interface StrandableRun {
+  /** Its engines; none where another gateway runs it. */
+  readonly path: readonly AddressedPart[];
+  /** Whether bytes of the request may have been sent. */
+  readonly isSent: boolean;
+  /** Ends the run because of an engine or another gateway. */
+  leave(engineId: string, reason: string): void;
+}
+
 /** Options of {@link createStrandedRuns}: the runs of the call. */
-export interface CreateStrandedRunsOptions {
-  readonly runs: OpenRuns<StreamRun>;
+export interface CreateStrandedRunsOptions<Run extends StrandableRun> {
+  readonly runs: OpenRuns<Run>;
   readonly runRecord: Pick<RunRecord, "detectCrashes">;
   /** Whether the call has ended. */
   readonly hasCallEnded: () => boolean;
@@ -23,32 +33,32 @@
   /** Whether the call may run again while its open runs stay open. */
   readonly mayRunAgain: () => boolean;
   /** Called with a run that may be running on its engines. */
-  readonly onRun: (run: StreamRun) => void;
+  readonly onRun: (run: Run) => void;
   /** Called when the current run was set aside, so that another one is looked for. */
   readonly onSetAside: () => void;
   /** Called when an engine of the current run has ended. */
-  readonly onEngineEnded: (run: StreamRun, failure: EngineFailure) => void;
+  readonly onEngineEnded: (run: Run, failure: EngineFailure) => void;
 }
 
 /** The stranded runs of one call. */
-export interface StrandedRuns {
+export interface StrandedRuns<Run extends StrandableRun> {
   /**
    * Handles a failure that strands the current run. The run stays open; while the call
    * may run again, it is set aside.
    */
-  handle(run: StreamRun, failure: EngineFailure): void;
+  handle(run: Run, failure: EngineFailure): void;
   /**
    * Whether a silent run may ask its engines now what it waits for. A stranded one does
    * so less often: its next event shows sooner that it goes on.
    */
-  mayCheckStall(run: StreamRun): boolean;
+  mayCheckStall(run: Run): boolean;
   /**
    * Checks whether engines of stranded runs have ended; runs that lost one are ended or
    * moved. To be called while a stranded run is silent or no path is found.
    */
   check(): Promise<void>;
   /** Records that a run goes on, and uses the engines of its path again. */
-  noteProgress(run: StreamRun): void;
+  noteProgress(run: Run): void;
 }
 
 /** Ms between two checks of whether the engines of stranded runs have ended. */
@@ -73,35 +83,38 @@
  * @example
  * const stranded = createStrandedRuns(call, context, options);
  */
-export function createStrandedRuns(
+export function createStrandedRuns<Run extends StrandableRun>(
   call: Call,
   context: ServingContext,
-  options: CreateStrandedRunsOptions,
-): StrandedRuns {
+  options: CreateStrandedRunsOptions<Run>,
+): StrandedRuns<Run> {
   const { runs, runRecord, hasCallEnded, mayRunAgain } = options;
   const { engines, now, log } = context;
   const { request: { requestId }, service } = call;
-  const sinceMs = new Map<StreamRun, number>();
+  const failures = new Map<
+    Run,
+    { readonly sinceMs: number; readonly failure: EngineFailure }
+  >();
   let nextCheckMs = 0;
   let nextStallCheckMs = 0;
 
   // A request that is suspected of crashing engines starts on no other one. A run that
   // has lost an engine behind its first one may start at the first one again.
-  function mayLookElsewhere(run: StreamRun, failure: EngineFailure): boolean {
+  function mayLookElsewhere(run: Run, failure: EngineFailure): boolean {
     const { engineId, hasEnded = false } = failure;
-    const mayStartAgain = hasEnded && engineId !== run.path[0].engineId;
+    const mayStartAgain = hasEnded && engineId !== run.path[0]?.engineId;
     return (mayStartAgain || mayRunAgain()) &&
       context.quarantine.judge(call).type === "free";
   }
 
-  function handle(run: StreamRun, failure: EngineFailure): void {
+  function handle(run: Run, failure: EngineFailure): void {
     if (hasCallEnded() || runs.getCurrent() !== run) return;
     const { engineId, reason, hasEnded = false } = failure;
     if (!run.isSent) return run.leave(engineId, reason);
     options.onRun(run);
     if (reason === REFUSES_CONNECTIONS) engines.noteEnded(engineId);
     const isAllowed = mayLookElsewhere(run, failure);
-    if (!sinceMs.has(run) || isAllowed) {
+    if (!failures.has(run) || isAllowed) {
       log("runStranded", {
         requestId,
         engineId,
@@ -112,8 +125,8 @@
         ...engines.countLeftOut(service),
       });
     }
-    if (!sinceMs.has(run)) {
-      sinceMs.set(run, now());
+    if (!failures.has(run)) {
+      failures.set(run, { sinceMs: now(), failure });
       nextStallCheckMs = now() + STALL_CHECK_INTERVAL_MS;
     }
     if (!isAllowed) return;
@@ -124,7 +137,7 @@
 
   // A machine without power resets no connection, so the end of its engines shows only
   // once the leader has removed them.
-  async function leaveRemovedEngine(run: StreamRun): Promise<void> {
+  async function leaveRemovedEngine(run: Run): Promise<void> {
     const removed = run.path.find(({ engineId }) =>
       engines.get(engineId) === undefined
     );
@@ -142,30 +155,29 @@
   return {
     handle,
     mayCheckStall(run) {
-      if (!sinceMs.has(run)) return true;
+      if (!failures.has(run)) return true;
       if (now() < nextStallCheckMs) return false;
       nextStallCheckMs = now() + STALL_CHECK_INTERVAL_MS;
       return true;
     },
     async check() {
-      if (sinceMs.size === 0 || now() < nextCheckMs) return;
+      if (failures.size === 0 || now() < nextCheckMs) return;
       nextCheckMs = now() + CHECK_INTERVAL_MS;
-      const stranded = [...sinceMs.keys()].filter(runs.isOpen);
+      const stranded = [...failures.keys()].filter(runs.isOpen);
       await Promise.all(stranded.map(leaveRemovedEngine));
       const run = runs.getCurrent();
-      if (!run || !sinceMs.has(run) || !mayRunAgain()) return;
-      const [{ engineId }] = run.path;
-      handle(run, { engineId, reason: REMOVED });
+      const stayed = run && failures.get(run);
+      if (run && stayed && mayRunAgain()) handle(run, stayed.failure);
     },
     noteProgress(run) {
-      const strandedSinceMs = sinceMs.get(run);
-      if (strandedSinceMs === undefined) return;
-      sinceMs.delete(run);
+      const stranded = failures.get(run);
+      if (!stranded) return;
+      failures.delete(run);
       run.path.forEach(({ engineId }) => engines.noteWorking(engineId));
       log("runWentOn", {
         requestId,
-        engineId: run.path[0].engineId,
-        strandedMs: Math.round(now() - strandedSinceMs),
+        engineId: stranded.failure.engineId,
+        strandedMs: Math.round(now() - stranded.sinceMs),
       });
     },
   };
--- a/src/gateway/create_stranded_runs_test.ts
+++ b/src/gateway/create_stranded_runs_test.ts
@@ -124,6 +124,15 @@
   assert.equal(denied.happened, ["ended e1"]);
 });
 
+test("a run at another gateway stays open while another one is looked for", () => {
+  const { runs, stranded, happened } = setUp();
+  const forwarded = { isSent: true, path: [] } as unknown as StreamRun;
+  runs.add(forwarded);
+  stranded.handle(forwarded, { engineId: "g2", reason: "peer is silent" });
+  assert.equal(happened, ["set aside"]);
+  assert.ok(runs.isOpen(forwarded));
+});
+
 test("a run that lost an engine behind its first one may start there again", () => {
   const { run, stranded, happened } = setUp({ mayRunAgain: false });
   stranded.handle(run, { ...SILENT, hasEnded: true });
--- a/src/gateway/serve_plain_call.ts
+++ b/src/gateway/serve_plain_call.ts
@@ -241,7 +241,9 @@
       exchange = startForwardedExchange(call, context, {
         peer,
         lastEventId: request.lastEventId,
-        mayLeave: mayRunAgainAfterThis,
+        onDoubt(reason) {
+          if (mayRunAgainAfterThis()) exchange?.abort(reason);
+        },
         onEnd(end) {
           excludedPeers.add(peer.vm);
           if (!callEnd.hasEnded()) handleForwardedEnd(end);
--- a/src/gateway/serve_stream_call.ts
+++ b/src/gateway/serve_stream_call.ts
@@ -27,12 +27,13 @@
 import { createSendWaits } from "./create_send_waits.ts";
 import { createAttemptCharge } from "./create_attempt_charge.ts";
 import { mayHaveBeenSent } from "./may_have_been_sent.ts";
-import type { Exchange, ExchangeEnd } from "./create_upstream_transport.ts";
+import type { ExchangeEnd } from "./create_upstream_transport.ts";
 import { LEFT_OUT_CHECK_MAX_AGE_MS } from "./create_reachability.ts";
 import { listFirstUpstreams } from "./list_first_upstreams.ts";
 import { listUnconnected } from "./list_unconnected.ts";
 import { makeCutOffRefusal } from "./make_cut_off_refusal.ts";
 import {
+  type ForwardedRun,
   type ForwardedStreamEnd,
   isStream,
   startForwardedStream,
@@ -47,6 +48,7 @@
 } from "./detect_upstream_crash.ts";
 import { noteWithheld } from "./note_withheld.ts";
 import type { AddressedPart, UpstreamHead } from "./protocol.ts";
+import type { StreamEvent } from "./split_events.ts";
 import type { SendGrant } from "./create_rate_limits.ts";
 import { requestGrant } from "./request_grant.ts";
 import { jitterRetryAfterMs } from "./jitter_retry_after_ms.ts";
@@ -70,6 +72,10 @@
 /** Reason for which a run is ended once another one of its call goes on. */
 const ANOTHER_RUN_GOES_ON = "another run goes on";
 
+type OpenRun = StreamRun | ForwardedRun;
+
+const isForwarded = (run: OpenRun): run is ForwardedRun => "vm" in run;
+
 /** Retry delay, in ms, given to a caller whose call no upstream accepted. */
 const RETRY_AFTER_MS = 500;
 
@@ -103,8 +109,7 @@
     const payment = createAttemptCharge(() => context.budget.spend(service));
     let sendCount = 0;
     let sendLimit = MAX_SENDS;
-    const countedRuns = new Set<StreamRun>();
-    let forwardedRuns = 0;
+    const countedRuns = new Set<OpenRun>();
     let isAdmitted = request.lastEventId !== undefined;
     let isRunProved = false;
     const crashReports = new Map<StreamRun, readonly CrashReport[]>();
@@ -112,8 +117,7 @@
     let partsProof: StreamRun | undefined;
     // Resolves once it is known whether the upstream of the last run crashed.
     let endChecked = Promise.resolve();
-    const runs = createOpenRuns<StreamRun>();
-    let forwarded: Exchange | undefined;
+    const runs = createOpenRuns<OpenRun>();
     const excludedPeers = new Set<string>();
     const searchResults: Record<string, number> = {};
     // Why no upstream was found; CL1804 is dropped where there are many log lines.
@@ -160,7 +164,6 @@
         capacityWait.end();
         waits.end();
         endRuns(listOpenRuns(), outcome);
-        forwarded?.abort(outcome);
         stopListening();
         stopHeldListening();
         void endChecked.then(permit.noteRunEnd);
@@ -171,7 +174,7 @@
 
     const refusals = createRetryAfterRefusals(call, context, {
       callEnd,
-      getProgress: () => ({ tries: sendCount, runs: countRuns() }),
+      getProgress: () => ({ tries: sendCount, runs: countedRuns.size }),
     });
     const migrator = createRunMigrator(call, context, {
       relay,
@@ -179,7 +182,7 @@
       isCurrent: (sent) => runs.getCurrent() === sent && !callEnd.hasEnded(),
       onStranded: (sent, failure) => stranded.handle(sent, failure),
     });
-    const stranded = createStrandedRuns(call, context, {
+    const stranded = createStrandedRuns<OpenRun>(call, context, {
       runs,
       runRecord,
       hasCallEnded: callEnd.hasEnded,
@@ -187,54 +190,56 @@
       mayRunAgain,
       onRun: noteRun,
       onSetAside: lookElsewhere,
-      onEngineEnded: migrator.leaveFailedEngine,
+      onEngineEnded(run, failure) {
+        if (!isForwarded(run)) void migrator.leaveFailedEngine(run, failure);
+      },
     });
 
     // Runs that broke off are resumed elsewhere as soon as the cause is known.
     const stopListening = context.reachability.onCutOff(service, () => {
       if (!isResumable || relay.getSilenceMs() < CUT_OFF_SILENCE_MS) return;
       const run = runs.getCurrent();
-      if (!run) return;
+      if (!run || isForwarded(run)) return;
       const [{ engineId }] = run.path;
       stranded.handle(run, { engineId, reason: "cut off" });
     });
 
     // An upstream that has not begun the run yet is spared by closing its connection.
     const stopHeldListening = context.quarantine.onHeld(call, () => {
-      if (!runs.getCurrent() || runs.getCurrent()?.hasBegun) return;
+      const run = runs.getCurrent();
+      if (!run || isForwarded(run) || run.hasBegun) return;
       const held = permit.getHold();
       if (held) refuseHeldCall(call, context, { callEnd, held, hasRun: true });
     });
 
     function hasRun(): boolean {
-      return response.headersSent || countRuns() > 0;
+      return response.headersSent || countedRuns.size > 0;
     }
 
-    function countRuns(): number {
-      return countedRuns.size + forwardedRuns;
-    }
-
-    function listOpenRuns(): StreamRun[] {
+    function listOpenRuns(): OpenRun[] {
       const run = runs.getCurrent();
       return [...runs.listSetAside(), ...(run ? [run] : [])];
     }
 
-    function endRuns(ended: readonly StreamRun[], reason: string): void {
-      ended.filter(({ isSent }) => isSent).forEach(noteRun);
-      ended.forEach(recordAbandonedRun);
-      ended.forEach((run) => run.abort(reason));
+    function endRuns(ended: readonly OpenRun[], reason: string): void {
+      for (const run of ended) {
+        if (run.isSent) noteRun(run);
+        if (!isForwarded(run)) recordAbandonedRun(run);
+        run.abort(reason);
+      }
     }
 
-    function noteRun(run: StreamRun): void {
+    function noteRun(run: OpenRun): void {
+      if (!isForwarded(run)) runRecord.note(run.path[0]);
+      else if (!countedRuns.has(run)) runRecord.noteElsewhere();
       countedRuns.add(run);
-      runRecord.note(run.path[0]);
     }
 
     function describe() {
       const { events, firstEventMs, longestPauseMs } = relay.getProgress();
       return {
         tries: sendCount,
-        runs: countRuns(),
+        runs: countedRuns.size,
         events,
         firstEventMs: firstEventMs && Math.round(firstEventMs - call.startedMs),
         longestGapMs: Math.round(longestPauseMs),
@@ -244,7 +249,8 @@
 
     function endAtDeadline(): void {
       // A request that was sent may be running even if no answer has started.
-      const mayHaveRun = countRuns() > 0 || runs.getCurrent() !== undefined;
+      const mayHaveRun = countedRuns.size > 0 ||
+        runs.getCurrent() !== undefined;
       if (mayHaveRun) {
         return callEnd.refuse({ status: 504, reason: "deadline" });
       }
@@ -258,7 +264,7 @@
     function next(): void {
       if (callEnd.hasEnded()) return;
       // A run that was set aside has gone on in the meantime.
-      if (runs.getCurrent() || forwarded) return;
+      if (runs.getCurrent()) return;
       // The deadline timer does not advance while the machine is suspended.
       if (now() >= call.deadlineMs) return endAtDeadline();
       if (sendCount >= sendLimit) return waitForExtraSend();
@@ -274,7 +280,7 @@
         return refusals.refuseForBackOff(retryAfterMs);
       }
       isAdmitted = true;
-      const isNew = countRuns() === 0 && request.lastEventId === undefined;
+      const isNew = countedRuns.size === 0 && request.lastEventId === undefined;
       if (isNew && !capacityWait.isFirst()) return waits.waitForCapacity();
       const choice = chooseRunPath(call, context, {
         excluded: new Set([
@@ -317,15 +323,17 @@
 
     // An engine has one run of a request at a time.
     function listReusable(): string[] {
-      const openIds = listOpenRuns().map(({ path: [first] }) => first.engineId);
+      const openIds = listFirstEngines(listOpenRuns());
       return runRecord.listReusable().filter((id) => !openIds.includes(id));
     }
 
+    function listFirstEngines(of: readonly OpenRun[]): string[] {
+      return of.flatMap(({ path: [first] }) => first ? [first.engineId] : []);
+    }
+
     // Engines at which no run may start because others run the request or ran it.
     function listSpentEngines(): string[] {
-      const openIds = runs.listSetAside().map(({ path: [one] }) =>
-        one.engineId
-      );
+      const openIds = listFirstEngines(runs.listSetAside());
       if (runRecord.mayRunElsewhere()) return openIds;
       const reusable = listReusable();
       return listFirstUpstreams(call, context)
@@ -353,32 +361,31 @@
       sendCount += 1;
       stopMonitoring();
       relay.restartSilence();
-      const exchange = startForwardedStream(call, context, {
+      runs.add(startForwardedStream(call, context, {
         peer,
         lastEventId: relay.getProgress().lastEventId,
-        mayLeave: () => isResumable && runRecord.mayRunElsewhere(2),
         getSilenceMs: relay.getSilenceMs,
         onHead: (head) => handleHead({ head, isStream: isStream(head) }),
-        onEvent(event) {
-          if (callEnd.hasEnded() || forwarded !== exchange) return;
-          if (relay.isNew(event)) leaveSetAsideRuns();
-          if (relay.forward(event)) return;
-          exchange.pause();
-          response.once("drain", exchange.resume);
+        onEvent: passOn,
+        onDoubt(run, reason) {
+          if (!isResumable || runs.getCurrent() !== run) return;
+          excludedPeers.add(run.vm);
+          stranded.handle(run, { engineId: run.vm, reason });
         },
-        onEnd(end) {
-          if (forwarded !== exchange) return;
-          forwarded = undefined;
-          if (!callEnd.hasEnded()) handleForwardedEnd(peer.vm, end);
+        onEnd(run, end) {
+          if (callEnd.hasEnded() || !runs.isOpen(run)) return;
+          const wasCurrent = runs.remove(run);
+          handleForwardedEnd(run, { ...end, wasCurrent });
         },
-      });
-      forwarded = exchange;
+      }));
     }
 
-    function leaveSetAsideRuns(): void {
-      const left = runs.listSetAside();
-      left.forEach(runs.remove);
-      endRuns(left, ANOTHER_RUN_GOES_ON);
+    function passOn(run: OpenRun, event: StreamEvent): void {
+      if (callEnd.hasEnded() || !runs.isOpen(run)) return;
+      if (relay.isNew(event)) noteProgress(run);
+      if (relay.forward(event)) return;
+      run.pause();
+      response.once("drain", run.resume);
     }
 
     function endCutOff(): void {
@@ -388,10 +395,22 @@
       callEnd.refuse(makeCutOffRefusal(context.random()));
     }
 
-    function handleForwardedEnd(vm: string, end: ForwardedStreamEnd): void {
-      const { meaning, head } = end;
+    function handleForwardedEnd(
+      run: ForwardedRun,
+      end: ForwardedStreamEnd & {
+        /** Whether it served the call, rather than having been set aside. */
+        readonly wasCurrent: boolean;
+      },
+    ): void {
+      const { meaning, head, wasCurrent } = end;
+      excludedPeers.add(run.vm);
+      if (meaning.type === "answered" && isStream(head) && !end.isCut) {
+        noteRun(run);
+        response.end();
+        return callEnd.end("answered");
+      }
+      if (!wasCurrent) return;
       payment.noteEnd({ wasSent: mayHaveBeenSent(meaning) });
-      excludedPeers.add(vm);
       if (meaning.type === "notTaken") return next();
       if (meaning.type === "refused") {
         if (hasRun()) return endCutOff();
@@ -402,13 +421,8 @@
           retryAfterMs: retryAfterMs ?? RETRY_AFTER_MS,
         });
       }
-      forwardedRuns += 1;
-      runRecord.noteElsewhere();
+      noteRun(run);
       relay.restartSilence();
-      if (meaning.type === "answered" && isStream(head) && !end.isCut) {
-        response.end();
-        return callEnd.end("answered");
-      }
       if (!isResumable || !mayRunAgain()) {
         if (!returnToSetAside()) failBroken({ head }, end);
         return;
@@ -424,7 +438,7 @@
       runs.remove(run);
       runs.add(run);
       waits.noteSent();
-      monitor(run);
+      if (!isForwarded(run)) monitor(run);
       return true;
     }
 
@@ -436,17 +450,15 @@
     }
 
     // The first run to go on serves the call from then on.
-    function noteProgress(sent: StreamRun): void {
-      stranded.noteProgress(sent);
-      if (runs.isAlone(sent)) return;
-      const wasCurrent = runs.getCurrent() === sent;
-      endRuns(runs.resume(sent), ANOTHER_RUN_GOES_ON);
+    function noteProgress(run: OpenRun): void {
+      stranded.noteProgress(run);
+      if (runs.isAlone(run)) return;
+      const wasCurrent = runs.getCurrent() === run;
+      endRuns(runs.resume(run), ANOTHER_RUN_GOES_ON);
       if (wasCurrent) return;
-      const abandoned = forwarded;
-      forwarded = undefined;
-      abandoned?.abort(ANOTHER_RUN_GOES_ON);
+      stopMonitoring();
       waits.noteSent();
-      monitor(sent);
+      if (!isForwarded(run)) monitor(run);
     }
 
     // Engines that were excluded for this call may be usable again after the wait.
@@ -504,7 +516,7 @@
         reason,
         refusal: refusal.reason,
         tries: sendCount,
-        runs: countRuns(),
+        runs: countedRuns.size,
         searchResults,
         ...givenUp,
         ...engines.countLeftOut(service),
@@ -539,9 +551,7 @@
         onHead: handleHead,
         onEvent(sent, event) {
           recordProof(sent);
-          if (callEnd.hasEnded() || !runs.isOpen(sent)) return;
-          if (relay.isNew(event)) noteProgress(sent);
-          if (!relay.forward(event)) awaitDrain(sent);
+          passOn(sent, event);
         },
         onEnd(sent, end) {
           if (runs.getCurrent() === sent) stopMonitoring();
@@ -612,11 +622,6 @@
       });
     }
 
-    function awaitDrain(sent: StreamRun): void {
-      sent.pause();
-      response.once("drain", sent.resume);
-    }
-
     function handleHead(
       { head, isStream }: Pick<StreamRun, "head" | "isStream">,
     ): void {
@@ -738,7 +743,7 @@
         silenceMs: Math.round(relay.getSilenceMs()),
         status: sent.head?.status,
         lastEventId: relay.getProgress().lastEventId,
-        runs: countRuns(),
+        runs: countedRuns.size,
         ...engines.countLeftOut(service),
       });
     }
--- a/src/gateway/start_forwarded_exchange.ts
+++ b/src/gateway/start_forwarded_exchange.ts
@@ -19,8 +19,11 @@
   readonly peer: Peer;
   /** Id of the event after which the answer resumes. */
   readonly lastEventId: string | undefined;
-  /** Whether the call may run once more, so that a silent peer can be left. */
-  readonly mayLeave: () => boolean;
+  /**
+   * Called again and again while the peer is in doubt: it is silent, or not listed. The
+   * exchange goes on.
+   */
+  readonly onDoubt: (reason: string) => void;
   /** Ms for which a stream has been silent; absent if the answer is not a stream. */
   readonly getSilenceMs?: () => number;
   readonly onHead?: (head: UpstreamHead) => void;
@@ -68,7 +71,7 @@
 ): Exchange {
   const { request, service } = call;
   const { peers, log, metrics, now } = context;
-  const { peer, lastEventId, mayLeave } = options;
+  const { peer, lastEventId, onDoubt } = options;
   const { requestId } = request;
   const { vm } = peer;
   const chunks: Buffer[] = [];
@@ -78,10 +81,9 @@
   const watch = setInterval(checkPeer, WATCH_INTERVAL_MS);
 
   function checkPeer(): void {
-    if (!mayLeave()) return;
     const silenceMs = options.getSilenceMs?.() ?? 0;
-    if (!peers.isListed(vm)) exchange.abort("peer is no longer listed");
-    else if (silenceMs > MAX_SILENCE_MS) exchange.abort("peer is silent");
+    if (!peers.isListed(vm)) onDoubt("peer is no longer listed");
+    else if (silenceMs > MAX_SILENCE_MS) onDoubt("peer is silent");
   }
 
   function handleEnd(how: ExchangeEnd): void {
--- a/src/gateway/start_forwarded_stream.ts
+++ b/src/gateway/start_forwarded_stream.ts
@@ -5,7 +5,7 @@
  */
 
 import type { Exchange } from "./create_upstream_transport.ts";
-import type { UpstreamHead } from "./protocol.ts";
+import type { AddressedPart, UpstreamHead } from "./protocol.ts";
 import { createEventSplitter, type StreamEvent } from "./split_events.ts";
 import {
   type ForwardedEnd,
@@ -14,14 +14,25 @@
 } from "./start_forwarded_exchange.ts";
 import type { Call, ServingContext } from "./types.ts";
 
+/** A run of a streaming call at another gateway. */
+export interface ForwardedRun extends Exchange {
+  /** The gateway that runs it. */
+  readonly vm: string;
+  /** Empty: its engines are known to that gateway only. */
+  readonly path: readonly AddressedPart[];
+  leave(vm: string, reason: string): void;
+}
+
 /** Options of {@link startForwardedStream}. */
 export interface StartForwardedStreamOptions extends
   Pick<
     StartForwardedExchangeOptions,
-    "peer" | "lastEventId" | "mayLeave" | "getSilenceMs" | "onHead"
+    "peer" | "lastEventId" | "getSilenceMs" | "onHead"
   > {
-  readonly onEvent: (event: StreamEvent) => void;
-  readonly onEnd: (end: ForwardedStreamEnd) => void;
+  readonly onEvent: (run: ForwardedRun, event: StreamEvent) => void;
+  /** Called again and again while the peer is in doubt; the run goes on. */
+  readonly onDoubt: (run: ForwardedRun, reason: string) => void;
+  readonly onEnd: (run: ForwardedRun, end: ForwardedStreamEnd) => void;
 }
 
 /** How a forwarded stream ended. */
@@ -49,21 +60,36 @@
  * @param call - The call.
  * @param context - The peers and the connections to them.
  * @param options - The peer, and callbacks for the answer.
- * @returns The exchange in progress.
+ * @returns The run in progress.
  * @throws Nothing.
  * @example
- * const exchange = startForwardedStream(call, context, options);
+ * const run = startForwardedStream(call, context, options);
  */
 export function startForwardedStream(
   call: Call,
   context: ServingContext,
   options: StartForwardedStreamOptions,
-): Exchange {
+): ForwardedRun {
   const splitter = createEventSplitter();
-  return startForwardedExchange(call, context, {
+  const exchange = startForwardedExchange(call, context, {
     ...options,
-    onData: (chunk) => splitter.push(chunk).forEach(options.onEvent),
+    onData: (chunk) =>
+      splitter.push(chunk).forEach((event) => options.onEvent(run, event)),
+    onDoubt: (reason) => options.onDoubt(run, reason),
     onEnd: (end) =>
-      options.onEnd({ ...end, isCut: splitter.hasPartialEvent() }),
+      options.onEnd(run, { ...end, isCut: splitter.hasPartialEvent() }),
   });
+  const { abort, pause, resume } = exchange;
+  const run: ForwardedRun = {
+    vm: options.peer.vm,
+    path: [],
+    get isSent() {
+      return exchange.isSent;
+    },
+    leave: (_vm, reason) => abort(reason),
+    abort,
+    pause,
+    resume,
+  };
+  return run;
 }
