Leave a plain call's silent run only for one that is possible and paid for

A plain call that may be repeated was ended as "cut off", or at a peer in doubt, once its route allowed another run. Whether a peer or an upstream could take it, and whether a retry was lent, was asked afterwards, when its answer was lost already: the same cause as that of the cut streams. Found by reading; the charge of the next attempt has a unit test, leaving has none of its own, as the stand-in of a partition can't go on with a connection.

--- a/src/gateway/create_attempt_charge.ts
+++ b/src/gateway/create_attempt_charge.ts
@@ -13,6 +13,11 @@
 export interface AttemptCharge {
   /** Charges the next attempt if needed; false if the budget is exhausted. */
   chargeNext(): boolean;
+  /**
+   * Charges the attempt after the one in progress, so that this one is given up only
+   * for one that is paid for; false if the budget is exhausted.
+   */
+  chargeAhead(): boolean;
   /** What paid for the attempt charged last. */
   getPayer(): AttemptPayer;
   /** Whether an upstream may have received one of the attempts. */
@@ -41,12 +46,24 @@
   spend: () => RetryPayer | undefined,
 ): AttemptCharge {
   let payer: AttemptPayer | undefined = "first";
+  let payerAhead: AttemptPayer | undefined;
   let wasAnySent = false;
+
+  function takePayer(): AttemptPayer | undefined {
+    const taken = payerAhead ?? spend();
+    payerAhead = undefined;
+    return taken;
+  }
+
   return {
     chargeNext() {
-      payer ??= spend();
+      payer ??= takePayer();
       return payer !== undefined;
     },
+    chargeAhead() {
+      payerAhead ??= spend();
+      return payerAhead !== undefined;
+    },
     getPayer: () => payer ?? "kept",
     wasAnySent: () => wasAnySent,
     noteEnd({ wasSent }) {
--- a/src/gateway/create_attempt_charge_test.ts
+++ b/src/gateway/create_attempt_charge_test.ts
@@ -22,6 +22,19 @@
   assert.not(charge.chargeNext());
 });
 
+test("an attempt that is charged ahead is paid for once the one before it has ended", () => {
+  const { charge, getLeft } = startCharge(1);
+  assert.ok(charge.chargeNext());
+  assert.ok(charge.chargeAhead());
+  assert.ok(charge.chargeAhead());
+  assert.is(getLeft(), 0);
+  charge.noteEnd({ wasSent: true });
+  assert.ok(charge.chargeNext());
+  charge.noteEnd({ wasSent: true });
+  assert.not(charge.chargeNext());
+  assert.not(charge.chargeAhead());
+});
+
 test("attempts that reach no upstream are free, first or later", () => {
   const { charge, getLeft } = startCharge(1);
   for (let refused = 0; refused < 3; refused++) {
--- a/src/gateway/serve_plain_call.ts
+++ b/src/gateway/serve_plain_call.ts
@@ -241,10 +241,9 @@
       exchange = startForwardedExchange(call, context, {
         peer,
         lastEventId: request.lastEventId,
-        onDoubt(reason) {
-          if (mayRunAgainAfterThis()) exchange?.abort(reason);
-        },
+        onDoubt: (reason) => leaveRun(reason, { vm: peer.vm }),
         onEnd(end) {
+          exchange = undefined;
           excludedPeers.add(peer.vm);
           if (!callEnd.hasEnded()) handleForwardedEnd(end);
         },
@@ -378,6 +377,7 @@
         onData: (chunk) => void chunks.push(chunk),
         onEnd: (how) => {
           engine.inFlight -= 1;
+          exchange = undefined;
           stopWatching();
           if (callEnd.hasEnded()) return;
           handleResult(engine, { how, head, body: Buffer.concat(chunks) });
@@ -399,7 +399,7 @@
         if (reachability.getSilenceMs(service) < MIN_SILENCE_MS) return;
         await reachability.check(service);
         if (isAnswered || reachability.getSendMode(service) !== "none") return;
-        if (mayRunAgainAfterThis()) exchange?.abort("cut off");
+        leaveRun("cut off");
       }
 
       return () => {
@@ -408,6 +408,26 @@
       };
     }
 
+    // What a run that is left would have answered is lost, so another one has to be
+    // possible and paid for.
+    function leaveRun(reason: string, { vm }: { vm?: string } = {}): void {
+      const left = exchange;
+      if (!left || !mayRunAgainAfterThis() || !hasOtherWay(vm)) return;
+      if (payment.chargeAhead()) return left.abort(reason);
+      void context.budget.waitForRetry(service).then((isLent) => {
+        if (isLent && exchange === left) leaveRun(reason, { vm });
+      });
+    }
+
+    function hasOtherWay(vm?: string): boolean {
+      if (reachability.getSendMode(service) !== "none") {
+        return chooseUpstream() !== undefined;
+      }
+      const excludedVms = new Set([...excludedPeers, ...(vm ? [vm] : [])]);
+      return request.forwardedBy === undefined && sendCount < sendLimit &&
+        context.peers.choose(service, { excluded: excludedVms }) !== undefined;
+    }
+
     function mayRunAgainAfterThis(): boolean {
       return route.repeatability !== "once" &&
         runCount + 1 < route.maxAttempts;
