--- a/src/gateway/serve_stream_call.ts
+++ b/src/gateway/serve_stream_call.ts
@@ -19,8 +19,11 @@
   PERMIT_POLL_MS,
   refuseHeldCall,
 } from "./create_run_permit.ts";
-import { createOpenRuns } from "./create_open_runs.ts";
-import { createRunRecord } from "./create_run_record.ts";
+import {
+  createStreamRuns,
+  isForwarded,
+  type OpenRun,
+} from "./create_stream_runs.ts";
 import { createRunMigrator } from "./create_run_migrator.ts";
 import { REFUSES_CONNECTIONS } from "./create_run_monitor.ts";
 import { createStrandedRuns } from "./create_stranded_runs.ts";
@@ -29,7 +32,6 @@
 import { mayHaveBeenSent } from "./may_have_been_sent.ts";
 import type { ExchangeEnd } from "./create_upstream_transport.ts";
 import { LEFT_OUT_CHECK_MAX_AGE_MS } from "./create_reachability.ts";
-import { listFirstUpstreams } from "./list_first_upstreams.ts";
 import { listUnconnected } from "./list_unconnected.ts";
 import { makeCutOffRefusal } from "./make_cut_off_refusal.ts";
 import {
@@ -72,10 +74,6 @@
 /** Reason for which a run is ended once another one of its call goes on. */
 const ANOTHER_RUN_GOES_ON = "another run goes on";
 
-type OpenRun = StreamRun | ForwardedRun;
-
-const isForwarded = (run: OpenRun): run is ForwardedRun => "vm" in run;
-
 /** Retry delay, in ms, given to a caller whose call no upstream accepted. */
 const RETRY_AFTER_MS = 500;
 
@@ -101,15 +99,9 @@
     const model = getCallModel(call, context);
     const isResumable = route.repeatability === "resumable";
     const excluded = new Set<string>();
-    const runRecord = createRunRecord({
-      maxAttempts: route.maxAttempts,
-      engines,
-      livenessCheck: context.livenessCheck,
-    });
     const payment = createAttemptCharge(() => context.budget.spend(service));
     let sendCount = 0;
     let sendLimit = MAX_SENDS;
-    const countedRuns = new Set<OpenRun>();
     let isAdmitted = request.lastEventId !== undefined;
     let isRunProved = false;
     const crashReports = new Map<StreamRun, readonly CrashReport[]>();
@@ -117,7 +109,7 @@
     let partsProof: StreamRun | undefined;
     // Resolves once it is known whether the upstream of the last run crashed.
     let endChecked = Promise.resolve();
-    const runs = createOpenRuns<OpenRun>();
+    const runs = createStreamRuns(call, context);
     const excludedPeers = new Set<string>();
     const searchResults: Record<string, number> = {};
     // Why no upstream was found; CL1804 is dropped where there are many log lines.
@@ -163,7 +155,7 @@
         stopMonitoring();
         capacityWait.end();
         waits.end();
-        endRuns(listOpenRuns(), outcome);
+        endRuns(runs.listOpen(), outcome);
         stopListening();
         stopHeldListening();
         void endChecked.then(permit.noteRunEnd);
@@ -174,7 +166,7 @@
 
     const refusals = createRetryAfterRefusals(call, context, {
       callEnd,
-      getProgress: () => ({ tries: sendCount, runs: countedRuns.size }),
+      getProgress: () => ({ tries: sendCount, runs: runs.getCount() }),
     });
     const migrator = createRunMigrator(call, context, {
       relay,
@@ -184,11 +176,11 @@
     });
     const stranded = createStrandedRuns<OpenRun>(call, context, {
       runs,
-      runRecord,
+      runRecord: runs.record,
       hasCallEnded: callEnd.hasEnded,
       getSilenceMs: relay.getSilenceMs,
-      mayRunAgain,
-      onRun: noteRun,
+      mayRunAgain: runs.mayRunAgain,
+      onRun: runs.note,
       onSetAside: lookElsewhere,
       onEngineEnded(run, failure) {
         if (!isForwarded(run)) void migrator.leaveFailedEngine(run, failure);
@@ -213,33 +205,22 @@
     });
 
     function hasRun(): boolean {
-      return response.headersSent || countedRuns.size > 0;
-    }
-
-    function listOpenRuns(): OpenRun[] {
-      const run = runs.getCurrent();
-      return [...runs.listSetAside(), ...(run ? [run] : [])];
+      return response.headersSent || runs.getCount() > 0;
     }
 
     function endRuns(ended: readonly OpenRun[], reason: string): void {
       for (const run of ended) {
-        if (run.isSent) noteRun(run);
+        if (run.isSent) runs.note(run);
         if (!isForwarded(run)) recordAbandonedRun(run);
         run.abort(reason);
       }
     }
 
-    function noteRun(run: OpenRun): void {
-      if (!isForwarded(run)) runRecord.note(run.path[0]);
-      else if (!countedRuns.has(run)) runRecord.noteElsewhere();
-      countedRuns.add(run);
-    }
-
     function describe() {
       const { events, firstEventMs, longestPauseMs } = relay.getProgress();
       return {
         tries: sendCount,
-        runs: countedRuns.size,
+        runs: runs.getCount(),
         events,
         firstEventMs: firstEventMs && Math.round(firstEventMs - call.startedMs),
         longestGapMs: Math.round(longestPauseMs),
@@ -249,7 +230,7 @@
 
     function endAtDeadline(): void {
       // A request that was sent may be running even if no answer has started.
-      const mayHaveRun = countedRuns.size > 0 ||
+      const mayHaveRun = runs.getCount() > 0 ||
         runs.getCurrent() !== undefined;
       if (mayHaveRun) {
         return callEnd.refuse({ status: 504, reason: "deadline" });
@@ -280,12 +261,12 @@
         return refusals.refuseForBackOff(retryAfterMs);
       }
       isAdmitted = true;
-      const isNew = countedRuns.size === 0 && request.lastEventId === undefined;
+      const isNew = runs.getCount() === 0 && request.lastEventId === undefined;
       if (isNew && !capacityWait.isFirst()) return waits.waitForCapacity();
       const choice = chooseRunPath(call, context, {
         excluded: new Set([
           ...excluded,
-          ...listSpentEngines(),
+          ...runs.listSpentEngines(),
           ...(sendMode === "any" ? [] : listUnconnected(call, context)),
         ]),
         trialEngineId: answer.trialEngineId,
@@ -317,30 +298,6 @@
       send(path, grant);
     }
 
-    function mayRunAgain(): boolean {
-      return runRecord.mayRunElsewhere() || listReusable().length > 0;
-    }
-
-    // An engine has one run of a request at a time.
-    function listReusable(): string[] {
-      const openIds = listFirstEngines(listOpenRuns());
-      return runRecord.listReusable().filter((id) => !openIds.includes(id));
-    }
-
-    function listFirstEngines(of: readonly OpenRun[]): string[] {
-      return of.flatMap(({ path: [first] }) => first ? [first.engineId] : []);
-    }
-
-    // Engines at which no run may start because others run the request or ran it.
-    function listSpentEngines(): string[] {
-      const openIds = listFirstEngines(runs.listSetAside());
-      if (runRecord.mayRunElsewhere()) return openIds;
-      const reusable = listReusable();
-      return listFirstUpstreams(call, context)
-        .map(({ record }) => record.engineId)
-        .filter((engineId) => !reusable.includes(engineId));
-    }
-
     function waitForExtraSend(): void {
       sendLimit += 1;
       waits.waitForExtraSend();
@@ -351,7 +308,7 @@
       const held = permit.getHold();
       if (held) return endHeld(held);
       capacityWait.end();
-      const isAllowed = runRecord.mayRunElsewhere();
+      const isAllowed = runs.record.mayRunElsewhere();
       const peer = request.forwardedBy === undefined && isAllowed
         ? context.peers.choose(service, { excluded: excludedPeers })
         : undefined;
@@ -405,7 +362,7 @@
       const { meaning, head, wasCurrent } = end;
       excludedPeers.add(run.vm);
       if (meaning.type === "answered" && isStream(head) && !end.isCut) {
-        noteRun(run);
+        runs.note(run);
         response.end();
         return callEnd.end("answered");
       }
@@ -421,9 +378,9 @@
           retryAfterMs: retryAfterMs ?? RETRY_AFTER_MS,
         });
       }
-      noteRun(run);
+      runs.note(run);
       relay.restartSilence();
-      if (!isResumable || !mayRunAgain()) {
+      if (!isResumable || !runs.mayRunAgain()) {
         if (!returnToSetAside()) failBroken({ head }, end);
         return;
       }
@@ -516,7 +473,7 @@
         reason,
         refusal: refusal.reason,
         tries: sendCount,
-        runs: countedRuns.size,
+        runs: runs.getCount(),
         searchResults,
         ...givenUp,
         ...engines.countLeftOut(service),
@@ -660,7 +617,7 @@
       if (how.type === "complete" && head?.reportsNotRun) {
         return handleNotRun(sent, { head, wasCurrent });
       }
-      countedRuns.add(sent);
+      runs.note(sent);
       const isComplete = how.type === "complete" && sent.isStream && !isCut;
       engines.noteAnswer(faultyEngineId, { failed: !isComplete });
       if (isComplete) {
@@ -672,8 +629,7 @@
         response.end();
         return callEnd.end("answered");
       }
-      if (sent.wasAborted) runRecord.note(sent.path[0]);
-      else runRecord.noteBroken(sent.path[0]);
+      if (!sent.wasAborted) runs.record.noteBroken(sent.path[0]);
       handleBroken(sent, how);
       const checked = checkUpstreamEnd(sent, how);
       endChecked = Promise.all([endChecked, checked]).then(() => {});
@@ -691,9 +647,9 @@
       await endChecked;
       // A second run would break off for the same reason.
       await context.reachability.check(service);
-      if (!runRecord.mayRunElsewhere()) await runRecord.detectCrashes();
+      if (!runs.record.mayRunElsewhere()) await runs.record.detectCrashes();
       if (callEnd.hasEnded() || runs.getCurrent()) return;
-      if (mayRunAgain()) {
+      if (runs.mayRunAgain()) {
         metrics.count("streams.resumed");
         return retry();
       }
@@ -701,7 +657,7 @@
       log("runsSpent", {
         requestId,
         maxAttempts: route.maxAttempts,
-        ranOn: runRecord.describe(),
+        ranOn: runs.record.describe(),
         leftMs: Math.round(call.deadlineMs - now()),
         ...engines.countLeftOut(service),
       });
@@ -743,7 +699,7 @@
         silenceMs: Math.round(relay.getSilenceMs()),
         status: sent.head?.status,
         lastEventId: relay.getProgress().lastEventId,
-        runs: countedRuns.size,
+        runs: runs.getCount(),
         ...engines.countLeftOut(service),
       });
     }
@@ -775,7 +731,7 @@
         readonly wasCurrent: boolean;
       },
     ): void {
-      countedRuns.delete(sent);
+      runs.noteRejected(sent);
       excluded.add(handleRefusal(call, context, { sent, head }));
       metrics.countRetry("upstream_refused");
       if (wasCurrent) retry();
