Play upstreams whose answers have no end, with real processes

The engines of the pause soak can also lose their power or crash and be replaced (darkenEngines, crashEngines); their runs are reported as they begin, since an engine that has ended can't be asked. Neither is played by default.

--- a/standins/start_layer_engine.ts
+++ b/standins/start_layer_engine.ts
@@ -88,6 +88,8 @@
   readonly prefillMs?: number;
   /** Id of the engine; by default one that is unique in this process. */
   readonly engineId?: string;
+  /** Connections that wait to be accepted; the runtime's default is 511. */
+  readonly backlog?: number;
 }
 
 /** A running stand-in. */
@@ -222,7 +224,10 @@
     socket.on("close", () => sockets.delete(socket));
     socket.on("error", () => {});
   });
-  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { backlog } = options;
+  await new Promise<void>((resolve) =>
+    server.listen({ port: 0, host: "127.0.0.1", backlog }, resolve)
+  );
   const { port } = server.address() as AddressInfo;
   const address = `127.0.0.1:${port}`;
 
--- a/test/support/run_pause_soak.ts
+++ b/test/support/run_pause_soak.ts
@@ -14,6 +14,7 @@
 import { call, expectStream } from "./fleet.ts";
 import {
   type EngineProcess,
+  type EngineProcessRun,
   type ProcessFleet,
   type ProgramLine,
   startProcessFleet,
@@ -86,6 +87,9 @@
 
 const REQUEST_INTERVAL_MS = 80;
 
+/** Time in which engines report their last runs. */
+const LAST_REPORT_MS = 100;
+
 const REFUSED_STATUS = 503;
 
 const ANSWERED_STATUS = 200;
@@ -159,6 +163,25 @@
   }
 };
 
+/** Engines lose their power one after the other, and are back after some seconds. */
+export const darkenEngines: Disturbance = async ({ fleet, random, isOver }) => {
+  while (!isOver()) {
+    await sleep(random.integer(1_000, 4_000));
+    const engine = random.pick(fleet.engines);
+    await engine.darken();
+    await sleep(random.integer(2_000, 6_000));
+    await engine.replace();
+  }
+};
+
+/** Engines crash one after the other, and are started again. */
+export const crashEngines: Disturbance = async ({ fleet, random, isOver }) => {
+  while (!isOver()) {
+    await sleep(random.integer(1_000, 4_000));
+    await random.pick(fleet.engines).replace();
+  }
+};
+
 const ALL_DISTURBANCES = [
   changeConfigs,
   reloadSettings,
@@ -230,14 +253,21 @@
     ...disturbances.map((disturb) => disturb({ fleet, random, isOver })),
   ]);
   const ends = await Promise.all(answers);
-  const runs = await Promise.all(
-    fleet.engines.map((engine) => engine.listRuns()),
-  );
+  await sleep(LAST_REPORT_MS);
+  const runs = fleet.engines.map((engine) => engine.listRuns());
+  const listNames = (
+    of: readonly EngineProcessRun[],
+  ) => [...new Set(of.map(({ requestId }) => getName(requestId)))];
+  const ranNames = new Set(listNames(runs.flat()));
   const engineCounts = new Map<string, number>();
-  for (const name of runs.flatMap((ids) => [...new Set(ids.map(getName))])) {
+  // An engine that has ended does not count.
+  const counted = runs.flatMap((of) =>
+    listNames(of.filter(({ hasEnded }) => !hasEnded))
+  );
+  for (const name of counted) {
     engineCounts.set(name, (engineCounts.get(name) ?? 0) + 1);
   }
-  const hasRun = ({ name }: StreamEnd) => engineCounts.has(name);
+  const hasRun = ({ name }: StreamEnd) => ranNames.has(name);
   const count = (isCounted: (end: StreamEnd) => boolean) =>
     ends.filter(isCounted).length;
   const isLate = ({ tookMs }: StreamEnd) =>
@@ -250,7 +280,7 @@
     const { name } of ends.filter((end) => isCut(end) || isRunTooOften(end))
   ) {
     options.onBadStream?.(
-      lines.filter(({ requestId }) => getName(String(requestId)) === name),
+      lines.filter(({ requestId }) => getName(requestId) === name),
     );
   }
   return {
@@ -282,8 +312,9 @@
 let lastStream = 0;
 
 /** Returns the name of a stream; its request's id has a number behind it. */
-function getName(requestId: string): string {
-  return requestId.slice(0, requestId.lastIndexOf("-"));
+function getName(requestId: unknown): string {
+  const id = String(requestId);
+  return id.slice(0, id.lastIndexOf("-"));
 }
 
 async function readStream(address: string): Promise<StreamEnd> {
--- a/test/support/start_process_fleet.ts
+++ b/test/support/start_process_fleet.ts
@@ -7,8 +7,10 @@
 
 import { type ChildProcess, execFileSync, fork } from "node:child_process";
 import { once } from "node:events";
+import { readFileSync } from "node:fs";
 import { mkdir, mkdtemp, rm } from "node:fs/promises";
 import { tmpdir } from "node:os";
+import { connect, type Socket } from "node:net";
 import { join } from "node:path";
 import process from "node:process";
 import { createInterface } from "node:readline";
@@ -18,7 +20,11 @@
 import { until } from "../../demo/until.ts";
 import { CALL } from "../../platform/names.ts";
 import { spawnProgram } from "../../scripts/spawn_program.ts";
-import { makeWireConfig } from "../../standins/index.ts";
+import {
+  makeWireConfig,
+  type StartLayerEngineOptions,
+} from "../../standins/index.ts";
+import type { EndlessKind } from "./endless_answers.ts";
 import type { EngineProcessReport } from "./engine_process.ts";
 
 /** Options of {@link startProcessFleet}. */
@@ -33,6 +39,24 @@
   /** Time limit of the routes. */
   readonly timeoutMs: number;
   readonly graceS: number;
+  /** Upstreams of other services; none by default. */
+  readonly otherUpstreams?: readonly OtherUpstream[];
+  /** Makes each configuration; by default with one route of each type. */
+  readonly makeConfig?: (
+    version: number,
+    fields: { readonly timeoutMs: number },
+  ) => object;
+}
+
+/** An upstream that is no engine of the layered model. */
+export interface OtherUpstream {
+  readonly service: string;
+  /** Whether it answers with a stream of events. */
+  readonly isStream?: boolean;
+  /** Kind of answer without end that it gives; by default its answers are sound. */
+  readonly endless?: EndlessKind;
+  /** The same for its status reports. */
+  readonly endlessReport?: EndlessKind;
 }
 
 /** A program of the fleet. */
@@ -40,6 +64,10 @@
   readonly address: string;
   /** Its log lines, in order. */
   readonly lines: readonly ProgramLine[];
+  /** Memory that it took at most, in MB. */
+  readPeakMemoryMb(): number;
+  /** Processor time that it has taken, in ms. */
+  readProcessorMs(): number;
   kill(signal: NodeJS.Signals): void;
   /** Resolves once the process has exited. */
   ended(): Promise<void>;
@@ -53,12 +81,33 @@
   readonly [field: string]: unknown;
 }
 
+/** A request that an engine ran. */
+export interface EngineProcessRun {
+  readonly requestId: string;
+  /** Whether the engine has ended since. */
+  readonly hasEnded: boolean;
+}
+
 /** An engine in a process of its own. */
 export interface EngineProcess {
+  /** Suspends it; without effect while it is dark. */
+  pause(): void;
+  resume(): void;
+  /**
+   * Makes it dark, as if its machine had no power: it sends nothing, and no connection
+   * to it is made. It stays dark until it is replaced.
+   */
+  darken(): Promise<void>;
+  /** Kills it, and starts it again at another address and under another id. */
+  replace(): Promise<void>;
+  /** Lists the requests that it and the ones before it began to run. */
+  listRuns(): readonly EngineProcessRun[];
+}
+
+/** An upstream of another service in a process of its own. */
+export interface OtherUpstreamProcess extends OtherUpstream {
   pause(): void;
   resume(): void;
-  /** Lists the requests that it ran; not to be called while it is paused. */
-  listRuns(): Promise<readonly string[]>;
 }
 
 /** A fleet of real processes. */
@@ -66,6 +115,7 @@
   readonly controls: readonly FleetProgram[];
   readonly gateways: readonly FleetProgram[];
   readonly engines: readonly EngineProcess[];
+  readonly others: readonly OtherUpstreamProcess[];
   /** Announces a configuration with another version and other time limits. */
   changeConfig(): Promise<void>;
   /** Finds the control process that leads. */
@@ -76,6 +126,15 @@
   new URL("engine_process.js", import.meta.url),
 );
 
+const ENDLESS_ENGINE_PROGRAM = fileURLToPath(
+  new URL("endless_engine_process.js", import.meta.url),
+);
+
+const KB_PER_MB = 1_024;
+
+/** Unit of processor times in the files of the process. */
+const MS_PER_TICK = 10;
+
 const PORT = {
   front: 7_400,
   control: 7_401,
@@ -92,6 +151,12 @@
 
 const PROPAGATION_MS = 2_000;
 
+/** Connections to an engine that wait to be accepted. */
+const ENGINE_BACKLOG = 64;
+
+/** Time in which connections fill the queue of a suspended engine. */
+const BACKLOG_FILL_MS = 50;
+
 /** Interval at which a program that is starting is checked. */
 const SUPERVISION_INTERVAL_MS = 50;
 
@@ -141,6 +206,7 @@
 ): Promise<Omit<ProcessFleet, typeof Symbol.asyncDispose>> {
   const { controls: controlCount = 3, gateways: gatewayCount = 2 } = options;
   const { engines: engineCount = 8, timeoutMs, graceS } = options;
+  const { otherUpstreams = [], makeConfig = makeWireConfig } = options;
   const folder = await mkdtemp(join(tmpdir(), "processes-"));
   children.push({
     [Symbol.asyncDispose]: () => rm(folder, { recursive: true, force: true }),
@@ -214,6 +280,15 @@
     return {
       address: program.address,
       lines,
+      readPeakMemoryMb() {
+        const text = readFileSync(`/proc/${child.pid}/status`, "utf8");
+        return Number(/VmHWM:\s+(\d+)/.exec(text)?.[1]) / KB_PER_MB;
+      },
+      readProcessorMs() {
+        const text = readFileSync(`/proc/${child.pid}/stat`, "utf8");
+        const fields = text.slice(text.lastIndexOf(")") + 2).split(" ");
+        return MS_PER_TICK * (Number(fields[11]) + Number(fields[12]));
+      },
       kill: (signal) => void child.kill(signal),
       ended: waitForEnd,
       // A signal that comes before its handler is set ends the process.
@@ -278,8 +353,20 @@
       }, children)),
   );
 
+  const others = await Promise.all(
+    otherUpstreams.map((one, at) =>
+      startOtherUpstream(one, {
+        engineId: `i-other-${at + 1}`,
+        place: PLACES[at % PLACES.length],
+        controlAddresses,
+        events: options.events,
+        eventIntervalMs: options.eventIntervalMs,
+      }, children)
+    ),
+  );
+
   async function putConfig(): Promise<boolean> {
-    const document = JSON.stringify(makeWireConfig(version + 1, {
+    const document = JSON.stringify(makeConfig(version + 1, {
       timeoutMs: timeoutMs + 100 * (version % 2),
     }));
     for (const address of controlAddresses) {
@@ -308,6 +395,7 @@
     controls,
     gateways,
     engines,
+    others,
     async changeConfig() {
       await putConfig();
     },
@@ -319,10 +407,107 @@
 }
 
 async function startEngineProcess(
-  options: object,
+  options: StartLayerEngineOptions,
   children: AsyncDisposable[],
 ): Promise<EngineProcess> {
-  const child = fork(ENGINE_PROGRAM, [JSON.stringify(options)]);
+  const runs: { requestId: string; process: ChildProcess }[] = [];
+  const fillers: Socket[] = [];
+  let incarnation = 0;
+  let lastChange = Promise.resolve();
+  let isDark = false;
+  let child: ChildProcess;
+  let address = "";
+
+  async function spawn(): Promise<void> {
+    incarnation += 1;
+    const engineId = `${options.engineId}-${incarnation}`;
+    const own = { ...options, engineId, backlog: ENGINE_BACKLOG };
+    const spawned = fork(ENGINE_PROGRAM, [JSON.stringify(own)]);
+    child = spawned;
+    address = await new Promise<string>((resolve) =>
+      spawned.on("message", (message: EngineProcessReport) => {
+        if (message.type === "started") return resolve(message.address);
+        for (const requestId of message.requestIds) {
+          runs.push({ requestId, process: spawned });
+        }
+      })
+    );
+  }
+
+  async function kill(): Promise<void> {
+    const ended = once(child, "exit");
+    child.kill("SIGKILL");
+    await ended;
+    for (const socket of fillers.splice(0)) socket.destroy();
+  }
+
+  // Connections that nobody accepts fill the queue, so further ones get no answer.
+  async function fillBacklog(): Promise<void> {
+    const [host, port] = address.split(":");
+    for (let at = 0; at < 2 * ENGINE_BACKLOG; at++) {
+      const socket = connect({ host, port: Number(port) });
+      socket.on("error", () => {});
+      fillers.push(socket);
+    }
+    await sleep(BACKLOG_FILL_MS);
+  }
+
+  function runInTurn(change: () => Promise<void>): Promise<void> {
+    lastChange = lastChange.then(change);
+    return lastChange;
+  }
+
+  await spawn();
+  children.push({ [Symbol.asyncDispose]: () => runInTurn(kill) });
+  return {
+    pause() {
+      if (!isDark) child.kill("SIGSTOP");
+    },
+    resume() {
+      if (!isDark) child.kill("SIGCONT");
+    },
+    darken: () =>
+      runInTurn(async () => {
+        isDark = true;
+        child.kill("SIGSTOP");
+        await fillBacklog();
+      }),
+    replace: () =>
+      runInTurn(async () => {
+        await kill();
+        await spawn();
+        isDark = false;
+      }),
+    listRuns: () =>
+      runs.map(({ requestId, process: own }) => ({
+        requestId,
+        hasEnded: own !== child,
+      })),
+  };
+}
+
+async function startOtherUpstream(
+  upstream: OtherUpstream,
+  options: {
+    readonly engineId: string;
+    readonly place: string;
+    readonly controlAddresses: readonly string[];
+    readonly events: number;
+    readonly eventIntervalMs: number;
+  },
+  children: AsyncDisposable[],
+): Promise<OtherUpstreamProcess> {
+  const { service, endless, endlessReport, isStream } = upstream;
+  const program = endless ? ENDLESS_ENGINE_PROGRAM : ENGINE_PROGRAM;
+  const child = fork(program, [
+    JSON.stringify({
+      ...options,
+      service,
+      ...(isStream ? { card: "card" } : {}),
+      ...(endless ? { answer: endless, report: endlessReport } : {}),
+    }),
+  ]);
+  await once(child, "message");
   children.push({
     async [Symbol.asyncDispose]() {
       const ended = once(child, "exit");
@@ -330,19 +515,9 @@
       await ended;
     },
   });
-  const receive = async (): Promise<EngineProcessReport> => {
-    const [message] = await once(child, "message");
-    return message;
-  };
-  await receive();
   return {
+    ...upstream,
     pause: () => void child.kill("SIGSTOP"),
     resume: () => void child.kill("SIGCONT"),
-    async listRuns() {
-      const answer = receive();
-      child.send("runs");
-      const message = await answer;
-      return message.type === "runs" ? message.requestIds : [];
-    },
   };
 }
