Limit what one upstream may send for a call

Callers saw: answers that came late or not at all, and refusals (503 stale_config) of calls to other services, while one upstream sent bytes without end; its gateway grew by 1.3 to 1.8 GB within 3 s or blocked its loop for 6 s.

Cause: what an upstream sends was bounded neither in bytes, nor in what comes without progress, nor in the time of the loop that it takes. Answers were kept until they were complete, whatever their size; an event that had not ended was joined with each chunk anew; comments and repeated events counted as progress; each event that met a full buffer added a listener; nothing ended an endless head, extension or drip but the deadline.

Change, with settings (upstreamLimits): the size of one held answer, the bytes held of all answers (reading pauses beyond it, the oldest goes on), and bytes and small pieces without progress. Reading from upstreams takes 10 ms of a turn at most. Beyond a limit the connection is closed and the upstream counts as failed; CL1821 names the limit. A rejection that says that it has not run is believed as soon as its head is there. Events are split in linear time; comments and repeated events are no progress, and repeated ones are dropped.

--- /dev/null
+++ b/src/gateway/create_read_limiter.ts
@@ -0,0 +1,143 @@
+/**
+ * Limits what upstreams may send without progress, and the time that one turn of the
+ * event loop spends on reading from them.
+ *
+ * @module
+ */
+
+import type { Buffer } from "node:buffer";
+import type { Socket } from "node:net";
+import type { UpstreamLimitsSettings } from "../settings/index.ts";
+import { UpstreamLimitError } from "./gateway_error.ts";
+
+/** What a connection has received since its upstream last made progress. */
+export interface ReadMeter {
+  /** Records that received bytes were of use. */
+  noteProgress(usefulBytes: number): void;
+  /** Starts anew, for the next answer on the connection. */
+  reset(): void;
+}
+
+/** Options of {@link createReadLimiter}. */
+export interface CreateReadLimiterOptions extends
+  Pick<
+    UpstreamLimitsSettings,
+    "withoutProgressBytes" | "withoutProgressReads"
+  > {
+  /** Ms for which one turn of the event loop reads from upstreams. */
+  readonly turnMs?: number;
+  /** Monotonic time, in ms. */
+  readonly now?: () => number;
+}
+
+/** Limits the reading from a set of connections. */
+export interface ReadLimiter {
+  /** Limits a connection; it is destroyed once its upstream exceeds a limit. */
+  watch(socket: Socket): void;
+  /** The meter of the connection whose bytes are being parsed. */
+  getCurrent(): ReadMeter | undefined;
+}
+
+/** Ms for which one turn reads; callers notice pauses of 50 ms and more. */
+const TURN_MS = 10;
+
+/**
+ * Bytes that are parsed at once. The HTTP library ends a head that is too long only
+ * after it has parsed all bytes that it was given.
+ */
+const SLICE_BYTES = 4_096;
+
+/** Bytes of framing that one byte of use may need: small chunks, or short events. */
+const OVERHEAD_FACTOR = 4;
+
+/** A read below this size without progress counts towards the number of reads. */
+const SMALL_READ_BYTES = 512;
+
+/**
+ * Creates a read limiter.
+ *
+ * @param options - The limits, and the time for reading in each turn.
+ * @returns The limiter.
+ * @throws Nothing.
+ * @example
+ * const limiter = createReadLimiter({ withoutProgressBytes, withoutProgressReads });
+ */
+export function createReadLimiter(
+  options: CreateReadLimiterOptions,
+): ReadLimiter {
+  const { withoutProgressBytes, withoutProgressReads } = options;
+  const { turnMs = TURN_MS, now = () => performance.now() } = options;
+  const waiting = new Set<Socket>();
+  let turnStartMs: number | undefined;
+  let current: ReadMeter | undefined;
+
+  function isTurnOver(): boolean {
+    if (turnStartMs === undefined) {
+      turnStartMs = now();
+      setImmediate(startTurn);
+    }
+    return now() - turnStartMs >= turnMs;
+  }
+
+  // Connections that had no time in the last turn come first.
+  function startTurn(): void {
+    turnStartMs = undefined;
+    for (const socket of [...waiting]) {
+      if (isTurnOver()) return;
+      waiting.delete(socket);
+      socket.emit("readable");
+    }
+  }
+
+  return {
+    getCurrent: () => current,
+    watch(socket) {
+      const read = socket.read.bind(socket);
+      let excessBytes = 0;
+      let smallReads = 0;
+
+      const meter: ReadMeter = {
+        noteProgress(usefulBytes) {
+          excessBytes = Math.max(
+            0,
+            excessBytes - OVERHEAD_FACTOR * usefulBytes,
+          );
+          smallReads = 0;
+        },
+        reset() {
+          excessBytes = 0;
+          smallReads = 0;
+        },
+      };
+
+      function findExceeded() {
+        if (excessBytes > withoutProgressBytes) return "withoutProgressBytes";
+        if (smallReads > withoutProgressReads) return "withoutProgressReads";
+      }
+
+      // The library reads all that has arrived, until it gets null.
+      function readSlice(): Buffer | null {
+        if (socket.readableLength > 0 && isTurnOver()) {
+          waiting.add(socket);
+          return null;
+        }
+        const bytes = Math.min(socket.readableLength, SLICE_BYTES);
+        const chunk: Buffer | null = bytes === 0 ? read() : read(bytes);
+        if (chunk === null) return null;
+        excessBytes += chunk.length;
+        if (chunk.length < SMALL_READ_BYTES) smallReads += 1;
+        const limit = findExceeded();
+        if (limit) {
+          const message = `upstream exceeded ${limit}`;
+          socket.destroy(new UpstreamLimitError(message, { props: { limit } }));
+          return null;
+        }
+        current = meter;
+        return chunk;
+      }
+
+      socket.read = readSlice;
+      socket.on("close", () => waiting.delete(socket));
+    },
+  };
+}
--- a/src/gateway/create_stream_relay.ts
+++ b/src/gateway/create_stream_relay.ts
@@ -6,6 +6,7 @@
 
 import type { Buffer } from "node:buffer";
 import type { ServerResponse } from "node:http";
+import { isLaterEvent } from "./is_later_event.ts";
 import type { StreamEvent } from "./split_events.ts";
 
 /** Options of {@link createStreamRelay}. */
@@ -86,7 +87,7 @@
   }
 
   function isNew({ id }: Pick<StreamEvent, "id">): boolean {
-    return id === undefined || isAfter(id, lastEventId);
+    return isLaterEvent(id, lastEventId);
   }
 
   function write(bytes: Buffer): boolean {
@@ -96,7 +97,8 @@
 
   return {
     isNew,
-    forward({ id, bytes }) {
+    forward({ id, bytes, isIgnored }) {
+      if (isIgnored) return response.write(bytes);
       recordEvent(now());
       // A resumed run may start with events that the caller already has.
       if (!isNew({ id })) return true;
@@ -111,8 +113,3 @@
     },
   };
 }
-
-function isAfter(id: string, last: string | undefined): boolean {
-  if (last === undefined || last === "") return true;
-  return Number(id) > Number(last);
-}
--- /dev/null
+++ b/src/gateway/is_later_event.ts
@@ -0,0 +1,25 @@
+/**
+ * Compares the ids of events.
+ *
+ * @module
+ */
+
+/**
+ * Checks whether an event comes after another one of the same stream.
+ *
+ * @param id - Id of the event; one without an id comes after all others.
+ * @param previousId - Id of the other one; undefined or empty if there is none.
+ * @returns Whether it comes after the other one.
+ * @throws Nothing.
+ * @example
+ * isLaterEvent("10", "9");
+ */
+export function isLaterEvent(
+  id: string | undefined,
+  previousId: string | undefined,
+): boolean {
+  if (id === undefined || previousId === undefined || previousId === "") {
+    return true;
+  }
+  return Number(id) > Number(previousId);
+}
--- a/src/gateway/serve_plain_call.ts
+++ b/src/gateway/serve_plain_call.ts
@@ -4,10 +4,11 @@
  * @module
  */
 
-import { Buffer } from "node:buffer";
+import type { Buffer } from "node:buffer";
 import { admitCall } from "./admit_call.ts";
 import { chooseEngine, estimateRunningShare } from "./choose_engine.ts";
 import { createCallEnd } from "./create_call_end.ts";
+import { createHeldAnswer } from "./create_held_answer.ts";
 import { createRetryAfterRefusals } from "./create_retry_after_refusals.ts";
 import type { EngineView } from "./engine_view.ts";
 import type { Exchange, ExchangeEnd } from "./create_upstream_transport.ts";
@@ -87,7 +88,7 @@
   context: ServingContext,
 ): Promise<void> {
   return new Promise((resolve) => {
-    const { request, route, service } = call;
+    const { request, response, route, service } = call;
     const { engines, now, log, metrics, reachability } = context;
     const { requestId } = request;
     const excluded = new Set<string>();
@@ -338,7 +339,6 @@
 
     function send(engine: EngineView, grant: SendGrant): void {
       const { engineId } = engine.record;
-      const chunks: Buffer[] = [];
       let head: UpstreamHead | undefined;
       engine.inFlight += 1;
       crashReports = permit.noteSent(engineId);
@@ -366,7 +366,12 @@
         reachability.getSendMode(service) === "any"
       ) context.upstreamTransport.closeSilent(engineId, MAX_UNPROVEN_MS);
       const stopWatching = watchSilence();
-      exchange = startCallExchange(call, context, {
+      const answer = createHeldAnswer(context.heldBytes, {
+        upstreamId: engineId,
+        pause: () => started.pause(),
+        resume: () => started.resume(),
+      });
+      const started = startCallExchange(call, context, {
         engine: engine.record,
         path: [],
         grant,
@@ -374,15 +379,18 @@
         onHead: (receivedHead) => {
           head = receivedHead;
         },
-        onData: (chunk) => void chunks.push(chunk),
+        onData: answer.push,
         onEnd: (how) => {
           engine.inFlight -= 1;
           exchange = undefined;
           stopWatching();
-          if (callEnd.hasEnded()) return;
-          handleResult(engine, { how, head, body: Buffer.concat(chunks) });
+          if (!callEnd.hasEnded()) {
+            handleResult(engine, { how, head, body: answer.end() });
+          }
+          answer.releaseWith(response);
         },
       });
+      exchange = started;
     }
 
     // A request in a connection that fell silent has no other sign of a partition.
--- a/src/gateway/serve_stream_call.ts
+++ b/src/gateway/serve_stream_call.ts
@@ -111,6 +111,8 @@
     let endChecked = Promise.resolve();
     const runs = createStreamRuns(call, context);
     const excludedPeers = new Set<string>();
+    // Runs that wait until the caller has read what was sent.
+    const pausedRuns = new Set<OpenRun>();
     const searchResults: Record<string, number> = {};
     // Why no upstream was found; CL1804 is dropped where there are many log lines.
     let givenUp: Readonly<Record<string, unknown>> = {};
@@ -339,10 +341,16 @@
 
     function passOn(run: OpenRun, event: StreamEvent): void {
       if (callEnd.hasEnded() || !runs.isOpen(run)) return;
-      if (relay.isNew(event)) noteProgress(run);
-      if (relay.forward(event)) return;
+      if (event.isIgnored) {
+        if (runs.getCurrent() !== run) return;
+      } else if (relay.isNew(event)) noteProgress(run);
+      if (relay.forward(event) || pausedRuns.has(run)) return;
+      pausedRuns.add(run);
       run.pause();
-      response.once("drain", run.resume);
+      response.once("drain", () => {
+        pausedRuns.delete(run);
+        run.resume();
+      });
     }
 
     function endCutOff(): void {
@@ -685,7 +693,8 @@
       const reason = how.type === "broken" ? how.reason : undefined;
       // An engine that has sent events is reachable: it cuts a single stream off
       // when an engine after it on the path ran out of capacity or failed.
-      if (reason !== undefined && !sent.hasBegun) {
+      const hasExceededLimit = how.type === "broken" && how.limit !== undefined;
+      if (reason !== undefined && (!sent.hasBegun || hasExceededLimit)) {
         engines.suspect(engineId, reason);
       }
       excluded.add(engineId);
--- a/src/gateway/split_events.ts
+++ b/src/gateway/split_events.ts
@@ -11,6 +11,8 @@
   readonly bytes: Buffer;
   /** Undefined if the event has no id. */
   readonly id: string | undefined;
+  /** Whether callers ignore it: it has neither data nor an id. */
+  readonly isIgnored: boolean;
 }
 
 /** Splits a byte stream into events. */
@@ -23,9 +25,11 @@
 
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
+const COLON = 0x3a;
 
 /**
- * Creates a splitter. An event ends with an empty line.
+ * Creates a splitter. An event ends with an empty line. Ignored events that follow one
+ * another in a chunk are returned as one.
  *
  * @returns The splitter.
  * @throws Nothing.
@@ -33,32 +37,79 @@
  * const events = createEventSplitter().push(chunk);
  */
 export function createEventSplitter(): EventSplitter {
-  let partialEvent: Buffer = Buffer.alloc(0);
+  // Chunks of the incomplete event, none of which contains its end.
+  let partialChunks: Buffer[] = [];
+  let isLineEmpty = true;
+  let isLineComment = false;
+  let isComment = true;
+
+  // A line that has only a carriage return counts as empty.
+  function noteByte(byte: number): boolean {
+    if (byte !== LINE_FEED) {
+      if (isLineEmpty && byte !== CARRIAGE_RETURN) {
+        isLineEmpty = false;
+        isLineComment = byte === COLON;
+        isComment &&= isLineComment;
+      }
+      return false;
+    }
+    const isEnd = isLineEmpty;
+    isLineEmpty = true;
+    return isEnd;
+  }
+
+  function takeEvent(chunk: Buffer): StreamEvent {
+    const bytes = partialChunks.length === 0
+      ? chunk
+      : Buffer.concat([...partialChunks, chunk]);
+    partialChunks = [];
+    const event = isComment
+      ? { bytes, id: undefined, isIgnored: true }
+      : readEvent(bytes);
+    isComment = true;
+    return event;
+  }
+
   return {
     push(chunk) {
-      const bytes = partialEvent.length === 0
-        ? chunk
-        : Buffer.concat([partialEvent, chunk]);
       const events: StreamEvent[] = [];
       let start = 0;
-      let lineStart = 0;
-      for (let index = 0; index < bytes.length; index++) {
-        if (bytes[index] !== LINE_FEED) continue;
-        const isEmpty = index === lineStart ||
-          (index === lineStart + 1 && bytes[lineStart] === CARRIAGE_RETURN);
-        lineStart = index + 1;
-        if (!isEmpty) continue;
-        events.push(readEvent(bytes.subarray(start, index + 1)));
+      for (let index = 0; index < chunk.length; index++) {
+        if (!noteByte(chunk[index])) continue;
+        events.push(takeEvent(chunk.subarray(start, index + 1)));
         start = index + 1;
       }
-      partialEvent = bytes.subarray(start);
-      return events;
+      if (start < chunk.length) partialChunks.push(chunk.subarray(start));
+      return joinIgnored(events);
     },
-    hasPartialEvent: () => partialEvent.length > 0,
+    hasPartialEvent: () => partialChunks.length > 0,
+  };
+}
+
+// Each event is written to the caller by itself, and ignored ones may be many.
+function joinIgnored(events: readonly StreamEvent[]): StreamEvent[] {
+  const joined: StreamEvent[] = [];
+  let ignored: Buffer[] = [];
+  const flush = () => {
+    if (ignored.length === 0) return;
+    const bytes = Buffer.concat(ignored);
+    joined.push({ bytes, id: undefined, isIgnored: true });
+    ignored = [];
   };
+  for (const event of events) {
+    if (event.isIgnored) ignored.push(event.bytes);
+    else {
+      flush();
+      joined.push(event);
+    }
+  }
+  flush();
+  return joined;
 }
 
 function readEvent(bytes: Buffer): StreamEvent {
-  const match = /^id:[ ]?(.*?)\r?$/m.exec(bytes.toString("utf8"));
-  return { bytes, id: match?.[1] };
+  const text = bytes.toString("utf8");
+  const match = /^id:[ ]?(.*?)\r?$/m.exec(text);
+  const hasData = /^data(?::|\r?$)/m.test(text);
+  return { bytes, id: match?.[1], isIgnored: !match && !hasData };
 }
--- a/src/gateway/start_call_exchange.ts
+++ b/src/gateway/start_call_exchange.ts
@@ -9,13 +9,14 @@
   ExchangeEnd,
   ExchangeOptions,
 } from "./create_upstream_transport.ts";
+import { logExceededLimit } from "./log_exceeded_limit.ts";
 import type { SendGrant } from "./create_rate_limits.ts";
 import type { AddressedPart } from "./protocol.ts";
 import type { Call, ServingContext } from "./types.ts";
 
 /** Options of {@link startCallExchange}: the upstream, and callbacks for the answer. */
 export interface StartCallExchangeOptions
-  extends Pick<ExchangeOptions, "onHead" | "onData" | "onEnd"> {
+  extends Pick<ExchangeOptions, "onHead" | "onData" | "onEnd" | "isForwarded"> {
   /** Upstream to send to: the first engine of the path if there is one. */
   readonly engine: Pick<AddressedPart, "engineId" | "address">;
   /** Path over the parts of a layered model; empty if one upstream serves alone. */
@@ -63,7 +64,7 @@
     context,
     () => exchange.abort("cut off"),
   );
-  let endsWithConnection = false;
+  let needsEndCheck = false;
   const sentMs = context.now();
   const remainingMs = Math.floor(call.deadlineMs - sentMs);
   const exchange = context.upstreamTransport.start({
@@ -81,6 +82,7 @@
     }),
     body,
     requestId: request.requestId,
+    isForwarded: options.isForwarded,
     maySend() {
       connecting[Symbol.dispose]();
       return grant.isValid() &&
@@ -90,7 +92,7 @@
     onHead(head) {
       reachability.noteReceived(call.service);
       const { limitPerS } = head;
-      endsWithConnection = head.endsWithConnection;
+      needsEndCheck = head.endsWithConnection && !head.reportsNotRun;
       // A rejection may come from a proxy in front of the engine, which knows no limit.
       if (limitPerS !== undefined && !head.reportsNotRun) {
         rateLimits.noteAnswer(engineId, { limitPerS, sentMs });
@@ -106,9 +108,10 @@
       connecting[Symbol.dispose]();
       reportSendEnd({ isAccepted: false });
       if (end.type === "notSent" || end.type === "withheld") grant.release();
-      if (end.type !== "complete" || !endsWithConnection) {
-        return options.onEnd(end);
+      if (end.type === "broken" && end.limit) {
+        logExceededLimit(call, context, { engineId, limit: end.limit });
       }
+      if (end.type !== "complete" || !needsEndCheck) return options.onEnd(end);
       void checkEnd(context, engine).then(options.onEnd);
     },
   });
--- a/src/gateway/start_forwarded_exchange.ts
+++ b/src/gateway/start_forwarded_exchange.ts
@@ -4,13 +4,15 @@
  * @module
  */
 
-import { Buffer } from "node:buffer";
+import type { Buffer } from "node:buffer";
 import type { Peer } from "../reachability/index.ts";
 import {
   classifyPeerAnswer,
   type PeerAnswerMeaning,
 } from "./classify_peer_answer.ts";
+import { createHeldAnswer } from "./create_held_answer.ts";
 import type { Exchange, ExchangeEnd } from "./create_upstream_transport.ts";
+import { logExceededLimit } from "./log_exceeded_limit.ts";
 import type { UpstreamHead } from "./protocol.ts";
 import type { Call, ServingContext } from "./types.ts";
 
@@ -74,7 +76,11 @@
   const { peer, lastEventId, onDoubt } = options;
   const { requestId } = request;
   const { vm } = peer;
-  const chunks: Buffer[] = [];
+  const answer = createHeldAnswer(context.heldBytes, {
+    upstreamId: vm,
+    pause: () => exchange.pause(),
+    resume: () => exchange.resume(),
+  });
   const sentMs = now();
   let head: UpstreamHead | undefined;
   const endRequest = peers.beginRequest(vm);
@@ -89,7 +95,7 @@
   function handleEnd(how: ExchangeEnd): void {
     clearInterval(watch);
     endRequest();
-    const body = Buffer.concat(chunks);
+    const body = answer.end();
     const text = head?.isSigned ? "" : body.toString();
     const meaning = classifyPeerAnswer({ how, head, text });
     if (meaning.type !== "answered") {
@@ -105,7 +111,11 @@
     if (meaning.type === "notTaken") {
       peers.leaveOut(vm, how.type === "notSent" ? undefined : service);
     }
+    if (how.type === "broken" && how.limit) {
+      logExceededLimit(call, context, { engineId: vm, limit: how.limit });
+    }
     options.onEnd({ meaning, how, head, body });
+    answer.releaseWith(call.response);
   }
 
   metrics.count("peers.forwarded");
@@ -126,12 +136,18 @@
       head = received;
       if (received.isSigned) options.onHead?.(received);
     },
+    isForwarded: (received) =>
+      options.onData !== undefined && isSuccess(received),
+    needsRejectionBody: true,
     onData(chunk) {
-      const isData = head?.isSigned && head.status === SUCCESS_STATUS;
-      if (isData && options.onData) options.onData(chunk);
-      else chunks.push(chunk);
+      if (options.onData && isSuccess(head)) options.onData(chunk);
+      else answer.push(chunk);
     },
     onEnd: handleEnd,
   });
   return exchange;
 }
+
+function isSuccess(head: UpstreamHead | undefined): boolean {
+  return head?.isSigned === true && head.status === SUCCESS_STATUS;
+}
--- a/src/gateway/start_forwarded_exchange_test.ts
+++ b/src/gateway/start_forwarded_exchange_test.ts
@@ -6,6 +6,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import { createHeldBytes } from "./create_held_bytes.ts";
 import { startForwardedExchange } from "./start_forwarded_exchange.ts";
 import type { Call, ServingContext } from "./types.ts";
 
@@ -17,6 +18,7 @@
   service: "s",
   body: null,
   deadlineMs: 10_000,
+  response: { writableEnded: false },
 } as unknown as Call;
 
 /** Runs a call at a peer for a while; returns the doubts and how it was ended. */
@@ -39,6 +41,7 @@
         return { abort: (reason: string) => void aborts.push(reason) };
       },
     },
+    heldBytes: createHeldBytes({ maxBytes: 1_000 }),
     codec: { formatPeerHeaders: () => [] },
     metrics: { count: () => {} },
     log: () => {},
--- a/src/gateway/start_forwarded_stream.ts
+++ b/src/gateway/start_forwarded_stream.ts
@@ -6,7 +6,8 @@
 
 import type { Exchange } from "./create_upstream_transport.ts";
 import type { AddressedPart, UpstreamHead } from "./protocol.ts";
-import { createEventSplitter, type StreamEvent } from "./split_events.ts";
+import { createEventReader } from "./create_event_reader.ts";
+import type { StreamEvent } from "./split_events.ts";
 import {
   type ForwardedEnd,
   startForwardedExchange,
@@ -70,16 +71,18 @@
   context: ServingContext,
   options: StartForwardedStreamOptions,
 ): ForwardedRun {
-  const splitter = createEventSplitter();
+  const reader = createEventReader({
+    onEvent: (event) => options.onEvent(run, event),
+    noteProgress: (usefulBytes) => exchange.noteProgress(usefulBytes),
+  });
   const exchange = startForwardedExchange(call, context, {
     ...options,
-    onData: (chunk) =>
-      splitter.push(chunk).forEach((event) => options.onEvent(run, event)),
+    onData: reader.push,
     onDoubt: (reason) => options.onDoubt(run, reason),
     onEnd: (end) =>
-      options.onEnd(run, { ...end, isCut: splitter.hasPartialEvent() }),
+      options.onEnd(run, { ...end, isCut: reader.hasPartialEvent() }),
   });
-  const { abort, pause, resume } = exchange;
+  const { abort, pause, resume, noteProgress } = exchange;
   const run: ForwardedRun = {
     vm: options.peer.vm,
     path: [],
@@ -90,6 +93,7 @@
     abort,
     pause,
     resume,
+    noteProgress,
   };
   return run;
 }
--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -20,12 +20,17 @@
 import type { Metrics } from "../metrics/index.ts";
 import { chooseListedGateways } from "../reachability/index.ts";
 import type { RetryLimits } from "../retry/index.ts";
+import {
+  DEFAULT_UPSTREAM_LIMITS,
+  type UpstreamLimitsSettings,
+} from "../settings/index.ts";
 import {
   createCallerServer,
   type EarlyListener,
   listenForCallers,
 } from "./create_caller_server.ts";
 import { createConfigLease } from "./create_config_lease.ts";
+import { createHeldBytes } from "./create_held_bytes.ts";
 import { createLeftOutChecks } from "./create_left_out_checks.ts";
 import {
   createLivenessCheck,
@@ -89,6 +94,8 @@
    * default, if unknown.
    */
   readonly upstreamDrainMs?: number;
+  /** What upstreams and peers may send; the defaults of the schema by default. */
+  readonly upstreamLimits?: UpstreamLimitsSettings;
 }
 
 /** Options of {@link startGateway}. */
@@ -182,7 +189,9 @@
     log,
     metrics,
   });
+  const { upstreamLimits: limits = DEFAULT_UPSTREAM_LIMITS } = settings;
   const upstreamTransport = createUpstreamTransport(codec, {
+    limits,
     onNotice: handleNotice,
     onConnected(engineId) {
       const service = engines.get(engineId)?.record.service;
@@ -238,7 +247,7 @@
     now,
     random: Math.random,
   });
-  const peerTransport = createUpstreamTransport(codec);
+  const peerTransport = createUpstreamTransport(codec, { limits });
   const reachability = createReachability({
     listUpstreams: listProbedUpstreams,
     listRegistered: (service) => engines.list(service).map(getAddress),
@@ -259,6 +268,7 @@
     place,
     peers,
     peerTransport,
+    heldBytes: createHeldBytes({ maxBytes: limits.heldBytes }),
     reachability,
     codec,
     engineControl: options.engineControl,
--- a/src/gateway/start_stream_run.ts
+++ b/src/gateway/start_stream_run.ts
@@ -4,10 +4,12 @@
  * @module
  */
 
-import { Buffer } from "node:buffer";
+import type { Buffer } from "node:buffer";
+import { createEventReader } from "./create_event_reader.ts";
+import { createHeldAnswer } from "./create_held_answer.ts";
 import type { ExchangeEnd } from "./create_upstream_transport.ts";
 import type { AddressedPart, UpstreamHead } from "./protocol.ts";
-import { createEventSplitter, type StreamEvent } from "./split_events.ts";
+import type { StreamEvent } from "./split_events.ts";
 import type { SendGrant } from "./create_rate_limits.ts";
 import { startCallExchange } from "./start_call_exchange.ts";
 import type { Call, ServingContext } from "./types.ts";
@@ -88,25 +90,37 @@
   let wasAborted = false;
   let firstEventMs: number | undefined;
   const isStream = () => head?.status === 200 && head.isSigned;
-  const splitter = createEventSplitter();
-  const chunks: Buffer[] = [];
+  const reader = createEventReader({
+    onEvent: handleEvent,
+    noteProgress: (usefulBytes) => exchange.noteProgress(usefulBytes),
+  });
+  const answer = createHeldAnswer(context.heldBytes, {
+    upstreamId: path[0].engineId,
+    pause: () => exchange.pause(),
+    resume: () => exchange.resume(),
+  });
   engines.addWork(path, { tokens });
   const endPromptWork = engines.beginPrefill(path);
 
   function handleData(chunk: Buffer): void {
-    if (!isStream()) return void chunks.push(chunk);
-    for (const event of splitter.push(chunk)) {
+    if (isStream()) reader.push(chunk);
+    else answer.push(chunk);
+  }
+
+  function handleEvent(event: StreamEvent): void {
+    if (!event.isIgnored) {
       firstEventMs ??= now();
       endPromptWork();
-      options.onEvent(run, event);
     }
+    options.onEvent(run, event);
   }
 
   function handleEnd(how: ExchangeEnd): void {
     engines.removeWork(path, { tokens });
     endPromptWork();
-    const body = Buffer.concat(chunks);
-    options.onEnd(run, { how, isCut: splitter.hasPartialEvent(), body });
+    const body = answer.end();
+    options.onEnd(run, { how, isCut: reader.hasPartialEvent(), body });
+    answer.releaseWith(call.response);
   }
 
   function abort(reason: string): void {
@@ -123,6 +137,7 @@
       head = receivedHead;
       options.onHead(run);
     },
+    isForwarded: ({ status, isSigned }) => status === 200 && isSigned,
     onData: handleData,
     onEnd: handleEnd,
   });
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -19,6 +19,7 @@
 import type { StreamEndRate } from "./create_stream_end_rate.ts";
 import type { FleetRates } from "./create_fleet_rates.ts";
 import type { EngineNotices } from "./create_engine_notices.ts";
+import type { HeldBytes } from "./create_held_bytes.ts";
 import type { LeftOutChecks } from "./create_left_out_checks.ts";
 import type { LivenessCheck } from "./create_liveness_check.ts";
 import type { UpstreamTransport } from "./create_upstream_transport.ts";
@@ -89,6 +90,8 @@
   readonly upstreamTransport: UpstreamTransport;
   /** Connections to other gateways. */
   readonly peerTransport: Pick<UpstreamTransport, "start">;
+  /** Bytes of answers that are held until they are complete. */
+  readonly heldBytes: HeldBytes;
   /** Gateways to which calls are passed on while this one is cut off from a service. */
   readonly peers: PeerList;
   readonly reachability: Reachability;
--- a/src/logs/events.ts
+++ b/src/logs/events.ts
@@ -318,6 +318,11 @@
     "info",
     "Running request goes on after an engine of it did not answer",
   ),
+  upstreamLimitExceeded: event(
+    "CL1821",
+    "warn",
+    "Upstream sent more than a limit allows; its connection was closed",
+  ),
   requestHeldBack: event(
     "CL1810",
     "warn",
--- a/src/metrics/metric_catalogue.ts
+++ b/src/metrics/metric_catalogue.ts
@@ -88,6 +88,8 @@
     "Runs that had just begun when their upstream refused connections",
   "upstream.ended_under_request":
     "Runs that had just begun when their upstream crashed",
+  "upstream.limits_exceeded":
+    "Answers of which an upstream sent more than a limit allows",
   "process.loop_delay_ms":
     "Time for which the event loop was blocked, in ms; only long ones",
   "config.revision": "Configuration revision applied by this process",
--- a/src/settings/schemas.ts
+++ b/src/settings/schemas.ts
@@ -6,6 +6,7 @@
  */
 
 import { type Static, Type } from "typebox";
+import { Value } from "typebox/value";
 import { NameSchema } from "../model/index.ts";
 
 const HostPort = Type.String({
@@ -100,6 +101,47 @@
   }),
 }, { additionalProperties: false, default: {} });
 
+/** Limits on what upstreams and peers may send. */
+export const UpstreamLimitsSchema = Type.Object({
+  answerBytes: Type.Integer({
+    minimum: 1_024,
+    default: 16_777_216,
+    description:
+      "Largest answer that is forwarded once it is complete, in bytes; streams are not limited",
+  }),
+  heldBytes: Type.Integer({
+    minimum: 65_536,
+    default: 67_108_864,
+    description:
+      "Bytes of such answers that a process holds in all; reading pauses beyond it",
+  }),
+  withoutProgressBytes: Type.Integer({
+    minimum: 1_024,
+    default: 262_144,
+    description:
+      "Bytes that an upstream may send without progress: in a head, in one event, or between two events",
+  }),
+  withoutProgressReads: Type.Integer({
+    minimum: 1,
+    default: 64,
+    description: "Small pieces that an upstream may send without progress",
+  }),
+  reportBytes: Type.Integer({
+    minimum: 1_024,
+    default: 1_048_576,
+    description: "Largest answer to a status query or an order, in bytes",
+  }),
+}, { additionalProperties: false, default: {} });
+
+/** Limits on what upstreams and peers may send. */
+export type UpstreamLimitsSettings = Static<typeof UpstreamLimitsSchema>;
+
+/** The limits where none are set. */
+export const DEFAULT_UPSTREAM_LIMITS = Value.Default(
+  UpstreamLimitsSchema,
+  {},
+) as UpstreamLimitsSettings;
+
 /** Settings of `crowlever-entry`. */
 export const EntrySettingsSchema = Type.Object({
   ...common,
--- a/test/support/start_process_fleet.ts
+++ b/test/support/start_process_fleet.ts
@@ -130,6 +130,9 @@
   new URL("endless_engine_process.js", import.meta.url),
 );
 
+/** Engine id of the first one of the other upstreams. */
+export const FIRST_OTHER_ENGINE = "i-other-1";
+
 const KB_PER_MB = 1_024;
 
 /** Unit of processor times in the files of the process. */
