Time the reading from upstreams only once much has arrived

Each timed turn ends in a callback of the event loop, which a gateway with many short reads would run for each of them. Reads are timed from 16 KB on.

--- a/src/gateway/create_read_limiter.ts
+++ b/src/gateway/create_read_limiter.ts
@@ -47,6 +47,9 @@
  */
 const SLICE_BYTES = 4_096;
 
+/** Bytes that are read before a turn is timed. */
+const UNTIMED_BYTES = 16_384;
+
 /** Bytes of framing that one byte of use may need: small chunks, or short events. */
 const OVERHEAD_FACTOR = 4;
 
@@ -69,19 +72,23 @@
   const { turnMs = TURN_MS, now = () => performance.now() } = options;
   const waiting = new Set<Socket>();
   let turnStartMs: number | undefined;
+  let untimedBytes = 0;
   let current: ReadMeter | undefined;
 
+  function startTurn(): void {
+    turnStartMs = now();
+    setImmediate(endTurn);
+  }
+
   function isTurnOver(): boolean {
-    if (turnStartMs === undefined) {
-      turnStartMs = now();
-      setImmediate(startTurn);
-    }
-    return now() - turnStartMs >= turnMs;
+    return turnStartMs !== undefined && now() - turnStartMs >= turnMs;
   }
 
   // Connections that had no time in the last turn come first.
-  function startTurn(): void {
+  function endTurn(): void {
     turnStartMs = undefined;
+    if (waiting.size === 0) return;
+    startTurn();
     for (const socket of [...waiting]) {
       if (isTurnOver()) return;
       waiting.delete(socket);
@@ -89,6 +96,15 @@
     }
   }
 
+  // A turn is timed only once much has arrived: each one ends in an extra callback.
+  function noteBytes(bytes: number): void {
+    if (turnStartMs !== undefined) return;
+    untimedBytes += bytes;
+    if (untimedBytes < UNTIMED_BYTES) return;
+    untimedBytes = 0;
+    startTurn();
+  }
+
   return {
     getCurrent: () => current,
     watch(socket) {
@@ -124,6 +140,7 @@
         const bytes = Math.min(socket.readableLength, SLICE_BYTES);
         const chunk: Buffer | null = bytes === 0 ? read() : read(bytes);
         if (chunk === null) return null;
+        noteBytes(chunk.length);
         excessBytes += chunk.length;
         if (chunk.length < SMALL_READ_BYTES) smallReads += 1;
         const limit = findExceeded();
