Keep what arrives from an upstream while its reading is paused

What callers saw: an answer whose reading was paused, because its caller read slowly or because much was held, lost what arrived meanwhile: a body with a length never ended, a stream lost events or was cut. Cause: the read limiter replaced `read` of a connection and ignored its argument. The runtime calls `read(0)` after data has arrived that nobody has read; that took up to 4 KB and dropped it. Change: `read` with a size is passed to the runtime as it is. After: all bytes are read in order, and the exchange is complete.

--- a/src/gateway/create_read_limiter.ts
+++ b/src/gateway/create_read_limiter.ts
@@ -153,7 +153,9 @@
         return chunk;
       }
 
-      socket.read = readSlice;
+      // The runtime itself calls `read(0)`, which starts reading and takes nothing.
+      socket.read = (size?: number): Buffer | null =>
+        size === undefined ? readSlice() : read(size);
       socket.on("close", () => waiting.delete(socket));
     },
   };
--- a/src/gateway/create_upstream_transport_test.ts
+++ b/src/gateway/create_upstream_transport_test.ts
@@ -43,6 +43,21 @@
   };
 }
 
+function makeRequest(address: string): ExchangeOptions {
+  return {
+    engineId: "e",
+    address,
+    method: "POST",
+    target: "/x",
+    headers: [],
+    body: Buffer.from("hello"),
+    requestId: "r1",
+    onHead: () => {},
+    onData: () => {},
+    onEnd: () => {},
+  };
+}
+
 /** Starts an exchange and returns how it ended. */
 function runExchange(
   exchanger: UpstreamTransport,
@@ -50,14 +65,7 @@
 ): Promise<ExchangeEnd> {
   return new Promise<ExchangeEnd>((resolve) => {
     exchanger.start({
-      engineId: "e",
-      method: "POST",
-      target: "/x",
-      headers: [],
-      body: Buffer.from("hello"),
-      requestId: "r1",
-      onHead: () => {},
-      onData: () => {},
+      ...makeRequest(options.address),
       onEnd: resolve,
       ...options,
     });
@@ -280,4 +288,31 @@
   assert.equal(notices, [true]);
 });
 
+test("a body that arrives while its exchange is paused is complete once it is resumed", async () => {
+  const body = Buffer.from("0123456789".repeat(600));
+  await using server = await startRawServer(async (socket) => {
+    socket.write(`${HEAD}content-length: ${body.length}\r\n\r\n`);
+    for (let at = 0; at < body.length; at += 1_000) {
+      socket.write(body.subarray(at, at + 1_000));
+      await sleep(5);
+    }
+  });
+  await using exchanger = createUpstreamTransport(codec);
+  const chunks: Buffer[] = [];
+  const end = await new Promise<ExchangeEnd>((resolve) => {
+    const exchange = exchanger.start({
+      ...makeRequest(server.address),
+      onData(chunk) {
+        chunks.push(chunk);
+        if (chunks.length > 1) return;
+        exchange.pause();
+        setTimeout(exchange.resume, 60);
+      },
+      onEnd: resolve,
+    });
+  });
+  assert.equal(end, { type: "complete" });
+  assert.ok(Buffer.concat(chunks).equals(body));
+});
+
 test.run();
