Resume a paused answer only once the library has left its parser

What callers saw: neither an answer nor a refusal until the deadline, for a call whose answer was complete, and for each one that waited for it. Cause: an answer that ends lets the next one that is paused go on, from within the callback of the HTTP library. The library asserts that it resumes no answer while it parses another; the error left the callback before the complete answer was forwarded, the library dropped it, and the paused exchange counted as resumed, so nothing resumed it again. Change: resuming waits for a microtask. An exchange that has ended neither pauses nor resumes the connection, which may serve another one by then. Before: of three answers of 200 KB with 100 KB held at most none reached its caller. After: all three are complete. Conclusion: no test had let answers wait for one another.

--- a/src/gateway/create_upstream_transport.ts
+++ b/src/gateway/create_upstream_transport.ts
@@ -206,6 +206,7 @@
     let isSent = false;
     let isEnded = false;
     let isForwarded = false;
+    let isPaused = false;
     let bodyBytes = 0;
     let meter: ReadMeter | undefined;
     let rejectionTimer: ReturnType<typeof setTimeout> | undefined;
@@ -234,6 +235,20 @@
       controller?.abort(new Error(reason));
     }
 
+    function pause(): void {
+      if (isEnded) return;
+      isPaused = true;
+      controller?.pause();
+    }
+
+    // The library can't resume one answer while it parses another.
+    function resume(): void {
+      isPaused = false;
+      queueMicrotask(() => {
+        if (!isPaused && !isEnded) controller?.resume();
+      });
+    }
+
     function failAtLimit(limit: UpstreamLimit): void {
       const error = new UpstreamLimitError(`upstream exceeded ${limit}`, {
         props: { limit },
@@ -314,8 +329,8 @@
         return isSent;
       },
       abort,
-      pause: () => controller?.pause(),
-      resume: () => controller?.resume(),
+      pause,
+      resume,
       noteProgress: (usefulBytes) => meter?.noteProgress(usefulBytes),
     };
   }
--- a/src/gateway/create_upstream_transport_test.ts
+++ b/src/gateway/create_upstream_transport_test.ts
@@ -3,8 +3,12 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import { until } from "../../demo/until.ts";
+import { createHeldAnswer } from "./create_held_answer.ts";
+import { createHeldBytes } from "./create_held_bytes.ts";
 import {
   createUpstreamTransport,
+  type Exchange,
   type ExchangeEnd,
   type ExchangeOptions,
   type UpstreamTransport,
@@ -315,4 +319,80 @@
   assert.ok(Buffer.concat(chunks).equals(body));
 });
 
+// The HTTP library can't resume one answer while it parses another.
+test("an answer that waits for another one goes on when that one is complete", async () => {
+  const half = Buffer.alloc(100_000, "x");
+  const sockets: Socket[] = [];
+  await using server = await startRawServer((socket) => {
+    sockets.push(socket);
+    socket.write(`${HEAD}content-length: ${2 * half.length}\r\n\r\n`);
+    socket.write(half);
+  });
+  await using exchanger = createUpstreamTransport(codec);
+  const heldBytes = createHeldBytes({ maxBytes: 100_000 });
+  let paused = 0;
+  const load = () =>
+    new Promise<{ end: ExchangeEnd; length: number }>((resolve) => {
+      const answer = createHeldAnswer(heldBytes, {
+        upstreamId: "e",
+        pause() {
+          paused += 1;
+          exchange.pause();
+        },
+        resume: () => exchange.resume(),
+      });
+      const exchange = exchanger.start({
+        ...makeRequest(server.address),
+        onData: answer.push,
+        onEnd(end) {
+          const { length } = answer.end();
+          resolve({ end, length });
+          answer[Symbol.dispose]();
+        },
+      });
+    });
+  const loading = [load(), load(), load()];
+  await until("two answers wait", () => paused === 2);
+  for (const socket of sockets) socket.write(half);
+  const complete = { end: { type: "complete" }, length: 2 * half.length };
+  assert.equal(await Promise.all(loading), [complete, complete, complete]);
+});
+
+test("an exchange that has ended no longer pauses or resumes its connection", async () => {
+  let requests = 0;
+  await using server = await startRawServer((socket) => {
+    requests += 1;
+    socket.write(`${HEAD}content-length: 4\r\n\r\nab`);
+    setTimeout(() => socket.write("cd"), 20);
+  });
+  await using exchanger = createUpstreamTransport(codec);
+  const start = (onData: () => void) => {
+    let exchange!: Exchange;
+    const ending = new Promise<ExchangeEnd>((resolve) => {
+      exchange = exchanger.start({
+        ...makeRequest(server.address),
+        onData,
+        onEnd: resolve,
+      });
+    });
+    return { exchange, ending };
+  };
+  const first = start(() => {});
+  assert.equal(await first.ending, { type: "complete" });
+  await sleep(20);
+  const pieces: number[] = [];
+  const second = start(() => {
+    pieces.push(pieces.length);
+    if (pieces.length === 1) second.exchange.pause();
+  });
+  await until("the second answer has begun", () => pieces.length === 1);
+  first.exchange.resume();
+  await sleep(60);
+  assert.is(pieces.length, 1);
+  second.exchange.resume();
+  first.exchange.pause();
+  assert.equal(await second.ending, { type: "complete" });
+  assert.is(requests, 2);
+});
+
 test.run();
