Read one answer of each upstream on while memory is left

What callers saw: calls of an upstream that had its share of the held bytes waited for the oldest answer of all, if need be until their deadline. Cause: beyond its share an upstream was read on only if the oldest answer of all was its own. A slow answer of another upstream, of more than 64 KB, kept all of them paused, though three quarters of the bytes were free. Change: while the total is below the limit, the oldest answer of each upstream is read on. Before: three answers of an upstream at its share beside an older one of another: all three paused. After: one is read on. Conclusion: above the limit of all, an upstream that stops in the middle of the oldest answer still keeps the others waiting until its deadline.

--- a/src/gateway/create_held_bytes.ts
+++ b/src/gateway/create_held_bytes.ts
@@ -34,8 +34,9 @@
 
 /**
  * Creates the account, empty at first. Beyond the limit, only the oldest answer is read
- * on, so that one after the other can be completed. The total exceeds the limit by the
- * largest answer at most, and by the answers that are never paused.
+ * on, so that one after the other can be completed; beyond the share of an upstream, only
+ * its oldest one. The total exceeds the limit by the largest answer at most, and by the
+ * answers that are never paused.
  *
  * @param options - Bytes above which reading pauses.
  * @returns The account.
@@ -66,15 +67,22 @@
 
   function mayRead(entry: Entry): boolean {
     if (entry.bytes <= EXEMPT_BYTES || entry === findOldest()) return true;
-    const ofUpstream = bytesByUpstream.get(entry.source.upstreamId) ?? 0;
-    return totalBytes < maxBytes && ofUpstream < UPSTREAM_SHARE * maxBytes;
+    if (totalBytes >= maxBytes) return false;
+    const { upstreamId } = entry.source;
+    const ofUpstream = bytesByUpstream.get(upstreamId) ?? 0;
+    return ofUpstream < UPSTREAM_SHARE * maxBytes ||
+      entry === findOldest(upstreamId);
   }
 
   // Answers of which nothing is held yet don't count as the oldest: a silent upstream
   // would keep all others waiting.
-  function findOldest(): Entry | undefined {
+  function findOldest(upstreamId?: string): Entry | undefined {
     for (const entry of receiving) {
-      if (entry.bytes > EXEMPT_BYTES) return entry;
+      const { source, bytes } = entry;
+      if (upstreamId !== undefined && source.upstreamId !== upstreamId) {
+        continue;
+      }
+      if (bytes > EXEMPT_BYTES) return entry;
     }
   }
 
