Count each piece of an upstream once, however it is read

What callers saw: an upstream could be closed and left out for bytes that it had sent once, or for small pieces that it had not sent. Cause: bytes that the HTTP library puts back when it is paused were counted again when they were read again, and the rest of a larger piece, which is read in slices of 4 KB, counted as a small piece of its own. Change: bytes that were put back are not counted again; a piece is what has arrived since the last read. Before: 9,000 bytes, put back after every 100, exceeded a limit of 10,000, and 20 pieces of 4,100 bytes a limit of 5 small pieces. After: neither. The other new tests of the limiter passed before, too. Conclusion: what is measured is what arrives, not what the library reads.

--- a/src/gateway/create_read_limiter.ts
+++ b/src/gateway/create_read_limiter.ts
@@ -53,8 +53,8 @@
 /** Bytes of framing that one byte of use may need: small chunks, or short events. */
 const OVERHEAD_FACTOR = 4;
 
-/** A read below this size without progress counts towards the number of reads. */
-const SMALL_READ_BYTES = 512;
+/** A piece below this size without progress counts towards the number of reads. */
+const SMALL_PIECE_BYTES = 512;
 
 /**
  * Creates a read limiter.
@@ -109,8 +109,12 @@
     getCurrent: () => current,
     watch(socket) {
       const read = socket.read.bind(socket);
+      const unshift = socket.unshift.bind(socket);
       let excessBytes = 0;
-      let smallReads = 0;
+      let smallPieces = 0;
+      let receivedBytes = socket.bytesRead;
+      // Bytes that the library has put back when it was paused.
+      let returnedBytes = 0;
 
       const meter: ReadMeter = {
         noteProgress(usefulBytes) {
@@ -118,17 +122,24 @@
             0,
             excessBytes - OVERHEAD_FACTOR * usefulBytes,
           );
-          smallReads = 0;
+          smallPieces = 0;
         },
         reset() {
           excessBytes = 0;
-          smallReads = 0;
+          smallPieces = 0;
         },
       };
 
+      // One piece may be read in several slices.
+      function noteReceived(): void {
+        const pieceBytes = socket.bytesRead - receivedBytes;
+        receivedBytes = socket.bytesRead;
+        if (pieceBytes > 0 && pieceBytes < SMALL_PIECE_BYTES) smallPieces += 1;
+      }
+
       function findExceeded() {
         if (excessBytes > withoutProgressBytes) return "withoutProgressBytes";
-        if (smallReads > withoutProgressReads) return "withoutProgressReads";
+        if (smallPieces > withoutProgressReads) return "withoutProgressReads";
       }
 
       // The library reads all that has arrived, until it gets null.
@@ -141,8 +152,10 @@
         const chunk: Buffer | null = bytes === 0 ? read() : read(bytes);
         if (chunk === null) return null;
         noteBytes(chunk.length);
-        excessBytes += chunk.length;
-        if (chunk.length < SMALL_READ_BYTES) smallReads += 1;
+        const newBytes = Math.max(0, chunk.length - returnedBytes);
+        returnedBytes -= chunk.length - newBytes;
+        excessBytes += newBytes;
+        noteReceived();
         const limit = findExceeded();
         if (limit) {
           const message = `upstream exceeded ${limit}`;
@@ -156,6 +169,10 @@
       // The runtime itself calls `read(0)`, which starts reading and takes nothing.
       socket.read = (size?: number): Buffer | null =>
         size === undefined ? readSlice() : read(size);
+      socket.unshift = (chunk: Buffer) => {
+        returnedBytes += chunk.length;
+        unshift(chunk);
+      };
       socket.on("close", () => waiting.delete(socket));
     },
   };
