Let an upstream that keeps a connection open send on

What callers saw: a stream whose upstream sends a comment each second during a long prompt would be ended after 64 of them, after 21 if a comment comes in three pieces, and an event in more than 64 pieces below 512 bytes too: the upstream left out, the call elsewhere or failed. Cause: small pieces without progress were counted, whatever the time between them, and up to 512 bytes counted as small. Change: each second allows for four more; small is below 128 bytes. Bytes are limited as before. Before: 100 comments in three pieces each, a second apart, exceeded a limit of 5 (played clock), and so did 200 pieces of 200 bytes. After: neither; a piece each 20 ms exceeds the limit of 64 after 70 of them (computed). Conclusion: an event in more than 64 pieces below 128 bytes, more than four a second, is still taken for a drip.

--- a/src/gateway/create_read_limiter.ts
+++ b/src/gateway/create_read_limiter.ts
@@ -54,7 +54,15 @@
 const OVERHEAD_FACTOR = 4;
 
 /** A piece below this size without progress counts towards the number of reads. */
-const SMALL_PIECE_BYTES = 512;
+const SMALL_PIECE_BYTES = 128;
+
+/**
+ * Small pieces that a second allows for: a comment in a few pieces, which keeps a
+ * connection open.
+ */
+const SMALL_PIECES_PER_S = 4;
+
+const MS_PER_S = 1_000;
 
 /**
  * Creates a read limiter.
@@ -112,6 +120,7 @@
       const unshift = socket.unshift.bind(socket);
       let excessBytes = 0;
       let smallPieces = 0;
+      let smallPieceMs = now();
       let receivedBytes = socket.bytesRead;
       // Bytes that the library has put back when it was paused.
       let returnedBytes = 0;
@@ -134,7 +143,11 @@
       function noteReceived(): void {
         const pieceBytes = socket.bytesRead - receivedBytes;
         receivedBytes = socket.bytesRead;
-        if (pieceBytes > 0 && pieceBytes < SMALL_PIECE_BYTES) smallPieces += 1;
+        if (pieceBytes === 0 || pieceBytes >= SMALL_PIECE_BYTES) return;
+        const nowMs = now();
+        const allowed = (nowMs - smallPieceMs) * SMALL_PIECES_PER_S / MS_PER_S;
+        smallPieces = Math.max(0, smallPieces - allowed) + 1;
+        smallPieceMs = nowMs;
       }
 
       function findExceeded() {
