Test the limits of an exchange over raw sockets

Each kind of endless answer ends its exchange with the limit that it exceeds and closes the connection; heads and trailers end at the 16 KB of the HTTP library, without one. Honest slow answers, rejections, pauses and connections that are used again are tested beside them.

--- a/src/gateway/create_upstream_transport_test.ts
+++ b/src/gateway/create_upstream_transport_test.ts
@@ -22,7 +22,7 @@
     requestId: String(headers["x-id"] ?? ""),
     isSigned: true,
     endsWithConnection: false,
-    reportsNotRun: false,
+    reportsNotRun: headers["x-not-run"] !== undefined,
     isLeaving: headers["x-leaving"] !== undefined,
     faultAddress: undefined,
     load: undefined,
@@ -395,4 +395,431 @@
   assert.is(requests, 2);
 });
 
+/** Bytes that are read at once, so that the first ones may follow a head. */
+const SLICE_BYTES = 4_096;
+
+const LIMITS = {
+  answerBytes: 100_000,
+  withoutProgressBytes: 50_000,
+  withoutProgressReads: 20,
+};
+
+const CHUNKED = `${HEAD}transfer-encoding: chunked\r\n\r\n`;
+
+/** Makes chunks of a body of the given sizes. */
+function makeChunks(...sizes: readonly number[]): string {
+  return sizes.map((size) => `${size.toString(16)}\r\n${"x".repeat(size)}\r\n`)
+    .join("");
+}
+
+/** Sends a start, and then a piece again and again until the connection is closed. */
+function sendEndless(
+  socket: Socket,
+  { start, repeated, intervalMs }: {
+    readonly start: string;
+    readonly repeated: string;
+    readonly intervalMs?: number;
+  },
+): void {
+  socket.setNoDelay(true);
+  socket.write(start);
+  if (intervalMs !== undefined) {
+    const timer = setInterval(() => socket.write(repeated), intervalMs);
+    return void socket.on("close", () => clearInterval(timer));
+  }
+  const block = repeated.repeat(Math.ceil(20_000 / repeated.length));
+  const fill = () => {
+    while (!socket.destroyed && socket.write(block));
+  };
+  socket.on("drain", fill);
+  fill();
+}
+
+/** Runs exchanges with a server, and resolves once each connection is closed. */
+async function runLimited(
+  answer: (socket: Socket) => void,
+  options: Partial<ExchangeOptions> = {},
+) {
+  const closed: Promise<unknown>[] = [];
+  await using server = await startRawServer((socket) => {
+    closed.push(new Promise((resolve) => socket.on("close", resolve)));
+    answer(socket);
+  });
+  await using exchanger = createUpstreamTransport(codec, { limits: LIMITS });
+  let bytes = 0;
+  const end = await runExchange(exchanger, {
+    address: server.address,
+    onData: (chunk) => {
+      bytes += chunk.length;
+    },
+    ...options,
+  });
+  await Promise.all(closed);
+  return { end, bytes };
+}
+
+for (
+  const [name, { limit, ...answer }] of Object.entries({
+    "interim heads": {
+      start: "",
+      repeated: "HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n",
+      limit: "withoutProgressBytes",
+    },
+    "interim heads that drip": {
+      start: "",
+      repeated: "HTTP/1.1 103 Early Hints\r\n\r\n",
+      intervalMs: 5,
+      limit: "withoutProgressReads",
+    },
+    "a head that drips": {
+      start: `${HEAD}x-y: `,
+      repeated: "x",
+      intervalMs: 5,
+      limit: "withoutProgressReads",
+    },
+    "a body in chunks": {
+      start: CHUNKED,
+      repeated: makeChunks(16_384),
+      limit: "answerBytes",
+    },
+    "a body in tiny chunks": {
+      start: CHUNKED,
+      repeated: makeChunks(1),
+      limit: "withoutProgressBytes",
+    },
+    "a body in small chunks": {
+      start: CHUNKED,
+      repeated: makeChunks(10),
+      limit: "answerBytes",
+    },
+    "a body without a length": {
+      start: `${HEAD}\r\n`,
+      repeated: "x",
+      limit: "answerBytes",
+    },
+    "a body with a long length": {
+      start: `${HEAD}content-length: 100000000000\r\n\r\n`,
+      repeated: "x",
+      limit: "answerBytes",
+    },
+    "a chunk extension": {
+      start: `${CHUNKED}1;x=`,
+      repeated: "x",
+      limit: "withoutProgressBytes",
+    },
+    "a chunk extension that drips": {
+      start: `${CHUNKED}1;x=`,
+      repeated: "x",
+      intervalMs: 5,
+      limit: "withoutProgressReads",
+    },
+  })
+) {
+  test(`an endless answer exceeds a limit, and its connection is closed: ${name}`, async () => {
+    const { end, bytes } = await runLimited((socket) =>
+      sendEndless(socket, answer)
+    );
+    assert.is(end.type === "broken" && end.limit, limit, JSON.stringify(end));
+    assert.ok(bytes <= LIMITS.answerBytes);
+  });
+}
+
+// The HTTP library itself limits heads and trailers to 16 KB.
+for (
+  const [name, answer] of Object.entries({
+    "random bytes": { start: "", repeated: "\u0001\u0002xyz" },
+    "one line": { start: "", repeated: "x" },
+    "header lines": { start: HEAD, repeated: "x: y\r\n" },
+    "one header line": { start: `${HEAD}x: `, repeated: "x" },
+    "a trailer": { start: `${CHUNKED}0\r\n`, repeated: "x: y\r\n" },
+  })
+) {
+  test(`an endless answer is broken, and its connection is closed: ${name}`, async () => {
+    const { end, bytes } = await runLimited((socket) =>
+      sendEndless(socket, answer)
+    );
+    assert.is(end.type, "broken");
+    assert.is(bytes, 0);
+  });
+}
+
+for (
+  const [name, start] of Object.entries({
+    "in chunks": CHUNKED,
+    "without a length": `${HEAD}\r\n`,
+  })
+) {
+  test(`a forwarded body is limited only where it makes no progress: ${name}`, async () => {
+    const { end, bytes } = await runLimited(
+      (socket) => sendEndless(socket, { start, repeated: makeChunks(16_384) }),
+      { isForwarded: () => true },
+    );
+    assert.is(end.type === "broken" && end.limit, "withoutProgressBytes");
+    assert.ok(bytes <= LIMITS.withoutProgressBytes + SLICE_BYTES);
+  });
+}
+
+test("a forwarded body that makes progress may be longer than a held one", async () => {
+  await using server = await startRawServer((socket) =>
+    socket.end(`${HEAD}\r\n${"x".repeat(400_000)}`)
+  );
+  await using exchanger = createUpstreamTransport(codec, { limits: LIMITS });
+  let bytes = 0;
+  const end = await new Promise<ExchangeEnd>((resolve) => {
+    const exchange = exchanger.start({
+      ...makeRequest(server.address),
+      isForwarded: () => true,
+      onData(chunk) {
+        bytes += chunk.length;
+        exchange.noteProgress(chunk.length);
+      },
+      onEnd: resolve,
+    });
+  });
+  assert.equal(end, { type: "complete" });
+  assert.is(bytes, 400_000);
+});
+
+for (
+  const [name, { pieces, bytes }] of Object.entries({
+    "just as long as the limit": {
+      pieces: [`${HEAD}content-length: 100000\r\n\r\n`, "x".repeat(100_000)],
+      bytes: 100_000,
+    },
+    "1,000 small chunks": {
+      pieces: [CHUNKED, ...Array(1_000).fill(makeChunks(3)), "0\r\n\r\n"],
+      bytes: 3_000,
+    },
+    "chunks in three pieces": {
+      pieces: [
+        CHUNKED,
+        ...Array(100).fill(["8\r\n", "12345678", "\r\n"]).flat(),
+        "0\r\n\r\n",
+      ],
+      bytes: 800,
+    },
+    "single bytes": {
+      pieces: [
+        `${HEAD}content-length: 300\r\n\r\n`,
+        ..."x".repeat(300),
+      ],
+      bytes: 300,
+    },
+    "a few interim heads": {
+      pieces: [
+        ...Array(5).fill("HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n"),
+        `${HEAD}content-length: 2\r\n\r\nxx`,
+      ],
+      bytes: 2,
+    },
+  })
+) {
+  test(`an honest answer exceeds no limit, and its connection is kept: ${name}`, async () => {
+    await using server = await startRawServer(async (socket) => {
+      socket.setNoDelay(true);
+      for (const piece of pieces) {
+        socket.write(piece);
+        await sleep(1);
+      }
+    });
+    await using exchanger = createUpstreamTransport(codec, { limits: LIMITS });
+    let length = 0;
+    const end = await runExchange(exchanger, {
+      address: server.address,
+      onData: (chunk) => {
+        length += chunk.length;
+      },
+    });
+    assert.equal(end, { type: "complete" });
+    assert.is(length, bytes);
+    await until(
+      "the connection is idle",
+      () => exchanger.hasIdleConnection("e"),
+    );
+  });
+}
+
+const NOT_RUN = "HTTP/1.1 503 x\r\nx-id: r1\r\nx-not-run: 1\r\n";
+
+for (
+  const [name, answer] of Object.entries({
+    "fast": {
+      start: `${NOT_RUN}transfer-encoding: chunked\r\n\r\n`,
+      repeated: makeChunks(1_000),
+    },
+    "in tiny chunks": {
+      start: `${NOT_RUN}transfer-encoding: chunked\r\n\r\n`,
+      repeated: makeChunks(1),
+    },
+    "a chunk extension": {
+      start: `${NOT_RUN}transfer-encoding: chunked\r\n\r\n1;x=`,
+      repeated: "x",
+    },
+    "drop by drop": {
+      start: `${NOT_RUN}content-length: 100000\r\n\r\n`,
+      repeated: "x",
+      intervalMs: 20,
+    },
+    "nothing": {
+      start: `${NOT_RUN}content-length: 10\r\n\r\n`,
+      repeated: "",
+      intervalMs: 100,
+    },
+  })
+) {
+  test(`a rejection without an end is complete, and its connection is closed: ${name}`, async () => {
+    const { end, bytes } = await runLimited((socket) =>
+      sendEndless(socket, answer)
+    );
+    assert.equal(end, { type: "complete" });
+    assert.is(bytes, 0);
+  });
+}
+
+test("a rejection is complete before its body has arrived, and its connection is kept", async () => {
+  const connections = new Set<Socket>();
+  let sendBody = () => {};
+  await using server = await startRawServer((socket) => {
+    connections.add(socket);
+    socket.write(`${NOT_RUN}content-length: 10000\r\n\r\n`);
+    sendBody = () => void socket.write("x".repeat(10_000));
+  });
+  await using exchanger = createUpstreamTransport(codec, { limits: LIMITS });
+  for (let at = 0; at < 2; at++) {
+    const { address } = server;
+    assert.equal(await runExchange(exchanger, { address }), {
+      type: "complete",
+    });
+    assert.not(exchanger.hasIdleConnection("e"));
+    sendBody();
+    await until(
+      "the connection is idle",
+      () => exchanger.hasIdleConnection("e"),
+    );
+  }
+  // Beyond the time for which the body may take.
+  await sleep(1_100);
+  assert.ok(exchanger.hasIdleConnection("e"));
+  assert.is(connections.size, 1);
+});
+
+test("the body of a rejection that is needed is part of the answer", async () => {
+  await using server = await startRawServer((socket) =>
+    socket.write(`${NOT_RUN}content-length: 4\r\n\r\nabcd`)
+  );
+  await using exchanger = createUpstreamTransport(codec, { limits: LIMITS });
+  let body = "";
+  const end = await runExchange(exchanger, {
+    address: server.address,
+    needsRejectionBody: true,
+    onData: (chunk) => {
+      body += chunk;
+    },
+  });
+  assert.equal(end, { type: "complete" });
+  assert.is(body, "abcd");
+});
+
+test("a needed body of a rejection is limited as that of other answers", async () => {
+  const { end } = await runLimited(
+    (socket) => sendEndless(socket, { start: `${NOT_RUN}\r\n`, repeated: "x" }),
+    { needsRejectionBody: true },
+  );
+  assert.is(end.type === "broken" && end.limit, "answerBytes");
+});
+
+test("pausing again and again loses, repeats and counts no byte", async () => {
+  const text = Array.from({ length: 4_000 }, (_, index) => `${index},`).join(
+    "",
+  );
+  const pieces = text.match(/.{1,50}/g) ?? [];
+  await using server = await startRawServer((socket) => {
+    const chunks = pieces.map((piece) =>
+      `${piece.length.toString(16)}\r\n${piece}\r\n`
+    );
+    socket.write(`${CHUNKED}${chunks.join("")}0\r\n\r\n`);
+  });
+  // The body and its framing fit the limit of bytes without progress just once.
+  const withoutProgressBytes = Math.ceil(text.length * 1.2);
+  await using exchanger = createUpstreamTransport(codec, {
+    limits: { ...LIMITS, withoutProgressBytes },
+  });
+  let received = "";
+  const end = await new Promise<ExchangeEnd>((resolve) => {
+    const exchange = exchanger.start({
+      ...makeRequest(server.address),
+      isForwarded: () => true,
+      onData(chunk) {
+        received += chunk;
+        exchange.pause();
+        setImmediate(exchange.resume);
+      },
+      onEnd: resolve,
+    });
+  });
+  assert.equal(end, { type: "complete" });
+  assert.is(received, text);
+});
+
+for (const closes of ["end", "resetAndDestroy", "destroy"] as const) {
+  test(`an exchange whose connection is closed while it is paused is settled: ${closes}`, async () => {
+    await using server = await startRawServer((socket) => {
+      socket.write(`${HEAD}content-length: 9000\r\n\r\n${"x".repeat(100)}`);
+      setTimeout(() => socket[closes](), 20);
+    });
+    await using exchanger = createUpstreamTransport(codec, { limits: LIMITS });
+    const end = await new Promise<ExchangeEnd>((resolve) => {
+      const exchange = exchanger.start({
+        ...makeRequest(server.address),
+        onData() {
+          exchange.pause();
+          setTimeout(exchange.resume, 60);
+        },
+        onEnd: resolve,
+      });
+    });
+    assert.is(end.type, "broken");
+  });
+}
+
+test("an exchange that is aborted while it is paused closes its connection", async () => {
+  let closed: Promise<unknown> | undefined;
+  await using server = await startRawServer((socket) => {
+    closed = new Promise((resolve) => socket.on("close", resolve));
+    socket.write(`${HEAD}\r\n${"x".repeat(90_000)}`);
+  });
+  await using exchanger = createUpstreamTransport(codec, { limits: LIMITS });
+  const end = await new Promise<ExchangeEnd>((resolve) => {
+    const exchange = exchanger.start({
+      ...makeRequest(server.address),
+      onData() {
+        exchange.pause();
+        setTimeout(() => {
+          exchange.abort("left");
+          exchange.resume();
+        }, 20);
+      },
+      onEnd: resolve,
+    });
+  });
+  assert.equal(end, { type: "broken", reason: "left" });
+  await closed;
+});
+
+test("the limits start anew for each answer of a connection", async () => {
+  const connections = new Set<Socket>();
+  await using server = await startRawServer((socket) => {
+    connections.add(socket);
+    // Its framing is just within the limit.
+    socket.write(`${CHUNKED}1;x=${"x".repeat(40_000)}\r\nx\r\n0\r\n\r\n`);
+  });
+  await using exchanger = createUpstreamTransport(codec, { limits: LIMITS });
+  for (let at = 0; at < 3; at++) {
+    const end = await runExchange(exchanger, { address: server.address });
+    assert.equal(end, { type: "complete" });
+    await sleep(20);
+  }
+  assert.is(connections.size, 1);
+});
+
 test.run();
