Copy the small pieces of an unfinished event

What callers saw: nothing yet; a gateway may be ended for its memory. Cause: an event that arrives in pieces was kept as one buffer object a piece, up to 43,690 of them within the 256 KB of its limit, and a piece kept the whole buffer that it came in. Change: what held answers did with small pieces is a file of its own, createChunkList, which both use. Conclusion: memory now follows the bytes that the limits count.

--- a/src/gateway/create_held_answer.ts
+++ b/src/gateway/create_held_answer.ts
@@ -4,8 +4,9 @@
  * @module
  */
 
-import { Buffer } from "node:buffer";
+import type { Buffer } from "node:buffer";
 import type { ServerResponse } from "node:http";
+import { createChunkList } from "./create_chunk_list.ts";
 import type { AnswerSource, HeldBytes } from "./create_held_bytes.ts";
 
 /** The body of an answer; disposing of it releases the memory that it is charged for. */
@@ -17,11 +18,6 @@
   releaseWith(response: ServerResponse): void;
 }
 
-/** Smaller chunks are copied into a block, as each one takes memory of its own. */
-const MIN_CHUNK_BYTES = 2_048;
-
-const BLOCK_BYTES = 16_384;
-
 /**
  * Creates the holder of one answer.
  *
@@ -37,47 +33,25 @@
   source: AnswerSource,
 ): HeldAnswer {
   const hold = heldBytes.open(source);
-  let chunks: Buffer[] = [];
-  let block = Buffer.alloc(0);
-  let blockLength = 0;
-
-  function closeBlock(): void {
-    if (blockLength > 0) chunks.push(block.subarray(0, blockLength));
-    block = Buffer.alloc(0);
-    blockLength = 0;
-  }
-
-  function copy(chunk: Buffer): void {
-    if (block.length - blockLength < chunk.length) {
-      closeBlock();
-      block = Buffer.allocUnsafeSlow(BLOCK_BYTES);
-    }
-    blockLength += chunk.copy(block, blockLength);
-  }
+  const chunks = createChunkList();
 
   function release(): void {
-    chunks = [];
-    closeBlock();
-    chunks = [];
+    chunks.clear();
     hold[Symbol.dispose]();
   }
 
   return {
     push(chunk) {
-      if (chunk.length >= MIN_CHUNK_BYTES) {
-        closeBlock();
-        chunks.push(chunk);
-      } else copy(chunk);
+      chunks.push(chunk);
       hold.add(chunk.length);
     },
     end() {
-      closeBlock();
       hold.end();
-      return Buffer.concat(chunks);
+      return chunks.take();
     },
     releaseWith(response) {
       if (response.writableEnded && !response.closed) {
-        chunks = [];
+        chunks.clear();
         response.once("close", release);
       } else release();
     },
--- a/src/gateway/split_events.ts
+++ b/src/gateway/split_events.ts
@@ -5,6 +5,7 @@
  */
 
 import { Buffer } from "node:buffer";
+import { createChunkList } from "./create_chunk_list.ts";
 
 /** The unchanged bytes of a complete event, with its id. */
 export interface StreamEvent {
@@ -38,7 +39,7 @@
  */
 export function createEventSplitter(): EventSplitter {
   // Chunks of the incomplete event, none of which contains its end.
-  let partialChunks: Buffer[] = [];
+  const partial = createChunkList();
   let isLineEmpty = true;
   let isLineComment = false;
   let isComment = true;
@@ -59,10 +60,9 @@
   }
 
   function takeEvent(chunk: Buffer): StreamEvent {
-    const bytes = partialChunks.length === 0
+    const bytes = partial.isEmpty()
       ? chunk
-      : Buffer.concat([...partialChunks, chunk]);
-    partialChunks = [];
+      : Buffer.concat([partial.take(), chunk]);
     const event = isComment
       ? { bytes, id: undefined, isIgnored: true }
       : readEvent(bytes);
@@ -79,10 +79,10 @@
         events.push(takeEvent(chunk.subarray(start, index + 1)));
         start = index + 1;
       }
-      if (start < chunk.length) partialChunks.push(chunk.subarray(start));
+      if (start < chunk.length) partial.push(chunk.subarray(start));
       return joinIgnored(events);
     },
-    hasPartialEvent: () => partialChunks.length > 0,
+    hasPartialEvent: () => !partial.isEmpty(),
   };
 }
 
