Limit how long and how much of a caller's body is read

Callers saw: no answer to a request whose body stopped or dripped; the connection stayed open for good.

Cause: a body was read until its end, whatever its time. After a 413 the rest was read and discarded without a limit, so a body without end took a part of the loop for ever.

Change: a body has to be complete by the deadline of its call, and to make progress within the idle timeout; else 408 body_timeout. After a refusal 16 MB are read within 2 s, so that a caller that is still sending gets the answer; beyond that the connection is closed.

--- a/src/gateway/create_request_handler.ts
+++ b/src/gateway/create_request_handler.ts
@@ -10,6 +10,7 @@
 import type { ReceivedRequest } from "./create_caller_server.ts";
 import type { ConfigLease } from "./create_config_lease.ts";
 import { decideCall } from "./decide_call.ts";
+import { discardBody } from "./discard_body.ts";
 import { getCallRank } from "./get_call_rank.ts";
 import { getRequestKey } from "./get_request_key.ts";
 import { getPartKeys } from "../quarantine/index.ts";
@@ -39,6 +40,24 @@
 /** Maximum body size before there is a configuration. */
 const DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024;
 
+/** Idle timeout before there is a configuration. */
+const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
+
+/** Ms by which the idle timeout is exceeded, for data that is on its way. */
+const IDLE_MARGIN_MS = 1_000;
+
+/** Time to receive a body without a route. */
+const DEFAULT_BODY_TIMEOUT_MS = 15_000;
+
+/** How much of a body is read once its request was refused. */
+const DISCARD_LIMITS = { maxBytes: 16 * 1024 * 1024, timeoutMs: 2_000 };
+
+/** Refusals of requests whose body is not accepted. */
+const BODY_REFUSALS = {
+  tooLarge: { status: 413, reason: "body_too_large" },
+  late: { status: 408, reason: "body_timeout" },
+} as const satisfies Record<string, Refusal>;
+
 /**
  * Maximum time that requests wait for the first configuration after a start: about
  * as long as it takes to find a new leader.
@@ -111,21 +130,32 @@
     { message, response, target }: ReceivedRequest,
     startedMs: number,
   ): Promise<void> {
-    const { limits } = context.getTable() ?? {};
-    const maxBytes = limits?.bodyBytes ?? DEFAULT_MAX_BODY_BYTES;
-    const body = await readBody(message, { maxBytes });
-    if (body.type === "cut") return;
     const request = codec.readRequest({
       method: message.method ?? "GET",
       target,
       headers: message.headers,
       rawHeaders: message.rawHeaders,
     });
-    if (body.type === "tooLarge") {
-      const refusal = { status: 413, reason: "body_too_large" } as const;
-      return refuse(request, response, refusal);
+    const { limits } = context.getTable() ?? {};
+    const body = await readBody(message, {
+      maxBytes: limits?.bodyBytes ?? DEFAULT_MAX_BODY_BYTES,
+      timeoutMs: getBodyTimeoutMs(request),
+      idleTimeoutMs: (limits?.idleTimeoutMs ?? DEFAULT_IDLE_TIMEOUT_MS) +
+        IDLE_MARGIN_MS,
+    });
+    if (body.type === "cut") return;
+    if (body.type === "whole") {
+      return await serve({ request, response, body: body.body, startedMs });
     }
-    await serve({ request, response, body: body.body, startedMs });
+    refuse(request, response, BODY_REFUSALS[body.type]);
+    discardBody(message, DISCARD_LIMITS);
+  }
+
+  // A body that is complete only after the deadline of its call is of no use.
+  function getBodyTimeoutMs({ host, path, deadlineMs }: CallerRequest): number {
+    const route = context.getTable()?.findRoute(host, path);
+    const timeoutMs = route?.timeoutMs ?? DEFAULT_BODY_TIMEOUT_MS;
+    return Math.min(deadlineMs ?? Infinity, timeoutMs);
   }
 
   async function serve(buffered: BufferedRequest): Promise<void> {
--- /dev/null
+++ b/src/gateway/discard_body.ts
@@ -0,0 +1,45 @@
+/**
+ * Reads the rest of a body whose request was answered early.
+ *
+ * @module
+ */
+
+import type { Buffer } from "node:buffer";
+import type { IncomingMessage } from "node:http";
+
+/** Options of {@link discardBody}. */
+export interface DiscardBodyOptions {
+  /** Bytes after which the connection is closed. */
+  readonly maxBytes: number;
+  /** Ms after which it is closed. */
+  readonly timeoutMs: number;
+}
+
+/**
+ * Discards the rest of a body, so that a caller that sends all of it before it reads
+ * gets the answer and can go on using the connection. Beyond the limits the connection
+ * is closed.
+ *
+ * @param message - The request, answered.
+ * @param options - How much is read.
+ * @returns Nothing.
+ * @throws Nothing.
+ * @example
+ * discardBody(message, { maxBytes: 16_777_216, timeoutMs: 2_000 });
+ */
+export function discardBody(
+  message: IncomingMessage,
+  options: DiscardBodyOptions,
+): void {
+  if (message.readableEnded || message.destroyed) return;
+  const { socket } = message;
+  let leftBytes = options.maxBytes;
+  const timer = setTimeout(() => socket.destroy(), options.timeoutMs);
+  message.on("data", (chunk: Buffer) => {
+    leftBytes -= chunk.length;
+    if (leftBytes < 0) socket.destroy();
+  });
+  message.on("error", () => {});
+  message.on("end", () => clearTimeout(timer));
+  message.on("close", () => clearTimeout(timer));
+}
