Limit the memory that request bodies take in all

Callers saw: none yet; a gateway ended by the platform takes all its calls with it. 40 callers that each send 4 MB but the last byte were all kept, 160 MB; 100 would pass the 350 MB of a process.

Cause: each body was limited (maxBodyBytes), the sum of all was not.

Change: an account of all bodies (requestLimits.bodyMemoryBytes, 64 MB), charged for the blocks that hold them until the response is closed. Bodies over 64 KB may take three quarters of it, small ones all of it; beyond, 503 body_memory with a time to return, at once if the length is declared. A gateway whose forwarded request is refused so tries another one. The account of answers stays separate: a body is held until its answer is complete, so bodies could keep out the answers that release them.

--- a/src/gateway/classify_peer_answer.ts
+++ b/src/gateway/classify_peer_answer.ts
@@ -48,6 +48,7 @@
 
 /** Reasons that concern the peer, not the request or its service. */
 const REASONS_OF_PEER: ReadonlySet<string> = new Set([
+  "body_memory",
   "cut_off",
   "leaving",
   "no_config",
--- a/src/gateway/create_request_handler.ts
+++ b/src/gateway/create_request_handler.ts
@@ -10,6 +10,7 @@
 import type { ReceivedRequest } from "./create_caller_server.ts";
 import type { ConfigLease } from "./create_config_lease.ts";
 import { decideCall } from "./decide_call.ts";
+import { createBodyMemory } from "./create_body_memory.ts";
 import { discardBody } from "./discard_body.ts";
 import { getCallRank } from "./get_call_rank.ts";
 import { getRequestKey } from "./get_request_key.ts";
@@ -24,6 +25,8 @@
 export interface CreateRequestHandlerOptions {
   readonly context: ServingContext;
   readonly lease: ConfigLease;
+  /** Bytes of request bodies that are held at most. */
+  readonly maxBodyMemoryBytes: number;
   /** Whether the leader has sent the list of upstreams. */
   readonly knowsEngines: () => boolean;
   /** Whether new requests are rejected because the process is stopping. */
@@ -56,6 +59,7 @@
 const BODY_REFUSALS = {
   tooLarge: { status: 413, reason: "body_too_large" },
   late: { status: 408, reason: "body_timeout" },
+  noRoom: { status: 503, reason: "body_memory", retryAfterMs: 1_000 },
 } as const satisfies Record<string, Refusal>;
 
 /**
@@ -110,6 +114,9 @@
 ): RequestHandler {
   const { context, lease } = options;
   const { codec, now, log, metrics, budget } = context;
+  const bodyMemory = createBodyMemory({
+    maxBytes: options.maxBodyMemoryBytes,
+  });
   let inFlight = 0;
   let forwardedInFlight = 0;
 
@@ -137,7 +144,11 @@
       rawHeaders: message.rawHeaders,
     });
     const { limits } = context.getTable() ?? {};
+    const hold = bodyMemory.open();
+    // A call is reachable from its response, and its body with it, until then.
+    response.on("close", () => hold[Symbol.dispose]());
     const body = await readBody(message, {
+      hold,
       maxBytes: limits?.bodyBytes ?? DEFAULT_MAX_BODY_BYTES,
       timeoutMs: getBodyTimeoutMs(request),
       idleTimeoutMs: (limits?.idleTimeoutMs ?? DEFAULT_IDLE_TIMEOUT_MS) +
@@ -147,6 +158,7 @@
     if (body.type === "whole") {
       return await serve({ request, response, body: body.body, startedMs });
     }
+    hold[Symbol.dispose]();
     refuse(request, response, BODY_REFUSALS[body.type]);
     discardBody(message, DISCARD_LIMITS);
   }
--- a/src/gateway/read_body.ts
+++ b/src/gateway/read_body.ts
@@ -6,11 +6,14 @@
 
 import { Buffer } from "node:buffer";
 import type { IncomingMessage } from "node:http";
+import type { BodyHold } from "./create_body_memory.ts";
 
 /** The body, or why there is none. */
 export type ReadBody =
   | { readonly type: "whole"; readonly body: Buffer | null }
   | { readonly type: "tooLarge" }
+  /** The process has no memory for it now. */
+  | { readonly type: "noRoom" }
   /** It did not arrive in time. */
   | { readonly type: "late" }
   | { readonly type: "cut" };
@@ -22,6 +25,8 @@
   readonly timeoutMs: number;
   /** Ms within which at least one more byte has to arrive. */
   readonly idleTimeoutMs: number;
+  /** Charged for the body; the caller of this function releases it. */
+  readonly hold: BodyHold;
 }
 
 /** Smallest block into which a body of several chunks is copied. */
@@ -38,17 +43,20 @@
  * @returns The body, null where it is empty.
  * @throws Nothing.
  * @example
- * const read = await readBody(request.raw, { maxBytes, timeoutMs, idleTimeoutMs });
+ * const read = await readBody(request.raw, { maxBytes, timeoutMs, idleTimeoutMs, hold });
  */
 export function readBody(
   message: IncomingMessage,
   options: ReadBodyOptions,
 ): Promise<ReadBody> {
-  const { maxBytes, timeoutMs, idleTimeoutMs } = options;
+  const { maxBytes, timeoutMs, idleTimeoutMs, hold } = options;
   const declaredBytes = Number(message.headers["content-length"] ?? 0);
   if (declaredBytes > maxBytes) return Promise.resolve({ type: "tooLarge" });
+  if (declaredBytes > 0 && !hold.hasRoomFor(declaredBytes)) {
+    return Promise.resolve({ type: "noRoom" });
+  }
   return new Promise((resolve) => {
-    const content = createContent(maxBytes);
+    const content = createContent(options, declaredBytes || maxBytes);
     const deadline = startTimer(timeoutMs, () => finish({ type: "late" }));
     const idle = startTimer(idleTimeoutMs, () => {
       if (!hasProgress) finish({ type: "late" });
@@ -75,7 +83,8 @@
     }
 
     function handleData(chunk: Buffer): void {
-      if (!content.add(chunk)) return finish({ type: "tooLarge" });
+      const added = content.add(chunk);
+      if (added !== "added") return finish({ type: added });
       hasProgress = true;
       idle.refresh();
     }
@@ -94,30 +103,38 @@
 }
 
 // Chunks are copied into one block, as each one takes memory of its own.
-function createContent(maxBytes: number) {
+function createContent(
+  { maxBytes, hold }: Pick<ReadBodyOptions, "maxBytes" | "hold">,
+  expectedBytes: number,
+) {
   let block: Buffer = Buffer.alloc(0);
   let lengthBytes = 0;
 
-  function enlarge(neededBytes: number): void {
+  function getNewSize(neededBytes: number): number {
+    if (lengthBytes === 0) return neededBytes;
     const doubledBytes = Math.max(2 * block.length, MIN_BLOCK_BYTES);
-    const sizeBytes = Math.max(neededBytes, Math.min(maxBytes, doubledBytes));
+    return Math.max(neededBytes, Math.min(expectedBytes, doubledBytes));
+  }
+
+  function enlarge(sizeBytes: number): void {
     const larger = Buffer.allocUnsafeSlow(sizeBytes);
     block.copy(larger, 0, 0, lengthBytes);
     block = larger;
   }
 
   return {
-    /** Adds a chunk; false if the body is too large with it. */
-    add(chunk: Buffer): boolean {
+    add(chunk: Buffer): "added" | "tooLarge" | "noRoom" {
       const neededBytes = lengthBytes + chunk.length;
-      if (neededBytes > maxBytes) return false;
-      if (lengthBytes === 0) block = chunk;
-      else {
-        if (neededBytes > block.length) enlarge(neededBytes);
-        chunk.copy(block, lengthBytes);
+      if (neededBytes > maxBytes) return "tooLarge";
+      if (neededBytes > block.length) {
+        const sizeBytes = getNewSize(neededBytes);
+        if (!hold.add(sizeBytes - block.length)) return "noRoom";
+        if (lengthBytes > 0) enlarge(sizeBytes);
       }
+      if (lengthBytes === 0) block = chunk;
+      else chunk.copy(block, lengthBytes);
       lengthBytes = neededBytes;
-      return true;
+      return "added";
     },
     get: () => lengthBytes === 0 ? null : block.subarray(0, lengthBytes),
   };
--- a/src/gateway/read_body_test.ts
+++ b/src/gateway/read_body_test.ts
@@ -3,6 +3,7 @@
 import { PassThrough } from "node:stream";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import { createBodyMemory } from "./create_body_memory.ts";
 import { readBody, type ReadBodyOptions } from "./read_body.ts";
 
 const LIMITS = { maxBytes: 10_000, timeoutMs: 60_000, idleTimeoutMs: 60_000 };
@@ -15,7 +16,8 @@
   const message = Object.assign(stream, {
     headers,
   }) as unknown as IncomingMessage;
-  return { stream, read: readBody(message, { ...LIMITS, ...options }) };
+  const hold = createBodyMemory({ maxBytes: 1_000_000 }).open();
+  return { stream, read: readBody(message, { ...LIMITS, hold, ...options }) };
 }
 
 test("a body in chunks of all sizes is complete and in order", async () => {
@@ -49,6 +51,26 @@
   assert.equal(await read, { type: "tooLarge" });
 });
 
+test("a body is charged for the memory that it takes", async () => {
+  const memory = createBodyMemory({ maxBytes: 1_000_000 });
+  const { stream, read } = start({ hold: memory.open() });
+  for (let at = 0; at < 100; at++) stream.write("x");
+  stream.end();
+  await read;
+  assert.is(memory.getTotal(), 4_096);
+});
+
+test("a body without room is refused before or while it arrives", async () => {
+  const memory = createBodyMemory({ maxBytes: 100_000 });
+  memory.open().add(99_000);
+  const hold = memory.open();
+  const declared = start({ hold }, { "content-length": "2000" });
+  assert.equal(await declared.read, { type: "noRoom" });
+  const chunked = start({ hold });
+  chunked.stream.write(Buffer.alloc(2_000));
+  assert.equal(await chunked.read, { type: "noRoom" });
+});
+
 test("a body that makes no progress is late", async () => {
   const { stream, read } = start({ idleTimeoutMs: 20 });
   stream.write("abc");
--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -21,7 +21,9 @@
 import { chooseListedGateways } from "../reachability/index.ts";
 import type { RetryLimits } from "../retry/index.ts";
 import {
+  DEFAULT_REQUEST_LIMITS,
   DEFAULT_UPSTREAM_LIMITS,
+  type RequestLimitsSettings,
   type UpstreamLimitsSettings,
 } from "../settings/index.ts";
 import {
@@ -96,6 +98,8 @@
   readonly upstreamDrainMs?: number;
   /** What upstreams and peers may send; the defaults of the schema by default. */
   readonly upstreamLimits?: UpstreamLimitsSettings;
+  /** What is held of requests; the defaults of the schema by default. */
+  readonly requestLimits?: RequestLimitsSettings;
 }
 
 /** Options of {@link startGateway}. */
@@ -190,6 +194,7 @@
     metrics,
   });
   const { upstreamLimits: limits = DEFAULT_UPSTREAM_LIMITS } = settings;
+  const { requestLimits = DEFAULT_REQUEST_LIMITS } = settings;
   const upstreamTransport = createUpstreamTransport(codec, {
     limits,
     onNotice: handleNotice,
@@ -508,6 +513,7 @@
   const requestHandler = createRequestHandler({
     context,
     lease,
+    maxBodyMemoryBytes: requestLimits.bodyMemoryBytes,
     knowsEngines: () => knowsEngines,
     isDraining: () => isDraining,
   });
--- a/src/metrics/metric_catalogue.ts
+++ b/src/metrics/metric_catalogue.ts
@@ -10,6 +10,7 @@
   unknown_service: "No such service is declared",
   bad_request: "The request can't be understood",
   body_too_large: "The body is larger than allowed",
+  body_memory: "The bodies of other requests use the memory for it",
   body_timeout: "The body did not arrive in time",
   rate_limited: "The client account's rate is used up",
   too_many_in_flight: "The client account has too many requests in flight",
--- a/src/settings/schemas.ts
+++ b/src/settings/schemas.ts
@@ -142,6 +142,25 @@
   {},
 ) as UpstreamLimitsSettings;
 
+/** Limits on what a gateway holds of requests. */
+export const RequestLimitsSchema = Type.Object({
+  bodyMemoryBytes: Type.Integer({
+    minimum: 65_536,
+    default: 67_108_864,
+    description:
+      "Bytes of request bodies that a process holds in all; beyond three quarters of it bodies over 64 KB are refused, beyond all of it any",
+  }),
+}, { additionalProperties: false, default: {} });
+
+/** Limits on what a gateway holds of requests. */
+export type RequestLimitsSettings = Static<typeof RequestLimitsSchema>;
+
+/** The limits where none are set. */
+export const DEFAULT_REQUEST_LIMITS = Value.Default(
+  RequestLimitsSchema,
+  {},
+) as RequestLimitsSettings;
+
 /** Settings of `crowlever-entry`. */
 export const EntrySettingsSchema = Type.Object({
   ...common,
--- a/test/caller_limits_test.ts
+++ b/test/caller_limits_test.ts
@@ -49,6 +49,12 @@
   }
 }
 
+async function connected({ socket }: Caller) {
+  while (socket.connecting) await sleep(1);
+  const { remotePort = 0, remoteAddress = "" } = socket;
+  return { remotePort, remoteAddress };
+}
+
 async function untilReceived(caller: Caller, text: string): Promise<void> {
   for (let ms = 0; ms < GIVE_UP_MS; ms += 10) {
     if (caller.getReceived().includes(text)) return;
@@ -140,4 +146,28 @@
   });
 });
 
+test("the bodies of all callers take a bounded memory, and small ones are still accepted", async () => {
+  await withCaller(async (small) => {
+    const { remotePort: port, remoteAddress: host } = await connected(small);
+    const sizeBytes = 4 * MEGABYTE - 1;
+    const callers = Array.from({ length: 40 }, () => connect(port, host));
+    let refused = 0;
+    for (const socket of callers) {
+      socket.on("error", () => {});
+      socket.on("data", (data) => {
+        if (String(data).includes("body_memory")) refused += 1;
+        assert.match(String(data), /^HTTP.1.1 503 [^]*retry-after: 1\r/);
+      });
+      socket.write(formatHead([`content-length: ${sizeBytes + 1}`]));
+      socket.write(Buffer.alloc(sizeBytes));
+    }
+    for (let ms = 0; ms < GIVE_UP_MS && refused < 28; ms += 10) await sleep(10);
+    small.socket.write(formatHead(["content-length: 1"]) + "x");
+    await untilReceived(small, "no_config");
+    callers.forEach((socket) => socket.destroy());
+    assert.ok(refused >= 28, `${refused} refused`);
+    assert.ok(refused < callers.length, "bodies within the memory are kept");
+  });
+});
+
 test.run();
