Pause an upstream's answer without pausing the library's parser

Callers saw: the connections of all callers of a gateway closed at once, whole requests without an answer, as the process ended with exit code 4.

Cause: an answer that ends with its connection and whose reading is paused, since its caller reads slowly. The HTTP library asserts at the end of a connection that it is not paused; the error is thrown in an event of the socket and ends the process.

Change: a paused connection is not read from, and the parser of the library is never paused. Reading goes on in a microtask, as the library can't read from one connection while it parses what came from another.

The tests of the transport, the limiter, held answers and events pass (110).

--- a/src/gateway/create_read_limiter.ts
+++ b/src/gateway/create_read_limiter.ts
@@ -16,6 +16,9 @@
   noteProgress(usefulBytes: number): void;
   /** Starts anew, for the next answer on the connection. */
   reset(): void;
+  /** Stops reading from the connection. */
+  pause(): void;
+  resume(): void;
 }
 
 /** Options of {@link createReadLimiter}. */
@@ -124,6 +127,12 @@
       let receivedBytes = socket.bytesRead;
       // Bytes that the library has put back when it was paused.
       let returnedBytes = 0;
+      let isPaused = false;
+
+      // The library can't read from one connection while it parses what came from another.
+      function readOn(): void {
+        if (!isPaused && !socket.destroyed) socket.emit("readable");
+      }
 
       const meter: ReadMeter = {
         noteProgress(usefulBytes) {
@@ -136,6 +145,15 @@
         reset() {
           excessBytes = 0;
           smallPieces = 0;
+          isPaused = false;
+        },
+        pause() {
+          isPaused = true;
+        },
+        resume() {
+          if (!isPaused) return;
+          isPaused = false;
+          queueMicrotask(readOn);
         },
       };
 
@@ -157,6 +175,7 @@
 
       // The library reads all that has arrived, until it gets null.
       function readSlice(): Buffer | null {
+        if (isPaused) return null;
         if (socket.readableLength > 0 && isTurnOver()) {
           waiting.add(socket);
           return null;
--- a/src/gateway/create_upstream_transport.ts
+++ b/src/gateway/create_upstream_transport.ts
@@ -206,7 +206,6 @@
     let isSent = false;
     let isEnded = false;
     let isForwarded = false;
-    let isPaused = false;
     let bodyBytes = 0;
     let meter: ReadMeter | undefined;
     let rejectionTimer: ReturnType<typeof setTimeout> | undefined;
@@ -235,18 +234,14 @@
       controller?.abort(new Error(reason));
     }
 
+    // Pausing the library instead would end this process: it asserts that a connection
+    // whose reading it has paused does not end.
     function pause(): void {
-      if (isEnded) return;
-      isPaused = true;
-      controller?.pause();
+      if (!isEnded) meter?.pause();
     }
 
-    // The library can't resume one answer while it parses another.
     function resume(): void {
-      isPaused = false;
-      queueMicrotask(() => {
-        if (!isPaused && !isEnded) controller?.resume();
-      });
+      if (!isEnded) meter?.resume();
     }
 
     function failAtLimit(limit: UpstreamLimit): void {
--- a/src/gateway/create_upstream_transport_test.ts
+++ b/src/gateway/create_upstream_transport_test.ts
@@ -822,4 +822,43 @@
   assert.is(connections.size, 1);
 });
 
+// The process was ended by an assertion of the HTTP library.
+for (
+  const [name, head, tail] of [
+    ["without a length", `${HEAD}\r\n`, ""],
+    [
+      "with a length",
+      `${HEAD}connection: close\r\ncontent-length: 8\r\n\r\n`,
+      "",
+    ],
+    [
+      "in chunks",
+      `${HEAD}connection: close\r\ntransfer-encoding: chunked\r\n\r\n8\r\n`,
+      "\r\n0\r\n\r\n",
+    ],
+  ]
+) {
+  test(`an answer ${name} whose upstream closes while it is paused ends its exchange only`, async () => {
+    await using server = await startRawServer((socket) => {
+      socket.write(`${head}abcd`);
+      setTimeout(() => socket.end(`efgh${tail}`), 20);
+    });
+    await using exchanger = createUpstreamTransport(codec);
+    const chunks: Buffer[] = [];
+    const end = await new Promise<ExchangeEnd>((resolve) => {
+      const exchange = exchanger.start({
+        ...makeRequest(server.address),
+        onData(chunk) {
+          chunks.push(chunk);
+          exchange.pause();
+          setTimeout(exchange.resume, 60);
+        },
+        onEnd: resolve,
+      });
+    });
+    assert.is(end.type, "complete");
+    assert.is(Buffer.concat(chunks).toString(), "abcdefgh");
+  });
+}
+
 test.run();
