Close the connection of a caller that does not read its answer

Callers saw: large answers one after the other only, once callers that read nothing held the memory of answers.

Cause: an answer is held until its caller has it. The HTTP library sets the idle timeout of a connection when the answer has been written, so nothing ended a connection whose caller reads nothing.

Change: once a call has ended, the connection is closed if the caller takes none of its answer for the idle timeout. A caller that reads slowly is not.

--- a/src/gateway/create_request_handler.ts
+++ b/src/gateway/create_request_handler.ts
@@ -6,6 +6,7 @@
 
 import type { ServerResponse } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
+import { closeUnreadAnswer } from "./close_unread_answer.ts";
 import { sendRefusal } from "./send_refusal.ts";
 import type { ReceivedRequest } from "./create_caller_server.ts";
 import type { ConfigLease } from "./create_config_lease.ts";
@@ -40,11 +41,8 @@
   getInFlight(): number;
 }
 
-/** Maximum body size before there is a configuration. */
-const DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024;
-
-/** Idle timeout before there is a configuration. */
-const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
+/** Limits before there is a configuration. */
+const DEFAULT_LIMITS = { bodyBytes: 4 * 1024 * 1024, idleTimeoutMs: 15_000 };
 
 /** Ms by which the idle timeout is exceeded, for data that is on its way. */
 const IDLE_MARGIN_MS = 1_000;
@@ -130,6 +128,7 @@
       received.response.destroy();
     } finally {
       inFlight -= 1;
+      closeUnreadAnswer(received.response, { timeoutMs: getIdleTimeoutMs() });
     }
   }
 
@@ -143,16 +142,14 @@
       headers: message.headers,
       rawHeaders: message.rawHeaders,
     });
-    const { limits } = context.getTable() ?? {};
     const hold = bodyMemory.open();
     // A call is reachable from its response, and its body with it, until then.
     response.on("close", () => hold[Symbol.dispose]());
     const body = await readBody(message, {
       hold,
-      maxBytes: limits?.bodyBytes ?? DEFAULT_MAX_BODY_BYTES,
+      maxBytes: (context.getTable()?.limits ?? DEFAULT_LIMITS).bodyBytes,
       timeoutMs: getBodyTimeoutMs(request),
-      idleTimeoutMs: (limits?.idleTimeoutMs ?? DEFAULT_IDLE_TIMEOUT_MS) +
-        IDLE_MARGIN_MS,
+      idleTimeoutMs: getIdleTimeoutMs(),
     });
     if (body.type === "cut") return;
     if (body.type === "whole") {
@@ -163,6 +160,11 @@
     discardBody(message, DISCARD_LIMITS);
   }
 
+  function getIdleTimeoutMs(): number {
+    const { idleTimeoutMs } = context.getTable()?.limits ?? DEFAULT_LIMITS;
+    return idleTimeoutMs + IDLE_MARGIN_MS;
+  }
+
   // A body that is complete only after the deadline of its call is of no use.
   function getBodyTimeoutMs({ host, path, deadlineMs }: CallerRequest): number {
     const route = context.getTable()?.findRoute(host, path);
