Limit the bodies that control's HTTP interface takes

Callers saw: none yet; a heartbeat could have 32 MB, and bodies of all clients were kept without a limit on their sum or time. A GET with a body without end was read for good.

Cause: one limit of 32 MB for all paths, no request time-out, and the HTTP library discards the body of an answered request without a limit.

What comes after the answer is bounded as at the gateways, so the reading of bodies moves to src/http.

--- a/src/gateway/discard_body.ts
+++ b/src/http/discard_body.ts
@@ -31,13 +31,16 @@
   message: IncomingMessage,
   options: DiscardBodyOptions,
 ): void {
-  if (message.readableEnded || message.destroyed) return;
-  const { socket } = message;
+  const { headers } = message;
+  const hasBody = headers["content-length"] !== undefined ||
+    headers["transfer-encoding"] !== undefined;
+  const hasEnded = message.complete || message.readableEnded;
+  if (!hasBody || hasEnded || message.destroyed) return;
   let leftBytes = options.maxBytes;
-  const timer = setTimeout(() => socket.destroy(), options.timeoutMs);
+  const timer = setTimeout(() => message.destroy(), options.timeoutMs);
   message.on("data", (chunk: Buffer) => {
     leftBytes -= chunk.length;
-    if (leftBytes < 0) socket.destroy();
+    if (leftBytes < 0) message.destroy();
   });
   message.on("error", () => {});
   message.on("end", () => clearTimeout(timer));
--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -6,10 +6,13 @@
 
 export * from "./close_server.ts";
 export * from "./connection_headers.ts";
+export * from "./create_body_memory.ts";
 export * from "./create_server.ts";
-export * from "./with_timeout.ts";
+export * from "./discard_body.ts";
 export * from "./problem.ts";
-export * from "./read_rate_limit.ts";
 export * from "./read_back_off_ms.ts";
+export * from "./read_body.ts";
+export * from "./read_rate_limit.ts";
 export * from "./read_retry_after.ts";
 export * from "./secrets.ts";
+export * from "./with_timeout.ts";
