--- a/src/gateway/create_held_bytes.ts
+++ b/src/gateway/create_held_bytes.ts
@@ -29,14 +29,20 @@
 /** Answers up to this size are never paused. */
 const EXEMPT_BYTES = 65_536;
 
+/**
+ * Multiple of the limit beyond which the oldest answer pauses, too: complete answers
+ * whose callers don't read them have used it up, until these are closed.
+ */
+const OLDEST_FACTOR = 2;
+
 /** Share of the limit that the answers of one upstream may take. */
 const UPSTREAM_SHARE = 0.25;
 
 /**
  * Creates the account, empty at first. Beyond the limit, only the oldest answer is read
  * on, so that one after the other can be completed; beyond the share of an upstream, only
- * its oldest one. The total exceeds the limit by the largest answer at most, and by the
- * answers that are never paused.
+ * its oldest one. The total stays below twice the limit, but for the answers that are
+ * never paused.
  *
  * @param options - Bytes above which reading pauses.
  * @returns The account.
@@ -66,7 +72,8 @@
   }
 
   function mayRead(entry: Entry): boolean {
-    if (entry.bytes <= EXEMPT_BYTES || entry === findOldest()) return true;
+    if (entry.bytes <= EXEMPT_BYTES) return true;
+    if (entry === findOldest()) return totalBytes < OLDEST_FACTOR * maxBytes;
     if (totalBytes >= maxBytes) return false;
     const { upstreamId } = entry.source;
     const ofUpstream = bytesByUpstream.get(upstreamId) ?? 0;
--- a/src/gateway/create_request_handler.ts
+++ b/src/gateway/create_request_handler.ts
@@ -123,7 +123,11 @@
       await readAndServe(received, startedMs);
     } catch (error) {
       log("internalError", { error });
-      received.response.destroy();
+      sendRefusal(received.response, {
+        codec,
+        request: undefined,
+        refusal: { status: 500, reason: "internal_error" },
+      });
     } finally {
       inFlight -= 1;
       closeUnreadAnswer(received.response, { timeoutMs: getIdleTimeoutMs() });
--- a/src/gateway/is_later_event_test.ts
+++ b/src/gateway/is_later_event_test.ts
@@ -16,6 +16,8 @@
     ["x", "x", false],
     ["", "0", false],
     ["0", "-1", true],
+    ["1e999", "9", false],
+    ["1e999", undefined, false],
   ] as const
 ) {
   test(`an event with id ${id} after one with ${previousId} is later: ${expected}`, () => {
--- a/src/gateway/serve_plain_call.ts
+++ b/src/gateway/serve_plain_call.ts
@@ -128,8 +128,12 @@
     function endAtDeadline(): void {
       // Prevents further sends; aborting the one in progress counts it as a run.
       sendLimit = 0;
+      const mayRun = exchange?.isSent ?? false;
       exchange?.abort("deadline");
-      if (runCount > 0) callEnd.refuse({ status: 504, reason: "deadline" });
+      // An answer may have ended whose upstream is still being checked for a crash.
+      if (runCount > 0 || mayRun) {
+        callEnd.refuse({ status: 504, reason: "deadline" });
+      }
       callEnd.refuse({
         status: 503,
         reason: "not_taken",
--- a/src/metrics/metric_catalogue.ts
+++ b/src/metrics/metric_catalogue.ts
@@ -43,6 +43,7 @@
   limited: "All upstreams that could take the request are at their rate limits",
   outcome_unknown: "The request was sent, and whether it ran is not known",
   answer_broken: "The upstream's answer broke off",
+  internal_error: "An unexpected error; whether the request ran is not known",
 } as const;
 
 /** Why a request was rejected. */
