Limit the time in which the head of a request arrives

Callers saw: none; a head that came byte by byte kept its connection for 60 to 90 s, the defaults of the HTTP library. The configuration's headerTimeoutMs had no effect.

Cause: the setting was never applied. The library's own time-out counts from the accept of a new connection, so it would also close one that rests before its first request.

Change: a head has to be complete within headerTimeoutMs from its first byte, else 408 and the connection is closed. The library's time-out stays above the idle timeout.

Before, caller_limits_test.ts: 7 of 8 (the head is not refused within 8 s).

--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -78,6 +78,7 @@
 import { getDrainAdmissionMs } from "./get_drain_admission_ms.ts";
 import { startGauges } from "./start_gauges.ts";
 import type { ServingContext } from "./types.ts";
+import { watchHeads } from "./watch_heads.ts";
 
 /** Settings of a gateway. */
 export interface GatewaySettings {
@@ -131,6 +132,9 @@
 /** Ms by which idle connections outlive the configured timeout. */
 const IDLE_MARGIN_MS = 1_000;
 
+/** Time for the head of a request before there is a configuration. */
+const DEFAULT_HEADER_TIMEOUT_MS = 3_000;
+
 /** Time within which callers and other gateways learn that this one is leaving. */
 const LEAVE_PROPAGATION_MS = 2_500;
 
@@ -223,6 +227,9 @@
     decodeConfig: options.decodeConfig,
     onChange({ limits }) {
       server.server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS;
+      // A rested connection without a request counts as a head to the HTTP library.
+      server.server.headersTimeout = limits.headerTimeoutMs +
+        limits.idleTimeoutMs + IDLE_MARGIN_MS;
     },
     // The hello of the next session reports no version, so the leader sends the whole
     // configuration.
@@ -521,6 +528,11 @@
     void requestHandler.handle(received)
   );
 
+  watchHeads(server.server, {
+    getTimeoutMs: () =>
+      config.getTable()?.limits.headerTimeoutMs ?? DEFAULT_HEADER_TIMEOUT_MS,
+  });
+
   const { earlyListener } = options;
   await listenForCallers(server, { ...listen, earlyListener });
   log("started", { vm, address });
--- a/test/caller_limits_test.ts
+++ b/test/caller_limits_test.ts
@@ -107,6 +107,35 @@
   });
 }
 
+test("a head that comes byte by byte is refused, a connection that rests is not", async () => {
+  await withCaller(async (caller) => {
+    const { remotePort: port, remoteAddress: host } = await connected(caller);
+    const dripping = connect(port, host);
+    let answer = "";
+    dripping.on("data", (data) => answer += data).on("error", () => {});
+    dripping.write("POST /x HTTP/1.1\r\nhost: ");
+    for (let ms = 0; ms < GIVE_UP_MS && !dripping.destroyed; ms += 50) {
+      dripping.write("h");
+      await sleep(50);
+    }
+    assert.match(answer, /^HTTP.1.1 408 /);
+    // The other connection was open all that time.
+    caller.socket.write(formatHead(["content-length: 1"]) + "x");
+    await untilReceived(caller, "no_config");
+  });
+});
+
+test("a connection that has served a request may rest longer than a head may take", async () => {
+  await withCaller(async (caller) => {
+    const { socket } = caller;
+    socket.write(formatHead(["content-length: 1"]) + "x");
+    await untilReceived(caller, "no_config");
+    await sleep(3_500);
+    socket.write(formatHead(["content-length: 5000000"]));
+    await untilReceived(caller, "body_too_large");
+  });
+});
+
 test("the connection of a body without end is closed after the refusal", async () => {
   await withCaller(async (caller) => {
     caller.socket.write(formatHead(["transfer-encoding: chunked"]));
