--- a/test/support/run_endless_answers.ts
+++ b/test/support/run_endless_answers.ts
@@ -12,6 +12,7 @@
 import { call, type CallAnswer, expectStream } from "./fleet.ts";
 import {
   FIRST_OTHER_ENGINE,
+  LOOP_BLOCKED,
   type ProgramLine,
   startProcessFleet,
 } from "./start_process_fleet.ts";
@@ -51,7 +52,7 @@
   readonly grownMb: number;
   /** Processor time of the gateways, in ms. */
   readonly processorMs: number;
-  /** Longest time, in ms, for which a gateway's loop was blocked, as it logs it. */
+  /** Longest time, in ms, for which a gateway's loop was blocked. */
   readonly longestBlockMs: number;
   readonly lines: readonly ProgramLine[];
 }
@@ -64,8 +65,6 @@
 
 const TIMEOUT_MS = 10_000;
 
-const LOOP_DELAYED = "CL1013";
-
 const CALL_SENT = "CL1801";
 
 const ANSWERED_STATUS = 200;
@@ -170,6 +169,7 @@
     eventIntervalMs: 5,
     timeoutMs: TIMEOUT_MS,
     graceS: 5,
+    measuresLoops: true,
     otherUpstreams: [
       { service, endless: kind },
       { service, isStream },
@@ -189,6 +189,7 @@
     Math.max(...gateways.map((one) => one.readPeakMemoryMb()));
   const readProcessor = () =>
     gateways.reduce((sum, one) => sum + one.readProcessorMs(), 0);
+  const firstLines = gateways.map((one) => one.lines.length);
   const memoryMb = readPeak();
   const processorMs = readProcessor();
   const own: Promise<CallEnd>[] = [];
@@ -209,8 +210,9 @@
   const ends = await Promise.all(own);
   const endsBeside = await Promise.all(beside);
   const lines = gateways.flatMap((one) => one.lines);
-  const delays = lines.filter(({ id }) => id === LOOP_DELAYED)
-    .map(({ delayMs }) => Number(delayMs));
+  const blocks = gateways.flatMap((one, at) => one.lines.slice(firstLines[at]))
+    .filter(({ id }) => id === LOOP_BLOCKED)
+    .map(({ blockMs }) => Number(blockMs));
   return {
     kind,
     route,
@@ -223,7 +225,7 @@
     peakMemoryMb: Math.round(readPeak()),
     grownMb: Math.round(readPeak() - memoryMb),
     processorMs: Math.round(readProcessor() - processorMs),
-    longestBlockMs: Math.max(0, ...delays),
+    longestBlockMs: Math.max(0, ...blocks),
     lines,
   };
 }
--- a/test/support/start_process_fleet.ts
+++ b/test/support/start_process_fleet.ts
@@ -39,6 +39,8 @@
   /** Time limit of the routes. */
   readonly timeoutMs: number;
   readonly graceS: number;
+  /** Whether the programs log how long their event loops were blocked. */
+  readonly measuresLoops?: boolean;
   /** Upstreams of other services; none by default. */
   readonly otherUpstreams?: readonly OtherUpstream[];
   /** Makes each configuration; by default with one route of each type. */
@@ -130,6 +132,11 @@
   new URL("endless_engine_process.js", import.meta.url),
 );
 
+const LOOP_REPORTER = new URL("report_loop_blocks.js", import.meta.url).href;
+
+/** Id of the lines that say for how long, in ms, a loop was blocked at most. */
+export const LOOP_BLOCKED = "LOOP";
+
 /** Engine id of the first one of the other upstreams. */
 export const FIRST_OTHER_ENGINE = "i-other-1";
 
@@ -257,6 +264,7 @@
           bounds: { graceS, budgetExtra: 1_000 },
         },
         isLogPiped: true,
+        flags: options.measuresLoops ? ["--import", LOOP_REPORTER] : [],
       });
       isFirstStart = false;
       if (!child.stdout) throw new Error("the program's log can't be read");
