--- a/test/fleet_test.ts
+++ b/test/fleet_test.ts
@@ -7,7 +7,7 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { until } from "../demo/until.ts";
-import { sendLayerOrder } from "../platform/engine_calls.ts";
+import { createEngineCalls } from "../platform/engine_calls.ts";
 import type { EngineRecord } from "../src/engines/index.ts";
 import type { LayerEngine } from "../standins/index.ts";
 import {
@@ -19,6 +19,8 @@
   type TestFleet,
 } from "./support/fleet.ts";
 
+const { sendLayerOrder } = createEngineCalls();
+
 test("streams and plain calls are served in full", async () => {
   await using fleet = await startServingFleet();
   const [{ address }] = fleet.gateways;
--- a/test/support/endless_engine_process.ts
+++ b/test/support/endless_engine_process.ts
@@ -11,11 +11,8 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { ENGINE_CALL, HEADER } from "../../platform/names.ts";
 import { sendHeartbeat } from "../../standins/send_beat.ts";
-import {
-  ENDLESS_ANSWERS,
-  type EndlessAnswer,
-  type EndlessKind,
-} from "./endless_answers.ts";
+import { ENDLESS_ANSWERS, type EndlessKind } from "./endless_answers.ts";
+import { sendEndlessAnswer } from "./send_endless_answer.ts";
 
 /** Options of the process, as JSON in its first argument. */
 export interface EndlessEngineOptions {
@@ -35,26 +32,12 @@
 let sequence = 0;
 let requestCount = 0;
 
-function send(socket: Socket, { start, repeated, intervalMs }: EndlessAnswer) {
-  socket.write(start);
-  if (intervalMs !== undefined) {
-    const timer = setInterval(() => socket.write(repeated), intervalMs);
-    socket.on("close", () => clearInterval(timer));
-    return;
-  }
-  const fill = () => {
-    while (!socket.destroyed && socket.write(repeated));
-  };
-  socket.on("drain", fill);
-  fill();
-}
-
 const FIELD = new RegExp(`^${HEADER.requestId}: *(.*)\\r$`, "im");
 
 function handleRequest(socket: Socket, head: string): void {
   const [, target = ""] = head.split(" ", 2);
   if (target === ENGINE_CALL.report && options.report) {
-    return send(socket, ENDLESS_ANSWERS[options.report](""));
+    return sendEndlessAnswer(socket, ENDLESS_ANSWERS[options.report](""));
   }
   if (target === ENGINE_CALL.report || target === ENGINE_CALL.order) {
     const body = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}";
@@ -62,7 +45,8 @@
   }
   requestCount += 1;
   process.send?.({ type: "requests", count: requestCount });
-  send(socket, ENDLESS_ANSWERS[options.answer](FIELD.exec(head)?.[1] ?? ""));
+  const requestId = FIELD.exec(head)?.[1] ?? "";
+  sendEndlessAnswer(socket, ENDLESS_ANSWERS[options.answer](requestId));
 }
 
 const server = createServer((socket) => {
--- a/test/support/fleet.ts
+++ b/test/support/fleet.ts
@@ -15,11 +15,7 @@
 import { callerCodec } from "../../platform/codec.ts";
 import { decodeConfig } from "../../platform/decode_config.ts";
 import { createControlApi } from "../../platform/control_api.ts";
-import {
-  engineControl,
-  readPace,
-  sendLayerOrder,
-} from "../../platform/engine_calls.ts";
+import { createEngineCalls } from "../../platform/engine_calls.ts";
 import { type FleetControl, startFleetControl } from "../../src/fleet/index.ts";
 import { type Gateway, startGateway } from "../../src/gateway/index.ts";
 import { closeServer } from "../../src/http/index.ts";
@@ -35,6 +31,8 @@
 
 export { LAYERS, makeWireConfig };
 
+const { engineControl, readPace, sendLayerOrder } = createEngineCalls();
+
 /** A control process under test. */
 export interface TestControl {
   readonly callerAddress: string;
--- a/test/support/partitioned_gateway_worker.ts
+++ b/test/support/partitioned_gateway_worker.ts
@@ -53,7 +53,7 @@
   const [
     { startGateway },
     { callerCodec },
-    { engineControl },
+    { createEngineCalls },
     config,
     metrics,
   ] = await Promise.all([
@@ -73,7 +73,7 @@
     graceMs: 500,
   }, {
     codec: callerCodec,
-    engineControl,
+    engineControl: createEngineCalls().engineControl,
     decodeConfig: config.decodeConfig,
     getSeedAddresses: () => input.seedAddresses,
     log: (event, fields = {}) =>
--- a/test/support/start_one_gateway.ts
+++ b/test/support/start_one_gateway.ts
@@ -7,7 +7,7 @@
 import { findFreePorts } from "../../demo/find_free_ports.ts";
 import { callerCodec } from "../../platform/codec.ts";
 import { decodeConfig } from "../../platform/decode_config.ts";
-import { engineControl } from "../../platform/engine_calls.ts";
+import { createEngineCalls } from "../../platform/engine_calls.ts";
 import { type Gateway, startGateway } from "../../src/gateway/index.ts";
 import { createMetrics } from "../../src/metrics/index.ts";
 
@@ -25,7 +25,7 @@
     graceMs: 300,
   }, {
     codec: callerCodec,
-    engineControl,
+    engineControl: createEngineCalls().engineControl,
     decodeConfig,
     getSeedAddresses: () => seedAddresses,
     log: () => {},
--- a/test/support/start_scripted_fleet.ts
+++ b/test/support/start_scripted_fleet.ts
@@ -10,7 +10,7 @@
 import { until } from "../../demo/until.ts";
 import { callerCodec } from "../../platform/codec.ts";
 import { decodeConfig } from "../../platform/decode_config.ts";
-import { engineControl } from "../../platform/engine_calls.ts";
+import { createEngineCalls } from "../../platform/engine_calls.ts";
 import type { EngineRecord } from "../../src/engines/index.ts";
 import {
   type GatewayMessage,
@@ -216,7 +216,7 @@
     graceMs: options.graceMs ?? 500,
   }, {
     codec: callerCodec,
-    engineControl,
+    engineControl: createEngineCalls().engineControl,
     decodeConfig,
     getSeedAddresses: () => [leader.address],
     log: (event, fields = {}) =>
