Limit a stage's answer to a step in bytes and time

What callers saw: a completion that never ends, or an entry that fills its memory, because one stage answers a step with a body without an end.

Cause: the time limit of a step ended with the head of the answer; the body behind it was read whatever its length, and for as long as bytes came within 30 s of each other. The answer to a release was discarded up to 128 KB, but without a limit in time, so a dripping one held its connection.

Change: `readLimitedBody` reads a body up to a limit in bytes and one in ms, and closes the connection past either; many small pieces are joined as they come. A step's body has the step's time again and 16 MiB; a release has a second for its whole exchange.

Conclusion: a stage that sends without an end is a failed stage, and the completion goes on over another chain. The head of an answer is limited by the library's timer alone, which each interim head starts anew: open.

--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -9,6 +9,7 @@
 export * from "./create_server.ts";
 export * from "./with_timeout.ts";
 export * from "./problem.ts";
+export * from "./read_limited_body.ts";
 export * from "./read_rate_limit.ts";
 export * from "./read_back_off_ms.ts";
 export * from "./read_retry_after.ts";
--- a/src/upstreams/call_stage.ts
+++ b/src/upstreams/call_stage.ts
@@ -7,7 +7,12 @@
 
 import { type Static, Type } from "typebox";
 import { Compile } from "typebox/compile";
-import { readBackOffMs } from "../http/index.ts";
+import type { Readable } from "node:stream";
+import {
+  readBackOffMs,
+  readLimitedBody,
+  TimeLimitError,
+} from "../http/index.ts";
 import type { StepOrder, StepOutput } from "../pipeline/index.ts";
 import type { DispatchFailure } from "../retry/index.ts";
 import {
@@ -27,6 +32,9 @@
 
 const StepAnswer = Compile(StepAnswerSchema);
 
+/** Largest answer to a step, in bytes. */
+const MAX_ANSWER_BYTES = 16_777_216;
+
 /** A step to run at a stage. */
 export interface StageCall {
   readonly address: string;
@@ -40,6 +48,7 @@
   /** Parameters of the caller's request, passed through unchanged with a prefill. */
   readonly parameters?: Readonly<Record<string, unknown>>;
   readonly priority: number;
+  /** Time limit for the head of the answer, and again for its body, in ms. */
   readonly timeoutMs: number;
 }
 
@@ -77,7 +86,7 @@
     }),
     timeoutMs: call.timeoutMs,
   });
-  const text = await readText(answer.body, address);
+  const text = await readText(answer.body, call);
   if (answer.status !== 200) {
     throw createRefusalError(address, {
       phase: "answering",
@@ -91,13 +100,15 @@
 }
 
 async function readText(
-  body: { text(): Promise<string> },
-  address: string,
+  body: Readable,
+  { address, timeoutMs }: StageCall,
 ): Promise<string> {
   try {
-    return await body.text();
+    const options = { maxBytes: MAX_ANSWER_BYTES, timeoutMs };
+    return (await readLimitedBody(body, options)).toString("utf8");
   } catch (cause) {
-    const failure: DispatchFailure = { phase: "answering", fault: "reset" };
+    const fault = cause instanceof TimeLimitError ? "timeout" : "reset";
+    const failure: DispatchFailure = { phase: "answering", fault };
     throw new DispatchError(`Response of ${address} was interrupted`, {
       cause,
       props: { failure },
@@ -156,6 +167,7 @@
       headers: { "content-type": "application/json" },
       body: JSON.stringify({ requestId, epoch }),
       timeoutMs: RELEASE_TIMEOUT_MS,
+      signal: AbortSignal.timeout(RELEASE_TIMEOUT_MS),
     });
     await answer.body.dump();
   } catch {
