End a plain answer that drips at the deadline of its request

What callers saw: a request to a plain service without an end, though it had a deadline.

Cause: the time limit of an attempt ended with the head of the answer. The body of an answer that is buffered was waited for as long as a byte came each 30 s.

Change: it is read by `readLimitedBody`, until the deadline; then the connection is closed and the attempt has timed out.

After: refused as `timeout`, closed by the client.

Conclusion: buffered answers end in time. Answers that are forwarded as they arrive have no limit in time, and one that is read as a whole for a claim has none in bytes: open.

--- a/src/entry/run_plain_request.ts
+++ b/src/entry/run_plain_request.ts
@@ -8,7 +8,12 @@
 import type { IncomingHttpHeaders } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { Readable } from "node:stream";
-import { readBackOffMs, readRateLimit } from "../http/index.ts";
+import {
+  readBackOffMs,
+  readLimitedBody,
+  readRateLimit,
+  TimeLimitError,
+} from "../http/index.ts";
 import type { Logger } from "../logs/index.ts";
 import {
   type Metrics,
@@ -193,7 +198,10 @@
         const limit = notRun ? { limitPerS } : { limitPerS, sentMs };
         table.recordLimit(name, limit);
       }
-      const read = await readAnswer(answer, name);
+      const read = await readAnswer(answer, {
+        upstream: name,
+        timeoutMs: Math.max(1, context.deadlineMs - now()),
+      });
       streaming = !Buffer.isBuffer(read.body);
       if (streaming) {
         (read.body as Readable).once("close", () => table.end(name));
@@ -289,8 +297,9 @@
 
 async function readAnswer(
   answer: UpstreamAnswer,
-  upstream: string,
+  options: { readonly upstream: string; readonly timeoutMs: number },
 ): Promise<PlainAnswer> {
+  const { upstream, timeoutMs } = options;
   const { status, headers, body } = answer;
   const outcome: Outcome = "done";
   const sizeBytes = Number(headers["content-length"] ?? NaN);
@@ -298,14 +307,14 @@
     return { status, headers, upstream, outcome, body };
   }
   try {
-    const chunks: Buffer[] = [];
-    for await (const chunk of body) chunks.push(chunk as Buffer);
-    const whole = Buffer.concat(chunks);
+    const maxBytes = MAX_BUFFERED_BYTES;
+    const whole = await readLimitedBody(body, { maxBytes, timeoutMs });
     return { status, headers, upstream, outcome, body: whole };
   } catch (cause) {
-    const failure: DispatchFailure = { phase: "answering", fault: "reset" };
+    const fault = cause instanceof TimeLimitError ? "timeout" : "reset";
+    const failure: DispatchFailure = { phase: "answering", fault };
     throw new DispatchError(
-      `The connection to ${upstream} was reset during its answer`,
+      `The answer of ${upstream} was not complete: ${fault}`,
       {
         cause,
         props: { failure },
--- a/src/entry/run_requests_test.ts
+++ b/src/entry/run_requests_test.ts
@@ -7,8 +7,15 @@
 import { Readable } from "node:stream";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import { ENDLESS_ANSWERS } from "../../test/support/endless_answers.ts";
+import { startEndlessServer } from "../../test/support/start_endless_server.ts";
 import { createMetrics } from "../metrics/index.ts";
-import { DispatchError, type UpstreamAnswer } from "../upstreams/index.ts";
+import {
+  createUpstreamClient,
+  DispatchError,
+  type UpstreamAnswer,
+} from "../upstreams/index.ts";
+import { getProblem } from "./entry_error.ts";
 import type { KnownUpstream, UpstreamTable } from "./create_upstream_table.ts";
 import type { RequestContext } from "./request_context.ts";
 import { createModelRunner } from "./run_model_request.ts";
@@ -134,4 +141,26 @@
   assert.ok(options.callsMs[1] >= ABSENCE_MS);
 });
 
+test("a plain answer that drips is given up at the request's deadline", async () => {
+  await using server = await startEndlessServer(() =>
+    ENDLESS_ANSWERS.bodyDrip("r")
+  );
+  await using client = createUpstreamClient();
+  const spec = { address: `http://${server.address}` };
+  const options = makeDependencies({ onSecondCall: () => {} });
+  const startedMs = performance.now();
+  const now = () => performance.now() - startedMs;
+  options.table.list = () => [{ ...UPSTREAM, spec } as KnownUpstream];
+  const context = {
+    ...makeContext(new AbortController().signal),
+    repeatable: false,
+    deadlineMs: 1_000,
+  };
+  const call = { method: "GET", path: "/", headers: {}, body: undefined };
+  const error = await createPlainRunner({ ...options, client, now })
+    .run(context, call).catch((thrown) => thrown);
+  assert.is(getProblem(error)?.reason, "timeout");
+  assert.is(await server.closedBy, "client");
+});
+
 test.run();
