Limit the platform's list of VMs in bytes

What was wrong: a list without an end filled the memory of control for the time of the request.

Cause: its body was read whatever its length; only the time was limited.

Change: it is read up to 4 MiB, many times the list of the largest site; beyond that the connection is closed and the list can't be read.

Before: the stand-in gave up after 64 MiB. After: closed by the client. The test failed on the code before.

--- a/src/control/read_platform_list.ts
+++ b/src/control/read_platform_list.ts
@@ -7,6 +7,7 @@
 import { type Static, Type } from "typebox";
 import { Value } from "typebox/value";
 import { request } from "undici";
+import { readLimitedBody } from "../http/index.ts";
 import type { PlatformState } from "../model/index.ts";
 import { ControlError } from "./control_error.ts";
 
@@ -17,6 +18,9 @@
   })),
 });
 
+/** Largest list, in bytes: that of many thousand VMs. */
+const MAX_LIST_BYTES = 4_194_304;
+
 /** The platform's VM list can't be read or has an unexpected format. */
 export const PlatformListError = ControlError.subclass("PlatformListError");
 
@@ -51,7 +55,9 @@
   try {
     const signal = AbortSignal.timeout(options.timeoutMs);
     const response = await request(url, { signal });
-    return await response.body.json();
+    const maxBytes = MAX_LIST_BYTES;
+    const bytes = await readLimitedBody(response.body, { maxBytes });
+    return JSON.parse(bytes.toString("utf8"));
   } catch (cause) {
     throw new PlatformListError(
       `The platform's VM list at ${url} can't be read`,
