Limit the answers of control to the operator's client

What was wrong: an answer of a control process without an end filled the memory of the command line for a second; a line of a watch without an end did so for as long as it came.

Cause: bodies were read whatever their length, and the unfinished line of a watch was joined with each chunk anew.

Change: an answer has at most 64 MiB, a line 4,194,304 characters; beyond that the connection is closed. A watch as a whole has no limit.

--- a/src/cli/create_operator_client.ts
+++ b/src/cli/create_operator_client.ts
@@ -8,6 +8,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import ModernError from "modern-errors";
 import { request } from "undici";
+import { readLimitedBody } from "../http/index.ts";
 
 /** Base class of all errors of the command line. */
 export const CliError = ModernError.subclass("CliError");
@@ -21,6 +22,9 @@
   },
 });
 
+/** A line of a watch is longer than a line may be. */
+export const OperatorLineError = CliError.subclass("OperatorLineError");
+
 /** A call of the resource API. */
 export interface OperatorCall {
   readonly method?: "GET" | "PUT" | "DELETE" | "POST";
@@ -69,6 +73,12 @@
 /** Time limit for an attempt at one control process, in ms. */
 const ATTEMPT_TIMEOUT_MS = 1_000;
 
+/** Largest answer of a control process, in bytes. */
+const MAX_ANSWER_BYTES = 67_108_864;
+
+/** Longest line of a watch, in characters. */
+const MAX_LINE_LENGTH = 4_194_304;
+
 /** Delay between two attempts, in ms. */
 const RETRY_DELAY_MS = 50;
 
@@ -141,8 +151,9 @@
         body: body === undefined ? undefined : JSON.stringify(body),
         signal: AbortSignal.timeout(ATTEMPT_TIMEOUT_MS),
       });
-      const text = await response.body.text();
-      const document = JSON.parse(text) as Record<string, unknown>;
+      const maxBytes = MAX_ANSWER_BYTES;
+      const bytes = await readLimitedBody(response.body, { maxBytes });
+      const document = JSON.parse(bytes.toString("utf8"));
       return { status: response.statusCode, document };
     } catch {
       return undefined;
@@ -166,6 +177,11 @@
     for await (const chunk of response.body) {
       const lines = (partialLine + String(chunk)).split("\n");
       partialLine = lines.pop() ?? "";
+      if (partialLine.length > MAX_LINE_LENGTH) {
+        throw new OperatorLineError(
+          `A line of the watch has more than ${MAX_LINE_LENGTH} characters`,
+        );
+      }
       for (const line of lines) yield JSON.parse(line) as WatchLine;
     }
   }
