--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -10,6 +10,8 @@
 export * from "./create_server.ts";
 export * from "./discard_body.ts";
 export * from "./problem.ts";
+export * from "./read_limited_body.ts";
+export * from "./read_rate_limit.ts";
 export * from "./read_back_off_ms.ts";
 export * from "./read_body.ts";
 export * from "./read_rate_limit.ts";
