--- a/test/support/start_process_fleet.ts
+++ b/test/support/start_process_fleet.ts
@@ -108,6 +108,8 @@
 export interface OtherUpstreamProcess extends OtherUpstream {
   pause(): void;
   resume(): void;
+  /** Lists the requests that it began to run; none if its answers have no end. */
+  listRuns(): readonly EngineProcessRun[];
 }
 
 /** A fleet of real processes. */
@@ -510,6 +512,10 @@
       ...(endless ? { answer: endless, report: endlessReport } : {}),
     }),
   ]);
+  const requestIds: string[] = [];
+  child.on("message", (message: EngineProcessReport) => {
+    if (message.type === "runs") requestIds.push(...message.requestIds);
+  });
   await once(child, "message");
   children.push({
     async [Symbol.asyncDispose]() {
@@ -520,6 +526,8 @@
   });
   return {
     ...upstream,
+    listRuns: () =>
+      requestIds.map((requestId) => ({ requestId, hasEnded: false })),
     pause: () => void child.kill("SIGSTOP"),
     resume: () => void child.kill("SIGCONT"),
   };
