--- a/test/support/run_plain_pause_soak.ts
+++ b/test/support/run_plain_pause_soak.ts
@@ -97,9 +97,9 @@
 
 /**
  * Ms between two calls of which some end at the moment at which the gateway closes an
- * idle connection: it adds 1 s to the shortest idle timeout of the configurations.
+ * idle connection: it and the runtime each add 1 s to the shortest idle timeout.
  */
-const CLOSING_REST_MS = [1_295, 1_310] as const;
+const CLOSING_REST_MS = [2_295, 2_310] as const;
 
 /** One in this many rests lasts until the gateway closes the connection. */
 const CLOSING_REST_INTERVAL = 12;
