Read what has arrived before an idle connection is closed

Callers on kept connections saw them closed right behind their request when the gateway's loop had stalled: timers run before the sockets are read, so the connection counted as idle although a request had arrived.

Now the sockets are read once more, and a connection that has received something since stays open. The test stalls the process beyond the idle timeout with a request in the socket; it failed with ECONNRESET before.

--- a/src/gateway/create_caller_server.ts
+++ b/src/gateway/create_caller_server.ts
@@ -48,6 +48,7 @@
     keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS,
     rewriteUrl: () => "/",
   });
+  server.server.on("timeout", closeIdle);
   server.removeAllContentTypeParsers();
   server.addContentTypeParser("*", (_request, _payload, done) => done(null));
   server.all("/", (request, reply) => {
@@ -61,6 +62,15 @@
   return server as unknown as FastifyInstance;
 }
 
+// After a stall of this process timers run first, and a request that has arrived on the
+// connection is unread.
+function closeIdle(socket: Socket): void {
+  const { bytesRead } = socket;
+  setImmediate(() => {
+    if (socket.bytesRead === bytesRead) socket.destroy();
+  });
+}
+
 /**
  * Starts accepting connections, either those of an early listener or on an address of
  * its own.
