Answer what arrives while a gateway closes its connections

In a planned stop callers on new connections saw them reset: all connections were closed at once, also those whose request was on the way, and requests that arrived while the leader was told were not waited for. The listener of the launcher stayed open until the process exited.

Now the listener is closed first, after a short turn of the event loop, and the connections once what was sent on them is answered, 150 ms later at the earliest.

--- a/scripts/launch.cjs
+++ b/scripts/launch.cjs
@@ -48,6 +48,9 @@
       waiting.forEach(take);
       waiting = [];
     },
+    close() {
+      server.close();
+    },
   };
   return new Promise((resolve, reject) => {
     server.on("error", reject);
--- a/src/gateway/create_caller_server.ts
+++ b/src/gateway/create_caller_server.ts
@@ -20,6 +20,8 @@
 export interface EarlyListener {
   /** Passes on the held connections, and all later ones. */
   take(onConnection: (socket: Socket) => void): void;
+  /** Accepts no further connections; those that it has passed on stay open. */
+  close(): void;
 }
 
 /** Maximum request header size; the platform's callers stay below it. */
--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -29,6 +29,7 @@
   type EarlyListener,
   listenForCallers,
 } from "./create_caller_server.ts";
+import { closeCallerServer } from "./close_caller_server.ts";
 import { createConfigLease } from "./create_config_lease.ts";
 import { createHeldBytes } from "./create_held_bytes.ts";
 import { createLeftOutChecks } from "./create_left_out_checks.ts";
@@ -551,8 +552,12 @@
     const inFlight = requestHandler.getInFlight();
     if (inFlight > 0) log("drainTimedOut", { inFlight });
     await link[Symbol.asyncDispose]();
-    server.server.closeAllConnections();
-    await server.close();
+    const { getInFlight } = requestHandler;
+    await closeCallerServer(server, {
+      earlyListener,
+      getInFlight,
+      getLeftMs: leftMs,
+    });
     reachability[Symbol.dispose]();
     await upstreamTransport[Symbol.asyncDispose]();
     await peerTransport[Symbol.asyncDispose]();
