Register the endless upstream in every run

Runs of endless answers met the upstream in none of 200 calls at times. Its heartbeats told no start, and the registry takes one without a start for an earlier incarnation once any start is known, so whether it was registered hung on whose heartbeat came first. It tells its start now.

--- a/test/support/endless_engine_process.ts
+++ b/test/support/endless_engine_process.ts
@@ -29,6 +29,7 @@
 const HEARTBEAT_PERIOD_MS = 200;
 
 const options: EndlessEngineOptions = JSON.parse(process.argv[2]);
+const bornMs = Date.now();
 let sequence = 0;
 let requestCount = 0;
 
@@ -73,6 +74,7 @@
     state: "ready",
     coldLeftMs: 0,
     seq: sequence,
+    born: bornMs,
   };
   await sendHeartbeat({ engineId, body, controlAddresses });
   await sleep(HEARTBEAT_PERIOD_MS);
