Drop events whose id is no number

Callers saw: a stream that looked complete and had one event, if an upstream sent events whose id is no number until it exceeded a limit.

Cause: the first event of a run was forwarded whatever its id. No event of the next run came after such an id, so all were dropped, and its end completed the stream. Before there were limits the stream was cut at its deadline.

Change: an event whose id is no number comes after none.

--- a/src/gateway/is_later_event.ts
+++ b/src/gateway/is_later_event.ts
@@ -8,7 +8,7 @@
  * Checks whether an event comes after another one of the same stream.
  *
  * @param id - Id of the event; one without an id comes after all others, and one whose id
- * is larger than any that can be counted after none.
+ * is no number, or larger than any that can be counted, after none.
  * @param previousId - Id of the other one; undefined or empty if there is none.
  * @returns Whether it comes after the other one.
  * @throws Nothing.
@@ -19,10 +19,9 @@
   id: string | undefined,
   previousId: string | undefined,
 ): boolean {
-  // All events of another run would come before such a number.
-  if (Number(id) > Number.MAX_SAFE_INTEGER) return false;
-  if (id === undefined || previousId === undefined || previousId === "") {
-    return true;
-  }
+  if (id === undefined) return true;
+  // No event of another run would come after such an id.
+  if (!(Number(id) <= Number.MAX_SAFE_INTEGER)) return false;
+  if (previousId === undefined || previousId === "") return true;
   return Number(id) > Number(previousId);
 }
