--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -31,6 +31,7 @@
   type EarlyListener,
   listenForCallers,
 } from "./create_caller_server.ts";
+import { closeCallerServer } from "./close_caller_server.ts";
 import { createConfigLease } from "./create_config_lease.ts";
 import { createHeldBytes } from "./create_held_bytes.ts";
 import { createLeftOutChecks } from "./create_left_out_checks.ts";
@@ -78,6 +79,7 @@
 import { getDrainAdmissionMs } from "./get_drain_admission_ms.ts";
 import { startGauges } from "./start_gauges.ts";
 import type { ServingContext } from "./types.ts";
+import { watchHeads } from "./watch_heads.ts";
 
 /** Settings of a gateway. */
 export interface GatewaySettings {
@@ -131,6 +133,9 @@
 /** Ms by which idle connections outlive the configured timeout. */
 const IDLE_MARGIN_MS = 1_000;
 
+/** Time for the head of a request before there is a configuration. */
+const DEFAULT_HEADER_TIMEOUT_MS = 3_000;
+
 /** Time within which callers and other gateways learn that this one is leaving. */
 const LEAVE_PROPAGATION_MS = 2_500;
 
@@ -223,6 +228,9 @@
     decodeConfig: options.decodeConfig,
     onChange({ limits }) {
       server.server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS;
+      // A rested connection without a request counts as a head to the HTTP library.
+      server.server.headersTimeout = limits.headerTimeoutMs +
+        limits.idleTimeoutMs + IDLE_MARGIN_MS;
     },
     // The hello of the next session reports no version, so the leader sends the whole
     // configuration.
@@ -521,6 +529,11 @@
     void requestHandler.handle(received)
   );
 
+  watchHeads(server.server, {
+    getTimeoutMs: () =>
+      config.getTable()?.limits.headerTimeoutMs ?? DEFAULT_HEADER_TIMEOUT_MS,
+  });
+
   const { earlyListener } = options;
   await listenForCallers(server, { ...listen, earlyListener });
   log("started", { vm, address });
@@ -557,8 +570,12 @@
     const inFlight = requestHandler.getInFlight();
     if (inFlight > 0) log("drainTimedOut", { inFlight });
     await link[Symbol.asyncDispose]();
-    server.server.closeAllConnections();
-    await server.close();
+    const { getInFlight } = requestHandler;
+    await closeCallerServer(server, {
+      earlyListener,
+      getInFlight,
+      getLeftMs: leftMs,
+    });
     reachability[Symbol.dispose]();
     await upstreamTransport[Symbol.asyncDispose]();
     await peerTransport[Symbol.asyncDispose]();
--- a/test/support/start_process_fleet.ts
+++ b/test/support/start_process_fleet.ts
@@ -39,6 +39,8 @@
   /** Time limit of the routes. */
   readonly timeoutMs: number;
   readonly graceS: number;
+  /** Whether the programs log how long their event loops were blocked. */
+  readonly measuresLoops?: boolean;
   /** Upstreams of other services; none by default. */
   readonly otherUpstreams?: readonly OtherUpstream[];
   /** Makes each configuration; by default with one route of each type. */
@@ -108,6 +110,8 @@
 export interface OtherUpstreamProcess extends OtherUpstream {
   pause(): void;
   resume(): void;
+  /** Lists the requests that it began to run; none if its answers have no end. */
+  listRuns(): readonly EngineProcessRun[];
 }
 
 /** A fleet of real processes. */
@@ -130,6 +134,11 @@
   new URL("endless_engine_process.js", import.meta.url),
 );
 
+const LOOP_REPORTER = new URL("report_loop_blocks.js", import.meta.url).href;
+
+/** Id of the lines that say for how long, in ms, a loop was blocked at most. */
+export const LOOP_BLOCKED = "LOOP";
+
 /** Engine id of the first one of the other upstreams. */
 export const FIRST_OTHER_ENGINE = "i-other-1";
 
@@ -154,8 +163,11 @@
 
 const PROPAGATION_MS = 2_000;
 
-/** Connections to an engine that wait to be accepted. */
-const ENGINE_BACKLOG = 64;
+/**
+ * Connections to an engine that wait to be accepted. Probes of a suspended engine fill a
+ * short queue, and it looks as if its machine had no power.
+ */
+const ENGINE_BACKLOG = 511;
 
 /** Time in which connections fill the queue of a suspended engine. */
 const BACKLOG_FILL_MS = 50;
@@ -257,6 +269,7 @@
           bounds: { graceS, budgetExtra: 1_000 },
         },
         isLogPiped: true,
+        flags: options.measuresLoops ? ["--import", LOOP_REPORTER] : [],
       });
       isFirstStart = false;
       if (!child.stdout) throw new Error("the program's log can't be read");
@@ -510,6 +523,10 @@
       ...(endless ? { answer: endless, report: endlessReport } : {}),
     }),
   ]);
+  const requestIds: string[] = [];
+  child.on("message", (message: EngineProcessReport) => {
+    if (message.type === "runs") requestIds.push(...message.requestIds);
+  });
   await once(child, "message");
   children.push({
     async [Symbol.asyncDispose]() {
@@ -520,6 +537,8 @@
   });
   return {
     ...upstream,
+    listRuns: () =>
+      requestIds.map((requestId) => ({ requestId, hasEnded: false })),
     pause: () => void child.kill("SIGSTOP"),
     resume: () => void child.kill("SIGCONT"),
   };
