--- a/src/gateway/create_request_handler.ts
+++ b/src/gateway/create_request_handler.ts
@@ -6,15 +6,16 @@
 
 import type { ServerResponse } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
+import { closeUnreadAnswer } from "./close_unread_answer.ts";
 import { sendRefusal } from "./send_refusal.ts";
 import type { ReceivedRequest } from "./create_caller_server.ts";
 import type { ConfigLease } from "./create_config_lease.ts";
 import { decideCall } from "./decide_call.ts";
 import { getCallRank } from "./get_call_rank.ts";
 import { getRequestKey } from "./get_request_key.ts";
+import { createBodyMemory, discardBody, readBody } from "../http/index.ts";
 import { getPartKeys } from "../quarantine/index.ts";
 import type { CallerRequest, Refusal } from "./protocol.ts";
-import { readBody } from "./read_body.ts";
 import { servePlainCall } from "./serve_plain_call.ts";
 import { serveStreamCall } from "./serve_stream_call.ts";
 import type { Call, ServingContext } from "./types.ts";
@@ -23,6 +24,8 @@
 export interface CreateRequestHandlerOptions {
   readonly context: ServingContext;
   readonly lease: ConfigLease;
+  /** Bytes of request bodies that are held at most. */
+  readonly maxBodyMemoryBytes: number;
   /** Whether the leader has sent the list of upstreams. */
   readonly knowsEngines: () => boolean;
   /** Whether new requests are rejected because the process is stopping. */
@@ -36,8 +39,24 @@
   getInFlight(): number;
 }
 
-/** Maximum body size before there is a configuration. */
-const DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024;
+/** Limits before there is a configuration. */
+const DEFAULT_LIMITS = { bodyBytes: 4 * 1024 * 1024, idleTimeoutMs: 15_000 };
+
+/** Ms by which the idle timeout is exceeded, for data that is on its way. */
+const IDLE_MARGIN_MS = 1_000;
+
+/** Time to receive a body without a route. */
+const DEFAULT_BODY_TIMEOUT_MS = 15_000;
+
+/** How much of a body is read once its request was refused. */
+const DISCARD_LIMITS = { maxBytes: 16 * 1024 * 1024, timeoutMs: 2_000 };
+
+/** Refusals of requests whose body is not accepted. */
+const BODY_REFUSALS = {
+  tooLarge: { status: 413, reason: "body_too_large" },
+  late: { status: 408, reason: "body_timeout" },
+  noRoom: { status: 503, reason: "body_memory", retryAfterMs: 1_000 },
+} as const satisfies Record<string, Refusal>;
 
 /**
  * Maximum time that requests wait for the first configuration after a start: about
@@ -91,6 +110,9 @@
 ): RequestHandler {
   const { context, lease } = options;
   const { codec, now, log, metrics, budget } = context;
+  const bodyMemory = createBodyMemory({
+    maxBytes: options.maxBodyMemoryBytes,
+  });
   let inFlight = 0;
   let forwardedInFlight = 0;
 
@@ -101,9 +123,14 @@
       await readAndServe(received, startedMs);
     } catch (error) {
       log("internalError", { error });
-      received.response.destroy();
+      sendRefusal(received.response, {
+        codec,
+        request: undefined,
+        refusal: { status: 500, reason: "internal_error" },
+      });
     } finally {
       inFlight -= 1;
+      closeUnreadAnswer(received.response, { timeoutMs: getIdleTimeoutMs() });
     }
   }
 
@@ -111,21 +138,40 @@
     { message, response, target }: ReceivedRequest,
     startedMs: number,
   ): Promise<void> {
-    const { limits } = context.getTable() ?? {};
-    const maxBytes = limits?.bodyBytes ?? DEFAULT_MAX_BODY_BYTES;
-    const body = await readBody(message, { maxBytes });
-    if (body.type === "cut") return;
     const request = codec.readRequest({
       method: message.method ?? "GET",
       target,
       headers: message.headers,
       rawHeaders: message.rawHeaders,
     });
-    if (body.type === "tooLarge") {
-      const refusal = { status: 413, reason: "body_too_large" } as const;
-      return refuse(request, response, refusal);
+    const hold = bodyMemory.open();
+    // A call is reachable from its response, and its body with it, until then.
+    response.on("close", () => hold[Symbol.dispose]());
+    const body = await readBody(message, {
+      hold,
+      maxBytes: (context.getTable()?.limits ?? DEFAULT_LIMITS).bodyBytes,
+      timeoutMs: getBodyTimeoutMs(request),
+      idleTimeoutMs: getIdleTimeoutMs(),
+    });
+    if (body.type === "cut") return;
+    if (body.type === "whole") {
+      return await serve({ request, response, body: body.body, startedMs });
     }
-    await serve({ request, response, body: body.body, startedMs });
+    hold[Symbol.dispose]();
+    refuse(request, response, BODY_REFUSALS[body.type]);
+    discardBody(message, DISCARD_LIMITS);
+  }
+
+  function getIdleTimeoutMs(): number {
+    const { idleTimeoutMs } = context.getTable()?.limits ?? DEFAULT_LIMITS;
+    return idleTimeoutMs + IDLE_MARGIN_MS;
+  }
+
+  // A body that is complete only after the deadline of its call is of no use.
+  function getBodyTimeoutMs({ host, path, deadlineMs }: CallerRequest): number {
+    const route = context.getTable()?.findRoute(host, path);
+    const timeoutMs = route?.timeoutMs ?? DEFAULT_BODY_TIMEOUT_MS;
+    return Math.min(deadlineMs ?? Infinity, timeoutMs);
   }
 
   async function serve(buffered: BufferedRequest): Promise<void> {
--- a/src/gateway/create_upstream_transport_test.ts
+++ b/src/gateway/create_upstream_transport_test.ts
@@ -3,8 +3,12 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import { until } from "../../demo/until.ts";
+import { createHeldAnswer } from "./create_held_answer.ts";
+import { createHeldBytes } from "./create_held_bytes.ts";
 import {
   createUpstreamTransport,
+  type Exchange,
   type ExchangeEnd,
   type ExchangeOptions,
   type UpstreamTransport,
@@ -18,7 +22,7 @@
     requestId: String(headers["x-id"] ?? ""),
     isSigned: true,
     endsWithConnection: false,
-    reportsNotRun: false,
+    reportsNotRun: headers["x-not-run"] !== undefined,
     isLeaving: headers["x-leaving"] !== undefined,
     faultAddress: undefined,
     load: undefined,
@@ -43,6 +47,21 @@
   };
 }
 
+function makeRequest(address: string): ExchangeOptions {
+  return {
+    engineId: "e",
+    address,
+    method: "POST",
+    target: "/x",
+    headers: [],
+    body: Buffer.from("hello"),
+    requestId: "r1",
+    onHead: () => {},
+    onData: () => {},
+    onEnd: () => {},
+  };
+}
+
 /** Starts an exchange and returns how it ended. */
 function runExchange(
   exchanger: UpstreamTransport,
@@ -50,14 +69,7 @@
 ): Promise<ExchangeEnd> {
   return new Promise<ExchangeEnd>((resolve) => {
     exchanger.start({
-      engineId: "e",
-      method: "POST",
-      target: "/x",
-      headers: [],
-      body: Buffer.from("hello"),
-      requestId: "r1",
-      onHead: () => {},
-      onData: () => {},
+      ...makeRequest(options.address),
       onEnd: resolve,
       ...options,
     });
@@ -280,4 +292,573 @@
   assert.equal(notices, [true]);
 });
 
+test("a body that arrives while its exchange is paused is complete once it is resumed", async () => {
+  const body = Buffer.from("0123456789".repeat(600));
+  await using server = await startRawServer(async (socket) => {
+    socket.write(`${HEAD}content-length: ${body.length}\r\n\r\n`);
+    for (let at = 0; at < body.length; at += 1_000) {
+      socket.write(body.subarray(at, at + 1_000));
+      await sleep(5);
+    }
+  });
+  await using exchanger = createUpstreamTransport(codec);
+  const chunks: Buffer[] = [];
+  const end = await new Promise<ExchangeEnd>((resolve) => {
+    const exchange = exchanger.start({
+      ...makeRequest(server.address),
+      onData(chunk) {
+        chunks.push(chunk);
+        if (chunks.length > 1) return;
+        exchange.pause();
+        setTimeout(exchange.resume, 60);
+      },
+      onEnd: resolve,
+    });
+  });
+  assert.equal(end, { type: "complete" });
+  assert.ok(Buffer.concat(chunks).equals(body));
+});
+
+// The HTTP library can't resume one answer while it parses another.
+test("an answer that waits for another one goes on when that one is complete", async () => {
+  const half = Buffer.alloc(100_000, "x");
+  const sockets: Socket[] = [];
+  await using server = await startRawServer((socket) => {
+    sockets.push(socket);
+    socket.write(`${HEAD}content-length: ${2 * half.length}\r\n\r\n`);
+    socket.write(half);
+  });
+  await using exchanger = createUpstreamTransport(codec);
+  const heldBytes = createHeldBytes({ maxBytes: 100_000 });
+  let paused = 0;
+  const load = () =>
+    new Promise<{ end: ExchangeEnd; length: number }>((resolve) => {
+      const answer = createHeldAnswer(heldBytes, {
+        upstreamId: "e",
+        pause() {
+          paused += 1;
+          exchange.pause();
+        },
+        resume: () => exchange.resume(),
+      });
+      const exchange = exchanger.start({
+        ...makeRequest(server.address),
+        onData: answer.push,
+        onEnd(end) {
+          const { length } = answer.end();
+          resolve({ end, length });
+          answer[Symbol.dispose]();
+        },
+      });
+    });
+  const loading = [load(), load(), load()];
+  await until("two answers wait", () => paused === 2);
+  for (const socket of sockets) socket.write(half);
+  const complete = { end: { type: "complete" }, length: 2 * half.length };
+  assert.equal(await Promise.all(loading), [complete, complete, complete]);
+});
+
+test("an exchange that has ended no longer pauses or resumes its connection", async () => {
+  let requests = 0;
+  await using server = await startRawServer((socket) => {
+    requests += 1;
+    socket.write(`${HEAD}content-length: 4\r\n\r\nab`);
+    setTimeout(() => socket.write("cd"), 20);
+  });
+  await using exchanger = createUpstreamTransport(codec);
+  const start = (onData: () => void) => {
+    let exchange!: Exchange;
+    const ending = new Promise<ExchangeEnd>((resolve) => {
+      exchange = exchanger.start({
+        ...makeRequest(server.address),
+        onData,
+        onEnd: resolve,
+      });
+    });
+    return { exchange, ending };
+  };
+  const first = start(() => {});
+  assert.equal(await first.ending, { type: "complete" });
+  await sleep(20);
+  const pieces: number[] = [];
+  const second = start(() => {
+    pieces.push(pieces.length);
+    if (pieces.length === 1) second.exchange.pause();
+  });
+  await until("the second answer has begun", () => pieces.length === 1);
+  first.exchange.resume();
+  await sleep(60);
+  assert.is(pieces.length, 1);
+  second.exchange.resume();
+  first.exchange.pause();
+  assert.equal(await second.ending, { type: "complete" });
+  assert.is(requests, 2);
+});
+
+/** Bytes that are read at once, so that the first ones may follow a head. */
+const SLICE_BYTES = 4_096;
+
+const LIMITS = {
+  answerBytes: 100_000,
+  withoutProgressBytes: 50_000,
+  withoutProgressReads: 20,
+};
+
+const CHUNKED = `${HEAD}transfer-encoding: chunked\r\n\r\n`;
+
+/** Makes chunks of a body of the given sizes. */
+function makeChunks(...sizes: readonly number[]): string {
+  return sizes.map((size) => `${size.toString(16)}\r\n${"x".repeat(size)}\r\n`)
+    .join("");
+}
+
+/** Sends a start, and then a piece again and again until the connection is closed. */
+function sendEndless(
+  socket: Socket,
+  { start, repeated, intervalMs }: {
+    readonly start: string;
+    readonly repeated: string;
+    readonly intervalMs?: number;
+  },
+): void {
+  socket.setNoDelay(true);
+  socket.write(start);
+  if (intervalMs !== undefined) {
+    const timer = setInterval(() => socket.write(repeated), intervalMs);
+    return void socket.on("close", () => clearInterval(timer));
+  }
+  const block = repeated.repeat(Math.ceil(20_000 / repeated.length));
+  const fill = () => {
+    while (!socket.destroyed && socket.write(block));
+  };
+  socket.on("drain", fill);
+  fill();
+}
+
+/** Runs exchanges with a server, and resolves once each connection is closed. */
+async function runLimited(
+  answer: (socket: Socket) => void,
+  options: Partial<ExchangeOptions> = {},
+) {
+  const closed: Promise<unknown>[] = [];
+  await using server = await startRawServer((socket) => {
+    closed.push(new Promise((resolve) => socket.on("close", resolve)));
+    answer(socket);
+  });
+  await using exchanger = createUpstreamTransport(codec, { limits: LIMITS });
+  let bytes = 0;
+  const end = await runExchange(exchanger, {
+    address: server.address,
+    onData: (chunk) => {
+      bytes += chunk.length;
+    },
+    ...options,
+  });
+  await Promise.all(closed);
+  return { end, bytes };
+}
+
+for (
+  const [name, { limit, ...answer }] of Object.entries({
+    "interim heads": {
+      start: "",
+      repeated: "HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n",
+      limit: "withoutProgressBytes",
+    },
+    "interim heads that drip": {
+      start: "",
+      repeated: "HTTP/1.1 103 Early Hints\r\n\r\n",
+      intervalMs: 5,
+      limit: "withoutProgressReads",
+    },
+    "a head that drips": {
+      start: `${HEAD}x-y: `,
+      repeated: "x",
+      intervalMs: 5,
+      limit: "withoutProgressReads",
+    },
+    "a body in chunks": {
+      start: CHUNKED,
+      repeated: makeChunks(16_384),
+      limit: "answerBytes",
+    },
+    "a body in tiny chunks": {
+      start: CHUNKED,
+      repeated: makeChunks(1),
+      limit: "withoutProgressBytes",
+    },
+    "a body in small chunks": {
+      start: CHUNKED,
+      repeated: makeChunks(10),
+      limit: "answerBytes",
+    },
+    "a body without a length": {
+      start: `${HEAD}\r\n`,
+      repeated: "x",
+      limit: "answerBytes",
+    },
+    "a body with a long length": {
+      start: `${HEAD}content-length: 100000000000\r\n\r\n`,
+      repeated: "x",
+      limit: "answerBytes",
+    },
+    "a chunk extension": {
+      start: `${CHUNKED}1;x=`,
+      repeated: "x",
+      limit: "withoutProgressBytes",
+    },
+    "a chunk extension that drips": {
+      start: `${CHUNKED}1;x=`,
+      repeated: "x",
+      intervalMs: 5,
+      limit: "withoutProgressReads",
+    },
+  })
+) {
+  test(`an endless answer exceeds a limit, and its connection is closed: ${name}`, async () => {
+    const { end, bytes } = await runLimited((socket) =>
+      sendEndless(socket, answer)
+    );
+    assert.is(end.type === "broken" && end.limit, limit, JSON.stringify(end));
+    assert.ok(bytes <= LIMITS.answerBytes);
+  });
+}
+
+// The HTTP library itself limits heads and trailers to 16 KB.
+for (
+  const [name, answer] of Object.entries({
+    "random bytes": { start: "", repeated: "\u0001\u0002xyz" },
+    "one line": { start: "", repeated: "x" },
+    "header lines": { start: HEAD, repeated: "x: y\r\n" },
+    "one header line": { start: `${HEAD}x: `, repeated: "x" },
+    "a trailer": { start: `${CHUNKED}0\r\n`, repeated: "x: y\r\n" },
+  })
+) {
+  test(`an endless answer is broken, and its connection is closed: ${name}`, async () => {
+    const { end, bytes } = await runLimited((socket) =>
+      sendEndless(socket, answer)
+    );
+    assert.is(end.type, "broken");
+    assert.is(bytes, 0);
+  });
+}
+
+for (
+  const [name, start] of Object.entries({
+    "in chunks": CHUNKED,
+    "without a length": `${HEAD}\r\n`,
+  })
+) {
+  test(`a forwarded body is limited only where it makes no progress: ${name}`, async () => {
+    const { end, bytes } = await runLimited(
+      (socket) => sendEndless(socket, { start, repeated: makeChunks(16_384) }),
+      { isForwarded: () => true },
+    );
+    assert.is(end.type === "broken" && end.limit, "withoutProgressBytes");
+    assert.ok(bytes <= LIMITS.withoutProgressBytes + SLICE_BYTES);
+  });
+}
+
+test("a forwarded body that makes progress may be longer than a held one", async () => {
+  await using server = await startRawServer((socket) =>
+    socket.end(`${HEAD}\r\n${"x".repeat(400_000)}`)
+  );
+  await using exchanger = createUpstreamTransport(codec, { limits: LIMITS });
+  let bytes = 0;
+  const end = await new Promise<ExchangeEnd>((resolve) => {
+    const exchange = exchanger.start({
+      ...makeRequest(server.address),
+      isForwarded: () => true,
+      onData(chunk) {
+        bytes += chunk.length;
+        exchange.noteProgress(chunk.length);
+      },
+      onEnd: resolve,
+    });
+  });
+  assert.equal(end, { type: "complete" });
+  assert.is(bytes, 400_000);
+});
+
+for (
+  const [name, { pieces, bytes }] of Object.entries({
+    "just as long as the limit": {
+      pieces: [`${HEAD}content-length: 100000\r\n\r\n`, "x".repeat(100_000)],
+      bytes: 100_000,
+    },
+    "1,000 small chunks": {
+      pieces: [CHUNKED, ...Array(1_000).fill(makeChunks(3)), "0\r\n\r\n"],
+      bytes: 3_000,
+    },
+    "chunks in three pieces": {
+      pieces: [
+        CHUNKED,
+        ...Array(100).fill(["8\r\n", "12345678", "\r\n"]).flat(),
+        "0\r\n\r\n",
+      ],
+      bytes: 800,
+    },
+    "single bytes": {
+      pieces: [
+        `${HEAD}content-length: 300\r\n\r\n`,
+        ..."x".repeat(300),
+      ],
+      bytes: 300,
+    },
+    "a few interim heads": {
+      pieces: [
+        ...Array(5).fill("HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n"),
+        `${HEAD}content-length: 2\r\n\r\nxx`,
+      ],
+      bytes: 2,
+    },
+  })
+) {
+  test(`an honest answer exceeds no limit, and its connection is kept: ${name}`, async () => {
+    await using server = await startRawServer(async (socket) => {
+      socket.setNoDelay(true);
+      for (const piece of pieces) {
+        socket.write(piece);
+        await sleep(1);
+      }
+    });
+    await using exchanger = createUpstreamTransport(codec, { limits: LIMITS });
+    let length = 0;
+    const end = await runExchange(exchanger, {
+      address: server.address,
+      onData: (chunk) => {
+        length += chunk.length;
+      },
+    });
+    assert.equal(end, { type: "complete" });
+    assert.is(length, bytes);
+    await until(
+      "the connection is idle",
+      () => exchanger.hasIdleConnection("e"),
+    );
+  });
+}
+
+const NOT_RUN = "HTTP/1.1 503 x\r\nx-id: r1\r\nx-not-run: 1\r\n";
+
+for (
+  const [name, answer] of Object.entries({
+    "fast": {
+      start: `${NOT_RUN}transfer-encoding: chunked\r\n\r\n`,
+      repeated: makeChunks(1_000),
+    },
+    "in tiny chunks": {
+      start: `${NOT_RUN}transfer-encoding: chunked\r\n\r\n`,
+      repeated: makeChunks(1),
+    },
+    "a chunk extension": {
+      start: `${NOT_RUN}transfer-encoding: chunked\r\n\r\n1;x=`,
+      repeated: "x",
+    },
+    "drop by drop": {
+      start: `${NOT_RUN}content-length: 100000\r\n\r\n`,
+      repeated: "x",
+      intervalMs: 20,
+    },
+    "nothing": {
+      start: `${NOT_RUN}content-length: 10\r\n\r\n`,
+      repeated: "",
+      intervalMs: 100,
+    },
+  })
+) {
+  test(`a rejection without an end is complete, and its connection is closed: ${name}`, async () => {
+    const { end, bytes } = await runLimited((socket) =>
+      sendEndless(socket, answer)
+    );
+    assert.equal(end, { type: "complete" });
+    assert.is(bytes, 0);
+  });
+}
+
+test("a rejection is complete before its body has arrived, and its connection is kept", async () => {
+  const connections = new Set<Socket>();
+  let sendBody = () => {};
+  await using server = await startRawServer((socket) => {
+    connections.add(socket);
+    socket.write(`${NOT_RUN}content-length: 10000\r\n\r\n`);
+    sendBody = () => void socket.write("x".repeat(10_000));
+  });
+  await using exchanger = createUpstreamTransport(codec, { limits: LIMITS });
+  for (let at = 0; at < 2; at++) {
+    const { address } = server;
+    assert.equal(await runExchange(exchanger, { address }), {
+      type: "complete",
+    });
+    assert.not(exchanger.hasIdleConnection("e"));
+    sendBody();
+    await until(
+      "the connection is idle",
+      () => exchanger.hasIdleConnection("e"),
+    );
+  }
+  // Beyond the time for which the body may take.
+  await sleep(1_100);
+  assert.ok(exchanger.hasIdleConnection("e"));
+  assert.is(connections.size, 1);
+});
+
+test("the body of a rejection that is needed is part of the answer", async () => {
+  await using server = await startRawServer((socket) =>
+    socket.write(`${NOT_RUN}content-length: 4\r\n\r\nabcd`)
+  );
+  await using exchanger = createUpstreamTransport(codec, { limits: LIMITS });
+  let body = "";
+  const end = await runExchange(exchanger, {
+    address: server.address,
+    needsRejectionBody: true,
+    onData: (chunk) => {
+      body += chunk;
+    },
+  });
+  assert.equal(end, { type: "complete" });
+  assert.is(body, "abcd");
+});
+
+test("a needed body of a rejection is limited as that of other answers", async () => {
+  const { end } = await runLimited(
+    (socket) => sendEndless(socket, { start: `${NOT_RUN}\r\n`, repeated: "x" }),
+    { needsRejectionBody: true },
+  );
+  assert.is(end.type === "broken" && end.limit, "answerBytes");
+});
+
+test("pausing again and again loses, repeats and counts no byte", async () => {
+  const text = Array.from({ length: 4_000 }, (_, index) => `${index},`).join(
+    "",
+  );
+  const pieces = text.match(/.{1,50}/g) ?? [];
+  await using server = await startRawServer((socket) => {
+    const chunks = pieces.map((piece) =>
+      `${piece.length.toString(16)}\r\n${piece}\r\n`
+    );
+    socket.write(`${CHUNKED}${chunks.join("")}0\r\n\r\n`);
+  });
+  // The body and its framing fit the limit of bytes without progress just once.
+  const withoutProgressBytes = Math.ceil(text.length * 1.2);
+  await using exchanger = createUpstreamTransport(codec, {
+    limits: { ...LIMITS, withoutProgressBytes },
+  });
+  let received = "";
+  const end = await new Promise<ExchangeEnd>((resolve) => {
+    const exchange = exchanger.start({
+      ...makeRequest(server.address),
+      isForwarded: () => true,
+      onData(chunk) {
+        received += chunk;
+        exchange.pause();
+        setImmediate(exchange.resume);
+      },
+      onEnd: resolve,
+    });
+  });
+  assert.equal(end, { type: "complete" });
+  assert.is(received, text);
+});
+
+for (const closes of ["end", "resetAndDestroy", "destroy"] as const) {
+  test(`an exchange whose connection is closed while it is paused is settled: ${closes}`, async () => {
+    await using server = await startRawServer((socket) => {
+      socket.write(`${HEAD}content-length: 9000\r\n\r\n${"x".repeat(100)}`);
+      setTimeout(() => socket[closes](), 20);
+    });
+    await using exchanger = createUpstreamTransport(codec, { limits: LIMITS });
+    const end = await new Promise<ExchangeEnd>((resolve) => {
+      const exchange = exchanger.start({
+        ...makeRequest(server.address),
+        onData() {
+          exchange.pause();
+          setTimeout(exchange.resume, 60);
+        },
+        onEnd: resolve,
+      });
+    });
+    assert.is(end.type, "broken");
+  });
+}
+
+test("an exchange that is aborted while it is paused closes its connection", async () => {
+  let closed: Promise<unknown> | undefined;
+  await using server = await startRawServer((socket) => {
+    closed = new Promise((resolve) => socket.on("close", resolve));
+    socket.write(`${HEAD}\r\n${"x".repeat(90_000)}`);
+  });
+  await using exchanger = createUpstreamTransport(codec, { limits: LIMITS });
+  const end = await new Promise<ExchangeEnd>((resolve) => {
+    const exchange = exchanger.start({
+      ...makeRequest(server.address),
+      onData() {
+        exchange.pause();
+        setTimeout(() => {
+          exchange.abort("left");
+          exchange.resume();
+        }, 20);
+      },
+      onEnd: resolve,
+    });
+  });
+  assert.equal(end, { type: "broken", reason: "left" });
+  await closed;
+});
+
+test("the limits start anew for each answer of a connection", async () => {
+  const connections = new Set<Socket>();
+  await using server = await startRawServer((socket) => {
+    connections.add(socket);
+    // Its framing is just within the limit.
+    socket.write(`${CHUNKED}1;x=${"x".repeat(40_000)}\r\nx\r\n0\r\n\r\n`);
+  });
+  await using exchanger = createUpstreamTransport(codec, { limits: LIMITS });
+  for (let at = 0; at < 3; at++) {
+    const end = await runExchange(exchanger, { address: server.address });
+    assert.equal(end, { type: "complete" });
+    await sleep(20);
+  }
+  assert.is(connections.size, 1);
+});
+
+// The process was ended by an assertion of the HTTP library.
+for (
+  const [name, head, tail] of [
+    ["without a length", `${HEAD}\r\n`, ""],
+    [
+      "with a length",
+      `${HEAD}connection: close\r\ncontent-length: 8\r\n\r\n`,
+      "",
+    ],
+    [
+      "in chunks",
+      `${HEAD}connection: close\r\ntransfer-encoding: chunked\r\n\r\n8\r\n`,
+      "\r\n0\r\n\r\n",
+    ],
+  ]
+) {
+  test(`an answer ${name} whose upstream closes while it is paused ends its exchange only`, async () => {
+    await using server = await startRawServer((socket) => {
+      socket.write(`${head}abcd`);
+      setTimeout(() => socket.end(`efgh${tail}`), 20);
+    });
+    await using exchanger = createUpstreamTransport(codec);
+    const chunks: Buffer[] = [];
+    const end = await new Promise<ExchangeEnd>((resolve) => {
+      const exchange = exchanger.start({
+        ...makeRequest(server.address),
+        onData(chunk) {
+          chunks.push(chunk);
+          exchange.pause();
+          setTimeout(exchange.resume, 60);
+        },
+        onEnd: resolve,
+      });
+    });
+    assert.is(end.type, "complete");
+    assert.is(Buffer.concat(chunks).toString(), "abcdefgh");
+  });
+}
+
 test.run();
--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -20,12 +20,20 @@
 import type { Metrics } from "../metrics/index.ts";
 import { chooseListedGateways } from "../reachability/index.ts";
 import type { RetryLimits } from "../retry/index.ts";
+import {
+  DEFAULT_REQUEST_LIMITS,
+  DEFAULT_UPSTREAM_LIMITS,
+  type RequestLimitsSettings,
+  type UpstreamLimitsSettings,
+} from "../settings/index.ts";
 import {
   createCallerServer,
   type EarlyListener,
   listenForCallers,
 } from "./create_caller_server.ts";
+import { closeCallerServer } from "./close_caller_server.ts";
 import { createConfigLease } from "./create_config_lease.ts";
+import { createHeldBytes } from "./create_held_bytes.ts";
 import { createLeftOutChecks } from "./create_left_out_checks.ts";
 import {
   createLivenessCheck,
@@ -71,6 +79,7 @@
 import { getDrainAdmissionMs } from "./get_drain_admission_ms.ts";
 import { startGauges } from "./start_gauges.ts";
 import type { ServingContext } from "./types.ts";
+import { watchHeads } from "./watch_heads.ts";
 
 /** Settings of a gateway. */
 export interface GatewaySettings {
@@ -89,6 +98,10 @@
    * default, if unknown.
    */
   readonly upstreamDrainMs?: number;
+  /** What upstreams and peers may send; the defaults of the schema by default. */
+  readonly upstreamLimits?: UpstreamLimitsSettings;
+  /** What is held of requests; the defaults of the schema by default. */
+  readonly requestLimits?: RequestLimitsSettings;
 }
 
 /** Options of {@link startGateway}. */
@@ -120,6 +133,9 @@
 /** Ms by which idle connections outlive the configured timeout. */
 const IDLE_MARGIN_MS = 1_000;
 
+/** Time for the head of a request before there is a configuration. */
+const DEFAULT_HEADER_TIMEOUT_MS = 3_000;
+
 /** Time within which callers and other gateways learn that this one is leaving. */
 const LEAVE_PROPAGATION_MS = 2_500;
 
@@ -182,7 +198,10 @@
     log,
     metrics,
   });
+  const { upstreamLimits: limits = DEFAULT_UPSTREAM_LIMITS } = settings;
+  const { requestLimits = DEFAULT_REQUEST_LIMITS } = settings;
   const upstreamTransport = createUpstreamTransport(codec, {
+    limits,
     onNotice: handleNotice,
     onConnected(engineId) {
       const service = engines.get(engineId)?.record.service;
@@ -209,6 +228,9 @@
     decodeConfig: options.decodeConfig,
     onChange({ limits }) {
       server.server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS;
+      // A rested connection without a request counts as a head to the HTTP library.
+      server.server.headersTimeout = limits.headerTimeoutMs +
+        limits.idleTimeoutMs + IDLE_MARGIN_MS;
     },
     // The hello of the next session reports no version, so the leader sends the whole
     // configuration.
@@ -238,7 +260,7 @@
     now,
     random: Math.random,
   });
-  const peerTransport = createUpstreamTransport(codec);
+  const peerTransport = createUpstreamTransport(codec, { limits });
   const reachability = createReachability({
     listUpstreams: listProbedUpstreams,
     listRegistered: (service) => engines.list(service).map(getAddress),
@@ -259,6 +281,7 @@
     place,
     peers,
     peerTransport,
+    heldBytes: createHeldBytes({ maxBytes: limits.heldBytes }),
     reachability,
     codec,
     engineControl: options.engineControl,
@@ -498,6 +521,7 @@
   const requestHandler = createRequestHandler({
     context,
     lease,
+    maxBodyMemoryBytes: requestLimits.bodyMemoryBytes,
     knowsEngines: () => knowsEngines,
     isDraining: () => isDraining,
   });
@@ -505,6 +529,11 @@
     void requestHandler.handle(received)
   );
 
+  watchHeads(server.server, {
+    getTimeoutMs: () =>
+      config.getTable()?.limits.headerTimeoutMs ?? DEFAULT_HEADER_TIMEOUT_MS,
+  });
+
   const { earlyListener } = options;
   await listenForCallers(server, { ...listen, earlyListener });
   log("started", { vm, address });
@@ -541,8 +570,12 @@
     const inFlight = requestHandler.getInFlight();
     if (inFlight > 0) log("drainTimedOut", { inFlight });
     await link[Symbol.asyncDispose]();
-    server.server.closeAllConnections();
-    await server.close();
+    const { getInFlight } = requestHandler;
+    await closeCallerServer(server, {
+      earlyListener,
+      getInFlight,
+      getLeftMs: leftMs,
+    });
     reachability[Symbol.dispose]();
     await upstreamTransport[Symbol.asyncDispose]();
     await peerTransport[Symbol.asyncDispose]();
--- a/src/metrics/metric_catalogue.ts
+++ b/src/metrics/metric_catalogue.ts
@@ -10,6 +10,8 @@
   unknown_service: "No such service is declared",
   bad_request: "The request can't be understood",
   body_too_large: "The body is larger than allowed",
+  body_memory: "The bodies of other requests use the memory for it",
+  body_timeout: "The body did not arrive in time",
   rate_limited: "The client account's rate is used up",
   too_many_in_flight: "The client account has too many requests in flight",
   queue_full: "The service's queue is full",
@@ -41,6 +43,7 @@
   limited: "All upstreams that could take the request are at their rate limits",
   outcome_unknown: "The request was sent, and whether it ran is not known",
   answer_broken: "The upstream's answer broke off",
+  internal_error: "An unexpected error; whether the request ran is not known",
 } as const;
 
 /** Why a request was rejected. */
@@ -88,6 +91,8 @@
     "Runs that had just begun when their upstream refused connections",
   "upstream.ended_under_request":
     "Runs that had just begun when their upstream crashed",
+  "upstream.limits_exceeded":
+    "Answers of which an upstream sent more than a limit allows",
   "process.loop_delay_ms":
     "Time for which the event loop was blocked, in ms; only long ones",
   "config.revision": "Configuration revision applied by this process",
