--- a/platform/create_engine_client.ts
+++ b/src/gateway/create_engine_client.ts
@@ -8,12 +8,9 @@
 import { Buffer } from "node:buffer";
 import { TextDecoder } from "node:util";
 import { Agent, buildConnector, type Dispatcher } from "undici";
-import {
-  createReadLimiter,
-  type ReadMeter,
-  UpstreamLimitError,
-} from "../src/gateway/index.ts";
-import { withTimeout } from "../src/http/index.ts";
+import { withTimeout } from "../http/index.ts";
+import { createReadLimiter, type ReadMeter } from "./create_read_limiter.ts";
+import { UpstreamLimitError } from "./gateway_error.ts";
 
 /** A request to an engine. */
 export interface EngineRequest {
