--- a/src/gateway/create_held_bytes.ts
+++ b/src/gateway/create_held_bytes.ts
@@ -29,11 +29,8 @@
 /** Answers up to this size are never paused. */
 const EXEMPT_BYTES = 65_536;
 
-/**
- * Multiple of the limit beyond which the oldest answer pauses, too: complete answers
- * whose callers don't read them have used it up, until these are closed.
- */
-const OLDEST_FACTOR = 2;
+/** Multiple of the limit that complete answers may take until nothing more is read. */
+const COMPLETE_FACTOR = 2;
 
 /** Share of the limit that the answers of one upstream may take. */
 const UPSTREAM_SHARE = 0.25;
@@ -41,8 +38,9 @@
 /**
  * Creates the account, empty at first. Beyond the limit, only the oldest answer is read
  * on, so that one after the other can be completed; beyond the share of an upstream, only
- * its oldest one. The total stays below twice the limit, but for the answers that are
- * never paused.
+ * its oldest one. Answers that are complete and unread pause it, too, once they
+ * reach twice the limit. The total stays below three times the limit and two answers,
+ * but for those that are never paused.
  *
  * @param options - Bytes above which reading pauses.
  * @returns The account.
@@ -61,6 +59,7 @@
   const receiving = new Set<Entry>();
   const bytesByUpstream = new Map<string, number>();
   let totalBytes = 0;
+  let completeBytes = 0;
 
   function change(entry: Entry, bytes: number): void {
     const { upstreamId } = entry.source;
@@ -73,7 +72,10 @@
 
   function mayRead(entry: Entry): boolean {
     if (entry.bytes <= EXEMPT_BYTES) return true;
-    if (entry === findOldest()) return totalBytes < OLDEST_FACTOR * maxBytes;
+    // Complete answers are released by their callers, not by reading on.
+    if (entry === findOldest()) {
+      return completeBytes < COMPLETE_FACTOR * maxBytes;
+    }
     if (totalBytes >= maxBytes) return false;
     const { upstreamId } = entry.source;
     const ofUpstream = bytesByUpstream.get(upstreamId) ?? 0;
@@ -109,7 +111,9 @@
       receiving.add(entry);
 
       function end(): void {
-        if (receiving.delete(entry)) resumePaused();
+        if (!receiving.delete(entry)) return;
+        completeBytes += entry.bytes;
+        resumePaused();
       }
 
       return {
@@ -124,8 +128,8 @@
         [Symbol.dispose]() {
           if (isReleased) return;
           isReleased = true;
+          if (!receiving.delete(entry)) completeBytes -= entry.bytes;
           change(entry, -entry.bytes);
-          receiving.delete(entry);
           resumePaused();
         },
       };
