Log how many further losses the quorum tolerates

A quorum that could not bear the next loss looked sound until that loss came: configurations were acknowledged, all processes answered, and no log line or metric told that a voter was gone for good and still counted.

--- a/src/fleet/create_membership_manager.ts
+++ b/src/fleet/create_membership_manager.ts
@@ -6,7 +6,12 @@
 
 import type { Replica } from "../control/index.ts";
 import type { Logger } from "../logs/index.ts";
-import { planVoterChange } from "../quorum/index.ts";
+import type { Metrics } from "../metrics/index.ts";
+import {
+  countToleratedLosses,
+  planVoterChange,
+  type QuorumState,
+} from "../quorum/index.ts";
 
 /** Dependencies of {@link createMembershipManager}. */
 export interface CreateMembershipManagerOptions {
@@ -18,6 +23,7 @@
   /** Ms for which this leader was able to receive responses of the members. */
   readonly now: () => number;
   readonly log: Logger;
+  readonly metrics: Pick<Metrics, "gauge">;
 }
 
 /** Keeps enough voters in the quorum. */
@@ -51,6 +57,7 @@
   const { replica, voters, responseTimeoutMs, now, log } = options;
   const responses = new Map<string, MemberResponse>();
   let isChanging = false;
+  let toleratedLosses: number | undefined;
 
   // A member that has never responded counts as unresponsive at once.
   function isUnresponsive(id: string): boolean {
@@ -58,16 +65,35 @@
       responseTimeoutMs;
   }
 
+  function reportToleratedLosses(state: QuorumState): void {
+    const losses = countToleratedLosses(state, { isUnresponsive });
+    options.metrics.gauge("quorum.tolerated_losses", losses);
+    if (losses === toleratedLosses) return;
+    toleratedLosses = losses;
+    const voters = state.members.filter(({ role }) => role === "voter");
+    log("toleratedLossesChanged", {
+      losses,
+      voters: voters.map(({ id }) => id),
+      unresponsive: voters.map(({ id }) => id)
+        .filter((id) => id !== state.selfId && isUnresponsive(id)),
+    });
+  }
+
   return {
     observe() {
-      const { members, peers } = replica.getState();
+      const state = replica.getState();
+      const { members, peers } = state;
       for (const { id } of members) {
         const ackedSentMs = peers[id]?.ackedSentMs ?? -1;
         if (responses.get(id)?.ackedSentMs === ackedSentMs) continue;
         responses.set(id, { ackedSentMs, receivedMs: now() });
       }
+      reportToleratedLosses(state);
+    },
+    reset() {
+      responses.clear();
+      toleratedLosses = undefined;
     },
-    reset: () => responses.clear(),
     async run() {
       if (isChanging) return;
       const state = replica.getState();
--- a/src/fleet/create_membership_manager_test.ts
+++ b/src/fleet/create_membership_manager_test.ts
@@ -55,6 +55,7 @@
     responseTimeoutMs: RESPONSE_TIMEOUT_MS,
     now: () => listenedMs,
     log: () => {},
+    metrics: { gauge: () => {} },
   });
   return {
     manager,
--- a/src/fleet/start_fleet_control.ts
+++ b/src/fleet/start_fleet_control.ts
@@ -320,6 +320,7 @@
     responseTimeoutMs: VOTER_TIMEOUT_MS,
     now: listening.now,
     log,
+    metrics,
   });
   const countVoters = () =>
     replica.getState().members.filter(({ role }) => role === "voter").length;
--- a/src/logs/events.ts
+++ b/src/logs/events.ts
@@ -68,6 +68,11 @@
     "Dropped a message that belongs to another cluster or replica",
   ),
   invariantBroken: event("CL1208", "error", "Invariant violated"),
+  toleratedLossesChanged: event(
+    "CL1209",
+    "info",
+    "Number of further losses that the quorum tolerates has changed",
+  ),
   changeAccepted: event("CL1301", "info", "Change accepted"),
   changeConflict: event(
     "CL1302",
--- a/src/metrics/metric_catalogue.ts
+++ b/src/metrics/metric_catalogue.ts
@@ -154,6 +154,8 @@
   "quorum.commit_ms": "Time from a proposal to its commit, in ms",
   "quorum.sync_ms": "Time to append to the log and sync it to disk, in ms",
   "quorum.log_entries": "Log entries applied since the process started",
+  "quorum.tolerated_losses":
+    "Further losses of responsive voters that leave a majority; reported by the leader",
 } as const;
 
 /** The name of a metric. */
--- a/src/quorum/index.ts
+++ b/src/quorum/index.ts
@@ -5,6 +5,7 @@
  */
 
 export * from "./constants.ts";
+export * from "./count_tolerated_losses.ts";
 export * from "./create_quorum_state.ts";
 export * from "./plan_members_change.ts";
 export * from "./plan_voter_change.ts";
