Replace a lost disk's vote as soon as its machine has joined anew

All three processes ran on and answered each read of the configuration with 503, and entries refused every request once their leases had run out.

Cause: two waits that have nothing to do with the loss. The leader's loop ran the membership manager only behind registry.knowsAll(), so the quorum waited until heartbeats of engines had arrived for 2.6 intervals (3.1 s; up to 12.5 s without engines). And the old id kept its vote until it had been silent for 2.5 s in the new leader's term, although the machine had joined under a new id, which proves that the old one's data folder is gone. The two changes took a round of 250 ms each on top.

Fix: the manager has a timer of its own and starts counting silence with its leadership; planVoterChange takes a voter as lost once a replica that joined later from the same VM has answered this leader, whatever its silence; changes that are due follow each other without a pause. A lost voter is removed before its replacement is promoted: in between, the loss of the replacement, on the same machine, had left two of four voters. planMembersChange of the other control program had the same order and shares the check.

--- a/src/fleet/create_leader_loop.ts
+++ b/src/fleet/create_leader_loop.ts
@@ -1,5 +1,5 @@
 /**
- * The leader's periodic work: sessions, engines, layer placement and quorum members.
+ * The leader's periodic work: sessions, engines and layer placement.
  *
  * @module
  */
@@ -9,7 +9,6 @@
 import type { EngineRegistry } from "./create_engine_registry.ts";
 import type { GatewaySessions } from "./create_gateway_sessions.ts";
 import type { LayerController } from "./create_layer_controller.ts";
-import type { MembershipManager } from "./create_membership_manager.ts";
 import type { PaceMonitor } from "./create_pace_monitor.ts";
 import type { QuarantineCoordinator } from "./create_quarantine_coordinator.ts";
 import type { Recorder } from "./create_recorder.ts";
@@ -21,8 +20,6 @@
   readonly isLeading: () => boolean;
   /** Counts the time for which this leader accepts messages. */
   readonly listening: Pick<ListeningClock, "tick">;
-  /** Whether it has accepted messages for this many ms since it was elected. */
-  readonly hasListenedFor: (spanMs: number) => boolean;
   /** Whether the fleet is being formed, so that no engine can hold layers yet. */
   readonly isFirstStart: boolean;
   readonly sessions: Pick<
@@ -34,7 +31,6 @@
   readonly quarantine: Pick<QuarantineCoordinator, "tick">;
   readonly retryLender: Pick<RetryLender, "tick">;
   readonly recorders: readonly Recorder[];
-  readonly members: Pick<MembershipManager, "observe" | "run">;
   readonly layerManager: Pick<LayerController, "run">;
   readonly log: Logger;
 }
@@ -50,9 +46,6 @@
 /** Rounds between two publications of the load that gateways have in flight. */
 const LOADS_INTERVAL_ROUNDS = 2;
 
-/** Ms without a response after which a voter may be replaced. */
-export const VOTER_TIMEOUT_MS = 2_500;
-
 /**
  * Creates the loop; the caller runs it on a timer.
  *
@@ -65,7 +58,7 @@
 export function createLeaderLoop(
   options: CreateLeaderLoopOptions,
 ): LeaderLoop {
-  const { hasListenedFor, sessions, registry, layerManager, log } = options;
+  const { sessions, registry, layerManager, log } = options;
   let rounds = 0;
   let hasPublishedAllEngines = false;
   let isPlacingLayers = false;
@@ -95,7 +88,6 @@
       const isLeading = options.isLeading();
       options.listening.tick({ isListening: isLeading });
       if (!isLeading) return;
-      options.members.observe();
       sessions.tick();
       rounds += 1;
       if (rounds % LOADS_INTERVAL_ROUNDS === 0) sessions.publishLoads();
@@ -112,7 +104,6 @@
         hasPublishedAllEngines = true;
         sessions.publishAllEngines();
       }
-      if (hasListenedFor(VOTER_TIMEOUT_MS)) void options.members.run();
       void placeLayers();
     },
     reset() {
--- a/src/fleet/create_leader_loop_test.ts
+++ b/src/fleet/create_leader_loop_test.ts
@@ -25,7 +25,6 @@
   const loop = createLeaderLoop({
     isLeading: () => state.isLeading,
     listening: options.listening ?? { tick: () => {} },
-    hasListenedFor: (spanMs) => state.ledMs >= spanMs,
     isFirstStart: options.isFirstStart,
     sessions: {
       tick: addCall("sessions"),
@@ -41,7 +40,6 @@
     quarantine: { tick: () => {} },
     retryLender: { tick: () => {} },
     recorders: [{ run: addAsyncCall("recorder") }],
-    members: { observe: () => {}, run: addAsyncCall("members") },
     layerManager: { run: addAsyncCall("layers") },
     log: () => {},
   });
--- a/src/fleet/create_membership_manager.ts
+++ b/src/fleet/create_membership_manager.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { createListeningClock } from "../clocks/index.ts";
 import type { Replica } from "../control/index.ts";
 import type { Logger } from "../logs/index.ts";
 import type { Metrics } from "../metrics/index.ts";
@@ -15,12 +16,14 @@
 
 /** Dependencies of {@link createMembershipManager}. */
 export interface CreateMembershipManagerOptions {
-  readonly replica: Replica;
+  readonly replica: Pick<Replica, "getState" | "hasLease" | "changeMembers">;
   /** Number of voters that tolerates the expected failures. */
   readonly voters: number;
   /** Ms without a response after which a voter may be replaced. */
   readonly responseTimeoutMs: number;
-  /** Ms for which this leader was able to receive responses of the members. */
+  /** Ms between two rounds. */
+  readonly tickIntervalMs: number;
+  /** Monotonic time, in ms. */
   readonly now: () => number;
   readonly log: Logger;
   readonly metrics: Pick<Metrics, "gauge">;
@@ -28,10 +31,11 @@
 
 /** Keeps enough voters in the quorum. */
 export interface MembershipManager {
-  /** Records which members have responded since the last call; for the leader only. */
-  observe(): void;
-  /** Makes the next membership change, if one is due; for the leader only. */
-  run(): Promise<void>;
+  /**
+   * Runs one round: records which members have responded and, on the leader, makes
+   * the membership changes that are due.
+   */
+  tick(): Promise<void>;
   /** Clears the recorded responses when this process becomes leader. */
   reset(): void;
 }
@@ -49,20 +53,31 @@
  * @returns The manager.
  * @throws Nothing.
  * @example
- * await createMembershipManager(options).run();
+ * await createMembershipManager(options).tick();
  */
 export function createMembershipManager(
   options: CreateMembershipManagerOptions,
 ): MembershipManager {
-  const { replica, voters, responseTimeoutMs, now, log } = options;
+  const { replica, voters, responseTimeoutMs, log } = options;
+  // Messages wait unread while this process is suspended, so that time does not count
+  // as silence of the members.
+  const listening = createListeningClock(options);
   const responses = new Map<string, MemberResponse>();
+  let leadingSinceMs = 0;
   let isChanging = false;
   let toleratedLosses: number | undefined;
 
-  // A member that has never responded counts as unresponsive at once.
   function isUnresponsive(id: string): boolean {
-    return now() - (responses.get(id)?.receivedMs ?? -Infinity) >
-      responseTimeoutMs;
+    const heardMs = responses.get(id)?.receivedMs ?? leadingSinceMs;
+    return listening.now() - heardMs > responseTimeoutMs;
+  }
+
+  function recordResponses({ members, peers }: QuorumState): void {
+    for (const { id } of members) {
+      const ackedSentMs = peers[id]?.ackedSentMs ?? -1;
+      if (ackedSentMs === (responses.get(id)?.ackedSentMs ?? -1)) continue;
+      responses.set(id, { ackedSentMs, receivedMs: listening.now() });
+    }
   }
 
   function reportToleratedLosses(state: QuorumState): void {
@@ -70,45 +85,54 @@
     options.metrics.gauge("quorum.tolerated_losses", losses);
     if (losses === toleratedLosses) return;
     toleratedLosses = losses;
-    const voters = state.members.filter(({ role }) => role === "voter");
+    const ids = state.members.filter(({ role }) => role === "voter")
+      .map(({ id }) => id);
     log("toleratedLossesChanged", {
       losses,
-      voters: voters.map(({ id }) => id),
-      unresponsive: voters.map(({ id }) => id)
-        .filter((id) => id !== state.selfId && isUnresponsive(id)),
+      voters: ids,
+      unresponsive: ids.filter((id) =>
+        id !== state.selfId && isUnresponsive(id)
+      ),
     });
   }
 
+  // Without a pause between two changes: each loss that comes before the last one is
+  // made may be one too many.
+  async function makeDueChanges(): Promise<void> {
+    if (isChanging) return;
+    isChanging = true;
+    try {
+      for (;;) {
+        const members = planVoterChange(replica.getState(), {
+          voters,
+          isUnresponsive,
+        });
+        if (!members) return;
+        log("membersChanged", {
+          members: members.map(({ id, role }) => `${id}:${role}`),
+        });
+        await replica.changeMembers(members);
+      }
+    } catch (error) {
+      log("membersNotChanged", { error });
+    } finally {
+      isChanging = false;
+    }
+  }
+
   return {
-    observe() {
+    async tick() {
+      listening.tick();
       const state = replica.getState();
-      const { members, peers } = state;
-      for (const { id } of members) {
-        const ackedSentMs = peers[id]?.ackedSentMs ?? -1;
-        if (responses.get(id)?.ackedSentMs === ackedSentMs) continue;
-        responses.set(id, { ackedSentMs, receivedMs: now() });
-      }
+      if (state.role !== "leader" || !replica.hasLease()) return;
+      recordResponses(state);
       reportToleratedLosses(state);
+      await makeDueChanges();
     },
     reset() {
+      leadingSinceMs = listening.now();
       responses.clear();
       toleratedLosses = undefined;
     },
-    async run() {
-      if (isChanging) return;
-      const state = replica.getState();
-      const members = planVoterChange(state, {
-        voters,
-        isUnresponsive,
-      });
-      if (!members) return;
-      isChanging = true;
-      log("membersChanged", {
-        members: members.map(({ id, role }) => `${id}:${role}`),
-      });
-      await replica.changeMembers(members)
-        .catch((error) => log("membersNotChanged", { error }));
-      isChanging = false;
-    },
   };
 }
--- a/src/fleet/create_membership_manager_test.ts
+++ b/src/fleet/create_membership_manager_test.ts
@@ -10,6 +10,8 @@
 
 const RESPONSE_TIMEOUT_MS = 2_500;
 
+const TICK_INTERVAL_MS = 100;
+
 const MEMBERS: readonly Member[] = ["a", "b", "c", "d"].map((id) => ({
   id,
   vm: id,
@@ -17,85 +19,85 @@
   role: id === "d" ? "learner" : "voter",
 }));
 
+/** Starts the manager of the leader "a" of three voters and a learner. */
 function startManager() {
-  let listenedMs = 0;
-  let ackedSentMs = 1_000;
-  const changes: (readonly Member[])[] = [];
+  let nowMs = 1_000;
+  let members = MEMBERS;
+  const changes: string[] = [];
+  const logged: Record<string, unknown>[] = [];
   const responding = new Set(MEMBERS.map(({ id }) => id));
   const peers: Record<string, QuorumState["peers"][string]> = {};
-  const timing = {
-    electionTimeoutMs: 500,
-    electionJitterMs: 250,
-    heartbeatIntervalMs: 120,
-    leaseMs: 400,
-  };
-  const initial = createQuorumState("a", {
-    hard: { term: 1, votedFor: "a" },
-    log: [],
-    timing,
-    nowMs: 0,
-    random: 0,
-  });
-  const replica: Pick<Replica, "getState" | "changeMembers"> = {
-    getState: () => ({
-      ...initial,
-      role: "leader",
-      members: MEMBERS,
-      membersIndex: 0,
-      peers,
-    }),
-    changeMembers: (members) => {
-      changes.push(members);
+  const initial = createQuorumState("a", { hard: { term: 1, votedFor: "a" } });
+  const replica: Pick<Replica, "getState" | "hasLease" | "changeMembers"> = {
+    getState: () => ({ ...initial, role: "leader", members, peers }),
+    hasLease: () => true,
+    changeMembers(next) {
+      members = next;
+      const voters = next.filter(({ role }) => role === "voter");
+      changes.push(voters.map(({ id }) => id).join(""));
       return Promise.resolve();
     },
   };
   const manager = createMembershipManager({
-    replica: replica as Replica,
+    replica,
     voters: 3,
     responseTimeoutMs: RESPONSE_TIMEOUT_MS,
-    now: () => listenedMs,
-    log: () => {},
+    tickIntervalMs: TICK_INTERVAL_MS,
+    now: () => nowMs,
+    log: (name, fields = {}) => void logged.push({ name, ...fields }),
     metrics: { gauge: () => {} },
   });
   return {
-    manager,
     responding,
     changes,
-    /** Advances time; the leader was able to receive responses for a part of it. */
-    async advance(ms: number, listeningMs = ms) {
-      ackedSentMs += ms;
-      listenedMs += listeningMs;
-      for (const id of responding) {
-        peers[id] = {
-          nextIndex: 2,
-          matchIndex: 1,
-          ackedSentMs,
-          snapshotSentMs: 0,
-        };
+    logged,
+    /** Advances time in rounds; a single round if the process is suspended. */
+    async advance(ms: number, { isSuspended = false } = {}) {
+      const roundMs = isSuspended ? ms : TICK_INTERVAL_MS;
+      for (let passedMs = 0; passedMs < ms; passedMs += roundMs) {
+        nowMs += roundMs;
+        for (const id of responding) {
+          peers[id] = {
+            nextIndex: 2,
+            matchIndex: 1,
+            ackedSentMs: nowMs,
+            snapshotSentMs: 0,
+          };
+        }
+        await manager.tick();
       }
-      manager.observe();
-      await manager.run();
     },
   };
 }
 
-test("a voter that stays unresponsive is replaced", async () => {
+test("a voter that stays unresponsive is replaced without a pause between the changes", async () => {
   const { responding, changes, advance } = startManager();
-  await advance(0);
+  await advance(TICK_INTERVAL_MS);
   responding.delete("b");
   await advance(RESPONSE_TIMEOUT_MS);
   assert.equal(changes, []);
-  await advance(100);
-  assert.equal(changes.map((members) => members[3].role), ["voter"]);
+  await advance(TICK_INTERVAL_MS);
+  assert.equal(changes, ["abcd", "acd"]);
 });
 
 // A leader that had been suspended replaced voters whose responses it had not read yet.
 test("a voter whose responses this leader could not receive is kept", async () => {
   const { responding, changes, advance } = startManager();
-  await advance(0);
+  await advance(TICK_INTERVAL_MS);
   responding.delete("b");
-  await advance(60_000, 100);
+  await advance(60_000, { isSuspended: true });
   assert.equal(changes, []);
 });
 
+test("the number of tolerated losses is logged when it changes", async () => {
+  const { responding, logged, advance } = startManager();
+  await advance(TICK_INTERVAL_MS);
+  responding.delete("b");
+  responding.delete("d");
+  await advance(RESPONSE_TIMEOUT_MS + TICK_INTERVAL_MS);
+  const losses = logged.filter(({ name }) => name === "toleratedLossesChanged");
+  assert.equal(losses.map((line) => line.losses), [1, 0]);
+  assert.equal(losses.map((line) => line.unresponsive), [[], ["b"]]);
+});
+
 test.run();
--- a/src/fleet/start_fleet_control.ts
+++ b/src/fleet/start_fleet_control.ts
@@ -32,7 +32,7 @@
 } from "./create_layer_controller.ts";
 import { createLeaderClient } from "./create_leader_client.ts";
 import { createLeaderCallHandler } from "./create_leader_call_handler.ts";
-import { createLeaderLoop, VOTER_TIMEOUT_MS } from "./create_leader_loop.ts";
+import { createLeaderLoop } from "./create_leader_loop.ts";
 import { createLimitCoordinator } from "./create_limit_coordinator.ts";
 import { createMembershipManager } from "./create_membership_manager.ts";
 import { createPaceMonitor, type ReadPace } from "./create_pace_monitor.ts";
@@ -117,6 +117,12 @@
  */
 const MAX_VOTERS_WAIT_MS = 10_000;
 
+/** Ms between two checks of the quorum's members. */
+const MEMBERS_INTERVAL_MS = 100;
+
+/** Ms without a response after which a voter may be replaced. */
+const VOTER_TIMEOUT_MS = 2_500;
+
 /** Heartbeat timeout of an upstream, in heartbeat intervals. */
 const HEARTBEAT_TIMEOUT_INTERVALS = 2.6;
 
@@ -170,9 +176,6 @@
     tickIntervalMs: TICK_INTERVAL_MS,
     isListening: false,
   });
-  let listeningSinceMs = 0;
-  const hasListenedFor = (spanMs: number) =>
-    listening.now() - listeningSinceMs >= spanMs;
   const heartbeatTimeoutMs = settings.upstreamHeartbeatIntervalMs *
     HEARTBEAT_TIMEOUT_INTERVALS;
 
@@ -318,7 +321,8 @@
     replica,
     voters: settings.voters,
     responseTimeoutMs: VOTER_TIMEOUT_MS,
-    now: listening.now,
+    tickIntervalMs: MEMBERS_INTERVAL_MS,
+    now,
     log,
     metrics,
   });
@@ -342,7 +346,6 @@
     isLeading: () =>
       isLeader() && replica.hasLease() && isRecordedStateLoaded(),
     listening,
-    hasListenedFor,
     isFirstStart: settings.isFirstStart,
     sessions,
     registry,
@@ -350,7 +353,6 @@
     quarantine,
     retryLender,
     recorders: [engineRecorder, gatewayRecorder],
-    members,
     layerManager,
     log,
   });
@@ -380,7 +382,6 @@
   function onLeadershipGained(): void {
     leadershipCount += 1;
     leadingSinceMs = now();
-    listeningSinceMs = listening.now();
     members.reset();
     leaderLoop.reset();
     registry.reset();
@@ -480,14 +481,18 @@
     });
   }
 
-  const timer = setInterval(leaderLoop.tick, TICK_INTERVAL_MS);
+  const timers = [
+    setInterval(leaderLoop.tick, TICK_INTERVAL_MS),
+    // Apart from the leader's loop, which waits for the heartbeats of upstreams.
+    setInterval(() => void members.tick(), MEMBERS_INTERVAL_MS),
+  ];
   log("started", { vm: settings.callerAddress, replicaId });
 
   async function stop(): Promise<void> {
     log("stopping", { vm: settings.callerAddress });
     joining.abort();
     await handOverLeadership(replica);
-    clearInterval(timer);
+    timers.forEach(clearInterval);
     sessions.closeAll();
     await leaderClient[Symbol.asyncDispose]();
     await transport[Symbol.asyncDispose]();
--- a/src/quorum/index.ts
+++ b/src/quorum/index.ts
@@ -7,6 +7,7 @@
 export * from "./constants.ts";
 export * from "./count_tolerated_losses.ts";
 export * from "./create_quorum_state.ts";
+export * from "./find_lost_voter.ts";
 export * from "./plan_members_change.ts";
 export * from "./plan_voter_change.ts";
 export * from "./quorum_error.ts";
--- a/src/quorum/plan_members_change.ts
+++ b/src/quorum/plan_members_change.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { findLostVoter } from "./find_lost_voter.ts";
 import { isCaughtUp } from "./plan_voter_change.ts";
 import type { Member, QuorumState } from "./types.ts";
 
@@ -18,9 +19,10 @@
 /**
  * Plans the next membership change; each change affects one member.
  *
- * A learner that has caught up is promoted to voter. An older replica of the
- * same VM, whose data folder was lost, is only removed after that. Only replicas
- * on the configured control VMs are promoted.
+ * A learner that has caught up is promoted to voter. A voter whose data folder was
+ * lost is removed before its replacement is promoted: the replacement may be lost too,
+ * and then two of four voters would be. Only replicas on the configured control VMs
+ * are promoted.
  *
  * @param state - The leader's state.
  * @param options - The control VMs and the permitted lag.
@@ -41,6 +43,8 @@
     member.role === "learner" && controlVms.includes(member.vm) &&
     isCaughtUp(state, { id: member.id, maxLagEntries })
   );
+  const lost = promotable && findLostVoter(state);
+  if (lost) return members.filter((member) => member.id !== lost.id);
   if (promotable) {
     return members.map((m) =>
       m.id === promotable.id ? { ...m, role: "voter" } : m
--- a/src/quorum/plan_voter_change.ts
+++ b/src/quorum/plan_voter_change.ts
@@ -5,6 +5,7 @@
  * @module
  */
 
+import { findLostVoter } from "./find_lost_voter.ts";
 import type { Member, QuorumState } from "./types.ts";
 
 /** The target number of voters, and which members are unresponsive. */
@@ -19,8 +20,11 @@
 
 /**
  * Plans the next membership change; each change affects one member. A learner
- * that has caught up is promoted if a voter is missing or unresponsive. An
- * unresponsive voter is removed only while there are more voters than required.
+ * that has caught up is promoted if a voter is missing, unresponsive or lost.
+ *
+ * An unresponsive voter is removed only while there are more voters than required.
+ * One whose disk is proven to be lost is removed before its replacement is promoted:
+ * the replacement may be lost too, and then two of four voters would be.
  *
  * @param state - The leader's state.
  * @param options - The target number of voters and the unresponsive members.
@@ -38,23 +42,25 @@
   if (state.membersIndex > state.commitIndex) return undefined;
   const { members, selfId } = state;
   const currentVoters = members.filter((member) => member.role === "voter");
-  const unresponsive = currentVoters.filter(({ id }) =>
-    id !== selfId && isUnresponsive(id)
-  );
   const promotable = members.find(({ id, role }) =>
     role === "learner" && !isUnresponsive(id) &&
     isCaughtUp(state, { id, maxLagEntries })
   );
-  const isVoterNeeded = currentVoters.length < voters ||
-    (unresponsive.length > 0 && currentVoters.length <= voters);
-  if (promotable && isVoterNeeded) {
-    return members.map((m) =>
-      m.id === promotable.id ? { ...m, role: "voter" } : m
-    );
-  }
-  const excess = currentVoters.length > voters ? unresponsive[0] : undefined;
-  if (!excess) return undefined;
-  return members.filter((member) => member.id !== excess.id);
+  const remove = (id: string) => members.filter((member) => member.id !== id);
+  const lost = findLostVoter(state);
+  const isExcess = currentVoters.length > voters;
+  // A majority of an even number of voters is the same without one of them.
+  const isEven = currentVoters.length % 2 === 0;
+  if (lost && (promotable || isExcess || isEven)) return remove(lost.id);
+  const unresponsive = currentVoters.find(({ id }) =>
+    id !== selfId && isUnresponsive(id)
+  );
+  if (isExcess) return unresponsive && remove(unresponsive.id);
+  const isVoterNeeded = currentVoters.length < voters || unresponsive;
+  if (!promotable || !isVoterNeeded) return undefined;
+  return members.map((m) =>
+    m.id === promotable.id ? { ...m, role: "voter" } : m
+  );
 }
 
 /**
--- a/src/quorum/plan_voter_change_test.ts
+++ b/src/quorum/plan_voter_change_test.ts
@@ -25,6 +25,10 @@
   };
 }
 
+function makeReplica(id: string, role: Member["role"] = "voter"): Member {
+  return { ...makeMember(id, role), vm: id[0] };
+}
+
 function plan(members: readonly Member[], unresponsive: readonly string[]) {
   return planVoterChange(makeLeader(members), {
     voters: 3,
@@ -56,6 +60,53 @@
   ]);
 });
 
+// Guards against a core that ended with the next loss: the old id of a lost disk was
+// kept as a voter until it had been silent for seconds.
+test("a voter is lost at once when its VM answers under another id", () => {
+  const before = ["a", "b1", "c"].map((id) => makeReplica(id));
+  assert.equal(plan([...before, makeReplica("b2", "learner")], []), [
+    "a:voter",
+    "c:voter",
+    "b2:learner",
+  ]);
+  const members = ["a", "c"].map((id) => makeReplica(id));
+  assert.equal(plan([...members, makeReplica("b2", "learner")], []), [
+    "a:voter",
+    "c:voter",
+    "b2:voter",
+  ]);
+});
+
+test("a lost voter stays while its absence would leave no larger share of the voters", () => {
+  const members = [
+    ...["a", "b1", "c"].map((id) => makeReplica(id)),
+    makeReplica("b2", "learner"),
+  ];
+  const state = makeLeader(members);
+  const peers = { ...state.peers, b2: { ...state.peers.b2, matchIndex: 0 } };
+  const options = { voters: 3, isUnresponsive: () => false };
+  assert.is(planVoterChange({ ...state, peers }, options), undefined);
+  assert.equal(
+    planVoterChange(
+      { ...state, peers, members: [...members, makeMember("d")] },
+      options,
+    )?.map(({ id }) => id),
+    ["a", "c", "b2", "d"],
+  );
+});
+
+// A request to join may arrive after its sender's data folder has been lost as well.
+test("a voter is kept when the later replica of its VM has never answered", () => {
+  const members = [
+    ...["a", "b2", "c"].map((id) => makeReplica(id)),
+    makeReplica("b1", "learner"),
+  ];
+  const state = makeLeader(members);
+  const peers = { ...state.peers, b1: { ...state.peers.b1, ackedSentMs: -1 } };
+  const options = { voters: 3, isUnresponsive: () => false };
+  assert.is(planVoterChange({ ...state, peers }, options), undefined);
+});
+
 test("a learner is promoted in a cluster with too few voters", () => {
   const members = [makeMember("a"), makeMember("b", "learner")];
   assert.equal(plan(members, []), ["a:voter", "b:voter"]);
--- a/test/control_members_test.ts
+++ b/test/control_members_test.ts
@@ -26,6 +26,7 @@
   readonly isFirstStart?: boolean;
   /** Name of its data folder; a new empty folder by default. */
   readonly folderName?: string;
+  readonly upstreamHeartbeatIntervalMs?: number;
 }
 
 /** Sets up control processes below one folder; disposal stops them. */
@@ -47,7 +48,7 @@
         : join(folder, options.folderName ?? String(folderCount)),
       isFirstStart,
       voters: options.voters,
-      upstreamHeartbeatIntervalMs: 200,
+      upstreamHeartbeatIntervalMs: options.upstreamHeartbeatIntervalMs ?? 200,
       retryBudget: { ratio: 0.2, extra: 100, windowMs: 10_000 },
     }, {
       getSeeds: () => options.seeds,
@@ -186,6 +187,37 @@
   });
 });
 
+function listVoterIds(control: FleetControl): string[] {
+  return control.getState().members.filter(({ role }) => role === "voter")
+    .map(({ id }) => id).sort();
+}
+
+// Guards against a quorum that could not bear the next loss: a new leader kept the lost
+// voter until it had listened to the heartbeats of all upstreams.
+test("a lost disk of the leader is replaced while upstreams send no heartbeats", async () => {
+  await using trial = await prepareControls(3);
+  const options = {
+    seeds: trial.addresses,
+    voters: 3,
+    upstreamHeartbeatIntervalMs: 3_600_000,
+  };
+  const before = await startSeeds(trial, options);
+  await until(
+    "a change is accepted",
+    async () => (await putConfig(before[0], 1)).type === "done",
+  );
+  const at = before.findIndex((one) => one.getState().role === "leader");
+  await trial.stop(before[at]);
+  const returned = await trial.start(at, { ...options, isFirstStart: false });
+  const running = before.with(at, returned);
+  const ids = running.map((one) => one.getState().selfId).sort();
+  await until("exactly the running replicas are voters", () => {
+    const leader = running.find((one) => one.getState().role === "leader");
+    return leader !== undefined &&
+      JSON.stringify(listVoterIds(leader)) === JSON.stringify(ids);
+  });
+});
+
 test("an observer that restarts without known members is found by the leader", async () => {
   await using trial = await prepareControls(4);
   const seeds = trial.addresses.slice(0, 3);
