Let a replica that was removed while it was down join again

Cause: the leader replaces a voter that is silent by a learner. A leader sends nothing to a replica that is no member, so the replica never learnt of it, and only a replica with an empty data folder asked to join. The core was left with one voter less for good, and nothing showed it.

Fix: a replica that no leader contacts for 1 s asks to join under its own id, and goes on to ask while that lasts (CL1210). For a member the request changes nothing. It returns as a learner with its log, term and vote intact, so this is no wiped disk under its old id (SAME_ID in spec/quorum.pml): what it has promised still holds. A request with the log of another cluster is rejected. The leader forgets the progress of an earlier membership when a replica is added.

The test 'a replica that was replaced while it was down becomes a voter again' failed before: it timed out waiting for the membership.

--- a/src/control/create_join_handler.ts
+++ b/src/control/create_join_handler.ts
@@ -1,5 +1,6 @@
 /**
- * Handles the join request of a replica with a new data folder.
+ * Handles the join request of a replica with a new data folder, or of one that has been
+ * removed while it was down.
  *
  * @module
  */
@@ -45,6 +46,9 @@
       reason,
     });
     if (request.fleetId !== fleetId) return reject("other_fleet");
+    // Its log belongs to the other cluster.
+    const isOther = request.clusterId !== "" && request.clusterId !== clusterId;
+    if (isOther) return reject("other_cluster");
     if (!options.isKnownVm(request.vm)) return reject("unknown_vm");
     if (state.role !== "leader") return reject("not_leader");
     const isMember = state.members.some((m) => m.id === request.replicaId);
--- a/src/control/index.ts
+++ b/src/control/index.ts
@@ -11,3 +11,4 @@
 export * from "./create_join_handler.ts";
 export * from "./create_replica_host.ts";
 export * from "./join_cluster.ts";
+export * from "./keep_joined.ts";
--- a/src/control/join_cluster.ts
+++ b/src/control/join_cluster.ts
@@ -1,5 +1,5 @@
 /**
- * Joins a replica with a new data folder to its cluster.
+ * Joins a replica that is no member to its cluster.
  *
  * @module
  */
@@ -61,7 +61,8 @@
     leaderAddresses = answers.map((answer) => answer?.leaderAddress ?? "");
     const accepted = answers.find((answer) => answer?.accepted);
     if (accepted) {
-      await storage.setClusterId(accepted.clusterId);
+      const isKnown = accepted.clusterId === storage.identity.clusterId;
+      if (!isKnown) await storage.setClusterId(accepted.clusterId);
       return true;
     }
     await sleep(JOIN_INTERVAL_MS, undefined, { signal }).catch(() => {});
--- /dev/null
+++ b/src/control/keep_joined_test.ts
@@ -0,0 +1,92 @@
+import { setTimeout as sleep } from "node:timers/promises";
+import { Server } from "@grpc/grpc-js";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { until } from "../../demo/until.ts";
+import { createMemoryStorage } from "../storage/index.ts";
+import { bindGrpc, wire } from "../wire/index.ts";
+import { keepJoined } from "./keep_joined.ts";
+
+/** Starts a leader that accepts all replicas, and records their requests. */
+async function startLeader() {
+  const requests: wire.JoinRequest[] = [];
+  const server = new Server();
+  server.addService(
+    wire.PeerService,
+    {
+      deliver: (_call, done) => done(null, {}),
+      join: (call, done) => {
+        requests.push(call.request);
+        done(null, {
+          clusterId: "cluster",
+          accepted: true,
+          leaderAddress: "",
+          reason: "",
+        });
+      },
+    } satisfies wire.PeerServer,
+  );
+  const port = await bindGrpc(server, { address: "127.0.0.1:0" });
+  return {
+    requests,
+    address: `127.0.0.1:${port}`,
+    async [Symbol.asyncDispose]() {
+      await Promise.resolve();
+      server.forceShutdown();
+    },
+  };
+}
+
+test("a replica requests to join again once its leader is silent, under its old id", async () => {
+  await using leader = await startLeader();
+  const storage = createMemoryStorage({ fleetId: "fleet", vm: "a" });
+  const abort = new AbortController();
+  let silenceMs = 0;
+  let outsideCount = 0;
+  let joinedCount = 0;
+  const ended = keepJoined({
+    fleetId: "fleet",
+    vm: "a",
+    address: "127.0.0.1:1",
+    storage,
+    signal: abort.signal,
+    getPeerAddresses: () => [leader.address],
+    getSilenceMs: () => silenceMs,
+    onOutside: () => void (outsideCount += 1),
+    onJoined: () => void (joinedCount += 1),
+  });
+  await until("it has joined", () => joinedCount === 1);
+  assert.is(outsideCount, 0);
+  assert.is(leader.requests.length, 1);
+  silenceMs = 10_000;
+  await until("it requests again", () => leader.requests.length > 1);
+  abort.abort();
+  await ended;
+  assert.ok(outsideCount > 0);
+  assert.is(joinedCount, 1);
+  const [first, second] = leader.requests;
+  assert.is(second.replicaId, first.replicaId);
+  assert.is(second.clusterId, "cluster");
+});
+
+test("a replica in contact with its leader requests nothing", async () => {
+  await using leader = await startLeader();
+  const storage = createMemoryStorage({ fleetId: "fleet", vm: "a" });
+  await storage.setClusterId("cluster");
+  const abort = new AbortController();
+  const ended = keepJoined({
+    fleetId: "fleet",
+    vm: "a",
+    address: "127.0.0.1:1",
+    storage,
+    signal: abort.signal,
+    getPeerAddresses: () => [leader.address],
+    getSilenceMs: () => 500,
+  });
+  await sleep(600);
+  abort.abort();
+  await ended;
+  assert.equal(leader.requests, []);
+});
+
+test.run();
--- a/src/fleet/start_fleet_control.ts
+++ b/src/fleet/start_fleet_control.ts
@@ -11,7 +11,7 @@
 import {
   createJoinHandler,
   createReplicaHost,
-  joinCluster,
+  keepJoined,
 } from "../control/index.ts";
 import type { Logger } from "../logs/index.ts";
 import type { Metrics } from "../metrics/index.ts";
@@ -463,23 +463,25 @@
   });
 
   const joining = new AbortController();
-  if (storage.identity.clusterId === "") {
-    void joinCluster({
-      fleetId: settings.fleetId,
-      vm: settings.callerAddress,
-      address: settings.peerAddress,
-      isObserver: settings.dataFolder === undefined,
-      storage,
-      signal: joining.signal,
-      getPeerAddresses: () =>
-        [
-          ...options.getSeeds().map((seed) => seed.peerAddress),
-          ...senderAddresses.values(),
-        ].filter((address) => address !== settings.peerAddress),
-    }).then((joined) => {
-      if (joined) log("clusterJoined", { ...storage.identity });
-    });
-  }
+  const getPeerAddresses = () =>
+    [
+      ...options.getSeeds().map((seed) => seed.peerAddress),
+      ...replica.getState().members.map(({ address }) => address),
+      ...senderAddresses.values(),
+    ].filter((address) => address !== settings.peerAddress);
+  void keepJoined({
+    fleetId: settings.fleetId,
+    vm: settings.callerAddress,
+    address: settings.peerAddress,
+    isObserver: settings.dataFolder === undefined,
+    storage,
+    signal: joining.signal,
+    getPeerAddresses,
+    getSilenceMs: () =>
+      isLeader() ? 0 : now() - replica.getState().leaderContactMs,
+    onOutside: () => log("leaderSilent"),
+    onJoined: () => log("clusterJoined", { ...storage.identity }),
+  });
 
   const timers = [
     setInterval(leaderLoop.tick, TICK_INTERVAL_MS),
--- a/src/logs/events.ts
+++ b/src/logs/events.ts
@@ -73,6 +73,11 @@
     "info",
     "Number of further losses that the quorum tolerates has changed",
   ),
+  leaderSilent: event(
+    "CL1210",
+    "info",
+    "No leader is in contact; requesting to be a member",
+  ),
   changeAccepted: event("CL1301", "info", "Change accepted"),
   changeConflict: event(
     "CL1302",
--- a/src/quorum/step_quorum.ts
+++ b/src/quorum/step_quorum.ts
@@ -179,8 +179,13 @@
     return refuse(draft, proposalId, "change_pending");
   }
   const body = JSON.stringify(members);
+  // A replica that returns starts without the progress of its earlier membership.
+  const known = new Set(draft.members.map(({ id }) => id));
   handleProposal(draft, { proposalId, kind: "members", body });
   Object.assign(draft, findMembers(draft.snapshot, draft.log));
+  draft.peers = Object.fromEntries(
+    Object.entries(draft.peers).filter(([id]) => known.has(id)),
+  );
 }
 
 function isSingleChange(draft: Draft, next: readonly Member[]): boolean {
--- a/test/control_members_test.ts
+++ b/test/control_members_test.ts
@@ -218,6 +218,42 @@
   });
 });
 
+// Guards against a quorum that shrank for good: a replica that was replaced while it was
+// down never became a member again.
+test("a replica that was replaced while it was down becomes a voter again", async () => {
+  await using trial = await prepareControls(4);
+  const seeds = trial.addresses.slice(0, 3);
+  const options = { seeds, voters: 3 };
+  const first = await Promise.all(
+    [0, 1, 2].map((at) =>
+      trial.start(at, { ...options, folderName: `disk-${at}` })
+    ),
+  );
+  const added = await trial.start(3, { ...options, isFirstStart: false });
+  const findLeader = () =>
+    [...first, added].find((one) => one.getState().role === "leader");
+  const isVoter = (one: FleetControl) =>
+    listVoterIds(findLeader() as FleetControl)
+      .includes(one.getState().selfId);
+  const isMember = (one: FleetControl) =>
+    findLeader()?.getState().members
+      .some(({ id }) => id === one.getState().selfId) === true;
+  await until("the successor has joined", () => isMember(added));
+  const [down, leaving] = [0, 1, 2]
+    .filter((at) => first[at].getState().role !== "leader");
+  await trial.stop(first[down]);
+  await until("the successor votes", () => isVoter(added));
+  await until("the replica is removed", () => !isMember(first[down]));
+  first[down] = await trial.start(down, {
+    ...options,
+    folderName: `disk-${down}`,
+    isFirstStart: false,
+  });
+  await until("the replica is a member again", () => isMember(first[down]));
+  await trial.stop(first[leaving]);
+  await until("the replica votes again", () => isVoter(first[down]));
+});
+
 test("an observer that restarts without known members is found by the leader", async () => {
   await using trial = await prepareControls(4);
   const seeds = trial.addresses.slice(0, 3);
