Pass a stopping voter's vote on, and miss a dead one within a second

A disk that was lost catchUpS (4 s) after the new machine's start, 2 s after the old one had ended, ended the core: configurations and requests got 503 until the end, while three core machines ran.

Cause: the vote stayed with the machine that had left. A planned stop handed over the leadership only, and the leader promotes a learner after a voter has been silent for 2.5 s, so the core had one voter to lose instead of two. Where the old machine is killed, or led, the same wait ends later still: a new leader counted the silence of the former one from its own election on.

Fix: before it ends, a voter asks the leader to be replaced if there is a learner (call releaseVote, after the leadership is handed over). Without one it keeps its vote. A voter is replaced after 1 s of silence where a learner has caught up, in place of 2.5 s, which a voter that has merely paused survives since it can join again; the former leader's silence before the election counts.

--- a/src/fleet/create_leader_call_handler.ts
+++ b/src/fleet/create_leader_call_handler.ts
@@ -16,6 +16,7 @@
   FleetCommand,
   FleetStateMachine,
 } from "./create_fleet_state_machine.ts";
+import type { MembershipManager } from "./create_membership_manager.ts";
 import type { QuarantineCoordinator } from "./create_quarantine_coordinator.ts";
 import type { ConfigHistory } from "./create_config_history.ts";
 import type { FleetCall, FleetReply } from "./messages.ts";
@@ -26,6 +27,7 @@
   readonly machine: FleetStateMachine;
   readonly registry: EngineRegistry;
   readonly quarantine: Pick<QuarantineCoordinator, "list" | "lift">;
+  readonly members: Pick<MembershipManager, "replace">;
   /** Resolves once the command is committed and applied. */
   readonly propose: (command: FleetCommand) => Promise<unknown>;
   readonly confirmRead: () => Promise<void>;
@@ -173,6 +175,10 @@
       case "liftCase":
         await options.quarantine.lift(call.requestKey);
         return DONE;
+      case "releaseVote":
+        return await options.members.replace(call.replicaId)
+          ? DONE
+          : { type: "unavailable", reason: "no replacement" };
     }
   }
 
--- a/src/fleet/create_leader_call_handler_test.ts
+++ b/src/fleet/create_leader_call_handler_test.ts
@@ -21,6 +21,7 @@
   const handler = createLeaderCallHandler({
     machine,
     registry,
+    members: { replace: () => Promise.resolve(false) },
     quarantine: { list: () => [], lift: () => Promise.resolve() },
     async propose(command) {
       await Promise.resolve();
--- a/src/fleet/create_membership_manager.ts
+++ b/src/fleet/create_membership_manager.ts
@@ -36,6 +36,11 @@
    * the membership changes that are due.
    */
   tick(): Promise<void>;
+  /**
+   * Replaces a voter that is about to stop, and resolves with whether it has none of
+   * the votes any more; for the leader only.
+   */
+  replace(id: string): Promise<boolean>;
   /** Clears the recorded responses when this process becomes leader. */
   reset(): void;
 }
@@ -63,8 +68,12 @@
   // as silence of the members.
   const listening = createListeningClock(options);
   const responses = new Map<string, MemberResponse>();
+  const leaving = new Set<string>();
   let leadingSinceMs = 0;
-  let isChanging = false;
+  let formerLeader:
+    | { id: string; contactMs: number; heardMs: number }
+    | undefined;
+  let changing: Promise<void> | undefined;
   let toleratedLosses: number | undefined;
 
   function isUnresponsive(id: string): boolean {
@@ -99,13 +108,12 @@
   // Without a pause between two changes: each loss that comes before the last one is
   // made may be one too many.
   async function makeDueChanges(): Promise<void> {
-    if (isChanging) return;
-    isChanging = true;
     try {
       for (;;) {
         const members = planVoterChange(replica.getState(), {
           voters,
           isUnresponsive,
+          isLeaving: (id) => leaving.has(id),
         });
         if (!members) return;
         log("membersChanged", {
@@ -115,23 +123,57 @@
       }
     } catch (error) {
       log("membersNotChanged", { error });
-    } finally {
-      isChanging = false;
     }
   }
 
+  function startChanges(): Promise<void> {
+    changing ??= makeDueChanges().finally(() => changing = undefined);
+    return changing;
+  }
+
+  // A new leader has waited for the former one before the election, and that silence
+  // counts too.
+  function recordLeader({ leaderId, leaderContactMs }: QuorumState): void {
+    if (leaderId === null || formerLeader?.contactMs === leaderContactMs) {
+      return;
+    }
+    formerLeader = {
+      id: leaderId,
+      contactMs: leaderContactMs,
+      heardMs: listening.now(),
+    };
+  }
+
   return {
     async tick() {
       listening.tick();
       const state = replica.getState();
-      if (state.role !== "leader" || !replica.hasLease()) return;
+      if (state.role !== "leader") return recordLeader(state);
+      if (!replica.hasLease()) return;
       recordResponses(state);
       reportToleratedLosses(state);
-      await makeDueChanges();
+      await startChanges();
+    },
+    async replace(id) {
+      leaving.add(id);
+      try {
+        await changing;
+        await startChanges();
+      } finally {
+        leaving.delete(id);
+      }
+      return replica.getState().members
+        .every((member) => member.id !== id || member.role !== "voter");
     },
     reset() {
       leadingSinceMs = listening.now();
       responses.clear();
+      const { votes } = replica.getState();
+      if (formerLeader && votes[formerLeader.id] === undefined) {
+        const { id, heardMs } = formerLeader;
+        responses.set(id, { ackedSentMs: -1, receivedMs: heardMs });
+      }
+      formerLeader = undefined;
       toleratedLosses = undefined;
     },
   };
--- a/src/fleet/create_membership_manager_test.ts
+++ b/src/fleet/create_membership_manager_test.ts
@@ -23,13 +23,22 @@
 function startManager() {
   let nowMs = 1_000;
   let members = MEMBERS;
+  let role: QuorumState["role"] = "leader";
+  let leaderContactMs = 0;
   const changes: string[] = [];
   const logged: Record<string, unknown>[] = [];
   const responding = new Set(MEMBERS.map(({ id }) => id));
   const peers: Record<string, QuorumState["peers"][string]> = {};
   const initial = createQuorumState("a", { hard: { term: 1, votedFor: "a" } });
   const replica: Pick<Replica, "getState" | "hasLease" | "changeMembers"> = {
-    getState: () => ({ ...initial, role: "leader", members, peers }),
+    getState: () => ({
+      ...initial,
+      role,
+      leaderId: role === "leader" ? "a" : "b",
+      leaderContactMs,
+      members,
+      peers,
+    }),
     hasLease: () => true,
     changeMembers(next) {
       members = next;
@@ -48,7 +57,15 @@
     metrics: { gauge: () => {} },
   });
   return {
+    manager,
     responding,
+    /** Makes "b" the leader; each round in which it responds is a contact. */
+    follow: () => void (role = "follower"),
+    lead() {
+      role = "leader";
+      for (const id of Object.keys(peers)) delete peers[id];
+      manager.reset();
+    },
     changes,
     logged,
     /** Advances time in rounds; a single round if the process is suspended. */
@@ -56,6 +73,7 @@
       const roundMs = isSuspended ? ms : TICK_INTERVAL_MS;
       for (let passedMs = 0; passedMs < ms; passedMs += roundMs) {
         nowMs += roundMs;
+        if (responding.has("b")) leaderContactMs = nowMs;
         for (const id of responding) {
           peers[id] = {
             nextIndex: 2,
@@ -89,6 +107,32 @@
   assert.equal(changes, []);
 });
 
+// Guards against a core that ended with the next loss: a voter that was stopped as planned
+// was missed only after its timeout.
+test("a voter that is about to stop is replaced at once", async () => {
+  const { manager, changes, advance } = startManager();
+  await advance(TICK_INTERVAL_MS);
+  assert.is(await manager.replace("b"), true);
+  assert.equal(changes, ["abcd", "acd"]);
+  assert.is(await manager.replace("c"), false);
+  assert.equal(changes, ["abcd", "acd"]);
+});
+
+// Guards against a core that ended with the next loss: a new leader waited for the
+// former one all over again.
+test("the silence of the former leader before the election counts", async () => {
+  const { responding, changes, follow, lead, advance } = startManager();
+  follow();
+  await advance(TICK_INTERVAL_MS);
+  responding.delete("b");
+  await advance(800);
+  lead();
+  await advance(RESPONSE_TIMEOUT_MS - 800);
+  assert.equal(changes, []);
+  await advance(TICK_INTERVAL_MS);
+  assert.equal(changes, ["abcd", "acd"]);
+});
+
 test("the number of tolerated losses is logged when it changes", async () => {
   const { responding, logged, advance } = startManager();
   await advance(TICK_INTERVAL_MS);
--- a/src/fleet/messages.ts
+++ b/src/fleet/messages.ts
@@ -328,7 +328,9 @@
   /** Lists the requests suspected of crashing upstreams. */
   | { readonly type: "listCases" }
   /** Clears the case of a request, whatever the evidence. */
-  | { readonly type: "liftCase"; readonly requestKey: string };
+  | { readonly type: "liftCase"; readonly requestKey: string }
+  /** Passes the vote of a replica that is about to stop on to a learner. */
+  | { readonly type: "releaseVote"; readonly replicaId: string };
 
 /** The leader's reply to a call. */
 export type FleetReply =
--- a/src/fleet/start_fleet_control.ts
+++ b/src/fleet/start_fleet_control.ts
@@ -41,6 +41,7 @@
 import type { DecodeConfig, FleetCall, FleetReply } from "./messages.ts";
 import { type FleetSeed, openFleetStorage } from "./open_fleet_storage.ts";
 import { handOverLeadership } from "./hand_over_leadership.ts";
+import { releaseVote } from "./release_vote.ts";
 import { startFleetServer } from "./start_fleet_server.ts";
 
 /** Settings of a control process. */
@@ -120,8 +121,12 @@
 /** Ms between two checks of the quorum's members. */
 const MEMBERS_INTERVAL_MS = 100;
 
-/** Ms without a response after which a voter may be replaced. */
-const VOTER_TIMEOUT_MS = 2_500;
+/**
+ * Ms without a response after which a voter is replaced where a learner can take its
+ * place. Short, as the next loss may follow, and as a voter that has merely paused
+ * joins again.
+ */
+const VOTER_TIMEOUT_MS = 1_000;
 
 /** Heartbeat timeout of an upstream, in heartbeat intervals. */
 const HEARTBEAT_TIMEOUT_INTERVALS = 2.6;
@@ -333,6 +338,7 @@
   const calls = createLeaderCallHandler({
     hasEnoughVoters,
     hasLease: () => replica.hasLease(),
+    members,
     machine,
     registry,
     quarantine,
@@ -494,6 +500,7 @@
     log("stopping", { vm: settings.callerAddress });
     joining.abort();
     await handOverLeadership(replica);
+    await releaseVote({ replica, call, now });
     timers.forEach(clearInterval);
     sessions.closeAll();
     await leaderClient[Symbol.asyncDispose]();
--- a/src/quorum/plan_voter_change.ts
+++ b/src/quorum/plan_voter_change.ts
@@ -14,15 +14,17 @@
   readonly voters: number;
   /** Whether a member has not answered within its timeout. */
   readonly isUnresponsive: (id: string) => boolean;
+  /** Whether a voter is about to stop; by default none is. */
+  readonly isLeaving?: (id: string) => boolean;
   /** Maximum number of committed entries that a promoted learner may lack. */
   readonly maxLagEntries?: number;
 }
 
 /**
  * Plans the next membership change; each change affects one member. A learner
- * that has caught up is promoted if a voter is missing, unresponsive or lost.
+ * that has caught up is promoted if a voter is missing, unresponsive, leaving or lost.
  *
- * An unresponsive voter is removed only while there are more voters than required.
+ * An unresponsive or leaving voter is removed only while there are more voters than required.
  * One whose disk is proven to be lost is removed before its replacement is promoted:
  * the replacement may be lost too, and then two of four voters would be.
  *
@@ -38,12 +40,13 @@
   options: PlanVoterChangeOptions,
 ): readonly Member[] | undefined {
   const { voters, isUnresponsive, maxLagEntries = 64 } = options;
+  const { isLeaving = () => false } = options;
   if (state.role !== "leader") return undefined;
   if (state.membersIndex > state.commitIndex) return undefined;
   const { members, selfId } = state;
   const currentVoters = members.filter((member) => member.role === "voter");
   const promotable = members.find(({ id, role }) =>
-    role === "learner" && !isUnresponsive(id) &&
+    role === "learner" && !isUnresponsive(id) && !isLeaving(id) &&
     isCaughtUp(state, { id, maxLagEntries })
   );
   const remove = (id: string) => members.filter((member) => member.id !== id);
@@ -52,11 +55,11 @@
   // A majority of an even number of voters is the same without one of them.
   const isEven = currentVoters.length % 2 === 0;
   if (lost && (promotable || isExcess || isEven)) return remove(lost.id);
-  const unresponsive = currentVoters.find(({ id }) =>
-    id !== selfId && isUnresponsive(id)
-  );
-  if (isExcess) return unresponsive && remove(unresponsive.id);
-  const isVoterNeeded = currentVoters.length < voters || unresponsive;
+  const others = currentVoters.filter(({ id }) => id !== selfId);
+  const leaving = others.find(({ id }) => isLeaving(id)) ??
+    others.find(({ id }) => isUnresponsive(id));
+  if (isExcess) return leaving && remove(leaving.id);
+  const isVoterNeeded = currentVoters.length < voters || leaving;
   if (!promotable || !isVoterNeeded) return undefined;
   return members.map((m) =>
     m.id === promotable.id ? { ...m, role: "voter" } : m
--- a/src/quorum/plan_voter_change_test.ts
+++ b/src/quorum/plan_voter_change_test.ts
@@ -42,6 +42,18 @@
   assert.is(plan([...THREE, makeMember("d", "learner")], []), undefined);
 });
 
+test("a learner takes the place of a voter that is about to stop, though all answer", () => {
+  const isLeaving = (id: string) => id === "b";
+  const options = { voters: 3, isUnresponsive: () => false, isLeaving };
+  const listVoters = (members: readonly Member[]) =>
+    planVoterChange(makeLeader(members), options)
+      ?.filter(({ role }) => role === "voter").map(({ id }) => id);
+  const withLearner = [...THREE, makeMember("d", "learner")];
+  assert.equal(listVoters(withLearner), ["a", "b", "c", "d"]);
+  assert.equal(listVoters([...THREE, makeMember("d")]), ["a", "c", "d"]);
+  assert.is(listVoters(THREE), undefined);
+});
+
 test("an unresponsive voter stays while there is no learner to replace it", () => {
   assert.is(plan(THREE, ["c"]), undefined);
 });
--- a/test/control_members_test.ts
+++ b/test/control_members_test.ts
@@ -218,6 +218,39 @@
   });
 });
 
+// Guards against a core that ended with the next loss: a machine that left as planned
+// kept its vote, while its successor had none.
+for (const role of ["leader", "follower"] as const) {
+  test(`a planned stop passes the vote on to a learner: ${role}`, async () => {
+    await using trial = await prepareControls(4);
+    const options = { seeds: trial.addresses.slice(0, 3), voters: 3 };
+    const first = await startSeeds(trial, options);
+    const added = await trial.start(3, { ...options, isFirstStart: false });
+    const { selfId } = added.getState();
+    await until(
+      "all know the learner",
+      () =>
+        first.every((one) =>
+          one.getState().members.some(({ id }) => id === selfId)
+        ),
+    );
+    // It counts as caught up once it has applied what the leader has.
+    await until(
+      "the learner has caught up",
+      () => added.getState().commitIndex > 0,
+    );
+    const at = first.findIndex((one) => one.getState().role === role);
+    await trial.stop(first[at]);
+    const remaining = [...first.toSpliced(at, 1), added];
+    const leader = remaining
+      .find((one) => one.getState().role === "leader") as FleetControl;
+    assert.equal(
+      listVoterIds(leader),
+      remaining.map((one) => one.getState().selfId).sort(),
+    );
+  });
+}
+
 // Guards against a quorum that shrank for good: a replica that was replaced while it was
 // down never became a member again.
 test("a replica that was replaced while it was down becomes a voter again", async () => {
