Don't let a silent peer hold up a replica that joins

A replica that joins asks its seeds in rounds, and a round ended with the last response. Seeds are listed with some delay, so one of them may be a machine that is gone and answers nothing: then each round took the 2 s of a response's limit, though the leader had accepted the replica in the first moments. Until the round ended, the replica dropped the leader's messages as those of another cluster. The quorum was without its new voter for that time after each replacement of a machine.

A round now ends with the first acceptance, and otherwise after 0.5 s; later responses still name the leader. The new test times out with rounds that wait for all responses.

--- a/src/control/join_cluster.ts
+++ b/src/control/join_cluster.ts
@@ -13,9 +13,15 @@
 /** Delay between two rounds of join requests, in ms. */
 const JOIN_INTERVAL_MS = 250;
 
-/** Time limit for one response, in ms. */
+/** Default time limit for one response, in ms. */
 const JOIN_TIMEOUT_MS = 2_000;
 
+/**
+ * Longest time, in ms, that a round waits for peers that don't respond. Shorter than
+ * the limit for a response: a seed may be a machine that is gone.
+ */
+const ROUND_TIMEOUT_MS = 500;
+
 /** Options of {@link joinCluster}. */
 export interface JoinClusterOptions {
   readonly fleetId: string;
@@ -30,6 +36,8 @@
   readonly signal: AbortSignal;
   /** Addresses of the other replicas; read again for each round. */
   readonly getPeerAddresses: () => readonly string[];
+  /** Time limit for one response, in ms; by default 2 s. */
+  readonly responseTimeoutMs?: number;
   readonly tls?: TlsFilesSettings;
 }
 
@@ -46,20 +54,22 @@
   options: JoinClusterOptions,
 ): Promise<boolean> {
   const { storage, signal, fleetId, vm, address, tls } = options;
-  const { isObserver = false } = options;
+  const { isObserver = false, responseTimeoutMs = JOIN_TIMEOUT_MS } = options;
   const { replicaId, clusterId } = storage.identity;
   const request = { fleetId, clusterId, replicaId, vm, address, isObserver };
   // A peer that is not the leader returns the leader's address, which may not be
   // among the configured peers.
-  let leaderAddresses: readonly string[] = [];
+  let leaderAddresses = new Set<string>();
   while (!signal.aborted) {
     const peers = new Set([...options.getPeerAddresses(), ...leaderAddresses]);
     peers.delete("");
-    const answers = await Promise.all(
-      [...peers].map((peer) => sendJoinRequest(peer, { request, tls })),
-    );
-    leaderAddresses = answers.map((answer) => answer?.leaderAddress ?? "");
-    const accepted = answers.find((answer) => answer?.accepted);
+    leaderAddresses = new Set();
+    const accepted = await sendJoinRequests(peers, {
+      request,
+      responseTimeoutMs,
+      tls,
+      onAnswer: (answer) => void leaderAddresses.add(answer.leaderAddress),
+    });
     if (accepted) {
       const isKnown = accepted.clusterId === storage.identity.clusterId;
       if (!isKnown) await storage.setClusterId(accepted.clusterId);
@@ -70,13 +80,43 @@
   return false;
 }
 
+interface JoinRequestOptions {
+  readonly request: wire.JoinRequest;
+  readonly responseTimeoutMs: number;
+  readonly tls?: TlsFilesSettings;
+}
+
+/**
+ * Asks all peers, and resolves with the first response that accepts this replica, or
+ * without one once all have responded or the round takes too long.
+ */
+function sendJoinRequests(
+  peers: ReadonlySet<string>,
+  options: JoinRequestOptions & {
+    readonly onAnswer: (answer: wire.JoinResponse) => void;
+  },
+): Promise<wire.JoinResponse | undefined> {
+  return new Promise((resolve) => {
+    const timer = setTimeout(() => resolve(undefined), ROUND_TIMEOUT_MS);
+    const requests = [...peers].map(async (peer) => {
+      const answer = await sendJoinRequest(peer, options);
+      if (answer) options.onAnswer(answer);
+      if (answer?.accepted) resolve(answer);
+    });
+    void Promise.all(requests).then(() => {
+      clearTimeout(timer);
+      resolve(undefined);
+    });
+  });
+}
+
 async function sendJoinRequest(
   address: string,
-  options: { request: wire.JoinRequest; tls?: TlsFilesSettings },
+  options: JoinRequestOptions,
 ): Promise<wire.JoinResponse | undefined> {
   const credentials = createClientCredentials(options.tls);
   const client = new wire.PeerClient(address, credentials);
-  const deadline = Date.now() + JOIN_TIMEOUT_MS;
+  const deadline = Date.now() + options.responseTimeoutMs;
   const answer = await new Promise<wire.JoinResponse | undefined>((resolve) => {
     client.join(
       options.request,
--- a/src/control/keep_joined_test.ts
+++ b/src/control/keep_joined_test.ts
@@ -5,10 +5,11 @@
 import { until } from "../../demo/until.ts";
 import { createMemoryStorage } from "../storage/index.ts";
 import { bindGrpc, wire } from "../wire/index.ts";
+import { joinCluster } from "./join_cluster.ts";
 import { keepJoined } from "./keep_joined.ts";
 
-/** Starts a leader that accepts all replicas, and records their requests. */
-async function startLeader() {
+/** Starts a peer that accepts all replicas, or never responds, and records requests. */
+async function startPeer({ isSilent = false } = {}) {
   const requests: wire.JoinRequest[] = [];
   const server = new Server();
   server.addService(
@@ -17,6 +18,7 @@
       deliver: (_call, done) => done(null, {}),
       join: (call, done) => {
         requests.push(call.request);
+        if (isSilent) return;
         done(null, {
           clusterId: "cluster",
           accepted: true,
@@ -38,7 +40,7 @@
 }
 
 test("a replica requests to join again once its leader is silent, under its old id", async () => {
-  await using leader = await startLeader();
+  await using leader = await startPeer();
   const storage = createMemoryStorage({ fleetId: "fleet", vm: "a" });
   const abort = new AbortController();
   let silenceMs = 0;
@@ -70,7 +72,7 @@
 });
 
 test("a replica in contact with its leader requests nothing", async () => {
-  await using leader = await startLeader();
+  await using leader = await startPeer();
   const storage = createMemoryStorage({ fleetId: "fleet", vm: "a" });
   await storage.setClusterId("cluster");
   const abort = new AbortController();
@@ -89,4 +91,27 @@
   assert.equal(leader.requests, []);
 });
 
+// Guards against a machine that joined only after seconds: a seed that was gone held up
+// the acceptance by the leader.
+test("a peer that never responds doesn't hold up the leader's acceptance", async () => {
+  await using silent = await startPeer({ isSilent: true });
+  await using leader = await startPeer();
+  const storage = createMemoryStorage({ fleetId: "fleet", vm: "a" });
+  const abort = new AbortController();
+  let hasJoined = false;
+  const ended = joinCluster({
+    fleetId: "fleet",
+    vm: "a",
+    address: "127.0.0.1:1",
+    storage,
+    signal: abort.signal,
+    getPeerAddresses: () => [silent.address, leader.address],
+    responseTimeoutMs: 3_600_000,
+  }).then((joined) => hasJoined = joined);
+  await until("it has joined", () => hasJoined);
+  assert.is(silent.requests.length, 1);
+  assert.is(storage.identity.clusterId, "cluster");
+  await ended;
+});
+
 test.run();
