Check the return of a removed voter in the model of the quorum

The model had removed ids only as wiped disks that never rejoin. With RETURNS, a voter is removed and added again under its id, with its log and vote as they were, also while terms change.

--- a/spec/quorum.pml
+++ b/spec/quorum.pml
@@ -14,6 +14,9 @@
  *   SAME_ID             a replica with a wiped disk rejoins under its old id and
  *                       votes
  *   TWO_AT_A_TIME       two voters are removed in one membership change
+ *
+ * With RETURNS, a voter is removed and added again under its id: it was down meanwhile,
+ * and has lost neither its log nor its vote.
  */
 #ifndef REPLICAS
 #define REPLICAS 3
@@ -348,6 +351,10 @@
              if
 #ifdef TWO_AT_A_TIME
              :: voters == ALL -> append(i, BIT(i))
+#endif
+#ifdef RETURNS
+             :: i != 2 && voters == ALL -> append(i, voters & ~4)
+             :: i != 2 && (voters & 4) == 0 -> append(i, voters | 4)
 #endif
              :: wiped && (voters & 8) == 0 && REPLICAS > 3 ->
                 append(i, voters | 8)
--- a/spec/verify.mjs
+++ b/spec/verify.mjs
@@ -31,6 +31,16 @@
     defines: ["MAX_TERM=3", "MAX_LOG=2", "MAX_CRASHES=2"],
     long: true,
   },
+  {
+    spec: "quorum",
+    defines: [
+      "CHANGES",
+      "RETURNS",
+      "MAX_TERM=2",
+      "MAX_LOG=4",
+      "MAX_CRASHES=0",
+    ],
+  },
   { spec: "quorum", fault: "LOSE_VOTE" },
   { spec: "quorum", fault: "ANSWER_BEFORE_SYNC" },
   { spec: "quorum", fault: "ANY_LOG" },
