Keep the endless test server sending beyond the time limits under test

The server's own limit, meant for clients without one, decided in place of the limit under test.

The server now gives up after 1 GiB. The assertions and time limits are as they were.

--- a/test/support/start_endless_server.ts
+++ b/test/support/start_endless_server.ts
@@ -18,8 +18,11 @@
   readonly closedBy: Promise<"client" | "server">;
 }
 
-/** Bytes after which the server gives up, so that a test without limits ends. */
-const MAX_SENT_BYTES = 67_108_864;
+/**
+ * Bytes after which the server gives up, so that a client without limits doesn't fill the
+ * memory. More than a client reads within a time limit under test.
+ */
+const MAX_SENT_BYTES = 1_073_741_824;
 
 /** Ms after which the server gives up an answer that drips. */
 const MAX_SENDING_MS = 5_000;
