Survive a reload of the settings while the process starts

The handler was set only after the bundle had loaded.

The launcher now has a handler from its first line on. There is nothing to do in it: the settings are read only after the bundle has loaded.

--- a/scripts/launch.cjs
+++ b/scripts/launch.cjs
@@ -61,6 +61,9 @@
 }
 
 async function run() {
+  // By default the signal would end the process. The settings are read only after the
+  // bundle has loaded, so there is nothing to read again before that.
+  process.on("SIGHUP", () => {});
   const earlyListener = address ? await listenEarly() : undefined;
   await loadBundle().main(role, { earlyListener });
 }
