Count only voters that answer now among the tolerated losses

What operators saw: after the leader's machine was lost, the next leader reported one further tolerated loss for a second, though there was none: the former leader counted until its time-out of a replacement had passed. And a process that no longer led went on reporting what it had counted last.

Cause: the number shared the time-out by which a voter is replaced, and the silence that a new leader has not heard yet counted as an answer.

A voter counts now once it has answered this leader, and while its last answer is younger than the election timeout. All other processes report 0, so the maximum of the gauge over the control processes is the fleet's number, 0 without a leader.

The three new tests failed before.

--- a/src/fleet/create_membership_manager.ts
+++ b/src/fleet/create_membership_manager.ts
@@ -51,6 +51,12 @@
   readonly receivedMs: number;
 }
 
+const NO_RESPONSE: MemberResponse = { ackedSentMs: -1, receivedMs: -Infinity };
+
+function listVoterIds({ members }: QuorumState): string[] {
+  return members.filter(({ role }) => role === "voter").map(({ id }) => id);
+}
+
 /**
  * Creates the manager.
  *
@@ -89,18 +95,27 @@
     }
   }
 
+  // Stricter than the time-out of a replacement: a voter that has not answered this leader
+  // lately is no help if the next one is lost now.
+  function isSilent(id: string, { timing }: QuorumState): boolean {
+    const { ackedSentMs, receivedMs } = responses.get(id) ?? NO_RESPONSE;
+    return ackedSentMs < 0 ||
+      listening.now() - receivedMs > timing.electionTimeoutMs;
+  }
+
   function reportToleratedLosses(state: QuorumState): void {
-    const losses = countToleratedLosses(state, { isUnresponsive });
+    const losses = countToleratedLosses(state, {
+      isUnresponsive: (id) => isSilent(id, state),
+    });
     options.metrics.gauge("quorum.tolerated_losses", losses);
     if (losses === toleratedLosses) return;
     toleratedLosses = losses;
-    const ids = state.members.filter(({ role }) => role === "voter")
-      .map(({ id }) => id);
+    const ids = listVoterIds(state);
     log("toleratedLossesChanged", {
       losses,
       voters: ids,
       unresponsive: ids.filter((id) =>
-        id !== state.selfId && isUnresponsive(id)
+        id !== state.selfId && isSilent(id, state)
       ),
     });
   }
@@ -148,8 +163,11 @@
     async tick() {
       listening.tick();
       const state = replica.getState();
-      if (state.role !== "leader") return recordLeader(state);
-      if (!replica.hasLease()) return;
+      if (state.role !== "leader") recordLeader(state);
+      if (state.role !== "leader" || !replica.hasLease()) {
+        options.metrics.gauge("quorum.tolerated_losses", 0);
+        return;
+      }
       recordResponses(state);
       reportToleratedLosses(state);
       await startChanges();
--- a/src/fleet/create_membership_manager_test.ts
+++ b/src/fleet/create_membership_manager_test.ts
@@ -12,6 +12,8 @@
 
 const TICK_INTERVAL_MS = 100;
 
+const ELECTION_TIMEOUT_MS = 400;
+
 const MEMBERS: readonly Member[] = ["a", "b", "c", "d"].map((id) => ({
   id,
   vm: id,
@@ -27,6 +29,7 @@
   let leaderContactMs = 0;
   const changes: string[] = [];
   const logged: Record<string, unknown>[] = [];
+  const gauges: number[] = [];
   const responding = new Set(MEMBERS.map(({ id }) => id));
   const peers: Record<string, QuorumState["peers"][string]> = {};
   const initial = createQuorumState("a", { hard: { term: 1, votedFor: "a" } });
@@ -54,7 +57,7 @@
     tickIntervalMs: TICK_INTERVAL_MS,
     now: () => nowMs,
     log: (name, fields = {}) => void logged.push({ name, ...fields }),
-    metrics: { gauge: () => {} },
+    metrics: { gauge: (_name, value) => void gauges.push(value) },
   });
   return {
     manager,
@@ -68,6 +71,12 @@
     },
     changes,
     logged,
+    gauges,
+    members: {
+      remove(id: string) {
+        members = members.filter((member) => member.id !== id);
+      },
+    },
     /** Advances time in rounds; a single round if the process is suspended. */
     async advance(ms: number, { isSuspended = false } = {}) {
       const roundMs = isSuspended ? ms : TICK_INTERVAL_MS;
@@ -133,15 +142,37 @@
   assert.equal(changes, ["abcd", "acd"]);
 });
 
-test("the number of tolerated losses is logged when it changes", async () => {
-  const { responding, logged, advance } = startManager();
+// Guards against a core that looks sound until the next loss: a voter that is down was
+// counted for as long as it could not be replaced yet.
+test("a voter that does not answer is no longer counted among the tolerated losses", async () => {
+  const { responding, logged, gauges, advance } = startManager();
   await advance(TICK_INTERVAL_MS);
   responding.delete("b");
-  responding.delete("d");
-  await advance(RESPONSE_TIMEOUT_MS + TICK_INTERVAL_MS);
+  await advance(ELECTION_TIMEOUT_MS + TICK_INTERVAL_MS);
   const losses = logged.filter(({ name }) => name === "toleratedLossesChanged");
   assert.equal(losses.map((line) => line.losses), [1, 0]);
   assert.equal(losses.map((line) => line.unresponsive), [[], ["b"]]);
+  assert.is(gauges.at(-1), 0);
+});
+
+test("a new leader counts no voter before its first answer", async () => {
+  const { responding, gauges, lead, advance } = startManager();
+  responding.delete("b");
+  lead();
+  await advance(TICK_INTERVAL_MS);
+  assert.equal(gauges, [0]);
+  responding.add("b");
+  await advance(TICK_INTERVAL_MS);
+  assert.equal(gauges, [0, 1]);
+});
+
+// A scrape of all processes would otherwise show what a former leader counted last.
+test("a process that no longer leads reports no tolerated losses", async () => {
+  const { gauges, follow, advance } = startManager();
+  await advance(TICK_INTERVAL_MS);
+  follow();
+  await advance(TICK_INTERVAL_MS);
+  assert.equal(gauges, [1, 0]);
 });
 
 test.run();
--- a/src/metrics/metric_catalogue.ts
+++ b/src/metrics/metric_catalogue.ts
@@ -155,7 +155,7 @@
   "quorum.sync_ms": "Time to append to the log and sync it to disk, in ms",
   "quorum.log_entries": "Log entries applied since the process started",
   "quorum.tolerated_losses":
-    "Further losses of responsive voters that leave a majority; reported by the leader",
+    "Further losses of responsive voters that leave a majority, as the leader counts them; 0 on all other processes",
 } as const;
 
 /** The name of a metric. */
