Accept configurations while a lost voter is being replaced

A leader refuses configurations in its first 10 s while there are fewer voters than the fault tolerance requires. Since a lost voter is removed right before its replacement is promoted, so there is one voter too few in between: some 10 ms, or for the rest of the 10 s where the replacement is lost at that moment. Operators would get 503 for a configuration that is as safe as before the removal: the lost voter confirmed nothing.

A leader that has had enough voters accepts configurations from then on. The wait is for a fleet that is still growing, whose leader has not had enough yet. The new test can't be built before the change.

--- a/src/fleet/create_membership_manager.ts
+++ b/src/fleet/create_membership_manager.ts
@@ -41,6 +41,12 @@
    * more; for the leader only.
    */
   replace(id: string): Promise<boolean>;
+  /**
+   * Whether there have been enough voters at some time since this process leads. There
+   * are too few for a moment while a lost voter is replaced, but that one could not
+   * confirm anything before either.
+   */
+  hasHadEnoughVoters(): boolean;
   /** Clears the recorded responses when this process becomes leader. */
   reset(): void;
 }
@@ -81,6 +87,7 @@
     | undefined;
   let changing: Promise<void> | undefined;
   let toleratedLosses: number | undefined;
+  let hasHadEnough = false;
 
   function isUnresponsive(id: string): boolean {
     const heardMs = responses.get(id)?.receivedMs ?? leadingSinceMs;
@@ -168,6 +175,7 @@
         options.metrics.gauge("quorum.tolerated_losses", 0);
         return;
       }
+      hasHadEnough ||= listVoterIds(state).length >= voters;
       recordResponses(state);
       reportToleratedLosses(state);
       await startChanges();
@@ -183,7 +191,9 @@
       return replica.getState().members
         .every((member) => member.id !== id || member.role !== "voter");
     },
+    hasHadEnoughVoters: () => hasHadEnough,
     reset() {
+      hasHadEnough = false;
       leadingSinceMs = listening.now();
       responses.clear();
       const { votes } = replica.getState();
--- a/src/fleet/create_membership_manager_test.ts
+++ b/src/fleet/create_membership_manager_test.ts
@@ -175,4 +175,17 @@
   assert.equal(gauges, [1, 0]);
 });
 
+// Guards against a configuration that is refused although it would outlast the tolerated
+// losses: a lost voter was removed, and its replacement was not promoted yet.
+test("voters count as enough while a lost one is being replaced", async () => {
+  const { manager, members, lead, advance } = startManager();
+  lead();
+  assert.is(manager.hasHadEnoughVoters(), false);
+  await advance(TICK_INTERVAL_MS);
+  members.remove("b");
+  assert.is(manager.hasHadEnoughVoters(), true);
+  lead();
+  assert.is(manager.hasHadEnoughVoters(), false);
+});
+
 test.run();
--- a/src/fleet/start_fleet_control.ts
+++ b/src/fleet/start_fleet_control.ts
@@ -321,7 +321,8 @@
   const countVoters = () =>
     replica.getState().members.filter(({ role }) => role === "voter").length;
   const hasEnoughVoters = () =>
-    hasLedFor(MAX_VOTERS_WAIT_MS) || countVoters() >= settings.voters;
+    hasLedFor(MAX_VOTERS_WAIT_MS) || countVoters() >= settings.voters ||
+    members.hasHadEnoughVoters();
   const calls = createLeaderCallHandler({
     hasEnoughVoters,
     hasLease: () => replica.hasLease(),
