--- a/proof/loss_machine.ts
+++ b/proof/loss_machine.ts
@@ -13,13 +13,13 @@
   QUORUM_TIMING,
   VOTER_TIMEOUT_MS,
 } from "../src/fleet/quorum_timing.ts";
-import type {
-  LogEntry,
-  Member,
-  QuorumEvent,
-  QuorumMessage,
+import {
+  hasLeaderLease,
+  type LogEntry,
+  type Member,
+  type QuorumEvent,
+  type QuorumMessage,
 } from "../src/quorum/index.ts";
-import { hasLeaderLease } from "../src/quorum/index.ts";
 import type { wire } from "../src/wire/index.ts";
 import type { RandomSource } from "./random_source.ts";
 import { createScheduleReplica } from "./schedule_replica.ts";
--- a/proof/run_loss_schedule_test.ts
+++ b/proof/run_loss_schedule_test.ts
@@ -25,6 +25,12 @@
   assert.ok((await runLossSchedule({ seed: 89 })).acknowledged > 100);
 });
 
+// Guards against a core that ends when a machine loses its disk again: its replacement was
+// promoted before the lost voter was removed, so two of four voters were gone.
+test("a disk that is lost again while its vote is replaced ends nothing: seed 118", async () => {
+  assert.ok((await runLossSchedule({ seed: 118 })).acknowledged > 100);
+});
+
 for (const injectedFault of INJECTED_LOSS_FAULTS) {
   test(`a schedule of losses detects the injected fault ${injectedFault}`, async () => {
     let detected = 0;
