--- a/spec/quorum.pml
+++ b/spec/quorum.pml
@@ -15,7 +15,8 @@
  *                       votes
  *   TWO_AT_A_TIME       two voters are removed in one membership change
  *
- * With RETURNS, a voter is removed and added again under its id: it was down meanwhile,
+ * A wiped replica is removed after its replacement has been added, or before it with
+ * REMOVE_FIRST. With RETURNS, a voter is removed and added again under its id: it was down meanwhile,
  * and has lost neither its log nor its vote.
  */
 #ifndef REPLICAS
@@ -355,6 +356,9 @@
 #ifdef RETURNS
              :: i != 2 && voters == ALL -> append(i, voters & ~4)
              :: i != 2 && (voters & 4) == 0 -> append(i, voters | 4)
+#endif
+#ifdef REMOVE_FIRST
+             :: wiped && voters == ALL -> append(i, voters & ~4)
 #endif
              :: wiped && (voters & 8) == 0 && REPLICAS > 3 ->
                 append(i, voters | 8)
