Use the terms of the field in the schedule of losses and beside it

Losses are tolerated, not borne. A comment said that a majority of an even number of voters stays the same without one of them; it is lowered, which is why a lost one is removed at once.

--- a/proof/loss_checks.ts
+++ b/proof/loss_checks.ts
@@ -25,7 +25,7 @@
   /** Checks what has to hold at any time. */
   checkStep(): void;
   /** Counts the further losses after which the running voters are a majority. */
-  countBearable(): number;
+  countTolerated(): number;
   /** The replica that holds the lease of the leader. */
   findLeader(): LossMachine | undefined;
   /** The highest index that a leader has acknowledged. */
@@ -117,7 +117,7 @@
       }
       checkMembers(leader);
     },
-    countBearable() {
+    countTolerated() {
       const members = findNewest()?.getReplica().getState().members ?? [];
       const voters = members.filter(({ role }) => role === "voter");
       const running = voters.filter(({ id }) =>
--- a/proof/run_loss_schedule.ts
+++ b/proof/run_loss_schedule.ts
@@ -4,7 +4,7 @@
  *
  * The losses keep to one rule alone: a machine counts as lost while it is down or
  * suspended and for a fixed time after its start, and no more machines are lost at once
- * than the voters tolerate. By the end of that time the quorum must bear the next loss.
+ * than the voters tolerate. By the end of that time the quorum must tolerate the next loss.
  *
  * @module
  */
@@ -38,7 +38,7 @@
   readonly elections: number;
   readonly acknowledged: number;
   readonly losses: Readonly<Record<string, number>>;
-  /** Longest time, in ms, from the start of a machine until the next loss is borne. */
+  /** Longest time, in ms, from a start until the next loss is tolerated. */
   readonly repairMs: Readonly<Record<string, number>>;
 }
 
@@ -170,7 +170,7 @@
 
   // The other losses at this time take their share of what is tolerated.
   const isRepaired = (otherLosses: number) =>
-    checks.countBearable() >= toleratedLosses - otherLosses;
+    checks.countTolerated() >= toleratedLosses - otherLosses;
 
   async function waitForRepair(kind: LossKind, sinceMs: number): Promise<void> {
     const untilMs = Math.max(timeMs, sinceMs + catchUpMs);
@@ -182,17 +182,17 @@
     }
     await sleep(Math.max(0, untilMs - timeMs));
     if (!isRepaired(getOthers())) {
-      fail(`${kind}: ${checks.countBearable()} more losses are borne`);
+      fail(`${kind}: ${checks.countTolerated()} more losses are tolerated`);
     }
   }
 
-  async function loseMachine(lane: number): Promise<void> {
+  async function loseMachine(slot: number): Promise<void> {
     const kind = random.pick(LOSS_KINDS);
     if (!mayPlay(kind)) return;
     const machine = chooseMachine(kind);
     losses[kind] = (losses[kind] ?? 0) + 1;
     history.push(`${timeMs} ${kind}: ${machine.getReplica().id}`);
-    lostUntilMs[lane] = Infinity;
+    lostUntilMs[slot] = Infinity;
     areAllLost = kind.startsWith("all");
     const before = new Set(machines);
     lost.add(machine);
@@ -203,16 +203,16 @@
     for (const one of [machine, ...added]) lost.delete(one);
     areAllLost = false;
     // Mostly right behind the limit, where the repair has had the least time.
-    lostUntilMs[lane] = timeMs +
+    lostUntilMs[slot] = timeMs +
       (random.chance(0.7)
         ? SHORT_PAUSE_MS
         : random.integer(SHORT_PAUSE_MS, MAX_PAUSE_MS));
   }
 
   function loseMachines(): void {
-    lostUntilMs.forEach((untilMs, lane) => {
+    lostUntilMs.forEach((untilMs, slot) => {
       if (timeMs < untilMs || areAllLost) return;
-      loseMachine(lane).catch((error) => failure ??= error as Error);
+      loseMachine(slot).catch((error) => failure ??= error as Error);
     });
   }
 
--- a/src/fleet/create_membership_manager.ts
+++ b/src/fleet/create_membership_manager.ts
@@ -102,8 +102,8 @@
     }
   }
 
-  // Stricter than the time-out of a replacement: a voter that has not answered this leader
-  // lately is no help if the next one is lost now.
+  // Stricter than the time-out of a replacement: a voter that is silent now does not count
+  // towards a majority if another one is lost now.
   function isSilent(id: string, { timing }: QuorumState): boolean {
     const { ackedSentMs, receivedMs } = responses.get(id) ?? NO_RESPONSE;
     return ackedSentMs < 0 ||
@@ -127,8 +127,8 @@
     });
   }
 
-  // Without a pause between two changes: each loss that comes before the last one is
-  // made may be one too many.
+  // Without a pause between two changes: until the last one is made, another loss may
+  // leave no majority.
   async function makeDueChanges(): Promise<void> {
     try {
       for (;;) {
--- a/src/quorum/plan_voter_change.ts
+++ b/src/quorum/plan_voter_change.ts
@@ -52,7 +52,7 @@
   const remove = (id: string) => members.filter((member) => member.id !== id);
   const lost = findLostVoter(state);
   const isExcess = currentVoters.length > voters;
-  // A majority of an even number of voters is the same without one of them.
+  // One of an even number of voters less lowers the majority; of an odd one it doesn't.
   const isEven = currentVoters.length % 2 === 0;
   if (lost && (promotable || isExcess || isEven)) return remove(lost.id);
   const others = currentVoters.filter(({ id }) => id !== selfId);
