Remove an unresponsive voter before its replacement is promoted

What callers would see: no leader for good, 503 to all. With five voters, one machine is gone and a second one loses its disk. Its new replica, caught up, was promoted in place of the gone one, which was to be removed next: six voters, of which four are needed. In that moment the replica's disk is lost again and the leader ends as well.

A voter that does not answer and its replacement, which has just started, count towards the majority together. Removed first, the others are as many as before towards a lower majority, and do not depend on the replacement. If the voter has only paused, it joins again.

A voter that stops as planned still answers, so it is removed last, as before. While there are too few voters already, none that is silent is removed.

The unit test of the order is replaced: it asserted the promotion before the removal, which is the fault.

--- a/src/quorum/plan_voter_change.ts
+++ b/src/quorum/plan_voter_change.ts
@@ -24,9 +24,9 @@
  * Plans the next membership change; each change affects one member. A learner
  * that has caught up is promoted if a voter is missing, unresponsive, leaving or lost.
  *
- * An unresponsive or leaving voter is removed only while there are more voters than required.
- * One whose disk is proven to be lost is removed before its replacement is promoted:
- * the replacement may be lost too, and then two of four voters would be.
+ * A voter that is lost or unresponsive is removed before its replacement is promoted:
+ * the replacement may be lost as well, and should not count towards the majority
+ * together with the first one. A leaving voter still answers, so it is removed last.
  *
  * @param state - The leader's state.
  * @param options - The target number of voters and the unresponsive members.
@@ -50,17 +50,20 @@
     isCaughtUp(state, { id, maxLagEntries })
   );
   const remove = (id: string) => members.filter((member) => member.id !== id);
-  const lost = findLostVoter(state);
+  const others = currentVoters.filter(({ id }) => id !== selfId);
   const isExcess = currentVoters.length > voters;
+  const lost = findLostVoter(state);
   // One of an even number of voters less lowers the majority; of an odd one it doesn't.
   const isEven = currentVoters.length % 2 === 0;
   if (lost && (promotable || isExcess || isEven)) return remove(lost.id);
-  const others = currentVoters.filter(({ id }) => id !== selfId);
-  const leaving = others.find(({ id }) => isLeaving(id)) ??
-    others.find(({ id }) => isUnresponsive(id));
+  const isComplete = currentVoters.length >= voters;
+  const unresponsive = others.find(({ id }) => isUnresponsive(id));
+  if (unresponsive && isComplete && (promotable || isExcess)) {
+    return remove(unresponsive.id);
+  }
+  const leaving = others.find(({ id }) => isLeaving(id));
   if (isExcess) return leaving && remove(leaving.id);
-  const isVoterNeeded = currentVoters.length < voters || leaving;
-  if (!promotable || !isVoterNeeded) return undefined;
+  if (!promotable || (isComplete && !leaving)) return undefined;
   return members.map((m) =>
     m.id === promotable.id ? { ...m, role: "voter" } : m
   );
