Form the cluster after a first start that was interrupted

Cause: only a first start formed the cluster, and a later one with an empty data folder was taken for a lost disk. It asked its seeds for a leader only, so it could not tell the two apart, and neither could one of three that had formed the cluster be elected alone.

Fix: responses to a join request name the cluster that the replica can form with its seeds, or has formed without any election since. A process without a cluster forms it if all seeds name the same one and more of them have started empty than machines may be lost at a time; the empty folder can't be a lost disk then. It is started anew within the process, with the id of a first start. A seed that is silent, has other seeds or has seen an election prevents it.

That a replica without a cluster could be elected with the members of an interrupted formation was found by reading; its test fails before.

--- a/src/control/create_join_handler.ts
+++ b/src/control/create_join_handler.ts
@@ -18,8 +18,26 @@
   readonly getLeaderAddress: () => string;
   /** Whether a VM is allowed to run a replica. */
   readonly isKnownVm: (vm: string) => boolean;
+  /** Tells which cluster this replica can form; by default none. */
+  readonly getFormation?: () => ClusterFormation;
 }
 
+/** What a replica tells others that look for a cluster, or for peers to form one with. */
+export interface ClusterFormation {
+  /**
+   * Id of the cluster that the replica would form with its seeds, or has formed with
+   * them without any election since; empty where it can't form one.
+   */
+  readonly formableClusterId: string;
+  /** Whether it had no cluster when its process started. */
+  readonly startedEmpty: boolean;
+}
+
+const NO_FORMATION: ClusterFormation = {
+  formableClusterId: "",
+  startedEmpty: false,
+};
+
 /**
  * Creates the handler of join requests.
  *
@@ -34,7 +52,7 @@
 export function createJoinHandler(
   options: CreateJoinHandlerOptions,
 ): (request: wire.JoinRequest) => Promise<wire.JoinResponse> {
-  const { fleetId, replica } = options;
+  const { fleetId, replica, getFormation = () => NO_FORMATION } = options;
   return async (request) => {
     const state = replica.getState();
     const { clusterId } = options.getIdentity();
@@ -44,6 +62,7 @@
       accepted: false,
       leaderAddress,
       reason,
+      ...getFormation(),
     });
     if (request.fleetId !== fleetId) return reject("other_fleet");
     // Its log belongs to the other cluster.
@@ -59,7 +78,13 @@
         return reject("busy");
       }
     }
-    return { clusterId, accepted: true, leaderAddress, reason: "" };
+    return {
+      clusterId,
+      accepted: true,
+      leaderAddress,
+      reason: "",
+      ...NO_FORMATION,
+    };
   };
 }
 
--- a/src/control/join_cluster.ts
+++ b/src/control/join_cluster.ts
@@ -38,6 +38,13 @@
   readonly getPeerAddresses: () => readonly string[];
   /** Time limit for one response, in ms; by default 2 s. */
   readonly responseTimeoutMs?: number;
+  /**
+   * Called after each round in which no peer has accepted this replica, with the
+   * responses by the address of the peer.
+   */
+  readonly onRejected?: (
+    answers: ReadonlyMap<string, wire.JoinResponse>,
+  ) => void;
   readonly tls?: TlsFilesSettings;
 }
 
@@ -64,17 +71,22 @@
     const peers = new Set([...options.getPeerAddresses(), ...leaderAddresses]);
     peers.delete("");
     leaderAddresses = new Set();
+    const answers = new Map<string, wire.JoinResponse>();
     const accepted = await sendJoinRequests(peers, {
       request,
       responseTimeoutMs,
       tls,
-      onAnswer: (answer) => void leaderAddresses.add(answer.leaderAddress),
+      onAnswer(peer, answer) {
+        answers.set(peer, answer);
+        leaderAddresses.add(answer.leaderAddress);
+      },
     });
     if (accepted) {
       const isKnown = accepted.clusterId === storage.identity.clusterId;
       if (!isKnown) await storage.setClusterId(accepted.clusterId);
       return true;
     }
+    options.onRejected?.(answers);
     await sleep(JOIN_INTERVAL_MS, undefined, { signal }).catch(() => {});
   }
   return false;
@@ -93,14 +105,14 @@
 function sendJoinRequests(
   peers: ReadonlySet<string>,
   options: JoinRequestOptions & {
-    readonly onAnswer: (answer: wire.JoinResponse) => void;
+    readonly onAnswer: (peer: string, answer: wire.JoinResponse) => void;
   },
 ): Promise<wire.JoinResponse | undefined> {
   return new Promise((resolve) => {
     const timer = setTimeout(() => resolve(undefined), ROUND_TIMEOUT_MS);
     const requests = [...peers].map(async (peer) => {
       const answer = await sendJoinRequest(peer, options);
-      if (answer) options.onAnswer(answer);
+      if (answer) options.onAnswer(peer, answer);
       if (answer?.accepted) resolve(answer);
     });
     void Promise.all(requests).then(() => {
--- a/src/control/keep_joined_test.ts
+++ b/src/control/keep_joined_test.ts
@@ -24,6 +24,8 @@
           accepted: true,
           leaderAddress: "",
           reason: "",
+          formableClusterId: "",
+          startedEmpty: false,
         });
       },
     } satisfies wire.PeerServer,
--- a/src/fleet/index.ts
+++ b/src/fleet/index.ts
@@ -15,6 +15,7 @@
 export * from "./messages.ts";
 export type { FleetSeed } from "./open_fleet_storage.ts";
 export * from "./pack_document.ts";
+export * from "./run_fleet_control.ts";
 export * from "./session_messages.ts";
 export * from "./start_fleet_control.ts";
 export * from "./sum_loads.ts";
--- a/src/fleet/open_fleet_storage.ts
+++ b/src/fleet/open_fleet_storage.ts
@@ -4,14 +4,16 @@
  * @module
  */
 
-import { createHash } from "node:crypto";
 import type { Logger } from "../logs/index.ts";
-import type { Member } from "../quorum/index.ts";
 import {
   createMemoryStorage,
   openQuorumStorage,
   type QuorumStorage,
 } from "../storage/index.ts";
+import {
+  getFirstReplicaId,
+  planInitialCluster,
+} from "./plan_initial_cluster.ts";
 
 /** A control process as it is listed in the settings. */
 export interface FleetSeed {
@@ -26,9 +28,8 @@
   readonly fleetId: string;
   /** Absent if there is no disk. */
   readonly dataFolder?: string;
-  /** Whether all seeds form a new cluster together. */
-  readonly isFirstStart: boolean;
-  readonly seeds: readonly FleetSeed[];
+  /** Seeds that form a new cluster together; absent if there is one already. */
+  readonly formingSeeds?: readonly FleetSeed[];
   readonly log: Logger;
 }
 
@@ -49,13 +50,9 @@
   if (dataFolder === undefined) {
     return createMemoryStorage({ fleetId, vm: callerAddress });
   }
-  const seeds = [...options.seeds]
-    .sort((a, b) => a.callerAddress < b.callerAddress ? -1 : 1);
-  const isInitialVoter = options.isFirstStart &&
-    seeds.some((seed) => seed.callerAddress === callerAddress);
-  const names = seeds.map((seed) => seed.callerAddress).join(" ");
-  const clusterId = createHash("sha256").update(names).digest("hex")
-    .slice(0, 16);
+  const { formingSeeds = [] } = options;
+  const isInitialVoter = formingSeeds
+    .some((seed) => seed.callerAddress === callerAddress);
   const storage = await openQuorumStorage({
     folder: dataFolder,
     fleetId,
@@ -63,7 +60,7 @@
     // No lock is needed: the platform starts only one process per folder.
     isLocked: false,
     form: isInitialVoter
-      ? { address: peerAddress, clusterId, members: listInitialVoters(seeds) }
+      ? { address: peerAddress, ...planInitialCluster(formingSeeds) }
       : undefined,
     makeReplicaId: isInitialVoter ? getFirstReplicaId : undefined,
   });
@@ -72,16 +69,3 @@
   }
   return storage;
 }
-
-function listInitialVoters(seeds: readonly FleetSeed[]): Member[] {
-  return seeds.map((seed) => ({
-    id: getFirstReplicaId(seed.callerAddress),
-    vm: seed.callerAddress,
-    address: seed.peerAddress,
-    role: "voter",
-  }));
-}
-
-function getFirstReplicaId(callerAddress: string): string {
-  return `${callerAddress}.first`;
-}
--- a/src/fleet/start_fleet_control.ts
+++ b/src/fleet/start_fleet_control.ts
@@ -17,6 +17,7 @@
 import type { Metrics } from "../metrics/index.ts";
 import type { Member, QuorumState } from "../quorum/index.ts";
 import type { RetryLimits } from "../retry/index.ts";
+import { createClusterFormation } from "./create_cluster_formation.ts";
 import { createConfigHistory } from "./create_config_history.ts";
 import { createEngineRecorder } from "./create_engine_recorder.ts";
 import { createEngineRegistry } from "./create_engine_registry.ts";
@@ -87,6 +88,16 @@
   readonly log: Logger;
   readonly metrics: Metrics;
   readonly onFatal: (error: unknown) => void;
+  /**
+   * Seeds with which this process forms a cluster if it has none; by default the seeds
+   * of a first start.
+   */
+  readonly formingSeeds?: readonly FleetSeed[];
+  /**
+   * Called with the seeds if they have turned out to have no cluster, after a first
+   * start that was interrupted. This process can't form one while it runs.
+   */
+  readonly onFormable?: (seeds: readonly FleetSeed[]) => void;
 }
 
 /** A running control process. */
@@ -151,9 +162,10 @@
     steadyNow: now,
     dayNow: Date.now,
   });
-  const seeds = options.getSeeds();
-  const storage = await openFleetStorage({ ...settings, seeds, log });
-  const { replicaId } = storage.identity;
+  const firstSeeds = settings.isFirstStart ? options.getSeeds() : undefined;
+  const { formingSeeds = firstSeeds } = options;
+  const storage = await openFleetStorage({ ...settings, formingSeeds, log });
+  const { replicaId, clusterId: firstClusterId } = storage.identity;
   let leadingSinceMs = Infinity;
   // Number of times that this process became leader, and the last of them in which it
   // has loaded what earlier leaders had recorded.
@@ -441,12 +453,22 @@
     return { type: "unavailable", reason: "not the leader" };
   }
 
+  const formation = createClusterFormation({
+    self: settings,
+    hasDisk: settings.dataFolder !== undefined,
+    storage,
+    replica,
+    startedEmpty: firstClusterId === "" || options.formingSeeds !== undefined,
+    toleratedLosses: Math.floor(settings.voters / 2),
+    getSeeds: options.getSeeds,
+  });
   const handleJoin = createJoinHandler({
     fleetId: settings.fleetId,
     replica,
     getIdentity: () => storage.identity,
     getLeaderAddress: () => getLeader()?.address ?? "",
     isKnownVm: () => true,
+    getFormation: formation.getFormation,
   });
   const server = await startFleetServer({
     address: settings.peerAddress,
@@ -473,6 +495,10 @@
     getPeerAddresses,
     getSilenceMs: () =>
       isLeader() ? 0 : now() - replica.getState().leaderContactMs,
+    onRejected(answers) {
+      const formable = formation.findFormableSeeds(answers);
+      if (formable && !joining.signal.aborted) options.onFormable?.(formable);
+    },
     onOutside: () => log("leaderSilent"),
     onJoined: () => log("clusterJoined", { ...storage.identity }),
   });
--- a/src/logs/events.ts
+++ b/src/logs/events.ts
@@ -78,6 +78,11 @@
     "info",
     "No leader is in contact; requesting to be a member",
   ),
+  clusterFormable: event(
+    "CL1211",
+    "info",
+    "No seed has a cluster after an interrupted first start; forming it",
+  ),
   changeAccepted: event("CL1301", "info", "Change accepted"),
   changeConflict: event(
     "CL1302",
--- a/src/storage/identity.ts
+++ b/src/storage/identity.ts
@@ -152,16 +152,25 @@
  */
 export async function formCluster(
   identity: StorageIdentity,
-  options: { folder: string; form: FormOptions },
+  options: {
+    readonly folder: string;
+    readonly form: FormOptions;
+    /**
+     * Generates the replica's id in the cluster; by default it keeps the one that it
+     * has. Without a cluster it has not voted or stored anything under that one.
+     */
+    readonly makeReplicaId?: (vm: string) => string;
+  },
 ): Promise<StorageIdentity> {
   const { folder, form } = options;
-  const { replicaId: id, vm } = identity;
+  const { vm } = identity;
+  const id = options.makeReplicaId?.(vm) ?? identity.replicaId;
   const self: Member = { id, vm, address: form.address, role: "voter" };
   const members = form.members ?? [self];
   const meta = { index: 0, term: 0, members };
   const frames = [encodeFrame(JSON.stringify(meta)), encodeFrame("")];
   await replaceFile(join(folder, SNAPSHOT_FILE), Buffer.concat(frames));
-  const formed = { ...identity, clusterId: form.clusterId };
+  const formed = { ...identity, replicaId: id, clusterId: form.clusterId };
   await writeIdentity(folder, formed);
   return formed;
 }
--- a/src/storage/open_quorum_storage.ts
+++ b/src/storage/open_quorum_storage.ts
@@ -91,12 +91,15 @@
   options: OpenQuorumStorageOptions,
   lock: AsyncDisposable,
 ): Promise<QuorumStorage> {
-  const { folder } = options;
+  const { folder, form, makeReplicaId } = options;
   let identity = await readIdentity(options);
-  if (options.form && identity.clusterId === "") {
-    identity = await formCluster(identity, { folder, form: options.form });
+  if (form && identity.clusterId === "") {
+    identity = await formCluster(identity, { folder, form, makeReplicaId });
   }
   const stored = await readStoredState(folder);
+  const state = identity.clusterId === ""
+    ? withoutFormation(stored.state)
+    : stored.state;
   let sequence = stored.sequence;
   let log = await openLog(folder, sequence, stored.validBytes);
 
@@ -128,7 +131,7 @@
     get identity() {
       return identity;
     },
-    stored: stored.state,
+    stored: state,
     getLogBytes: () => log.getSizeBytes(),
     append,
     saveSnapshot,
@@ -141,6 +144,15 @@
   };
 }
 
+/**
+ * Leaves out the initial members of a cluster whose formation a crash has interrupted:
+ * the replica may also join another one, or form one with other members.
+ */
+function withoutFormation(state: StoredState): StoredState {
+  const isUnused = state.hard.term === 0 && state.log.length === 0;
+  return isUnused ? { ...state, snapshot: undefined } : state;
+}
+
 function encodeRecord(record: PersistRecord): string {
   const { hard, entries } = record;
   const value: LogRecord = entries.length === 0
--- a/src/storage/open_quorum_storage_test.ts
+++ b/src/storage/open_quorum_storage_test.ts
@@ -5,7 +5,12 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import type { LogEntry } from "../quorum/index.ts";
-import { encodeFrame, openQuorumStorage, scanFrames } from "./index.ts";
+import {
+  encodeFrame,
+  openQuorumStorage,
+  scanFrames,
+  writeIdentity,
+} from "./index.ts";
 
 const test = suite<{ folder: string }>("quorum storage");
 
@@ -178,4 +183,33 @@
   assert.is(second.identity.clusterId, "one");
 });
 
+test("a folder without a cluster forms one under the id that it is given", async ({ folder }) => {
+  await write(folder, []);
+  const form = { address: "vm-1:1", clusterId: "cluster" };
+  const makeReplicaId = (vm: string) => `${vm}.first`;
+  for (let start = 0; start < 2; start++) {
+    await using storage = await openQuorumStorage({
+      folder,
+      ...owner,
+      form,
+      makeReplicaId,
+    });
+    assert.is(storage.identity.replicaId, "vm-1.first");
+    const members = storage.stored.snapshot?.meta.members ?? [];
+    assert.equal(members.map(({ id }) => id), ["vm-1.first"]);
+  }
+});
+
+// Guards against an election without a cluster: a crash between the two files of a
+// formation had left its members.
+test("a formation that was interrupted leaves no members", async ({ folder }) => {
+  const form = { address: "vm-1:1", clusterId: "cluster" };
+  {
+    await using storage = await openQuorumStorage({ folder, ...owner, form });
+    await writeIdentity(folder, { ...storage.identity, clusterId: "" });
+  }
+  await using storage = await openQuorumStorage({ folder, ...owner });
+  assert.is(storage.stored.snapshot, undefined);
+});
+
 test.run();
--- a/src/wire/gen/crowlever.ts
+++ b/src/wire/gen/crowlever.ts
@@ -113,6 +113,13 @@
   accepted: boolean;
   leaderAddress: string;
   reason: string;
+  /**
+   * Id of the cluster that the responding replica would form with its seeds, or has
+   * formed with them without any election since; empty where it can't form one.
+   */
+  formableClusterId: string;
+  /** Whether it had no cluster when its process started. */
+  startedEmpty: boolean;
 }
 
 export interface AgentHello {
@@ -1069,7 +1076,7 @@
 };
 
 function createBaseJoinResponse(): JoinResponse {
-  return { clusterId: "", accepted: false, leaderAddress: "", reason: "" };
+  return { clusterId: "", accepted: false, leaderAddress: "", reason: "", formableClusterId: "", startedEmpty: false };
 }
 
 export const JoinResponse: MessageFns<JoinResponse> = {
@@ -1086,6 +1093,12 @@
     if (message.reason !== "") {
       writer.uint32(34).string(message.reason);
     }
+    if (message.formableClusterId !== "") {
+      writer.uint32(42).string(message.formableClusterId);
+    }
+    if (message.startedEmpty !== false) {
+      writer.uint32(48).bool(message.startedEmpty);
+    }
     return writer;
   },
 
@@ -1134,6 +1147,22 @@
             message.reason = reader.string();
             continue;
           }
+          case 5: {
+            if (tag !== 42) {
+              break;
+            }
+
+            message.formableClusterId = reader.string();
+            continue;
+          }
+          case 6: {
+            if (tag !== 48) {
+              break;
+            }
+
+            message.startedEmpty = reader.bool();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
--- a/test/support/prepare_controls.ts
+++ b/test/support/prepare_controls.ts
@@ -12,7 +12,7 @@
   type FleetControl,
   type FleetSeed,
   packDocument,
-  startFleetControl,
+  runFleetControl,
 } from "../../src/fleet/index.ts";
 import { createMetrics } from "../../src/metrics/index.ts";
 import { findSeeds } from "./find_seeds.ts";
@@ -40,7 +40,7 @@
     { isFirstStart = true, ...options }: ControlOptions,
   ): Promise<FleetControl> {
     folderCount += 1;
-    const control = await startFleetControl({
+    const control = await runFleetControl({
       fleetId: "test",
       ...addresses[at],
       dataFolder: options.isObserver
