--- a/spec/quorum.pml
+++ b/spec/quorum.pml
@@ -16,8 +16,8 @@
  *   TWO_AT_A_TIME       two voters are removed in one membership change
  *
  * A wiped replica is removed after its replacement has been added, or before it with
- * REMOVE_FIRST. With RETURNS, a voter is removed and added again under its id: it was down meanwhile,
- * and has lost neither its log nor its vote.
+ * REMOVE_FIRST. With RETURNS, a voter is removed and added again under its id: it was
+ * down meanwhile, and has lost neither its log nor its vote.
  */
 #ifndef REPLICAS
 #define REPLICAS 3
