Fail answers without a length whose connection was reset

What callers saw: through the product's own interface a 200 with an empty or a short body, framed as whole. Under an idempotency key it was kept as the outcome "done" of the claim.

Cause: the HTTP library takes ECONNRESET for the normal end of an answer without a length, and the runtime reports an end where the reset arrives right behind the data. The transport of the gateways recognised both; createUpstreamClient and the client for reports and orders were further clients without that rule.

Change: the rule is in createResetDetector (src/http), which all three clients use. A claim whose answer breaks off is answered with 502 answer_broken in place of 500 internal.

Evidence: raw servers that reset an answer without a length, at once or 50 ms after its data. create_upstream_client_test on the client before: 4 of 16 passed, all 12 resets were taken for the end; now 16 of 16. 'a claim whose answer without a length is reset has an unknown outcome' failed before (200 in place of 502). Ruled out: cut heads, short bodies with a length and chunks without an end fail in this client as they should.

--- a/src/entry/serve_plain.ts
+++ b/src/entry/serve_plain.ts
@@ -8,12 +8,13 @@
 import { createHash } from "node:crypto";
 import type { Readable } from "node:stream";
 import type { FastifyReply, FastifyRequest } from "fastify";
-import type { Metrics } from "../metrics/index.ts";
+import { type Metrics, REFUSAL_REASONS } from "../metrics/index.ts";
 import type { Outcome } from "../model/index.ts";
 import type { ResourceState } from "../resources/index.ts";
 import type { Admission } from "./create_admission.ts";
 import type { Agent } from "./create_agent.ts";
 import type { RequestTracker } from "./create_request_tracker.ts";
+import { RequestProblemError } from "./entry_error.ts";
 import { isHopByHopHeader } from "./hop_headers.ts";
 import { readService } from "./read_request.ts";
 import type { RequestContext } from "./request_context.ts";
@@ -119,10 +120,21 @@
 async function readBody(body: Buffer | Readable): Promise<string> {
   if (Buffer.isBuffer(body)) return body.toString("utf8");
   const chunks: Buffer[] = [];
-  for await (const chunk of body) chunks.push(chunk as Buffer);
+  try {
+    for await (const chunk of body) chunks.push(chunk as Buffer);
+  } catch (cause) {
+    throw createBrokenAnswerError(cause);
+  }
   return Buffer.concat(chunks).toString("utf8");
 }
 
+function createBrokenAnswerError(cause: unknown): Error {
+  const reason = "answer_broken";
+  const detail = REFUSAL_REASONS[reason];
+  const problem = { status: 502, reason, detail, outcome: "unknown" } as const;
+  return new RequestProblemError(detail, { cause, props: { problem } });
+}
+
 function hashCall(call: PlainCall): string {
   return createHash("sha256")
     .update(`${call.method} ${call.path}\n`)
--- a/src/gateway/create_engine_client.ts
+++ b/src/gateway/create_engine_client.ts
@@ -7,10 +7,10 @@
 
 import { Buffer } from "node:buffer";
 import { TextDecoder } from "node:util";
-import { Agent, buildConnector, type Dispatcher } from "undici";
-import { withTimeout } from "../http/index.ts";
+import { Agent, type Dispatcher } from "undici";
+import { createResetDetector, withTimeout } from "../http/index.ts";
 import { createReadLimiter, type ReadMeter } from "./create_read_limiter.ts";
-import { UpstreamLimitError } from "./gateway_error.ts";
+import { GatewayError, UpstreamLimitError } from "./gateway_error.ts";
 
 /** A request to an engine. */
 export interface EngineRequest {
@@ -75,11 +75,11 @@
     withoutProgressBytes: maxBytes,
     withoutProgressReads: Infinity,
   });
-  const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
+  const resetDetector = createResetDetector({ timeout: CONNECT_TIMEOUT_MS });
   const agent = new Agent({
     connections: CONNECTIONS,
     connect(options, done) {
-      connect(options, (...result) => {
+      resetDetector.connect(options, (...result) => {
         const socket = result[1];
         if (socket) readLimiter.watch(socket);
         done(...result);
@@ -125,6 +125,9 @@
           },
           onResponseEnd() {
             meter?.reset();
+            if (resetDetector.isEndedByReset()) {
+              return rejectText(new GatewayError("answer was reset"));
+            }
             resolveText(new TextDecoder().decode(Buffer.concat(chunks)));
           },
           onResponseError(_controller, error) {
--- a/src/gateway/create_upstream_transport.ts
+++ b/src/gateway/create_upstream_transport.ts
@@ -6,10 +6,9 @@
  */
 
 import type { Buffer } from "node:buffer";
-import type { Socket } from "node:net";
-import process from "node:process";
-import { buildConnector, type Dispatcher, Pool } from "undici";
+import { type Dispatcher, Pool } from "undici";
 import type { EngineNotice } from "../engines/index.ts";
+import { createResetDetector } from "../http/index.ts";
 import type { UpstreamLimitsSettings } from "../settings/index.ts";
 import { createReadLimiter, type ReadMeter } from "./create_read_limiter.ts";
 import {
@@ -127,9 +126,6 @@
 /** Ms before the upstream's own idle time-out at which a connection is closed. */
 const KEEP_ALIVE_MARGIN_MS = 1_000;
 
-/** Error code for a reset that the HTTP library does not treat as a normal end. */
-const RESET_CODE = "CONNECTION_WAS_RESET";
-
 /**
  * Creates an HTTP client for upstreams.
  *
@@ -147,31 +143,26 @@
   const { onNotice = () => {}, onConnected = () => {} } = options;
   const { limits = UNLIMITED } = options;
   const readLimiter = createReadLimiter(limits);
+  const resetDetector = createResetDetector({
+    timeout: CONNECT_TIMEOUT_MS * 4,
+  });
   const pools = new Map<string, Pool>();
   const answeredMs = new Map<string, number>();
   let isClosed = false;
-  // True while the end of a connection that was reset is being handled; the library
-  // ends the answer in the same event loop turn.
-  let endedByReset = false;
-
-  function markEndedByReset(): void {
-    endedByReset = true;
-    process.nextTick(() => {
-      endedByReset = false;
-    });
-  }
-
   function getPool(engineId: string, address: string): Pool {
     const known = pools.get(engineId);
     if (known) return known;
     const pool = new Pool(`http://${address}`, {
-      connect: createConnector({
-        onResetEnd: markEndedByReset,
-        onConnected(socket) {
-          readLimiter.watch(socket);
-          onConnected(engineId);
-        },
-      }),
+      connect(target, done) {
+        resetDetector.connect(target, (...result) => {
+          const socket = result[1];
+          if (socket) {
+            readLimiter.watch(socket);
+            onConnected(engineId);
+          }
+          done(...result);
+        });
+      },
       pipelining: 1,
       keepAliveTimeout: KEEP_ALIVE_MS,
       keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
@@ -302,7 +293,7 @@
       onResponseEnd() {
         clearTimeout(rejectionTimer);
         meter?.reset();
-        if (endedByReset) fail("reset behind the data");
+        if (resetDetector.isEndedByReset()) fail("reset behind the data");
         else end({ type: "complete" });
       },
       onResponseError(_controller, error) {
@@ -357,30 +348,3 @@
     },
   };
 }
-
-// An answer without a length ends with its connection; if the connection is reset,
-// the answer is incomplete. A reset goes unnoticed in two cases: the library treats
-// ECONNRESET as a normal end, and the runtime reports an end if the reset arrives right
-// after the data. In the second case the socket has no remote address any more at its
-// end. It must not be read earlier, as the runtime caches the first value read.
-function createConnector(
-  { onResetEnd, onConnected }: {
-    readonly onResetEnd: () => void;
-    readonly onConnected: (socket: Socket) => void;
-  },
-): buildConnector.connector {
-  const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS * 4 });
-  return (options, done) => {
-    connect(options, (...result) => {
-      const socket = result[1];
-      if (socket) onConnected(socket);
-      socket?.prependListener("error", (error: NodeJS.ErrnoException) => {
-        if (error.code === "ECONNRESET") error.code = RESET_CODE;
-      });
-      socket?.prependListener("end", () => {
-        if (socket.remoteAddress === undefined) onResetEnd();
-      });
-      done(...result);
-    });
-  };
-}
--- a/src/gateway/create_upstream_transport_test.ts
+++ b/src/gateway/create_upstream_transport_test.ts
@@ -1,9 +1,10 @@
 import { Buffer } from "node:buffer";
-import { type AddressInfo, createServer, type Socket } from "node:net";
+import type { Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { until } from "../../demo/until.ts";
+import { startRawServer } from "../../test/support/start_raw_server.ts";
 import { createHeldAnswer } from "./create_held_answer.ts";
 import { createHeldBytes } from "./create_held_bytes.ts";
 import {
@@ -29,24 +30,6 @@
   }),
 } as CallerCodec;
 
-/** Starts a TCP server that calls `answer` for each chunk of data received. */
-async function startRawServer(answer: (socket: Socket) => void) {
-  const server = createServer((socket) => {
-    socket.on("data", () => answer(socket));
-    socket.on("error", () => {});
-  });
-  await new Promise<void>((resolve) => {
-    server.listen(0, "127.0.0.1", resolve);
-  });
-  const { port } = server.address() as AddressInfo;
-  return {
-    address: `127.0.0.1:${port}`,
-    async [Symbol.asyncDispose]() {
-      await new Promise((resolve) => server.close(resolve));
-    },
-  };
-}
-
 function makeRequest(address: string): ExchangeOptions {
   return {
     engineId: "e",
--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -7,6 +7,7 @@
 export * from "./close_server.ts";
 export * from "./connection_headers.ts";
 export * from "./create_body_memory.ts";
+export * from "./create_reset_detector.ts";
 export * from "./create_server.ts";
 export * from "./discard_body.ts";
 export * from "./problem.ts";
--- a/src/upstreams/create_upstream_client.ts
+++ b/src/upstreams/create_upstream_client.ts
@@ -7,9 +7,10 @@
 import type { IncomingHttpHeaders } from "node:http";
 import type { Readable } from "node:stream";
 import { Agent, type Dispatcher } from "undici";
+import { createResetDetector, type ResetDetector } from "../http/index.ts";
 import { HEADERS } from "../model/index.ts";
 import type { DispatchFailure, DispatchFault } from "../retry/index.ts";
-import { DispatchError } from "./upstream_error.ts";
+import { DispatchError, UpstreamError } from "./upstream_error.ts";
 
 /** A call to an upstream. */
 export interface UpstreamCall {
@@ -81,14 +82,15 @@
     bodyTimeoutMs = BODY_TIMEOUT_MS,
     connections = CONNECTIONS,
   } = options;
+  const resetDetector = createResetDetector({ timeout: connectTimeoutMs });
   const agent = new Agent({
-    connect: { timeout: connectTimeoutMs },
+    connect: resetDetector.connect,
     connections,
     pipelining: 1,
     bodyTimeout: bodyTimeoutMs,
     keepAliveTimeout: 30_000,
   });
-  const dispatcher = agent.compose(trackWrites);
+  const dispatcher = agent.compose(trackWrites, failResets(resetDetector));
 
   async function call(request: UpstreamCall): Promise<UpstreamAnswer> {
     const writeState: WriteState = { written: false };
@@ -145,6 +147,27 @@
     });
   };
 
+// A response without a length whose connection was reset is incomplete.
+function failResets(
+  { isEndedByReset }: Pick<ResetDetector, "isEndedByReset">,
+): Dispatcher.DispatcherComposeInterceptor {
+  return (dispatch) => (options, handler) =>
+    dispatch(options, {
+      onRequestStart: (...given) => handler.onRequestStart?.(...given),
+      onRequestUpgrade: (...given) => handler.onRequestUpgrade?.(...given),
+      onResponseStart: (...given) => handler.onResponseStart?.(...given),
+      onResponseData: (...given) => handler.onResponseData?.(...given),
+      onResponseEnd(controller, trailers) {
+        if (!isEndedByReset()) {
+          return handler.onResponseEnd?.(controller, trailers);
+        }
+        const error = new UpstreamError("response was reset behind its data");
+        handler.onResponseError?.(controller, error);
+      },
+      onResponseError: (...given) => handler.onResponseError?.(...given),
+    });
+}
+
 function classifyCallError(
   error: unknown,
   writeState: WriteState,
--- /dev/null
+++ b/src/upstreams/create_upstream_client_test.ts
@@ -0,0 +1,70 @@
+/**
+ * Guards against answers that a connection cut short and that are taken for whole ones.
+ */
+
+import type { Socket } from "node:net";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { startRawServer } from "../../test/support/start_raw_server.ts";
+import { createUpstreamClient } from "./create_upstream_client.ts";
+
+/** Sends a call to a server that answers so, and reads the whole answer. */
+async function readAnswer(answer: (socket: Socket) => void): Promise<string> {
+  await using server = await startRawServer(answer);
+  await using client = createUpstreamClient();
+  const { body } = await client.call({
+    address: `http://${server.address}`,
+    method: "POST",
+    path: "/",
+    body: "request",
+    timeoutMs: 5_000,
+  });
+  return await body.text();
+}
+
+async function isWhole(answer: (socket: Socket) => void): Promise<boolean> {
+  return await readAnswer(answer).then(() => true, () => false);
+}
+
+const UNFRAMED_HEADS = {
+  "HTTP/1.1": "HTTP/1.1 200 OK\r\n\r\n",
+  "HTTP/1.1, closing": "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n",
+  "HTTP/1.0": "HTTP/1.0 200 OK\r\n\r\n",
+};
+
+for (const [name, head] of Object.entries(UNFRAMED_HEADS)) {
+  for (const body of ["", "part of the body"]) {
+    const place = `${name}, ${body.length} bytes of body`;
+
+    // Guards against a short body that is passed on as a whole one.
+    test(`an answer without a length that is reset is broken: ${place}`, async () => {
+      const isTaken = await isWhole((socket) => {
+        socket.write(`${head}${body}`);
+        setTimeout(() => socket.resetAndDestroy(), 50);
+      });
+      assert.not.ok(isTaken);
+    });
+
+    test(`an answer without a length that is reset right after its data is broken: ${place}`, async () => {
+      const isTaken = await isWhole((socket) => {
+        socket.write(`${head}${body}`, () => socket.resetAndDestroy());
+      });
+      assert.not.ok(isTaken);
+    });
+  }
+
+  test(`an answer without a length ends with its connection: ${name}`, async () => {
+    const text = await readAnswer((socket) => socket.end(`${head}whole`));
+    assert.is(text, "whole");
+  });
+}
+
+test("an answer with a length is whole even if its connection is reset after it", async () => {
+  const text = await readAnswer((socket) => {
+    const head = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\n";
+    socket.write(`${head}whole`, () => socket.resetAndDestroy());
+  });
+  assert.is(text, "whole");
+});
+
+test.run();
--- a/standins/start_plain_service.ts
+++ b/standins/start_plain_service.ts
@@ -9,8 +9,11 @@
 
 /** Faults that a test can inject into a running stand-in. */
 export interface PlainFault {
-  /** Closes the connection before the answer, or in the middle of it. */
-  cut?: "before" | "within";
+  /**
+   * Closes the connection before the answer, or in the middle of it, or resets it in the
+   * middle of an answer that has neither a length nor chunks.
+   */
+  cut?: "before" | "within" | "unframed";
   /** Status code of all answers. */
   status?: number;
   /** Rejects requests and marks them as not run. */
@@ -80,6 +83,13 @@
       setTimeout(() => request.raw.socket.destroy(), 5);
       return;
     }
+    if (fault.cut === "unframed") {
+      const { socket } = request.raw;
+      reply.hijack();
+      socket.write("HTTP/1.1 200 OK\r\n\r\nhalf");
+      setTimeout(() => socket.resetAndDestroy(), 5);
+      return;
+    }
     return reply.code(fault.status ?? 200).send({
       service: name,
       path: request.url,
--- a/test/outcomes_test.ts
+++ b/test/outcomes_test.ts
@@ -170,6 +170,20 @@
   assert.is(countRuns(trial, path), 1);
 });
 
+// Guards against a short body that is kept as the outcome of a claim.
+test("a claim whose answer without a length is reset has an unknown outcome", async ({ trial }) => {
+  setFault(trial, { cut: "unframed" });
+  const key = `claim-${nextKey++}`;
+  const path = `/unframed/${key}`;
+  const first = await post(trial, path, { key });
+  assert.is(first.status, 502);
+  assert.is(first.headers["crowlever-outcome"], "unknown");
+  setFault(trial, {});
+  const again = await post(trial, path, { entry: 1, key });
+  assert.is(again.headers["crowlever-outcome"], "unknown");
+  assert.is(countRuns(trial, path), 1);
+});
+
 test("a claim that did not run is run at the next attempt", async ({ trial }) => {
   setFault(trial, { saysNotRun: true });
   const key = `claim-${nextKey++}`;
--- /dev/null
+++ b/test/support/start_raw_server.ts
@@ -0,0 +1,33 @@
+/**
+ * A TCP server whose answers are bytes that a test writes itself.
+ *
+ * @module
+ */
+
+import { type AddressInfo, createServer, type Socket } from "node:net";
+
+/** A running server. */
+export interface RawServer extends AsyncDisposable {
+  /** Host and port. */
+  readonly address: string;
+}
+
+/** Starts a server that calls `answer` for each chunk of data received. */
+export async function startRawServer(
+  answer: (socket: Socket) => void,
+): Promise<RawServer> {
+  const server = createServer((socket) => {
+    socket.on("data", () => answer(socket));
+    socket.on("error", () => {});
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, "127.0.0.1", resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  return {
+    address: `127.0.0.1:${port}`,
+    async [Symbol.asyncDispose]() {
+      await new Promise((resolve) => server.close(resolve));
+    },
+  };
+}
