Read how an answer ends from its last transfer coding

What callers saw: an answer with "Transfer-Encoding: identity" or "gzip", without chunks, that its upstream's crash had cut short came as a 200 framed as whole; and one in "gzip, chunked" came as coded bytes without the field that names the coding.

Cause: the codec took any transfer coding for chunks, so it did not see that such an answer ends with its connection, and its crash was not looked for. The field is of one connection only and is not forwarded, but the coding of the bytes stayed.

Change: readFraming (src/http) goes by the last coding (RFC 9112, 6.3). An answer that is coded otherwise than in chunks has broken off; no coding was requested. The product's own client has the same rule.

--- a/src/gateway/classify_peer_answer_test.ts
+++ b/src/gateway/classify_peer_answer_test.ts
@@ -14,6 +14,7 @@
     requestId: "r",
     isSigned: false,
     endsWithConnection: false,
+    isCoded: false,
     reportsNotRun: false,
     faultAddress: undefined,
     load: undefined,
--- a/src/gateway/create_upstream_transport.ts
+++ b/src/gateway/create_upstream_transport.ts
@@ -275,6 +275,9 @@
         if (head.requestId !== options.requestId) {
           return abort("answer to another request");
         }
+        if (head.isCoded && !head.reportsNotRun) {
+          return abort("transfer coding that was not requested");
+        }
         meter = readLimiter.getCurrent();
         meter?.reset();
         isForwarded = options.isForwarded?.(head) ?? false;
--- a/src/gateway/create_upstream_transport_test.ts
+++ b/src/gateway/create_upstream_transport_test.ts
@@ -23,6 +23,7 @@
     requestId: String(headers["x-id"] ?? ""),
     isSigned: true,
     endsWithConnection: false,
+    isCoded: headers["transfer-encoding"] === "gzip, chunked",
     reportsNotRun: headers["x-not-run"] !== undefined,
     isLeaving: headers["x-leaving"] !== undefined,
     faultAddress: undefined,
@@ -136,6 +137,17 @@
   assert.is(end.type, "broken");
 });
 
+// Guards against coded bytes that are forwarded without the field that names their coding.
+test("an answer with a transfer coding that was not requested is broken", async () => {
+  const { end, status } = await exchange((socket) =>
+    socket.write(
+      `${HEAD}transfer-encoding: gzip, chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n`,
+    )
+  );
+  assert.is(end.type, "broken");
+  assert.is(status, undefined);
+});
+
 test("an answer to another request is broken, and its head is not passed on", async () => {
   const { end, status } = await exchange(
     (socket) => socket.write(`${HEAD}content-length: 0\r\n\r\n`),
--- a/src/gateway/protocol.ts
+++ b/src/gateway/protocol.ts
@@ -7,6 +7,7 @@
 
 import type { IncomingHttpHeaders } from "node:http";
 import type { EngineCallOptions, EngineNotice } from "../engines/index.ts";
+import type { ResponseFraming } from "../http/index.ts";
 import type { RefusalReason } from "../metrics/index.ts";
 import type { PathPart } from "../layers/index.ts";
 
@@ -65,7 +66,7 @@
 }
 
 /** An upstream's response header, parsed. */
-export interface UpstreamHead extends EngineNotice {
+export interface UpstreamHead extends EngineNotice, ResponseFraming {
   readonly status: number;
   /** Fields to forward to the caller, as alternating names and values. */
   readonly headers: readonly string[];
@@ -73,8 +74,6 @@
   readonly requestId: string;
   /** Whether the upstream signed the answer as its own. */
   readonly isSigned: boolean;
-  /** Whether the body ends with the connection, as it has neither length nor chunks. */
-  readonly endsWithConnection: boolean;
   /** Whether the upstream reports that it did not run the request. */
   readonly reportsNotRun: boolean;
   /** Address of the upstream at fault, if that is another one. */
--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -15,6 +15,7 @@
 export * from "./read_rate_limit.ts";
 export * from "./read_back_off_ms.ts";
 export * from "./read_body.ts";
+export * from "./read_framing.ts";
 export * from "./read_rate_limit.ts";
 export * from "./read_retry_after.ts";
 export * from "./secrets.ts";
--- a/src/upstreams/create_upstream_client.ts
+++ b/src/upstreams/create_upstream_client.ts
@@ -7,7 +7,11 @@
 import type { IncomingHttpHeaders } from "node:http";
 import type { Readable } from "node:stream";
 import { Agent, type Dispatcher } from "undici";
-import { createResetDetector, type ResetDetector } from "../http/index.ts";
+import {
+  createResetDetector,
+  readFraming,
+  type ResetDetector,
+} from "../http/index.ts";
 import { HEADERS } from "../model/index.ts";
 import type { DispatchFailure, DispatchFault } from "../retry/index.ts";
 import { DispatchError, UpstreamError } from "./upstream_error.ts";
@@ -106,6 +110,10 @@
         signal,
         writeState,
       } as Dispatcher.RequestOptions);
+      if (readFraming(answer.headers).isCoded) {
+        answer.body.on("error", () => {}).destroy();
+        throw new UpstreamError("transfer coding that was not requested");
+      }
       return {
         status: answer.statusCode,
         headers: answer.headers,
--- a/src/upstreams/create_upstream_client_test.ts
+++ b/src/upstreams/create_upstream_client_test.ts
@@ -59,6 +59,15 @@
   });
 }
 
+// Guards against coded bytes that are forwarded without the field that names their coding.
+test("an answer with a transfer coding that was not requested is broken", async () => {
+  const isTaken = await isWhole((socket) => {
+    const head = "HTTP/1.1 200 OK\r\ntransfer-encoding: gzip, chunked\r\n\r\n";
+    socket.write(`${head}2\r\nab\r\n0\r\n\r\n`);
+  });
+  assert.not.ok(isTaken);
+});
+
 test("an answer with a length is whole even if its connection is reset after it", async () => {
   const text = await readAnswer((socket) => {
     const head = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\n";
