Run a stream again whose connection closes before its first event

What callers saw: a 200 without any event, closed as complete, where an engine had sent the head of an answer with neither a length nor chunks and then closed its connection in order (ORDER).

Cause: the close of such a connection is the end of the answer, and only an event that was broken off told otherwise. A crash is looked for, but an engine that goes on is none. Ruled out: a head that is cut short is no success at any of seven places, plain or as a stream; these two tests passed before as well.

Change: a run that does not resume a stream and has neither framing nor an event was cut. One that resumes may find nothing left.

Evidence: 'a stream without length or chunks that ends before its first event is run again' failed before: the answer was empty.

--- a/src/gateway/start_stream_run.ts
+++ b/src/gateway/start_stream_run.ts
@@ -43,7 +43,7 @@
 /** How a run ended. */
 export interface StreamRunEnd {
   readonly how: ExchangeEnd;
-  /** Whether the stream ended in the middle of an event. */
+  /** Whether the stream ended before its first event, or in the middle of one. */
   readonly isCut: boolean;
   /** Body received of an answer that is not a stream. */
   readonly body: Buffer;
@@ -115,11 +115,19 @@
     options.onEvent(run, event);
   }
 
+  // The close of a connection also ends a stream that breaks off before its first event.
+  // A run that resumes a stream may find that nothing is left of it.
+  function endedBeforeFirstEvent(): boolean {
+    return head?.endsWithConnection === true && firstEventMs === undefined &&
+      options.lastEventId === undefined;
+  }
+
   function handleEnd(how: ExchangeEnd): void {
     engines.removeWork(path, { tokens });
     endPromptWork();
     const body = answer.end();
-    options.onEnd(run, { how, isCut: reader.hasPartialEvent(), body });
+    const isCut = reader.hasPartialEvent() || endedBeforeFirstEvent();
+    options.onEnd(run, { how, isCut, body });
     answer.releaseWith(call.response);
   }
 
--- a/standins/start_layer_engine.ts
+++ b/standins/start_layer_engine.ts
@@ -27,6 +27,8 @@
   swapsIds?: boolean;
   /** Sends answers with neither a length nor chunks; they end with the connection. */
   omitsFraming?: boolean;
+  /** Makes the bytes of an answer, behind which the connection is closed in order. */
+  answersWith?: (requestId: string) => string;
   /** Closes its connections in order when it crashes, as if its answers had ended. */
   closesOnCrash?: boolean;
   /** Accepts requests and never answers. */
@@ -325,6 +327,10 @@
       crashes.push({ body, part, atMs: performance.now() });
       return await crashDuringAnswer(response, requestId);
     }
+    if (fault.answersWith) {
+      response.socket?.end(fault.answersWith(requestId));
+      return;
+    }
     if (fault.hangs) return;
     if (card !== undefined) return await stream(response, { run, get });
     if (fault.dropsAnswers) {
