Look for a crash where an answer without a length ends

What callers saw: through the product's own interface a 200 with a short body, framed as whole, where the upstream's process had ended within its answer.

Cause: the system closes the connections of a process that has ended, just as the upstream itself does behind an answer without a length. The gateways ask the address whether anything still listens; createUpstreamClient did not.

Change: it asks as well, up to 200 ms, and an answer whose upstream refuses connections has broken off. probeAddress is in src/reachability for both.

An upstream that closes such an answer early and goes on, or that is started anew before it is asked, can't be told from one that is done.

--- a/src/gateway/create_liveness_check.ts
+++ b/src/gateway/create_liveness_check.ts
@@ -4,16 +4,11 @@
  * @module
  */
 
-import { connect } from "node:net";
-
-/** Whether an upstream's process is running. */
-export type UpstreamLiveness =
-  /** Its machine refuses connections: nothing listens on the port any more. */
-  | "ended"
-  /** Something accepts connections. */
-  | "listening"
-  /** No answer in time; a network partition looks the same. */
-  | "unknown";
+import {
+  type ProbeAddress,
+  probeAddress,
+  type UpstreamLiveness,
+} from "../reachability/index.ts";
 
 /** An incarnation of an upstream and its address. */
 export interface UpstreamAddress {
@@ -28,12 +23,6 @@
   check(upstream: UpstreamAddress): Promise<UpstreamLiveness>;
 }
 
-/** Opens a connection and reports the result. */
-export type ProbeAddress = (
-  address: string,
-  options: { readonly timeoutMs: number },
-) => Promise<UpstreamLiveness>;
-
 /**
  * Time, in ms, for a connection to be accepted or refused. A round trip takes about
  * 80 ms between regions and 1 to 2 ms within one.
@@ -105,28 +94,3 @@
     },
   };
 }
-
-/** Opens a new connection: the reset of a pooled one proves nothing. */
-export const probeAddress: ProbeAddress = (address, { timeoutMs }) =>
-  new Promise((resolve) => {
-    const [host, port] = address.split(":");
-    const socket = connect({ host, port: Number(port) });
-    // After a stall of this process timers run first, and the answer is unread.
-    const timer = setTimeout(
-      () => setImmediate(() => finish("unknown")),
-      timeoutMs,
-    );
-
-    function finish(liveness: UpstreamLiveness): void {
-      clearTimeout(timer);
-      socket.destroy();
-      resolve(liveness);
-    }
-
-    socket.once("connect", () => finish("listening"));
-    socket.on(
-      "error",
-      (error: NodeJS.ErrnoException) =>
-        finish(error.code === "ECONNREFUSED" ? "ended" : "unknown"),
-    );
-  });
--- a/src/gateway/create_reachability.ts
+++ b/src/gateway/create_reachability.ts
@@ -10,15 +10,13 @@
 import type { Logger } from "../logs/index.ts";
 import type { Metrics } from "../metrics/index.ts";
 import {
+  type ProbeAddress,
   type ReachabilityState,
   REACHABLE,
   stepReachability,
+  type UpstreamLiveness,
 } from "../reachability/index.ts";
-import type {
-  ProbeAddress,
-  UpstreamAddress,
-  UpstreamLiveness,
-} from "./create_liveness_check.ts";
+import type { UpstreamAddress } from "./create_liveness_check.ts";
 
 /** Dependencies of {@link createReachability}. */
 export interface CreateReachabilityOptions {
--- a/src/gateway/create_run_record_test.ts
+++ b/src/gateway/create_run_record_test.ts
@@ -1,6 +1,6 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import type { UpstreamLiveness } from "./create_liveness_check.ts";
+import type { UpstreamLiveness } from "../reachability/index.ts";
 import { createRunRecord } from "./create_run_record.ts";
 
 function makeRecord(
--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -18,7 +18,7 @@
 import type { DecodeConfig, LeaderMessage } from "../fleet/index.ts";
 import type { Logger } from "../logs/index.ts";
 import type { Metrics } from "../metrics/index.ts";
-import { chooseListedGateways } from "../reachability/index.ts";
+import { chooseListedGateways, probeAddress } from "../reachability/index.ts";
 import type { RetryLimits } from "../retry/index.ts";
 import {
   DEFAULT_REQUEST_LIMITS,
@@ -37,7 +37,6 @@
 import { createLeftOutChecks } from "./create_left_out_checks.ts";
 import {
   createLivenessCheck,
-  probeAddress,
   type UpstreamAddress,
 } from "./create_liveness_check.ts";
 import { createEngineNotices } from "./create_engine_notices.ts";
--- a/src/upstreams/create_upstream_client.ts
+++ b/src/upstreams/create_upstream_client.ts
@@ -13,6 +13,7 @@
   type ResetDetector,
 } from "../http/index.ts";
 import { HEADERS } from "../model/index.ts";
+import { probeAddress } from "../reachability/index.ts";
 import type { DispatchFailure, DispatchFault } from "../retry/index.ts";
 import { DispatchError, UpstreamError } from "./upstream_error.ts";
 
@@ -59,6 +60,9 @@
 /** Default timeout between two chunks of a response body, in ms. */
 const BODY_TIMEOUT_MS = 30_000;
 
+/** Time, in ms, for an upstream's address to accept or refuse a connection. */
+const PROBE_TIMEOUT_MS = 200;
+
 /** Default limit of connections to one upstream; engines batch concurrent requests. */
 const CONNECTIONS = 256;
 
@@ -94,7 +98,10 @@
     bodyTimeout: bodyTimeoutMs,
     keepAliveTimeout: 30_000,
   });
-  const dispatcher = agent.compose(trackWrites, failResets(resetDetector));
+  const dispatcher = agent.compose(
+    trackWrites,
+    failCutAnswers(resetDetector),
+  );
 
   async function call(request: UpstreamCall): Promise<UpstreamAnswer> {
     const writeState: WriteState = { written: false };
@@ -155,25 +162,44 @@
     });
   };
 
-// A response without a length whose connection was reset is incomplete.
-function failResets(
+// A response without a length ends with its connection. It is incomplete if the connection
+// was reset, or if the upstream crashed, which closes the connection just as its end does.
+function failCutAnswers(
   { isEndedByReset }: Pick<ResetDetector, "isEndedByReset">,
 ): Dispatcher.DispatcherComposeInterceptor {
-  return (dispatch) => (options, handler) =>
-    dispatch(options, {
+  return (dispatch) => (options, handler) => {
+    let endsWithConnection = false;
+    return dispatch(options, {
       onRequestStart: (...given) => handler.onRequestStart?.(...given),
       onRequestUpgrade: (...given) => handler.onRequestUpgrade?.(...given),
-      onResponseStart: (...given) => handler.onResponseStart?.(...given),
+      onResponseStart(controller, status, headers, statusMessage) {
+        endsWithConnection = readFraming(headers).endsWithConnection;
+        handler.onResponseStart?.(controller, status, headers, statusMessage);
+      },
       onResponseData: (...given) => handler.onResponseData?.(...given),
       onResponseEnd(controller, trailers) {
-        if (!isEndedByReset()) {
-          return handler.onResponseEnd?.(controller, trailers);
-        }
-        const error = new UpstreamError("response was reset behind its data");
-        handler.onResponseError?.(controller, error);
+        const fail = (message: string) =>
+          handler.onResponseError?.(controller, new UpstreamError(message));
+        if (isEndedByReset()) return fail("response was reset");
+        const end = () => handler.onResponseEnd?.(controller, trailers);
+        if (!endsWithConnection) return end();
+        void hasEnded(options).then((ended) =>
+          ended ? fail("upstream ended with its response") : end()
+        );
       },
       onResponseError: (...given) => handler.onResponseError?.(...given),
     });
+  };
+}
+
+async function hasEnded(
+  { origin = "" }: Dispatcher.DispatchOptions,
+): Promise<boolean> {
+  const { hostname, port, protocol } = new URL(origin);
+  const defaultPort = protocol === "https:" ? 443 : 80;
+  const address = `${hostname}:${port || defaultPort}`;
+  const options = { timeoutMs: PROBE_TIMEOUT_MS };
+  return await probeAddress(address, options) === "ended";
 }
 
 function classifyCallError(
--- a/src/upstreams/create_upstream_client_test.ts
+++ b/src/upstreams/create_upstream_client_test.ts
@@ -5,12 +5,19 @@
 import type { Socket } from "node:net";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { startRawServer } from "../../test/support/start_raw_server.ts";
+import {
+  type RawServer,
+  startRawServer,
+} from "../../test/support/start_raw_server.ts";
 import { createUpstreamClient } from "./create_upstream_client.ts";
 
+type SendAnswer = (socket: Socket, server: RawServer) => void;
+
 /** Sends a call to a server that answers so, and reads the whole answer. */
-async function readAnswer(answer: (socket: Socket) => void): Promise<string> {
-  await using server = await startRawServer(answer);
+async function readAnswer(answer: SendAnswer): Promise<string> {
+  await using server: RawServer = await startRawServer((socket) =>
+    answer(socket, server)
+  );
   await using client = createUpstreamClient();
   const { body } = await client.call({
     address: `http://${server.address}`,
@@ -22,7 +29,7 @@
   return await body.text();
 }
 
-async function isWhole(answer: (socket: Socket) => void): Promise<boolean> {
+async function isWhole(answer: SendAnswer): Promise<boolean> {
   return await readAnswer(answer).then(() => true, () => false);
 }
 
@@ -53,6 +60,15 @@
     });
   }
 
+  // Guards against a short body that is passed on as a whole one.
+  test(`an answer without a length whose upstream ends with it is broken: ${name}`, async () => {
+    const isTaken = await isWhole((socket, server) => {
+      server.refuseConnections();
+      socket.end(`${head}part of the body`);
+    });
+    assert.not.ok(isTaken);
+  });
+
   test(`an answer without a length ends with its connection: ${name}`, async () => {
     const text = await readAnswer((socket) => socket.end(`${head}whole`));
     assert.is(text, "whole");
--- a/test/support/start_raw_server.ts
+++ b/test/support/start_raw_server.ts
@@ -10,6 +10,8 @@
 export interface RawServer extends AsyncDisposable {
   /** Host and port. */
   readonly address: string;
+  /** Accepts no further connections, as the address of a process that has exited. */
+  refuseConnections(): void;
 }
 
 /** Starts a server that calls `answer` for each chunk of data received. */
@@ -26,6 +28,7 @@
   const { port } = server.address() as AddressInfo;
   return {
     address: `127.0.0.1:${port}`,
+    refuseConnections: () => void server.close(),
     async [Symbol.asyncDispose]() {
       await new Promise((resolve) => server.close(resolve));
     },
