Let a replica of the control program join again when its folder returns

What operators would see: a control VM whose data folder was lost, replaced and then put back runs and is no member. Its vote belongs to a replica that is gone, so the next loss leaves no majority, although all processes run.

Change: startControl uses keepJoined as well.

--- a/measure/failover_scenarios.ts
+++ b/measure/failover_scenarios.ts
@@ -6,7 +6,7 @@
  * @module
  */
 
-import { rm } from "node:fs/promises";
+import { rename, rm } from "node:fs/promises";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { Fleet, FleetProcess } from "../demo/launch_fleet.ts";
 import { hashSecret } from "../src/http/index.ts";
@@ -220,28 +220,70 @@
   );
 }
 
+/**
+ * Takes the data folder of a follower away and, once its replacement is a voter, puts it
+ * back in place of the new one. Deletes that of the leader afterwards.
+ */
+export async function returnDataFolder(fleet: Fleet): Promise<FailoverReport> {
+  const stream = startChanges(fleet, `return-${Date.now().toString(36)}`);
+  await waitForAccepted(stream, 30);
+  const leader = await findLeader(fleet);
+  const follower = fleet.controls.find((control) => control !== leader);
+  if (!follower) throw new Error("no follower found in the fleet");
+  const { dataFolder } = follower;
+  const id = await getReplicaId(fleet, follower);
+  const awayFolder = `${dataFolder}-away`;
+  await replaceReplica(fleet, follower, () => rename(dataFolder, awayFolder));
+  await replaceReplica(fleet, follower, async () => {
+    await rm(dataFolder, { recursive: true });
+    await rename(awayFolder, dataFolder);
+  });
+  if (await getReplicaId(fleet, follower) !== id) {
+    throw new FailoverViolation("the replica returned under another id");
+  }
+  await wipeDataFolder(fleet, leader);
+  await waitForAccepted(stream, stream.accepted.length + 30);
+  await stream.stop();
+  await checkAccepted(fleet, stream.accepted);
+  return createReport("a data folder returned", stream.accepted);
+}
+
+async function getReplicaId(
+  fleet: Fleet,
+  control: FleetProcess,
+): Promise<string | undefined> {
+  const { members } = await readStatus(fleet);
+  return members.find(({ vm }) => vm === control.name)?.id;
+}
+
 // Kills a control process, deletes its data folder, restarts it and waits until
 // its new replica is a voter.
-async function wipeDataFolder(
+function wipeDataFolder(fleet: Fleet, control: FleetProcess): Promise<void> {
+  return replaceReplica(
+    fleet,
+    control,
+    () => rm(control.dataFolder, { recursive: true }),
+  );
+}
+
+// Kills a control process, changes its data folder, restarts it and waits until the
+// replica in that folder is a voter.
+async function replaceReplica(
   fleet: Fleet,
   control: FleetProcess,
+  changeDataFolder: () => Promise<void>,
 ): Promise<void> {
-  const before = await readStatus(fleet);
-  const wipedMember = before.members.find((member) =>
-    member.vm === control.name
-  );
+  const replacedId = await getReplicaId(fleet, control);
   control.kill("SIGKILL");
   await control.ended();
-  await rm(control.dataFolder, { recursive: true });
+  await changeDataFolder();
   control.start();
   await fleet.until(
     "the wiped replica is replaced by a new voter",
     async () => {
       const { members } = await readStatus(fleet);
       return members.length === fleet.controls.length &&
-        members.every(({ id, role }) =>
-          id !== wipedMember?.id && role === "voter"
-        );
+        members.every(({ id, role }) => id !== replacedId && role === "voter");
     },
   );
 }
--- a/src/control/start_control.ts
+++ b/src/control/start_control.ts
@@ -21,7 +21,7 @@
 import { createOrderDispatcher } from "./create_order_dispatcher.ts";
 import type { Replica } from "./create_replica.ts";
 import { createReplicaHost } from "./create_replica_host.ts";
-import { joinCluster } from "./join_cluster.ts";
+import { keepJoined } from "./keep_joined.ts";
 import { readPlatformList } from "./read_platform_list.ts";
 import { startLeaderTasks } from "./start_leader_tasks.ts";
 import { createStateMachine } from "./state_machine.ts";
@@ -237,22 +237,22 @@
     log,
   });
   const joinAbort = new AbortController();
-  if (storage.identity.clusterId === "") {
-    const { signal } = joinAbort;
-    const others = settings.controlVms.filter((other) => other.vm !== vm);
-    void joinCluster({
-      fleetId,
-      vm,
-      address: selfAddress,
-      storage,
-      signal,
-      getPeerAddresses: () => others.map(({ peerAddress }) => peerAddress),
-      tls: settings.peerTls,
-    })
-      .then((joined) => {
-        if (joined) log("clusterJoined", { ...storage.identity });
-      });
-  }
+  const others = settings.controlVms.filter((other) => other.vm !== vm);
+  void keepJoined({
+    fleetId,
+    vm,
+    address: selfAddress,
+    storage,
+    signal: joinAbort.signal,
+    getPeerAddresses: () => others.map(({ peerAddress }) => peerAddress),
+    getSilenceMs() {
+      const { role, leaderContactMs } = replica.getState();
+      return role === "leader" ? 0 : now() - leaderContactMs;
+    },
+    onOutside: () => log("leaderSilent"),
+    onJoined: () => log("clusterJoined", { ...storage.identity }),
+    tls: settings.peerTls,
+  });
   log("started", { vm, port, peerPort, replicaId: storage.identity.replicaId });
 
   async function dispose(): Promise<void> {
--- a/test/failover_test.ts
+++ b/test/failover_test.ts
@@ -5,6 +5,7 @@
   freezeLeader,
   killAll,
   killLeader,
+  returnDataFolder,
   stopLeader,
   wipeDisksInTurn,
 } from "../measure/failover_scenarios.ts";
@@ -37,4 +38,11 @@
   assert.ok((await wipeDisksInTurn(fleet)).accepted >= 60);
 });
 
+// Guards against a quorum that shrank for good: a replica whose data folder was replaced
+// and then put back never became a member again.
+test("a replica whose data folder returns becomes a voter again", async () => {
+  await using fleet = await launchFleet({ entries: 1 });
+  assert.ok((await returnDataFolder(fleet)).accepted >= 60);
+});
+
 test.run();
