Cut answers of upstreams at every byte in the tests of both clients

The report's head that is cut short is no success here: each answer with a length or in chunks, behind an interim head, of HTTP/1.0, and each head without a length, sent byte by byte and cut at every byte before its last, by an orderly close and by a reset, breaks off. The gateways' transport carries calls to upstreams and to peers.

--- a/src/gateway/create_upstream_transport_test.ts
+++ b/src/gateway/create_upstream_transport_test.ts
@@ -4,7 +4,10 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { until } from "../../demo/until.ts";
-import { startRawServer } from "../../test/support/start_raw_server.ts";
+import {
+  sendSlowly,
+  startRawServer,
+} from "../../test/support/start_raw_server.ts";
 import { createHeldAnswer } from "./create_held_answer.ts";
 import { createHeldBytes } from "./create_held_bytes.ts";
 import {
@@ -130,6 +133,40 @@
   });
 }
 
+const FRAMED_ANSWERS = {
+  "with a length": `${HEAD}content-length: 4\r\n\r\nabcd`,
+  "in chunks":
+    `${HEAD}transfer-encoding: chunked\r\n\r\n4\r\nabcd\r\n0\r\n\r\n`,
+  "of HTTP/1.0": `HTTP/1.0 200 OK\r\nx-id: r1\r\ncontent-length: 1\r\n\r\na`,
+  "behind an interim head":
+    `HTTP/1.1 103 Early Hints\r\nconnection: close\r\n\r\n${HEAD}content-length: 1\r\n\r\na`,
+};
+
+for (const mode of ["close", "reset"] as const) {
+  for (const [name, answer] of Object.entries(FRAMED_ANSWERS)) {
+    // Guards against a head or a body that is cut short and taken for a whole answer.
+    test(`an answer that ends at any byte before its last is broken: ${name}, ${mode}`, async () => {
+      const lengths = Array.from({ length: answer.length }, (_, at) => at);
+      const ends = await Promise.all(lengths.map((length) => {
+        const text = answer.slice(0, length);
+        return exchange((socket) => void sendSlowly(socket, { text, mode }));
+      }));
+      const taken = lengths.filter((at) => ends[at].end.type !== "broken");
+      assert.equal(taken, []);
+    });
+  }
+
+  test(`a head without a length that ends at any byte before its last is broken: ${mode}`, async () => {
+    const head = `${HEAD}\r\n`;
+    const lengths = Array.from({ length: head.length }, (_, at) => at);
+    const ends = await Promise.all(lengths.map((length) => {
+      const text = head.slice(0, length);
+      return exchange((socket) => void sendSlowly(socket, { text, mode }));
+    }));
+    assert.equal(lengths.filter((at) => ends[at].end.type !== "broken"), []);
+  });
+}
+
 test("an answer in chunks that ends early is broken", async () => {
   const { end } = await exchange((socket) =>
     socket.end(`${HEAD}transfer-encoding: chunked\r\n\r\n2\r\nab\r\n`)
--- a/src/upstreams/create_upstream_client_test.ts
+++ b/src/upstreams/create_upstream_client_test.ts
@@ -7,6 +7,7 @@
 import * as assert from "uvu/assert";
 import {
   type RawServer,
+  sendSlowly,
   startRawServer,
 } from "../../test/support/start_raw_server.ts";
 import { createUpstreamClient } from "./create_upstream_client.ts";
@@ -84,6 +85,26 @@
   assert.not.ok(isTaken);
 });
 
+const FRAMED_ANSWERS = {
+  "with a length": "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nabcd",
+  "in chunks":
+    "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nabcd\r\n0\r\n\r\n",
+};
+
+for (const mode of ["close", "reset"] as const) {
+  for (const [name, answer] of Object.entries(FRAMED_ANSWERS)) {
+    // Guards against a head or a body that is cut short and taken for a whole answer.
+    test(`an answer that ends at any byte before its last is broken: ${name}, ${mode}`, async () => {
+      const lengths = Array.from({ length: answer.length }, (_, at) => at);
+      const taken = await Promise.all(lengths.map((length) => {
+        const text = answer.slice(0, length);
+        return isWhole((socket) => void sendSlowly(socket, { text, mode }));
+      }));
+      assert.equal(lengths.filter((at) => taken[at]), []);
+    });
+  }
+}
+
 test("an answer with a length is whole even if its connection is reset after it", async () => {
   const text = await readAnswer((socket) => {
     const head = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\n";
--- a/test/support/start_raw_server.ts
+++ b/test/support/start_raw_server.ts
@@ -6,6 +6,9 @@
 
 import { type AddressInfo, createServer, type Socket } from "node:net";
 
+/** How a connection is closed. */
+export type CloseMode = "close" | "reset";
+
 /** A running server. */
 export interface RawServer extends AsyncDisposable {
   /** Host and port. */
@@ -34,3 +37,18 @@
     },
   };
 }
+
+/** Sends bytes one at a time, each in an event loop turn of its own, and then closes. */
+export async function sendSlowly(
+  socket: Socket,
+  options: { readonly text: string; readonly mode: CloseMode },
+): Promise<void> {
+  socket.setNoDelay(true);
+  for (const byte of options.text) {
+    if (socket.destroyed) return;
+    socket.write(byte);
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+  if (options.mode === "close") socket.end();
+  else socket.resetAndDestroy();
+}
