Keep the error code of connections that were reset

The detector of resets renamed the code of their errors, which the client for reports and orders shares since: a probe whose connection is reset tells an engine that is absent by that code, and would have called it silent. Found by reading. The detector only notes the reset now; the library ends the answer within the same turn there as well.

--- a/src/http/create_reset_detector.ts
+++ b/src/http/create_reset_detector.ts
@@ -15,9 +15,6 @@
   readonly isEndedByReset: () => boolean;
 }
 
-/** Error code for a reset that the HTTP library does not treat as a normal end. */
-const RESET_CODE = "CONNECTION_WAS_RESET";
-
 /**
  * Creates a detector. An answer without a length ends with its connection; if the
  * connection is reset, the answer is incomplete. A reset goes unnoticed in two cases: the
@@ -60,7 +57,7 @@
 // as the runtime caches the first value read.
 function watchResets(socket: Socket, onReset: () => void): void {
   socket.prependListener("error", (error: NodeJS.ErrnoException) => {
-    if (error.code === "ECONNRESET") error.code = RESET_CODE;
+    if (error.code === "ECONNRESET") onReset();
   });
   socket.prependListener("end", () => {
     if (socket.remoteAddress === undefined) onReset();
