Take a response that has no body for whole at its head

The check for a crash that answers without a length get at their end also covered those with 204, 304 and to HEAD, which end with their head. Through the product's own interface such an answer was taken for cut since where its upstream had ended behind it; found by reading before it landed. readFraming knows the status and, in the client, the method. A rejection that says that it has not run is believed with any transfer coding, as by the gateways.

--- a/src/http/read_framing.ts
+++ b/src/http/read_framing.ts
@@ -4,6 +4,15 @@
  * @module
  */
 
+/** The head of a response. */
+export interface FramedHead {
+  readonly status: number;
+  /** Fields, with names in lower case. */
+  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+  /** Method of the request; by default one whose response may have a body. */
+  readonly method?: string;
+}
+
 /** How the body of a response ends, and whether it can be forwarded. */
 export interface ResponseFraming {
   /** Whether the body ends with the connection, as it has neither length nor chunks. */
@@ -12,6 +21,9 @@
   readonly isCoded: boolean;
 }
 
+/** Statuses of responses that end with their head. */
+const EMPTY_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+
 /** Codings that change no byte of the body; `identity` is of RFC 2616, 3.6. */
 const PLAIN_CODINGS: ReadonlySet<string> = new Set(["chunked", "identity"]);
 
@@ -19,21 +31,21 @@
  * Reads the framing of a response (RFC 9112, 6.3). A transfer coding belongs to one
  * connection only, so a body that has one is not the body that its sender meant.
  *
- * @param headers - Fields of the response, with names in lower case.
+ * @param head - The head of the response, and the method of its request.
  * @returns How the body ends, and whether it is coded.
  * @throws Nothing.
  * @example
- * const { endsWithConnection } = readFraming({ "content-length": "12" });
+ * const { endsWithConnection } = readFraming({ status: 200, headers: {} });
  */
 export function readFraming(
-  headers: Readonly<Record<string, string | string[] | undefined>>,
+  { status, headers, method }: FramedHead,
 ): ResponseFraming {
   const codings = [headers["transfer-encoding"] ?? []].flat().join()
     .toLowerCase().split(",").map((coding) => coding.trim())
     .filter((coding) => coding !== "");
   return {
-    endsWithConnection: headers["content-length"] === undefined &&
-      codings.at(-1) !== "chunked",
+    endsWithConnection: method !== "HEAD" && !EMPTY_STATUSES.has(status) &&
+      headers["content-length"] === undefined && codings.at(-1) !== "chunked",
     isCoded: codings.some((coding) => !PLAIN_CODINGS.has(coding)),
   };
 }
--- a/src/upstreams/create_upstream_client.ts
+++ b/src/upstreams/create_upstream_client.ts
@@ -117,15 +117,13 @@
         signal,
         writeState,
       } as Dispatcher.RequestOptions);
-      if (readFraming(answer.headers).isCoded) {
-        answer.body.on("error", () => {}).destroy();
+      const { statusCode: status, headers: answerHeaders } = answer;
+      const received = { status, headers: answerHeaders, body: answer.body };
+      if (readFraming(received).isCoded && !reportsNotRun(received)) {
+        received.body.on("error", () => {}).destroy();
         throw new UpstreamError("transfer coding that was not requested");
       }
-      return {
-        status: answer.statusCode,
-        headers: answer.headers,
-        body: answer.body,
-      };
+      return received;
     } catch (cause) {
       const failure = classifyCallError(cause, writeState);
       throw new DispatchError(
@@ -173,7 +171,9 @@
       onRequestStart: (...given) => handler.onRequestStart?.(...given),
       onRequestUpgrade: (...given) => handler.onRequestUpgrade?.(...given),
       onResponseStart(controller, status, headers, statusMessage) {
-        endsWithConnection = readFraming(headers).endsWithConnection;
+        const { method } = options;
+        const head = { status, headers, method };
+        endsWithConnection = readFraming(head).endsWithConnection;
         handler.onResponseStart?.(controller, status, headers, statusMessage);
       },
       onResponseData: (...given) => handler.onResponseData?.(...given),
--- a/src/upstreams/create_upstream_client_test.ts
+++ b/src/upstreams/create_upstream_client_test.ts
@@ -105,6 +105,15 @@
   }
 }
 
+// Guards against whole answers of an upstream that ends next and that are taken for cut.
+test("an answer that has no body is whole even if its upstream ends with it", async () => {
+  const isTaken = await isWhole((socket, server) => {
+    server.refuseConnections();
+    socket.end("HTTP/1.1 204 No Content\r\nconnection: close\r\n\r\n");
+  });
+  assert.ok(isTaken);
+});
+
 test("an answer with a length is whole even if its connection is reset after it", async () => {
   const text = await readAnswer((socket) => {
     const head = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\n";
