Pause connections in place of the parser in the product's own client

What callers saw: an entry's process ended, with all its requests, when an upstream closed or reset an answer without a length whose caller read slowly.

Cause: the HTTP library pauses its parser for a body that is not read, and asserts that such a connection does not end. A body that has arrived as a whole, a little longer than the reader's buffer, lets the connection end while it is paused.

Change: pauseBodies passes on a controller that stops reading from the connection. The library's limit on the time between two chunks would run on meanwhile, so the interceptor has one of its own.

--- a/src/upstreams/create_upstream_client.ts
+++ b/src/upstreams/create_upstream_client.ts
@@ -15,6 +15,8 @@
 import { HEADERS } from "../model/index.ts";
 import { probeAddress } from "../reachability/index.ts";
 import type { DispatchFailure, DispatchFault } from "../retry/index.ts";
+import { createReadPauses } from "./create_read_pauses.ts";
+import { pauseBodies } from "./pause_bodies.ts";
 import { DispatchError, UpstreamError } from "./upstream_error.ts";
 
 /** A call to an upstream. */
@@ -91,16 +93,25 @@
     connections = CONNECTIONS,
   } = options;
   const resetDetector = createResetDetector({ timeout: connectTimeoutMs });
+  const pauses = createReadPauses();
   const agent = new Agent({
-    connect: resetDetector.connect,
+    connect(target, done) {
+      resetDetector.connect(target, (...result) => {
+        const socket = result[1];
+        if (socket) pauses.watch(socket);
+        done(...result);
+      });
+    },
     connections,
     pipelining: 1,
-    bodyTimeout: bodyTimeoutMs,
+    // The library's own limit includes the time for which a body is not read.
+    bodyTimeout: 0,
     keepAliveTimeout: 30_000,
   });
   const dispatcher = agent.compose(
     trackWrites,
     failCutAnswers(resetDetector),
+    pauseBodies(pauses, { bodyTimeoutMs }),
   );
 
   async function call(request: UpstreamCall): Promise<UpstreamAnswer> {
--- a/src/upstreams/create_upstream_client_test.ts
+++ b/src/upstreams/create_upstream_client_test.ts
@@ -114,6 +114,73 @@
   assert.ok(isTaken);
 });
 
+/** Bytes that make the reader of a body pause: more than its buffer. */
+const PAUSING_BYTES = 70_000;
+
+for (const sizeBytes of [PAUSING_BYTES, 5_000_000]) {
+  for (const mode of ["close", "reset"] as const) {
+    const name = `${sizeBytes} bytes, ${mode}`;
+
+    // Guards against a process that ends because its HTTP library asserts that a
+    // connection whose parser is paused does not end.
+    test(`an answer without a length may end while it is not read: ${name}`, async () => {
+      const text = "x".repeat(sizeBytes);
+      await using server = await startRawServer((socket) => {
+        socket.write(`HTTP/1.1 200 OK\r\n\r\n${text}`);
+        setTimeout(() => {
+          if (mode === "close") socket.end();
+          else socket.resetAndDestroy();
+        }, 100);
+      });
+      await using client = createUpstreamClient();
+      const { body } = await client.call({
+        address: `http://${server.address}`,
+        method: "GET",
+        path: "/",
+        timeoutMs: 5_000,
+      });
+      await new Promise((resolve) => setTimeout(resolve, 300));
+      const read = await body.text().catch(() => undefined);
+      assert.is(read?.length, mode === "close" ? sizeBytes : undefined);
+    });
+  }
+}
+
+test("a body may rest for longer than the time between two chunks while it is not read", async () => {
+  const text = "x".repeat(5_000_000);
+  await using server = await startRawServer((socket) => {
+    const head = `HTTP/1.1 200 OK\r\ncontent-length: ${text.length}\r\n\r\n`;
+    socket.write(`${head}${text}`);
+  });
+  await using client = createUpstreamClient({ bodyTimeoutMs: 100 });
+  const call = {
+    address: `http://${server.address}`,
+    method: "GET",
+    path: "/",
+    timeoutMs: 5_000,
+  };
+  // The second call uses the connection of the first one.
+  for (let count = 0; count < 2; count++) {
+    const { body } = await client.call(call);
+    await new Promise((resolve) => setTimeout(resolve, 300));
+    assert.is((await body.text()).length, text.length);
+  }
+});
+
+test("a body that is read and falls silent is given up", async () => {
+  await using server = await startRawServer((socket) =>
+    socket.write("HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\npart")
+  );
+  await using client = createUpstreamClient({ bodyTimeoutMs: 100 });
+  const { body } = await client.call({
+    address: `http://${server.address}`,
+    method: "GET",
+    path: "/",
+    timeoutMs: 5_000,
+  });
+  assert.is(await body.text().catch(() => undefined), undefined);
+});
+
 test("an answer with a length is whole even if its connection is reset after it", async () => {
   const text = await readAnswer((socket) => {
     const head = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\n";
