Move the probe of an address to the adapters

src/reachability holds decisions, which do no I/O; probeAddress, moved there for the product's own client, opens connections.

--- a/src/gateway/create_liveness_check.ts
+++ b/src/gateway/create_liveness_check.ts
@@ -8,7 +8,7 @@
   type ProbeAddress,
   probeAddress,
   type UpstreamLiveness,
-} from "../reachability/index.ts";
+} from "../http/index.ts";
 
 /** An incarnation of an upstream and its address. */
 export interface UpstreamAddress {
--- a/src/gateway/create_liveness_check_test.ts
+++ b/src/gateway/create_liveness_check_test.ts
@@ -2,7 +2,7 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { findFreePorts } from "../../demo/find_free_ports.ts";
-import { probeAddress } from "../reachability/index.ts";
+import { probeAddress } from "../http/index.ts";
 import { createLivenessCheck } from "./create_liveness_check.ts";
 
 test("an address that accepts connections is alive, one that refuses them has exited", async () => {
--- a/src/gateway/create_reachability.ts
+++ b/src/gateway/create_reachability.ts
@@ -9,12 +9,11 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import type { Logger } from "../logs/index.ts";
 import type { Metrics } from "../metrics/index.ts";
+import type { ProbeAddress, UpstreamLiveness } from "../http/index.ts";
 import {
-  type ProbeAddress,
   type ReachabilityState,
   REACHABLE,
   stepReachability,
-  type UpstreamLiveness,
 } from "../reachability/index.ts";
 import type { UpstreamAddress } from "./create_liveness_check.ts";
 
--- a/src/gateway/create_reachability_test.ts
+++ b/src/gateway/create_reachability_test.ts
@@ -1,7 +1,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import type { UpstreamLiveness } from "../reachability/index.ts";
+import type { UpstreamLiveness } from "../http/index.ts";
 import {
   createReachability,
   type ReachabilityChange,
--- a/src/gateway/create_run_record_test.ts
+++ b/src/gateway/create_run_record_test.ts
@@ -1,6 +1,6 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import type { UpstreamLiveness } from "../reachability/index.ts";
+import type { UpstreamLiveness } from "../http/index.ts";
 import { createRunRecord } from "./create_run_record.ts";
 
 function makeRecord(
--- a/src/gateway/create_stranded_runs_test.ts
+++ b/src/gateway/create_stranded_runs_test.ts
@@ -5,7 +5,7 @@
 
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import type { UpstreamLiveness } from "../reachability/index.ts";
+import type { UpstreamLiveness } from "../http/index.ts";
 import { createOpenRuns } from "./create_open_runs.ts";
 import { REFUSES_CONNECTIONS } from "./create_run_monitor.ts";
 import { createStrandedRuns } from "./create_stranded_runs.ts";
--- a/src/gateway/create_upstream_transport.ts
+++ b/src/gateway/create_upstream_transport.ts
@@ -149,6 +149,7 @@
   const pools = new Map<string, Pool>();
   const answeredMs = new Map<string, number>();
   let isClosed = false;
+
   function getPool(engineId: string, address: string): Pool {
     const known = pools.get(engineId);
     if (known) return known;
--- a/src/gateway/detect_upstream_crash_test.ts
+++ b/src/gateway/detect_upstream_crash_test.ts
@@ -1,7 +1,7 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import type { CrashReport } from "../quarantine/index.ts";
-import type { UpstreamLiveness } from "../reachability/index.ts";
+import type { UpstreamLiveness } from "../http/index.ts";
 import { createAbandonedRuns } from "./create_abandoned_runs.ts";
 import {
   arePartsProved,
--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -16,9 +16,10 @@
 import { createElapsedClock } from "../clocks/index.ts";
 import type { EngineNotice } from "../engines/index.ts";
 import type { DecodeConfig, LeaderMessage } from "../fleet/index.ts";
+import { probeAddress } from "../http/index.ts";
 import type { Logger } from "../logs/index.ts";
 import type { Metrics } from "../metrics/index.ts";
-import { chooseListedGateways, probeAddress } from "../reachability/index.ts";
+import { chooseListedGateways } from "../reachability/index.ts";
 import type { RetryLimits } from "../retry/index.ts";
 import {
   DEFAULT_REQUEST_LIMITS,
--- a/src/reachability/index.ts
+++ b/src/reachability/index.ts
@@ -6,10 +6,5 @@
 
 export { chooseListedGateways } from "./choose_listed_gateways.ts";
 export { choosePeer, type Peer } from "./choose_peer.ts";
-export {
-  type ProbeAddress,
-  probeAddress,
-  type UpstreamLiveness,
-} from "./probe_address.ts";
 export { REACHABLE, stepReachability } from "./step_reachability.ts";
 export type { ProbeRound, ReachabilityState } from "./types.ts";
--- a/src/upstreams/create_upstream_client.ts
+++ b/src/upstreams/create_upstream_client.ts
@@ -9,11 +9,11 @@
 import { Agent, type Dispatcher } from "undici";
 import {
   createResetDetector,
+  probeAddress,
   readFraming,
   type ResetDetector,
 } from "../http/index.ts";
 import { HEADERS } from "../model/index.ts";
-import { probeAddress } from "../reachability/index.ts";
 import type { DispatchFailure, DispatchFault } from "../retry/index.ts";
 import { createReadPauses } from "./create_read_pauses.ts";
 import { pauseBodies } from "./pause_bodies.ts";
