Show that an upstream that is started anew at once passes for one that goes on

An answer without a length whose process ends is told from a whole one by asking the address whether anything listens. A process that was started there in the meantime listens as well: 200 with a short body, framed as whole.

--- a/standins/start_layer_engine.ts
+++ b/standins/start_layer_engine.ts
@@ -27,7 +27,11 @@
   swapsIds?: boolean;
   /** Sends answers with neither a length nor chunks; they end with the connection. */
   omitsFraming?: boolean;
-  /** Makes the bytes of an answer, behind which the connection is closed in order. */
+  /**
+   * Makes the bytes of an answer, behind which the connection is closed in order. With
+   * `changesIdOnRestart` the engine has another id from then on, as if its process had
+   * ended and another one had started at once.
+   */
   answersWith?: (requestId: string) => string;
   /** Closes its connections in order when it crashes, as if its answers had ended. */
   closesOnCrash?: boolean;
@@ -329,6 +333,11 @@
     }
     if (fault.answersWith) {
       response.socket?.end(fault.answersWith(requestId));
+      if (fault.changesIdOnRestart) {
+        nextEngine += 1;
+        engineId = `i-${nextEngine}`;
+        for (const socket of sockets) socket.destroySoon();
+      }
       return;
     }
     if (fault.hangs) return;
--- a/test/cut_answers_test.ts
+++ b/test/cut_answers_test.ts
@@ -100,4 +100,15 @@
   }
 });
 
+// Guards against a short body that is passed on as a whole one because another process
+// listens at the address of the one that ended.
+test("an answer without a length whose upstream ends and is started anew at once is no success", async () => {
+  await using fleet = await startFleet();
+  const [{ address }] = fleet.gateways;
+  for (const { fault } of fleet.plain) fault.changesIdOnRestart = true;
+  cutNextAnswer(fleet.plain, (id) => `${makeHead(id)}\r\npart`);
+  const { status } = await call(address, { path: "/once/1" });
+  assert.is(status, 502);
+});
+
 test.run();
