Log why a process ends, and count starts by the end before

Callers saw processes that ended, and operators had no line that named the reason: errors that nothing had caught were logged as a violated invariant, a start that failed on the platform too, and the lines were written within 50 ms or not at all.

Now each end has its event and exit code: CL1010 with 3 if the program couldn't start, CL1006 with 2 for invalid settings, CL1011 with 4 for an unexpected error, CL1208 beside it only for a violated invariant. The log is flushed before the exit. Both control programs and both entries store the reason in the data folder, if there is one; the next start logs it (CL1012), and process.starts_after_stop, _failure and _unrecorded_end count starts by it. A folder that can't be written doesn't keep a program from starting.

--- a/src/bin/run_program.ts
+++ b/src/bin/run_program.ts
@@ -7,19 +7,16 @@
 import process from "node:process";
 import { parseArgs } from "node:util";
 import type { Static, TSchema } from "typebox";
+import {
+  createProcessEnd,
+  EXIT_CODES,
+  openStartRecord,
+  type ProcessEnd,
+} from "../lifecycle/index.ts";
 import { createLogger, type Logger, type LogLevel } from "../logs/index.ts";
 import { createMetrics, type Metrics } from "../metrics/index.ts";
 import { loadSettings, SettingsError } from "../settings/index.ts";
 
-/** Exit code for invalid settings or arguments. */
-export const EXIT_INVALID_SETTINGS = 2;
-
-/** Exit code for a rejected data folder or a listener that can't be opened. */
-export const EXIT_START_FAILED = 3;
-
-/** Exit code for a violated invariant or an unexpected error. */
-export const EXIT_FATAL = 4;
-
 /** A started program. */
 export interface RunningProgram {
   /** Shuts down gracefully: requests in flight finish first. */
@@ -35,6 +32,10 @@
   readonly onFatal: (error: unknown) => void;
 }
 
+interface StartContext<Settings> extends ProgramContext<Settings> {
+  readonly processEnd: ProcessEnd;
+}
+
 /** Options of {@link runProgram}. */
 export interface ProgramOptions<Schema extends TSchema> {
   readonly program: string;
@@ -53,6 +54,8 @@
 interface CommonSettings {
   readonly logs: { level: LogLevel; format: "text" | "json" };
   readonly metrics: { host: string; port: number };
+  /** Absent without a disk. */
+  readonly dataFolder?: string;
 }
 
 /**
@@ -75,7 +78,7 @@
     settings = await loadSettings(String(values.settings), schema);
   } catch (error) {
     process.stderr.write(`${describeSettingsError(error)}\n`);
-    process.exitCode = EXIT_INVALID_SETTINGS;
+    process.exitCode = EXIT_CODES.settingsInvalid;
     return;
   }
   if (values.check) {
@@ -85,16 +88,17 @@
   const common = settings as CommonSettings;
   const log = createLogger({ program, ...common.logs });
   const metrics = createMetrics(common.metrics);
-  const onFatal = (error: unknown): void => {
-    log("invariantBroken", { error });
-    process.exit(EXIT_FATAL);
-  };
+  const processEnd = createProcessEnd({
+    log,
+    exit: (code) => process.exit(code),
+  });
   const context = {
     settings,
     flags: values as Record<string, boolean>,
     log,
     metrics,
-    onFatal,
+    processEnd,
+    onFatal: (error: unknown) => processEnd.fail("failed", error),
   };
   if (await options.inspect?.(context)) return;
   await startAndWait(options, context);
@@ -102,26 +106,29 @@
 
 async function startAndWait<Schema extends TSchema>(
   options: ProgramOptions<Schema>,
-  context: ProgramContext<Static<Schema>>,
+  context: StartContext<Static<Schema>>,
 ): Promise<void> {
-  const { log, metrics, onFatal } = context;
+  const { log, metrics, onFatal, processEnd } = context;
   process.on("uncaughtException", onFatal);
   process.on("unhandledRejection", onFatal);
   let running: RunningProgram;
   try {
     running = await options.start(context);
   } catch (error) {
-    log("startFailed", { error });
-    process.exitCode = EXIT_START_FAILED;
     await metrics[Symbol.asyncDispose]();
-    process.exit(EXIT_START_FAILED);
-    return;
+    return processEnd.fail("startFailed", error);
+  }
+  const { dataFolder } = context.settings as CommonSettings;
+  if (dataFolder !== undefined) {
+    const { program } = options;
+    processEnd.useRecord(
+      openStartRecord({ folder: dataFolder, program, log, metrics }),
+    );
   }
   await waitForStopSignal(log);
   await running.stop();
   await metrics[Symbol.asyncDispose]();
-  log("stopped");
-  process.exit(0);
+  processEnd.stop();
 }
 
 function waitForStopSignal(log: Logger): Promise<void> {
@@ -156,10 +163,10 @@
     if (values.settings !== undefined && !values.help) {
       return values as Record<string, string | boolean>;
     }
-    process.exitCode = values.help ? 0 : EXIT_INVALID_SETTINGS;
+    process.exitCode = values.help ? 0 : EXIT_CODES.settingsInvalid;
   } catch (error) {
     process.stderr.write(`${(error as Error).message}\n`);
-    process.exitCode = EXIT_INVALID_SETTINGS;
+    process.exitCode = EXIT_CODES.settingsInvalid;
   }
   process.stderr.write(formatHelp(program, flags));
   return undefined;
--- a/src/logs/events.ts
+++ b/src/logs/events.ts
@@ -48,6 +48,17 @@
     "TLS files could not be reloaded; the previous ones stay in use",
   ),
   startFailed: event("CL1010", "error", "Process could not start"),
+  failed: event("CL1011", "error", "Process ends after an unexpected error"),
+  startCounted: event(
+    "CL1012",
+    "info",
+    "Starts counted, with the end of the process before",
+  ),
+  endNotRecorded: event(
+    "CL1013",
+    "warn",
+    "The reason of an end can't be stored for the next start",
+  ),
   tornTailCut: event(
     "CL1101",
     "warn",
--- a/src/metrics/metric_catalogue.ts
+++ b/src/metrics/metric_catalogue.ts
@@ -95,6 +95,12 @@
     "Answers of which an upstream sent more than a limit allows",
   "process.loop_delay_ms":
     "Time for which the event loop was blocked, in ms; only long ones",
+  "process.starts_after_stop":
+    "Starts on this data folder after a graceful shutdown",
+  "process.starts_after_failure":
+    "Starts on this data folder after an end that named an error",
+  "process.starts_after_unrecorded_end":
+    "Starts on this data folder after an end without a reason, such as a kill",
   "config.revision": "Configuration revision applied by this process",
   "config.apply_ms":
     "Time that a gateway takes to apply a configuration, in ms",
