--- a/test/support/prepare_controls.ts
+++ b/test/support/prepare_controls.ts
@@ -69,6 +69,8 @@
     await control.stop();
   }
   return {
+    /** Folder with the data folders. */
+    folder,
     addresses,
     start,
     stop,
