Open a data folder only while listening at the peer address

What callers saw: after starts that overlapped with a running process, control processes end at each start ("valid frames follow an invalid one"), and where two of three do, the acknowledged configurations are out of reach.

Cause: a second process opened the folder, cut the log to what it had read, and only then found its port taken. What the first one had synced in between was cut off, and its next write landed behind the gap.

Now the listener at the peer address is opened before the folder and closed after it, also where a process forms the cluster after an interrupted first start. The gRPC server takes its connections from it. The kernel lets one process listen at an address, and frees it when that process ends for whatever reason, so it serves as the lock of the folder; files on the platform can't be locked.

--- a/src/fleet/index.ts
+++ b/src/fleet/index.ts
@@ -14,6 +14,7 @@
 export * from "./get_config_digest.ts";
 export * from "./messages.ts";
 export type { FleetSeed } from "./open_fleet_storage.ts";
+export * from "./open_peer_listener.ts";
 export * from "./pack_document.ts";
 export * from "./run_fleet_control.ts";
 export * from "./session_messages.ts";
--- a/src/fleet/open_fleet_storage.ts
+++ b/src/fleet/open_fleet_storage.ts
@@ -57,7 +57,7 @@
     folder: dataFolder,
     fleetId,
     vm: callerAddress,
-    // No lock is needed: the platform starts only one process per folder.
+    // Only the process that listens at the peer address opens the folder.
     isLocked: false,
     form: isInitialVoter
       ? { address: peerAddress, ...planInitialCluster(formingSeeds) }
--- a/src/fleet/run_fleet_control.ts
+++ b/src/fleet/run_fleet_control.ts
@@ -5,6 +5,7 @@
  */
 
 import type { FleetSeed } from "./open_fleet_storage.ts";
+import { openPeerListener } from "./open_peer_listener.ts";
 import {
   type FleetControl,
   type FleetControlSettings,
@@ -13,7 +14,7 @@
 } from "./start_fleet_control.ts";
 
 /**
- * Starts a control process. If it finds that none of its seeds has a cluster, it is
+ * Starts a control process, unless another one listens at its address. If it finds that none of its seeds has a cluster, it is
  * started once more, as in a first start.
  *
  * Only a first start forms the cluster, so processes that end before they have stored
@@ -23,10 +24,27 @@
  * @param options - As for {@link startFleetControl}.
  * @returns The running process.
  * @throws {StorageOwnerError | StorageDamageError} When the data folder is rejected.
+ * @throws {Error} When another process listens at its address.
  * @example
  * const control = await runFleetControl(settings, options);
  */
 export async function runFleetControl(
+  settings: FleetControlSettings,
+  options: Omit<
+    StartFleetControlOptions,
+    "listener" | "formingSeeds" | "onFormable"
+  >,
+): Promise<FleetControl> {
+  const listener = await openPeerListener(settings.peerAddress);
+  try {
+    return await runAt(settings, { ...options, listener });
+  } catch (error) {
+    await listener[Symbol.asyncDispose]();
+    throw error;
+  }
+}
+
+async function runAt(
   settings: FleetControlSettings,
   options: Omit<StartFleetControlOptions, "formingSeeds" | "onFormable">,
 ): Promise<FleetControl> {
@@ -56,6 +74,7 @@
     async stop() {
       await changing;
       await control.stop();
+      await options.listener[Symbol.asyncDispose]();
     },
   };
 }
--- a/src/fleet/start_fleet_control.ts
+++ b/src/fleet/start_fleet_control.ts
@@ -41,6 +41,7 @@
 import { createRetryLender } from "./create_retry_lender.ts";
 import type { DecodeConfig, FleetCall, FleetReply } from "./messages.ts";
 import { type FleetSeed, openFleetStorage } from "./open_fleet_storage.ts";
+import type { PeerListener } from "./open_peer_listener.ts";
 import { handOverLeadership } from "./hand_over_leadership.ts";
 import {
   MEMBERS_INTERVAL_MS,
@@ -80,6 +81,8 @@
 
 /** Options of {@link startFleetControl}. */
 export interface StartFleetControlOptions {
+  /** The listener at the process's address; it must outlive the process's storage. */
+  readonly listener: PeerListener;
   /** Control processes to contact first; read again whenever they are needed. */
   readonly getSeeds: () => readonly FleetSeed[];
   readonly decodeConfig: DecodeConfig;
@@ -470,8 +473,8 @@
     isKnownVm: () => true,
     getFormation: formation.getFormation,
   });
-  const server = await startFleetServer({
-    address: settings.peerAddress,
+  const server = startFleetServer({
+    listener: options.listener,
     handleDeliver: transport.handleDeliver,
     handleSession: sessions.handleSession,
     handleJoin,
@@ -519,7 +522,7 @@
     sessions.closeAll();
     await leaderClient[Symbol.asyncDispose]();
     await transport[Symbol.asyncDispose]();
-    server.forceShutdown();
+    server[Symbol.dispose]();
     await replica[Symbol.asyncDispose]();
   }
 
--- a/src/fleet/start_fleet_server.ts
+++ b/src/fleet/start_fleet_server.ts
@@ -5,13 +5,17 @@
  */
 
 import { Server } from "@grpc/grpc-js";
-import { bindGrpc, CHANNEL_OPTIONS, wire } from "../wire/index.ts";
+import {
+  CHANNEL_OPTIONS,
+  createServerCredentials,
+  wire,
+} from "../wire/index.ts";
 import type { FleetReply } from "./messages.ts";
+import type { PeerListener } from "./open_peer_listener.ts";
 
 /** Options of {@link startFleetServer}. */
 export interface StartFleetServerOptions {
-  /** Host and port. */
-  readonly address: string;
+  readonly listener: PeerListener;
   readonly handleDeliver: wire.PeerServer["deliver"];
   readonly handleSession: wire.FleetServer["session"];
   readonly handleJoin: (
@@ -24,16 +28,16 @@
 /**
  * Starts the server.
  *
- * @param options - Its address and handlers.
- * @returns The server; `forceShutdown` ends it.
- * @throws {Error} When the address is taken.
+ * @param options - Its listener and handlers.
+ * @returns The server; disposing of it closes all connections, but not the listener.
+ * @throws Nothing.
  * @example
- * const server = await startFleetServer(options);
+ * using server = startFleetServer(options);
  */
-export async function startFleetServer(
+export function startFleetServer(
   options: StartFleetServerOptions,
-): Promise<Server> {
-  const { address, handleJoin, handleCall } = options;
+): Disposable {
+  const { listener, handleJoin, handleCall } = options;
   const server = new Server(CHANNEL_OPTIONS);
   server.addService(
     wire.PeerService,
@@ -54,6 +58,12 @@
       },
     } satisfies wire.FleetServer,
   );
-  await bindGrpc(server, { address });
-  return server;
+  const injector = server.createConnectionInjector(createServerCredentials());
+  listener.setHandler((socket) => injector.injectConnection(socket));
+  return {
+    [Symbol.dispose]() {
+      listener.setHandler(undefined);
+      server.forceShutdown();
+    },
+  };
 }
--- a/test/many_gateways_test.ts
+++ b/test/many_gateways_test.ts
@@ -15,7 +15,7 @@
   type FleetSeed,
   type LeaderMessage,
   packDocument,
-  startFleetControl,
+  runFleetControl,
   unpackDocument,
 } from "../src/fleet/index.ts";
 import {
@@ -128,7 +128,7 @@
   const running = new Set<FleetControl>();
   for (const [at, seed] of seeds.entries()) {
     running.add(
-      await startFleetControl({
+      await runFleetControl({
         fleetId: "many",
         ...seed,
         dataFolder: join(folder, String(at)),
--- a/test/support/fleet.ts
+++ b/test/support/fleet.ts
@@ -16,7 +16,7 @@
 import { decodeConfig } from "../../platform/decode_config.ts";
 import { createControlApi } from "../../platform/control_api.ts";
 import { createEngineCalls } from "../../platform/engine_calls.ts";
-import { type FleetControl, startFleetControl } from "../../src/fleet/index.ts";
+import { type FleetControl, runFleetControl } from "../../src/fleet/index.ts";
 import { type Gateway, startGateway } from "../../src/gateway/index.ts";
 import { closeServer } from "../../src/http/index.ts";
 import type { Logger } from "../../src/logs/index.ts";
@@ -148,7 +148,7 @@
 
   async function startControl(at: number): Promise<TestControl> {
     const { callerAddress, peerAddress } = seeds[at];
-    const control = await startFleetControl({
+    const control = await runFleetControl({
       fleetId: "test",
       callerAddress,
       peerAddress,
--- a/test/support/start_session_fleet.ts
+++ b/test/support/start_session_fleet.ts
@@ -15,7 +15,7 @@
   type FleetControl,
   type LeaderMessage,
   packDocument,
-  startFleetControl,
+  runFleetControl,
 } from "../../src/fleet/index.ts";
 import type { LeaderLink } from "../../src/gateway/create_leader_link.ts";
 import { createGatewayList } from "../../src/gateway/create_gateway_list.ts";
@@ -79,7 +79,7 @@
   const sessions = new Set<TestSession>();
   for (const [at, seed] of seeds.entries()) {
     running.add(
-      await startFleetControl({
+      await runFleetControl({
         fleetId: "sessions",
         ...seed,
         dataFolder: join(folder, String(at)),
