Wait for a predecessor that has not ended yet

What operators saw: a program that is started while the one before drains or is suspended ended at once: the control program with 4 and "Invariant violated ... EADDRINUSE", the entry with 1 and a bare stack. A supervisor starts it again, and it ends again.

Cause: each port was opened once, at the end of the start, and its failure was an error that nothing caught.

Now a program of the platform takes its metrics port first, which only the exit of a process frees, and waits for it for the grace period and 2 s. CL1014 says so. The launcher leaves a port that is taken to the program.

--- a/scripts/launch.cjs
+++ b/scripts/launch.cjs
@@ -52,8 +52,9 @@
       server.close();
     },
   };
-  return new Promise((resolve, reject) => {
-    server.on("error", reject);
+  return new Promise((resolve) => {
+    // The program listens itself later, and logs why it can't.
+    server.on("error", () => resolve(undefined));
     server.listen({ host, port: Number(port), backlog: 511 }, () => {
       resolve(earlyListener);
     });
--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -19,5 +19,6 @@
 export * from "./read_framing.ts";
 export * from "./read_rate_limit.ts";
 export * from "./read_retry_after.ts";
+export * from "./retry_while_address_in_use.ts";
 export * from "./secrets.ts";
 export * from "./with_timeout.ts";
--- a/src/logs/events.ts
+++ b/src/logs/events.ts
@@ -59,6 +59,11 @@
     "warn",
     "The reason of an end can't be stored for the next start",
   ),
+  addressInUse: event(
+    "CL1014",
+    "warn",
+    "Another process uses an address of this one; waiting until it is free",
+  ),
   tornTailCut: event(
     "CL1101",
     "warn",
