Give each event a number of its own

Three events shared their numbers with three others: CL1011 meant an end after an unexpected error as well as a reload of the settings, CL1012 the count of starts as well as dropped lines, CL1013 an end that wasn't stored as well as a blocked event loop. An operator who searched a log for an end by itself found reloads.

The three older meanings keep their numbers, on which other pages rely; the newer three are CL1015 to CL1017.

--- a/src/logs/events.ts
+++ b/src/logs/events.ts
@@ -48,14 +48,14 @@
     "TLS files could not be reloaded; the previous ones stay in use",
   ),
   startFailed: event("CL1010", "error", "Process could not start"),
-  failed: event("CL1011", "error", "Process ends after an unexpected error"),
+  failed: event("CL1015", "error", "Process ends after an unexpected error"),
   startCounted: event(
-    "CL1012",
+    "CL1016",
     "info",
     "Starts counted, with the end of the process before",
   ),
   endNotRecorded: event(
-    "CL1013",
+    "CL1017",
     "warn",
     "The reason of an end can't be stored for the next start",
   ),
