Let no reader of the log decide how a process ends

Seen: a program of the platform whose log's reader was gone ended with 4 in place of 0 on SIGTERM, entry and control alike. One whose log was a full pipe that nobody read did not end at all.

Cause: the flush before the exit threw EPIPE, which was then the unexpected error that the process ended with. On a full pipe, a thread of the runtime blocked in its write, and the runtime waits for its threads when it exits, even without a flush. Last, a warning of the runtime on a standard stream without a reader was an error event that nobody handled, so it ended the process.

Change: a failed flush is tried once on the standard error and changes nothing else; the record for the next start has the reason.

--- a/scripts/spawn_program.ts
+++ b/scripts/spawn_program.ts
@@ -29,6 +29,8 @@
   readonly variables?: Readonly<Record<string, string>>;
   /** Whether the log can be read from the process; it is discarded by default. */
   readonly isLogPiped?: boolean;
+  /** Descriptor that is the standard output and error, instead of a pipe. */
+  readonly logDescriptor?: number;
 }
 
 /** Line of deploy/system.toml that starts a role; captures its flags and name. */
@@ -50,7 +52,7 @@
   options: SpawnProgramOptions,
 ): Promise<ChildProcess> {
   const { file, settings, folder, flags = [], args = [] } = options;
-  const { isLogPiped = false } = options;
+  const { isLogPiped = false, logDescriptor } = options;
   const settingsFile = join(folder, `${settings.nodeId}.jsonc`);
   await writeFile(settingsFile, JSON.stringify(settings));
   return spawn(
@@ -62,7 +64,11 @@
         ...options.variables,
         CROWLEVER_SETTINGS: settingsFile,
       },
-      stdio: ["ignore", isLogPiped ? "pipe" : "ignore", "inherit"],
+      stdio: [
+        "ignore",
+        logDescriptor ?? (isLogPiped ? "pipe" : "ignore"),
+        logDescriptor ?? "inherit",
+      ],
     },
   );
 }
--- a/src/lifecycle/create_process_end.ts
+++ b/src/lifecycle/create_process_end.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { writeSync } from "node:fs";
 import { describeError, type EventName, type Logger } from "../logs/index.ts";
 import { QuorumInvariantError } from "../quorum/index.ts";
 import { type EndReason, EXIT_CODES } from "./end_reasons.ts";
@@ -23,6 +24,8 @@
   readonly log: Logger;
   /** Writes all buffered log lines before it returns; by default none are buffered. */
   readonly flushLog?: () => void;
+  /** Writes a line if the log can't be flushed; by default to the standard error. */
+  readonly writeLine?: (line: string) => void;
   readonly exit: (code: number) => void;
 }
 
@@ -38,7 +41,8 @@
 
 /**
  * Creates the functions that end the process: they log why, flush the log, store the
- * reason for the next start, and exit.
+ * reason for the next start, and exit. A log that can't be written neither keeps the
+ * process from ending nor changes its exit code.
  *
  * @param options - The log and how to exit.
  * @returns The functions.
@@ -48,7 +52,12 @@
  * process.on("uncaughtException", (error) => processEnd.fail("failed", error));
  */
 export function createProcessEnd(options: CreateProcessEndOptions): ProcessEnd {
-  const { log, flushLog = () => {}, exit } = options;
+  const {
+    log,
+    flushLog = () => {},
+    writeLine = (line) => void writeSync(2, `${line}\n`),
+    exit,
+  } = options;
   let record: StartRecord | undefined;
   let isEnding = false;
 
@@ -58,10 +67,24 @@
     } catch (error) {
       log("endNotRecorded", { error });
     }
-    flushLog();
+    try {
+      flushLog();
+    } catch (error) {
+      writeWithoutLog({ reason, detail, logError: describeError(error) });
+    }
     exit(EXIT_CODES[reason]);
   }
 
+  function writeWithoutLog(fields: Readonly<Record<string, string>>): void {
+    try {
+      writeLine(
+        `Process ends and can't write its log: ${JSON.stringify(fields)}`,
+      );
+    } catch {
+      // No place is left for the line; the record has the reason.
+    }
+  }
+
   return {
     fail(reason, error) {
       if (isEnding) return exit(EXIT_CODES.failed);
--- a/src/lifecycle/create_process_end_test.ts
+++ b/src/lifecycle/create_process_end_test.ts
@@ -32,6 +32,30 @@
   assert.equal(stopped.done, ["stopped", "flushed", "exit 0"]);
 });
 
+test("a log that can't be written doesn't change how a process ends", () => {
+  const end = (writeLine: (line: string) => void) => {
+    const codes: number[] = [];
+    const processEnd = createProcessEnd({
+      log: () => {},
+      flushLog() {
+        throw new Error("write EPIPE");
+      },
+      writeLine,
+      exit: (code) => void codes.push(code),
+    });
+    processEnd.stop();
+    return codes;
+  };
+  const lines: string[] = [];
+  assert.equal(end((line) => lines.push(line)), [0]);
+  assert.is(lines.length, 1);
+  assert.match(lines[0], /"stopped".*write EPIPE/);
+  const codes = end(() => {
+    throw new Error("write EPIPE");
+  });
+  assert.equal(codes, [0]);
+});
+
 test("each start on a data folder names how the process before ended", async () => {
   const folder = await mkdtemp(join(tmpdir(), "starts-"));
   try {
--- a/src/logs/events.ts
+++ b/src/logs/events.ts
@@ -64,6 +64,11 @@
     "warn",
     "Another process uses an address of this one; waiting until it is free",
   ),
+  streamFailed: event(
+    "CL1018",
+    "warn",
+    "Standard output or error can't be written; its reader may be gone",
+  ),
   tornTailCut: event(
     "CL1101",
     "warn",
