Write the servers' logs through one sink

Seen: crowlever-entry and crowlever-control ended with 4 by themselves as soon as they wrote a line after the reader of their log had gone.

Cause: they wrote to the runtime's standard error stream, whose error was an event that nobody handled. That stream also keeps what a slow reader has not taken yet without a limit, and cuts it off at the exit. It does not block on a full pipe, as had been suspected: both servers ended with 0 before, too.

Change: they use the sink of the platform's programs, with its limit, its count of dropped lines and its flush.

--- a/src/bin/run_program.ts
+++ b/src/bin/run_program.ts
@@ -13,7 +13,14 @@
   openStartRecord,
   type ProcessEnd,
 } from "../lifecycle/index.ts";
-import { createLogger, type Logger, type LogLevel } from "../logs/index.ts";
+import {
+  createLogger,
+  guardStandardStreams,
+  type Logger,
+  type LogLevel,
+  openLogSink,
+  reportDroppedLines,
+} from "../logs/index.ts";
 import { createMetrics, type Metrics } from "../metrics/index.ts";
 import { loadSettings, SettingsError } from "../settings/index.ts";
 
@@ -86,10 +93,15 @@
     return;
   }
   const common = settings as CommonSettings;
-  const log = createLogger({ program, ...common.logs });
+  const now = () => performance.now();
+  const sink = openLogSink({ descriptor: 2, now });
+  const log = createLogger({ program, ...common.logs, write: sink.write });
+  guardStandardStreams({ log });
   const metrics = createMetrics(common.metrics);
+  reportDroppedLines({ takeCounts: [sink.takeDropped], log, metrics });
   const processEnd = createProcessEnd({
     log,
+    flushLog: sink.flush,
     exit: (code) => process.exit(code),
   });
   const context = {
--- a/test/support/open_program_trial.ts
+++ b/test/support/open_program_trial.ts
@@ -11,6 +11,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import process from "node:process";
+import type { Readable } from "node:stream";
 import { createInterface } from "node:readline";
 import {
   spawnProgram,
@@ -23,6 +24,8 @@
 /** A started program. */
 export interface TrialProgram {
   readonly child: ChildProcess;
+  /** The stream to which it logs, if the log is piped. */
+  readonly log: Readable | null;
   /** Numbers of the events that were logged, if the log is piped. */
   readonly ids: readonly string[];
   /** Whether it runs: its start has been recorded. */
@@ -97,6 +100,7 @@
       const path = join(dataDir, `starts-${role}.json`);
       return {
         child,
+        log: child.stdout,
         ids,
         isRunning: () => existsSync(path),
         readEnd: () => JSON.parse(readFileSync(path, "utf8")).end,
