Write the log at its synced end after a failed write

What operators saw: a replica whose disk was full for a moment went on, acknowledged, and ended at its next start, and at each later one, with "log-1 is damaged ...: valid frames follow an invalid one".

Cause: a new log was opened for appending, and Linux then writes at the end of the file whatever the position. The retry of a write that was cut short landed behind the part that was there. Where the position counts, in a log that was there at the start, records of a write whose sync had failed were left behind the end of a shorter one.

Now no log is opened for appending. After a write or a sync that failed, by whatever code, the log is cut back to what was synced last before the next write, and the cut is synced, so that a loss of power can't bring the remains back behind a later record. If the cut fails, it is tried again with the write.

--- a/src/storage/open_quorum_storage.ts
+++ b/src/storage/open_quorum_storage.ts
@@ -174,15 +174,29 @@
 ): Promise<OpenLog> {
   const path = join(folder, LOG_PREFIX + sequence);
   const isNew = sizeBytes === 0;
-  const handle = await open(path, isNew ? "a+" : "r+");
+  // Not for appending: Linux then ignores the position of a write.
+  const handle = await open(path, isNew ? "w+" : "r+");
   await handle.truncate(sizeBytes);
   await handle.sync();
   if (isNew) await syncFolder(folder);
   let endBytes = sizeBytes;
+  let hasRemains = false;
+
+  // Synced as well: a loss of power could otherwise bring the remains back behind
+  // a later write.
+  async function cutRemains(): Promise<void> {
+    await handle.truncate(endBytes);
+    await handle.datasync();
+    hasRemains = false;
+  }
+
   return {
     async write(bytes) {
+      if (hasRemains) await cutRemains();
+      hasRemains = true;
       await writeAt(handle, bytes, endBytes);
       await handle.datasync();
+      hasRemains = false;
       endBytes += bytes.length;
     },
     close: () => handle.close(),
