Write the records that share a sync as one frame

What operators saw: after a loss of power a replica ended at each start with "log-1 is damaged ...: valid frames follow an invalid one", although nothing that was synced was lost.

Cause: records that waited for the same sync were joined into one write of several frames. Of a write that wasn't synced each page may be there or missing. With its first page missing and a later frame whole, it looked like damage of synced records.

Now the records are merged into one: the last term and vote, and the entries as a replay of the records would leave them. A write is one frame, so nothing whole can follow a page that is missing.

--- a/src/storage/open_quorum_storage.ts
+++ b/src/storage/open_quorum_storage.ts
@@ -23,6 +23,7 @@
   type LogRecord,
   readSnapshotFile,
   readStoredState,
+  replaceTail,
   type StoredSnapshot,
   type StoredState,
 } from "./read_stored_state.ts";
@@ -104,8 +105,8 @@
   let log = await openLog(folder, sequence, stored.validBytes);
 
   async function append(records: readonly PersistRecord[]): Promise<void> {
-    const frames = records.map((record) => encodeFrame(encodeRecord(record)));
-    await log.write(Buffer.concat(frames));
+    if (records.length === 0) return;
+    await log.write(encodeFrame(encodeRecord(mergeRecords(records))));
   }
 
   async function saveSnapshot(save: SaveSnapshotOptions): Promise<void> {
@@ -153,6 +154,17 @@
   return isUnused ? { ...state, snapshot: undefined } : state;
 }
 
+/**
+ * Merges records that share a write. After a loss of power a later frame of a write can
+ * be there without an earlier one, which would look like damage.
+ */
+function mergeRecords(records: readonly PersistRecord[]): PersistRecord {
+  const { hard } = records[records.length - 1];
+  const entries: LogEntry[] = [];
+  for (const record of records) replaceTail(entries, record.entries);
+  return { hard, entries };
+}
+
 function encodeRecord(record: PersistRecord): string {
   const { hard, entries } = record;
   const value: LogRecord = entries.length === 0
--- a/src/storage/read_stored_state.ts
+++ b/src/storage/read_stored_state.ts
@@ -70,18 +70,36 @@
 function replayRecords(
   records: readonly LogRecord[],
   options: { path: string; snapshot: StoredSnapshot | undefined },
-): { hard: HardState; log: LogEntry[] } {
+): { hard: HardState; log: readonly LogEntry[] } {
   let hard: HardState = { term: 0, votedFor: null };
-  let log: LogEntry[] = [];
+  const log: LogEntry[] = [];
   for (const record of records) {
     hard = record.hard;
-    if (record.kind === "hard") continue;
-    const from = record.entries[0].index;
-    log = [...log.filter((entry) => entry.index < from), ...record.entries];
+    if (record.kind === "batch") replaceTail(log, record.entries);
   }
   return { hard, log: dropCompacted(log, options) };
 }
 
+/**
+ * Appends entries to a log, in place; they replace those from their first index on.
+ *
+ * @param log - The log, in ascending order of the indexes.
+ * @param entries - The entries to append, in the same order.
+ * @returns Nothing.
+ * @throws Nothing.
+ * @example
+ * replaceTail(log, record.entries);
+ */
+export function replaceTail(
+  log: LogEntry[],
+  entries: readonly LogEntry[],
+): void {
+  if (entries.length === 0) return;
+  const [{ index: from }] = entries;
+  while (log.length > 0 && log[log.length - 1].index >= from) log.pop();
+  for (const entry of entries) log.push(entry);
+}
+
 function dropCompacted(
   log: readonly LogEntry[],
   options: { path: string; snapshot: StoredSnapshot | undefined },
