Try a write again when descriptors or memory are short

Cause: only a full disk was tried again, and only by the replica.

What callers read names a full disk only if it is full, and so does the status. A replica that can't store its cluster asks again a second later. An input/output error ends the process as before, since what it left on the disk is unknown. A log that can't be opened leaves no descriptor behind.

--- a/src/control/create_replica.ts
+++ b/src/control/create_replica.ts
@@ -28,9 +28,11 @@
   stepQuorum,
 } from "../quorum/index.ts";
 import {
-  DISK_FULL_RETRY_MS,
+  isDiskFullError,
+  isPassingError,
   type PersistRecord,
   type QuorumStorage,
+  WRITE_RETRY_MS,
 } from "../storage/index.ts";
 import {
   NotLeaderError,
@@ -95,7 +97,7 @@
 }
 
 /**
- * Messages queued while the disk is full. Further messages are dropped, which the
+ * Messages queued while nothing can be written. Further messages are dropped, which the
  * protocol treats like loss on the network.
  */
 const MAX_QUEUED_EVENTS = 20_000;
@@ -128,7 +130,8 @@
   let queue: QuorumEvent[] = [];
   let running: Promise<void> | undefined;
   let tickQueued = false;
-  let diskFull = false;
+  // Why the last write failed, while it is tried again.
+  let writeError: unknown;
   let closed = false;
   // The read that is shared by all callers since the last batch of events, so that
   // one quorum round answers them all.
@@ -176,7 +179,7 @@
         options.send(effect.message);
       }
       // Registered before the sync, so that the proposals can be rejected when the
-      // disk is full.
+      // write fails.
       if (effect.type === "accepted") pending.markAccepted(effect);
     }
     await persist(effects);
@@ -202,7 +205,7 @@
       records = [];
       const snapshot = { meta: effect.meta, data: effect.data };
       const { hard } = effect;
-      await retryWhileDiskFull(() =>
+      await retryWrite(() =>
         storage.saveSnapshot({ snapshot, hard, entries: [] })
       );
       snapshotIndex = effect.meta.index;
@@ -213,28 +216,32 @@
   async function write(records: readonly PersistRecord[]): Promise<void> {
     if (records.length === 0) return;
     const startedMs = now();
-    await retryWhileDiskFull(() => storage.append(records));
+    await retryWrite(() => storage.append(records));
     metrics.timing("quorum.sync_ms", now() - startedMs);
     const last = records[records.length - 1].entries.at(-1);
     if (!last) return;
     queue.unshift({ type: "synced", index: last.index, term: last.term });
   }
 
-  async function retryWhileDiskFull(write: () => Promise<void>): Promise<void> {
+  async function retryWrite(write: () => Promise<void>): Promise<void> {
     while (!closed) {
       try {
         await write();
-        if (diskFull) log("diskBack");
-        diskFull = false;
+        if (writeError !== undefined) log("diskBack");
+        writeError = undefined;
         return;
       } catch (error) {
-        if (!isDiskFullError(error)) throw error;
-        if (!diskFull) log("diskFull", { error });
-        diskFull = true;
+        if (!isPassingError(error)) throw error;
+        if (writeError === undefined) log("diskFull", { error });
+        writeError = error;
         pending.rejectAccepted(
-          new UnavailableError("The leader's disk is full"),
+          new UnavailableError(
+            isDiskFullError(error)
+              ? "The leader's disk is full"
+              : "The leader can't write to its disk",
+          ),
         );
-        await sleep(DISK_FULL_RETRY_MS);
+        await sleep(WRITE_RETRY_MS);
       }
     }
   }
@@ -296,9 +303,7 @@
     const snapshot = { meta, data: options.save() };
     const hard = { term: state.term, votedFor: state.votedFor };
     const entries = state.log.filter((entry) => entry.index > appliedIndex);
-    await retryWhileDiskFull(() =>
-      storage.saveSnapshot({ snapshot, hard, entries })
-    );
+    await retryWrite(() => storage.saveSnapshot({ snapshot, hard, entries }));
     snapshotIndex = appliedIndex;
     // Saving a snapshot also rewrites the log with all later entries, so they count
     // as synced.
@@ -312,8 +317,14 @@
 
   function propose(makeEvent: (id: number) => QuorumEvent): Promise<unknown> {
     if (closed) return Promise.reject(new ProposalRefusedError("Shut down"));
-    if (diskFull) {
-      return Promise.reject(new ProposalRefusedError("The disk is full"));
+    if (writeError !== undefined) {
+      return Promise.reject(
+        new ProposalRefusedError(
+          isDiskFullError(writeError)
+            ? "The disk is full"
+            : "The disk can't be written to",
+        ),
+      );
     }
     return pending.startProposal((id) => enqueue(makeEvent(id)));
   }
@@ -322,7 +333,7 @@
     getState: () => state,
     hasLease: () =>
       hasLeaderLease(state, { nowMs: now(), wokeMs: getLastWakeMs() }),
-    isDiskFull: () => diskFull,
+    isDiskFull: () => isDiskFullError(writeError),
     propose: (body) =>
       propose((proposalId) => ({ type: "propose", proposalId, body })),
     async changeMembers(members) {
@@ -358,11 +369,6 @@
   };
 }
 
-function isDiskFullError(error: unknown): boolean {
-  const { code } = error as NodeJS.ErrnoException;
-  return code === "ENOSPC" || code === "EDQUOT";
-}
-
 // Picks the voter with the most recent acknowledgement: one that is down may have
 // an equally long log.
 function findSuccessor(state: QuorumState): ReplicaId | undefined {
--- a/src/control/create_replica_test.ts
+++ b/src/control/create_replica_test.ts
@@ -9,7 +9,11 @@
   type QuorumMessage,
 } from "../quorum/index.ts";
 import type { QuorumStorage } from "../storage/index.ts";
-import { createReplica, type Replica } from "./create_replica.ts";
+import {
+  createReplica,
+  type CreateReplicaOptions,
+  type Replica,
+} from "./create_replica.ts";
 
 const self: Member = { id: "vm-1.0", vm: "vm-1", address: "a", role: "voter" };
 
@@ -52,9 +56,9 @@
 }
 
 function startReplica(
-  disk: FakeDisk,
+  disk: QuorumStorage,
   applied: string[],
-  send: (message: QuorumMessage) => void = () => {},
+  options: Partial<CreateReplicaOptions> = {},
 ): Replica {
   return createReplica({
     storage: disk,
@@ -67,7 +71,7 @@
     apply: (body) => applied.push(body),
     save: () => "",
     restore: () => {},
-    send,
+    send: () => {},
     sendSnapshot: () => {},
     onRoleChange: () => {},
     onFatal: (error) => assert.unreachable(String(error)),
@@ -75,6 +79,7 @@
     metrics: createMetrics(),
     now: () => performance.now(),
     random: () => 0.5,
+    ...options,
   });
 }
 
@@ -128,6 +133,48 @@
   assert.equal(applied, ["before", "while", "after"]);
 });
 
+// Guards against a process that ends because descriptors or memory are short for a
+// moment: only a full disk was tried again.
+for (const code of ["EMFILE", "ENFILE", "ENOMEM"]) {
+  test(`a snapshot that fails with ${code} is saved once it can be`, async () => {
+    const disk = createFakeDisk();
+    const fatal: unknown[] = [];
+    let failures = 1;
+    let saved = 0;
+    const saveSnapshot = async () => {
+      await Promise.resolve();
+      if (failures-- > 0) throw Object.assign(new Error(code), { code });
+      saved += 1;
+    };
+    const applied: string[] = [];
+    await using replica = startReplica({ ...disk, saveSnapshot }, applied, {
+      snapshotEntries: 2,
+      onFatal: (error) => void fatal.push(error),
+    });
+    await waitForLeadership(replica);
+    await replica.propose("first");
+    await until("the write fails", () => failures === 0 || fatal.length > 0);
+    assert.not(replica.isDiskFull());
+    await until("it is saved", () => saved > 0 || fatal.length > 0);
+    assert.equal(fatal, []);
+    await replica.whenIdle();
+    await replica.propose("second");
+    assert.equal(applied, ["first", "second"]);
+  });
+}
+
+// What a failed write-back leaves on the disk is unknown, so it isn't tried again.
+test("a sync that fails with EIO ends the process", async () => {
+  const fatal: unknown[] = [];
+  const append = () =>
+    Promise.reject(Object.assign(new Error("EIO"), { code: "EIO" }));
+  await using _replica = startReplica({ ...createFakeDisk(), append }, [], {
+    onFatal: (error) => void fatal.push(error),
+  });
+  await until("it ends", () => fatal.length > 0);
+  assert.match(String(fatal[0]), /EIO/);
+});
+
 // Guards against gateways that reconnect to a new leader and cause one quorum
 // round per read: this filled the members' queues, and the leader lost leadership.
 test("concurrent reads without a lease share one quorum round", async () => {
@@ -140,7 +187,7 @@
   const meta = { index: 0, term: 0, members };
   const stored = { ...disk.stored, snapshot: { meta, data: "" } };
   let appends = 0;
-  await using replica = startReplica({ ...disk, stored }, [], (message) => {
+  const send = (message: QuorumMessage) => {
     const { body, term } = message;
     if (body.type === "appendRequest") appends += 1;
     if (body.type !== "voteRequest") return;
@@ -150,7 +197,8 @@
       term,
       body: { type: "voteResponse", preVote: body.preVote, granted: true },
     });
-  });
+  };
+  await using replica = startReplica({ ...disk, stored }, [], { send });
   await until(
     "the replica becomes leader",
     () => replica.getState().role === "leader",
--- a/src/control/join_cluster.ts
+++ b/src/control/join_cluster.ts
@@ -7,7 +7,11 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { Metadata } from "@grpc/grpc-js";
 import type { TlsFilesSettings } from "../settings/index.ts";
-import type { QuorumStorage } from "../storage/index.ts";
+import {
+  isPassingError,
+  type QuorumStorage,
+  WRITE_RETRY_MS,
+} from "../storage/index.ts";
 import { createClientCredentials, wire } from "../wire/index.ts";
 
 /** Delay between two rounds of join requests, in ms. */
@@ -45,6 +49,8 @@
   readonly onRejected?: (
     answers: ReadonlyMap<string, wire.JoinResponse>,
   ) => void;
+  /** Called when the cluster's id could not be stored and this is tried again. */
+  readonly onWriteError?: (error: unknown) => void;
   readonly tls?: TlsFilesSettings;
 }
 
@@ -53,7 +59,8 @@
  *
  * @param options - This replica, and the peers to ask.
  * @returns Whether this replica has joined; false if it was aborted.
- * @throws Nothing; a peer that does not respond is asked again.
+ * @throws {Error} If the cluster's id can't be stored, other than for a shortage that
+ * passes. A peer that does not respond is asked again.
  * @example
  * await joinCluster({ fleetId, vm, address, storage, signal, getPeerAddresses });
  */
@@ -82,9 +89,9 @@
       },
     });
     if (accepted) {
-      const isKnown = accepted.clusterId === storage.identity.clusterId;
-      if (!isKnown) await storage.setClusterId(accepted.clusterId);
-      return true;
+      if (await storeClusterId(accepted.clusterId, options)) return true;
+      await sleep(WRITE_RETRY_MS, undefined, { signal }).catch(() => {});
+      continue;
     }
     options.onRejected?.(answers);
     await sleep(JOIN_INTERVAL_MS, undefined, { signal }).catch(() => {});
@@ -92,6 +99,22 @@
   return false;
 }
 
+async function storeClusterId(
+  clusterId: string,
+  options: JoinClusterOptions,
+): Promise<boolean> {
+  const { storage, onWriteError } = options;
+  if (clusterId === storage.identity.clusterId) return true;
+  try {
+    await storage.setClusterId(clusterId);
+    return true;
+  } catch (error) {
+    if (!isPassingError(error)) throw error;
+    onWriteError?.(error);
+    return false;
+  }
+}
+
 interface JoinRequestOptions {
   readonly request: wire.JoinRequest;
   readonly responseTimeoutMs: number;
--- a/src/control/keep_joined_test.ts
+++ b/src/control/keep_joined_test.ts
@@ -3,7 +3,7 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { until } from "../../demo/until.ts";
-import { createMemoryStorage } from "../storage/index.ts";
+import { createMemoryStorage, type QuorumStorage } from "../storage/index.ts";
 import { bindGrpc, wire } from "../wire/index.ts";
 import { joinCluster } from "./join_cluster.ts";
 import { keepJoined } from "./keep_joined.ts";
@@ -73,6 +73,35 @@
   assert.is(second.clusterId, "cluster");
 });
 
+// Guards against a process that ends because its disk is full while it joins.
+test("a replica that can't store its cluster joins once it can", async () => {
+  await using leader = await startPeer();
+  const memory = createMemoryStorage({ fleetId: "fleet", vm: "a" });
+  const failures = ["ENOSPC", "EMFILE"];
+  const storage = Object.create(memory, {
+    setClusterId: {
+      value(clusterId: string) {
+        const code = failures.shift();
+        if (code === undefined) return memory.setClusterId(clusterId);
+        return Promise.reject(Object.assign(new Error(code), { code }));
+      },
+    },
+  }) as QuorumStorage;
+  const errors: string[] = [];
+  const hasJoined = await joinCluster({
+    fleetId: "fleet",
+    vm: "a",
+    address: "127.0.0.1:1",
+    storage,
+    signal: AbortSignal.timeout(10_000),
+    getPeerAddresses: () => [leader.address],
+    onWriteError: (error) => void errors.push((error as Error).message),
+  });
+  assert.ok(hasJoined);
+  assert.equal(errors, ["ENOSPC", "EMFILE"]);
+  assert.is(storage.identity.clusterId, "cluster");
+});
+
 test("a replica in contact with its leader requests nothing", async () => {
   await using leader = await startPeer();
   const storage = createMemoryStorage({ fleetId: "fleet", vm: "a" });
--- a/src/control/start_control.ts
+++ b/src/control/start_control.ts
@@ -250,6 +250,7 @@
       return role === "leader" ? 0 : now() - leaderContactMs;
     },
     onOutside: () => log("leaderSilent"),
+    onWriteError: (error) => log("diskFull", { error }),
     onJoined: () => log("clusterJoined", { ...storage.identity }),
     tls: settings.peerTls,
   });
--- a/src/fleet/start_fleet_control.ts
+++ b/src/fleet/start_fleet_control.ts
@@ -503,6 +503,7 @@
       if (formable && !joining.signal.aborted) options.onFormable?.(formable);
     },
     onOutside: () => log("leaderSilent"),
+    onWriteError: (error) => log("diskFull", { error }),
     onJoined: () => log("clusterJoined", { ...storage.identity }),
   });
 
--- a/src/storage/constants.ts
+++ b/src/storage/constants.ts
@@ -16,8 +16,8 @@
 /** Maximum payload of a frame, in bytes; a longer length means corruption. */
 export const MAX_FRAME_BYTES = 256 * 1024 * 1024;
 
-/** Interval, in ms, between write attempts while the disk is full. */
-export const DISK_FULL_RETRY_MS = 1_000;
+/** Interval, in ms, between write attempts while the disk is full or a resource short. */
+export const WRITE_RETRY_MS = 1_000;
 
 /** Name of the identity file in a data folder. */
 export const IDENTITY_FILE = "identity";
--- a/src/storage/open_quorum_storage.ts
+++ b/src/storage/open_quorum_storage.ts
@@ -124,8 +124,9 @@
   }
 
   async function setClusterId(clusterId: string): Promise<void> {
-    identity = { ...identity, clusterId };
-    await writeIdentity(folder, identity);
+    const joined = { ...identity, clusterId };
+    await writeIdentity(folder, joined);
+    identity = joined;
   }
 
   return {
@@ -188,9 +189,14 @@
   const isNew = sizeBytes === 0;
   // Not for appending: Linux then ignores the position of a write.
   const handle = await open(path, isNew ? "w+" : "r+");
-  await handle.truncate(sizeBytes);
-  await handle.sync();
-  if (isNew) await syncFolder(folder);
+  try {
+    await handle.truncate(sizeBytes);
+    await handle.sync();
+    if (isNew) await syncFolder(folder);
+  } catch (error) {
+    await handle.close();
+    throw error;
+  }
   let endBytes = sizeBytes;
   let hasRemains = false;
 
--- a/src/storage/write_failures_test.ts
+++ b/src/storage/write_failures_test.ts
@@ -18,14 +18,14 @@
 const probe = await open(tmpdir(), "r");
 const handles = Object.getPrototypeOf(probe) as FileHandle;
 await probe.close();
-const { write, datasync } = handles;
+const { write, datasync, sync, truncate } = handles;
 
 test.before.each(async (context) => {
   context.folder = await mkdtemp(join(tmpdir(), "crowlever-"));
 });
 
 test.after.each(async ({ folder }) => {
-  Object.assign(handles, { write, datasync });
+  Object.assign(handles, { write, datasync, sync, truncate });
   await rm(folder, { recursive: true });
 });
 
@@ -66,7 +66,20 @@
 }
 
 function stopFailing(): void {
-  Object.assign(handles, { write, datasync });
+  Object.assign(handles, { write, datasync, sync, truncate });
+}
+
+/** Fails one sync or truncation, counted from now on. */
+function failOperation(count: number, code: string): void {
+  let left = count;
+  const failing = Object.entries({ sync, truncate }).map(([name, original]) => [
+    name,
+    function (this: FileHandle, ...rest: never[]) {
+      if (left-- === 0) return Promise.reject(makeError(code));
+      return (original as () => Promise<void>).apply(this, rest as never);
+    },
+  ]);
+  Object.assign(handles, Object.fromEntries(failing));
 }
 
 async function appendEntries(
@@ -161,4 +174,33 @@
   );
 });
 
+// Guards against a snapshot that is tried again on files of its first attempt.
+test("a snapshot that fails at any step is saved by its retry", async ({ folder }) => {
+  const entries = [3, 4].map((index) => makeEntry(index));
+  const meta = { index: 2, term: 1, members: [] };
+  const save = { snapshot: { meta, data: "state" }, hard, entries };
+  let failedSteps = 0;
+  for (let hasFailed = true; hasFailed; failedSteps++) {
+    await rm(folder, { recursive: true });
+    hasFailed = false;
+    {
+      await using storage = await openQuorumStorage({ folder, ...owner });
+      await appendEntries(storage, [1, 2, 3, 4].map((at) => makeEntry(at)));
+      failOperation(failedSteps, "ENOMEM");
+      try {
+        await storage.saveSnapshot(save);
+      } catch (error) {
+        assert.is((error as Error).message, "ENOMEM");
+        hasFailed = true;
+      }
+      stopFailing();
+      if (hasFailed) await storage.saveSnapshot(save);
+      assert.is(await appendEntries(storage, [makeEntry(5)]), "");
+    }
+    const log = await readLog(folder);
+    assert.equal(log, [...entries, makeEntry(5)], `step ${failedSteps}`);
+  }
+  assert.ok(failedSteps > 4);
+});
+
 test.run();
