Answer nothing that a closing replica has not stored

Cause: a write that is tried again while the disk is full returned as if it had succeeded when the replica was closed meanwhile.

Now a write says whether it succeeded, and a batch whose write didn't has no further effects.

Evidence: two tests of the replica, with a disk that is full when it is closed; both failed before (the vote was granted, the line written) and pass now.

--- a/src/control/create_replica.ts
+++ b/src/control/create_replica.ts
@@ -182,7 +182,8 @@
       // write fails.
       if (effect.type === "accepted") pending.markAccepted(effect);
     }
-    await persist(effects);
+    // Effects rely on the writes: a vote may be sent only once it is stored.
+    if (!await persist(effects)) return;
     for (const effect of effects) executeEffect(effect);
     await saveSnapshotIfDue();
   }
@@ -196,40 +197,45 @@
     return result.effects;
   }
 
-  async function persist(effects: readonly QuorumEffect[]): Promise<void> {
+  /** Returns false if the replica was closed before all was written. */
+  async function persist(effects: readonly QuorumEffect[]): Promise<boolean> {
     let records: PersistRecord[] = [];
     for (const effect of effects) {
       if (effect.type === "persist") records.push(effect);
       if (effect.type !== "installSnapshot") continue;
-      await write(records);
+      if (!await write(records)) return false;
       records = [];
       const snapshot = { meta: effect.meta, data: effect.data };
       const { hard } = effect;
-      await retryWrite(() =>
+      const isSaved = await retryWrite(() =>
         storage.saveSnapshot({ snapshot, hard, entries: [] })
       );
+      if (!isSaved) return false;
       snapshotIndex = effect.meta.index;
     }
-    await write(records);
+    return await write(records);
   }
 
-  async function write(records: readonly PersistRecord[]): Promise<void> {
-    if (records.length === 0) return;
+  async function write(records: readonly PersistRecord[]): Promise<boolean> {
+    if (records.length === 0) return true;
     const startedMs = now();
-    await retryWrite(() => storage.append(records));
+    if (!await retryWrite(() => storage.append(records))) return false;
     metrics.timing("quorum.sync_ms", now() - startedMs);
     const last = records[records.length - 1].entries.at(-1);
-    if (!last) return;
-    queue.unshift({ type: "synced", index: last.index, term: last.term });
+    if (last) {
+      queue.unshift({ type: "synced", index: last.index, term: last.term });
+    }
+    return true;
   }
 
-  async function retryWrite(write: () => Promise<void>): Promise<void> {
+  /** Returns false if the replica was closed before the write succeeded. */
+  async function retryWrite(write: () => Promise<void>): Promise<boolean> {
     while (!closed) {
       try {
         await write();
         if (writeError !== undefined) log("diskBack");
         writeError = undefined;
-        return;
+        return true;
       } catch (error) {
         if (!isPassingError(error)) throw error;
         if (writeError === undefined) log("diskFull", { error });
@@ -244,6 +250,7 @@
         await sleep(WRITE_RETRY_MS);
       }
     }
+    return false;
   }
 
   function executeEffect(effect: QuorumEffect): void {
@@ -303,7 +310,10 @@
     const snapshot = { meta, data: options.save() };
     const hard = { term: state.term, votedFor: state.votedFor };
     const entries = state.log.filter((entry) => entry.index > appliedIndex);
-    await retryWrite(() => storage.saveSnapshot({ snapshot, hard, entries }));
+    const isSaved = await retryWrite(() =>
+      storage.saveSnapshot({ snapshot, hard, entries })
+    );
+    if (!isSaved) return;
     snapshotIndex = appliedIndex;
     // Saving a snapshot also rewrites the log with all later entries, so they count
     // as synced.
--- a/src/control/create_replica_test.ts
+++ b/src/control/create_replica_test.ts
@@ -175,6 +175,71 @@
   assert.match(String(fatal[0]), /EIO/);
 });
 
+// Guards against a vote that a replica forgets: it stopped before its write had
+// succeeded, and answered nevertheless.
+test("a replica that stops while its disk is full answers nothing it hasn't stored", async () => {
+  const disk = createFakeDisk();
+  const others = ["vm-2.0", "vm-3.0"];
+  const members = [
+    self,
+    ...others.map((id): Member => ({ ...self, id, vm: id })),
+  ];
+  const meta = { index: 0, term: 0, members };
+  const stored = { ...disk.stored, snapshot: { meta, data: "" } };
+  disk.full = true;
+  const failing = Object.create(disk, {
+    stored: { value: stored },
+  }) as FakeDisk;
+  const sent: QuorumMessage[] = [];
+  {
+    await using replica = startReplica(failing, [], {
+      send: (message) => void sent.push(message),
+      timing: { ...DEFAULT_QUORUM_TIMING, electionTimeoutMs: 1 },
+      processStartedMs: performance.now() - 60_000,
+    });
+    replica.deliver({
+      from: others[0],
+      to: self.id,
+      term: 7,
+      body: {
+        type: "voteRequest",
+        preVote: false,
+        lastIndex: 0,
+        lastTerm: 0,
+        transfer: true,
+      },
+    });
+    await until("the write fails", () => replica.isDiskFull());
+    assert.is(replica.getState().votedFor, others[0]);
+  }
+  assert.is(disk.syncs, 0);
+  const answers = sent.filter(({ body }) =>
+    body.type === "voteResponse" && body.granted && !body.preVote
+  );
+  assert.equal(answers, []);
+});
+
+// A snapshot that wasn't saved must not be reported as saved.
+test("a replica that stops while its disk is full reports no saved snapshot", async () => {
+  const lines: string[] = [];
+  const disk = createFakeDisk();
+  const saveSnapshot = () =>
+    Promise.reject(Object.assign(new Error("full"), { code: "ENOSPC" }));
+  {
+    await using replica = startReplica({ ...disk, saveSnapshot }, [], {
+      snapshotEntries: 2,
+      log: createLogger({
+        program: "test",
+        write: (line) => void lines.push(line),
+      }),
+    });
+    await waitForLeadership(replica);
+    await replica.propose("first");
+    await until("the write fails", () => replica.isDiskFull());
+  }
+  assert.not(lines.some((line) => line.includes("CL1104")));
+});
+
 // Guards against gateways that reconnect to a new leader and cause one quorum
 // round per read: this filled the members' queues, and the leader lost leadership.
 test("concurrent reads without a lease share one quorum round", async () => {
