--- a/src/storage/open_quorum_storage_test.ts
+++ b/src/storage/open_quorum_storage_test.ts
@@ -103,6 +103,20 @@
   }
 });
 
+// Guards against an operator who starts the replica again and again, or empties the
+// folders of all.
+test("a start that is refused for damage says what to do", async ({ folder }) => {
+  await write(folder, [1, 2]);
+  const path = join(folder, "log-1");
+  const bytes = await readFile(path);
+  bytes[20] ^= 0x40;
+  await writeFile(path, bytes);
+  const message = await getOpenError(folder);
+  assert.match(message, /log-1 is damaged at offset 0: /);
+  assert.match(message, /Keep a copy of the data folder/);
+  assert.match(message, /a majority of the other replicas/);
+});
+
 test("a corrupt snapshot is rejected", async ({ folder }) => {
   const meta = { index: 5, term: 1, members: [] };
   {
