Answer calls that fail, instead of ending the process

What operators saw: a control process that leads ends with 4 and CL1011 (a SyntaxError of JSON.parse) when another process sends it a call that is not JSON.

Cause: the answer was chained to a promise without a rejection path, and an unhandled rejection ends the process. The same held for join requests, there without a known way to make them reject.

A call of a type that a later build sends gets the reply "unavailable" instead of no reply.

--- a/src/control/start_control.ts
+++ b/src/control/start_control.ts
@@ -12,7 +12,7 @@
 import { DEFAULT_QUORUM_TIMING, type QuorumState } from "../quorum/index.ts";
 import type { ControlSettings } from "../settings/index.ts";
 import { openQuorumStorage } from "../storage/index.ts";
-import { bindGrpc, CHANNEL_OPTIONS, wire } from "../wire/index.ts";
+import { answerCall, bindGrpc, CHANNEL_OPTIONS, wire } from "../wire/index.ts";
 import { createUpstreamClient } from "../upstreams/index.ts";
 import { createAgentService } from "./create_agent_service.ts";
 import { createFleetView } from "./create_fleet_view.ts";
@@ -194,7 +194,10 @@
     {
       deliver: transport.handleDeliver,
       join: (call, done) => {
-        void handleJoin(call.request).then((answer) => done(null, answer));
+        void answerCall(handleJoin(call.request), {
+          done,
+          onFailed: (error) => log("rpcFailed", { rpc: "join", error }),
+        });
       },
     } satisfies wire.PeerServer,
   );
--- a/src/fleet/create_leader_call_handler.ts
+++ b/src/fleet/create_leader_call_handler.ts
@@ -179,6 +179,9 @@
         return await options.members.replace(call.replicaId)
           ? DONE
           : { type: "unavailable", reason: "no replacement" };
+      default:
+        // Of a process of a later build.
+        return { type: "unavailable", reason: "unknown call" };
     }
   }
 
--- a/src/fleet/create_leader_call_handler_test.ts
+++ b/src/fleet/create_leader_call_handler_test.ts
@@ -7,6 +7,7 @@
   type FleetCommand,
 } from "./create_fleet_state_machine.ts";
 import { createLeaderCallHandler } from "./create_leader_call_handler.ts";
+import type { FleetCall } from "./messages.ts";
 
 function makeHandler(hasLease: () => boolean) {
   const machine = createFleetStateMachine();
@@ -52,6 +53,12 @@
   assert.is(registry.getRecords().length, 1);
 });
 
+test("a call of a type that is unknown to this build is answered", async () => {
+  const { handler } = makeHandler(() => true);
+  const call = { type: "later" } as unknown as FleetCall;
+  assert.is((await handler.handle(call)).type, "unavailable");
+});
+
 test("a leave reported by gateways is recorded once, for registered upstreams only", async () => {
   const { handler, registry, machine, proposed } = makeHandler(() => true);
   const heartbeat = makeHeartbeat();
--- a/src/fleet/start_fleet_control.ts
+++ b/src/fleet/start_fleet_control.ts
@@ -479,6 +479,7 @@
     handleSession: sessions.handleSession,
     handleJoin,
     handleCall,
+    log,
   });
 
   const joining = new AbortController();
--- a/src/fleet/start_fleet_server.ts
+++ b/src/fleet/start_fleet_server.ts
@@ -5,7 +5,9 @@
  */
 
 import { Server } from "@grpc/grpc-js";
+import type { Logger } from "../logs/index.ts";
 import {
+  answerCall,
   CHANNEL_OPTIONS,
   createServerCredentials,
   wire,
@@ -23,6 +25,7 @@
   ) => Promise<wire.JoinResponse>;
   /** Handles a call, given as JSON text. */
   readonly handleCall: (json: string) => Promise<FleetReply>;
+  readonly log: Logger;
 }
 
 /**
@@ -37,14 +40,22 @@
 export function startFleetServer(
   options: StartFleetServerOptions,
 ): Disposable {
-  const { listener, handleJoin, handleCall } = options;
+  const { listener, handleJoin, handleCall, log } = options;
   const server = new Server(CHANNEL_OPTIONS);
+
+  async function answerJson(json: string): Promise<wire.FleetReply> {
+    return { json: JSON.stringify(await handleCall(json)) };
+  }
+
   server.addService(
     wire.PeerService,
     {
       deliver: options.handleDeliver,
       join: (call, done) => {
-        void handleJoin(call.request).then((answer) => done(null, answer));
+        void answerCall(handleJoin(call.request), {
+          done,
+          onFailed: (error) => log("rpcFailed", { rpc: "join", error }),
+        });
       },
     } satisfies wire.PeerServer,
   );
@@ -53,8 +64,10 @@
     {
       session: options.handleSession,
       call: (call, done) => {
-        void handleCall(call.request.json)
-          .then((reply) => done(null, { json: JSON.stringify(reply) }));
+        void answerCall(answerJson(call.request.json), {
+          done,
+          onFailed: (error) => log("rpcFailed", { rpc: "call", error }),
+        });
       },
     } satisfies wire.FleetServer,
   );
--- a/src/logs/events.ts
+++ b/src/logs/events.ts
@@ -104,6 +104,7 @@
     "info",
     "No seed has a cluster after an interrupted first start; forming it",
   ),
+  rpcFailed: event("CL1212", "warn", "Call of another process failed"),
   changeAccepted: event("CL1301", "info", "Change accepted"),
   changeConflict: event(
     "CL1302",
--- a/src/wire/index.ts
+++ b/src/wire/index.ts
@@ -5,6 +5,7 @@
  * @module
  */
 
+export * from "./answer_call.ts";
 export * from "./bind_grpc.ts";
 export * from "./channel_options.ts";
 export * from "./convert_peer_message.ts";
