Close the session of a gateway whose message can't be handled

What operators saw: the leader ends with 4 and CL1011 (a SyntaxError or a TypeError) when a gateway, for instance one of another build, sends a message that is not JSON or has a field of another form. The next leader gets the same message.

Cause: messages were decoded and handled in a listener, or later in the queue of hellos and in a promise, where nothing caught an error.

Now the error is logged (CL1213) and the gateway's stream ends with INVALID_ARGUMENT. The other sessions go on.

Evidence: six messages over real streams, each beside a second gateway: not JSON, null, a hello without a gateway, heartbeats without suspects or with retries or leaving upstreams of another form. With the sources before, each of the six alone ends the test's process with 1; now all pass.

--- a/src/fleet/create_gateway_sessions.ts
+++ b/src/fleet/create_gateway_sessions.ts
@@ -10,6 +10,7 @@
   type handleBidiStreamingCall,
   Metadata,
   type ServerDuplexStream,
+  status,
 } from "@grpc/grpc-js";
 import { findMapChanges } from "../collections/index.ts";
 import type { EngineRecord } from "../engines/index.ts";
@@ -228,7 +229,7 @@
     stream.sendMetadata(new Metadata());
     helloQueue.enqueue({
       isClosed: () => session.isClosed,
-      welcome: () => welcome(session, hello),
+      welcome: () => guard(session, () => welcome(session, hello)),
       redirect: (address) => redirect(stream, address),
     });
   }
@@ -286,7 +287,7 @@
       options.onSlowEngines(beat.suspects);
     }
     if (beat.lost) reportLostEngines(gateway, beat.lost);
-    if (beat.leaving) options.onLeavingEngines(beat.leaving);
+    if (beat.leaving) options.onLeavingEngines([...beat.leaving]);
     beat.limits?.forEach(options.limits.take);
     options.quarantine.take(gateway.vm, beat);
     const { isReady, cutOffServices } = beat;
@@ -295,7 +296,7 @@
     if (beat.slowEngines) options.onSlowEngines(beat.slowEngines);
     if (!options.hasLease()) return;
     acknowledge(session, beat.sentMs);
-    void lendRetries(session, beat);
+    lendRetries(session, beat).catch((error) => closeFailed(session, error));
     grantTrials(session, beat);
   }
 
@@ -414,16 +415,35 @@
       isClosed: false,
     };
     stream.on("data", (received: wire.FleetMessage) => {
-      const message = codec.parse(received);
-      if (message.type === "beat") handleHeartbeat(session, message);
-      else if (message.type === "grantRequest") grantSends(session, message);
-      else handleHello(session, message);
+      if (session.isClosed) return;
+      guard(session, () => handleMessage(session, codec.parse(received)));
     });
     stream.on("error", () => handleClosed(session));
     stream.on("end", () => stream.end());
     stream.on("close", () => handleClosed(session));
   }
 
+  function handleMessage(session: Session, message: GatewayMessage): void {
+    if (message.type === "beat") handleHeartbeat(session, message);
+    else if (message.type === "grantRequest") grantSends(session, message);
+    else handleHello(session, message);
+  }
+
+  // A gateway of another build may send what this one can't handle.
+  function guard(session: Session, handle: () => void): void {
+    try {
+      handle();
+    } catch (error) {
+      closeFailed(session, error);
+    }
+  }
+
+  function closeFailed(session: Session, error: unknown): void {
+    log("messageFailed", { from: session.gateway?.vm, error });
+    const details = "message can't be handled";
+    session.stream.emit("error", { code: status.INVALID_ARGUMENT, details });
+  }
+
   function handleClosed(session: Session): void {
     session.isClosed = true;
     removeSession(session);
--- a/src/logs/events.ts
+++ b/src/logs/events.ts
@@ -105,6 +105,11 @@
     "No seed has a cluster after an interrupted first start; forming it",
   ),
   rpcFailed: event("CL1212", "warn", "Call of another process failed"),
+  messageFailed: event(
+    "CL1213",
+    "warn",
+    "Message of another process could not be handled; its stream is closed",
+  ),
   changeAccepted: event("CL1301", "info", "Change accepted"),
   changeConflict: event(
     "CL1302",
