Keep entries and control running when the other's message can't be handled

What callers and operators saw: an entry ends with CL1011 when a control process sends shares, a live state or a configuration that is not JSON or null; a control process that leads ends when an entry reports no demand, or null.

Cause: the entry decoded messages in a listener in which nothing caught an error. Control accepted every report that was JSON, and used it later in its timers; so did the entry with the shares.

Now what can't be handled is logged (CL1213) where it arrives, and the session is closed; the entry opens another one, which begins with the whole state. Reports have a schema.

--- a/src/control/create_agent_service.ts
+++ b/src/control/create_agent_service.ts
@@ -15,7 +15,6 @@
 import type { Metrics } from "../metrics/index.ts";
 import type {
   EntryGrant,
-  EntryReport,
   LiveState,
   Outcome,
   ResourceChange,
@@ -23,6 +22,7 @@
 import { getChangesSince, type ResourceState } from "../resources/index.ts";
 import type { wire } from "../wire/index.ts";
 import type { FleetView } from "./create_fleet_view.ts";
+import { parseEntryReport } from "./parse_entry_report.ts";
 import type { ClaimLookup, Command } from "./state_machine.ts";
 
 type AgentStream = ServerDuplexStream<wire.AgentMessage, wire.ControlMessage>;
@@ -185,7 +185,7 @@
   ): void {
     const { vm, incarnation } = session;
     const { revision, leaving, sentMs } = heartbeat;
-    const report = JSON.parse(heartbeat.report) as EntryReport;
+    const report = parseEntryReport(heartbeat.report);
     view.queueHeartbeat({ vm, incarnation, revision, leaving, report });
     const value = { echoSentMs: sentMs };
     send(session, { $case: "heartbeatAck", value });
@@ -263,7 +263,7 @@
     };
     stream.on("data", (message: wire.AgentMessage) => {
       void handleMessage(session, message).catch((error) => {
-        log("internalError", { error });
+        log("messageFailed", { from: session.vm, error });
         stream.end();
       });
     });
--- a/src/entry/create_agent.ts
+++ b/src/entry/create_agent.ts
@@ -26,6 +26,7 @@
   wire,
 } from "../wire/index.ts";
 import type { ConfigReplica } from "./create_config_replica.ts";
+import { EntryError } from "./entry_error.ts";
 
 type Stream = ClientDuplexStream<wire.AgentMessage, wire.ControlMessage>;
 type AgentBody = NonNullable<wire.AgentMessage["body"]>;
@@ -187,7 +188,13 @@
         closeSession(opened, { reason: message.body.value.reason, redirected });
         return;
       }
-      take(opened, message);
+      // A control process of another build may send what this one can't handle.
+      try {
+        take(opened, message);
+      } catch (error) {
+        log("messageFailed", { from: address, error });
+        closeSession(opened, { reason: "unreadable" });
+      }
     });
     stream.on("error", () => closeSession(opened, { reason: "cut" }));
     stream.on("end", () => closeSession(opened, { reason: "ended" }));
@@ -264,7 +271,7 @@
       case "live":
         return applyLiveState(body.value);
       case "grant":
-        grant = JSON.parse(body.value.grant) as EntryGrant;
+        grant = parseGrant(body.value.grant);
         return;
       case "heartbeatAck":
         lastContactMs = now();
@@ -399,3 +406,10 @@
     },
   };
 }
+
+// The shares are used later, in a timer.
+function parseGrant(text: string): EntryGrant {
+  const { accounts, intervals } = JSON.parse(text) as Partial<EntryGrant>;
+  if (!accounts || !intervals) throw new EntryError("grant without shares");
+  return { accounts, intervals };
+}
