--- a/src/control/create_peer_transport.ts
+++ b/src/control/create_peer_transport.ts
@@ -9,6 +9,7 @@
   type ClientWritableStream,
   type handleClientStreamingCall,
   Metadata,
+  status,
 } from "@grpc/grpc-js";
 import type { Logger } from "../logs/index.ts";
 import type { Member, QuorumMessage, ReplicaId } from "../quorum/index.ts";
@@ -136,8 +137,16 @@
   }
 
   async function sendSnapshot(to: ReplicaId): Promise<void> {
-    const snapshot = await options.readSnapshot();
-    if (!snapshot) return;
+    try {
+      const snapshot = await options.readSnapshot();
+      if (snapshot) sendChunks(to, snapshot);
+    } catch (error) {
+      // It is sent again for as long as the replica needs it.
+      log("snapshotNotSent", { to, error });
+    }
+  }
+
+  function sendChunks(to: ReplicaId, snapshot: StoredSnapshot): void {
     const { meta, data } = snapshot;
     const bytes = Buffer.from(data, "utf8");
     for (let offset = 0; offset === 0 || offset < bytes.length;) {
@@ -183,13 +192,32 @@
     const [fromAddress = ""] = call.metadata.get(ADDRESS_METADATA_KEY).map(
       String,
     );
-    call.on("data", (message: wire.PeerMessage) => {
+    let hasFailed = false;
+
+    function receive(message: wire.PeerMessage): void {
       if (fromAddress !== "") options.onSender?.(message.from, fromAddress);
       if (!isAddressedToSelf(message)) return;
       const assembled = parsePeerMessage(message) ?? assembler.add(message);
       if (assembled) options.deliver(assembled);
+    }
+
+    call.on("data", (message: wire.PeerMessage) => {
+      if (hasFailed) return;
+      try {
+        receive(message);
+      } catch (error) {
+        // The sender opens another stream.
+        hasFailed = true;
+        log("messageFailed", { from: message.from, error });
+        done({
+          code: status.INVALID_ARGUMENT,
+          details: "message can't be handled",
+        });
+      }
+    });
+    call.on("end", () => {
+      if (!hasFailed) done(null, {});
     });
-    call.on("end", () => done(null, {}));
     call.on("error", () => {});
   }
 
--- a/src/logs/events.ts
+++ b/src/logs/events.ts
@@ -110,6 +110,11 @@
     "warn",
     "Message of another process could not be handled; its stream is closed",
   ),
+  snapshotNotSent: event(
+    "CL1214",
+    "warn",
+    "Snapshot could not be sent to a replica",
+  ),
   changeAccepted: event("CL1301", "info", "Change accepted"),
   changeConflict: event(
     "CL1302",
