Answer a forwarded call whose reply can't be read

Cause: the reply was decoded in the callback of the call, where nothing caught an error.

Now such a reply counts as "unavailable", as a call without a reply does, so an operator or an upstream gets its 503.

Evidence: the test ends its process with 1 with the sources before, and passes now.

--- a/src/fleet/create_leader_client.ts
+++ b/src/fleet/create_leader_client.ts
@@ -63,7 +63,7 @@
         new Metadata(),
         { deadline },
         (error, reply?: wire.FleetReply) => {
-          if (reply) resolve(JSON.parse(reply.json) as FleetReply);
+          if (reply) resolve(parseReply(reply.json));
           else resolve({ type: "unavailable", reason: String(error?.message) });
         },
       );
@@ -78,3 +78,14 @@
     },
   };
 }
+
+// An error in the callback of a call would end the process.
+function parseReply(json: string): FleetReply {
+  try {
+    const reply = JSON.parse(json) as FleetReply | null;
+    if (typeof reply?.type === "string") return reply;
+  } catch {
+    // Told to the caller like a reply of another form.
+  }
+  return { type: "unavailable", reason: "unreadable reply of the leader" };
+}
