--- a/scripts/spawn_program.ts
+++ b/scripts/spawn_program.ts
@@ -29,7 +29,9 @@
   readonly variables?: Readonly<Record<string, string>>;
   /** Whether the log can be read from the process; it is discarded by default. */
   readonly isLogPiped?: boolean;
-  /** Descriptor that is the standard output and error, instead of a pipe. */
+  /** The same for its standard error; it is that of this process by default. */
+  readonly isErrorPiped?: boolean;
+  /** Descriptor that is the standard output and error, in place of both. */
   readonly logDescriptor?: number;
 }
 
@@ -52,7 +54,7 @@
   options: SpawnProgramOptions,
 ): Promise<ChildProcess> {
   const { file, settings, folder, flags = [], args = [] } = options;
-  const { isLogPiped = false, logDescriptor } = options;
+  const { isLogPiped = false, isErrorPiped = false, logDescriptor } = options;
   const settingsFile = join(folder, `${settings.nodeId}.jsonc`);
   await writeFile(settingsFile, JSON.stringify(settings));
   return spawn(
@@ -67,7 +69,7 @@
       stdio: [
         "ignore",
         logDescriptor ?? (isLogPiped ? "pipe" : "ignore"),
-        logDescriptor ?? "inherit",
+        logDescriptor ?? (isErrorPiped ? "pipe" : "inherit"),
       ],
     },
   );
