Wait for an acknowledged configuration between courses of the soak test of ends

On a busy machine (load 30) courses followed so closely that a run of 20 s had two acknowledged configurations. Half of the courses now wait for one, three operators send them, and a run counts a failed start if none is taken in the end.

--- a/test/end_soak_test.ts
+++ b/test/end_soak_test.ts
@@ -17,7 +17,6 @@
       onFailure: (trace) => void failures.push(trace),
     });
     const details = JSON.stringify({ report, failures });
-    assert.ok(report.acknowledged > 0 && report.served > 0, details);
     const { endedByItself, failedStarts, failedStops, lostVersions } = report;
     assert.equal(
       { endedByItself, failedStarts, failedStops, lostVersions },
--- a/test/support/run_end_soak.ts
+++ b/test/support/run_end_soak.ts
@@ -111,6 +111,8 @@
 
 const CALLERS = 4;
 
+const OPERATORS = 3;
+
 const ANSWERED_STATUS = 200;
 
 /** Processes of tests that run at the same time have networks of their own. */
@@ -185,6 +187,10 @@
   return answer.statusCode === ANSWERED_STATUS;
 }
 
+function holds(test: () => Promise<boolean>): Promise<boolean> {
+  return until("it holds", test).then(() => true, () => false);
+}
+
 function makeDocument(version: number): string {
   const timeoutMs = 5_000 + version % 1_000;
   return JSON.stringify(makeWireConfig(version, { timeoutMs }));
@@ -338,6 +344,11 @@
     while (!isOver()) {
       await sleep(own.integer(0, 800));
       await own.pick(END_COURSES)(context);
+      const isFollowedAtOnce = own.chance(0.5);
+      const { acknowledged } = tally;
+      while (
+        !isFollowedAtOnce && tally.acknowledged === acknowledged && !isOver()
+      ) await sleep(RETRY_DELAY_MS);
     }
   }
 
@@ -360,7 +371,10 @@
   }
 
   await Promise.all([
-    sendConfigs(createOwnRandom()),
+    ...Array.from(
+      { length: OPERATORS },
+      () => sendConfigs(createOwnRandom()),
+    ),
     ...Array.from(
       { length: random.integer(1, MAX_PLAYERS) },
       () => playCourses(createOwnRandom()),
@@ -375,12 +389,9 @@
     program: SupervisedProgram,
     isServing: () => Promise<boolean>,
   ): Promise<void> {
-    try {
-      await until("it serves", isServing);
-    } catch {
-      failedStarts += 1;
-      onFailure(program.trace());
-    }
+    if (await holds(isServing)) return;
+    failedStarts += 1;
+    onFailure(program.trace());
   }
 
   // What is served must be served by a process that goes on.
@@ -397,6 +408,7 @@
         await isReady(`${gatewayHosts[at]}:${PORT.ready}`))
     ),
   ]);
+  if (!await holds(() => putNext(0))) failedStarts += 1;
   for (const address of controlAddresses) {
     const text = await callControl(address);
     if (!text || !isNewest(text, newestAcknowledged)) tally.lostVersions += 1;
