Join anew in place of ending at each start over a damaged folder

What operators saw: a control process of the platform whose log is damaged ends with 3 at each start, for good, while the two others hold all that was acknowledged. The next loss ends the quorum.

Cause: the folder is refused, as it has to be under the old id, whose last vote may be in the part that is lost; and there is nobody to move it away.

Now the process treats the damage like a lost disk (CL1105 names file and offset). A new identity, which names no cluster and carries the mark of a replacement, is durable before the first file is moved to a subfolder, so that no crash leaves the old identity without its log. A start completes a replacement that was interrupted before it reads any state. With the mark a folder never forms a cluster, neither in a first start nor after an interrupted one.

--- a/src/fleet/create_cluster_formation.ts
+++ b/src/fleet/create_cluster_formation.ts
@@ -52,10 +52,13 @@
   const { self, storage, replica, startedEmpty, toleratedLosses } = options;
   const hasCluster = () => storage.identity.clusterId !== "";
 
-  // A voter that has taken part in an election has stored its term.
+  // A voter that has taken part in an election has stored its term; where that was
+  // damaged, its identity says so.
   function isUnused(): boolean {
     const { term, log, snapshot } = replica.getState();
-    return options.hasDisk && term === 0 && log.length + snapshot.index === 0;
+    const { isReplacement = false } = storage.identity;
+    return options.hasDisk && !isReplacement && term === 0 &&
+      log.length + snapshot.index === 0;
   }
 
   function getFormableClusterId(): string {
--- a/src/fleet/open_fleet_storage.ts
+++ b/src/fleet/open_fleet_storage.ts
@@ -8,7 +8,10 @@
 import {
   createMemoryStorage,
   openQuorumStorage,
+  type OpenQuorumStorageOptions,
   type QuorumStorage,
+  replaceDamagedState,
+  StorageDamageError,
 } from "../storage/index.ts";
 import {
   getFirstReplicaId,
@@ -37,9 +40,12 @@
  * Opens the data folder. All initial voters are given the same seeds, so that they form
  * one cluster without asking each other, and no subset of them can form another.
  *
+ * A damaged folder is treated like a lost disk: nobody repairs a process that ends at
+ * each start, while the other replicas hold what was acknowledged.
+ *
  * @param options - The folder, the process that owns it, and the seeds.
  * @returns The storage.
- * @throws {StorageOwnerError | StorageDamageError} When the folder is refused.
+ * @throws {StorageOwnerError} When the folder belongs to another process.
  * @example
  * await using storage = await openFleetStorage(options);
  */
@@ -53,7 +59,7 @@
   const { formingSeeds = [] } = options;
   const isInitialVoter = formingSeeds
     .some((seed) => seed.callerAddress === callerAddress);
-  const storage = await openQuorumStorage({
+  const storage = await openOrReplace({
     folder: dataFolder,
     fleetId,
     vm: callerAddress,
@@ -63,9 +69,23 @@
       ? { address: peerAddress, ...planInitialCluster(formingSeeds) }
       : undefined,
     makeReplicaId: isInitialVoter ? getFirstReplicaId : undefined,
-  });
+  }, options);
   if (storage.stored.tornBytes > 0) {
     options.log("tornTailCut", { sizeBytes: storage.stored.tornBytes });
   }
   return storage;
 }
+
+async function openOrReplace(
+  options: OpenQuorumStorageOptions,
+  { log }: { readonly log: Logger },
+): Promise<QuorumStorage> {
+  try {
+    return await openQuorumStorage(options);
+  } catch (error) {
+    if (!(error instanceof StorageDamageError)) throw error;
+    const movedTo = await replaceDamagedState(options);
+    log("damageReplaced", { error, movedTo });
+    return await openQuorumStorage(options);
+  }
+}
--- a/src/logs/events.ts
+++ b/src/logs/events.ts
@@ -77,6 +77,11 @@
   diskFull: event("CL1102", "error", "Disk write failed; retrying"),
   diskBack: event("CL1103", "info", "Disk writes succeed again"),
   snapshotSaved: event("CL1104", "info", "Snapshot saved"),
+  damageReplaced: event(
+    "CL1105",
+    "error",
+    "Data folder is damaged; its files are moved away, joining with a new identity",
+  ),
   clusterFormed: event("CL1201", "info", "Cluster formed"),
   clusterJoined: event("CL1202", "info", "Joined the cluster as a learner"),
   roleChanged: event("CL1203", "info", "Quorum role changed"),
--- a/src/storage/identity.ts
+++ b/src/storage/identity.ts
@@ -21,6 +21,13 @@
   readonly replicaId: string;
   /** Empty until the replica has formed or joined a cluster. */
   readonly clusterId: string;
+  /**
+   * Whether this identity replaces that of a damaged folder. The replica has been a
+   * member before, so that its empty state doesn't show that there is no cluster.
+   */
+  readonly isReplacement?: boolean;
+  /** Subfolder that the files of the damaged state are being moved to. */
+  readonly damagedFolder?: string;
 }
 
 /** Options for forming a new cluster. */
--- a/src/storage/index.ts
+++ b/src/storage/index.ts
@@ -12,4 +12,5 @@
 export * from "./lock_data_folder.ts";
 export * from "./open_quorum_storage.ts";
 export * from "./read_stored_state.ts";
+export * from "./replace_damaged_state.ts";
 export * from "./storage_error.ts";
--- a/src/storage/open_quorum_storage.ts
+++ b/src/storage/open_quorum_storage.ts
@@ -27,6 +27,7 @@
   type StoredSnapshot,
   type StoredState,
 } from "./read_stored_state.ts";
+import { moveDamagedFiles } from "./replace_damaged_state.ts";
 
 /** The open storage of a replica. */
 export interface QuorumStorage extends AsyncDisposable {
@@ -94,7 +95,8 @@
 ): Promise<QuorumStorage> {
   const { folder, form, makeReplicaId } = options;
   let identity = await readIdentity(options);
-  if (form && identity.clusterId === "") {
+  identity = await moveDamagedFiles(identity, { folder });
+  if (form && identity.clusterId === "" && !identity.isReplacement) {
     identity = await formCluster(identity, { folder, form, makeReplicaId });
   }
   const stored = await readStoredState(folder);
