Sync the folders that a data folder is created in

Cause: the name of a new folder lasts only once the folder above it is synced. After a loss of power a data folder that the first start had created could be gone as a whole, with a vote or entries that had been synced in it; the next start would be empty, under a new id.

Now each folder that is created is synced in the one above it, before anything is stored.

Evidence: a test that records which folders are synced; before, only the data folder itself was. A loss of power was not played.

--- a/src/storage/files.ts
+++ b/src/storage/files.ts
@@ -5,8 +5,8 @@
  */
 
 import type { Buffer } from "node:buffer";
-import { open, readFile, rename } from "node:fs/promises";
-import { join } from "node:path";
+import { mkdir, open, readFile, rename } from "node:fs/promises";
+import { dirname, join, resolve } from "node:path";
 
 /**
  * Reads a file that may not exist.
@@ -52,6 +52,26 @@
   await syncFolder(join(path, ".."));
 }
 
+/**
+ * Creates a folder that may exist, and those above it, so that they survive a crash.
+ *
+ * @param folder - The path of the folder.
+ * @returns Nothing.
+ * @throws {Error} If a file operation fails.
+ * @example
+ * await makeFolder("data/vm-1");
+ */
+export async function makeFolder(folder: string): Promise<void> {
+  const first = await mkdir(folder, { recursive: true });
+  if (first === undefined) return;
+  const top = dirname(resolve(first));
+  let path = resolve(folder);
+  while (path !== top) {
+    path = dirname(path);
+    await syncFolder(path);
+  }
+}
+
 /**
  * Syncs a folder, so that created and renamed files survive a crash.
  *
--- a/src/storage/open_quorum_storage.ts
+++ b/src/storage/open_quorum_storage.ts
@@ -5,11 +5,11 @@
  */
 
 import { Buffer } from "node:buffer";
-import { type FileHandle, mkdir, open, rm } from "node:fs/promises";
+import { type FileHandle, open, rm } from "node:fs/promises";
 import { join } from "node:path";
 import type { HardState, LogEntry } from "../quorum/index.ts";
 import { LOG_PREFIX, SNAPSHOT_FILE } from "./constants.ts";
-import { replaceFile, syncFolder } from "./files.ts";
+import { makeFolder, replaceFile, syncFolder } from "./files.ts";
 import { encodeFrame } from "./frame.ts";
 import {
   formCluster,
@@ -77,7 +77,7 @@
   options: OpenQuorumStorageOptions,
 ): Promise<QuorumStorage> {
   const { folder } = options;
-  await mkdir(folder, { recursive: true });
+  await makeFolder(folder);
   const lock = options.isLocked === false
     ? { async [Symbol.asyncDispose]() {} }
     : await lockDataFolder(folder);
--- a/src/storage/open_quorum_storage_test.ts
+++ b/src/storage/open_quorum_storage_test.ts
@@ -1,7 +1,16 @@
 import { suite } from "uvu";
 import * as assert from "uvu/assert";
 import { Buffer } from "node:buffer";
-import { appendFile, mkdtemp, readFile, rm, writeFile } from "node:fs/promises";
+import {
+  appendFile,
+  type FileHandle,
+  mkdtemp,
+  open,
+  readFile,
+  readlink,
+  rm,
+  writeFile,
+} from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import type { LogEntry } from "../quorum/index.ts";
@@ -56,6 +65,28 @@
   assert.is(reopened.identity.replicaId, replicaId);
 });
 
+// Guards against a vote that is forgotten: the name of a new folder lasts only once the
+// folder above it is synced.
+test("the folders that a new data folder is created in are synced", async ({ folder }) => {
+  const handle = await open(folder, "r");
+  const handles = Object.getPrototypeOf(handle) as FileHandle;
+  await handle.close();
+  const { sync } = handles;
+  const synced = new Set<string>();
+  handles.sync = async function (this: FileHandle) {
+    synced.add(await readlink(`/proc/self/fd/${this.fd}`));
+    await sync.call(this);
+  };
+  try {
+    const path = join(folder, "a", "b");
+    await using _storage = await openQuorumStorage({ folder: path, ...owner });
+  } finally {
+    handles.sync = sync;
+  }
+  const parents = [folder, join(folder, "a"), join(folder, "a", "b")];
+  assert.equal(parents.filter((path) => !synced.has(path)), []);
+});
+
 test("appended entries are read back, and later entries replace earlier ones", async ({ folder }) => {
   await write(folder, [1, 2, 3]);
   {
