Handle SIGHUP and stop signals from the start on

Seen: SIGHUP ended crowlever-control and crowlever-entry. SIGTERM ended each of the four programs by the signal, without a line, while it started or waited for its predecessor.

Cause: the servers had no handler for SIGHUP, and all handlers of SIGTERM were set only after the start.

Change: the servers log that SIGHUP changes nothing: their settings are read at the start, and they watch the TLS files themselves. Stop signals are handled from before the start on. A process that is starting has nothing to finish, so it ends at once, with 0 and the line CL1003. The platform's programs handle SIGINT like SIGTERM, and log a repeated signal as the servers do.

--- a/src/bin/run_program.ts
+++ b/src/bin/run_program.ts
@@ -123,7 +123,15 @@
   const { log, metrics, onFatal, processEnd } = context;
   process.on("uncaughtException", onFatal);
   process.on("unhandledRejection", onFatal);
-  let running: RunningProgram;
+  process.on("SIGHUP", () => log("settingsKept"));
+  let running: RunningProgram | undefined;
+  const stopSignal = waitForStopSignal({
+    log,
+    onSignal() {
+      // A program that is starting has nothing to finish yet.
+      if (running === undefined) processEnd.stop();
+    },
+  });
   try {
     running = await options.start(context);
   } catch (error) {
@@ -137,22 +145,26 @@
       openStartRecord({ folder: dataFolder, program, log, metrics }),
     );
   }
-  await waitForStopSignal(log);
+  await stopSignal;
   await running.stop();
   await metrics[Symbol.asyncDispose]();
   processEnd.stop();
 }
 
-function waitForStopSignal(log: Logger): Promise<void> {
+function waitForStopSignal(
+  options: { log: Logger; onSignal: () => void },
+): Promise<void> {
+  const { log, onSignal } = options;
   return new Promise((resolve) => {
     let stopping = false;
-    const onSignal = (): void => {
-      if (stopping) log("signalRepeated");
+    const onStopSignal = (): void => {
+      if (stopping) return log("signalRepeated");
       stopping = true;
+      onSignal();
       resolve();
     };
-    process.on("SIGTERM", onSignal);
-    process.on("SIGINT", onSignal);
+    process.on("SIGTERM", onStopSignal);
+    process.on("SIGINT", onStopSignal);
   });
 }
 
--- a/src/logs/events.ts
+++ b/src/logs/events.ts
@@ -69,6 +69,11 @@
     "warn",
     "Standard output or error can't be written; its reader may be gone",
   ),
+  settingsKept: event(
+    "CL1019",
+    "info",
+    "SIGHUP changes nothing: settings are read at the start, TLS files by themselves",
+  ),
   tornTailCut: event(
     "CL1101",
     "warn",
--- a/test/support/open_program_trial.ts
+++ b/test/support/open_program_trial.ts
@@ -37,12 +37,14 @@
 /** Programs that end with the trial. */
 export interface ProgramTrial extends AsyncDisposable {
   readonly folder: string;
+  /** Starts a program; settings are added to those of the trial. */
   start(
     role: Role,
     options?: Pick<
       SpawnProgramOptions,
       "isLogPiped" | "logDescriptor" | "flags"
     >,
+    settings?: Readonly<Record<string, unknown>>,
   ): Promise<TrialProgram>;
 }
 
@@ -67,7 +69,7 @@
   const children: ChildProcess[] = [];
   return {
     folder,
-    async start(role, streams = {}) {
+    async start(role, streams = {}, settings = {}) {
       const dataDir = join(folder, role);
       await mkdir(dataDir, { recursive: true });
       const listen = role === "entry"
@@ -88,6 +90,7 @@
           dataDir,
           faultTolerance: { machines: 0 },
           bounds: { graceS: 0 },
+          ...settings,
         },
       });
       children.push(child);
--- a/test/support/open_server_trial.ts
+++ b/test/support/open_server_trial.ts
@@ -56,12 +56,12 @@
   const children: ChildProcess[] = [];
   return {
     folder,
-    async start(role, streams = {}) {
+    async start(role, streams = {}, extra = {}) {
       const { isLogPiped = false, logDescriptor, flags = [] } = streams;
       const dataFolder = join(folder, role);
       await mkdir(dataFolder, { recursive: true });
       const file = join(folder, `${role}.jsonc`);
-      const settings = getSettings(role, { ip, dataFolder });
+      const settings = { ...getSettings(role, { ip, dataFolder }), ...extra };
       await writeFile(file, JSON.stringify(settings));
       const child = spawn(
         process.execPath,
