Handle SIGHUP before the launcher loads any module

Seen: SIGHUP ended a program of the platform in the first moment after its start, longer than the start of the runtime takes.

Change: the handler is set first.

The test of the order failed before.

--- a/scripts/launch.cjs
+++ b/scripts/launch.cjs
@@ -8,6 +8,11 @@
 // have run by then are not compiled again in later processes. undici_parts.cjs gives
 // the time saved.
 "use strict";
+// By default the signal would end the process. The settings are read only after the
+// bundle has loaded, so there is nothing to read again before that. Loading the modules
+// below takes some milliseconds, too.
+process.on("SIGHUP", () => {});
+
 const { existsSync, readFileSync, writeFileSync } = require("node:fs");
 const Module = require("node:module");
 const { createServer } = require("node:net");
@@ -62,9 +67,6 @@
 }
 
 async function run() {
-  // By default the signal would end the process. The settings are read only after the
-  // bundle has loaded, so there is nothing to read again before that.
-  process.on("SIGHUP", () => {});
   const earlyListener = address ? await listenEarly() : undefined;
   await loadBundle().main(role, { earlyListener });
 }
--- a/scripts/launch_test.ts
+++ b/scripts/launch_test.ts
@@ -2,11 +2,13 @@
 
 import { type ChildProcess, spawn } from "node:child_process";
 import { once } from "node:events";
-import { copyFile, mkdtemp, rm, writeFile } from "node:fs/promises";
+import { copyFile, mkdtemp, readFile, rm, writeFile } from "node:fs/promises";
+import Module from "node:module";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import process from "node:process";
 import { createInterface } from "node:readline";
+import { runInThisContext } from "node:vm";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 
@@ -56,4 +58,25 @@
   }
 });
 
+test("the launcher handles SIGHUP before it loads any module", async () => {
+  const source = await readFile("scripts/launch.cjs", "utf8");
+  const launch = runInThisContext(Module.wrap(source));
+  const before = process.listeners("SIGHUP");
+  const getAdded = () =>
+    process.listeners("SIGHUP").filter((each) => !before.includes(each));
+  const loaded = new Error("a module is loaded");
+  const loadModule = () => {
+    if (getAdded().length === 1) throw loaded;
+    throw new Error("a module is loaded before SIGHUP is handled");
+  };
+  try {
+    assert.throws(
+      () => launch({}, loadModule, {}, "launch.cjs", "."),
+      (error: unknown) => error === loaded,
+    );
+  } finally {
+    getAdded().forEach((each) => process.off("SIGHUP", each));
+  }
+});
+
 test.run();
