--- a/src/gateway/create_upstream_transport.ts
+++ b/src/gateway/create_upstream_transport.ts
@@ -305,15 +305,22 @@
         fail(error.message, getExceededLimit(error));
       },
     };
-    getPool(engineId, address).dispatch(
-      {
-        path: target,
-        method: method as Dispatcher.HttpMethod,
-        headers,
-        body,
-      },
-      handler,
-    );
+    try {
+      getPool(engineId, address).dispatch(
+        {
+          path: target,
+          method: method as Dispatcher.HttpMethod,
+          headers,
+          body,
+        },
+        handler,
+      );
+    } catch (error) {
+      // The library throws for an address that is none. The exchange may end only after
+      // it was returned.
+      const { message } = error as Error;
+      queueMicrotask(() => fail(message));
+    }
     return {
       get isSent() {
         return isSent;
--- a/src/gateway/create_upstream_transport_test.ts
+++ b/src/gateway/create_upstream_transport_test.ts
@@ -893,4 +893,13 @@
   });
 }
 
+test("a request to an address that is none ends unsent and throws nothing", async () => {
+  await using transport = createUpstreamTransport(codec);
+  for (const address of ["", "10.0.0.256:80", "10.0.0.1:99999", "a b:80"]) {
+    const engineId = address;
+    const end = await runExchange(transport, { engineId, address });
+    assert.is(end.type, "notSent", address);
+  }
+});
+
 test.run();
--- a/src/http/probe_address.ts
+++ b/src/http/probe_address.ts
@@ -21,6 +21,8 @@
   options: { readonly timeoutMs: number },
 ) => Promise<UpstreamLiveness>;
 
+const MAX_PORT = 65_535;
+
 /**
  * Opens a new connection: the reset of a pooled one proves nothing.
  *
@@ -35,7 +37,10 @@
   new Promise((resolve) => {
     const portAt = address.lastIndexOf(":");
     const host = address.slice(0, portAt).replace(/^\[|\]$/g, "");
-    const socket = connect({ host, port: Number(address.slice(portAt + 1)) });
+    const port = Number(address.slice(portAt + 1));
+    // The runtime throws for a port that is none.
+    if (!(port > 0 && port <= MAX_PORT)) return resolve("unknown");
+    const socket = connect({ host, port });
     // After a stall of this process timers run first, and the answer is unread.
     const timer = setTimeout(
       () => setImmediate(() => finish("unknown")),
