Close a peer listener beside connections that stay open

What operators saw: a control process that is stopped while a peer is suspended, cut off or just silent doesn't end; a raw connection to its port is enough. Its successor waits for it.

Cause: the listener waited for all connections that it had accepted to close. A shutdown of the gRPC server only ends its half of an idle one.

Now the listener destroys them.

--- a/src/fleet/open_peer_listener.ts
+++ b/src/fleet/open_peer_listener.ts
@@ -9,7 +9,10 @@
 
 /** The listener. */
 export interface PeerListener extends AsyncDisposable {
-  /** Sets who takes new connections; without a function they are closed at once. */
+  /**
+   * Sets who takes new connections. Without a function they are closed at once, so that
+   * peers try again.
+   */
   setHandler(handle: ((socket: Socket) => void) | undefined): void;
 }
 
@@ -27,7 +30,10 @@
  */
 export async function openPeerListener(address: string): Promise<PeerListener> {
   let handle: ((socket: Socket) => void) | undefined;
+  const sockets = new Set<Socket>();
   const server = createServer((socket) => {
+    sockets.add(socket);
+    socket.once("close", () => sockets.delete(socket));
     if (handle) handle(socket);
     else socket.destroy();
   });
@@ -40,6 +46,8 @@
       handle = undefined;
       const closed = once(server, "close");
       server.close();
+      // A peer that is suspended or cut off never closes its end of a connection.
+      for (const socket of sockets) socket.destroy();
       await closed;
     },
   };
