--- a/src/fleet/run_fleet_control.ts
+++ b/src/fleet/run_fleet_control.ts
@@ -14,8 +14,8 @@
 } from "./start_fleet_control.ts";
 
 /**
- * Starts a control process, unless another one listens at its address. If it finds that none of its seeds has a cluster, it is
- * started once more, as in a first start.
+ * Starts a control process, unless another one listens at its address. If it finds that
+ * none of its seeds has a cluster, it is started once more, as in a first start.
  *
  * Only a first start forms the cluster, so processes that end before they have stored
  * it would otherwise wait for each other.
@@ -37,14 +37,14 @@
 ): Promise<FleetControl> {
   const listener = await openPeerListener(settings.peerAddress);
   try {
-    return await runAt(settings, { ...options, listener });
+    return await runOnListener(settings, { ...options, listener });
   } catch (error) {
     await listener[Symbol.asyncDispose]();
     throw error;
   }
 }
 
-async function runAt(
+async function runOnListener(
   settings: FleetControlSettings,
   options: Omit<StartFleetControlOptions, "formingSeeds" | "onFormable">,
 ): Promise<FleetControl> {
--- a/src/http/retry_while_address_in_use_test.ts
+++ b/src/http/retry_while_address_in_use_test.ts
@@ -40,11 +40,15 @@
 test("a program doesn't wait for ever, or for an address that it can't use", async () => {
   const { server, port } = await startPredecessor();
   let nowMs = 0;
+  let unusableAttempts = 0;
   const codes: unknown[] = [];
   const unusable = Object.assign(new Error("no such address"), {
     code: "EADDRNOTAVAIL",
   });
-  const failing = [() => listen(port), () => Promise.reject(unusable)];
+  const failing = [() => listen(port), () => {
+    unusableAttempts += 1;
+    return Promise.reject(unusable);
+  }];
   for (const attempt of failing) {
     await retryWhileAddressInUse(attempt, {
       waitMs: 100,
@@ -52,6 +56,7 @@
     }).catch(({ code }) => void codes.push(code));
   }
   assert.equal(codes, ["EADDRINUSE", "EADDRNOTAVAIL"]);
+  assert.is(unusableAttempts, 1);
   server.close();
   await once(server, "close");
 });
