Log why a server's start failed before anything else

What operators saw: a server whose metrics can't be flushed ended, or hung, without the line that names why its start had failed; an error in the meantime replaced the reason.

Cause: the metrics were disposed of first, since the reasons of ends have one place.

Now the line is written first, and metrics of a failed start are not waited for. Found by a reviewer by reading; no test.

--- a/src/bin/run_program.ts
+++ b/src/bin/run_program.ts
@@ -135,7 +135,6 @@
   try {
     running = await options.start(context);
   } catch (error) {
-    await metrics[Symbol.asyncDispose]();
     return processEnd.fail("startFailed", error);
   }
   const { dataFolder } = context.settings as CommonSettings;
