--- a/src/bin/run_program.ts
+++ b/src/bin/run_program.ts
@@ -140,9 +140,14 @@
   const { dataFolder } = context.settings as CommonSettings;
   if (dataFolder !== undefined) {
     const { program } = options;
-    processEnd.useRecord(
-      openStartRecord({ folder: dataFolder, program, log, metrics }),
-    );
+    const record = openStartRecord({
+      folder: dataFolder,
+      program,
+      log,
+      metrics,
+    });
+    record.writeStart();
+    processEnd.useRecord(record);
   }
   await stopSignal;
   await running.stop();
--- a/src/lifecycle/create_process_end_test.ts
+++ b/src/lifecycle/create_process_end_test.ts
@@ -1,4 +1,4 @@
-/** Guards against a process that ends without a word. */
+/** Guards against a process that ends without a logged reason. */
 
 import { mkdtemp, rm } from "node:fs/promises";
 import { tmpdir } from "node:os";
@@ -56,7 +56,7 @@
   assert.equal(codes, [0]);
 });
 
-test("each start on a data folder names how the process before ended", async () => {
+test("each start on a data folder names how the previous process ended", async () => {
   const folder = await mkdtemp(join(tmpdir(), "starts-"));
   try {
     const logged: LogFields[] = [];
@@ -89,12 +89,14 @@
 
 test("a data folder that can't be written doesn't keep a program from starting", () => {
   const logged: string[] = [];
-  openStartRecord({
+  const record = openStartRecord({
     folder: join(tmpdir(), "absent", "folder"),
     program: "entry",
     log: (event) => void logged.push(event),
     metrics: createMetrics(),
   });
+  assert.equal(logged, ["startCounted"]);
+  record.writeStart();
   assert.equal(logged, ["startCounted", "endNotRecorded"]);
 });
 
--- a/src/lifecycle/open_start_record.ts
+++ b/src/lifecycle/open_start_record.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { readFileSync, writeFileSync } from "node:fs";
+import { existsSync, readFileSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
 import Type, { type Static } from "typebox";
 import { Value } from "typebox/value";
@@ -21,7 +21,7 @@
 const CountSchema = Type.Integer({ minimum: 0 });
 
 const RecordSchema = Type.Object({
-  /** Number of starts, by how the process before ended. */
+  /** Number of starts, by how the previous process ended. */
   startsAfter: Type.Object({
     stop: CountSchema,
     failure: CountSchema,
@@ -38,6 +38,8 @@
 
 /** Record of the starts of a program. */
 export interface StartRecord {
+  /** Stores that this process runs, also if the folder didn't exist at first. */
+  writeStart(): void;
   /** Stores why this process ends. */
   writeEnd(end: RecordedEnd): void;
 }
@@ -61,7 +63,7 @@
 };
 
 /**
- * Opens the record, logs how the process before ended, and counts this start.
+ * Opens the record, logs how the previous process ended, and counts this start.
  *
  * The record is not synced and may be lost. A file that can't be read or written
  * doesn't keep the program from starting.
@@ -86,12 +88,16 @@
   log("startCounted", { startsAfter, previousEnd: before?.end });
   const write = (record: RecordedStarts) =>
     writeFileSync(path, JSON.stringify(record));
-  try {
-    write({ startsAfter });
-  } catch (error) {
-    log("endNotRecorded", { error });
+  function writeStart(): void {
+    try {
+      write({ startsAfter });
+    } catch (error) {
+      log("endNotRecorded", { error });
+    }
   }
-  return { writeEnd: (end) => write({ startsAfter, end }) };
+  // The program itself creates its folder.
+  if (existsSync(folder)) writeStart();
+  return { writeStart, writeEnd: (end) => write({ startsAfter, end }) };
 }
 
 function readRecord(path: string): RecordedStarts | undefined {
