Leave the data folder as it is if a port can't be opened

What operators saw: a control process of the platform whose port for operators another program holds formed its cluster, or voted, and then ended with 3.

Cause: that port was opened last.

--- a/test/early_restart_test.ts
+++ b/test/early_restart_test.ts
@@ -2,7 +2,8 @@
 
 import { type ChildProcess, execFileSync } from "node:child_process";
 import { once } from "node:events";
-import { mkdtemp, rm } from "node:fs/promises";
+import { mkdir, mkdtemp, readdir, rm } from "node:fs/promises";
+import { createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import process from "node:process";
@@ -14,13 +15,19 @@
 
 const IP = "127.0.79.1";
 
-/** Lines of a log: a start, a wait for an address, a start that failed, a shutdown. */
+/** Ids of log lines. */
 const EVENT = {
   started: "CL1001",
+  startCounted: "CL1016",
   addressInUse: "CL1014",
   startFailed: "CL1010",
 };
 
+interface Line {
+  readonly id: string;
+  readonly [field: string]: unknown;
+}
+
 async function openTrial() {
   const folder = await mkdtemp(join(tmpdir(), "restart-"));
   const file = join(folder, "program.cjs");
@@ -52,15 +59,19 @@
       },
     });
     children.push(child);
+    const lines: Line[] = [];
     const ids: string[] = [];
     if (child.stdout) {
       createInterface({ input: child.stdout }).on("line", (line) => {
-        if (line.startsWith("{")) ids.push(JSON.parse(line).id);
+        if (!line.startsWith("{")) return;
+        lines.push(JSON.parse(line));
+        ids.push(lines[lines.length - 1].id);
       });
     }
-    return { child, ids };
+    return { child, lines, ids };
   }
   return {
+    folder,
     start,
     async [Symbol.asyncDispose]() {
       for (const child of children) {
@@ -89,7 +100,7 @@
     assert.is(second.child.exitCode, null);
   });
 
-  test(`a program whose predecessor goes on ends with a line that says so: ${role}`, async () => {
+  test(`a program whose predecessor goes on logs the address in use and ends: ${role}`, async () => {
     await using trial = await openTrial();
     const first = await trial.start(role);
     await until(
@@ -99,9 +110,29 @@
     const second = await trial.start(role);
     const [code] = await once(second.child, "close");
     assert.is(code, 3);
+    assert.ok(second.ids.includes(EVENT.addressInUse));
     assert.is(second.ids.at(-1), EVENT.startFailed);
     assert.is(first.child.exitCode, null);
   });
 }
 
+test("a start that fails leaves the data folder as it is, and the next one counts it", async () => {
+  await using trial = await openTrial();
+  const dataFolder = join(trial.folder, "control");
+  await mkdir(dataFolder);
+  const other = createServer().listen({ host: IP, port: 7_903 });
+  await once(other, "listening");
+  const failing = await trial.start("control");
+  const [code] = await once(failing.child, "close");
+  assert.is(code, 3);
+  assert.is(failing.ids.at(-1), EVENT.startFailed);
+  assert.equal(await readdir(dataFolder), ["starts-control.json"]);
+  other.close();
+  await once(other, "close");
+  const next = await trial.start("control");
+  await until("it runs", () => next.ids.includes(EVENT.started));
+  const counted = next.lines.find(({ id }) => id === EVENT.startCounted);
+  assert.equal(counted?.startsAfter, { stop: 0, failure: 1, unrecordedEnd: 0 });
+});
+
 test.run();
