Log the reason of an end whatever was thrown

Seen: a process in which an object that refers to itself was thrown ended with 7 and a stack of the logger; neither the line nor the record named what was thrown. An error that is its own cause did the same by a stack overflow.

Cause: the logger threw while the process was ending: JSON.stringify for cycles and big integers, String for objects without a prototype, a recursion without an end for cycles of causes.

Change: such values are inspected instead, and each cause is described once. The line of an end always has the error's text, also if it is undefined.

--- a/src/lifecycle/create_process_end.ts
+++ b/src/lifecycle/create_process_end.ts
@@ -92,12 +92,13 @@
       if (error instanceof QuorumInvariantError) {
         log("invariantBroken", { error });
       }
+      const detail = describeError(error);
       log(FAILURE_EVENTS[reason], {
         exitCode: EXIT_CODES[reason],
-        error,
+        error: detail,
         stack: error instanceof Error ? error.stack : undefined,
       });
-      end(reason, describeError(error));
+      end(reason, detail);
     },
     stop() {
       if (isEnding) return;
--- a/src/logs/create_logger.ts
+++ b/src/logs/create_logger.ts
@@ -6,6 +6,7 @@
 
 import loglevel from "loglevel";
 import process from "node:process";
+import { inspect } from "node:util";
 import { type EventName, EVENTS, LOG_LEVELS, type LogLevel } from "./events.ts";
 
 /** Fields of one logged event. */
@@ -59,7 +60,7 @@
     const time = new Date(now()).toISOString();
     const printableFields = describeErrors(fields);
     const line = format === "json"
-      ? JSON.stringify({
+      ? serializeLine({
         time,
         program,
         id: kind.id,
@@ -93,14 +94,45 @@
  * describeError(new Error("Outer", { cause: new Error("inner") }));
  */
 export function describeError(error: unknown): string {
-  if (!(error instanceof Error)) return String(error);
-  const code = (error as NodeJS.ErrnoException).code;
-  const own = code && !error.message.includes(code)
-    ? `${error.message} (${code})`
-    : error.message;
-  return error.cause === undefined
-    ? own
-    : `${own}: ${describeError(error.cause)}`;
+  const messages: string[] = [];
+  const described = new Set<unknown>();
+  let current = error;
+  do {
+    described.add(current);
+    messages.push(describeOne(current));
+    current = current instanceof Error ? current.cause : undefined;
+  } while (current !== undefined && !described.has(current));
+  return messages.join(": ");
+}
+
+function describeOne(error: unknown): string {
+  if (!(error instanceof Error)) {
+    return typeof error === "string" ? error : inspect(error);
+  }
+  const message = String(error.message);
+  const { code } = error as NodeJS.ErrnoException;
+  return code && !message.includes(code) ? `${message} (${code})` : message;
+}
+
+// Anything can be thrown, and so be logged: an object with a cycle, for one.
+function serializeLine(line: LogFields): string {
+  try {
+    return JSON.stringify(line);
+  } catch {
+    const pairs = Object.entries(line).map(([name, field]) => {
+      const isSimple = typeof field === "string" || typeof field === "number";
+      return [name, isSimple ? field : inspect(field)];
+    });
+    return JSON.stringify(Object.fromEntries(pairs));
+  }
+}
+
+function serializeField(value: unknown): string {
+  try {
+    return JSON.stringify(value);
+  } catch {
+    return inspect(value);
+  }
 }
 
 function formatTextLine(
@@ -108,7 +140,7 @@
 ): string {
   const { id, level, text } = EVENTS[line.event];
   const pairs = Object.entries(line.fields).map(([name, value]) =>
-    `${name}=${typeof value === "string" ? value : JSON.stringify(value)}`
+    `${name}=${typeof value === "string" ? value : serializeField(value)}`
   );
   const head = `${line.time} ${level} ${line.program} ${id} ${text}`;
   return [head, ...pairs].join(" ");
