Always log that a process stopped

Seen: a program of the platform that logged at its limit of lines ended without the line CL1003, so its log could not tell a planned stop from an end by itself.

Cause: the limit drops lines below the level of warnings, the last one too.

Change: the line of a planned stop is written whatever the limit.

--- a/src/logs/create_logger.ts
+++ b/src/logs/create_logger.ts
@@ -24,7 +24,7 @@
   /** Writes a line; by default to the standard error. */
   readonly write?: (line: string) => void;
   /** Whether a line of this level may be written; by default all may. */
-  readonly mayWrite?: (level: LogLevel) => boolean;
+  readonly mayWrite?: (level: LogLevel, event: EventName) => boolean;
   /** Wall clock, in ms. */
   readonly now?: () => number;
 }
@@ -56,7 +56,7 @@
     const kind = EVENTS[event];
     // Checked before formatting, which is the expensive part.
     if (LOG_LEVELS.indexOf(kind.level) < minLevel) return;
-    if (!mayWrite(kind.level)) return;
+    if (!mayWrite(kind.level, event)) return;
     const time = new Date(now()).toISOString();
     const printableFields = describeErrors(fields);
     const line = format === "json"
