Handle SIGHUP before the servers load their modules

Seen: SIGHUP within 900 ms of their start ended crowlever-control and crowlever-entry (5 of 5 at 100 to 900 ms, on a busy machine).

Cause: the handler was set only after all modules had been loaded.

Change: it is set first, and the modules are imported after it. Of five each, none was ended from 200 ms on; at 100 ms all were, as the runtime itself is still starting.

The two tests of the order failed before.

--- a/src/bin/crowlever_control.ts
+++ b/src/bin/crowlever_control.ts
@@ -5,10 +5,14 @@
  * @module
  */
 
-import { inspectDataFolder } from "../control/inspect_data_folder.ts";
-import { startControl } from "../control/index.ts";
-import { ControlSettingsSchema } from "../settings/index.ts";
-import { runProgram } from "./run_program.ts";
+import process from "node:process";
+
+// By default the signal would end the process while its modules load.
+process.on("SIGHUP", () => {});
+const { inspectDataFolder } = await import("../control/inspect_data_folder.ts");
+const { startControl } = await import("../control/index.ts");
+const { ControlSettingsSchema } = await import("../settings/index.ts");
+const { runProgram } = await import("./run_program.ts");
 
 await runProgram({
   program: "crowlever-control",
--- a/src/bin/crowlever_entry.ts
+++ b/src/bin/crowlever_entry.ts
@@ -5,9 +5,13 @@
  * @module
  */
 
-import { startEntry } from "../entry/index.ts";
-import { EntrySettingsSchema } from "../settings/index.ts";
-import { runProgram } from "./run_program.ts";
+import process from "node:process";
+
+// By default the signal would end the process while its modules load.
+process.on("SIGHUP", () => {});
+const { startEntry } = await import("../entry/index.ts");
+const { EntrySettingsSchema } = await import("../settings/index.ts");
+const { runProgram } = await import("./run_program.ts");
 
 await runProgram({
   program: "crowlever-entry",
--- a/test/signals_test.ts
+++ b/test/signals_test.ts
@@ -1,6 +1,8 @@
 /** Guards against a signal that ends a process without a word. */
 
 import { once } from "node:events";
+import { writeFile } from "node:fs/promises";
+import { join } from "node:path";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { until } from "../demo/until.ts";
@@ -68,4 +70,22 @@
   });
 }
 
+/** Exits with 0 if SIGHUP is handled before the modules of the program are loaded. */
+const CHECK_ORDER = `
+process.on("newListener", (name) => {
+  if (name !== "SIGHUP") return;
+  process.exit(process.moduleLoadList.includes("NativeModule http2") ? 1 : 0);
+});
+`;
+
+for (const role of ["entry", "control"] as const) {
+  test(`SIGHUP is handled before the modules load: crowlever-${role}`, async () => {
+    await using trial = await openServerTrial({ ip: IP });
+    const hook = join(trial.folder, "check_order.cjs");
+    await writeFile(hook, CHECK_ORDER);
+    const { child } = await trial.start(role, { flags: ["--require", hook] });
+    assert.equal(await once(child, "exit"), [0, null]);
+  });
+}
+
 test.run();
