Check the record of a gateway before it is published

What operators saw: the leader ends with CL1011 (a TypeError) at its next round when a gateway names the services that it can't reach in another form, and so would each next leader.

Cause: the record in a hello was kept as it came, and compared and published by a timer, in which nothing catches an error.

Now it is checked when it arrives, and in each heartbeat that changes it; a gateway whose record has another form loses its session as with any message that can't be handled.

Evidence: the test of the leader's rounds fails with the sources before ("Expected function not to throw") and passes now, as do two messages more over real streams, of which the one with an address that is no text was accepted and published before.

--- a/src/fleet/create_gateway_sessions.ts
+++ b/src/fleet/create_gateway_sessions.ts
@@ -32,6 +32,7 @@
 import { createSessionCodec } from "./create_session_codec.ts";
 import type { ConfigHistory } from "./create_config_history.ts";
 import type { AcceptedConfig } from "./create_fleet_state_machine.ts";
+import { assertGatewayRecord } from "./assert_gateway_record.ts";
 import { isSameGateway } from "./is_same_gateway.ts";
 import type {
   EngineLoads,
@@ -239,6 +240,7 @@
     hello: GatewayMessage & { type: "hello" },
   ): void {
     const { gateway, version, sentMs } = hello;
+    assertGatewayRecord(gateway);
     sessions.get(gateway.vm)?.stream.end();
     session.gateway = gateway;
     // A process of an earlier build reports nothing, so each session is one holder.
@@ -292,6 +294,7 @@
     options.quarantine.take(gateway.vm, beat);
     const { isReady, cutOffServices } = beat;
     const current = { ...gateway, isReady, cutOffServices };
+    assertGatewayRecord(current);
     if (!isSameGateway(gateway, current)) session.gateway = current;
     if (beat.slowEngines) options.onSlowEngines(beat.slowEngines);
     if (!options.hasLease()) return;
--- a/src/fleet/create_gateway_sessions_test.ts
+++ b/src/fleet/create_gateway_sessions_test.ts
@@ -402,4 +402,23 @@
   );
 });
 
+test("a gateway whose record has another form is not welcomed, and the leader's timer goes on", async () => {
+  const sessions = makeSessions();
+  const sound = await join(sessions, "vm-1");
+  sessions.tick();
+  const stream = new FakeStream();
+  sessions.handleSession(stream as unknown as SessionStream);
+  const gateway = { ...makeGateway("vm-2"), cutOffServices: 7 };
+  stream.send({
+    type: "hello",
+    gateway: gateway as unknown as GatewayRecord,
+    version: -1,
+    sentMs: 0,
+  });
+  await new Promise((resolve) => setImmediate(resolve));
+  for (let at = 0; at < 3; at++) assert.not.throws(() => sessions.tick());
+  assert.equal(stream.received, []);
+  assert.ok(sound.received.length > 0);
+});
+
 test.run();
--- a/src/fleet/failed_messages_test.ts
+++ b/src/fleet/failed_messages_test.ts
@@ -52,6 +52,13 @@
     JSON.stringify(HELLO),
     JSON.stringify({ ...BEAT, suspects: undefined }),
   ],
+  "is a hello with an address that is no text": [
+    JSON.stringify({ ...HELLO, gateway: { ...HELLO.gateway, address: 7 } }),
+  ],
+  "names services that it can't reach in another form": [
+    JSON.stringify(HELLO),
+    JSON.stringify({ ...BEAT, cutOffServices: 7 }),
+  ],
   "reports retries of another form": [
     JSON.stringify(HELLO),
     JSON.stringify({ ...BEAT, retries: { service: null } }),
