Wait in the soak test of ends until started processes have come to log

On a busy machine second starts were killed before they opened a data folder, so the code before the folder's guard kept its logs. Half of these courses now wait for the log lines of all processes.

--- a/test/support/end_courses.ts
+++ b/test/support/end_courses.ts
@@ -39,6 +39,14 @@
   signalAll(program, "SIGTERM");
 }
 
+/** Waits until processes that start have logged something, or for a while. */
+async function waitForLogs(runs: readonly ProgramRun[]): Promise<void> {
+  for (let left = 100; left > 0; left--) {
+    if (runs.every((run) => run.hasLogged())) return;
+    await sleep(30);
+  }
+}
+
 const startBeside: EndCourse = async ({ programs, random }) => {
   const program = random.pick(programs);
   for (let left = random.integer(1, 6); left > 0; left--) {
@@ -53,6 +61,8 @@
     await Promise.all(controls.map((control) => control.start()));
     await sleep(random.integer(0, 100));
   }
+  const started = controls.flatMap(({ runs }) => [...runs]);
+  if (random.chance(0.5)) await waitForLogs(started);
   await sleep(random.integer(0, 1_000));
   controls.forEach((control) => signalAll(control, "SIGKILL"));
 };
