--- a/test/overlapping_starts_test.ts
+++ b/test/overlapping_starts_test.ts
@@ -4,6 +4,7 @@
 import { once } from "node:events";
 import { appendFile, readdir, readFile, readlink } from "node:fs/promises";
 import { join } from "node:path";
+import { setImmediate as nextTurn } from "node:timers/promises";
 import { fileURLToPath } from "node:url";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
@@ -79,6 +80,7 @@
   const stopping = trial.stop(running);
   let listener: PeerListener | undefined;
   while (!listener) {
+    await nextTurn();
     listener = await openPeerListener(peerAddress).catch(() => undefined);
   }
   const openFiles = await listOpenFiles(trial.folder);
