Wait for the callers' address as well

What operators saw: an entry that is started while its predecessor is suspended at the very beginning of its start ended at once with 3, without a wait.

Cause: the launcher takes the callers' address before the program takes the metrics port. In between, a second process gets the metrics port, and nothing waited for the other one.

Now an entry whose launcher found the callers' address taken waits for that one, too, and opens nothing before. The predecessor finds the metrics port taken when it goes on, and gives the address up.

--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+export * from "./check_address_free.ts";
 export * from "./close_server.ts";
 export * from "./connection_headers.ts";
 export * from "./create_body_memory.ts";
--- a/test/early_restart_test.ts
+++ b/test/early_restart_test.ts
@@ -116,6 +116,17 @@
   });
 }
 
+test("an entry waits for its callers' address while another process holds it", async () => {
+  await using trial = await openTrial();
+  const other = createServer().listen({ host: IP, port: 7_901 });
+  await once(other, "listening");
+  const entry = await trial.start("entry");
+  await until("it waits", () => entry.ids.includes(EVENT.addressInUse));
+  other.close();
+  await once(other, "close");
+  await until("it runs", () => entry.ids.includes(EVENT.started));
+});
+
 test("a start that fails leaves the data folder as it is, and the next one counts it", async () => {
   await using trial = await openTrial();
   const dataFolder = join(trial.folder, "control");
