Send a request again over a connection that carried no answer to it

Cause: an engine that was full refused the stream. The gateway sent it to that engine again, over the same connection and with the same id. The engine ran it, but a late copy of the refusal arrived in the place of the answer. The id names a request and not a send, so the transport took the copy for a second refusal, and the stream went to another engine.

Ruled out: a mix-up of requests, as each request's answers carried its own id, and a second send by the caller, as each id was sent once.

Change: the transport remembers which connections carried a failed answer to which request, and closes the idle ones among them before it sends the request again. A copy arrives on the connection of its answer only, so it can't meet the second send. This holds for plain calls and for calls to peers as well.

--- a/scripts/undici_parts.cjs
+++ b/scripts/undici_parts.cjs
@@ -5,6 +5,7 @@
 // and 79 MB (npm run measure -- profile).
 "use strict";
 const Agent = require("undici/lib/dispatcher/agent.js");
+const Client = require("undici/lib/dispatcher/client.js");
 const Dispatcher = require("undici/lib/dispatcher/dispatcher.js");
 const Pool = require("undici/lib/dispatcher/pool.js");
 const request = require("undici/lib/api/api-request.js");
@@ -12,4 +13,4 @@
 
 Dispatcher.prototype.request = request;
 
-module.exports = { Agent, Dispatcher, Pool, buildConnector };
+module.exports = { Agent, Client, Dispatcher, Pool, buildConnector };
--- a/src/gateway/create_read_limiter.ts
+++ b/src/gateway/create_read_limiter.ts
@@ -12,6 +12,8 @@
 
 /** What a connection has received since its upstream last made progress. */
 export interface ReadMeter {
+  /** The connection. */
+  readonly socket: Socket;
   /** Records that received bytes were of use. */
   noteProgress(usefulBytes: number): void;
   /** Starts anew, for the next answer on the connection. */
@@ -135,6 +137,7 @@
       }
 
       const meter: ReadMeter = {
+        socket,
         noteProgress(usefulBytes) {
           excessBytes = Math.max(
             0,
--- a/src/gateway/create_upstream_transport.ts
+++ b/src/gateway/create_upstream_transport.ts
@@ -6,10 +6,15 @@
  */
 
 import type { Buffer } from "node:buffer";
-import { type Dispatcher, Pool } from "undici";
+import type { Socket } from "node:net";
+import { Client, type Dispatcher, Pool } from "undici";
 import type { EngineNotice } from "../engines/index.ts";
 import { createResetDetector } from "../http/index.ts";
 import type { UpstreamLimitsSettings } from "../settings/index.ts";
+import {
+  createFailedRequests,
+  type FailedRequests,
+} from "./create_failed_requests.ts";
 import { createReadLimiter, type ReadMeter } from "./create_read_limiter.ts";
 import {
   getExceededLimit,
@@ -77,6 +82,12 @@
   noteProgress(usefulBytes: number): void;
 }
 
+/** The connections to one upstream. */
+interface UpstreamConnections {
+  readonly pool: Pool;
+  readonly failedRequests: FailedRequests;
+}
+
 /** Starts exchanges over a connection pool for each upstream. */
 export interface UpstreamTransport extends AsyncDisposable {
   start(options: ExchangeOptions): Exchange;
@@ -117,6 +128,9 @@
 /** Ms after which the connection of a rejection whose body has not ended is closed. */
 const REJECTION_MS = 1_000;
 
+/** Status from which on an answer is no success. */
+const FIRST_FAILURE_STATUS = 300;
+
 /** Time-out, in ms, of a connection attempt within a region; far above a round trip. */
 const CONNECT_TIMEOUT_MS = 400;
 
@@ -146,33 +160,64 @@
   const resetDetector = createResetDetector({
     timeout: CONNECT_TIMEOUT_MS * 4,
   });
-  const pools = new Map<string, Pool>();
+  const upstreams = new Map<string, UpstreamConnections>();
+  const clients = new WeakMap<Socket, Client>();
   const answeredMs = new Map<string, number>();
   let isClosed = false;
 
-  function getPool(engineId: string, address: string): Pool {
-    const known = pools.get(engineId);
+  function getConnections(
+    engineId: string,
+    address: string,
+  ): UpstreamConnections {
+    const known = upstreams.get(engineId);
     if (known) return known;
     const pool = new Pool(`http://${address}`, {
+      factory: (origin, clientOptions) =>
+        createClient(origin, { ...clientOptions, engineId }),
+      pipelining: 1,
+      keepAliveTimeout: KEEP_ALIVE_MS,
+      keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
+      // The gateway applies its own time limits to each request.
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    });
+    const created = { pool, failedRequests: createFailedRequests() };
+    upstreams.set(engineId, created);
+    return created;
+  }
+
+  // Each client of a pool has one connection at a time.
+  function createClient(
+    origin: URL,
+    { engineId, ...clientOptions }: Client.Options & { engineId: string },
+  ): Client {
+    const client = new Client(origin, {
+      ...clientOptions,
       connect(target, done) {
         resetDetector.connect(target, (...result) => {
           const socket = result[1];
           if (socket) {
             readLimiter.watch(socket);
+            clients.set(socket, client);
             onConnected(engineId);
           }
           done(...result);
         });
       },
-      pipelining: 1,
-      keepAliveTimeout: KEEP_ALIVE_MS,
-      keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
-      // The gateway applies its own time limits to each request.
-      headersTimeout: 0,
-      bodyTimeout: 0,
     });
-    pools.set(engineId, pool);
-    return pool;
+    return client;
+  }
+
+  // A request that failed before goes over other connections, as a late copy of its first
+  // answer would be taken for the next one.
+  function closeConnectionsOfAnswers(
+    { failedRequests }: UpstreamConnections,
+    requestId: string,
+  ): void {
+    for (const socket of failedRequests.listConnections(requestId)) {
+      // One that serves another request is not chosen.
+      if (clients.get(socket)?.stats.size === 0) socket.destroy();
+    }
   }
 
   function start(options: ExchangeOptions): Exchange {
@@ -194,6 +239,8 @@
 
   function send(options: ExchangeOptions): Exchange {
     const { engineId, address, method, target, headers, body } = options;
+    const { requestId } = options;
+    let connections: UpstreamConnections | undefined;
     let controller: Dispatcher.DispatchController | undefined;
     let isSent = false;
     let isEnded = false;
@@ -269,11 +316,13 @@
       },
       onResponseStart(_controller, status, answerHeaders) {
         if (status < 200) return;
-        if (pools.has(engineId)) answeredMs.set(engineId, performance.now());
+        if (upstreams.has(engineId)) {
+          answeredMs.set(engineId, performance.now());
+        }
         const head = codec.readUpstreamHead(status, answerHeaders);
         onNotice(engineId, head);
         if (isEnded) return;
-        if (head.requestId !== options.requestId) {
+        if (head.requestId !== requestId) {
           return abort("answer to another request");
         }
         if (head.isCoded && !head.reportsNotRun) {
@@ -281,6 +330,9 @@
         }
         meter = readLimiter.getCurrent();
         meter?.reset();
+        if (meter && (head.reportsNotRun || status >= FIRST_FAILURE_STATUS)) {
+          connections?.failedRequests.note(meter.socket, requestId);
+        }
         isForwarded = options.isForwarded?.(head) ?? false;
         options.onHead(head);
         if (head.reportsNotRun && !options.needsRejectionBody) endRejected();
@@ -297,6 +349,9 @@
       onResponseEnd() {
         clearTimeout(rejectionTimer);
         meter?.reset();
+        if (meter && connections?.failedRequests.isFull(meter.socket)) {
+          meter.socket.destroy();
+        }
         if (resetDetector.isEndedByReset()) fail("reset behind the data");
         else end({ type: "complete" });
       },
@@ -306,7 +361,9 @@
       },
     };
     try {
-      getPool(engineId, address).dispatch(
+      connections = getConnections(engineId, address);
+      closeConnectionsOfAnswers(connections, requestId);
+      connections.pool.dispatch(
         {
           path: target,
           method: method as Dispatcher.HttpMethod,
@@ -333,14 +390,14 @@
   }
 
   function hasIdleConnection(engineId: string): boolean {
-    return (pools.get(engineId)?.stats.free ?? 0) > 0;
+    return (upstreams.get(engineId)?.pool.stats.free ?? 0) > 0;
   }
 
   function removeUpstream(engineId: string): void {
-    const pool = pools.get(engineId);
-    pools.delete(engineId);
+    const connections = upstreams.get(engineId);
+    upstreams.delete(engineId);
     answeredMs.delete(engineId);
-    void pool?.close().catch(() => {});
+    void connections?.pool.close().catch(() => {});
   }
 
   return {
@@ -355,7 +412,9 @@
     removeUpstream,
     async [Symbol.asyncDispose]() {
       isClosed = true;
-      await Promise.all([...pools.values()].map((pool) => pool.destroy()));
+      await Promise.all(
+        [...upstreams.values()].map(({ pool }) => pool.destroy()),
+      );
     },
   };
 }
