Read a draining upstream's leave from the log when a leader starts

Cause: a leave is committed in the log before it is acknowledged, but the upstream's record follows with the next round of the leader's loop. If the leader is lost in between, the next one starts from the records. It left out upstreams that had departed, and looked at no leave that was draining, so it published the upstream as ready until its next heartbeat.

Ruled out: a lost commit, as the next heartbeat finds the leave; gateways that missed the old leader's message, as the requests came after the new list. 'a new leader lists a draining upstream as leaving, whatever its record tells' fails without the change.

Change: the registry looks each recorded upstream up in the log. Followers have applied all that was acknowledged once a leader's read is confirmed, so the leave is known then.

--- a/src/fleet/create_engine_registry.ts
+++ b/src/fleet/create_engine_registry.ts
@@ -62,7 +62,8 @@
   reset(): void;
   /**
    * Adds upstreams that earlier leaders recorded and that have sent this one no
-   * heartbeat yet. Those that send none are considered failed after the usual time-out.
+   * heartbeat yet, but for those that have departed. Those that send none are considered
+   * failed after the usual time-out.
    */
   addRecorded(
     records: Iterable<EngineRecord>,
@@ -288,12 +289,17 @@
       for (const record of records) {
         if (engines.has(record.engineId)) continue;
         if (isEarlierIncarnation(record, newestRuns)) continue;
+        const leave = options.getLeave(record.engineId);
+        if (leave === "gone") continue;
+        // A leave may be committed in the log after the record.
+        const isLeaving = record.isLeaving || leave !== undefined;
+        const known = { ...record, isLeaving };
         engines.set(record.engineId, {
-          record,
+          record: known,
           lastHeartbeatMs,
           sequence: -1,
         });
-        queueChange(record);
+        queueChange(known);
       }
       state = { ...state, engines };
     },
--- a/src/fleet/create_engine_registry_test.ts
+++ b/src/fleet/create_engine_registry_test.ts
@@ -1,6 +1,7 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { until } from "../../demo/until.ts";
+import type { LeaveKind } from "../engines/index.ts";
 import { makeHeartbeat } from "../../test/support/make_beat.ts";
 import {
   createEngineRegistry,
@@ -10,7 +11,7 @@
 const HEARTBEAT = makeHeartbeat();
 
 function makeRegistry(
-  getLeave = () => undefined,
+  getLeave: () => LeaveKind | undefined = () => undefined,
   options: { readonly quietMs?: number } = {},
 ) {
   const clock = { nowMs: 0 };
@@ -78,6 +79,17 @@
   assert.equal(getIds(registry), []);
 });
 
+// Guards against sending requests to an upstream whose leave the previous leader had
+// acknowledged just before it failed, and had not added to its record yet.
+test("a new leader lists a draining upstream as leaving, whatever its record tells", async () => {
+  const { registry, published } = makeRegistry(() => "draining");
+  const { sequence: _sequence, ...recorded } = HEARTBEAT;
+  registry.addRecorded([recorded]);
+  assert.equal(registry.getRecords().map((one) => one.isLeaving), [true]);
+  await until("it is published", () => published.length > 0);
+  assert.equal(published[0].engines.map((one) => one.isLeaving), [true]);
+});
+
 test("a record doesn't overwrite a heartbeat that arrived before it", () => {
   const { registry } = makeRegistry();
   const { sequence: _sequence, ...recorded } = HEARTBEAT;
--- a/src/fleet/start_fleet_control.ts
+++ b/src/fleet/start_fleet_control.ts
@@ -418,12 +418,8 @@
     }
     const accepted = machine.getAcceptedConfig();
     if (accepted) history.add(accepted);
-    const recorded = [...machine.getEngines().values()];
-    const staying = recorded.filter(({ engineId }) =>
-      machine.getLeave(engineId) !== "gone"
-    );
     const newestRuns = machine.getNewestIncarnations();
-    registry.addRecorded(staying, { newestRuns });
+    registry.addRecorded(machine.getEngines().values(), { newestRuns });
     sessions.awaitGateways(machine.getGateways().values());
     if (leadership === leadershipCount) retryLender.beginTerm();
     loadedLeadership = leadership;
