Name departed upstreams in the incomplete list of a new leader

It left a departed upstream out of its list, but an incomplete list removes only what it names, and the old leader publishes a departure up to 30 ms after it has acknowledged it.

Evidence: 'a new leader names recorded upstreams that have left until it knows all' and 'an incomplete list of engines names the departed ones' fail if the records are only left out and the list names none, as before.

Change: recorded upstreams whose departure is in the log are published as gone, and until the leader knows all upstreams, each gateway that connects gets them with its first list. Those that had not drained are named as still serving, as with any departure.

--- a/src/fleet/create_engine_registry.ts
+++ b/src/fleet/create_engine_registry.ts
@@ -32,6 +32,9 @@
   readonly serving?: readonly string[];
 }
 
+/** Departed upstreams, as they are published to gateways. */
+export type EngineDepartures = Pick<EngineChange, "gone" | "serving">;
+
 /** Dependencies of {@link createEngineRegistry}. */
 export interface CreateEngineRegistryOptions {
   /** Time without a heartbeat, in ms, after which an upstream is considered failed. */
@@ -82,6 +85,11 @@
   /** Sets the slowness that an upstream reports, as a factor; 1 is the usual pace. */
   setPace(engineId: string, pace: number): void;
   getRecords(): EngineRecord[];
+  /**
+   * Upstreams that have departed since {@link reset}, or whose leave is committed though
+   * an earlier leader recorded them; kept until this leader knows all upstreams.
+   */
+  getDepartures(): EngineDepartures;
   /** Whether heartbeats have arrived long enough since {@link reset} to know all. */
   knowsAll(): boolean;
 }
@@ -132,6 +140,7 @@
   let changed = new Map<string, EngineRecord>();
   let gone = new Set<string>();
   let serving = new Set<string>();
+  let departures = { gone: new Set<string>(), serving: new Set<string>() };
   let publishTimer: ReturnType<typeof setTimeout> | undefined;
 
   function schedulePublish(): void {
@@ -139,8 +148,7 @@
       publishTimer = undefined;
       const change = {
         engines: [...changed.values()],
-        gone: [...gone],
-        ...(serving.size > 0 ? { serving: [...serving] } : {}),
+        ...toDepartures({ gone, serving }),
       };
       changed = new Map();
       gone = new Set();
@@ -160,6 +168,7 @@
     for (const engineId of ids) {
       changed.delete(engineId);
       gone.add(engineId);
+      if (!knowsAll()) departures.gone.add(engineId);
       suspicions.delete(engineId);
       log("engineLost", { engineId, reason });
     }
@@ -218,11 +227,27 @@
     queueChange(taken.changed);
   }
 
+  function removeLeft(
+    engineId: string,
+    { isServing }: { readonly isServing: boolean },
+  ): void {
+    if (isServing) {
+      serving.add(engineId);
+      if (!knowsAll()) departures.serving.add(engineId);
+    }
+    remove([engineId], "left");
+  }
+
+  function knowsAll(): boolean {
+    return beatClock.now() - listeningSinceMs >= heartbeatTimeoutMs;
+  }
+
   function applyLeave(engineId: string, kind: LeaveKind): void {
     const engine = state.engines.get(engineId);
     if (kind === "gone") {
-      if (engine?.record.isLeaving === false) serving.add(engineId);
-      return remove([engineId], "left");
+      return removeLeft(engineId, {
+        isServing: engine?.record.isLeaving === false,
+      });
     }
     if (!engine || engine.record.isLeaving) return;
     const record = { ...engine.record, isLeaving: true };
@@ -274,6 +299,7 @@
       changed = new Map();
       gone = new Set();
       serving = new Set();
+      departures = { gone: new Set(), serving: new Set() };
       beatClock.recordHeartbeat();
       listeningSinceMs = beatClock.now();
     },
@@ -290,7 +316,10 @@
         if (engines.has(record.engineId)) continue;
         if (isEarlierIncarnation(record, newestRuns)) continue;
         const leave = options.getLeave(record.engineId);
-        if (leave === "gone") continue;
+        if (leave === "gone") {
+          removeLeft(record.engineId, { isServing: !record.isLeaving });
+          continue;
+        }
         // A leave may be committed in the log after the record.
         const isLeaving = record.isLeaving || leave !== undefined;
         const known = { ...record, isLeaving };
@@ -322,7 +351,17 @@
       queueChange(record);
     },
     addSuspicions,
-    knowsAll: () => beatClock.now() - listeningSinceMs >= heartbeatTimeoutMs,
+    knowsAll,
     getRecords: () => [...state.engines.values()].map(({ record }) => record),
+    getDepartures: () => toDepartures(departures),
+  };
+}
+
+function toDepartures(
+  { gone, serving }: Readonly<Record<"gone" | "serving", ReadonlySet<string>>>,
+): EngineDepartures {
+  return {
+    gone: [...gone],
+    ...(serving.size > 0 ? { serving: [...serving] } : {}),
   };
 }
--- a/src/fleet/create_engine_registry_test.ts
+++ b/src/fleet/create_engine_registry_test.ts
@@ -11,7 +11,7 @@
 const HEARTBEAT = makeHeartbeat();
 
 function makeRegistry(
-  getLeave: () => LeaveKind | undefined = () => undefined,
+  getLeave: (engineId: string) => LeaveKind | undefined = () => undefined,
   options: { readonly quietMs?: number } = {},
 ) {
   const clock = { nowMs: 0 };
@@ -90,6 +90,31 @@
   assert.equal(published[0].engines.map((one) => one.isLeaving), [true]);
 });
 
+// Guards against gateways that go on sending requests to an upstream whose departure the
+// previous leader had acknowledged just before it failed, and had not published yet.
+test("a new leader names recorded upstreams that have left until it knows all", async () => {
+  const { registry, clock, published } = makeRegistry((engineId) =>
+    engineId === "e3" ? undefined : "gone"
+  );
+  const { sequence: _sequence, ...recorded } = HEARTBEAT;
+  registry.addRecorded([
+    recorded,
+    { ...recorded, engineId: "e2", isLeaving: true },
+    { ...recorded, engineId: "e3" },
+  ]);
+  const departures = { gone: ["e1", "e2"], serving: ["e1"] };
+  assert.equal(getIds(registry), ["e3"]);
+  assert.equal(registry.getDepartures(), departures);
+  await until("they are published", () => published.length > 0);
+  const { engines: _engines, ...rest } = published[0];
+  assert.equal(rest, departures);
+  registry.reset();
+  assert.equal(registry.getDepartures(), { gone: [] });
+  clock.nowMs = 4_000;
+  registry.applyLeave("e3", "gone");
+  assert.equal(registry.getDepartures(), { gone: [] }, "the list is whole");
+});
+
 test("a record doesn't overwrite a heartbeat that arrived before it", () => {
   const { registry } = makeRegistry();
   const { sequence: _sequence, ...recorded } = HEARTBEAT;
--- a/src/fleet/create_gateway_sessions.ts
+++ b/src/fleet/create_gateway_sessions.ts
@@ -25,7 +25,10 @@
   createFailureReportCollector,
 } from "./create_failure_report_collector.ts";
 import { createRolloutTracker } from "./create_rollout_tracker.ts";
-import type { EngineChange } from "./create_engine_registry.ts";
+import type {
+  EngineChange,
+  EngineDepartures,
+} from "./create_engine_registry.ts";
 import type { LimitCoordinator } from "./create_limit_coordinator.ts";
 import type { RetryLender, RetryReports } from "./create_retry_lender.ts";
 import type { QuarantineCoordinator } from "./create_quarantine_coordinator.ts";
@@ -63,6 +66,8 @@
   /** Earlier configurations that gateways may still hold. */
   readonly history: Pick<ConfigHistory, "get" | "read">;
   readonly getEngines: () => readonly EngineRecord[];
+  /** Engines that have departed since this leader was elected. */
+  readonly getDepartures: () => EngineDepartures;
   /** Whether this leader has received heartbeats long enough to know all engines. */
   readonly knowsAllEngines: () => boolean;
   /** Whether gateways have had enough time to connect to this leader. */
--- a/src/fleet/create_gateway_sessions_test.ts
+++ b/src/fleet/create_gateway_sessions_test.ts
@@ -76,6 +76,7 @@
     getAcceptedConfig: () => undefined,
     history,
     getEngines: () => engines,
+    getDepartures: () => ({ gone: [] }),
     knowsAllEngines: () => true,
     knowsAllGateways: () => true,
     retryLender: { handleReports: () => Promise.resolve({}) },
@@ -131,6 +132,23 @@
 
 const BEAT = { type: "beat", sentMs: 0, suspects: [] } as const;
 
+// Guards against a gateway that missed an upstream's departure at a change of the leader:
+// an incomplete list removes only the upstreams that it names.
+test("an incomplete list of engines names the departed ones", async () => {
+  const departures = { gone: ["e8", "e9"], serving: ["e8"] };
+  for (const isWhole of [false, true]) {
+    const sessions = makeSessions(ENGINES, {
+      knowsAllEngines: () => isWhole,
+      getDepartures: () => departures,
+    });
+    const { received } = await join(sessions, "g1");
+    const list = received.find(({ type }) => type === "engines");
+    assert.ok(list?.type === "engines" && list.isWhole === isWhole);
+    assert.equal(list.gone, isWhole ? [] : departures.gone);
+    assert.equal(list.serving ?? [], isWhole ? [] : departures.serving);
+  }
+});
+
 test("gateways that change together are published in one message", async () => {
   const sessions = makeSessions();
   const streams = [];
--- a/src/fleet/create_session_codec.ts
+++ b/src/fleet/create_session_codec.ts
@@ -11,6 +11,7 @@
 import type { ConfigHistory } from "./create_config_history.ts";
 import { createConfigMessages } from "./create_config_messages.ts";
 import { createEngineNumbers } from "./create_engine_numbers.ts";
+import type { EngineDepartures } from "./create_engine_registry.ts";
 import type { AcceptedConfig } from "./create_fleet_state_machine.ts";
 import type { GatewayMessage, LeaderMessage } from "./messages.ts";
 import {
@@ -21,6 +22,8 @@
 /** Dependencies of {@link createSessionCodec}. */
 export interface CreateSessionCodecOptions {
   readonly getEngines: () => readonly EngineRecord[];
+  /** Departed engines, which an incomplete list has to name. */
+  readonly getDepartures: () => EngineDepartures;
   /** Whether the list is known to be complete. */
   readonly knowsAllEngines: () => boolean;
   /** Configurations that gateways may have. */
@@ -73,7 +76,13 @@
       const isWhole = options.knowsAllEngines();
       if (engineList?.isWhole !== isWhole) {
         const engines = options.getEngines();
-        const message = format({ type: "engines", isWhole, engines, gone: [] });
+        const departures = isWhole ? { gone: [] } : options.getDepartures();
+        const message = format({
+          type: "engines",
+          isWhole,
+          engines,
+          ...departures,
+        });
         engineList = { isWhole, message };
       }
       return engineList.message;
--- a/src/fleet/failed_messages_test.ts
+++ b/src/fleet/failed_messages_test.ts
@@ -95,6 +95,7 @@
     getAcceptedConfig: () => undefined,
     history: createConfigHistory({ decodeConfig }),
     getEngines: () => [],
+    getDepartures: () => ({ gone: [] }),
     knowsAllEngines: () => true,
     knowsAllGateways: () => true,
     retryLender,
--- a/src/fleet/start_fleet_control.ts
+++ b/src/fleet/start_fleet_control.ts
@@ -270,6 +270,7 @@
     getAcceptedConfig: machine.getAcceptedConfig,
     history,
     getEngines: registry.getRecords,
+    getDepartures: registry.getDepartures,
     knowsAllEngines: registry.knowsAll,
     knowsAllGateways: () => hasLedFor(GATEWAYS_CONNECT_MS),
     retryLender,
