Fix a crowd and bounds for clients without limits

Clients that keep to no limit ended a process: it ran out of memory. The test starts the programs as real processes with a heap of 64 MB and 1,000 descriptors, and meets each address with heads, trailers and idle connections on 1,200 connections, and with requests that are sent ahead on 20, whose answers are not read. It asks that the process lives, that it stays within the memory of a machine and its descriptors, and that one ordinary request beside the crowd and one after it are answered. No times are checked.

This comes before any change of the product; the crowd and the bounds stay as they are.

--- a/test/support/start_process_fleet.ts
+++ b/test/support/start_process_fleet.ts
@@ -7,7 +7,7 @@
 
 import { type ChildProcess, execFileSync, fork } from "node:child_process";
 import { once } from "node:events";
-import { readFileSync } from "node:fs";
+import { readdirSync, readFileSync } from "node:fs";
 import { mkdir, mkdtemp, rm } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { connect, type Socket } from "node:net";
@@ -41,6 +41,10 @@
   readonly graceS: number;
   /** Whether the programs log how long their event loops were blocked. */
   readonly measuresLoops?: boolean;
+  /** Node.js flags of the programs in addition to those of their roles. */
+  readonly flags?: readonly string[];
+  /** Settings of the programs in addition to those of the fleet. */
+  readonly settings?: Readonly<Record<string, unknown>>;
   /** Upstreams of other services; none by default. */
   readonly otherUpstreams?: readonly OtherUpstream[];
   /** Makes each configuration; by default with one route of each type. */
@@ -64,10 +68,15 @@
 /** A program of the fleet. */
 export interface FleetProgram {
   readonly address: string;
+  /** Addresses at which it listens, by purpose. */
+  readonly listen: Readonly<Record<string, string>>;
   /** Its log lines, in order. */
   readonly lines: readonly ProgramLine[];
   /** Memory that it took at most, in MB. */
   readPeakMemoryMb(): number;
+  /** Descriptors that it has open. */
+  countDescriptors(): number;
+  hasEnded(): boolean;
   /** Processor time that it has taken, in ms. */
   readProcessorMs(): number;
   kill(signal: NodeJS.Signals): void;
@@ -155,6 +164,11 @@
   peer: 7_404,
 };
 
+const METRICS_PORT: Readonly<Record<string, number>> = {
+  entry: 9_464,
+  control: 9_465,
+};
+
 const ROLE_CHANGED = "CL1203";
 
 const PLACES = ["p1", "p2"];
@@ -267,9 +281,13 @@
           heartbeatMs: HEARTBEAT_PERIOD_MS,
           faultTolerance: { machines: (controlCount - 1) / 2 },
           bounds: { graceS, budgetExtra: 1_000 },
+          ...options.settings,
         },
         isLogPiped: true,
-        flags: options.measuresLoops ? ["--import", LOOP_REPORTER] : [],
+        flags: [
+          ...options.flags ?? [],
+          ...options.measuresLoops ? ["--import", LOOP_REPORTER] : [],
+        ],
       });
       isFirstStart = false;
       if (!child.stdout) throw new Error("the program's log can't be read");
@@ -295,11 +313,17 @@
     });
     return {
       address: program.address,
+      listen: {
+        ...program.listen,
+        metrics: `${ip}:${METRICS_PORT[role]}`,
+      },
       lines,
       readPeakMemoryMb() {
         const text = readFileSync(`/proc/${child.pid}/status`, "utf8");
         return Number(/VmHWM:\s+(\d+)/.exec(text)?.[1]) / KB_PER_MB;
       },
+      countDescriptors: () => readdirSync(`/proc/${child.pid}/fd`).length,
+      hasEnded: hasExited,
       readProcessorMs() {
         const text = readFileSync(`/proc/${child.pid}/stat`, "utf8");
         const fields = text.slice(text.lastIndexOf(")") + 2).split(" ");
