Take no number that the protocol does not know for a status

Cause: the HTTP library reads any three digits as a status, and neither client of upstreams looked at them. An assertion of the library alone held 000 and 099 back.

Evidence: 'an answer with a status that the protocol does not know is broken' failed for 600, 700 and 999 in the gateways' transport (with a length and without) and in the product's own client, and passed for 000 and 099.

Change: both clients treat such an answer as one that broke off: whether the request ran is unknown, so it is repeated only where that is allowed.

--- a/src/gateway/create_upstream_transport.ts
+++ b/src/gateway/create_upstream_transport.ts
@@ -9,7 +9,7 @@
 import type { Socket } from "node:net";
 import { Client, type Dispatcher, Pool } from "undici";
 import type { EngineNotice } from "../engines/index.ts";
-import { createResetDetector } from "../http/index.ts";
+import { createResetDetector, isKnownStatus } from "../http/index.ts";
 import type { UpstreamLimitsSettings } from "../settings/index.ts";
 import {
   createFailedRequests,
@@ -315,6 +315,7 @@
         else isSent = true;
       },
       onResponseStart(_controller, status, answerHeaders) {
+        if (!isKnownStatus(status)) return abort("unknown status");
         if (status < 200) return;
         if (upstreams.has(engineId)) {
           answeredMs.set(engineId, performance.now());
--- a/src/gateway/create_upstream_transport_test.ts
+++ b/src/gateway/create_upstream_transport_test.ts
@@ -185,6 +185,20 @@
   assert.is(status, undefined);
 });
 
+// Guards against bytes that are no answer and were passed on with their status.
+for (const status of ["000", "099", "600", "700", "999"]) {
+  for (const framing of ["content-length: 4\r\n", ""]) {
+    const how = framing === "" ? "until the close" : "with a length";
+    test(`an answer with a status that the protocol does not know is broken: ${status}, ${how}`, async () => {
+      const { end, status: passedOn } = await exchange((socket) =>
+        socket.end(`HTTP/1.1 ${status} x\r\nx-id: r1\r\n${framing}\r\nabcd`)
+      );
+      assert.is(end.type, "broken");
+      assert.is(passedOn, undefined);
+    });
+  }
+}
+
 test("an answer to another request is broken, and its head is not passed on", async () => {
   const { end, status } = await exchange(
     (socket) => socket.write(`${HEAD}content-length: 0\r\n\r\n`),
--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -11,6 +11,7 @@
 export * from "./create_reset_detector.ts";
 export * from "./create_server.ts";
 export * from "./discard_body.ts";
+export * from "./is_known_status.ts";
 export * from "./probe_address.ts";
 export * from "./problem.ts";
 export * from "./read_limited_body.ts";
--- a/src/upstreams/create_upstream_client.ts
+++ b/src/upstreams/create_upstream_client.ts
@@ -9,6 +9,7 @@
 import { Agent, type Dispatcher } from "undici";
 import {
   createResetDetector,
+  isKnownStatus,
   probeAddress,
   readFraming,
   type ResetDetector,
@@ -130,6 +131,10 @@
       } as Dispatcher.RequestOptions);
       const { statusCode: status, headers: answerHeaders } = answer;
       const received = { status, headers: answerHeaders, body: answer.body };
+      if (!isKnownStatus(status)) {
+        received.body.on("error", () => {}).destroy();
+        throw new UpstreamError("unknown status");
+      }
       if (readFraming(received).isCoded && !reportsNotRun(received)) {
         received.body.on("error", () => {}).destroy();
         throw new UpstreamError("transfer coding that was not requested");
--- a/src/upstreams/create_upstream_client_test.ts
+++ b/src/upstreams/create_upstream_client_test.ts
@@ -189,4 +189,14 @@
   assert.is(text, "whole");
 });
 
+// Guards against bytes that are no answer and were taken with their status.
+for (const status of ["000", "099", "600", "700", "999"]) {
+  test(`an answer with a status that the protocol does not know is broken: ${status}`, async () => {
+    const isTaken = await isWhole((socket) => {
+      socket.end(`HTTP/1.1 ${status} x\r\ncontent-length: 4\r\n\r\nabcd`);
+    });
+    assert.not.ok(isTaken);
+  });
+}
+
 test.run();
