Refuse plain calls that a planned stop would cut

What callers saw: calls that a stopping gateway had taken and passed on ended with 502 at the end of its grace, after they had run, also those that may not be repeated.

Cause: a stopping gateway takes streams only if the longest recent one would end in time. Plain calls were taken whatever their service needs.

A call whose service may need more than is left is refused at once with 503, which is true as nothing was sent, and told to come back at once, as other gateways can take it.

--- a/measure/rest_model.ts
+++ b/measure/rest_model.ts
@@ -172,7 +172,12 @@
       gone: [],
     });
     const throttle = createBackOffThrottle({ now: () => nowMs });
-    return { table, notices, throttle, usualTimes: createResponseTimes() };
+    return {
+      table,
+      notices,
+      throttle,
+      usualTimes: createResponseTimes({ now: () => nowMs }),
+    };
   }
 
   function submit(caller: Caller): void {
--- a/src/gateway/create_request_handler.ts
+++ b/src/gateway/create_request_handler.ts
@@ -68,7 +68,7 @@
 const START_POLL_MS = 10;
 
 /**
- * Refusal of a stream that a planned stop would cut; other gateways can take it at
+ * Refusal of a call that a planned stop would cut; other gateways can take it at
  * once. Without it, two streams in one run and one in another were cut by a stop.
  */
 const LEAVING_REFUSAL: Refusal = {
@@ -200,7 +200,10 @@
     if (!isForwarded) budget.noteRequest(service);
     const limitMs = Math.min(request.deadlineMs ?? Infinity, route.timeoutMs);
     const deadlineMs = startedMs + limitMs;
-    if (route.isStream && !canEndInGrace()) {
+    const longestMs = route.isStream
+      ? context.endRate.getMaxDurationMs()
+      : context.responseTimes.getMaxMs(service);
+    if (!canEndInGrace(longestMs)) {
       return refuse(request, response, LEAVING_REFUSAL);
     }
     const requestKey = getRequestKey({
@@ -236,11 +239,11 @@
       Math.max(MIN_FORWARDED_LIMIT, FORWARDED_PER_OWN * ownInFlight);
   }
 
-  // A planned stop ends streams that still run, and callers that can't resume lose
-  // them. So a stream starts only if the longest recent one would fit into the grace.
-  function canEndInGrace(): boolean {
-    return !context.isLeaving() ||
-      context.endRate.getMaxDurationMs() < context.getGraceLeftMs();
+  // A planned stop ends calls that still run, and callers that can't resume or repeat
+  // them lose them. So a call starts only if the longest recent one would fit into the
+  // grace.
+  function canEndInGrace(longestMs: number): boolean {
+    return !context.isLeaving() || longestMs < context.getGraceLeftMs();
   }
 
   async function waitUntilStarted(buffered: BufferedRequest): Promise<void> {
--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -308,7 +308,7 @@
     notices,
     rateLimits,
     throttle: createBackOffThrottle({ now: steadyNow }),
-    responseTimes: createResponseTimes(),
+    responseTimes: createResponseTimes({ now }),
     upstreamTransport,
     livenessCheck: createLivenessCheck({
       now,
--- a/standins/start_layer_engine.ts
+++ b/standins/start_layer_engine.ts
@@ -21,6 +21,8 @@
   resetAfterEvents?: number;
   /** Writes part of the next event before it resets the stream. */
   cutsEvent?: boolean;
+  /** Ms until it answers plain requests; 0 by default. */
+  answerDelayMs?: number;
   /** Runs plain requests, then closes their connections without an answer. */
   dropsAnswers?: boolean;
   /** Answers plain requests with the id of another one. */
@@ -342,6 +344,7 @@
     }
     if (fault.hangs) return;
     if (card !== undefined) return await stream(response, { run, get });
+    if (fault.answerDelayMs) await sleep(fault.answerDelayMs);
     if (fault.dropsAnswers) {
       response.destroy();
       return;
--- a/test/fleet_test.ts
+++ b/test/fleet_test.ts
@@ -312,6 +312,27 @@
   await stopped;
 });
 
+// Guards against plain calls that are taken late in the grace period and then cut.
+for (const route of ["once", "safe"]) {
+  test(`a stopping gateway rejects plain calls that would outlast its grace period: ${route}`, async () => {
+    const options = { controls: 1, gateways: 1, graceMs: 1_600 };
+    await using fleet = await startServingFleet(options);
+    const [{ address, gateway }] = fleet.gateways;
+    for (const engine of fleet.plain) {
+      Object.assign(engine.fault, { answerDelayMs: 1_500 });
+    }
+    assert.is((await call(address, { path: `/${route}/1` })).status, 200);
+    const stopped = gateway.stop();
+    const refused = await call(address, { path: `/${route}/2` });
+    await stopped;
+    assert.is(refused.status, 503);
+    assert.match(refused.text, /leaving/);
+    assert.ok(Number(refused.headers["retry-after"]) < 0.1);
+    const runs = fleet.plain.flatMap((engine) => engine.runs);
+    assert.equal(runs.map(({ target }) => target), [`/${route}/1`]);
+  });
+}
+
 test("a planned stop completes running requests and those that arrive during it", async () => {
   await using fleet = await startServingFleet({
     controls: 1,
