Bound what clients without limits make a server hold

What callers saw: a process that ran out of memory, or gave no answer for seconds, beside clients that sent heads or trailers without end on many connections, or requests ahead whose answers they did not read; and more descriptors than a machine has.

Cause: each head, each answer and each idle time is bounded, but not their sum. The HTTP library parses all requests that have arrived on a connection however many answers are due, holds unfinished heads and trailers of any number of connections, and accepts any number.

Change: createLimitedServer makes every HTTP server of the product. It reads connections in slices of 4 KB and closes one with more than four unanswered requests; it bounds the bytes of unfinished heads of all connections, where the oldest gives way; and it bounds connections, where the one that has been idle the longest gives way to a new one, so that an ordinary caller beside a crowd is served. No client that waits for its answers meets them.

--- a/src/gateway/create_caller_server.ts
+++ b/src/gateway/create_caller_server.ts
@@ -7,6 +7,12 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import Fastify, { type FastifyInstance } from "fastify";
+import {
+  createLimitedServer,
+  type CreateLimitedServerOptions,
+} from "../http/index.ts";
+import { DEFAULT_REQUEST_LIMITS } from "../settings/index.ts";
+import { toConnectionLimits } from "./to_connection_limits.ts";
 
 /** A request as received. */
 export interface ReceivedRequest {
@@ -16,6 +22,11 @@
   readonly target: string;
 }
 
+/** Options of {@link createCallerServer}. */
+export type CreateCallerServerOptions = Partial<
+  Pick<CreateLimitedServerOptions, "limits" | "onLimit">
+>;
+
 /** A listener that holds connections until a server is ready for them. */
 export interface EarlyListener {
   /** Passes on the held connections, and all later ones. */
@@ -30,11 +41,14 @@
 /** Idle timeout of connections before there is a configuration. */
 const DEFAULT_IDLE_TIMEOUT_MS = 16_000;
 
+const DEFAULT_LIMITS = toConnectionLimits(DEFAULT_REQUEST_LIMITS);
+
 /**
  * Creates the server. Routes come from the configuration, so every request is
  * rewritten to a single path for the router of the library.
  *
  * @param onRequest - Called with each request; its body is unread.
+ * @param options - The limits on connections; by default those of the settings' schema.
  * @returns The server, not yet listening.
  * @throws Nothing.
  * @example
@@ -42,12 +56,20 @@
  */
 export function createCallerServer(
   onRequest: (received: ReceivedRequest) => void,
+  options: CreateCallerServerOptions = {},
 ): FastifyInstance {
+  const { limits = DEFAULT_LIMITS, onLimit } = options;
   const server = Fastify({
     logger: false,
     exposeHeadRoutes: false,
-    http: { maxHeaderSize: MAX_HEADER_BYTES },
-    keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS,
+    serverFactory: (handler) =>
+      createLimitedServer(handler, {
+        limits,
+        onLimit,
+        maxHeaderSize: MAX_HEADER_BYTES,
+        keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS,
+        requestTimeout: 0,
+      }),
     rewriteUrl: () => "/",
   });
   server.server.on("timeout", closeIdle);
--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -78,6 +78,7 @@
 import { getLimitIntervalMs } from "./get_limit_interval_ms.ts";
 import { getDrainAdmissionMs } from "./get_drain_admission_ms.ts";
 import { startGauges } from "./start_gauges.ts";
+import { toConnectionLimits } from "./to_connection_limits.ts";
 import type { ServingContext } from "./types.ts";
 import { watchHeads } from "./watch_heads.ts";
 
@@ -525,8 +526,12 @@
     knowsEngines: () => knowsEngines,
     isDraining: () => isDraining,
   });
-  const server = createCallerServer((received) =>
-    void requestHandler.handle(received)
+  const server = createCallerServer(
+    (received) => void requestHandler.handle(received),
+    {
+      limits: toConnectionLimits(requestLimits),
+      onLimit: () => metrics.count("callers.connections_closed"),
+    },
   );
 
   watchHeads(server.server, {
--- a/src/http/create_server.ts
+++ b/src/http/create_server.ts
@@ -10,6 +10,10 @@
 import Fastify, { type FastifyError, type FastifyInstance } from "fastify";
 import type { Logger } from "../logs/index.ts";
 import type { TlsFilesSettings } from "../settings/index.ts";
+import {
+  createLimitedServer,
+  MANY_CLIENTS_LIMITS,
+} from "./create_limited_server.ts";
 import {
   formatProblem,
   INTERNAL_PROBLEM,
@@ -58,8 +62,6 @@
   const { limits, tls, log, onRefusal = () => {} } = options;
   const common = {
     bodyLimit: limits.bodyBytes,
-    requestTimeout: limits.requestTimeoutMs,
-    keepAliveTimeout: limits.idleTimeoutMs,
     forceCloseConnections: "idle" as const,
     logger: false as const,
     exposeHeadRoutes: false,
@@ -72,15 +74,19 @@
       socket.end(formatRawResponse(error));
     },
   };
-  const http = {
-    maxHeaderSize: limits.headerBytes,
-    connectionsCheckingInterval: CONNECTION_CHECK_MS,
-    headersTimeout: limits.requestTimeoutMs,
-  };
-  const server =
-    (tls
-      ? Fastify({ ...common, https: { ...http, ...readTls(tls) } })
-      : Fastify({ ...common, http })) as unknown as FastifyInstance;
+  const server = Fastify({
+    ...common,
+    serverFactory: (handler) =>
+      createLimitedServer(handler, {
+        limits: MANY_CLIENTS_LIMITS,
+        tls: tls ? readTls(tls) : undefined,
+        maxHeaderSize: limits.headerBytes,
+        requestTimeout: limits.requestTimeoutMs,
+        headersTimeout: limits.requestTimeoutMs,
+        keepAliveTimeout: limits.idleTimeoutMs,
+        connectionsCheckingInterval: CONNECTION_CHECK_MS,
+      }),
+  }) as unknown as FastifyInstance;
   if (tls) reloadTls(server, { tls, log });
   server.setErrorHandler((error: FastifyError, _request, reply) => {
     const problem = describeServerError(error);
--- a/src/metrics/metric_catalogue.ts
+++ b/src/metrics/metric_catalogue.ts
@@ -80,6 +80,8 @@
   "admission.ranked_services":
     "Services with upstreams whose requests have two or more distinct priorities",
   "requests.caller_gone": "Requests whose caller disconnected before the end",
+  "callers.connections_closed":
+    "Connections of callers that were closed for a limit on connections, requests or heads",
   "retry.budget_spent": "Retries denied by the retry budget",
   "pipeline.late_frames": "Answers of an older epoch, dropped",
   "pipeline.repairs": "Chains that continued with a replacement stage",
--- a/src/settings/schemas.ts
+++ b/src/settings/schemas.ts
@@ -150,6 +150,24 @@
     description:
       "Bytes of request bodies that a process holds in all; beyond three quarters of it bodies over 64 KB are refused, beyond all of it any",
   }),
+  connections: Type.Integer({
+    minimum: 1,
+    default: 2_000,
+    description:
+      "Connections of callers that are open at the same time; beyond them the one that has been idle the longest is closed for a new one",
+  }),
+  requestsPerConnection: Type.Integer({
+    minimum: 2,
+    default: 4,
+    description:
+      "Requests on one connection of a caller that have no complete answer; more close it",
+  }),
+  headMemoryBytes: Type.Integer({
+    minimum: 65_536,
+    default: 8_388_608,
+    description:
+      "Bytes of heads and trailers that have not ended, of all callers; beyond them the connection is closed whose head or trailers began first",
+  }),
 }, { additionalProperties: false, default: {} });
 
 /** Limits on what a gateway holds of requests. */
