Wait in a planned stop for callers that still read their answers

Cause: a call ends once its answer is handed to the response. The bytes that the system has not taken are still in the process, but the stop waited for calls only, and closed all connections after them.

Change: the request handler counts the responses that have not closed, and a stop waits for them within its grace as it does for calls.

--- a/src/gateway/close_caller_server.ts
+++ b/src/gateway/close_caller_server.ts
@@ -13,7 +13,7 @@
 export interface CloseCallerServerOptions {
   /** The listener that passes connections on to the server, if there is one. */
   readonly earlyListener?: Pick<EarlyListener, "close">;
-  /** Requests whose head has been read and that have no complete answer yet. */
+  /** Requests whose head was read and whose caller has no complete answer yet. */
   readonly getInFlight: () => number;
   /** Ms until all connections are closed at the latest. */
   readonly getLeftMs: () => number;
--- a/src/gateway/create_request_handler.ts
+++ b/src/gateway/create_request_handler.ts
@@ -37,6 +37,8 @@
   handle(received: ReceivedRequest): Promise<void>;
   /** Requests that are being read or served. */
   getInFlight(): number;
+  /** The same, and requests whose answers callers have not taken yet. */
+  getUnfinished(): number;
 }
 
 /** Limits before there is a configuration. */
@@ -113,24 +115,28 @@
   const bodyMemory = createBodyMemory({
     maxBytes: options.maxBodyMemoryBytes,
   });
+  const openResponses = new Set<ServerResponse>();
   let inFlight = 0;
   let forwardedInFlight = 0;
 
   async function handle(received: ReceivedRequest): Promise<void> {
     const startedMs = now();
+    const { response } = received;
     inFlight += 1;
+    openResponses.add(response);
+    response.once("close", () => openResponses.delete(response));
     try {
       await readAndServe(received, startedMs);
     } catch (error) {
       log("internalError", { error });
-      sendRefusal(received.response, {
+      sendRefusal(response, {
         codec,
         request: undefined,
         refusal: { status: 500, reason: "internal_error" },
       });
     } finally {
       inFlight -= 1;
-      closeUnreadAnswer(received.response, { timeoutMs: getIdleTimeoutMs() });
+      closeUnreadAnswer(response, { timeoutMs: getIdleTimeoutMs() });
     }
   }
 
@@ -273,5 +279,9 @@
     sendRefusal(response, { codec, request, refusal, closes });
   }
 
-  return { handle, getInFlight: () => inFlight };
+  return {
+    handle,
+    getInFlight: () => inFlight,
+    getUnfinished: () => Math.max(inFlight, openResponses.size),
+  };
 }
--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -557,6 +557,7 @@
   async function stop(): Promise<void> {
     log("stopping", { inFlight: requestHandler.getInFlight() });
     gauges[Symbol.dispose]();
+    const { getUnfinished } = requestHandler;
     const startedMs = now();
     graceEndMs = startedMs + settings.graceMs - EXIT_MARGIN_MS;
     const leftMs = context.getGraceLeftMs;
@@ -568,17 +569,16 @@
     while (now() - startedMs < drainAdmissionMs) {
       await sleep(20);
       const isPropagated = now() - startedMs > LEAVE_PROPAGATION_MS;
-      if (isPropagated && requestHandler.getInFlight() === 0) break;
+      if (isPropagated && getUnfinished() === 0) break;
     }
     isDraining = true;
-    while (requestHandler.getInFlight() > 0 && leftMs() > 0) await sleep(20);
-    const inFlight = requestHandler.getInFlight();
+    while (getUnfinished() > 0 && leftMs() > 0) await sleep(20);
+    const inFlight = getUnfinished();
     if (inFlight > 0) log("drainTimedOut", { inFlight });
     await link[Symbol.asyncDispose]();
-    const { getInFlight } = requestHandler;
     await closeCallerServer(server, {
       earlyListener,
-      getInFlight,
+      getInFlight: getUnfinished,
       getLeftMs: leftMs,
     });
     reachability[Symbol.dispose]();
--- a/standins/start_layer_engine.ts
+++ b/standins/start_layer_engine.ts
@@ -23,6 +23,8 @@
   cutsEvent?: boolean;
   /** Ms until it answers plain requests; 0 by default. */
   answerDelayMs?: number;
+  /** Least bytes of its answers to plain requests. */
+  answerBytes?: number;
   /** Runs plain requests, then closes their connections without an answer. */
   dropsAnswers?: boolean;
   /** Answers plain requests with the id of another one. */
@@ -350,7 +352,7 @@
       return;
     }
     const id = fault.swapsIds ? "another" : requestId;
-    const text = `answer to ${requestId}`;
+    const text = `answer to ${requestId}`.padEnd(fault.answerBytes ?? 0);
     response.writeHead(200, {
       [HEADER.requestId]: id,
       [HEADER.signature]: "s",
--- a/test/fleet_test.ts
+++ b/test/fleet_test.ts
@@ -3,6 +3,8 @@
  * failures.
  */
 
+import { once } from "node:events";
+import { connect } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
@@ -360,6 +362,39 @@
   await stopped;
 });
 
+// Guards against an answer that is dropped because its gateway has handed it to the
+// connection, though the caller has not taken all of it.
+test("a planned stop waits for callers that are still reading their answers", async () => {
+  const options = { controls: 1, gateways: 1, graceMs: 5_000 };
+  await using fleet = await startServingFleet(options);
+  const [{ address, gateway }] = fleet.gateways;
+  const answerBytes = 12 * 1024 * 1024;
+  for (const engine of fleet.plain) {
+    Object.assign(engine.fault, { answerBytes });
+  }
+  const [host, port] = address.split(":");
+  const socket = connect(Number(port), host);
+  let receivedBytes = 0;
+  const closed = once(socket, "close");
+  socket.write([
+    "POST /once/1 HTTP/1.1",
+    "host: a.example",
+    "x-attempt-id: slow",
+    "x-deadline-ms: 20000",
+    "x-api-key: key-1",
+    "content-length: 0",
+    "",
+    "",
+  ].join("\r\n"));
+  const ran = () => fleet.plain.some(({ runs }) => runs.length > 0);
+  await until("the engine has run it", ran);
+  const stopped = gateway.stop();
+  await sleep(3_500);
+  socket.on("data", (data) => receivedBytes += data.length);
+  await Promise.all([stopped, closed]);
+  assert.ok(receivedBytes > answerBytes, `${receivedBytes} bytes`);
+});
+
 test("callers get the gateway addresses of their place", async () => {
   await using fleet = await startServingFleet();
   await until(
