Take an answer for cut if its upstream refuses connections after it

Cause: a refused connection was believed only where another upstream could be reached, as it proves no crash otherwise. Whether the answer was whole is another question, and no refusal is a sign of that. Besides, a process that is killed closes its connections before its listener, so the first question may be answered.

Change: the liveness check tells a refusal without judging it, asks again 50 ms after an accepted connection, and such answers go by that. What else a crash decides is as before.

--- a/src/gateway/create_liveness_check.ts
+++ b/src/gateway/create_liveness_check.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { setTimeout as sleep } from "node:timers/promises";
 import {
   type ProbeAddress,
   probeAddress,
@@ -21,6 +22,18 @@
 export interface LivenessCheck {
   /** Never rejects; concurrent checks of an upstream share one result. */
   check(upstream: UpstreamAddress): Promise<UpstreamLiveness>;
+  /**
+   * Whether connections to an upstream are refused, by itself or by a machine in between,
+   * also shortly after. Never rejects, and shares the first probe of {@link check}.
+   */
+  refusesConnections(upstream: UpstreamAddress): Promise<boolean>;
+}
+
+/** A probe, and what it means. */
+interface RecentCheck {
+  readonly atMs: number;
+  readonly probed: Promise<UpstreamLiveness>;
+  readonly answer: Promise<UpstreamLiveness>;
 }
 
 /**
@@ -35,6 +48,12 @@
  */
 const RESULT_TTL_MS = 500;
 
+/**
+ * Time, in ms, in which a process that is killed closes its listener. It may close its
+ * other connections first.
+ */
+const EXIT_MS = 50;
+
 /**
  * Creates the check.
  *
@@ -58,10 +77,7 @@
 ): LivenessCheck {
   const { now, probe = probeAddress } = options;
   const { reachesOthers = () => Promise.resolve(true) } = options;
-  const recentChecks = new Map<
-    string,
-    { readonly atMs: number; readonly answer: Promise<UpstreamLiveness> }
-  >();
+  const recentChecks = new Map<string, RecentCheck>();
 
   function evictExpired(): void {
     for (const [engineId, { atMs }] of recentChecks) {
@@ -69,28 +85,40 @@
     }
   }
 
-  async function checkNow(
-    { engineId, address }: UpstreamAddress,
+  async function judge(
+    engineId: string,
+    probed: Promise<UpstreamLiveness>,
   ): Promise<UpstreamLiveness> {
-    const liveness = await probe(address, { timeoutMs: PROBE_TIMEOUT_MS });
+    const liveness = await probed;
     if (liveness !== "ended") return liveness;
     return await reachesOthers(engineId) ? "ended" : "unknown";
   }
 
+  function getCheck({ engineId, address }: UpstreamAddress): RecentCheck {
+    evictExpired();
+    const cached = recentChecks.get(engineId);
+    if (cached) return cached;
+    const probed = probe(address, { timeoutMs: PROBE_TIMEOUT_MS });
+    const answer = judge(engineId, probed);
+    const check = { atMs: now(), probed, answer };
+    recentChecks.set(engineId, check);
+    void answer.then((liveness) => {
+      if (liveness !== "listening") return;
+      if (recentChecks.get(engineId) === check) recentChecks.delete(engineId);
+    });
+    return check;
+  }
+
   return {
-    check(upstream) {
-      const { engineId } = upstream;
-      evictExpired();
-      const cached = recentChecks.get(engineId);
-      if (cached) return cached.answer;
-      const answer = checkNow(upstream);
-      const check = { atMs: now(), answer };
-      recentChecks.set(engineId, check);
-      void answer.then((liveness) => {
-        if (liveness !== "listening") return;
-        if (recentChecks.get(engineId) === check) recentChecks.delete(engineId);
+    check: (upstream) => getCheck(upstream).answer,
+    async refusesConnections(upstream) {
+      const first = await getCheck(upstream).probed;
+      if (first !== "listening") return first === "ended";
+      await sleep(EXIT_MS);
+      const second = await probe(upstream.address, {
+        timeoutMs: PROBE_TIMEOUT_MS,
       });
-      return answer;
+      return second === "ended";
     },
   };
 }
--- a/src/gateway/create_liveness_check_test.ts
+++ b/src/gateway/create_liveness_check_test.ts
@@ -76,4 +76,33 @@
   assert.is(await createCheck(true).check(upstream), "ended");
 });
 
+test("a refusal is known as one even where it proves nothing", async () => {
+  let probes = 0;
+  const checks = createLivenessCheck({
+    now: () => 0,
+    probe: () => {
+      probes += 1;
+      return Promise.resolve("ended");
+    },
+    reachesOthers: () => Promise.resolve(false),
+  });
+  const upstream = { engineId: "e1", address: "h:1" };
+  assert.ok(await checks.refusesConnections(upstream));
+  assert.is(await checks.check(upstream), "unknown");
+  assert.is(probes, 1);
+});
+
+// Guards against a listener that is open for a moment after the connections are closed.
+test("a refusal shortly after a connection was accepted is one", async () => {
+  const results = ["listening", "ended", "listening", "listening"] as const;
+  let probes = 0;
+  const checks = createLivenessCheck({
+    now: () => 0,
+    probe: () => Promise.resolve(results[probes++]),
+  });
+  const upstream = { engineId: "e1", address: "h:1" };
+  assert.ok(await checks.refusesConnections(upstream));
+  assert.not(await checks.refusesConnections(upstream));
+});
+
 test.run();
--- a/src/gateway/create_run_record.ts
+++ b/src/gateway/create_run_record.ts
@@ -18,7 +18,7 @@
     EngineTable,
     "get" | "hasEnded" | "isKnownEnded" | "isAddressTaken" | "noteEnded"
   >;
-  readonly livenessCheck: LivenessCheck;
+  readonly livenessCheck: Pick<LivenessCheck, "check">;
 }
 
 /** An upstream on which a call ran, for a log line. */
--- a/src/gateway/start_call_exchange.ts
+++ b/src/gateway/start_call_exchange.ts
@@ -118,12 +118,13 @@
   return exchange;
 }
 
-// A crash closes the connection just as the end of such an answer does.
+// A crash closes the connection just as the end of such an answer does. A refusal counts
+// whoever sends it: it proves no crash, but nor does it show that the answer was whole.
 async function checkEnd(
   { livenessCheck }: Pick<ServingContext, "livenessCheck">,
   engine: Pick<AddressedPart, "engineId" | "address">,
 ): Promise<ExchangeEnd> {
-  return await livenessCheck.check(engine) === "ended"
+  return await livenessCheck.refusesConnections(engine)
     ? { type: "broken", reason: "upstream ended with its answer" }
     : { type: "complete" };
 }
